--- /dev/null
+++ b/internal/config/service.go
@@ -0,0 +1,9 @@
+package config
+
+// Service declares a plain service.
+type Service struct {
+	Name        string            `yaml:"name" json:"name"`
+	Endpoints   []ServiceEndpoint `yaml:"endpoints" json:"endpoints"`
+	Calls       []Call            `yaml:"calls" json:"calls"`
+	KeyLifetime Seconds           `yaml:"key_lifetime_seconds" json:"key_lifetime_seconds"` // how long idempotency keys are kept
+}
--- /dev/null
+++ b/internal/config/versioned.go
@@ -0,0 +1,10 @@
+package config
+
+import "github.com/plantainmux/plantainmux/internal/platform"
+
+// Versioned is a configuration with its version, the offset of the record that
+// put it in force. Version 0 means that there is none.
+type Versioned struct {
+	Version platform.Offset `json:"version"`
+	Configuration
+}
--- /dev/null
+++ b/internal/endpoint/frame.go
@@ -0,0 +1,12 @@
+package endpoint
+
+// Frame is one event of an engine's answer. Index counts from 0 without gaps.
+type Frame struct {
+	Attempt      string `json:"attempt"`
+	Index        int    `json:"index"`
+	Text         string `json:"text,omitempty"`
+	Done         bool   `json:"done,omitempty"` // end marker: no frame follows
+	FinishReason string `json:"finish_reason,omitempty"`
+	PromptTokens int    `json:"prompt_tokens,omitempty"`
+	OutputTokens int    `json:"output_tokens,omitempty"`
+}
--- /dev/null
+++ b/internal/endpoint/http_engine.go
@@ -0,0 +1,146 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-resty/resty/v2"
+
+	"github.com/plantainmux/plantainmux/internal/fleet"
+)
+
+// Paths of an engine.
+const (
+	PathReport   = "/v1/report"
+	PathControl  = "/v1/control"
+	PathGenerate = "/v1/generate"
+)
+
+const (
+	reportTimeout      = 2 * time.Second
+	controlTimeout     = 5 * time.Second
+	dialTimeout        = time.Second
+	idleConnsPerEngine = 64
+	idleConnTimeout    = 90 * time.Second
+	errorBodyLimit     = 4 << 10 // bytes
+)
+
+// HTTPEngine speaks to engines over HTTP.
+type HTTPEngine struct {
+	transport *http.Transport
+	control   *resty.Client
+}
+
+// NewHTTPEngine returns a client of engines.
+func NewHTTPEngine() *HTTPEngine {
+	transport := newTransport()
+	return &HTTPEngine{
+		transport: transport,
+		control:   resty.NewWithClient(&http.Client{Transport: transport}),
+	}
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: idleConnsPerEngine,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// Report implements Engine.
+func (e *HTTPEngine) Report(ctx context.Context, address string) (fleet.MemberReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	var report fleet.MemberReport
+	response, err := e.control.R().SetContext(ctx).SetResult(&report).Get("http://" + address + PathReport)
+	if err != nil {
+		return report, transportFailure(address, err)
+	}
+	if !response.IsSuccess() {
+		return report, &BrokenError{Address: address, Err: restyStatus(response)}
+	}
+	return report, nil
+}
+
+// Control implements Engine.
+func (e *HTTPEngine) Control(ctx context.Context, address string, order ControlOrder) (fleet.MemberReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	var report fleet.MemberReport
+	var failure EngineError
+	response, err := e.control.R().
+		SetContext(ctx).
+		SetBody(order).
+		SetResult(&report).
+		SetError(&failure).
+		Post("http://" + address + PathControl)
+	if err != nil {
+		return report, transportFailure(address, err)
+	}
+	if failure.Code == CodeStaleFencing {
+		return report, &StaleFencingError{Address: address, Sent: order.Fencing, Highest: failure.Highest}
+	}
+	if !response.IsSuccess() {
+		return report, &BrokenError{Address: address, Err: restyStatus(response)}
+	}
+	return report, nil
+}
+
+// Generate implements Engine.
+func (e *HTTPEngine) Generate(ctx context.Context, address string, request GenerateRequest) (Stream, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, &UnreachableError{Address: address, Err: err}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+PathGenerate, bytes.NewReader(body))
+	if err != nil {
+		cancel()
+		return nil, &UnreachableError{Address: address, Err: err}
+	}
+	httpRequest.Header.Set("Content-Type", "application/json")
+	response, err := e.transport.RoundTrip(httpRequest)
+	if err != nil {
+		cancel()
+		return nil, transportFailure(address, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		defer cancel()
+		return nil, generateRefusal(address, response)
+	}
+	return newSSEStream(address, response.Body, cancel), nil
+}
+
+// generateRefusal turns an engine's refusal into a NotRunError when its code
+// proves that nothing ran.
+func generateRefusal(address string, response *http.Response) error {
+	defer func() { _ = response.Body.Close() }()
+	body, _ := io.ReadAll(io.LimitReader(response.Body, errorBodyLimit))
+	var failure EngineError
+	if json.Unmarshal(body, &failure) == nil && failure.Code != "" {
+		return &NotRunError{Address: address, Code: failure.Code}
+	}
+	return &BrokenError{Address: address, Err: &StatusError{Status: response.StatusCode, Body: string(body)}}
+}
+
+// transportFailure tells a failed dial, after which no byte was sent, from a
+// broken exchange.
+func transportFailure(address string, err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &UnreachableError{Address: address, Err: err}
+	}
+	return &BrokenError{Address: address, Err: err}
+}
+
+func restyStatus(response *resty.Response) error {
+	return &StatusError{Status: response.StatusCode(), Body: response.String()}
+}
--- /dev/null
+++ b/internal/platform/http_log.go
@@ -0,0 +1,103 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-resty/resty/v2"
+)
+
+// Paths and query names of the log service.
+const (
+	pathStream  = "/streams/{stream}"
+	queryFrom   = "from"
+	queryLimit  = "limit"
+	queryWaitMS = "wait_ms"
+)
+
+// requestMargin is added to a long poll's wait before the call is given up.
+const requestMargin = 5 * time.Second
+
+// HTTPLog speaks to the log service over HTTP and JSON.
+type HTTPLog struct {
+	client *resty.Client
+}
+
+// NewHTTPLog returns a client of the log service at baseURL.
+func NewHTTPLog(baseURL string) *HTTPLog {
+	return &HTTPLog{client: resty.New().SetBaseURL(baseURL)}
+}
+
+// Append implements Log.
+func (l *HTTPLog) Append(ctx context.Context, stream string, records [][]byte) (Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, requestMargin)
+	defer cancel()
+	var answer AppendAnswer
+	response, err := l.client.R().
+		SetContext(ctx).
+		SetPathParam("stream", stream).
+		SetBody(AppendRequest{Records: records}).
+		SetResult(&answer).
+		Post(pathStream)
+	if err != nil {
+		return 0, appendFailure(err)
+	}
+	switch {
+	case response.IsSuccess():
+		return answer.First, nil
+	case response.StatusCode() == http.StatusTooManyRequests:
+		return 0, &RateLimitedError{RetryAfter: retryAfter(response)}
+	case response.StatusCode() == http.StatusServiceUnavailable:
+		return 0, &UnavailableError{Operation: "append", Err: statusError(response.StatusCode())}
+	default:
+		return 0, &UnknownOutcomeError{Operation: "append", Err: statusError(response.StatusCode())}
+	}
+}
+
+// Read implements Log.
+func (l *HTTPLog) Read(ctx context.Context, stream string, from Offset, limit int, wait time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+requestMargin)
+	defer cancel()
+	var page Page
+	response, err := l.client.R().
+		SetContext(ctx).
+		SetPathParam("stream", stream).
+		SetQueryParam(queryFrom, strconv.FormatUint(uint64(from), 10)).
+		SetQueryParam(queryLimit, strconv.Itoa(limit)).
+		SetQueryParam(queryWaitMS, strconv.FormatInt(wait.Milliseconds(), 10)).
+		SetResult(&page).
+		SetError(&page).
+		Get(pathStream)
+	if err != nil {
+		return Page{}, &UnavailableError{Operation: "read", Err: err}
+	}
+	if response.StatusCode() == http.StatusGone {
+		return Page{}, &ExpiredError{Stream: stream, From: from, Oldest: page.Oldest}
+	}
+	if !response.IsSuccess() {
+		return Page{}, &UnavailableError{Operation: "read", Err: statusError(response.StatusCode())}
+	}
+	return page, nil
+}
+
+// appendFailure tells a refused connection, after which nothing can have been
+// appended, from a lost answer.
+func appendFailure(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &UnavailableError{Operation: "append", Err: err}
+	}
+	return &UnknownOutcomeError{Operation: "append", Err: err}
+}
+
+func retryAfter(response *resty.Response) time.Duration {
+	seconds, err := strconv.Atoi(response.Header().Get("Retry-After"))
+	if err != nil {
+		return time.Second
+	}
+	return time.Duration(seconds) * time.Second
+}
--- /dev/null
+++ b/internal/platform/page.go
@@ -0,0 +1,8 @@
+package platform
+
+// Page is the answer to a read of a stream.
+type Page struct {
+	Oldest  Offset   `json:"oldest"` // oldest retained offset
+	Next    Offset   `json:"next"`   // offset that the next append will get
+	Records []Record `json:"records"`
+}
--- /dev/null
+++ b/internal/platform/record.go
@@ -0,0 +1,7 @@
+package platform
+
+// Record is one record of a stream.
+type Record struct {
+	Offset Offset `json:"offset"`
+	Data   []byte `json:"data"`
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+echo "demo not built yet"; exit 1
