Thin whole path: caller, daemon, complete group, whole answer

Separate processes on HTTP: daemon, operators' tool and stand-ins.

Peers, limits, team shares and most failures are not handled yet.

--- /dev/null
+++ b/cmd/plantainfake/main.go
@@ -0,0 +1,35 @@
+// Command plantainfake runs one small stand-in of the platform or of an
+// endpoint, for tests and for the demo.
+package main
+
+import (
+	"log/slog"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes of the stand-ins.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+func main() {
+	parser := flags.NewNamedParser("plantainfake", flags.Default)
+	addCommand(parser, "log", "the log service", &logCommand{})
+	addCommand(parser, "vms", "the list of VMs", &vmsCommand{})
+	addCommand(parser, "weights", "the weight store", &weightsCommand{})
+	addCommand(parser, "engine", "the model engine of one VM", &engineCommand{})
+	addCommand(parser, "service", "a plain service", &serviceCommand{})
+	if _, err := parser.Parse(); err != nil && !flags.WroteHelp(err) {
+		os.Exit(exitUsage)
+	}
+}
+
+func addCommand(parser *flags.Parser, name, description string, command flags.Commander) {
+	if _, err := parser.AddCommand(name, description, "", command); err != nil {
+		slog.Error("command not added", "name", name, "error", err)
+		os.Exit(exitFailure)
+	}
+}
--- /dev/null
+++ b/cmd/plantainfake/serve.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/plantainmux/plantainmux/internal/fakes"
+)
+
+// listenOptions are the flags that every stand-in has.
+type listenOptions struct {
+	Listen string `long:"listen" default:"127.0.0.1:0" description:"IP number and port to listen on"`
+}
+
+// serve runs a stand-in until the process is told to stop.
+func (o listenOptions) serve(handler http.Handler) error {
+	server, err := fakes.StartServer(o.Listen, handler)
+	if err != nil {
+		return err
+	}
+	slog.Info("stand-in started", "address", server.Address())
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	<-stop
+	server.Kill()
+	return nil
+}
--- /dev/null
+++ b/internal/adminapi/server.go
@@ -0,0 +1,58 @@
+package adminapi
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/plantainmux/plantainmux/internal/metric"
+)
+
+const bearerPrefix = "Bearer "
+
+// Server serves operators.
+type Server struct {
+	token   string
+	status  func() Status
+	metrics *metric.Set
+}
+
+// New returns a server. Operators authenticate with token.
+func New(token string, status func() Status, metrics *metric.Set) *Server {
+	return &Server{token: token, status: status, metrics: metrics}
+}
+
+// Handler serves the interface. Health, readiness and metrics need no token.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /readyz", s.ready)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { s.metrics.Write(w) })
+	mux.HandleFunc("GET /admin/status", s.authenticated(s.writeStatus))
+	return mux
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	status := s.status()
+	if status.Ready && !status.Draining {
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (s *Server) authenticated(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+		if subtle.ConstantTimeCompare([]byte(token), []byte(s.token)) != 1 {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (s *Server) writeStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.status())
+}
--- /dev/null
+++ b/internal/adminapi/status.go
@@ -0,0 +1,18 @@
+package adminapi
+
+import (
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/view"
+)
+
+// Status is what a daemon says of itself.
+type Status struct {
+	Daemon        fleet.DaemonID     `json:"daemon"`
+	DataCentre    fleet.DataCentre   `json:"data_centre"`
+	Ready         bool               `json:"ready"`
+	Draining      bool               `json:"draining"`
+	ConfigVersion platform.Offset    `json:"config_version"`
+	Peers         []fleet.DaemonID   `json:"peers"`
+	Groups        []view.GroupStatus `json:"groups"`
+}
--- /dev/null
+++ b/internal/callerapi/completion_request.go
@@ -0,0 +1,85 @@
+package callerapi
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/plantainmux/plantainmux/internal/config"
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/refusal"
+	"github.com/plantainmux/plantainmux/internal/request"
+)
+
+// deadlineHeader gives the milliseconds that the caller will wait.
+const deadlineHeader = "Plantainmux-Timeout-Ms"
+
+// adapterSeparator parts a model's name from its adapter's.
+const adapterSeparator = ":"
+
+// completionRequest is what the daemon reads of a completion's body. The
+// engine gets the body as it came.
+type completionRequest struct {
+	Model     string `json:"model"`
+	Stream    bool   `json:"stream"`
+	MaxTokens int    `json:"max_tokens"`
+}
+
+// readCompletion reads and checks the body of a completion.
+func (s *Server) readCompletion(r *http.Request, team config.Team) (*request.Request, bool, *refusal.Refusal) {
+	body, refused := s.readBody(r)
+	if refused != nil {
+		return nil, false, refused
+	}
+	var parsed completionRequest
+	if err := json.Unmarshal(body, &parsed); err != nil {
+		return nil, false, refusal.New(refusal.Malformed, 0, "the body is not valid JSON: "+err.Error())
+	}
+	name, adapter, _ := strings.Cut(parsed.Model, adapterSeparator)
+	deadline, refused := s.deadline(r)
+	if refused != nil {
+		return nil, false, refused
+	}
+	req := &request.Request{
+		ID:          uuid.NewString(),
+		Team:        team.Name,
+		Priority:    team.Priority,
+		Model:       fleet.ModelName(name),
+		Adapter:     adapter,
+		Body:        body,
+		MaxTokens:   parsed.MaxTokens,
+		Fingerprint: request.Fingerprint(fleet.ModelName(name), adapter, body),
+		Deadline:    deadline,
+	}
+	return req, parsed.Stream, nil
+}
+
+func (s *Server) readBody(r *http.Request) ([]byte, *refusal.Refusal) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, s.BodyLimit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, refusal.New(refusal.TooLarge, 0, "the body exceeds "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
+	}
+	if err != nil {
+		return nil, refusal.New(refusal.Malformed, 0, "the body could not be read")
+	}
+	return body, nil
+}
+
+func (s *Server) deadline(r *http.Request) (time.Time, *refusal.Refusal) {
+	value := r.Header.Get(deadlineHeader)
+	if value == "" {
+		return time.Now().Add(s.DefaultDeadline), nil
+	}
+	millis, err := strconv.Atoi(value)
+	if err != nil || millis <= 0 {
+		return time.Time{}, refusal.New(refusal.Malformed, 0, deadlineHeader+" is not a positive number")
+	}
+	return time.Now().Add(time.Duration(millis) * time.Millisecond), nil
+}
--- /dev/null
+++ b/internal/callerapi/completions.go
@@ -0,0 +1,60 @@
+package callerapi
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/plantainmux/plantainmux/internal/config"
+	"github.com/plantainmux/plantainmux/internal/refusal"
+	"github.com/plantainmux/plantainmux/internal/request"
+)
+
+func (s *Server) completions(w http.ResponseWriter, r *http.Request, team config.Team) {
+	s.complete(w, r, team, textForm{})
+}
+
+func (s *Server) chatCompletions(w http.ResponseWriter, r *http.Request, team config.Team) {
+	s.complete(w, r, team, chatForm{})
+}
+
+// complete admits a completion, runs it and sends its answer.
+func (s *Server) complete(w http.ResponseWriter, r *http.Request, team config.Team, form answerForm) {
+	req, streamed, refused := s.readCompletion(r, team)
+	if refused != nil {
+		s.refuse(w, refused)
+		return
+	}
+	if refused := s.checkModel(req); refused != nil {
+		s.refuse(w, refused)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
+	defer cancel()
+	release, refused := s.Gate.Admit(ctx, req)
+	if refused != nil {
+		s.refuse(w, refused)
+		return
+	}
+	defer release()
+	if streamed {
+		s.answerStream(ctx, w, req, form)
+		return
+	}
+	s.answerWhole(ctx, w, req, form)
+}
+
+func (s *Server) checkModel(req *request.Request) *refusal.Refusal {
+	model, ok := s.Views.Load().Model(req.Model)
+	if !ok {
+		return refusal.New(refusal.UnknownModel, 0, "model "+string(req.Model)+" is not configured")
+	}
+	if req.Adapter == "" {
+		return nil
+	}
+	for _, adapter := range model.Adapters {
+		if adapter == req.Adapter {
+			return nil
+		}
+	}
+	return refusal.New(refusal.UnknownModel, 0, "adapter "+req.Adapter+" of model "+string(req.Model)+" is not configured")
+}
--- /dev/null
+++ b/internal/callerapi/server.go
@@ -0,0 +1,54 @@
+package callerapi
+
+import (
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/admit"
+	"github.com/plantainmux/plantainmux/internal/endpoint"
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/metric"
+	"github.com/plantainmux/plantainmux/internal/order"
+	"github.com/plantainmux/plantainmux/internal/relay"
+	"github.com/plantainmux/plantainmux/internal/view"
+)
+
+// Dependencies are what the interface works with.
+type Dependencies struct {
+	DataCentre      fleet.DataCentre
+	Views           *view.Store
+	Gate            *admit.Gate
+	Relay           *relay.Relay
+	Orders          *order.Runner
+	Service         endpoint.Service
+	Metrics         *metric.Set
+	Logger          *slog.Logger
+	BodyLimit       int64 // bytes
+	DefaultDeadline time.Duration
+}
+
+// Server serves callers.
+type Server struct {
+	Dependencies
+	draining atomic.Bool
+}
+
+// New returns a server.
+func New(dependencies Dependencies) *Server {
+	return &Server{Dependencies: dependencies}
+}
+
+// Drain refuses new work from now on.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Handler serves the interface.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", s.authenticated(s.completions))
+	mux.HandleFunc("POST /v1/chat/completions", s.authenticated(s.chatCompletions))
+	mux.HandleFunc("GET /v1/models", s.authenticated(s.models))
+	mux.HandleFunc("/v1/services/{name}/{path...}", s.authenticated(s.service))
+	return mux
+}
--- /dev/null
+++ b/internal/config/lost_race_error.go
@@ -0,0 +1,19 @@
+package config
+
+import (
+	"fmt"
+
+	"github.com/plantainmux/plantainmux/internal/platform"
+)
+
+// LostRaceError says that a publication was based on a version that is no
+// longer in force. Nothing was changed.
+type LostRaceError struct {
+	Base    platform.Offset
+	InForce platform.Offset
+}
+
+// Error implements error.
+func (e *LostRaceError) Error() string {
+	return fmt.Sprintf("configuration is based on version %d, but version %d is in force", e.Base, e.InForce)
+}
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -14,3 +14,13 @@
 	ChecksFencing bool            `yaml:"checks_fencing" json:"fencing"`    // its engines refuse old fencing numbers
 	LoadSeconds   int             `yaml:"load_seconds" json:"load_seconds"` // usual time to load the weights
 }
+
+// ReplicasIn returns the number of groups wanted in a data centre.
+func (m Model) ReplicasIn(dataCentre fleet.DataCentre) int {
+	for _, replicas := range m.Replicas {
+		if replicas.DataCentre == dataCentre {
+			return replicas.Count
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon builds a daemon from its parts and runs it.
+package daemon
--- /dev/null
+++ b/internal/daemon/errors.go
@@ -0,0 +1,17 @@
+package daemon
+
+import "fmt"
+
+// ListenError says that an address cannot be listened on.
+type ListenError struct {
+	Name string
+	Err  error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("listen.%s: %v", e.Name, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/daemon/run.go
@@ -0,0 +1,77 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/settings"
+)
+
+// CallerAddress returns the address of the callers' listener.
+func (d *Daemon) CallerAddress() string { return d.callerListener.Addr().String() }
+
+// AdminAddress returns the address of the operators' listener.
+func (d *Daemon) AdminAddress() string { return d.adminListener.Addr().String() }
+
+func (d *Daemon) listen() error {
+	var err error
+	if d.callerListener, err = net.Listen("tcp", d.settings.Listen.Caller); err != nil {
+		return &ListenError{Name: "caller", Err: err}
+	}
+	if d.adminListener, err = net.Listen("tcp", d.settings.Listen.Admin); err != nil {
+		return &ListenError{Name: "admin", Err: err}
+	}
+	return nil
+}
+
+// Run runs the daemon until ctx ends, then stops it gracefully.
+func (d *Daemon) Run(ctx context.Context) {
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	d.cancel = cancel
+	d.startControl(background)
+	callers := d.serve(d.callerListener, d.caller.Handler())
+	admins := d.serve(d.adminListener, d.admin.Handler())
+	d.logger.Info("daemon started", "caller", d.CallerAddress(), "admin", d.AdminAddress())
+	<-ctx.Done()
+	d.stop(callers, admins)
+	cancel()
+	d.tasks.Wait()
+	d.pool.StopAndWait()
+	d.logger.Info("daemon stopped")
+}
+
+func (d *Daemon) startControl(ctx context.Context) {
+	d.tasks.Go(func() { d.config.Run(ctx) })
+	d.tasks.Go(func() { d.groups.Run(ctx) })
+	for _, stream := range d.orders {
+		d.tasks.Go(func() { stream.Run(ctx) })
+	}
+	d.tasks.Go(func() { d.vms.Run(ctx) })
+	d.tasks.Go(func() { d.poller.Run(ctx) })
+	d.tasks.Go(func() { d.loop.Run(ctx) })
+}
+
+func (d *Daemon) serve(listener net.Listener, handler http.Handler) *http.Server {
+	server := &http.Server{Handler: handler}
+	d.tasks.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			d.logger.Error("listener failed", "address", listener.Addr().String(), "error", err)
+		}
+	})
+	return server
+}
+
+// stop ends the daemon without cutting off a request: readiness fails first,
+// the balancer gets its time to notice, then new work ends and the requests in
+// progress finish, however long their own deadlines allow.
+func (d *Daemon) stop(callers, admins *http.Server) {
+	d.draining.Store(true)
+	d.logger.Info("daemon draining")
+	time.Sleep(settings.Millis(d.settings.Timing.DrainNoticeMS))
+	d.caller.Drain()
+	_ = callers.Shutdown(context.Background())
+	_ = admins.Shutdown(context.Background())
+}
--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -15,4 +15,7 @@
 	// Generate starts an attempt. Its failures are UnreachableError (no byte was
 	// sent), NotRunError (the engine proved that it did not run) and BrokenError.
 	Generate(ctx context.Context, address string, request GenerateRequest) (Stream, error)
+	// Cancel ends an attempt that the engine may still be running. A broken
+	// stream alone does not, so that it can be resumed.
+	Cancel(ctx context.Context, address, attempt string) error
 }
--- a/internal/endpoint/http_engine.go
+++ b/internal/endpoint/http_engine.go
@@ -119,6 +119,23 @@
 	return newSSEStream(address, response.Body, cancel), nil
 }
 
+// Cancel implements Engine.
+func (e *HTTPEngine) Cancel(ctx context.Context, address, attempt string) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	response, err := e.control.R().
+		SetContext(ctx).
+		SetPathParam("attempt", attempt).
+		Delete("http://" + address + PathGenerate + "/{attempt}")
+	if err != nil {
+		return transportFailure(address, err)
+	}
+	if !response.IsSuccess() {
+		return &BrokenError{Address: address, Err: restyStatus(response)}
+	}
+	return nil
+}
+
 // generateRefusal turns an engine's refusal into a NotRunError when its code
 // proves that nothing ran.
 func generateRefusal(address string, response *http.Response) error {
--- a/internal/endpoint/sse_stream.go
+++ b/internal/endpoint/sse_stream.go
@@ -47,7 +47,7 @@
 	return Frame{}, &BrokenError{Address: s.address, Err: err}
 }
 
-// Close implements Stream. Closing the connection cancels the attempt.
+// Close implements Stream.
 func (s *sseStream) Close() error {
 	s.cancel()
 	return s.body.Close()
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -5,7 +5,7 @@
 	// Next returns the next frame, or a BrokenError when the connection ends
 	// before the end marker.
 	Next() (Frame, error)
-	// Close ends the attempt. A stream that is not finished is cancelled on the
-	// engine.
+	// Close closes the connection. The engine goes on until the attempt is
+	// cancelled or ends.
 	Close() error
 }
--- /dev/null
+++ b/internal/fakes/engine_event.go
@@ -0,0 +1,31 @@
+package fakes
+
+import (
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/endpoint"
+	"github.com/plantainmux/plantainmux/internal/fleet"
+)
+
+// Kinds of an engine's recorded events.
+const (
+	EventControl  = "control"  // an accepted control order
+	EventRefused  = "refused"  // a control order with a stale fencing number
+	EventStart    = "start"    // a request began to run
+	EventFinish   = "finish"   // a request ran to its end
+	EventCancel   = "cancel"   // a request was cut off
+	EventRejected = "rejected" // a request was refused before it ran
+	EventCrash    = "crash"    // the engine crashed
+)
+
+// EngineEvent is one thing that was asked of an engine, as a witness for tests.
+type EngineEvent struct {
+	At      time.Time             `json:"at"`
+	VM      fleet.VMID            `json:"vm"`
+	Boot    fleet.BootID          `json:"boot"`
+	Kind    string                `json:"kind"`
+	Group   fleet.FencingNumber   `json:"group"`
+	Attempt string                `json:"attempt,omitempty"`
+	Body    string                `json:"body,omitempty"`
+	Order   endpoint.ControlOrder `json:"order,omitzero"`
+}
--- /dev/null
+++ b/internal/fakes/generate.go
@@ -0,0 +1,194 @@
+package fakes
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/plantainmux/plantainmux/internal/endpoint"
+	"github.com/plantainmux/plantainmux/internal/fleet"
+)
+
+// generateBody is what the engine reads of a caller's request.
+type generateBody struct {
+	MaxTokens int `json:"max_tokens"`
+}
+
+func (e *Engine) handleGenerate(w http.ResponseWriter, r *http.Request) {
+	var request endpoint.GenerateRequest
+	if err := json.NewDecoder(io.LimitReader(r.Body, requestBodyLimit)).Decode(&request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if code := e.refuse(request); code != "" {
+		e.noteAttempt(EventRejected, request)
+		writeJSON(w, http.StatusConflict, endpoint.EngineError{Code: code})
+		return
+	}
+	a, ok := e.begin(r.Context(), request)
+	if !ok {
+		writeJSON(w, http.StatusConflict, endpoint.EngineError{Code: endpoint.CodeNoAttempt})
+		return
+	}
+	e.stream(w, r, a, request.ResumeFrom)
+}
+
+func (e *Engine) refuse(request endpoint.GenerateRequest) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.report.Group != request.Group:
+		return endpoint.CodeWrongGroup
+	case e.report.State != fleet.EngineReady:
+		return endpoint.CodeNotReady
+	case e.report.Model != request.Model:
+		return endpoint.CodeUnknownModel
+	default:
+		return ""
+	}
+}
+
+// begin starts an attempt, or finds the one to resume.
+func (e *Engine) begin(ctx context.Context, request endpoint.GenerateRequest) (*attempt, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if running, ok := e.attempts[request.Attempt]; ok {
+		return running, true
+	}
+	if request.ResumeFrom > 0 {
+		return nil, false
+	}
+	a := newAttempt()
+	e.attempts[request.Attempt] = a
+	e.note(EngineEvent{Kind: EventStart, Group: request.Group, Attempt: request.Attempt, Body: string(request.Body)})
+	e.sampleLoad()
+	go e.produce(context.WithoutCancel(ctx), a, request)
+	return a, true
+}
+
+// produce generates the tokens of an attempt at the engine's pace.
+func (e *Engine) produce(ctx context.Context, a *attempt, request endpoint.GenerateRequest) {
+	if e.shouldCrash(request) {
+		e.crash(request)
+		return
+	}
+	tokens := e.tokensOf(request)
+	for i := range tokens {
+		if !waitFor(ctx, e.options.TokenDelay) || !e.alive(a, request.Attempt) {
+			return
+		}
+		a.add(endpoint.Frame{Attempt: request.Attempt, Index: i, Text: Token(request.Body, i)})
+	}
+	a.add(endpoint.Frame{
+		Attempt: request.Attempt, Index: tokens, Done: true,
+		FinishReason: "stop", PromptTokens: len(request.Body), OutputTokens: tokens,
+	})
+	e.finish(a, request)
+}
+
+// Token returns the i-th token of the answer to a request's body. It depends on
+// the body, so that an answer given to the wrong caller shows.
+func Token(body []byte, i int) string {
+	return fmt.Sprintf("%04x-%d ", xxhash.Sum64(body)&0xffff, i)
+}
+
+// Answer returns the whole answer to a request's body.
+func Answer(body []byte, tokens int) string {
+	text := ""
+	for i := range tokens {
+		text += Token(body, i)
+	}
+	return text
+}
+
+func (e *Engine) tokensOf(request endpoint.GenerateRequest) int {
+	var body generateBody
+	if json.Unmarshal(request.Body, &body) == nil && body.MaxTokens > 0 {
+		return body.MaxTokens
+	}
+	if e.options.Tokens > 0 {
+		return e.options.Tokens
+	}
+	return defaultTokens
+}
+
+// alive reports whether the attempt still belongs to the running engine.
+func (e *Engine) alive(a *attempt, id string) bool {
+	faults, changed := e.faultState()
+	for faults.Frozen {
+		<-changed
+		faults, changed = e.faultState()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.attempts[id] == a
+}
+
+func (e *Engine) faultState() (Faults, <-chan struct{}) { return e.Switches.load() }
+
+func (e *Engine) finish(a *attempt, request endpoint.GenerateRequest) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a.done = true
+	e.note(EngineEvent{Kind: EventFinish, Group: request.Group, Attempt: request.Attempt})
+	e.sampleLoad()
+	time.AfterFunc(resumeRetention, func() { e.forget(request.Attempt) })
+}
+
+func (e *Engine) forget(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.attempts, id)
+}
+
+// stream sends the frames of an attempt. A caller that goes away cancels it.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, a *attempt, from int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flusher, _ := w.(http.Flusher)
+	for {
+		frames, more := a.from(from)
+		for _, frame := range frames {
+			if !writeFrame(w, frame) {
+				return
+			}
+			if frame.Done {
+				return
+			}
+		}
+		from += len(frames)
+		if flusher != nil {
+			flusher.Flush()
+		}
+		if len(frames) > 0 {
+			continue
+		}
+		select {
+		case <-more:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func writeFrame(w http.ResponseWriter, frame endpoint.Frame) bool {
+	data, err := json.Marshal(frame)
+	if err != nil {
+		return false
+	}
+	_, err = fmt.Fprintf(w, "data: %s\n\n", data)
+	return err == nil
+}
+
+// crash ends the engine as a failing process would.
+func (e *Engine) crash(request endpoint.GenerateRequest) {
+	e.noteAttempt(EventCrash, request)
+	if e.options.OnCrash != nil {
+		e.options.OnCrash()
+	}
+}
--- /dev/null
+++ b/internal/fakes/json.go
@@ -0,0 +1,12 @@
+package fakes
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/fakes/log.go
@@ -0,0 +1,176 @@
+package fakes
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/plantainmux/plantainmux/internal/platform"
+)
+
+// Defaults of the log service.
+const (
+	DefaultAppendRate  = 300 // appends a second
+	defaultAppendBurst = 30
+)
+
+// Log is the stand-in of the log service: streams with offsets, limited
+// retention and a limited rate of appends.
+type Log struct {
+	*Switches
+	limiter *rate.Limiter
+
+	mu      sync.Mutex
+	streams map[string]*logStream
+	appends int
+	changed chan struct{} // closed at each append
+}
+
+// logStream is one stream. Records below oldest have expired.
+type logStream struct {
+	oldest  platform.Offset
+	records []platform.Record
+}
+
+func (s *logStream) next() platform.Offset {
+	return s.oldest + platform.Offset(len(s.records))
+}
+
+// NewLog returns an empty log that takes appendRate appends a second.
+func NewLog(appendRate int) *Log {
+	return &Log{
+		Switches: NewSwitches(),
+		limiter:  rate.NewLimiter(rate.Limit(appendRate), defaultAppendBurst),
+		streams:  map[string]*logStream{},
+		changed:  make(chan struct{}),
+	}
+}
+
+// Handler serves the log's protocol.
+func (l *Log) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST /streams/{stream}", l.wrap(http.HandlerFunc(l.handleAppend)))
+	mux.Handle("GET /streams/{stream}", l.wrap(http.HandlerFunc(l.handleRead)))
+	mux.HandleFunc("POST "+pathFaults, l.handle)
+	return mux
+}
+
+func (l *Log) handleAppend(w http.ResponseWriter, r *http.Request) {
+	if !l.limiter.Allow() {
+		w.Header().Set("Retry-After", "0")
+		http.Error(w, "append rate exceeded", http.StatusTooManyRequests)
+		return
+	}
+	var request platform.AppendRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	first, next := l.Append(r.PathValue("stream"), request.Records)
+	writeJSON(w, http.StatusOK, platform.AppendAnswer{First: first, Next: next})
+}
+
+// Append adds records to a stream, whatever the faults.
+func (l *Log) Append(name string, records [][]byte) (first, next platform.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	stream := l.stream(name)
+	first = stream.next()
+	for _, data := range records {
+		stream.records = append(stream.records, platform.Record{Offset: stream.next(), Data: data})
+	}
+	l.appends++
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return first, stream.next()
+}
+
+func (l *Log) stream(name string) *logStream {
+	stream, ok := l.streams[name]
+	if !ok {
+		stream = &logStream{oldest: platform.FirstOffset}
+		l.streams[name] = stream
+	}
+	return stream
+}
+
+func (l *Log) handleRead(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, _ := strconv.ParseUint(query.Get("from"), 10, 64)
+	limit, _ := strconv.Atoi(query.Get("limit"))
+	waitMS, _ := strconv.Atoi(query.Get("wait_ms"))
+	timeout := time.After(time.Duration(waitMS) * time.Millisecond)
+	for {
+		page, expired, changed := l.read(r.PathValue("stream"), platform.Offset(from), limit)
+		if expired {
+			writeJSON(w, http.StatusGone, page)
+			return
+		}
+		if len(page.Records) > 0 || waitMS == 0 {
+			writeJSON(w, http.StatusOK, page)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			waitMS = 0
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (l *Log) read(name string, from platform.Offset, limit int) (page platform.Page, expired bool, changed <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	stream := l.stream(name)
+	page = platform.Page{Oldest: stream.oldest, Next: stream.next()}
+	if from < stream.oldest {
+		return page, true, l.changed
+	}
+	if from < page.Next {
+		records := stream.records[from-stream.oldest:]
+		page.Records = records[:min(limit, len(records))]
+	}
+	return page, false, l.changed
+}
+
+// Expire drops the records of a stream below an offset.
+func (l *Log) Expire(name string, below platform.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	stream := l.stream(name)
+	for len(stream.records) > 0 && stream.oldest < below {
+		stream.records = stream.records[1:]
+		stream.oldest++
+	}
+}
+
+// Truncate drops the records of a stream from an offset on, as a log that lost
+// its end would.
+func (l *Log) Truncate(name string, from platform.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	stream := l.stream(name)
+	if from < stream.next() {
+		stream.records = stream.records[:from-stream.oldest]
+	}
+}
+
+// Records returns the retained records of a stream.
+func (l *Log) Records(name string) []platform.Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]platform.Record(nil), l.stream(name).records...)
+}
+
+// Appends returns the number of appends taken.
+func (l *Log) Appends() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
--- /dev/null
+++ b/internal/fakes/vm_list.go
@@ -0,0 +1,78 @@
+package fakes
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/platform"
+)
+
+// VMList is the stand-in of the platform's list of VMs. It lags when frozen by
+// its switches or when the test does not tell it.
+type VMList struct {
+	*Switches
+
+	mu  sync.Mutex
+	vms map[fleet.VMID]fleet.VM
+}
+
+// NewVMList returns a list of VMs.
+func NewVMList(vms ...fleet.VM) *VMList {
+	l := &VMList{Switches: NewSwitches(), vms: map[fleet.VMID]fleet.VM{}}
+	for _, vm := range vms {
+		l.Put(vm)
+	}
+	return l
+}
+
+// Handler serves the list's protocol.
+func (l *VMList) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /vms", l.wrap(http.HandlerFunc(l.handleList)))
+	mux.HandleFunc("PUT /vms", l.handlePut)
+	mux.HandleFunc("DELETE /vms/{vm}", l.handleDelete)
+	mux.HandleFunc("POST "+pathFaults, l.handle)
+	return mux
+}
+
+func (l *VMList) handleList(w http.ResponseWriter, _ *http.Request) {
+	l.mu.Lock()
+	vms := make([]fleet.VM, 0, len(l.vms))
+	for _, vm := range l.vms {
+		vms = append(vms, vm)
+	}
+	l.mu.Unlock()
+	slices.SortFunc(vms, func(a, b fleet.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	writeJSON(w, http.StatusOK, platform.VMListAnswer{VMs: vms})
+}
+
+func (l *VMList) handlePut(w http.ResponseWriter, r *http.Request) {
+	var vm fleet.VM
+	if err := json.NewDecoder(r.Body).Decode(&vm); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	l.Put(vm)
+}
+
+func (l *VMList) handleDelete(_ http.ResponseWriter, r *http.Request) {
+	l.Remove(fleet.VMID(r.PathValue("vm")))
+}
+
+// Put adds or replaces a VM.
+func (l *VMList) Put(vm fleet.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.vms[vm.ID] = vm
+}
+
+// Remove drops a VM.
+func (l *VMList) Remove(id fleet.VMID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.vms, id)
+}
--- /dev/null
+++ b/internal/group/errors.go
@@ -0,0 +1,62 @@
+package group
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/fleet"
+)
+
+// VMTakenError voids a form that names a VM of another group.
+type VMTakenError struct {
+	VM    fleet.VMID
+	Group fleet.FencingNumber
+}
+
+// Error implements error.
+func (e *VMTakenError) Error() string {
+	return fmt.Sprintf("VM %s is a member of group %d", e.VM, e.Group)
+}
+
+// VMRestingError voids a form that names a VM which may still receive orders of
+// its former group.
+type VMRestingError struct {
+	VM    fleet.VMID
+	Until time.Time
+}
+
+// Error implements error.
+func (e *VMRestingError) Error() string {
+	return fmt.Sprintf("VM %s rests until %s", e.VM, e.Until.Format(time.RFC3339))
+}
+
+// NoSuchGroupError voids a record about a group that does not exist.
+type NoSuchGroupError struct {
+	Group fleet.FencingNumber
+}
+
+// Error implements error.
+func (e *NoSuchGroupError) Error() string {
+	return fmt.Sprintf("no group %d", e.Group)
+}
+
+// MalformedFormError voids a form without members or with one twice.
+type MalformedFormError struct {
+	VM fleet.VMID
+}
+
+// Error implements error.
+func (e *MalformedFormError) Error() string {
+	return fmt.Sprintf("members of the form are malformed at %q", e.VM)
+}
+
+// BootsMismatchError voids a ready record whose boots are not those of the
+// members, or that comes a second time.
+type BootsMismatchError struct {
+	Group fleet.FencingNumber
+}
+
+// Error implements error.
+func (e *BootsMismatchError) Error() string {
+	return fmt.Sprintf("boots do not match the members of group %d", e.Group)
+}
--- /dev/null
+++ b/internal/group/input.go
@@ -0,0 +1,18 @@
+package group
+
+import (
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/config"
+	"github.com/plantainmux/plantainmux/internal/fleet"
+)
+
+// Input is all that a plan depends on.
+type Input struct {
+	DataCentre fleet.DataCentre
+	Fold       *Fold
+	World      World
+	Config     config.Configuration
+	Now        time.Time
+	Bounds     Bounds
+}
--- /dev/null
+++ b/internal/group/kinds.go
@@ -0,0 +1,18 @@
+package group
+
+import (
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/logstream"
+)
+
+// Kinds of records of a group stream.
+const (
+	KindForm    logstream.Kind = "form"
+	KindReady   logstream.Kind = "ready"
+	KindRelease logstream.Kind = "release"
+)
+
+// StreamName returns the name of a data centre's group stream.
+func StreamName(dataCentre fleet.DataCentre) string {
+	return "groups." + string(dataCentre)
+}
--- /dev/null
+++ b/internal/logstream/entry.go
@@ -0,0 +1,21 @@
+package logstream
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Entry is the envelope of one record.
+type Entry struct {
+	Writer string          `cbor:"1,keyasint"`
+	Seq    uint64          `cbor:"2,keyasint"` // rises with each record of the writer, from 1
+	Millis int64           `cbor:"3,keyasint"` // writer's clock, Unix milliseconds
+	Kind   Kind            `cbor:"4,keyasint"`
+	Body   cbor.RawMessage `cbor:"5,keyasint"`
+}
+
+// Time returns the writer's clock at the time of writing.
+func (e Entry) Time() time.Time {
+	return time.UnixMilli(e.Millis)
+}
--- /dev/null
+++ b/internal/logstream/position.go
@@ -0,0 +1,14 @@
+package logstream
+
+import (
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/platform"
+)
+
+// Position tells a fold where and by whom a record was written.
+type Position struct {
+	Offset platform.Offset
+	Time   time.Time // writer's clock
+	Writer string
+}
--- /dev/null
+++ b/internal/logstream/receipt.go
@@ -0,0 +1,9 @@
+package logstream
+
+import "github.com/plantainmux/plantainmux/internal/platform"
+
+// Receipt is the verdict on a proposal, as read back from the stream.
+type Receipt struct {
+	Offset platform.Offset
+	Void   error // why the fold did not accept the record; nil when it did
+}
--- /dev/null
+++ b/internal/reconcile/dependencies.go
@@ -0,0 +1,33 @@
+package reconcile
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/alitto/pond/v2"
+
+	"github.com/plantainmux/plantainmux/internal/config"
+	"github.com/plantainmux/plantainmux/internal/endpoint"
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/group"
+	"github.com/plantainmux/plantainmux/internal/logstream"
+	"github.com/plantainmux/plantainmux/internal/view"
+	"github.com/plantainmux/plantainmux/internal/watch"
+)
+
+// Dependencies are what a loop works with.
+type Dependencies struct {
+	Self       fleet.DaemonID
+	DataCentre fleet.DataCentre
+	Groups     *logstream.Stream[*group.Fold]
+	Config     func() config.Versioned
+	Table      *watch.Table
+	VMs        *watch.VMs
+	Views      *view.Store
+	Engine     endpoint.Engine
+	Pool       pond.Pool
+	Live       func() []fleet.DaemonID // daemons of the data centre, this one included
+	Period     time.Duration
+	Bounds     group.Bounds
+	Logger     *slog.Logger
+}
--- /dev/null
+++ b/internal/settings/defaults.go
@@ -0,0 +1,42 @@
+package settings
+
+import "time"
+
+// Defaults of the settings.
+const (
+	DefaultBodyBytes     = 1 << 20
+	DefaultQueueLength   = 256
+	DefaultWorkers       = 64
+	DefaultPollMS        = 500
+	DefaultReportBoundMS = 2000
+	DefaultReconcileMS   = 250
+	DefaultVMListMS      = 1000
+	DefaultDrainNoticeMS = 3000
+	DefaultDefaultWaitMS = 60000
+)
+
+// WithDefaults returns the settings with every empty field of Limits and
+// Timing set.
+func (s Settings) WithDefaults() Settings {
+	setDefault(&s.Limits.BodyBytes, DefaultBodyBytes)
+	setDefault(&s.Limits.QueueLength, DefaultQueueLength)
+	setDefault(&s.Limits.Workers, DefaultWorkers)
+	setDefault(&s.Timing.PollMS, DefaultPollMS)
+	setDefault(&s.Timing.ReportBoundMS, DefaultReportBoundMS)
+	setDefault(&s.Timing.ReconcileMS, DefaultReconcileMS)
+	setDefault(&s.Timing.VMListMS, DefaultVMListMS)
+	setDefault(&s.Timing.DrainNoticeMS, DefaultDrainNoticeMS)
+	setDefault(&s.Timing.DefaultWaitMS, DefaultDefaultWaitMS)
+	return s
+}
+
+func setDefault[T int | int64](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// Millis returns a length of time given in milliseconds.
+func Millis(ms int) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
--- /dev/null
+++ b/internal/strictyaml/file_error.go
@@ -0,0 +1,17 @@
+package strictyaml
+
+import "fmt"
+
+// FileError says that a file cannot be read or decoded.
+type FileError struct {
+	File string
+	Err  error
+}
+
+// Error implements error.
+func (e *FileError) Error() string {
+	return fmt.Sprintf("%s: %v", e.File, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *FileError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/view/group_status.go
@@ -0,0 +1,12 @@
+package view
+
+import (
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/group"
+)
+
+// GroupStatus tells operators why a group does or does not serve.
+type GroupStatus struct {
+	fleet.Group
+	Condition group.Condition `json:"condition"`
+}
--- /dev/null
+++ b/internal/view/serving.go
@@ -0,0 +1,27 @@
+package view
+
+import (
+	"slices"
+
+	"github.com/plantainmux/plantainmux/internal/fleet"
+)
+
+// Serving is one complete group as the path of a request sees it. All but Load
+// is immutable.
+type Serving struct {
+	fleet.Group
+	LeaderAddress string
+	Capacity      int // concurrent requests
+	Running       int // by the leader's late report
+	Waiting       int // by the leader's late report
+	Load          *Load
+}
+
+// Serves reports whether the group answers for a model and adapter. An empty
+// adapter is the plain model.
+func (s *Serving) Serves(name fleet.ModelName, adapter string) bool {
+	if s.Model != name {
+		return false
+	}
+	return adapter == "" || slices.Contains(s.Adapters, adapter)
+}
