Interfaces of the peer mesh, and a bed of daemons and stand-ins for failure tests

One process holds daemons and stand-ins over loopback TCP. A latch stands between each daemon and the outside, so that a test can freeze it or cut it off; Kill ends it without a graceful stop.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/metric"
 	"github.com/plantainmux/plantainmux/internal/order"
+	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/reconcile"
 	"github.com/plantainmux/plantainmux/internal/relay"
 	"github.com/plantainmux/plantainmux/internal/settings"
@@ -41,6 +42,7 @@
 	logger   *slog.Logger
 	metrics  *metric.Set
 	pool     pond.Pool
+	mesh     peer.Mesh
 
 	config *logstream.Stream[*config.Fold]
 	groups *logstream.Stream[*group.Fold]
@@ -59,14 +61,18 @@
 
 	draining atomic.Bool
 	tasks    sync.WaitGroup
-	cancel   context.CancelFunc
+	killed   context.Context
+	kill     context.CancelFunc
 }
 
 // New returns a daemon that has not started. It listens already, so that its
 // addresses are known.
 func New(s settings.Settings, adapters Adapters, logger *slog.Logger) (*Daemon, error) {
 	id := fleet.DaemonID(uuid.NewString())
+	killed, kill := context.WithCancel(context.Background())
 	d := &Daemon{
+		killed:   killed,
+		kill:     kill,
 		id:       id,
 		settings: s,
 		adapters: adapters,
@@ -75,6 +81,7 @@
 		pool:     pond.NewPool(s.Limits.Workers),
 		views:    view.NewStore(),
 	}
+	d.mesh = peer.NewSolo(id)
 	d.buildControl()
 	d.buildRequestPath()
 	if err := d.listen(); err != nil {
@@ -103,7 +110,7 @@
 		Views:      d.views,
 		Engine:     d.adapters.Engine,
 		Pool:       d.pool,
-		Live:       d.live,
+		Live:       d.mesh.Live,
 		Period:     settings.Millis(d.settings.Timing.ReconcileMS),
 		Bounds:     d.bounds(),
 		Logger:     d.logger,
@@ -155,11 +162,6 @@
 	return current
 }
 
-// live returns the daemons of the data centre.
-func (d *Daemon) live() []fleet.DaemonID {
-	return []fleet.DaemonID{d.id}
-}
-
 // watched returns the VMs that this daemon polls.
 func (d *Daemon) watched() []fleet.VM {
 	all := d.vms.All()
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -29,20 +29,28 @@
 
 // Run runs the daemon until ctx ends, then stops it gracefully.
 func (d *Daemon) Run(ctx context.Context) {
-	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	d.cancel = cancel
+	background, cancel := context.WithCancel(d.killed)
 	d.startControl(background)
 	callers := d.serve(d.callerListener, d.caller.Handler())
 	admins := d.serve(d.adminListener, d.admin.Handler())
 	d.logger.Info("daemon started", "caller", d.CallerAddress(), "admin", d.AdminAddress())
-	<-ctx.Done()
-	d.stop(callers, admins)
+	select {
+	case <-ctx.Done():
+		d.stop(callers, admins)
+	case <-d.killed.Done():
+		_ = callers.Close()
+		_ = admins.Close()
+	}
 	cancel()
 	d.tasks.Wait()
 	d.pool.StopAndWait()
 	d.logger.Info("daemon stopped")
 }
 
+// Kill ends the daemon at once, without a graceful stop. Requests in progress
+// are cut off.
+func (d *Daemon) Kill() { d.kill() }
+
 func (d *Daemon) startControl(ctx context.Context) {
 	d.tasks.Go(func() { d.config.Run(ctx) })
 	d.tasks.Go(func() { d.groups.Run(ctx) })
@@ -55,7 +63,10 @@
 }
 
 func (d *Daemon) serve(listener net.Listener, handler http.Handler) *http.Server {
-	server := &http.Server{Handler: handler}
+	server := &http.Server{
+		Handler:     handler,
+		BaseContext: func(net.Listener) context.Context { return d.killed },
+	}
 	d.tasks.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			d.logger.Error("listener failed", "address", listener.Addr().String(), "error", err)
--- /dev/null
+++ b/internal/peer/method.go
@@ -0,0 +1,11 @@
+package peer
+
+// Method names one call between daemons.
+type Method string
+
+// Methods of the mesh.
+const (
+	MethodConfig   Method = "config"   // the newest configuration that the daemon holds
+	MethodOrder    Method = "order"    // run an order of a slot that the daemon owns
+	MethodGenerate Method = "generate" // run a request of another data centre; streamed
+)
--- /dev/null
+++ b/internal/peer/topic.go
@@ -0,0 +1,12 @@
+package peer
+
+// Topic names one kind of soft state.
+type Topic string
+
+// Topics of the mesh.
+const (
+	TopicReports  Topic = "reports"  // observations of members
+	TopicUsage    Topic = "usage"    // use of capacity by team
+	TopicSuspects Topic = "suspects" // requests that crashed endpoints
+	TopicVersions Topic = "versions" // configuration version in force
+)
--- /dev/null
+++ b/internal/testbed/daemon.go
@@ -0,0 +1,141 @@
+package testbed
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/adminapi"
+	"github.com/plantainmux/plantainmux/internal/daemon"
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/group"
+	"github.com/plantainmux/plantainmux/internal/settings"
+)
+
+// Secrets of every bed.
+const (
+	AdminToken = "testbed-admin-token"
+	PeerSecret = "testbed-peer-secret"
+)
+
+// Daemon is one daemon of a bed.
+type Daemon struct {
+	*daemon.Daemon
+	Latch *Latch
+	stop  context.CancelFunc
+	done  chan struct{}
+	once  sync.Once
+}
+
+// StartDaemon starts a daemon with short timings. adjust, which may be nil,
+// changes its settings.
+func (b *Bed) StartDaemon(dataCentre fleet.DataCentre, adjust func(*settings.Settings)) *Daemon {
+	s := settings.Settings{
+		DataCentre: dataCentre,
+		Listen:     settings.Listen{Caller: Loopback, Peer: Loopback, Admin: Loopback},
+		Platform:   settings.Platform{Log: b.logServer.URL(), VMs: b.vmServer.URL()},
+		PeerSecret: PeerSecret,
+		AdminToken: AdminToken,
+		Timing:     settings.Timing{PollMS: 100, ReportBoundMS: 600, ReconcileMS: 50, VMListMS: 200, DrainNoticeMS: 300},
+	}
+	if adjust != nil {
+		adjust(&s)
+	}
+	s = s.WithDefaults()
+	latch := NewLatch()
+	built, err := daemon.New(s, latched(daemon.NewAdapters(s), latch), b.logger)
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Daemon{Daemon: built, Latch: latch, stop: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(d.done)
+		built.Run(ctx)
+	}()
+	b.Daemons = append(b.Daemons, d)
+	return d
+}
+
+func latched(adapters daemon.Adapters, latch *Latch) daemon.Adapters {
+	adapters.Log = &latchedLog{Log: adapters.Log, latch: latch}
+	adapters.VMs = &latchedVMList{VMList: adapters.VMs, latch: latch}
+	adapters.Engine = &latchedEngine{Engine: adapters.Engine, latch: latch}
+	adapters.Service = &latchedService{Service: adapters.Service, latch: latch}
+	return adapters
+}
+
+// Stop asks the daemon to stop gracefully and returns a channel that is closed
+// when it has.
+func (d *Daemon) Stop() <-chan struct{} {
+	d.stop()
+	return d.done
+}
+
+// Kill ends the daemon at once, as SIGKILL would, but for what its goroutines
+// already hold in hand.
+func (d *Daemon) Kill() {
+	d.once.Do(func() {
+		d.Daemon.Kill()
+		d.stop()
+	})
+}
+
+// Status asks the daemon for its status.
+func (d *Daemon) Status() (adminapi.Status, error) {
+	var status adminapi.Status
+	request, err := http.NewRequest(http.MethodGet, "http://"+d.AdminAddress()+"/admin/status", nil)
+	if err != nil {
+		return status, err
+	}
+	request.Header.Set("Authorization", "Bearer "+AdminToken)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return status, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return status, json.NewDecoder(response.Body).Decode(&status)
+}
+
+// CompleteGroups returns the complete groups of a model as the daemon sees
+// them.
+func (d *Daemon) CompleteGroups(model fleet.ModelName) []fleet.Group {
+	status, err := d.Status()
+	if err != nil {
+		return nil
+	}
+	var groups []fleet.Group
+	for _, g := range status.Groups {
+		if g.Model == model && g.Condition == group.Complete {
+			groups = append(groups, g.Group)
+		}
+	}
+	return groups
+}
+
+// Metrics returns the daemon's metrics page.
+func (d *Daemon) Metrics() string {
+	response, err := http.Get("http://" + d.AdminAddress() + "/metrics")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	page, _ := io.ReadAll(response.Body)
+	return string(page)
+}
+
+// Post sends a caller's request with a team key and returns the response.
+func (d *Daemon) Post(path, key, body string, header http.Header) (*http.Response, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+d.CallerAddress()+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	return http.DefaultClient.Do(request)
+}
--- /dev/null
+++ b/internal/testbed/latch.go
@@ -0,0 +1,68 @@
+package testbed
+
+import (
+	"context"
+	"sync"
+)
+
+// Latch stands between a daemon and the outside. Frozen, calls and their
+// answers wait, as in a paused process; cut, calls fail, as without a network.
+type Latch struct {
+	mu     sync.Mutex
+	frozen bool
+	cut    map[Side]bool
+	thawed chan struct{}
+}
+
+// NewLatch returns an open latch.
+func NewLatch() *Latch {
+	return &Latch{cut: map[Side]bool{}, thawed: make(chan struct{})}
+}
+
+// Freeze holds every call and answer from now on.
+func (l *Latch) Freeze() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.frozen = true
+}
+
+// Thaw lets all held calls and answers go on.
+func (l *Latch) Thaw() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.frozen = false
+	close(l.thawed)
+	l.thawed = make(chan struct{})
+}
+
+// Cut fails the calls to a side from now on.
+func (l *Latch) Cut(side Side) { l.setCut(side, true) }
+
+// Mend undoes Cut.
+func (l *Latch) Mend(side Side) { l.setCut(side, false) }
+
+func (l *Latch) setCut(side Side, cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut[side] = cut
+}
+
+func (l *Latch) isCut(side Side) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut[side]
+}
+
+// pass waits while frozen. A frozen process notices no cancellation, so ctx is
+// looked at only afterwards.
+func (l *Latch) pass(ctx context.Context) error {
+	for {
+		l.mu.Lock()
+		frozen, thawed := l.frozen, l.thawed
+		l.mu.Unlock()
+		if !frozen {
+			return ctx.Err()
+		}
+		<-thawed
+	}
+}
