Peer mesh over WebSocket and CBOR: links, calls, streams, relays

Soft state waits in bounded queues that drop the oldest; calls fail with types. The daemon runs the mesh; the test bed starts daemons that know each other and cuts or freezes them.

--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -1,6 +1,9 @@
 package daemon
 
 import (
+	"context"
+	"net"
+
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/platform"
 	"github.com/plantainmux/plantainmux/internal/settings"
@@ -12,6 +15,9 @@
 	VMs     platform.VMList
 	Engine  endpoint.Engine
 	Service endpoint.Service
+
+	PeerListener net.Listener // nil: listen on the address of the settings
+	PeerDial     func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // NewAdapters returns the adapters that speak over the network.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,7 +42,7 @@
 	logger   *slog.Logger
 	metrics  *metric.Set
 	pool     pond.Pool
-	mesh     peer.Mesh
+	mesh     *peer.Network
 
 	config *logstream.Stream[*config.Fold]
 	groups *logstream.Stream[*group.Fold]
@@ -58,6 +58,7 @@
 
 	callerListener net.Listener
 	adminListener  net.Listener
+	peerListener   net.Listener
 
 	draining atomic.Bool
 	tasks    sync.WaitGroup
@@ -81,7 +82,9 @@
 		pool:     pond.NewPool(s.Limits.Workers),
 		views:    view.NewStore(),
 	}
-	d.mesh = peer.NewSolo(id)
+	if err := d.buildMesh(); err != nil {
+		return nil, err
+	}
 	d.buildControl()
 	d.buildRequestPath()
 	if err := d.listen(); err != nil {
@@ -179,6 +182,7 @@
 		DataCentre:    d.settings.DataCentre,
 		Ready:         current.Config.Version != 0 && d.groups.Booted(),
 		Draining:      d.draining.Load(),
+		Peers:         d.mesh.Live(),
 		ConfigVersion: current.Config.Version,
 		Groups:        current.Status,
 	}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -16,6 +16,9 @@
 // AdminAddress returns the address of the operators' listener.
 func (d *Daemon) AdminAddress() string { return d.adminListener.Addr().String() }
 
+// PeerAddress returns the address of the listener for other daemons.
+func (d *Daemon) PeerAddress() string { return d.peerListener.Addr().String() }
+
 func (d *Daemon) listen() error {
 	var err error
 	if d.callerListener, err = net.Listen("tcp", d.settings.Listen.Caller); err != nil {
@@ -24,6 +27,12 @@
 	if d.adminListener, err = net.Listen("tcp", d.settings.Listen.Admin); err != nil {
 		return &ListenError{Name: "admin", Err: err}
 	}
+	if d.peerListener = d.adapters.PeerListener; d.peerListener != nil {
+		return nil
+	}
+	if d.peerListener, err = net.Listen("tcp", d.settings.Listen.Peer); err != nil {
+		return &ListenError{Name: "peer", Err: err}
+	}
 	return nil
 }
 
@@ -31,9 +40,11 @@
 func (d *Daemon) Run(ctx context.Context) {
 	background, cancel := context.WithCancel(d.killed)
 	d.startControl(background)
+	peers := d.serve(d.peerListener, d.mesh.Handler())
+	d.tasks.Go(d.mesh.Run)
 	callers := d.serve(d.callerListener, d.caller.Handler())
 	admins := d.serve(d.adminListener, d.admin.Handler())
-	d.logger.Info("daemon started", "caller", d.CallerAddress(), "admin", d.AdminAddress())
+	d.logger.Info("daemon started", "caller", d.CallerAddress(), "admin", d.AdminAddress(), "peer", d.PeerAddress())
 	select {
 	case <-ctx.Done():
 		d.stop(callers, admins)
@@ -41,6 +52,8 @@
 		_ = callers.Close()
 		_ = admins.Close()
 	}
+	_ = peers.Close()
+	d.mesh.Close()
 	cancel()
 	d.tasks.Wait()
 	d.pool.StopAndWait()
@@ -83,6 +96,8 @@
 	d.logger.Info("daemon draining")
 	time.Sleep(settings.Millis(d.settings.Timing.DrainNoticeMS))
 	d.caller.Drain()
+	d.mesh.Leave()
 	_ = callers.Shutdown(context.Background())
+	d.mesh.Drain(d.killed)
 	_ = admins.Shutdown(context.Background())
 }
--- /dev/null
+++ b/internal/peer/call.go
@@ -0,0 +1,74 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/plantainmux/plantainmux/internal/fleet"
+)
+
+// Call implements Mesh.
+func (n *Network) Call(ctx context.Context, to fleet.DaemonID, method Method, body, reply any) error {
+	l, ok := n.routing.Load().link(to)
+	if !ok {
+		return &UnreachableError{Daemon: to}
+	}
+	encoded, err := cbor.Marshal(body)
+	if err != nil {
+		return &EncodeError{Type: fmt.Sprintf("%T", body), Err: err}
+	}
+	call, id, err := l.begin(frame{Kind: frameCall, Name: string(method), Body: encoded})
+	if err != nil {
+		return err
+	}
+	defer l.calls.remove(id)
+	answer, ok, err := call.next(ctx)
+	if ctx.Err() != nil && err != nil {
+		l.abandon(id)
+		return &BrokenError{Daemon: to, Err: ctx.Err()}
+	}
+	if err != nil {
+		return err
+	}
+	if !ok {
+		return &BrokenError{Daemon: to, Err: &ProtocolError{Rule: "a call has one answer"}}
+	}
+	return decodeAnswer(to, answer, reply)
+}
+
+func decodeAnswer(from fleet.DaemonID, answer cbor.RawMessage, reply any) error {
+	if reply == nil {
+		return nil
+	}
+	if err := cbor.Unmarshal(answer, reply); err != nil {
+		return &BrokenError{Daemon: from, Err: &ProtocolError{Rule: "an answer has the reply's type: " + err.Error()}}
+	}
+	return nil
+}
+
+// begin queues the first frame of a call.
+func (l *link) begin(f frame) (*outgoing, uint64, error) {
+	call := newOutgoing()
+	id, err := l.calls.add(call)
+	if err != nil {
+		return nil, 0, &UnreachableError{Daemon: l.remote.Daemon, Err: err}
+	}
+	f.ID = id
+	data, err := encodeFrame(f)
+	if err == nil {
+		err = l.queue.tryPush(data)
+	}
+	if err != nil {
+		l.calls.remove(id)
+		return nil, 0, &UnreachableError{Daemon: l.remote.Daemon, Err: err}
+	}
+	return call, id, nil
+}
+
+// abandon tells the other side that nobody waits for a call any more.
+func (l *link) abandon(id uint64) {
+	l.calls.remove(id)
+	_ = l.pushFrame(frame{Kind: frameCancel, ID: id})
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,204 @@
+package peer
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	messageBytes = 16 << 20 // largest WebSocket message
+	batchBytes   = 32 << 10 // size at which a message is closed
+)
+
+// link is one proved connection to another daemon.
+type link struct {
+	remote  identity
+	dialled bool // by this daemon
+	conn    *websocket.Conn
+	owner   *Network
+	queue   *sendQueue
+	calls   *callTable  // made by this daemon
+	serving *serveTable // made by the other daemon
+	state   atomic.Pointer[remoteState]
+
+	ctx          context.Context
+	cancel       context.CancelCauseFunc
+	lastReceived atomic.Int64 // Unix nanoseconds
+	lastSent     atomic.Int64 // Unix nanoseconds
+	retiring     atomic.Bool
+}
+
+func newLink(ctx context.Context, owner *Network, conn *websocket.Conn, remote identity, dialled bool) *link {
+	conn.SetReadLimit(messageBytes)
+	l := &link{
+		remote:  remote,
+		dialled: dialled,
+		conn:    conn,
+		owner:   owner,
+		queue:   newSendQueue(),
+		calls:   newCallTable(),
+		serving: newServeTable(),
+	}
+	l.ctx, l.cancel = context.WithCancelCause(ctx)
+	l.state.Store(&remoteState{})
+	l.lastReceived.Store(time.Now().UnixNano())
+	return l
+}
+
+// run serves the link until it closes and returns why it did.
+func (l *link) run() error {
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		l.write()
+	}()
+	l.cancel(l.read())
+	<-written
+	err := context.Cause(l.ctx)
+	l.calls.failAll(&BrokenError{Daemon: l.remote.Daemon, Err: err})
+	l.serving.cancelAll()
+	_ = l.conn.CloseNow()
+	return err
+}
+
+// close ends the link at once.
+func (l *link) close(err error) { l.cancel(err) }
+
+// retire ends the link when no call is in progress on it.
+func (l *link) retire(err error) {
+	l.retiring.Store(true)
+	for !l.idle() {
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-time.After(l.owner.options.Heartbeat):
+		}
+	}
+	l.close(err)
+}
+
+func (l *link) idle() bool {
+	return l.calls.size() == 0 && l.serving.size() == 0 && len(l.queue.calls) == 0
+}
+
+// write sends queued frames and heartbeats until the link closes.
+func (l *link) write() {
+	ticker := time.NewTicker(l.owner.options.Heartbeat)
+	defer ticker.Stop()
+	var batch []byte
+	for {
+		batch = batch[:0]
+		select {
+		case <-l.ctx.Done():
+			return
+		case data := <-l.queue.calls:
+			batch = append(batch, data...)
+		case <-l.queue.wake:
+		case <-ticker.C:
+			if !l.checkAlive() {
+				return
+			}
+			batch = append(batch, l.heartbeat()...)
+		}
+		batch = l.fill(batch)
+		if len(batch) == 0 {
+			continue
+		}
+		if err := l.send(batch); err != nil {
+			l.cancel(err)
+			return
+		}
+	}
+}
+
+// fill adds what waits to a batch. Calls go before soft state.
+func (l *link) fill(batch []byte) []byte {
+	for len(batch) < batchBytes {
+		select {
+		case data := <-l.queue.calls:
+			batch = append(batch, data...)
+			continue
+		default:
+		}
+		break
+	}
+	for _, data := range l.queue.takeSoft() {
+		batch = append(batch, data...)
+	}
+	return batch
+}
+
+func (l *link) send(batch []byte) error {
+	ctx, cancel := context.WithTimeout(l.ctx, l.owner.options.silence())
+	defer cancel()
+	if err := l.conn.Write(ctx, websocket.MessageBinary, batch); err != nil {
+		return err
+	}
+	l.lastSent.Store(time.Now().UnixNano())
+	l.owner.counters.sentBytes.Add(len(batch))
+	return nil
+}
+
+// heartbeat returns a heartbeat frame, or nothing when another frame was sent
+// within the period.
+func (l *link) heartbeat() []byte {
+	idle := time.Duration(time.Now().UnixNano() - l.lastSent.Load())
+	if idle < l.owner.options.Heartbeat/2 {
+		return nil
+	}
+	return l.owner.heartbeatFrame
+}
+
+// checkAlive closes a link that was silent for too long.
+func (l *link) checkAlive() bool {
+	silence := time.Duration(time.Now().UnixNano() - l.lastReceived.Load())
+	if silence <= l.owner.options.silence() {
+		return true
+	}
+	l.cancel(&SilentError{Silence: silence})
+	return false
+}
+
+// read handles frames until the link closes and returns why it did.
+func (l *link) read() error {
+	for {
+		_, data, err := l.conn.Read(l.ctx)
+		if err != nil {
+			return err
+		}
+		l.lastReceived.Store(time.Now().UnixNano())
+		l.owner.counters.receivedBytes.Add(len(data))
+		for len(data) > 0 {
+			var f frame
+			if data, err = cbor.UnmarshalFirst(data, &f); err != nil {
+				return &ProtocolError{Rule: "a message is a sequence of frames: " + err.Error()}
+			}
+			l.handle(f)
+		}
+	}
+}
+
+// handle must not block.
+func (l *link) handle(f frame) {
+	switch f.Kind {
+	case frameHeartbeat:
+	case frameState:
+		l.owner.noteState(l, f)
+	case framePublish:
+		l.owner.receive(l, f)
+	case frameCall:
+		l.owner.serveCall(l, f)
+	case frameOpen:
+		l.owner.serveOpen(l, f)
+	case frameCancel:
+		l.serving.cancel(f.ID)
+	case frameCredit:
+		l.serving.addCredit(f.ID, f.Credit)
+	case frameAccepted, frameAnswer, frameEnd, frameFailure:
+		l.calls.deliver(l, f)
+	}
+}
--- /dev/null
+++ b/internal/peer/open.go
@@ -0,0 +1,83 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/plantainmux/plantainmux/internal/fleet"
+)
+
+// Open implements Mesh. It returns once the other data centre has accepted the
+// call.
+func (n *Network) Open(ctx context.Context, to fleet.DataCentre, method Method, body any) (Stream, error) {
+	encoded, err := cbor.Marshal(body)
+	if err != nil {
+		return nil, &EncodeError{Type: fmt.Sprintf("%T", body), Err: err}
+	}
+	var last error = &UnreachableError{DataCentre: to}
+	for _, l := range n.routing.Load().towards(to, n.nextTurn()) {
+		stream, err := n.openOn(ctx, l, to, method, encoded)
+		if err == nil {
+			return stream, nil
+		}
+		last = err
+		if !provedNotRun(err) {
+			return nil, err
+		}
+	}
+	return nil, last
+}
+
+// openOn opens a stream on one link and waits until it is accepted.
+func (n *Network) openOn(ctx context.Context, l *link, to fleet.DataCentre, method Method, body cbor.RawMessage) (*linkStream, error) {
+	call, id, err := l.begin(frame{Kind: frameOpen, Name: string(method), Body: body, DataCentre: to})
+	if err != nil {
+		return nil, err
+	}
+	stream := newLinkStream(ctx, l, call, id)
+	select {
+	case <-call.accepted:
+		return stream, nil
+	case <-call.over:
+		_ = stream.Close()
+		if call.err == nil {
+			return nil, &BrokenError{Daemon: l.remote.Daemon, Err: &ProtocolError{Rule: "a stream is accepted before it ends"}}
+		}
+		return nil, call.err
+	case <-ctx.Done():
+		_ = stream.Close()
+		return nil, &BrokenError{Daemon: l.remote.Daemon, Err: ctx.Err()}
+	}
+}
+
+// passOn relays a streamed call of the own data centre to another one. A slow
+// caller slows the relayed stream; no more than a window of answers is held.
+func (n *Network) passOn(l *link, f frame, call *incoming) error {
+	direct := n.routing.Load().direct(f.DataCentre)
+	if len(direct) == 0 || l.remote.DataCentre != n.options.DataCentre {
+		return &UnreachableError{DataCentre: f.DataCentre}
+	}
+	stream, err := n.openOn(call.ctx, direct[0], f.DataCentre, Method(f.Name), f.Body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	if err := l.pushFrame(frame{Kind: frameAccepted, ID: f.ID}); err != nil {
+		return err
+	}
+	n.counters.relayedStreams.Inc()
+	for {
+		answer, ok, err := stream.nextRaw()
+		if err != nil || !ok {
+			return err
+		}
+		if err := call.takeCredit(); err != nil {
+			return err
+		}
+		if err := l.pushFrame(frame{Kind: frameAnswer, ID: f.ID, Body: answer}); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/serve.go
@@ -0,0 +1,123 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// serveCall runs the handler of a call and sends its answer.
+func (n *Network) serveCall(l *link, f frame) {
+	handler, ok := n.callHandlers[Method(f.Name)]
+	if !ok {
+		l.refuse(f.ID, failureUnknownMethod, f.Name)
+		return
+	}
+	n.serve(l, f, func(call *incoming) error {
+		answer, err := handler(call.ctx, l.remote.Daemon, f.Body)
+		if err != nil {
+			return err
+		}
+		return l.answer(f.ID, answer)
+	})
+}
+
+// serveOpen runs the handler of a streamed call, or passes the call on to
+// another data centre.
+func (n *Network) serveOpen(l *link, f frame) {
+	if f.DataCentre != "" && f.DataCentre != n.options.DataCentre {
+		n.serve(l, f, func(call *incoming) error { return n.passOn(l, f, call) })
+		return
+	}
+	handler, ok := n.openHandlers[Method(f.Name)]
+	if !ok {
+		l.refuse(f.ID, failureUnknownMethod, f.Name)
+		return
+	}
+	n.serve(l, f, func(call *incoming) error {
+		if err := l.pushFrame(frame{Kind: frameAccepted, ID: f.ID}); err != nil {
+			return err
+		}
+		return handler(call.ctx, l.remote.Daemon, f.Body, func(answer any) error {
+			if err := call.takeCredit(); err != nil {
+				return err
+			}
+			return l.answer(f.ID, answer)
+		})
+	})
+}
+
+// serve runs a call on the pool and sends its end.
+func (n *Network) serve(l *link, f frame, run func(*incoming) error) {
+	call, ok := l.serving.begin(l.ctx, f.ID)
+	if !ok {
+		l.close(&ProtocolError{Rule: "a call's id is used once"})
+		return
+	}
+	_, accepted := n.pool.TrySubmit(func() {
+		defer l.serving.end(f.ID)
+		l.finish(f.ID, run(call))
+	})
+	if !accepted {
+		l.serving.end(f.ID)
+		l.refuse(f.ID, failureBusy, "")
+	}
+}
+
+// finish sends the end of a call.
+func (l *link) finish(id uint64, err error) {
+	if err == nil {
+		_ = l.pushFrame(frame{Kind: frameEnd, ID: id})
+		return
+	}
+	_ = l.pushFrame(failureFrame(id, err))
+}
+
+func failureFrame(id uint64, err error) frame {
+	f := frame{Kind: frameFailure, ID: id, Message: err.Error()}
+	var unknown *UnknownMethodError
+	var unreachable *UnreachableError
+	var broken *BrokenError
+	switch {
+	case errors.As(err, &unknown):
+		f.Failure, f.Message = failureUnknownMethod, string(unknown.Method)
+	case errors.As(err, &broken):
+		f.Failure = failureBroken
+	case errors.As(err, &unreachable):
+		f.Failure, f.Message = failureUnreachable, string(unreachable.DataCentre)
+	}
+	return f
+}
+
+// refuse answers a call that did not run. It must not block: a link whose
+// queue is full is closed.
+func (l *link) refuse(id uint64, code failureCode, message string) {
+	data, err := encodeFrame(frame{Kind: frameFailure, ID: id, Failure: code, Message: message})
+	if err == nil {
+		err = l.queue.tryPush(data)
+	}
+	if err != nil {
+		l.close(err)
+	}
+}
+
+func (l *link) answer(id uint64, answer any) error {
+	body, err := cbor.Marshal(answer)
+	if err != nil {
+		return &EncodeError{Type: fmt.Sprintf("%T", answer), Err: err}
+	}
+	return l.pushFrame(frame{Kind: frameAnswer, ID: id, Body: body})
+}
+
+func (l *link) pushFrame(f frame) error {
+	data, err := encodeFrame(f)
+	if err != nil {
+		return &EncodeError{Type: "frame", Err: err}
+	}
+	if err := l.queue.push(l.ctx, data); err != nil {
+		return &BrokenError{Daemon: l.remote.Daemon, Err: context.Cause(l.ctx)}
+	}
+	return nil
+}
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -4,15 +4,16 @@
 
 // Defaults of the settings.
 const (
-	DefaultBodyBytes     = 1 << 20
-	DefaultQueueLength   = 256
-	DefaultWorkers       = 64
-	DefaultPollMS        = 500
-	DefaultReportBoundMS = 2000
-	DefaultReconcileMS   = 250
-	DefaultVMListMS      = 1000
-	DefaultDrainNoticeMS = 3000
-	DefaultDefaultWaitMS = 60000
+	DefaultBodyBytes       = 1 << 20
+	DefaultQueueLength     = 256
+	DefaultWorkers         = 64
+	DefaultPollMS          = 500
+	DefaultReportBoundMS   = 2000
+	DefaultReconcileMS     = 250
+	DefaultVMListMS        = 1000
+	DefaultDrainNoticeMS   = 3000
+	DefaultPeerHeartbeatMS = 1000
+	DefaultDefaultWaitMS   = 60000
 )
 
 // WithDefaults returns the settings with every empty field of Limits and
@@ -26,6 +27,7 @@
 	setDefault(&s.Timing.ReconcileMS, DefaultReconcileMS)
 	setDefault(&s.Timing.VMListMS, DefaultVMListMS)
 	setDefault(&s.Timing.DrainNoticeMS, DefaultDrainNoticeMS)
+	setDefault(&s.Timing.PeerHeartbeatMS, DefaultPeerHeartbeatMS)
 	setDefault(&s.Timing.DefaultWaitMS, DefaultDefaultWaitMS)
 	return s
 }
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -33,6 +33,7 @@
 	Engines map[fleet.VMID]*Engine
 	Daemons []*Daemon
 	logger  *slog.Logger
+	wiring  *wiring
 
 	logServer *fakes.Server
 	vmServer  *fakes.Server
@@ -46,6 +47,7 @@
 		VMList:  fakes.NewVMList(),
 		Engines: map[fleet.VMID]*Engine{},
 		logger:  slog.New(slog.DiscardHandler),
+		wiring:  newWiring(),
 	}
 	if os.Getenv("PLANTAINMUX_TEST_LOG") != "" {
 		b.logger = slog.New(slog.NewJSONHandler(GinkgoWriter, nil))
--- a/internal/testbed/daemon.go
+++ b/internal/testbed/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -26,32 +27,45 @@
 // Daemon is one daemon of a bed.
 type Daemon struct {
 	*daemon.Daemon
-	Latch *Latch
-	stop  context.CancelFunc
-	done  chan struct{}
-	once  sync.Once
+	Latch      *Latch
+	DataCentre fleet.DataCentre
+	peers      []settings.Peer
+	adjust     func(*settings.Settings)
+	stop       context.CancelFunc
+	done       chan struct{}
+	once       sync.Once
 }
 
-// StartDaemon starts a daemon with short timings. adjust, which may be nil,
-// changes its settings.
+// StartDaemon starts a daemon without peers and with short timings. adjust,
+// which may be nil, changes its settings.
 func (b *Bed) StartDaemon(dataCentre fleet.DataCentre, adjust func(*settings.Settings)) *Daemon {
+	return b.start(dataCentre, listenPeers(Loopback), nil, adjust)
+}
+
+func (b *Bed) start(dataCentre fleet.DataCentre, listener net.Listener, peers []settings.Peer, adjust func(*settings.Settings)) *Daemon {
 	s := settings.Settings{
 		DataCentre: dataCentre,
-		Listen:     settings.Listen{Caller: Loopback, Peer: Loopback, Admin: Loopback},
+		Listen:     settings.Listen{Caller: Loopback, Peer: listener.Addr().String(), Admin: Loopback},
+		Peers:      peers,
 		Platform:   settings.Platform{Log: b.logServer.URL(), VMs: b.vmServer.URL()},
 		PeerSecret: PeerSecret,
 		AdminToken: AdminToken,
-		Timing:     settings.Timing{PollMS: 100, ReportBoundMS: 600, ReconcileMS: 50, VMListMS: 200, DrainNoticeMS: 300},
+		Timing:     settings.Timing{PollMS: 100, ReportBoundMS: 600, ReconcileMS: 50, VMListMS: 200, DrainNoticeMS: 300, PeerHeartbeatMS: 150},
 	}
 	if adjust != nil {
 		adjust(&s)
 	}
 	s = s.WithDefaults()
 	latch := NewLatch()
-	built, err := daemon.New(s, latched(daemon.NewAdapters(s), latch), b.logger)
+	adapters := latched(daemon.NewAdapters(s), latch)
+	at := place{dataCentre: dataCentre, latch: latch}
+	b.wiring.add(listener.Addr().String(), at)
+	adapters.PeerListener = listener
+	adapters.PeerDial = b.wiring.dialer(at)
+	built, err := daemon.New(s, adapters, b.logger)
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &Daemon{Daemon: built, Latch: latch, stop: cancel, done: make(chan struct{})}
+	d := &Daemon{Daemon: built, Latch: latch, DataCentre: dataCentre, peers: peers, adjust: adjust, stop: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(d.done)
 		built.Run(ctx)
--- a/internal/testbed/latch.go
+++ b/internal/testbed/latch.go
@@ -12,6 +12,7 @@
 	frozen bool
 	cut    map[Side]bool
 	thawed chan struct{}
+	notify func() // told of each change; may be nil
 }
 
 // NewLatch returns an open latch.
@@ -21,6 +22,7 @@
 
 // Freeze holds every call and answer from now on.
 func (l *Latch) Freeze() {
+	defer l.changed()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.frozen = true
@@ -28,6 +30,7 @@
 
 // Thaw lets all held calls and answers go on.
 func (l *Latch) Thaw() {
+	defer l.changed()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.frozen = false
@@ -42,11 +45,35 @@
 func (l *Latch) Mend(side Side) { l.setCut(side, false) }
 
 func (l *Latch) setCut(side Side, cut bool) {
+	defer l.changed()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.cut[side] = cut
 }
 
+// onChange registers a function that is told of each change.
+func (l *Latch) onChange(notify func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.notify = notify
+}
+
+func (l *Latch) changed() {
+	l.mu.Lock()
+	notify := l.notify
+	l.mu.Unlock()
+	if notify != nil {
+		notify()
+	}
+}
+
+// holdsPeers reports whether nothing passes between the daemon and others.
+func (l *Latch) holdsPeers() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.frozen || l.cut[SidePeers]
+}
+
 func (l *Latch) isCut(side Side) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/testbed/side.go
+++ b/internal/testbed/side.go
@@ -11,6 +11,7 @@
 	SideVMs      Side = "vms"
 	SideEngines  Side = "engines"
 	SideServices Side = "services"
+	SidePeers    Side = "peers" // all other daemons, in both directions
 )
 
 // CutError is the failure of a call to a side that is cut off.
