--- /dev/null
+++ b/internal/peer/call_test.go
@@ -0,0 +1,234 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync/atomic"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/fleet"
+)
+
+// endless sends numbers until it is stopped, counting them.
+func endless(sent *atomic.Int64, stopped chan<- struct{}) OpenHandler {
+	return func(_ context.Context, _ fleet.DaemonID, _ cbor.RawMessage, send func(any) error) error {
+		defer close(stopped)
+		for {
+			if err := send(sent.Load()); err != nil {
+				return err
+			}
+			sent.Add(1)
+		}
+	}
+}
+
+func countTo(limit int) OpenHandler {
+	return func(_ context.Context, _ fleet.DaemonID, _ cbor.RawMessage, send func(any) error) error {
+		for i := range limit {
+			if err := send(i); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+var _ = Describe("A call", func() {
+	var nodes []*node
+	ctx := context.Background()
+
+	It("is answered by the daemon it was sent to", func() {
+		nodes = startNodes(nil, "north", "north")
+		awaitMesh(nodes)
+		var reply string
+		Expect(nodes[0].Call(ctx, "north-1", "echo", "hello", &reply)).To(Succeed())
+		Expect(reply).To(Equal("hello"))
+	})
+
+	It("fails with a type for each cause", func() {
+		nodes = startNodes(nil, "north", "north")
+		stopped := make(chan struct{})
+		nodes[1].callHandlers["fail"] = func(context.Context, fleet.DaemonID, cbor.RawMessage) (any, error) {
+			return nil, &ClosedError{Reason: "test"}
+		}
+		nodes[1].callHandlers["hang"] = func(ctx context.Context, _ fleet.DaemonID, _ cbor.RawMessage) (any, error) {
+			<-ctx.Done()
+			close(stopped)
+			return nil, ctx.Err()
+		}
+		awaitMesh(nodes)
+		var unreachable *UnreachableError
+		Expect(errors.As(nodes[0].Call(ctx, "north-9", "echo", "", nil), &unreachable)).To(BeTrue())
+		var unknown *UnknownMethodError
+		Expect(errors.As(nodes[0].Call(ctx, "north-1", "none", "", nil), &unknown)).To(BeTrue())
+		Expect(unknown.Method).To(Equal(Method("none")))
+		var remote *RemoteError
+		Expect(errors.As(nodes[0].Call(ctx, "north-1", "fail", "", nil), &remote)).To(BeTrue())
+		Expect(remote.Message).To(Equal("closed: test"))
+
+		short, cancel := context.WithTimeout(ctx, testHeartbeat)
+		defer cancel()
+		var broken *BrokenError
+		Expect(errors.As(nodes[0].Call(short, "north-1", "hang", "", nil), &broken)).To(BeTrue())
+		Eventually(stopped, waitLong).Should(BeClosed(), "the handler's context ends with the caller's")
+	})
+
+	It("fails as broken when the daemon dies in its midst", func() {
+		nodes = startNodes(nil, "north", "north")
+		started := make(chan struct{})
+		nodes[1].callHandlers["hang"] = func(ctx context.Context, _ fleet.DaemonID, _ cbor.RawMessage) (any, error) {
+			close(started)
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		awaitMesh(nodes)
+		failed := make(chan error, 1)
+		go func() { failed <- nodes[0].Call(ctx, "north-1", "hang", "", nil) }()
+		Eventually(started, waitLong).Should(BeClosed())
+		nodes[1].kill()
+		var err error
+		Eventually(failed, waitLong).Should(Receive(&err))
+		var broken *BrokenError
+		Expect(errors.As(err, &broken)).To(BeTrue(), "%v", err)
+	})
+})
+
+var _ = Describe("A streamed call to another data centre", func() {
+	ctx := context.Background()
+
+	It("brings every answer in order, through a relay or without one", func() {
+		nodes := startNodes(nil, "east", "east", "east", "east", "west", "west", "west")
+		for _, n := range nodes {
+			n.openHandlers["count"] = countTo(5 * streamWindow)
+		}
+		awaitMesh(nodes)
+		for _, n := range nodes[:4] {
+			stream, err := n.Open(ctx, "west", "count", nil)
+			Expect(err).NotTo(HaveOccurred())
+			for want := range 5 * streamWindow {
+				var got int
+				Expect(stream.Next(&got)).To(Succeed())
+				Expect(got).To(Equal(want))
+			}
+			Expect(stream.Next(new(int))).To(Equal(io.EOF))
+			Expect(stream.Close()).To(Succeed())
+		}
+		relayed := uint64(0)
+		for _, n := range nodes {
+			relayed += n.counters.relayedStreams.Get()
+		}
+		Expect(relayed).To(Equal(uint64(2)), "two of the four daemons are relays")
+		for _, n := range nodes {
+			Eventually(n.idle, waitLong, pollOften).Should(BeTrue())
+		}
+	})
+
+	It("holds no more than a window for each link when the caller is slow, and ends with the caller", func() {
+		nodes := startNodes(nil, "east", "east", "east", "west", "west")
+		var sent atomic.Int64
+		stopped := make(chan struct{})
+		for _, n := range nodes[3:] {
+			n.openHandlers["endless"] = endless(&sent, stopped)
+		}
+		awaitMesh(nodes)
+		caller := nodes[0]
+		for _, n := range nodes[:3] {
+			if len(n.routing.Load().direct("west")) == 0 {
+				caller = n
+			}
+		}
+		calling, cancel := context.WithCancel(ctx)
+		stream, err := caller.Open(calling, "west", "endless", nil)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(sent.Load, waitLong, pollOften).Should(BeNumerically(">=", streamWindow))
+		Consistently(sent.Load, 5*testHeartbeat, pollOften).Should(BeNumerically("<=", 3*streamWindow))
+		cancel()
+		Expect(stream.Close()).To(Succeed())
+		Eventually(stopped, waitLong).Should(BeClosed())
+	})
+
+	It("fails as unreachable while the data centre is cut off, and works again after", func() {
+		gate := newGate()
+		nodes := startNodes(func(_ int, o *Options) {
+			direct := o.Dial
+			east := map[string]bool{}
+			for _, address := range o.Addresses {
+				east[address.HostPort] = address.DataCentre == o.DataCentre
+			}
+			o.Dial = pickDial(east, direct, gate.dial)
+		}, "east", "east", "east", "west", "west")
+		for _, n := range nodes {
+			n.openHandlers["count"] = countTo(1)
+		}
+		awaitMesh(nodes)
+		gate.hold()
+		for _, n := range nodes {
+			Eventually(n.DataCentres, waitLong, pollOften).Should(BeEmpty())
+		}
+		_, err := nodes[0].Open(ctx, "west", "count", nil)
+		var unreachable *UnreachableError
+		Expect(errors.As(err, &unreachable)).To(BeTrue(), "%v", err)
+		Expect(nodes[0].Live()).To(HaveLen(3))
+		gate.release()
+		awaitMesh(nodes)
+		stream, err := nodes[0].Open(ctx, "west", "count", nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stream.Next(new(int))).To(Succeed())
+		Expect(stream.Close()).To(Succeed())
+	})
+
+	It("breaks with an error, never quietly, when the far daemon dies in its midst", func() {
+		nodes := startNodes(nil, "east", "east", "east", "west", "west")
+		var sent atomic.Int64
+		for _, n := range nodes[3:] {
+			n.openHandlers["endless"] = endless(&sent, make(chan struct{}))
+		}
+		awaitMesh(nodes)
+		for _, caller := range nodes[:3] {
+			stream, err := caller.Open(ctx, "west", "endless", nil)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(stream.Close)
+			go func() {
+				defer GinkgoRecover()
+				var err error
+				for err == nil {
+					err = stream.Next(new(int))
+				}
+				var broken *BrokenError
+				Expect(errors.As(err, &broken)).To(BeTrue(), "%v", err)
+			}()
+		}
+		nodes[3].kill()
+		nodes[4].kill()
+		for _, n := range nodes[:3] {
+			Eventually(n.idle, waitLong, pollOften).Should(BeTrue())
+		}
+	})
+
+	It("moves to the other relay when one is killed", func() {
+		nodes := startNodes(nil, "east", "east", "east", "west", "west", "west")
+		for _, n := range nodes {
+			n.openHandlers["count"] = countTo(1)
+		}
+		awaitMesh(nodes)
+		var left []*node
+		killed := false
+		for _, n := range nodes[:3] {
+			if !killed && len(n.routing.Load().direct("west")) > 0 {
+				n.kill()
+				killed = true
+				continue
+			}
+			left = append(left, n)
+		}
+		awaitMesh(append(left, nodes[3:]...))
+		stream, err := left[0].Open(ctx, "west", "count", nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stream.Next(new(int))).To(Succeed())
+		Expect(stream.Close()).To(Succeed())
+	})
+})
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -12,6 +12,9 @@
 const (
 	messageBytes = 16 << 20 // largest WebSocket message
 	batchBytes   = 32 << 10 // size at which a message is closed
+	// retireHeartbeats is how long a link that is no longer used stays open for
+	// calls that the other side has already begun.
+	retireHeartbeats = 2
 )
 
 // link is one proved connection to another daemon.
@@ -68,15 +71,21 @@
 // close ends the link at once.
 func (l *link) close(err error) { l.cancel(err) }
 
-// retire ends the link when no call is in progress on it.
+// retire ends the link when no call has been in progress on it for some time.
+// The other side may still begin calls on it until it knows of a better one.
 func (l *link) retire(err error) {
 	l.retiring.Store(true)
-	for !l.idle() {
+	quiet := 0
+	for quiet < retireHeartbeats {
 		select {
 		case <-l.ctx.Done():
 			return
 		case <-time.After(l.owner.options.Heartbeat):
 		}
+		quiet++
+		if !l.idle() {
+			quiet = 0
+		}
 	}
 	l.close(err)
 }
--- /dev/null
+++ b/internal/peer/node_test.go
@@ -0,0 +1,136 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/fleet"
+)
+
+const (
+	testSecret    = "secret-of-the-tests"
+	testTopic     = Topic("test")
+	testHeartbeat = 100 * time.Millisecond
+	waitLong      = 10 * time.Second
+	pollOften     = 5 * time.Millisecond
+)
+
+// node is one mesh with its listener.
+type node struct {
+	*Network
+	server *http.Server
+	mu     sync.Mutex
+	got    []string // soft state, as "publisher body"
+	cut    atomic.Bool
+}
+
+// startNodes starts one mesh for each data centre named, all of which know
+// each other. adjust may be nil.
+func startNodes(adjust func(int, *Options), dataCentres ...fleet.DataCentre) []*node {
+	GinkgoHelper()
+	var listeners []net.Listener
+	var addresses []Address
+	for _, dataCentre := range dataCentres {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		listeners = append(listeners, listener)
+		addresses = append(addresses, Address{HostPort: listener.Addr().String(), DataCentre: dataCentre})
+	}
+	var nodes []*node
+	for i, dataCentre := range dataCentres {
+		n := &node{}
+		options := Options{
+			Self:       fleet.DaemonID(fmt.Sprintf("%s-%d", dataCentre, i)),
+			DataCentre: dataCentre,
+			Secret:     testSecret,
+			Addresses:  addresses,
+			Heartbeat:  testHeartbeat,
+			Dial:       n.dialUnlessCut,
+		}
+		if adjust != nil {
+			adjust(i, &options)
+		}
+		n.start(options, listeners[i])
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
+
+func (n *node) start(options Options, listener net.Listener) {
+	GinkgoHelper()
+	var err error
+	n.Network, err = NewNetwork(options)
+	Expect(err).NotTo(HaveOccurred())
+	n.Subscribe(testTopic, n.note)
+	n.HandleCall("echo", func(_ context.Context, _ fleet.DaemonID, body cbor.RawMessage) (any, error) { return body, nil })
+	n.server = &http.Server{Handler: n.Handler()}
+	go func() { _ = n.server.Serve(listener) }()
+	go n.Run()
+	DeferCleanup(n.kill)
+}
+
+func (n *node) kill() {
+	_ = n.server.Close()
+	n.Close()
+}
+
+// dialUnlessCut refuses to dial a cut node's peers.
+func (n *node) dialUnlessCut(ctx context.Context, network, address string) (net.Conn, error) {
+	if n.cut.Load() {
+		return nil, &ClosedError{Reason: "cut"}
+	}
+	dialer := &net.Dialer{}
+	return dialer.DialContext(ctx, network, address)
+}
+
+func (n *node) note(from fleet.DaemonID, body cbor.RawMessage) {
+	var text string
+	if cbor.Unmarshal(body, &text) != nil {
+		text = "malformed"
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.got = append(n.got, string(from)+" "+text)
+}
+
+func (n *node) received() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]string{}, n.got...)
+}
+
+// regionalLinks returns how many links the nodes have to other data centres.
+func regionalLinks(nodes []*node) int {
+	count := 0
+	for _, n := range nodes {
+		for _, links := range n.routing.Load().regional {
+			count += len(links)
+		}
+	}
+	return count
+}
+
+// awaitMesh waits until each node sees its whole data centre and each pair of
+// data centres has its two links.
+func awaitMesh(nodes []*node) {
+	GinkgoHelper()
+	sizes := map[fleet.DataCentre]int{}
+	for _, n := range nodes {
+		sizes[n.options.DataCentre]++
+	}
+	for _, n := range nodes {
+		Eventually(n.Live, waitLong, pollOften).Should(HaveLen(sizes[n.options.DataCentre]))
+		Eventually(n.DataCentres, waitLong, pollOften).Should(HaveLen(len(sizes) - 1))
+	}
+	pairs := len(sizes) * (len(sizes) - 1) / 2
+	Eventually(func() int { return regionalLinks(nodes) }, waitLong, pollOften).Should(Equal(2 * relaysPerPair * pairs))
+}
--- a/internal/peer/regional.go
+++ b/internal/peer/regional.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/rendezvous"
@@ -12,9 +11,9 @@
 
 const (
 	relaysPerPair = 2 // links between two data centres
-	// relaySettle is how long a change of the relays must last before a link is
-	// given up, so that a daemon that flaps does not move the links.
-	relaySettle = 5 * time.Second
+	// settleHeartbeats is how long a change of the relays must last before a link
+	// is given up, so that a daemon that flaps does not move the links.
+	settleHeartbeats = 5
 )
 
 // regionalLoop keeps the links to another data centre while this daemon is one
@@ -79,7 +78,7 @@
 			}
 			continue
 		}
-		sleep(ctx, relaySettle)
+		sleep(ctx, settleHeartbeats*n.options.Heartbeat)
 		if rank, _ := n.relayRank(to); rank < 0 {
 			n.retireRegional(to)
 			cancel()
