Evidence: a report of the conditions of operation from the log's records

Each daemon will append a digest of what it did each minute; the report replays the configuration, group and order streams and compares the digests with them. What the records cannot tell is listed beside each finding.

--- a/cmd/plantainmux/main.go
+++ b/cmd/plantainmux/main.go
@@ -18,6 +18,7 @@
 	parser := flags.NewNamedParser("plantainmux", flags.Default)
 	addCommand(parser, "publish", "put a configuration in force", &publishCommand{})
 	addCommand(parser, "status", "show what daemons say of themselves", &statusCommand{})
+	addCommand(parser, "evidence", "report whether the conditions of operation held", &evidenceCommand{})
 	addCommand(parser, "hash-key", "hash a team key for the configuration", &hashKeyCommand{})
 	if _, err := parser.Parse(); err != nil && !flags.WroteHelp(err) {
 		os.Exit(exitFailure)
--- /dev/null
+++ b/internal/evidence/breach.go
@@ -0,0 +1,15 @@
+package evidence
+
+import (
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/platform"
+)
+
+// Breach is one violation of a condition.
+type Breach struct {
+	At     time.Time       `json:"at"`
+	Stream string          `json:"stream"`
+	Offset platform.Offset `json:"offset"`
+	Text   string          `json:"text"`
+}
--- /dev/null
+++ b/internal/evidence/coverage.go
@@ -0,0 +1,16 @@
+package evidence
+
+import "github.com/plantainmux/plantainmux/internal/platform"
+
+// Coverage says which part of a stream a report is based on.
+type Coverage struct {
+	Stream  string          `json:"stream"`
+	Oldest  platform.Offset `json:"oldest"`
+	Next    platform.Offset `json:"next"`
+	Records int             `json:"records"`
+	Unread  int             `json:"unread"` // records that could not be decoded
+}
+
+func coverageOf(h History) Coverage {
+	return Coverage{Stream: h.Stream, Oldest: h.Oldest, Next: h.Next, Records: len(h.Items), Unread: h.Unread}
+}
--- /dev/null
+++ b/internal/evidence/item.go
@@ -0,0 +1,17 @@
+package evidence
+
+import (
+	"github.com/plantainmux/plantainmux/internal/logstream"
+	"github.com/plantainmux/plantainmux/internal/platform"
+)
+
+// Item is one record of a stream.
+type Item struct {
+	Offset platform.Offset
+	Entry  logstream.Entry
+}
+
+// position returns where and by whom the record was written.
+func (i Item) position() logstream.Position {
+	return logstream.Position{Offset: i.Offset, Time: i.Entry.Time(), Writer: i.Entry.Writer}
+}
--- /dev/null
+++ b/internal/evidence/read.go
@@ -0,0 +1,84 @@
+package evidence
+
+import (
+	"context"
+	"errors"
+
+	"github.com/plantainmux/plantainmux/internal/config"
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/group"
+	"github.com/plantainmux/plantainmux/internal/logstream"
+	"github.com/plantainmux/plantainmux/internal/order"
+	"github.com/plantainmux/plantainmux/internal/platform"
+)
+
+const readPage = 1024 // records of one read
+
+// Read reads the retained records of every stream that a report needs.
+func Read(ctx context.Context, log platform.Log, dataCentres []fleet.DataCentre) (Records, error) {
+	r := reader{ctx: ctx, log: log}
+	records := Records{
+		Config:   r.history(config.StreamName),
+		Groups:   map[fleet.DataCentre]History{},
+		Evidence: map[fleet.DataCentre]History{},
+	}
+	for _, dataCentre := range dataCentres {
+		records.Groups[dataCentre] = r.history(group.StreamName(dataCentre))
+		records.Evidence[dataCentre] = r.history(StreamName(dataCentre))
+	}
+	for slot := range order.Slots {
+		records.Orders = append(records.Orders, r.history(order.StreamName(order.Slot(slot))))
+	}
+	return records, r.err
+}
+
+// reader reads streams until its first failure.
+type reader struct {
+	ctx context.Context
+	log platform.Log
+	err error
+}
+
+func (r *reader) history(stream string) History {
+	h := History{Stream: stream, Oldest: platform.FirstOffset, Next: platform.FirstOffset}
+	if r.err != nil {
+		return h
+	}
+	seen := map[string]uint64{}
+	from := platform.FirstOffset
+	for {
+		page, err := r.log.Read(r.ctx, stream, from, readPage, 0)
+		var expired *platform.ExpiredError
+		if errors.As(err, &expired) {
+			from = expired.Oldest
+			h.Oldest = expired.Oldest
+			continue
+		}
+		if err != nil {
+			r.err = err
+			return h
+		}
+		h.Next = page.Next
+		if len(page.Records) == 0 {
+			return h
+		}
+		for _, record := range page.Records {
+			h.add(record, seen)
+		}
+		from = page.Records[len(page.Records)-1].Offset + 1
+	}
+}
+
+// add appends one record unless it repeats an earlier one of its writer.
+func (h *History) add(record platform.Record, seen map[string]uint64) {
+	var entry logstream.Entry
+	if err := logstream.Unmarshal(record.Data, &entry); err != nil {
+		h.Unread++
+		return
+	}
+	if entry.Seq <= seen[entry.Writer] {
+		return
+	}
+	seen[entry.Writer] = entry.Seq
+	h.Items = append(h.Items, Item{Offset: record.Offset, Entry: entry})
+}
--- /dev/null
+++ b/internal/logstream/decode_snapshot.go
@@ -0,0 +1,13 @@
+package logstream
+
+import "github.com/plantainmux/plantainmux/internal/platform"
+
+// DecodeSnapshot returns the offset that a KindSnapshot record covers and the
+// encoded state of the fold after it.
+func DecodeSnapshot(body []byte) (asOf platform.Offset, state []byte, err error) {
+	var decoded snapshot
+	if err := Unmarshal(body, &decoded); err != nil {
+		return 0, nil, err
+	}
+	return decoded.AsOf, decoded.State, nil
+}
