--- a/cmd/plantainfake/main.go
+++ b/cmd/plantainfake/main.go
@@ -21,6 +21,7 @@
 	addCommand(parser, "vms", "the list of VMs", &vmsCommand{})
 	addCommand(parser, "weights", "the weight store", &weightsCommand{})
 	addCommand(parser, "engine", "the model engine of one VM", &engineCommand{})
+	addCommand(parser, "engines", "the model engines of many VMs", &enginesCommand{})
 	addCommand(parser, "service", "a plain service", &serviceCommand{})
 	if _, err := parser.Parse(); err != nil && !flags.WroteHelp(err) {
 		os.Exit(exitUsage)
--- a/cmd/plantainfake/serve.go
+++ b/cmd/plantainfake/serve.go
@@ -10,6 +10,8 @@
 	"github.com/plantainmux/plantainmux/internal/fakes"
 )
 
+const acceleratorsPerVM = 8
+
 // listenOptions are the flags that every stand-in has.
 type listenOptions struct {
 	Listen string `long:"listen" default:"127.0.0.1:0" description:"IP number and port to listen on"`
@@ -22,9 +24,13 @@
 		return err
 	}
 	slog.Info("stand-in started", "address", server.Address())
+	waitForStop()
+	server.Kill()
+	return nil
+}
+
+func waitForStop() {
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	<-stop
-	server.Kill()
-	return nil
 }
--- /dev/null
+++ b/internal/traffic/conn.go
@@ -0,0 +1,28 @@
+package traffic
+
+import "net"
+
+// conn is a connection whose bytes are counted.
+type conn struct {
+	net.Conn
+	counter *Counter
+}
+
+// Count returns a connection that counts its bytes on counter.
+func Count(inner net.Conn, counter *Counter) net.Conn {
+	return &conn{Conn: inner, counter: counter}
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.counter.received.Add(uint64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.counter.sent.Add(uint64(n))
+	return n, err
+}
