Relay: attempts resumed or retried within a budget, whole answers only, suspects isolated

An attempt's frames pass a sequence check: frames of other attempts and duplicates are dropped and counted, a gap or a cut resumes the attempt on its endpoint. A caller that leaves, a stall or a slow reader cancels the attempt on the engine, which a closed connection alone does not. Deadline and departure of the caller are told apart. A refusal code of an endpoint that is not known no longer proves that nothing ran. Ruled out: a replay of a POST by net/http, which replays one only when no byte was written.

--- a/internal/callerapi/completion_request.go
+++ b/internal/callerapi/completion_request.go
@@ -55,6 +55,7 @@
 		Body:        body,
 		MaxTokens:   parsed.MaxTokens,
 		Fingerprint: request.Fingerprint(fleet.ModelName(name), adapter, body),
+		Prefix:      request.Prefix(fleet.ModelName(name), adapter, body),
 		Deadline:    deadline,
 	}
 	return req, parsed.Stream, nil
--- a/internal/callerapi/completions.go
+++ b/internal/callerapi/completions.go
@@ -7,6 +7,7 @@
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 	"github.com/plantainmux/plantainmux/internal/request"
+	"github.com/plantainmux/plantainmux/internal/suspect"
 )
 
 func (s *Server) completions(w http.ResponseWriter, r *http.Request, team config.Team) {
@@ -28,6 +29,10 @@
 		s.refuse(w, refused)
 		return
 	}
+	if s.Relay.Suspects.Standing(req.Fingerprint) == suspect.Refused {
+		s.refuse(w, refusal.New(refusal.CrashSuspect, 0, "the request crashed endpoints"))
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
 	defer cancel()
 	release, refused := s.Gate.Admit(ctx, req)
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -27,6 +27,7 @@
 	Logger          *slog.Logger
 	BodyLimit       int64 // bytes
 	DefaultDeadline time.Duration
+	WriteTimeout    time.Duration // of one write to a caller; 0 is the default
 }
 
 // Server serves callers.
@@ -43,6 +44,13 @@
 // Drain refuses new work from now on.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+func (s *Server) writeTimeout() time.Duration {
+	if s.WriteTimeout > 0 {
+		return s.WriteTimeout
+	}
+	return writeTimeout
+}
+
 // Handler serves the interface.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/callerapi/stream_sink.go
+++ b/internal/callerapi/stream_sink.go
@@ -1,37 +1,79 @@
 package callerapi
 
 import (
+	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 	"github.com/plantainmux/plantainmux/internal/request"
 )
 
+const (
+	// writeTimeout is how long a caller may leave one write unread.
+	writeTimeout = 5 * time.Second
+	// heldBytes bounds what is held back before it is sent.
+	heldBytes = 16 << 10
+	endEvent  = "data: [DONE]\n\n"
+)
+
 // streamSink sends frames to the caller as server-sent events. The headers go
-// out with the first frame, so that a request refused before it has a status.
+// out with the first bytes, so that a request refused before has a status.
 type streamSink struct {
-	w       http.ResponseWriter
-	req     *request.Request
-	form    answerForm
-	started bool
+	w            http.ResponseWriter
+	controller   *http.ResponseController
+	encoder      *chunkEncoder
+	held         bytes.Buffer
+	writeTimeout time.Duration
+	started      bool
+}
+
+func (s *Server) newStreamSink(w http.ResponseWriter, req *request.Request, form answerForm) (*streamSink, error) {
+	encoder, err := newChunkEncoder(form, req.ID, string(req.Model))
+	if err != nil {
+		return nil, err
+	}
+	return &streamSink{w: w, controller: http.NewResponseController(w), encoder: encoder, writeTimeout: s.writeTimeout()}, nil
 }
 
 // Frame implements relay.Sink.
 func (s *streamSink) Frame(frame endpoint.Frame) error {
-	s.start()
-	chunk := s.form.chunk(s.req.ID, string(s.req.Model), frame.Text, frame.FinishReason)
-	if err := s.event("", chunk); err != nil {
+	s.held.WriteString("data: ")
+	if err := s.encoder.encode(&s.held, frame.Text, frame.FinishReason); err != nil {
 		return err
 	}
-	if !frame.Done {
+	s.held.WriteString("\n\n")
+	if frame.Done {
+		s.held.WriteString(endEvent)
+	}
+	if s.held.Len() < heldBytes {
 		return nil
 	}
-	_, err := fmt.Fprint(s.w, "data: [DONE]\n\n")
-	return err
+	return s.Flush()
+}
+
+// Flush implements relay.Sink. A caller that does not read blocks it for a
+// bounded time and no memory beyond the buffers.
+func (s *streamSink) Flush() error {
+	s.start()
+	_ = s.controller.SetWriteDeadline(time.Now().Add(s.writeTimeout))
+	_, err := s.w.Write(s.held.Bytes())
+	s.held.Reset()
+	if err != nil {
+		return err
+	}
+	return s.controller.Flush()
+}
+
+// Restart implements relay.Sink.
+func (s *streamSink) Restart() bool {
+	if s.started {
+		return false
+	}
+	s.held.Reset()
+	return true
 }
 
 func (s *streamSink) start() {
@@ -45,24 +87,21 @@
 	s.w.WriteHeader(http.StatusOK)
 }
 
-func (s *streamSink) event(name string, value any) error {
-	data, err := json.Marshal(value)
-	if err != nil {
-		return err
+// fail ends a started stream with an error event.
+func (s *streamSink) fail(refused *refusal.Refusal) {
+	s.held.WriteString("event: error\ndata: ")
+	if encodeJSON(&s.held, newErrorBody(refused)) == nil {
+		s.held.WriteString("\n\n")
+		_ = s.Flush()
 	}
-	if name != "" {
-		if _, err := fmt.Fprintf(s.w, "event: %s\n", name); err != nil {
-			return err
-		}
-	}
-	if _, err := fmt.Fprintf(s.w, "data: %s\n\n", data); err != nil {
-		return err
-	}
-	return http.NewResponseController(s.w).Flush()
 }
 
 func (s *Server) answerStream(ctx context.Context, w http.ResponseWriter, req *request.Request, form answerForm) {
-	sink := &streamSink{w: w, req: req, form: form}
+	sink, err := s.newStreamSink(w, req, form)
+	if err != nil {
+		s.refuse(w, refusal.New(refusal.Malformed, 0, "the request cannot be answered as a stream"))
+		return
+	}
 	refused := s.Relay.Run(ctx, req, sink)
 	switch {
 	case refused == nil:
@@ -71,7 +110,8 @@
 		s.refuse(w, refused)
 	default:
 		s.Metrics.Refused(refused.Reason)
-		_ = sink.event("error", newErrorBody(refused))
+		sink.fail(refused)
 		w.Header().Set(refusal.OutcomeHeader, string(refused.Outcome))
 	}
+	_ = sink.controller.SetWriteDeadline(time.Time{})
 }
--- a/internal/callerapi/whole_sink.go
+++ b/internal/callerapi/whole_sink.go
@@ -8,9 +8,13 @@
 
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/refusal"
+	"github.com/plantainmux/plantainmux/internal/relay"
 	"github.com/plantainmux/plantainmux/internal/request"
 )
 
+// maxWholeAnswer bounds an answer that is sent in one piece, in bytes.
+const maxWholeAnswer = 8 << 20
+
 // wholeSink collects the frames of an answer that is sent in one piece.
 type wholeSink struct {
 	text strings.Builder
@@ -19,11 +23,23 @@
 
 // Frame implements relay.Sink.
 func (s *wholeSink) Frame(frame endpoint.Frame) error {
+	if s.text.Len()+len(frame.Text) > maxWholeAnswer {
+		return &relay.AnswerTooLargeError{Limit: maxWholeAnswer}
+	}
 	s.text.WriteString(frame.Text)
 	s.last = frame
 	return nil
 }
 
+// Flush implements relay.Sink.
+func (s *wholeSink) Flush() error { return nil }
+
+// Restart implements relay.Sink.
+func (s *wholeSink) Restart() bool {
+	s.text.Reset()
+	return true
+}
+
 func (s *wholeSink) usage() usage {
 	return usage{
 		PromptTokens:     s.last.PromptTokens,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/plantainmux/plantainmux/internal/reconcile"
 	"github.com/plantainmux/plantainmux/internal/relay"
 	"github.com/plantainmux/plantainmux/internal/settings"
+	"github.com/plantainmux/plantainmux/internal/suspect"
 	"github.com/plantainmux/plantainmux/internal/view"
 	"github.com/plantainmux/plantainmux/internal/watch"
 )
@@ -136,7 +137,7 @@
 		DataCentre:      d.settings.DataCentre,
 		Views:           d.views,
 		Gate:            admit.NewGate(d.capacity),
-		Relay:           relay.New(d.views, d.adapters.Engine, d.table.Fail),
+		Relay:           d.newRelay(),
 		Orders:          order.NewRunner(d.orders, d.adapters.Service),
 		Service:         d.adapters.Service,
 		Metrics:         d.metrics,
@@ -147,6 +148,16 @@
 	d.admin = adminapi.New(d.settings.AdminToken, d.status, d.metrics)
 }
 
+func (d *Daemon) newRelay() *relay.Relay {
+	return relay.New(relay.Dependencies{
+		Views:    d.views,
+		Engine:   d.adapters.Engine,
+		Suspects: suspect.NewWatch(d.mesh, d.settings.DataCentre),
+		Metrics:  d.metrics,
+		Failed:   d.table.Fail,
+	})
+}
+
 // capacity returns the concurrent requests that the complete groups can run.
 func (d *Daemon) capacity() int {
 	total := 0
--- a/internal/endpoint/errors.go
+++ b/internal/endpoint/errors.go
@@ -46,6 +46,18 @@
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.Err }
 
+// AttemptLostError says that the endpoint no longer holds an attempt that was
+// to be resumed. The attempt may have run.
+type AttemptLostError struct {
+	Address string
+	Attempt string
+}
+
+// Error implements error.
+func (e *AttemptLostError) Error() string {
+	return fmt.Sprintf("endpoint %s does not hold attempt %s", e.Address, e.Attempt)
+}
+
 // StaleFencingError says that the endpoint has seen a higher fencing number.
 type StaleFencingError struct {
 	Address string
--- a/internal/endpoint/http_engine.go
+++ b/internal/endpoint/http_engine.go
@@ -114,7 +114,7 @@
 	}
 	if response.StatusCode != http.StatusOK {
 		defer cancel()
-		return nil, generateRefusal(address, response)
+		return nil, generateRefusal(address, request.Attempt, response)
 	}
 	return newSSEStream(address, response.Body, cancel), nil
 }
@@ -138,12 +138,17 @@
 
 // generateRefusal turns an engine's refusal into a NotRunError when its code
 // proves that nothing ran.
-func generateRefusal(address string, response *http.Response) error {
+func generateRefusal(address, attempt string, response *http.Response) error {
 	defer func() { _ = response.Body.Close() }()
 	body, _ := io.ReadAll(io.LimitReader(response.Body, errorBodyLimit))
 	var failure EngineError
-	if json.Unmarshal(body, &failure) == nil && failure.Code != "" {
-		return &NotRunError{Address: address, Code: failure.Code}
+	if json.Unmarshal(body, &failure) == nil {
+		switch {
+		case failure.Code == CodeNoAttempt:
+			return &AttemptLostError{Address: address, Attempt: attempt}
+		case provesNotRun(failure.Code):
+			return &NotRunError{Address: address, Code: failure.Code}
+		}
 	}
 	return &BrokenError{Address: address, Err: &StatusError{Status: response.StatusCode, Body: string(body)}}
 }
--- a/internal/endpoint/sse_stream.go
+++ b/internal/endpoint/sse_stream.go
@@ -8,8 +8,11 @@
 	"io"
 )
 
-// maxFrameBytes bounds one event of an engine.
-const maxFrameBytes = 1 << 20
+const (
+	// maxFrameBytes bounds one event of an engine.
+	maxFrameBytes = 1 << 20
+	readBytes     = 4 << 10
+)
 
 var dataPrefix = []byte("data: ")
 
@@ -17,20 +20,23 @@
 type sseStream struct {
 	address string
 	body    io.ReadCloser
-	scanner *bufio.Scanner
+	reader  *bufio.Reader
+	long    []byte // an event longer than the reader's buffer
 	cancel  context.CancelFunc
 }
 
 func newSSEStream(address string, body io.ReadCloser, cancel context.CancelFunc) *sseStream {
-	scanner := bufio.NewScanner(body)
-	scanner.Buffer(make([]byte, 0, 4<<10), maxFrameBytes)
-	return &sseStream{address: address, body: body, scanner: scanner, cancel: cancel}
+	return &sseStream{address: address, body: body, reader: bufio.NewReaderSize(body, readBytes), cancel: cancel}
 }
 
 // Next implements Stream.
 func (s *sseStream) Next() (Frame, error) {
-	for s.scanner.Scan() {
-		payload, ok := bytes.CutPrefix(s.scanner.Bytes(), dataPrefix)
+	for {
+		line, err := s.line()
+		if err != nil {
+			return Frame{}, &BrokenError{Address: s.address, Err: err}
+		}
+		payload, ok := bytes.CutPrefix(line, dataPrefix)
 		if !ok {
 			continue
 		}
@@ -40,11 +46,35 @@
 		}
 		return frame, nil
 	}
-	err := s.scanner.Err()
-	if err == nil {
-		err = io.ErrUnexpectedEOF
+}
+
+// Buffered implements Stream.
+func (s *sseStream) Buffered() bool {
+	held, _ := s.reader.Peek(s.reader.Buffered())
+	return bytes.Contains(held, dataPrefix) && bytes.HasSuffix(held, []byte("\n"))
+}
+
+// line returns the next whole line. It is valid until the next call.
+func (s *sseStream) line() ([]byte, error) {
+	s.long = s.long[:0]
+	for {
+		part, err := s.reader.ReadSlice('\n')
+		switch {
+		case err == nil && len(s.long) == 0:
+			return part, nil
+		case err == nil:
+			s.long = append(s.long, part...)
+			return s.long, nil
+		case err == io.EOF:
+			return nil, io.ErrUnexpectedEOF
+		case err != bufio.ErrBufferFull:
+			return nil, err
+		}
+		if len(s.long)+len(part) > maxFrameBytes {
+			return nil, bufio.ErrTooLong
+		}
+		s.long = append(s.long, part...)
 	}
-	return Frame{}, &BrokenError{Address: s.address, Err: err}
 }
 
 // Close implements Stream.
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -24,6 +24,7 @@
 // Engine is the stand-in of the model engine on one VM.
 type Engine struct {
 	*Switches
+	streamSwitches
 	options EngineOptions
 
 	mu       sync.Mutex
--- a/internal/fakes/generate.go
+++ b/internal/fakes/generate.go
@@ -35,7 +35,7 @@
 		writeJSON(w, http.StatusConflict, endpoint.EngineError{Code: endpoint.CodeNoAttempt})
 		return
 	}
-	e.stream(w, r, a, request.ResumeFrom)
+	e.stream(w, r, a, request)
 }
 
 func (e *Engine) refuse(request endpoint.GenerateRequest) string {
@@ -140,31 +140,42 @@
 	time.AfterFunc(resumeRetention, func() { e.forget(request.Attempt) })
 }
 
+func (e *Engine) forgetAll() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.attempts = map[string]*attempt{}
+}
+
 func (e *Engine) forget(id string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.attempts, id)
 }
 
-// stream sends the frames of an attempt. A caller that goes away cancels it.
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, a *attempt, from int) {
+// stream sends the frames of an attempt. A connection that ends does not cancel
+// it.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, a *attempt, request endpoint.GenerateRequest) {
+	faults := e.forConnection(request.Attempt)
+	if faults.CutBefore < 0 {
+		e.cut(request, faults)
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
-	flusher, _ := w.(http.Flusher)
+	writer := &frameWriter{w: w, faults: faults}
+	from := request.ResumeFrom
 	for {
 		frames, more := a.from(from)
 		for _, frame := range frames {
-			if !writeFrame(w, frame) {
-				return
+			if !writer.write(frame) {
+				flush(w)
+				e.cut(request, faults)
 			}
 			if frame.Done {
 				return
 			}
 		}
 		from += len(frames)
-		if flusher != nil {
-			flusher.Flush()
-		}
+		flush(w)
 		if len(frames) > 0 {
 			continue
 		}
@@ -176,18 +187,24 @@
 	}
 }
 
-func writeFrame(w http.ResponseWriter, frame endpoint.Frame) bool {
-	data, err := json.Marshal(frame)
-	if err != nil {
-		return false
+func flush(w http.ResponseWriter) {
+	if flusher, ok := w.(http.Flusher); ok {
+		flusher.Flush()
+	}
+}
+
+// cut ends a connection without an end marker.
+func (e *Engine) cut(request endpoint.GenerateRequest, faults StreamFaults) {
+	if faults.Forget {
+		e.forget(request.Attempt)
 	}
-	_, err = fmt.Fprintf(w, "data: %s\n\n", data)
-	return err == nil
+	panic(http.ErrAbortHandler)
 }
 
 // crash ends the engine as a failing process would.
 func (e *Engine) crash(request endpoint.GenerateRequest) {
 	e.noteAttempt(EventCrash, request)
+	e.forgetAll()
 	if e.options.OnCrash != nil {
 		e.options.OnCrash()
 	}
--- /dev/null
+++ b/internal/fakes/stream_faults.go
@@ -0,0 +1,44 @@
+package fakes
+
+import "sync"
+
+// StreamFaults spoil the streams of an engine's answers. The zero value is
+// healthy.
+type StreamFaults struct {
+	CutBefore int  // end each connection once, before the frame of this index; -1 before any byte, 0 is none
+	CutEach   bool // end a connection before every frame but its first
+	Cross     bool // send frames of another attempt in between
+	Duplicate bool // send every frame twice
+	Reorder   bool // on the first connection, send the frames in pairs, the later one first
+	Forget    bool // lose the attempt when its connection is cut
+}
+
+// streamSwitches guards the stream faults of an engine.
+type streamSwitches struct {
+	mu      sync.Mutex
+	faults  StreamFaults
+	spoiled map[string]bool // attempts that had their one fault
+}
+
+// SetStreamFaults replaces the stream faults.
+func (s *streamSwitches) SetStreamFaults(faults StreamFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+	s.spoiled = map[string]bool{}
+}
+
+// forConnection returns the faults of a connection of an attempt. Those that
+// strike once are left out from the second connection on.
+func (s *streamSwitches) forConnection(attempt string) StreamFaults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	faults := s.faults
+	if s.spoiled[attempt] {
+		faults.CutBefore, faults.Reorder = 0, false
+	}
+	if s.spoiled != nil {
+		s.spoiled[attempt] = true
+	}
+	return faults
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -8,22 +8,49 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/plantainmux/plantainmux/internal/refusal"
+	"github.com/plantainmux/plantainmux/internal/retry"
 )
 
 // Set holds the metrics of one daemon.
 type Set struct {
 	set      *metrics.Set
 	refusals map[refusal.Reason]*metrics.Counter
+	retries  map[retry.Reason]*metrics.Counter
+	denials  map[retry.Denial]*metrics.Counter
+	dropped  map[FrameFault]*metrics.Counter
+	attempts *metrics.Counter
+	resumes  *metrics.Counter
+	cancels  *metrics.Counter
+	crashes  *metrics.Counter
+	spills   *metrics.Counter
+	tokens   *metrics.Counter
 }
 
-// NewSet registers a counter for each reason of a refusal, so that each shows
-// from the start.
+// NewSet registers a counter for each reason of a refusal, of a retry and of a
+// retry that was not made, so that each shows from the start.
 func NewSet() *Set {
-	s := &Set{set: metrics.NewSet(), refusals: map[refusal.Reason]*metrics.Counter{}}
-	for _, reason := range refusal.Reasons {
-		s.refusals[reason] = s.set.NewCounter(fmt.Sprintf(`plantainmux_refusals_total{reason=%q}`, reason))
+	set := metrics.NewSet()
+	return &Set{
+		set:      set,
+		refusals: counters(set, "plantainmux_refusals_total", "reason", refusal.Reasons),
+		retries:  counters(set, "plantainmux_retries_total", "reason", retry.Reasons),
+		denials:  counters(set, "plantainmux_retries_denied_total", "reason", retry.Denials),
+		dropped:  counters(set, "plantainmux_frames_faulty_total", "fault", FrameFaults),
+		attempts: set.NewCounter("plantainmux_attempts_total"),
+		resumes:  set.NewCounter("plantainmux_resumes_total"),
+		cancels:  set.NewCounter("plantainmux_cancels_total"),
+		crashes:  set.NewCounter("plantainmux_suspect_crashes_total"),
+		spills:   set.NewCounter("plantainmux_spills_total"),
+		tokens:   set.NewCounter("plantainmux_frames_total"),
 	}
-	return s
+}
+
+func counters[K ~string](set *metrics.Set, name, label string, keys []K) map[K]*metrics.Counter {
+	all := make(map[K]*metrics.Counter, len(keys))
+	for _, key := range keys {
+		all[key] = set.NewCounter(fmt.Sprintf("%s{%s=%q}", name, label, key))
+	}
+	return all
 }
 
 // Refused counts a refusal.
@@ -33,6 +60,45 @@
 	}
 }
 
+// Retried counts a retry.
+func (s *Set) Retried(reason retry.Reason) {
+	if counter, ok := s.retries[reason]; ok {
+		counter.Inc()
+	}
+}
+
+// RetryDenied counts a failed attempt that was not made again.
+func (s *Set) RetryDenied(denial retry.Denial) {
+	if counter, ok := s.denials[denial]; ok {
+		counter.Inc()
+	}
+}
+
+// FrameFaulty counts a frame that was dropped, or a gap before it.
+func (s *Set) FrameFaulty(fault FrameFault) {
+	if counter, ok := s.dropped[fault]; ok {
+		counter.Inc()
+	}
+}
+
+// Attempted counts an attempt at a request.
+func (s *Set) Attempted() { s.attempts.Inc() }
+
+// Resumed counts a resume of a broken stream.
+func (s *Set) Resumed() { s.resumes.Inc() }
+
+// Cancelled counts an attempt that was cancelled on its endpoint.
+func (s *Set) Cancelled() { s.cancels.Inc() }
+
+// Crashed counts a request that was in progress on a group that died.
+func (s *Set) Crashed() { s.crashes.Inc() }
+
+// Spilled counts a request passed on to another data centre.
+func (s *Set) Spilled() { s.spills.Inc() }
+
+// Frames counts the frames of an answer that was passed on.
+func (s *Set) Frames(count int) { s.tokens.Add(count) }
+
 // Counter returns the counter of a name, registering it when needed.
 func (s *Set) Counter(name string) *metrics.Counter {
 	return s.set.GetOrCreateCounter(name)
--- a/internal/reconcile/loop.go
+++ b/internal/reconcile/loop.go
@@ -128,9 +128,21 @@
 		Running:       report.Running,
 		Waiting:       report.Waiting,
 		Load:          load,
+		ProvenUntil:   provenUntil(record, in),
 	}
 }
 
+// provenUntil returns when the oldest report of the members grows too old.
+func provenUntil(record *group.Record, in group.Input) time.Time {
+	oldest := in.Now
+	for _, vm := range record.Members {
+		if at := in.World.Observations[vm].At; at.Before(oldest) {
+			oldest = at
+		}
+	}
+	return oldest.Add(in.Bounds.ReportBound)
+}
+
 func (l *Loop) dropLoads(fold *group.Fold) {
 	for fencing := range l.loads {
 		if _, ok := fold.Groups()[fencing]; !ok {
--- /dev/null
+++ b/internal/relay/run.go
@@ -0,0 +1,137 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/plantainmux/plantainmux/internal/endpoint"
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/refusal"
+	"github.com/plantainmux/plantainmux/internal/request"
+	"github.com/plantainmux/plantainmux/internal/retry"
+)
+
+// run is one request on its way to a whole answer.
+type run struct {
+	*Relay
+	req           *request.Request
+	sink          Sink
+	deterministic bool
+	excluded      map[fleet.FencingNumber]bool // groups that failed this request
+	attempts      int
+	delivered     int            // frames that the sink has
+	digest        *xxhash.Digest // of the delivered frames; nil while there is none
+	mayHaveRun    bool
+	lastFailure   retry.Reason
+}
+
+func (r *run) untilWhole(ctx context.Context) *refusal.Refusal {
+	for {
+		target, refused := r.pick(ctx)
+		if refused != nil {
+			return refused
+		}
+		err := r.try(ctx, target)
+		target.release()
+		if err == nil {
+			r.succeeded(target)
+			return nil
+		}
+		if refused := r.afterFailure(ctx, err); refused != nil {
+			return refused
+		}
+	}
+}
+
+func (r *run) succeeded(t *target) {
+	r.budget.Succeeded()
+	r.Metrics.Frames(r.delivered)
+	if t.alone {
+		r.Suspects.Acquit(r.req.Fingerprint)
+	}
+}
+
+// try makes one attempt.
+func (r *run) try(ctx context.Context, t *target) error {
+	r.attempts++
+	r.Metrics.Attempted()
+	t.serving.Load.Begin()
+	defer t.serving.Load.End()
+	started := time.Now()
+	err := newAttempt(r, t, fmt.Sprintf("%s.%d", r.req.ID, r.attempts)).make(ctx)
+	if err != nil && ctx.Err() == nil {
+		r.noteFailure(t, err, started)
+	}
+	return err
+}
+
+// noteFailure tells the watchers and the suspects what an attempt showed.
+func (r *run) noteFailure(t *target, err error, started time.Time) {
+	switch reason := retry.ReasonOf(err); reason {
+	case retry.Died:
+		r.Metrics.Crashed()
+		r.Suspects.Crashed(r.req.Fingerprint, t.serving.Fencing, t.alone)
+		r.Failed(t.serving.Leader(), started)
+	case retry.Unreachable, retry.Stalled:
+		r.Failed(t.serving.Leader(), started)
+	case retry.Broken:
+		if !isOwnFault(err) {
+			r.Failed(t.serving.Leader(), started)
+		}
+	}
+}
+
+// afterFailure waits before the next attempt, or returns the final refusal.
+func (r *run) afterFailure(ctx context.Context, err error) *refusal.Refusal {
+	reason := retry.ReasonOf(err)
+	r.mayHaveRun = r.mayHaveRun || reason.MayHaveRun()
+	r.lastFailure = reason
+	if refused := r.finalFailure(ctx, err); refused != nil {
+		return refused
+	}
+	delay, denial := retry.Decide(r.failure(), r.budget, rand.Float64())
+	if denial != retry.Allowed {
+		return r.deny(denial)
+	}
+	r.Metrics.Retried(reason)
+	select {
+	case <-ctx.Done():
+		return r.ended(ctx)
+	case <-time.After(delay):
+		return nil
+	}
+}
+
+func (r *run) failure() retry.Failure {
+	restarted := r.sink.Restart()
+	if restarted {
+		r.delivered = 0
+		r.digest = nil
+	}
+	return retry.Failure{
+		Attempts:    r.attempts,
+		Delivered:   !restarted,
+		Continuable: r.deterministic,
+		Now:         time.Now(),
+		Deadline:    r.req.Deadline,
+	}
+}
+
+// take passes a frame of an attempt on.
+func (r *run) take(frame endpoint.Frame) error {
+	if err := r.sink.Frame(frame); err != nil {
+		return &SinkError{Err: err}
+	}
+	r.delivered++
+	if r.deterministic {
+		if r.digest == nil {
+			r.digest = xxhash.New()
+		}
+		_, _ = r.digest.WriteString(frame.Text)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/relay/stalled_error.go
@@ -0,0 +1,22 @@
+package relay
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/retry"
+)
+
+// StalledError says that an attempt brought no frame for too long.
+type StalledError struct {
+	Attempt string
+	Silence time.Duration
+}
+
+// Error implements error.
+func (e *StalledError) Error() string {
+	return fmt.Sprintf("attempt %s: no frame for %s", e.Attempt, e.Silence)
+}
+
+// RetryReason returns the reason of the retry that follows.
+func (e *StalledError) RetryReason() retry.Reason { return retry.Stalled }
--- /dev/null
+++ b/internal/relay/target.go
@@ -0,0 +1,80 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/refusal"
+	"github.com/plantainmux/plantainmux/internal/retry"
+	"github.com/plantainmux/plantainmux/internal/route"
+	"github.com/plantainmux/plantainmux/internal/suspect"
+	"github.com/plantainmux/plantainmux/internal/view"
+)
+
+// target is the group of one attempt.
+type target struct {
+	serving *view.Serving
+	alone   bool // no other suspect runs on the group
+	release func()
+}
+
+// pick chooses the group of the next attempt.
+func (r *run) pick(ctx context.Context) (*target, *refusal.Refusal) {
+	switch r.Suspects.Standing(r.req.Fingerprint) {
+	case suspect.Refused:
+		return nil, r.deny(retry.Suspected)
+	case suspect.Isolated:
+		return r.pickAlone(ctx)
+	default:
+		return r.pickShared()
+	}
+}
+
+func (r *run) pickShared() (*target, *refusal.Refusal) {
+	serving, ok := route.Pick(r.Views.Load(), r.req, r.excluded)
+	if !ok {
+		return nil, r.noGroup()
+	}
+	r.excluded[serving.Fencing] = true
+	return &target{serving: serving, release: func() {}}, nil
+}
+
+// pickAlone waits for a group without another suspect.
+func (r *run) pickAlone(ctx context.Context) (*target, *refusal.Refusal) {
+	fencing, release, ok := r.Suspects.Isolate(ctx, r.req.Fingerprint, r.candidates)
+	switch {
+	case ctx.Err() != nil:
+		if ok {
+			release()
+		}
+		return nil, r.ended(ctx)
+	case !ok && r.Suspects.Standing(r.req.Fingerprint) == suspect.Isolated:
+		return nil, r.noGroup()
+	case !ok:
+		return r.pick(ctx)
+	}
+	serving, ok := r.Views.Load().Group(fencing)
+	if !ok {
+		release()
+		return r.pick(ctx)
+	}
+	r.excluded[fencing] = true
+	return &target{serving: serving, alone: true, release: release}, nil
+}
+
+func (r *run) candidates() []fleet.FencingNumber {
+	groups := route.Candidates(r.Views.Load(), r.req, r.excluded)
+	numbers := make([]fleet.FencingNumber, 0, len(groups))
+	for _, serving := range groups {
+		numbers = append(numbers, serving.Fencing)
+	}
+	return numbers
+}
+
+func (r *run) noGroup() *refusal.Refusal {
+	if r.attempts > 0 {
+		return r.deny(retry.NoGroup)
+	}
+	return r.refuse(refusal.NoCompleteGroup, comeBackNoGroup, fmt.Sprintf("no complete group serves model %q", r.req.Model))
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -19,6 +19,7 @@
 	Body        json.RawMessage
 	MaxTokens   int
 	Fingerprint uint64 // hash of model, adapter and body
+	Prefix      uint64 // hash of the beginning of the body
 	Deadline    time.Time
 	Forwarded   bool // came from a daemon of another data centre
 }
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -1,34 +1,45 @@
-// Package retry decides whether a failed attempt may be made again.
 package retry
 
-import (
-	"errors"
+import "time"
 
-	"github.com/plantainmux/plantainmux/internal/endpoint"
-)
-
-// Reason says why an attempt failed.
-type Reason string
-
-// Reasons of a retry.
+// Bounds of the retries of one request.
 const (
-	Unreachable Reason = "unreachable"
-	NotRun      Reason = "not_run"
-	Broken      Reason = "broken"
+	MaxAttempts = 4
+	baseDelay   = 20 * time.Millisecond
+	maxDelay    = time.Second
 )
 
-// Reasons lists every reason, for the metrics page.
-var Reasons = []Reason{Unreachable, NotRun, Broken}
+// Failure is a failed attempt, as the decision sees it.
+type Failure struct {
+	Attempts    int  // attempts made so far
+	Delivered   bool // a part of the answer reached the caller
+	Continuable bool // another group would give the same answer, token by token
+	Now         time.Time
+	Deadline    time.Time
+}
 
-// ReasonOf classifies the failure of an attempt.
-func ReasonOf(err error) Reason {
-	var unreachable *endpoint.UnreachableError
-	if errors.As(err, &unreachable) {
-		return Unreachable
+// Decide returns the delay before the next attempt, or why there is none. The
+// budget is charged only for a retry that is allowed.
+func Decide(f Failure, budget *Budget, random float64) (time.Duration, Denial) {
+	if f.Delivered && !f.Continuable {
+		return 0, Delivered
 	}
-	var notRun *endpoint.NotRunError
-	if errors.As(err, &notRun) {
-		return NotRun
+	if f.Attempts >= MaxAttempts {
+		return 0, NoAttempts
 	}
-	return Broken
+	delay := Delay(f.Attempts, random)
+	if !f.Now.Add(delay).Before(f.Deadline) {
+		return 0, NoTime
+	}
+	if !budget.Take() {
+		return 0, NoBudget
+	}
+	return delay, Allowed
+}
+
+// Delay returns the full-jitter delay after a number of attempts; random is in
+// [0, 1).
+func Delay(attempts int, random float64) time.Duration {
+	ceiling := min(baseDelay<<max(attempts-1, 0), maxDelay)
+	return time.Duration(random * float64(ceiling))
 }
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,66 @@
+package retry_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/endpoint"
+	"github.com/plantainmux/plantainmux/internal/retry"
+)
+
+var _ = Describe("Decide", func() {
+	now := time.Unix(1000, 0)
+	failure := func() retry.Failure {
+		return retry.Failure{Attempts: 1, Now: now, Deadline: now.Add(time.Minute)}
+	}
+
+	It("retries inside the deadline only", func() {
+		f := failure()
+		_, denial := retry.Decide(f, retry.NewBudget(), 0.5)
+		Expect(denial).To(Equal(retry.Allowed))
+		f.Deadline = now.Add(time.Millisecond)
+		_, denial = retry.Decide(f, retry.NewBudget(), 0.5)
+		Expect(denial).To(Equal(retry.NoTime))
+	})
+
+	It("never begins anew an answer of which a part is out", func() {
+		f := failure()
+		f.Delivered = true
+		_, denial := retry.Decide(f, retry.NewBudget(), 0)
+		Expect(denial).To(Equal(retry.Delivered))
+		f.Continuable = true
+		_, denial = retry.Decide(f, retry.NewBudget(), 0)
+		Expect(denial).To(Equal(retry.Allowed))
+	})
+
+	It("spends a share of the successes", func() {
+		budget := retry.NewBudget()
+		for budget.Take() {
+		}
+		for range 100 {
+			budget.Succeeded()
+		}
+		granted := 0
+		for budget.Take() {
+			granted++
+		}
+		Expect(granted).To(Equal(20))
+		_, denial := retry.Decide(failure(), budget, 0)
+		Expect(denial).To(Equal(retry.NoBudget))
+	})
+
+	It("spreads delays from zero on", func() {
+		Expect(retry.Delay(1, 0)).To(BeZero())
+		Expect(retry.Delay(2, 0.999)).To(BeNumerically(">", retry.Delay(1, 0.999)))
+		Expect(retry.Delay(60, 0.999)).To(BeNumerically("<", time.Second))
+	})
+
+	It("takes an unknown failure for one that may have run", func() {
+		Expect(retry.ReasonOf(&endpoint.BrokenError{}).MayHaveRun()).To(BeTrue())
+		Expect(retry.ReasonOf(&endpoint.AttemptLostError{}).MayHaveRun()).To(BeTrue())
+		Expect(retry.ReasonOf(&endpoint.NotRunError{}).MayHaveRun()).To(BeFalse())
+		Expect(retry.ReasonOf(&endpoint.UnreachableError{}).MayHaveRun()).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,31 @@
+// Package route picks the group that runs a request, in three stages: filter,
+// score and pick.
+package route
+
+import (
+	"slices"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/request"
+	"github.com/plantainmux/plantainmux/internal/view"
+)
+
+// Pick returns the best group that is not excluded.
+func Pick(v *view.View, r *request.Request, excluded map[fleet.FencingNumber]bool) (*view.Serving, bool) {
+	now := time.Now()
+	scored := Score(Filter(v, r, excluded, now), now.Sub(v.At))
+	return PickBest(scored, r.Prefix)
+}
+
+// Candidates returns the groups that may run a request, the best first.
+func Candidates(v *view.View, r *request.Request, excluded map[fleet.FencingNumber]bool) []*view.Serving {
+	now := time.Now()
+	scored := Score(Filter(v, r, excluded, now), now.Sub(v.At))
+	slices.SortFunc(scored, compare)
+	groups := make([]*view.Serving, 0, len(scored))
+	for _, s := range scored {
+		groups = append(groups, s.Group)
+	}
+	return groups
+}
--- /dev/null
+++ b/internal/suspect/suspect_test.go
@@ -0,0 +1,57 @@
+package suspect_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/suspect"
+)
+
+var _ = Describe("A suspect", func() {
+	now := time.Unix(1000, 0)
+	crash := func(group fleet.FencingNumber, alone bool) suspect.Crash {
+		return suspect.Crash{Fingerprint: 7, DataCentre: "north", Group: group, Alone: alone, At: now}
+	}
+
+	It("is refused after its second crash, which it had alone, until that is forgotten", func() {
+		table := suspect.NewTable()
+		table.Add(crash(1, false), now)
+		Expect(table.Standing(7, now)).To(Equal(suspect.Isolated))
+		Expect(table.Standing(8, now)).To(Equal(suspect.Clear))
+		table.Add(crash(2, true), now)
+		Expect(table.Standing(7, now)).To(Equal(suspect.Refused))
+		Expect(table.Standing(7, now.Add(suspect.Life+time.Second))).To(Equal(suspect.Clear))
+	})
+
+	It("counts one crash once, whichever daemons report it", func() {
+		table := suspect.NewTable()
+		table.Add(crash(1, true), now)
+		table.Add(crash(1, true), now)
+		Expect(table.Standing(7, now)).To(Equal(suspect.Isolated))
+	})
+
+	It("is not refused for crashes beside other suspects", func() {
+		table := suspect.NewTable()
+		table.Add(crash(1, false), now)
+		table.Add(crash(2, false), now)
+		Expect(table.Standing(7, now)).To(Equal(suspect.Isolated))
+	})
+
+	It("shares neither its group nor itself", func() {
+		slots := suspect.NewSlots("b")
+		until := now.Add(time.Minute)
+		claim, ok := slots.Take(1, 7, now, until)
+		Expect(ok).To(BeTrue())
+		_, ok = slots.Take(1, 8, now, until)
+		Expect(ok).To(BeFalse())
+		_, ok = slots.Take(2, 7, now, until)
+		Expect(ok).To(BeFalse())
+		slots.Learn(suspect.Claim{Holder: "c", Group: 1, Fingerprint: 9, Until: until}, now)
+		Expect(slots.Holds(claim)).To(BeTrue())
+		slots.Learn(suspect.Claim{Holder: "a", Group: 1, Fingerprint: 9, Until: until}, now)
+		Expect(slots.Holds(claim)).To(BeFalse())
+	})
+})
--- a/internal/view/serving.go
+++ b/internal/view/serving.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
 )
@@ -15,6 +16,15 @@
 	Running       int // by the leader's late report
 	Waiting       int // by the leader's late report
 	Load          *Load
+	// ProvenUntil is when the oldest report of a member stops proving that the
+	// group is complete. Zero is no limit.
+	ProvenUntil time.Time
+}
+
+// Proven reports whether the group's completeness is still proven at now. A
+// process that was paused holds a view that no longer is.
+func (s *Serving) Proven(now time.Time) bool {
+	return s.ProvenUntil.IsZero() || now.Before(s.ProvenUntil)
 }
 
 // Serves reports whether the group answers for a model and adapter. An empty
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -28,6 +28,16 @@
 	return groups
 }
 
+// Group returns the complete group of a fencing number.
+func (v *View) Group(fencing fleet.FencingNumber) (*Serving, bool) {
+	for _, group := range v.Groups {
+		if group.Fencing == fencing {
+			return group, true
+		}
+	}
+	return nil, false
+}
+
 // Model returns the configured model of a name.
 func (v *View) Model(name fleet.ModelName) (config.Model, bool) {
 	for _, model := range v.Config.Models {
--- /dev/null
+++ b/test/request_stream_test.go
@@ -0,0 +1,117 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/fakes"
+	"github.com/plantainmux/plantainmux/internal/refusal"
+	"github.com/plantainmux/plantainmux/internal/testbed"
+)
+
+var _ = Describe("The stream of an answer", func() {
+	const tokens = 6
+
+	It("is whole however its frames come", func() {
+		bed := newRequestBed(1, fakes.EngineOptions{}, nil)
+		for name, faults := range map[string]fakes.StreamFaults{
+			"crossed":    {Cross: true},
+			"duplicated": {Duplicate: true},
+			"reordered":  {Reorder: true},
+			"cut":        {CutEach: true},
+			"all":        {Cross: true, Duplicate: true, Reorder: true, CutEach: true},
+		} {
+			By(name)
+			bed.eachEngine(func(e *testbed.Engine) { e.SetStreamFaults(faults) })
+			for _, stream := range []bool{true, false} {
+				body := completionBody(name, tokens, stream)
+				expectWhole(ask(bed.daemon, body), body, tokens)
+				Expect(bed.count(fakes.EventStart, body)).To(Equal(1))
+			}
+		}
+		page := bed.daemon.Metrics()
+		Expect(page).NotTo(ContainSubstring(`plantainmux_frames_faulty_total{fault="other_attempt"} 0`))
+		Expect(page).NotTo(ContainSubstring(`plantainmux_frames_faulty_total{fault="duplicate"} 0`))
+		Expect(page).NotTo(ContainSubstring(`plantainmux_frames_faulty_total{fault="gap"} 0`))
+	})
+
+	It("is resumed on its attempt when cut before any frame", func() {
+		bed := newRequestBed(1, fakes.EngineOptions{}, nil)
+		for cut := -1; cut <= tokens; cut++ {
+			bed.eachEngine(func(e *testbed.Engine) { e.SetStreamFaults(fakes.StreamFaults{CutBefore: cut}) })
+			body := completionBody(fmt.Sprintf("cut %d", cut), tokens, true)
+			expectWhole(ask(bed.daemon, body), body, tokens)
+			Expect(bed.count(fakes.EventStart, body)).To(Equal(1))
+		}
+	})
+
+	It("ends in an explicit error when its engine is killed and no other can continue it", func() {
+		bed := newRequestBed(2, fakes.EngineOptions{TokenDelay: 30 * time.Millisecond}, nil)
+		body := completionBody("killed", 40, true)
+		answer := make(chan reply, 1)
+		go func() { answer <- ask(bed.daemon, body) }()
+		engine := bed.serving(body)
+		time.Sleep(200 * time.Millisecond)
+		engine.Server.Kill()
+		got := <-answer
+		Expect(got.broken).NotTo(HaveOccurred())
+		Expect(got.whole).To(BeFalse())
+		Expect(got.reason).To(Equal(string(refusal.EndpointBroke)))
+		Expect(got.outcome).To(Equal(string(refusal.Unknown)))
+	})
+
+	It("goes on from another group where equal requests get equal answers", func() {
+		bed := newRequestBed(2, fakes.EngineOptions{TokenDelay: 30 * time.Millisecond}, deterministic)
+		body := completionBody("continued", 40, true)
+		answer := make(chan reply, 1)
+		go func() { answer <- ask(bed.daemon, body) }()
+		engine := bed.serving(body)
+		time.Sleep(200 * time.Millisecond)
+		engine.Server.Kill()
+		expectWhole(<-answer, body, 40)
+		Expect(bed.count(fakes.EventStart, body)).To(Equal(2))
+	})
+
+	It("begins anew when nothing of it reached the caller", func() {
+		bed := newRequestBed(2, fakes.EngineOptions{TokenDelay: 30 * time.Millisecond}, nil)
+		body := completionBody("buffered", 40, false)
+		answer := make(chan reply, 1)
+		go func() { answer <- ask(bed.daemon, body) }()
+		engine := bed.serving(body)
+		time.Sleep(200 * time.Millisecond)
+		engine.Server.Kill()
+		expectWhole(<-answer, body, 40)
+	})
+
+	It("moves away from a frozen engine", func() {
+		bed := newRequestBed(2, fakes.EngineOptions{TokenDelay: 30 * time.Millisecond}, deterministic)
+		body := completionBody("frozen", 40, true)
+		answer := make(chan reply, 1)
+		go func() { answer <- ask(bed.daemon, body) }()
+		engine := bed.serving(body)
+		engine.Set(fakes.Faults{Frozen: true})
+		expectWhole(<-answer, body, 40)
+		engine.Set(fakes.Faults{})
+	})
+
+	It("is cancelled on its engine when the caller leaves", func() {
+		bed := newRequestBed(1, fakes.EngineOptions{TokenDelay: 50 * time.Millisecond}, nil)
+		body := completionBody("gone", 400, true)
+		ctx, leave := context.WithCancel(context.Background())
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+bed.daemon.CallerAddress()+"/v1/completions", strings.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		request.Header.Set("Authorization", "Bearer "+testbed.TeamKey)
+		response, err := http.DefaultClient.Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		leave()
+		_ = response.Body.Close()
+		Eventually(func() int { return bed.count(fakes.EventCancel, "") }, waitComplete, tick).Should(Equal(1))
+		Expect(bed.count(fakes.EventFinish, "")).To(BeZero())
+	})
+})
