--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -19,6 +19,7 @@
 	defaultTokens    = 8
 	resumeRetention  = 30 * time.Second
 	requestBodyLimit = 1 << 20 // bytes
+	batchPoll        = 5 * time.Millisecond
 )
 
 // Engine is the stand-in of the model engine on one VM.
@@ -26,6 +27,7 @@
 	*Switches
 	streamSwitches
 	options EngineOptions
+	batch   chan struct{} // a place for each request in the batch; nil is no bound
 
 	mu       sync.Mutex
 	report   fleet.MemberReport
@@ -39,6 +41,9 @@
 // NewEngine returns an idle engine.
 func NewEngine(options EngineOptions) *Engine {
 	e := &Engine{Switches: NewSwitches(), options: options}
+	if options.MaxRunning > 0 {
+		e.batch = make(chan struct{}, options.MaxRunning)
+	}
 	e.Reboot()
 	return e
 }
--- a/internal/fakes/generate.go
+++ b/internal/fakes/generate.go
@@ -25,7 +25,16 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if code := e.refuse(request); code != "" {
+	fail, code := e.failing()
+	if fail {
+		e.noteAttempt(EventRejected, request)
+		http.Error(w, "failing", http.StatusInternalServerError)
+		return
+	}
+	if code == "" {
+		code = e.refuse(request)
+	}
+	if code != "" {
 		e.noteAttempt(EventRejected, request)
 		writeJSON(w, http.StatusConflict, endpoint.EngineError{Code: code})
 		return
@@ -78,6 +87,11 @@
 		return
 	}
 	tokens := e.tokensOf(request)
+	leave, ok := e.enterBatch(ctx, a, request.Attempt)
+	if !ok {
+		return
+	}
+	defer leave()
 	for i := range tokens {
 		if !waitFor(ctx, e.options.TokenDelay) || !e.alive(a, request.Attempt) {
 			return
@@ -91,6 +105,24 @@
 	e.finish(a, request)
 }
 
+// enterBatch waits for a place in the batch. It returns false when the attempt
+// ended meanwhile.
+func (e *Engine) enterBatch(ctx context.Context, a *attempt, id string) (leave func(), ok bool) {
+	if e.batch == nil {
+		return func() {}, true
+	}
+	for {
+		select {
+		case e.batch <- struct{}{}:
+			return func() { <-e.batch }, true
+		case <-time.After(batchPoll):
+		}
+		if !e.alive(a, id) || ctx.Err() != nil {
+			return nil, false
+		}
+	}
+}
+
 // Token returns the i-th token of the answer to a request's body. It depends on
 // the body, so that an answer given to the wrong caller shows.
 func Token(body []byte, i int) string {
--- a/internal/fakes/stream_faults.go
+++ b/internal/fakes/stream_faults.go
@@ -5,12 +5,14 @@
 // StreamFaults spoil the streams of an engine's answers. The zero value is
 // healthy.
 type StreamFaults struct {
-	CutBefore int  // end each connection once, before the frame of this index; -1 before any byte, 0 is none
-	CutEach   bool // end a connection before every frame but its first
-	Cross     bool // send frames of another attempt in between
-	Duplicate bool // send every frame twice
-	Reorder   bool // on the first connection, send the frames in pairs, the later one first
-	Forget    bool // lose the attempt when its connection is cut
+	CutBefore int    // end each connection once, before the frame of this index; -1 before any byte, 0 is none
+	CutEach   bool   // end a connection before every frame but its first
+	Cross     bool   // send frames of another attempt in between
+	Duplicate bool   // send every frame twice
+	Reorder   bool   // on the first connection, send the frames in pairs, the later one first
+	Fail      bool   // answer 500 instead of running a request
+	Refuse    string // refuse each request with this code
+	Forget    bool   // lose the attempt when its connection is cut
 }
 
 // streamSwitches guards the stream faults of an engine.
@@ -28,6 +30,13 @@
 	s.spoiled = map[string]bool{}
 }
 
+// failing returns the faults that strike before a request runs.
+func (s *streamSwitches) failing() (fail bool, refuse string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Fail, s.faults.Refuse
+}
+
 // forConnection returns the faults of a connection of an attempt. Those that
 // strike once are left out from the second connection on.
 func (s *streamSwitches) forConnection(attempt string) StreamFaults {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -76,6 +76,10 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	var status *endpoint.StatusError
+	if errors.As(err, &status) {
+		return false
+	}
 	var broken *endpoint.BrokenError
 	var gap *GapError
 	return errors.As(err, &broken) || errors.As(err, &gap)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -71,18 +71,18 @@
 
 // noteFailure tells the watchers and the suspects what an attempt showed.
 func (r *run) noteFailure(t *target, err error, started time.Time) {
-	switch reason := retry.ReasonOf(err); reason {
+	if isOwnFault(err) {
+		return
+	}
+	t.serving.Load.SawFailure(time.Now())
+	switch retry.ReasonOf(err) {
+	case retry.NotRun:
+		return
 	case retry.Died:
 		r.Metrics.Crashed()
 		r.Suspects.Crashed(r.req.Fingerprint, t.serving.Fencing, t.alone)
-		r.Failed(t.serving.Leader(), started)
-	case retry.Unreachable, retry.Stalled:
-		r.Failed(t.serving.Leader(), started)
-	case retry.Broken:
-		if !isOwnFault(err) {
-			r.Failed(t.serving.Leader(), started)
-		}
 	}
+	r.Failed(t.serving.Leader(), started)
 }
 
 // afterFailure waits before the next attempt, or returns the final refusal.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -14,14 +14,14 @@
 // Pick returns the best group that is not excluded.
 func Pick(v *view.View, r *request.Request, excluded map[fleet.FencingNumber]bool) (*view.Serving, bool) {
 	now := time.Now()
-	scored := Score(Filter(v, r, excluded, now), now.Sub(v.At))
+	scored := Score(Filter(v, r, excluded, now), v.At, now)
 	return PickBest(scored, r.Prefix)
 }
 
 // Candidates returns the groups that may run a request, the best first.
 func Candidates(v *view.View, r *request.Request, excluded map[fleet.FencingNumber]bool) []*view.Serving {
 	now := time.Now()
-	scored := Score(Filter(v, r, excluded, now), now.Sub(v.At))
+	scored := Score(Filter(v, r, excluded, now), v.At, now)
 	slices.SortFunc(scored, compare)
 	groups := make([]*view.Serving, 0, len(scored))
 	for _, s := range scored {
--- a/internal/route/score.go
+++ b/internal/route/score.go
@@ -12,6 +12,10 @@
 	reportHalfLife = 500 * time.Millisecond
 	// maxSlowness bounds how much worse a straggler may look.
 	maxSlowness = 8
+	// A group that failed an attempt within failureMemory counts as
+	// failurePenalty times as loaded: an endpoint that fails fast looks idle.
+	failureMemory  = 2 * time.Second
+	failurePenalty = 8
 )
 
 // Scored is a group with its expected waiting; less is better.
@@ -22,12 +26,16 @@
 
 // Score rates each group by the requests before a new one, times how much
 // slower than the fastest group it was observed to be.
-func Score(groups []*view.Serving, age time.Duration) []Scored {
+func Score(groups []*view.Serving, reported, now time.Time) []Scored {
 	fastest := fastestPace(groups)
+	age := now.Sub(reported)
 	scored := make([]Scored, 0, len(groups))
 	for _, group := range groups {
 		before := waiting(group, age)
 		wait := (before + 1) / float64(max(group.Capacity, 1)) * slowness(group, fastest)
+		if group.Load.FailedSince(now.Add(-failureMemory)) {
+			wait *= failurePenalty
+		}
 		scored = append(scored, Scored{Group: group, Wait: wait})
 	}
 	return scored
--- a/internal/view/load.go
+++ b/internal/view/load.go
@@ -15,6 +15,7 @@
 	firstToken atomic.Int64 // nanoseconds to the first token
 	nextToken  atomic.Int64 // nanoseconds between two tokens
 	service    atomic.Int64 // nanoseconds of a whole answer
+	failed     atomic.Int64 // Unix nanoseconds of the last failed attempt
 }
 
 // Begin counts one request more.
@@ -35,6 +36,12 @@
 // SawAnswer adds a sample of the time of a whole answer.
 func (l *Load) SawAnswer(d time.Duration) { average(&l.service, d) }
 
+// SawFailure notes a failed attempt.
+func (l *Load) SawFailure(at time.Time) { l.failed.Store(at.UnixNano()) }
+
+// FailedSince reports whether an attempt failed after a time.
+func (l *Load) FailedSince(at time.Time) bool { return l.failed.Load() > at.UnixNano() }
+
 // FirstToken returns the average time to the first token, or zero.
 func (l *Load) FirstToken() time.Duration { return time.Duration(l.firstToken.Load()) }
 
--- a/test/request_bed_test.go
+++ b/test/request_bed_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/fakes"
-	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 	"github.com/plantainmux/plantainmux/internal/testbed"
 )
@@ -154,11 +153,3 @@
 }
 
 func deterministic(c *config.Configuration) { c.Models[0].Deterministic = true }
-
-func leadersOf(groups []fleet.Group) map[fleet.VMID]bool {
-	found := map[fleet.VMID]bool{}
-	for _, g := range groups {
-		found[g.Leader()] = true
-	}
-	return found
-}
