Groups: fold without clocks, planner in stages, view that expires, proposals off the loop

The fold compared times of different writers' clocks: a slow writer's release let its VMs be granted again at once. Forms now name the fencing numbers that the proposer saw, and each daemon measures the rest from its own first sight of a release. A round of the loop waited up to 5 s for the log; it does no I/O now. A member missing from the list of VMs was no longer polled, so a wrong list ended healthy groups; members stay known by their group and their own reports.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,7 +31,9 @@
 const (
 	lostAfterBounds = 3 // report bounds of silence after which a member is lost
 	loadLimit       = 5 * time.Minute
-	orderLife       = 10 * time.Second
+	orderLife       = 10 * time.Second // above the time limits of an order and its confirmation
+	drainSettle     = 3 * time.Second  // above the lag of load reports and the life of a view
+	drainLimit      = 15 * time.Minute // above the longest deadline of a request
 )
 
 // Daemon is one running daemon.
@@ -109,10 +111,10 @@
 		VMs:        d.vms,
 		Views:      d.views,
 		Engine:     d.adapters.Engine,
-		Pool:       d.pool,
 		Live:       d.mesh.Live,
 		Period:     settings.Millis(d.settings.Timing.ReconcileMS),
 		Bounds:     d.bounds(),
+		Metrics:    d.metrics,
 		Logger:     d.logger,
 	})
 }
@@ -128,6 +130,8 @@
 		LostAfter:   lostAfterBounds * reportBound,
 		LoadLimit:   loadLimit,
 		OrderLife:   orderLife,
+		DrainSettle: drainSettle,
+		DrainLimit:  drainLimit,
 	}
 }
 
@@ -164,7 +168,7 @@
 
 // watched returns the VMs that this daemon polls.
 func (d *Daemon) watched() []fleet.VM {
-	all := d.vms.All()
+	all := d.loop.Known()
 	watched := make([]fleet.VM, 0, len(all))
 	for _, vm := range all {
 		watched = append(watched, vm)
--- a/internal/group/completeness.go
+++ b/internal/group/completeness.go
@@ -9,6 +9,9 @@
 // Check returns the condition of a group at now. A report older than bound
 // proves nothing.
 func Check(record *Record, world World, now time.Time, bound time.Duration) Condition {
+	if record.Draining {
+		return Draining
+	}
 	if !record.IsReady() {
 		return Loading
 	}
@@ -37,3 +40,26 @@
 	}
 	return Complete
 }
+
+// ValidUntil returns the time from which on the reports that prove a group no
+// longer do. A reader of an older snapshot must not use the group after it.
+func ValidUntil(record *Record, world World, bound time.Duration) time.Time {
+	oldest := world.Observations[record.Leader()].At
+	for _, vm := range record.Members {
+		if at := world.Observations[vm].At; at.Before(oldest) {
+			oldest = at
+		}
+	}
+	return oldest.Add(bound)
+}
+
+// Missing returns the members for want of which a ready group is not complete.
+func Missing(record *Record, world World, now time.Time, bound time.Duration) []fleet.VMID {
+	var missing []fleet.VMID
+	for _, vm := range record.Members {
+		if record.IsReady() && checkMember(record, vm, world, now, bound) != Complete {
+			missing = append(missing, vm)
+		}
+	}
+	return missing
+}
--- a/internal/group/errors.go
+++ b/internal/group/errors.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
 )
@@ -18,16 +17,27 @@
 	return fmt.Sprintf("VM %s is a member of group %d", e.VM, e.Group)
 }
 
-// VMRestingError voids a form that names a VM which may still receive orders of
-// its former group.
-type VMRestingError struct {
-	VM    fleet.VMID
-	Until time.Time
+// StaleFenceError voids a form that was made when the VM was free under an
+// older fencing number.
+type StaleFenceError struct {
+	VM   fleet.VMID
+	Seen fleet.FencingNumber
+	Now  fleet.FencingNumber
+}
+
+// Error implements error.
+func (e *StaleFenceError) Error() string {
+	return fmt.Sprintf("VM %s was free under fencing number %d, now it has %d", e.VM, e.Seen, e.Now)
+}
+
+// AlreadyDrainingError voids a second drain of a group.
+type AlreadyDrainingError struct {
+	Group fleet.FencingNumber
 }
 
 // Error implements error.
-func (e *VMRestingError) Error() string {
-	return fmt.Sprintf("VM %s rests until %s", e.VM, e.Until.Format(time.RFC3339))
+func (e *AlreadyDrainingError) Error() string {
+	return fmt.Sprintf("group %d drains already", e.Group)
 }
 
 // NoSuchGroupError voids a record about a group that does not exist.
--- a/internal/group/fold.go
+++ b/internal/group/fold.go
@@ -1,8 +1,6 @@
 package group
 
 import (
-	"time"
-
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
@@ -45,7 +43,9 @@
 	case KindForm:
 		return applyBody(body, func(form Form) error { return f.form(at, form) })
 	case KindReady:
-		return applyBody(body, func(ready Ready) error { return f.ready(at, ready) })
+		return applyBody(body, func(ready Ready) error { return f.ready(ready) })
+	case KindDrain:
+		return applyBody(body, func(drain Drain) error { return f.drain(drain) })
 	case KindRelease:
 		return applyBody(body, func(release Release) error { return f.release(at, release) })
 	default:
@@ -61,12 +61,18 @@
 	return apply(value)
 }
 
-// form grants the VMs only if every one is free and rested at this offset.
+// form grants the VMs only if every one is free at this offset, under the
+// fencing number that the proposer saw.
 func (f *Fold) form(at logstream.Position, form Form) error {
-	if err := f.checkMembers(at, form.Members); err != nil {
+	if err := f.checkMembers(form); err != nil {
 		return err
 	}
 	fencing := fleet.FencingNumber(at.Offset)
+	addresses := make(map[fleet.VMID]string, len(form.Members))
+	for i, vm := range form.Members {
+		addresses[vm] = form.Addresses[i]
+		f.vms[vm] = VMState{Group: fencing, Fence: fencing}
+	}
 	f.groups[fencing] = &Record{
 		Group: fleet.Group{
 			Fencing:      fencing,
@@ -77,38 +83,43 @@
 			FabricDomain: form.FabricDomain,
 			Members:      form.Members,
 		},
-		FormedAt:   at.Time,
+		Addresses:  addresses,
 		RestMillis: form.RestMillis,
 	}
-	for _, vm := range form.Members {
-		f.vms[vm] = VMState{Group: fencing, Fence: fencing}
-	}
 	return nil
 }
 
-func (f *Fold) checkMembers(at logstream.Position, members []fleet.VMID) error {
-	if len(members) == 0 {
+func (f *Fold) checkMembers(form Form) error {
+	count := len(form.Members)
+	if count == 0 || len(form.Fences) != count || len(form.Addresses) != count {
 		return &MalformedFormError{}
 	}
-	seen := make(map[fleet.VMID]bool, len(members))
-	for _, vm := range members {
+	seen := make(map[fleet.VMID]bool, count)
+	for i, vm := range form.Members {
 		if seen[vm] || vm == "" {
 			return &MalformedFormError{VM: vm}
 		}
 		seen[vm] = true
-		state := f.vms[vm]
-		if state.Group != fleet.NoGroup {
-			return &VMTakenError{VM: vm, Group: state.Group}
-		}
-		if at.Time.Before(state.RestUntil) {
-			return &VMRestingError{VM: vm, Until: state.RestUntil}
+		if err := f.checkFree(vm, form.Fences[i]); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+func (f *Fold) checkFree(vm fleet.VMID, seen fleet.FencingNumber) error {
+	state := f.vms[vm]
+	if state.Group != fleet.NoGroup {
+		return &VMTakenError{VM: vm, Group: state.Group}
+	}
+	if state.Fence != seen {
+		return &StaleFenceError{VM: vm, Seen: seen, Now: state.Fence}
+	}
+	return nil
+}
+
 // ready records the boots once; a second record could hide a restart.
-func (f *Fold) ready(at logstream.Position, ready Ready) error {
+func (f *Fold) ready(ready Ready) error {
 	record, ok := f.groups[ready.Group]
 	if !ok {
 		return &NoSuchGroupError{Group: ready.Group}
@@ -123,20 +134,33 @@
 	}
 	updated := *record
 	updated.Boots = ready.Boots
-	updated.ReadyAt = at.Time
 	f.groups[ready.Group] = &updated
 	return nil
 }
 
+// drain ends new work for good: nothing undoes it but the release.
+func (f *Fold) drain(drain Drain) error {
+	record, ok := f.groups[drain.Group]
+	if !ok {
+		return &NoSuchGroupError{Group: drain.Group}
+	}
+	if record.Draining {
+		return &AlreadyDrainingError{Group: drain.Group}
+	}
+	updated := *record
+	updated.Draining = true
+	f.groups[drain.Group] = &updated
+	return nil
+}
+
 func (f *Fold) release(at logstream.Position, release Release) error {
 	record, ok := f.groups[release.Group]
 	if !ok {
 		return &NoSuchGroupError{Group: release.Group}
 	}
 	delete(f.groups, release.Group)
-	rest := time.Duration(record.RestMillis) * time.Millisecond
 	for _, vm := range record.Members {
-		f.vms[vm] = VMState{Fence: fleet.FencingNumber(at.Offset), RestUntil: at.Time.Add(rest)}
+		f.vms[vm] = VMState{Fence: fleet.FencingNumber(at.Offset), RestMillis: record.RestMillis}
 	}
 	return nil
 }
--- a/internal/group/form.go
+++ b/internal/group/form.go
@@ -11,5 +11,12 @@
 	DataCentre   fleet.DataCentre   `json:"data_centre"`
 	FabricDomain fleet.FabricDomain `json:"fabric_domain"`
 	Members      []fleet.VMID       `json:"members"`
-	RestMillis   int64              `json:"rest_millis"` // rest of each VM once released; 0 when its engine checks fencing numbers
+	// Addresses are those of Members, in their order. A daemon that cannot read
+	// the list of VMs finds the members by them.
+	Addresses []string `json:"addresses"`
+	// Fences are the fencing numbers of Members, in their order, that the
+	// proposer saw them free under. A VM that was granted and released again since
+	// then may have to rest again, so the form is void.
+	Fences     []fleet.FencingNumber `json:"fences"`
+	RestMillis int64                 `json:"rest_millis"` // rest of each VM once released; 0 when its engine checks fencing numbers
 }
--- a/internal/group/input.go
+++ b/internal/group/input.go
@@ -12,6 +12,7 @@
 	DataCentre fleet.DataCentre
 	Fold       *Fold
 	World      World
+	History    *History
 	Config     config.Configuration
 	Now        time.Time
 	Bounds     Bounds
--- a/internal/group/kinds.go
+++ b/internal/group/kinds.go
@@ -9,6 +9,7 @@
 const (
 	KindForm    logstream.Kind = "form"
 	KindReady   logstream.Kind = "ready"
+	KindDrain   logstream.Kind = "drain"
 	KindRelease logstream.Kind = "release"
 )
 
--- /dev/null
+++ b/internal/group/plan_ready.go
@@ -0,0 +1,28 @@
+package group
+
+import "github.com/plantainmux/plantainmux/internal/fleet"
+
+func (p *planner) planReadies() {
+	for _, g := range p.groups {
+		if g.standing != loading {
+			continue
+		}
+		if boots, ok := p.loadedBoots(g.Record); ok {
+			p.plan.Readies = append(p.plan.Readies, Ready{Group: g.Fencing, Boots: boots})
+		}
+	}
+}
+
+// loadedBoots returns the boots of the members once all have loaded.
+func (p *planner) loadedBoots(record *Record) (map[fleet.VMID]fleet.BootID, bool) {
+	boots := make(map[fleet.VMID]fleet.BootID, len(record.Members))
+	for _, vm := range record.Members {
+		observation := p.in.World.Observations[vm]
+		report := observation.Report
+		if !observation.Fresh(p.in.Now, p.in.Bounds.ReportBound) || report.Group != record.Fencing || report.State != fleet.EngineReady {
+			return nil, false
+		}
+		boots[vm] = report.Boot
+	}
+	return boots, true
+}
--- a/internal/group/targets.go
+++ b/internal/group/targets.go
@@ -7,11 +7,11 @@
 func Target(fold *Fold, observation Observation) (ControlTarget, bool) {
 	report := observation.Report
 	state := fold.VM(report.VM)
-	if report.Group == state.Group {
-		return ControlTarget{}, false
+	if report.Group == state.Group || report.Group > state.Fence {
+		return ControlTarget{}, false // obeyed, or ahead of this fold
 	}
 	if state.Group == fleet.NoGroup {
-		return ControlTarget{VM: report.VM, Fencing: state.Fence}, report.Group < state.Fence
+		return ControlTarget{VM: report.VM, Fencing: state.Fence}, true
 	}
 	record := fold.groups[state.Group]
 	// A ready group whose member lost its place is dead: the planner releases
--- a/internal/reconcile/dependencies.go
+++ b/internal/reconcile/dependencies.go
@@ -4,13 +4,12 @@
 	"log/slog"
 	"time"
 
-	"github.com/alitto/pond/v2"
-
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/group"
 	"github.com/plantainmux/plantainmux/internal/logstream"
+	"github.com/plantainmux/plantainmux/internal/metric"
 	"github.com/plantainmux/plantainmux/internal/view"
 	"github.com/plantainmux/plantainmux/internal/watch"
 )
@@ -25,9 +24,9 @@
 	VMs        *watch.VMs
 	Views      *view.Store
 	Engine     endpoint.Engine
-	Pool       pond.Pool
 	Live       func() []fleet.DaemonID // daemons of the data centre, this one included
 	Period     time.Duration
 	Bounds     group.Bounds
+	Metrics    *metric.Set
 	Logger     *slog.Logger
 }
--- a/internal/reconcile/loop.go
+++ b/internal/reconcile/loop.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"errors"
+	"sync/atomic"
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/config"
-	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/group"
-	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/rendezvous"
 	"github.com/plantainmux/plantainmux/internal/view"
 )
@@ -17,27 +14,43 @@
 const (
 	watchersPerMember = 2
 	plannerKey        = "planner"
-	proposeTimeout    = 5 * time.Second
-	// confirmBound is how old a daemon's view of the stream may be when it sends
-	// an order to an engine that does not check fencing numbers.
-	confirmBound = 500 * time.Millisecond
-	minWakeGap   = 10 * time.Millisecond
+	minWakeGap        = 10 * time.Millisecond
 )
 
-// Loop is the reconcile loop of one daemon.
+// Loop is the reconcile loop of one daemon. A round does no I/O: proposals and
+// orders go on beside it, so that the view is refreshed also while the log or a
+// member does not answer.
 type Loop struct {
 	Dependencies
-	wake  chan struct{}
-	loads map[fleet.FencingNumber]*view.Load
+	wake     chan struct{}
+	loads    map[fleet.FencingNumber]*view.Load
+	history  *group.History
+	roster   group.Roster
+	known    atomic.Pointer[map[fleet.VMID]fleet.VM]
+	proposer *proposer
+	orderer  *orderer
+	metrics  *loopMetrics
 }
 
 // NewLoop returns a loop that has not started.
 func NewLoop(dependencies Dependencies) *Loop {
-	return &Loop{
+	l := &Loop{
 		Dependencies: dependencies,
 		wake:         make(chan struct{}, 1),
 		loads:        map[fleet.FencingNumber]*view.Load{},
+		history:      group.NewHistory(),
+		metrics:      newLoopMetrics(dependencies.Metrics),
 	}
+	l.known.Store(&map[fleet.VMID]fleet.VM{})
+	l.proposer = newProposer(dependencies, l.metrics)
+	l.orderer = newOrderer(dependencies, l.metrics)
+	return l
+}
+
+// Known returns the VMs to watch: the listed ones and the members of all
+// groups. The map must not be changed.
+func (l *Loop) Known() map[fleet.VMID]fleet.VM {
+	return *l.known.Load()
 }
 
 // Wake asks for a round soon.
@@ -52,6 +65,8 @@
 func (l *Loop) Run(ctx context.Context) {
 	ticker := time.NewTicker(l.Period)
 	defer ticker.Stop()
+	defer l.proposer.stop()
+	defer l.orderer.stop()
 	for {
 		l.round(ctx)
 		select {
@@ -65,138 +80,51 @@
 }
 
 func (l *Loop) round(ctx context.Context) {
-	now := time.Now()
-	in := group.Input{
-		DataCentre: l.DataCentre,
-		World:      group.World{VMs: l.VMs.All(), Observations: l.Table.All()},
-		Config:     l.Config().Configuration,
-		Now:        now,
-		Bounds:     l.Bounds,
-	}
 	var plan group.Plan
 	var targets []group.ControlTarget
 	l.Groups.Read(func(fold *group.Fold) {
-		in.Fold = fold
+		in := l.input(fold)
 		l.publish(in)
-		if l.isPlanner() {
-			plan = group.MakePlan(in)
+		if l.isPlanner() && l.proposer.begin() {
+			plan = l.plan(in)
 		}
 		targets = l.targets(in)
 	})
-	l.propose(ctx, plan)
+	l.proposer.start(ctx, plan)
 	for _, target := range targets {
-		l.order(ctx, in, target)
+		l.orderer.start(ctx, target, l.Known()[target.VM])
 	}
 }
 
-func (l *Loop) isPlanner() bool {
-	return l.Groups.Booted() && rendezvous.Chosen(plannerKey, l.Live(), 1, l.Self)
-}
-
-// publish builds the view of this moment.
-func (l *Loop) publish(in group.Input) {
-	current := l.Config()
-	next := &view.View{
-		Config:   current,
-		Teams:    teamsByKey(current.Configuration),
-		Services: servicesByName(current.Configuration),
-		At:       in.Now,
-	}
-	for _, record := range in.Fold.Groups() {
-		condition := group.Check(record, in.World, in.Now, in.Bounds.ReportBound)
-		next.Status = append(next.Status, view.GroupStatus{Group: record.Group, Condition: condition})
-		if condition == group.Complete {
-			next.Groups = append(next.Groups, l.serving(record, in))
-		}
-	}
-	l.dropLoads(in.Fold)
-	l.Views.Publish(next)
-}
-
-func (l *Loop) serving(record *group.Record, in group.Input) *view.Serving {
-	leader := record.Leader()
-	report := in.World.Observations[leader].Report
-	load, ok := l.loads[record.Fencing]
-	if !ok {
-		load = &view.Load{}
-		l.loads[record.Fencing] = load
-	}
-	return &view.Serving{
-		Group:         record.Group,
-		LeaderAddress: in.World.VMs[leader].Address,
-		Capacity:      capacityOf(in.Config, record.Model),
-		Running:       report.Running,
-		Waiting:       report.Waiting,
-		Load:          load,
-	}
-}
-
-func (l *Loop) dropLoads(fold *group.Fold) {
-	for fencing := range l.loads {
-		if _, ok := fold.Groups()[fencing]; !ok {
-			delete(l.loads, fencing)
-		}
-	}
-}
-
-func capacityOf(configuration config.Configuration, name fleet.ModelName) int {
-	for _, model := range configuration.Models {
-		if model.Name == name {
-			return model.Requests
-		}
-	}
-	return 1
-}
-
-func teamsByKey(configuration config.Configuration) map[string]config.Team {
-	teams := map[string]config.Team{}
-	for _, team := range configuration.Teams {
-		for _, hash := range team.KeyHashes {
-			teams[hash] = team
-		}
-	}
-	return teams
-}
-
-func servicesByName(configuration config.Configuration) map[string]config.Service {
-	services := map[string]config.Service{}
-	for _, service := range configuration.Services {
-		services[service.Name] = service
+// input gathers what is known. The time is taken last, so that no observation
+// is younger.
+func (l *Loop) input(fold *group.Fold) group.Input {
+	observations := l.Table.All()
+	now := time.Now()
+	known := l.roster.Update(l.VMs.All(), fold, observations, now, l.Bounds.ReportBound)
+	l.known.Store(&known)
+	in := group.Input{
+		DataCentre: l.DataCentre,
+		Fold:       fold,
+		World:      group.World{VMs: known, Observations: observations},
+		History:    l.history,
+		Config:     l.Config().Configuration,
+		Now:        now,
+		Bounds:     l.Bounds,
 	}
-	return services
+	l.history.Update(in)
+	return in
 }
 
-// propose appends the plan and waits for the verdicts, so that the next plan
-// is made on their outcome.
-func (l *Loop) propose(ctx context.Context, plan group.Plan) {
-	if plan.Empty() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
-	defer cancel()
-	tasks := l.Pool.NewGroup()
-	for _, release := range plan.Releases {
-		tasks.Submit(func() { l.proposeOne(ctx, group.KindRelease, release) })
-	}
-	for _, ready := range plan.Readies {
-		tasks.Submit(func() { l.proposeOne(ctx, group.KindReady, ready) })
-	}
-	for _, form := range plan.Forms {
-		tasks.Submit(func() { l.proposeOne(ctx, group.KindForm, form) })
-	}
-	_ = tasks.Wait()
+func (l *Loop) plan(in group.Input) group.Plan {
+	started := time.Now()
+	plan := group.MakePlan(in)
+	l.metrics.planSeconds.UpdateDuration(started)
+	return plan
 }
 
-func (l *Loop) proposeOne(ctx context.Context, kind logstream.Kind, body any) {
-	receipt, err := l.Groups.Propose(ctx, kind, body)
-	switch {
-	case err != nil:
-		l.Logger.Warn("proposal without verdict", "kind", kind, "error", err)
-	case receipt.Void != nil:
-		l.Logger.Info("proposal void", "kind", kind, "offset", receipt.Offset, "reason", receipt.Void)
-	default:
-		l.Logger.Info("proposal accepted", "kind", kind, "offset", receipt.Offset, "body", body)
-	}
+func (l *Loop) isPlanner() bool {
+	return l.Groups.Booted() && rendezvous.Chosen(plannerKey, l.Live(), 1, l.Self)
 }
 
 // targets returns the orders for the members that this daemon watches.
@@ -204,61 +132,13 @@
 	var targets []group.ControlTarget
 	live := l.Live()
 	for vm, observation := range in.World.Observations {
-		if !observation.Fresh(in.Now, in.Bounds.ReportBound) || !rendezvous.Chosen(string(vm), live, watchersPerMember, l.Self) {
+		if !observation.Fresh(in.Now, in.Bounds.ReportBound) {
 			continue
 		}
-		if target, ok := group.Target(in.Fold, observation); ok {
+		target, ok := group.Target(in.Fold, observation)
+		if ok && rendezvous.Chosen(string(vm), live, watchersPerMember, l.Self) {
 			targets = append(targets, target)
 		}
 	}
 	return targets
 }
-
-func (l *Loop) order(ctx context.Context, in group.Input, target group.ControlTarget) {
-	vm, ok := in.World.VMs[target.VM]
-	if !ok {
-		return
-	}
-	l.Pool.Go(func() { l.send(ctx, vm, target) })
-}
-
-// send orders a member after it has made sure that the order is still right.
-func (l *Loop) send(ctx context.Context, vm fleet.VM, target group.ControlTarget) {
-	if !l.stillRight(ctx, target) {
-		return
-	}
-	order := endpoint.ControlOrder{Action: endpoint.Release, Fencing: target.Fencing}
-	if target.Join {
-		order.Action = endpoint.Join
-		order.Group = target.Group
-	}
-	started := time.Now()
-	report, err := l.Engine.Control(ctx, vm.Address, order)
-	if err != nil {
-		l.noteOrderFailure(vm, order, err)
-		return
-	}
-	l.Logger.Info("member ordered", "vm", vm.ID, "action", order.Action, "fencing", order.Fencing)
-	l.Table.Put(group.Observation{Report: report, At: started})
-}
-
-// stillRight reads the stream to its end unless that was done a moment ago.
-func (l *Loop) stillRight(ctx context.Context, target group.ControlTarget) bool {
-	if time.Since(l.Groups.ConfirmedAt()) > confirmBound {
-		if err := l.Groups.Confirm(ctx); err != nil {
-			return false
-		}
-	}
-	right := false
-	l.Groups.Read(func(fold *group.Fold) { right = fold.VM(target.VM).Fence == target.Fencing })
-	return right
-}
-
-func (l *Loop) noteOrderFailure(vm fleet.VM, order endpoint.ControlOrder, err error) {
-	var stale *endpoint.StaleFencingError
-	if errors.As(err, &stale) {
-		l.Logger.Error("member has seen a higher fencing number", "vm", vm.ID, "error", err)
-		return
-	}
-	l.Logger.Warn("order not confirmed", "vm", vm.ID, "action", order.Action, "error", err)
-}
--- a/internal/view/group_status.go
+++ b/internal/view/group_status.go
@@ -9,4 +9,5 @@
 type GroupStatus struct {
 	fleet.Group
 	Condition group.Condition `json:"condition"`
+	Missing   []fleet.VMID    `json:"missing,omitempty"` // members of a ready group that keep it from serving
 }
--- a/internal/view/serving.go
+++ b/internal/view/serving.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
 )
@@ -11,9 +12,10 @@
 type Serving struct {
 	fleet.Group
 	LeaderAddress string
-	Capacity      int // concurrent requests
-	Running       int // by the leader's late report
-	Waiting       int // by the leader's late report
+	ValidUntil    time.Time // from then on the reports behind the view prove nothing
+	Capacity      int       // concurrent requests
+	Running       int       // by the leader's late report
+	Waiting       int       // by the leader's late report
 	Load          *Load
 }
 
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -17,11 +17,18 @@
 	At       time.Time
 }
 
-// ForModel returns the complete groups that serve a model and adapter.
+// ForModel returns the groups that serve a model and adapter and are still known
+// to be complete. It looks at the clock itself: a daemon that was paused must
+// not go by the view that it published before.
 func (v *View) ForModel(name fleet.ModelName, adapter string) []*Serving {
+	return v.ForModelAt(name, adapter, time.Now())
+}
+
+// ForModelAt returns the groups that serve a model and adapter at now.
+func (v *View) ForModelAt(name fleet.ModelName, adapter string, now time.Time) []*Serving {
 	var groups []*Serving
 	for _, group := range v.Groups {
-		if group.Serves(name, adapter) {
+		if group.Serves(name, adapter) && now.Before(group.ValidUntil) {
 			groups = append(groups, group)
 		}
 	}
--- a/internal/watch/poller.go
+++ b/internal/watch/poller.go
@@ -68,5 +68,5 @@
 		p.table.Fail(vm.ID, started)
 		return
 	}
-	p.table.Put(group.Observation{Report: report, At: started})
+	p.table.Put(group.Observation{Report: report, Address: vm.Address, At: started})
 }
