--- a/internal/view/serving.go
+++ b/internal/view/serving.go
@@ -12,19 +12,17 @@
 type Serving struct {
 	fleet.Group
 	LeaderAddress string
-	Capacity      int // concurrent requests
-	Running       int // by the leader's late report
-	Waiting       int // by the leader's late report
+	ValidUntil    time.Time // from then on the reports behind the view prove nothing
+	Capacity      int       // concurrent requests
+	Running       int       // by the leader's late report
+	Waiting       int       // by the leader's late report
 	Load          *Load
-	// ProvenUntil is when the oldest report of a member stops proving that the
-	// group is complete. Zero is no limit.
-	ProvenUntil time.Time
 }
 
 // Proven reports whether the group's completeness is still proven at now. A
 // process that was paused holds a view that no longer is.
 func (s *Serving) Proven(now time.Time) bool {
-	return s.ProvenUntil.IsZero() || now.Before(s.ProvenUntil)
+	return now.Before(s.ValidUntil)
 }
 
 // Serves reports whether the group answers for a model and adapter. An empty
