--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -124,7 +124,7 @@
 }
 
 func (d *Daemon) streamOptions(onApply func()) logstream.Options {
-	return logstream.Options{Writer: string(d.id), Logger: d.logger, OnApply: onApply}
+	return logstream.Options{Writer: string(d.id), Logger: d.logger, Metrics: d.metrics, OnApply: onApply}
 }
 
 func (d *Daemon) bounds() group.Bounds {
--- a/internal/fakes/log.go
+++ b/internal/fakes/log.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -103,23 +104,36 @@
 	from, _ := strconv.ParseUint(query.Get("from"), 10, 64)
 	limit, _ := strconv.Atoi(query.Get("limit"))
 	waitMS, _ := strconv.Atoi(query.Get("wait_ms"))
-	timeout := time.After(time.Duration(waitMS) * time.Millisecond)
+	wait := time.Duration(waitMS) * time.Millisecond
+	page, err := l.Read(r.Context(), r.PathValue("stream"), platform.Offset(from), limit, wait)
+	switch {
+	case r.Context().Err() != nil:
+		return
+	case err != nil:
+		writeJSON(w, http.StatusGone, page)
+	default:
+		writeJSON(w, http.StatusOK, page)
+	}
+}
+
+// Read returns records of a stream as platform.Log does, whatever the faults.
+func (l *Log) Read(ctx context.Context, name string, from platform.Offset, limit int, wait time.Duration) (platform.Page, error) {
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
 	for {
-		page, expired, changed := l.read(r.PathValue("stream"), platform.Offset(from), limit)
+		page, expired, changed := l.read(name, from, limit)
 		if expired {
-			writeJSON(w, http.StatusGone, page)
-			return
+			return page, &platform.ExpiredError{Stream: name, From: from, Oldest: page.Oldest}
 		}
-		if len(page.Records) > 0 || waitMS == 0 {
-			writeJSON(w, http.StatusOK, page)
-			return
+		if len(page.Records) > 0 || wait <= 0 {
+			return page, nil
 		}
 		select {
 		case <-changed:
-		case <-timeout:
-			waitMS = 0
-		case <-r.Context().Done():
-			return
+		case <-timeout.C:
+			wait = 0
+		case <-ctx.Done():
+			return page, &platform.UnavailableError{Operation: "read", Err: ctx.Err()}
 		}
 	}
 }
--- /dev/null
+++ b/internal/logstream/apply.go
@@ -0,0 +1,49 @@
+package logstream
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/plantainmux/plantainmux/internal/platform"
+)
+
+// applyAll applies the records that follow the state.
+func (s *Stream[F]) applyAll(records []platform.Record) error {
+	applied, err := s.applyLocked(records)
+	if applied > 0 {
+		s.options.OnApply()
+	}
+	return err
+}
+
+func (s *Stream[F]) applyLocked(records []platform.Record) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	applied := 0
+	for _, record := range records {
+		if record.Offset+1 == s.state.next && xxhash.Sum64(record.Data) != s.state.last {
+			return applied, &RewrittenError{Stream: s.name, Offset: record.Offset}
+		}
+		if record.Offset != s.state.next {
+			continue
+		}
+		s.applyOne(record)
+		applied++
+	}
+	return applied, nil
+}
+
+func (s *Stream[F]) applyOne(record platform.Record) {
+	s.compareSnapshot(record)
+	entry, verdict, ok := s.state.apply(record)
+	s.next.Store(uint64(s.state.next))
+	s.counters.records.Inc()
+	if !ok {
+		s.counters.ignored.Inc()
+	}
+	if ok && entry.Writer == s.options.Writer {
+		s.writer.settle(entry.Seq, Receipt{Offset: record.Offset, Void: verdict})
+	}
+	if record.Offset%platform.Offset(s.options.SnapshotEvery) == 0 {
+		s.takeCheckpoint()
+	}
+}
--- a/internal/logstream/bootstrap.go
+++ b/internal/logstream/bootstrap.go
@@ -1,60 +1,57 @@
 package logstream
 
-import (
-	"context"
+import "context"
 
-	"github.com/plantainmux/plantainmux/internal/platform"
-)
-
-// bootstrapPage is the number of records of one read at a start.
-const bootstrapPage = 1024
-
-// readRetained returns every retained record of a stream.
-func readRetained(ctx context.Context, log platform.Log, stream string) (platform.Page, error) {
-	page, err := readFromOldest(ctx, log, stream)
+// bootstrap builds the state from the newest snapshot and the records after
+// it. It never steps back below what was applied.
+func (s *Stream[F]) bootstrap(ctx context.Context) error {
+	started := s.options.Now()
+	found, err := tailReader{log: s.log, stream: s.name}.read(ctx, s.Next())
 	if err != nil {
-		return page, err
+		return err
 	}
-	for next := page.Oldest + platform.Offset(len(page.Records)); next < page.Next; {
-		more, err := log.Read(ctx, stream, next, bootstrapPage, 0)
-		if err != nil {
-			return page, err
-		}
-		if len(more.Records) == 0 {
-			break
-		}
-		page.Records = append(page.Records, more.Records...)
-		page.Next = more.Next
-		next = more.Records[len(more.Records)-1].Offset + 1
+	if found.next < s.Next() {
+		return &RegressedError{Stream: s.name, Applied: s.Next() - 1, Next: found.next}
+	}
+	if err := s.restore(found); err != nil {
+		return err
+	}
+	if err := s.applyAll(found.records); err != nil {
+		return err
 	}
-	return page, nil
+	s.noteConfirmed(found.next, started)
+	s.markBooted()
+	return nil
 }
 
-func readFromOldest(ctx context.Context, log platform.Log, stream string) (platform.Page, error) {
-	from := platform.FirstOffset
-	for {
-		page, err := log.Read(ctx, stream, from, bootstrapPage, 0)
-		expired, ok := asExpired(err)
-		if !ok {
-			return page, err
+// restore continues from the snapshot when it is ahead of the state.
+func (s *Stream[F]) restore(found tail) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if found.snapshot != nil && found.snapshot.AsOf+1 > s.state.next {
+		if err := s.state.restore(*found.snapshot); err != nil {
+			return err
 		}
-		from = expired.Oldest
+		s.next.Store(uint64(s.state.next))
+		s.writer.skip(s.state.writers[s.options.Writer].Seq)
+		return nil
 	}
+	if found.oldest > s.state.next {
+		return &NoSnapshotError{Stream: s.name, Oldest: found.oldest}
+	}
+	return nil
 }
 
-// newestSnapshot returns the newest snapshot that the retained records can be
-// continued from.
-func newestSnapshot(page platform.Page) (snapshot, bool) {
-	for i := len(page.Records) - 1; i >= 0; i-- {
-		var entry Entry
-		if Unmarshal(page.Records[i].Data, &entry) != nil || entry.Kind != KindSnapshot {
-			continue
-		}
-		var found snapshot
-		if Unmarshal(entry.Body, &found) != nil || found.AsOf+1 < page.Oldest {
-			continue
-		}
-		return found, true
+func (s *Stream[F]) markBooted() {
+	s.bootOnce.Do(func() { close(s.booted) })
+}
+
+// Booted reports whether the stream has been read up to an end of it once.
+func (s *Stream[F]) Booted() bool {
+	select {
+	case <-s.booted:
+		return true
+	default:
+		return false
 	}
-	return snapshot{}, false
 }
--- a/internal/logstream/options.go
+++ b/internal/logstream/options.go
@@ -3,39 +3,55 @@
 import (
 	"log/slog"
 	"time"
+
+	"github.com/plantainmux/plantainmux/internal/metric"
 )
 
 // Options tune a stream.
 type Options struct {
 	Writer        string        // incarnation of the writer, new at each start
 	PollWait      time.Duration // longest long poll
-	SnapshotEvery int           // records after which a snapshot is due
+	SnapshotEvery int           // records between two checkpoints, of which each becomes a snapshot
+	SnapshotAge   time.Duration // age of the newest snapshot at which another is due; well below the log's retention
+	SnapshotCheck time.Duration // mean time between two looks for a due snapshot
 	Logger        *slog.Logger
+	Metrics       *metric.Set
 	Now           func() time.Time
 	// OnApply is called after each batch of applied records, without locks held.
 	OnApply func()
 }
 
+// Defaults of the options.
 const (
-	defaultPollWait      = 10 * time.Second
-	defaultSnapshotEvery = 256
+	DefaultPollWait      = 10 * time.Second
+	DefaultSnapshotEvery = 256
+	DefaultSnapshotAge   = 10 * time.Minute
+	DefaultSnapshotCheck = 5 * time.Second
 )
 
 func (o Options) withDefaults() Options {
-	if o.PollWait == 0 {
-		o.PollWait = defaultPollWait
-	}
-	if o.SnapshotEvery == 0 {
-		o.SnapshotEvery = defaultSnapshotEvery
-	}
+	setDefault(&o.PollWait, DefaultPollWait)
+	setDefault(&o.SnapshotEvery, DefaultSnapshotEvery)
+	setDefault(&o.SnapshotAge, DefaultSnapshotAge)
+	setDefault(&o.SnapshotCheck, DefaultSnapshotCheck)
 	if o.Now == nil {
 		o.Now = time.Now
 	}
 	if o.Logger == nil {
 		o.Logger = slog.Default()
 	}
+	if o.Metrics == nil {
+		o.Metrics = metric.NewSet()
+	}
 	if o.OnApply == nil {
 		o.OnApply = func() {}
 	}
 	return o
 }
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/logstream/property_test.go
@@ -0,0 +1,174 @@
+package logstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/fakes"
+	"github.com/plantainmux/plantainmux/internal/platform"
+)
+
+const (
+	propertyDaemons   = 4
+	propertyProposers = 5
+	propertyProposals = 30
+	propertyRetained  = 150 // records that the log keeps
+)
+
+var propertyFaults = fakes.LogFaults{
+	Unavailable: 0.08,
+	Limited:     0.08,
+	LoseAnswer:  0.1,
+	LoseRequest: 0.1,
+	Repeat:      0.05,
+	Delay:       0.1,
+	MaxDelay:    60 * time.Millisecond,
+}
+
+// told is what a proposer was told of one value.
+type told struct {
+	value    int
+	accepted bool
+	void     bool
+	sent     bool
+}
+
+// propertyRun is one run of daemons against one faulty log.
+type propertyRun struct {
+	log     *fakes.Log
+	clients []*fakes.FaultyLog
+	folds   []*listFold
+	streams []*Stream[*listFold]
+
+	mu   sync.Mutex
+	told []told
+}
+
+func startPropertyRun(seed uint64) *propertyRun {
+	run := &propertyRun{log: fakes.NewLog(fakes.DefaultAppendRate)}
+	for i := range propertyDaemons {
+		client := fakes.NewFaultyLog(run.log, seed*100+uint64(i), propertyFaults)
+		fold := newListFold()
+		run.clients = append(run.clients, client)
+		run.folds = append(run.folds, fold)
+		run.streams = append(run.streams, runStream(client, fold, testOptions(fmt.Sprintf("daemon-%d", i))))
+	}
+	return run
+}
+
+func (r *propertyRun) propose(daemon, proposer int, random *rand.Rand) {
+	for i := range propertyProposals {
+		value := (daemon*propertyProposers+proposer)*propertyProposals + i + 1
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond+time.Duration(random.IntN(120))*time.Millisecond)
+		receipt, err := r.streams[daemon].Propose(ctx, kindAdd, value)
+		cancel()
+		var failed *ProposalError
+		sent := errors.As(err, &failed) && failed.Sent
+		r.mu.Lock()
+		r.told = append(r.told, told{value: value, accepted: err == nil && receipt.Void == nil, void: err == nil && receipt.Void != nil, sent: sent})
+		r.mu.Unlock()
+	}
+}
+
+// disturb expires old records and takes the log away from one daemon at a time.
+func (r *propertyRun) disturb(ctx context.Context, random *rand.Rand) {
+	for ctx.Err() == nil {
+		if end := logEnd(r.log); end > propertyRetained {
+			r.log.Expire(testStream, end-propertyRetained)
+		}
+		client := r.clients[random.IntN(len(r.clients))]
+		client.SetDown(true)
+		sleep(ctx, time.Duration(random.IntN(40))*time.Millisecond)
+		client.SetDown(false)
+		sleep(ctx, time.Duration(random.IntN(40))*time.Millisecond)
+	}
+}
+
+// play lets every proposer run to its end and the log become healthy again.
+func (r *propertyRun) play(seed uint64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var disturbers, proposers sync.WaitGroup
+	disturbers.Go(func() { r.disturb(ctx, rand.New(rand.NewPCG(seed, 0))) })
+	for daemon := range r.streams {
+		for proposer := range propertyProposers {
+			random := rand.New(rand.NewPCG(seed, uint64(1+daemon*propertyProposers+proposer)))
+			proposers.Go(func() { r.propose(daemon, proposer, random) })
+		}
+	}
+	proposers.Wait()
+	cancel()
+	disturbers.Wait()
+	for _, client := range r.clients {
+		client.SetDown(false)
+		client.SetFaults(fakes.LogFaults{})
+		client.WaitLate()
+	}
+}
+
+var _ = ginkgo.Describe("Streams on a faulty log", func() {
+	for seed := uint64(1); seed <= 6; seed++ {
+		ginkgo.It(fmt.Sprintf("agree, apply accepted proposals once and unsent ones never, seed %d", seed), func() {
+			run := startPropertyRun(seed)
+			last := make([]platform.Offset, propertyDaemons)
+			run.play(seed)
+			settled := func() bool {
+				for i, s := range run.streams {
+					ExpectWithOffset(1, s.Next()).To(BeNumerically(">=", last[i]), "a fold stepped back")
+					last[i] = s.Next()
+					if s.Next() != logEnd(run.log) {
+						return false
+					}
+				}
+				return true
+			}
+			Eventually(settled, waitLong, waitPoll).Should(BeTrue())
+			run.checkAgreement()
+			run.checkTold()
+		})
+	}
+})
+
+func (r *propertyRun) checkAgreement() {
+	chains := map[platform.Offset]uint64{}
+	for i, s := range r.streams {
+		s.Read(func(f *listFold) {
+			Expect(f.Values).To(Equal(r.folds[0].Values), "daemon %d", i)
+			for offset, chain := range f.trace {
+				if known, ok := chains[offset]; ok {
+					Expect(chain).To(Equal(known), "daemon %d at offset %d", i, offset)
+				}
+				chains[offset] = chain
+			}
+		})
+		Expect(s.counters.divergences.Get()).To(BeZero())
+		Expect(s.Refused()).NotTo(HaveOccurred())
+	}
+}
+
+func (r *propertyRun) checkTold() {
+	accepted, doubtful := 0, 0
+	r.streams[0].Read(func(f *listFold) {
+		for _, t := range r.told {
+			switch {
+			case t.accepted:
+				accepted++
+				Expect(f.count(t.value)).To(Equal(1), "accepted value %d", t.value)
+			case t.sent:
+				doubtful++
+				Expect(f.count(t.value)).To(BeNumerically("<=", 1), "doubtful value %d", t.value)
+			default:
+				Expect(f.count(t.value)).To(BeZero(), "void or unsent value %d", t.value)
+			}
+		}
+	})
+	Expect(accepted).To(BeNumerically(">", 0))
+	Expect(doubtful).To(BeNumerically(">", 0))
+	ginkgo.GinkgoWriter.Println("told accepted", accepted, "doubtful", doubtful, "of", len(r.told))
+}
--- a/internal/logstream/snapshot.go
+++ b/internal/logstream/snapshot.go
@@ -5,7 +5,15 @@
 // snapshot is the body of a KindSnapshot record: the state after all records
 // up to and with AsOf.
 type snapshot struct {
-	AsOf    platform.Offset   `cbor:"1,keyasint"`
-	Writers map[string]uint64 `cbor:"2,keyasint"` // highest sequence number of each writer
-	State   []byte            `cbor:"3,keyasint"`
+	AsOf    platform.Offset        `cbor:"1,keyasint"`
+	Writers map[string]writerState `cbor:"2,keyasint"` // without the idle ones
+	State   []byte                 `cbor:"3,keyasint"`
+	Last    uint64                 `cbor:"4,keyasint"` // digest of the record at AsOf
+}
+
+// checkpoint is an encoded snapshot that was taken at a round offset.
+type checkpoint struct {
+	asOf   platform.Offset
+	digest uint64
+	body   []byte
 }
--- /dev/null
+++ b/internal/logstream/stale_error.go
@@ -0,0 +1,20 @@
+package logstream
+
+import (
+	"fmt"
+
+	"github.com/plantainmux/plantainmux/internal/platform"
+)
+
+// StaleError says that a record arrived so late that its writer's sequence
+// numbers may be forgotten. It has no effect.
+type StaleError struct {
+	Offset platform.Offset
+	Since  platform.Offset
+	Window platform.Offset
+}
+
+// Error implements error.
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("record %d was written at %d, more than %d records earlier", e.Offset, e.Since, e.Window)
+}
--- a/internal/logstream/state.go
+++ b/internal/logstream/state.go
@@ -1,28 +1,45 @@
 package logstream
 
 import (
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/plantainmux/plantainmux/internal/platform"
 )
 
 // state is a fold with the bookkeeping that every stream needs: the next
-// offset and the highest sequence number of each writer.
+// offset, the digest of the last record and what is known of each writer.
 type state[F Fold] struct {
 	fold    F
 	next    platform.Offset
-	writers map[string]uint64
+	last    uint64 // digest of the record at next-1; 0 when there is none
+	writers map[string]writerState
+	window  platform.Offset
+}
+
+func newState[F Fold](empty F) state[F] {
+	return state[F]{
+		fold:    empty,
+		next:    platform.FirstOffset,
+		writers: map[string]writerState{},
+		window:  writerWindow(empty),
+	}
 }
 
 // apply folds one record of the log and returns its entry and verdict. A
-// repeated record returns ok false.
+// repeated or unreadable record returns ok false.
 func (s *state[F]) apply(record platform.Record) (entry Entry, verdict error, ok bool) {
 	s.next = record.Offset + 1
+	s.last = xxhash.Sum64(record.Data)
 	if err := Unmarshal(record.Data, &entry); err != nil {
-		return entry, nil, false
+		return Entry{}, nil, false
 	}
-	if entry.Seq <= s.writers[entry.Writer] {
+	if entry.Seq <= s.seqOf(entry.Writer, record.Offset) {
 		return entry, nil, false
 	}
-	s.writers[entry.Writer] = entry.Seq
+	if entry.Since+s.window < record.Offset {
+		return entry, &StaleError{Offset: record.Offset, Since: entry.Since, Window: s.window}, true
+	}
+	s.writers[entry.Writer] = writerState{Seq: entry.Seq, Last: record.Offset}
 	if entry.Kind == KindSnapshot || entry.Kind == KindFence {
 		return entry, nil, true
 	}
@@ -30,17 +47,33 @@
 	return entry, s.fold.Apply(at, entry.Kind, entry.Body), true
 }
 
-// encode returns a snapshot of the state.
-func (s *state[F]) encode() (snapshot, error) {
+// seqOf returns the highest sequence number of a writer, 0 when it is
+// forgotten.
+func (s *state[F]) seqOf(writer string, at platform.Offset) uint64 {
+	known := s.writers[writer]
+	if known.idle(at, s.window) {
+		return 0
+	}
+	return known.Seq
+}
+
+// encode returns a snapshot of the state and forgets the idle writers.
+func (s *state[F]) encode() (checkpoint, error) {
 	data, err := s.fold.Encode()
 	if err != nil {
-		return snapshot{}, err
+		return checkpoint{}, err
 	}
-	writers := make(map[string]uint64, len(s.writers))
-	for writer, seq := range s.writers {
-		writers[writer] = seq
+	for writer, known := range s.writers {
+		if known.idle(s.next, s.window) {
+			delete(s.writers, writer)
+		}
+	}
+	taken := snapshot{AsOf: s.next - 1, Writers: s.writers, State: data, Last: s.last}
+	body, err := Marshal(taken)
+	if err != nil {
+		return checkpoint{}, err
 	}
-	return snapshot{AsOf: s.next - 1, Writers: writers, State: data}, nil
+	return checkpoint{asOf: taken.AsOf, digest: xxhash.Sum64(body), body: body}, nil
 }
 
 // restore replaces the state by a snapshot.
@@ -49,9 +82,10 @@
 		return err
 	}
 	s.next = from.AsOf + 1
+	s.last = from.Last
 	s.writers = from.Writers
 	if s.writers == nil {
-		s.writers = map[string]uint64{}
+		s.writers = map[string]writerState{}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/logstream/tail.go
@@ -0,0 +1,102 @@
+package logstream
+
+import (
+	"context"
+
+	"github.com/plantainmux/plantainmux/internal/platform"
+)
+
+const (
+	firstTailSpan = 256     // records of the first read back from the end
+	beyondEnd     = 1 << 62 // offset that no stream reaches
+)
+
+// tail is the end of a stream: the newest usable snapshot and the records after
+// it.
+type tail struct {
+	oldest   platform.Offset
+	next     platform.Offset
+	snapshot *snapshot // nil when none is needed or retained
+	records  []platform.Record
+}
+
+// tailReader reads a stream backwards until it finds a snapshot.
+type tailReader struct {
+	log    platform.Log
+	stream string
+}
+
+// read returns the end of the stream from a snapshot on, or from the offset
+// needed on when the records reach that far back.
+func (r tailReader) read(ctx context.Context, needed platform.Offset) (tail, error) {
+	end, err := r.log.Read(ctx, r.stream, beyondEnd, 1, 0)
+	if err != nil {
+		return tail{}, err
+	}
+	found := tail{oldest: end.Oldest, next: end.Next}
+	stop := max(end.Oldest, min(needed, end.Next))
+	low := end.Next
+	for span := platform.Offset(firstTailSpan); low > stop; span *= 2 {
+		from := stop
+		if low > stop+span {
+			from = low - span
+		}
+		if err := r.extend(ctx, &found, from, low); err != nil {
+			return tail{}, err
+		}
+		low = from
+		if done, err := r.useSnapshot(ctx, &found, low); done || err != nil {
+			return found, err
+		}
+	}
+	return found, nil
+}
+
+// extend puts the records of [from, to) before those that were read.
+func (r tailReader) extend(ctx context.Context, found *tail, from, to platform.Offset) error {
+	var records []platform.Record
+	for from < to {
+		page, err := r.log.Read(ctx, r.stream, from, min(readLimit, int(to-from)), 0)
+		if err != nil {
+			return err
+		}
+		if len(page.Records) == 0 {
+			return &RegressedError{Stream: r.stream, Applied: to - 1, Next: page.Next}
+		}
+		records = append(records, page.Records...)
+		from = page.Records[len(page.Records)-1].Offset + 1
+	}
+	found.records = append(records, found.records...)
+	return nil
+}
+
+// useSnapshot looks for a snapshot that the retained records continue, and
+// reads the records between its state and the record that carries it.
+func (r tailReader) useSnapshot(ctx context.Context, found *tail, low platform.Offset) (bool, error) {
+	for i := len(found.records) - 1; i >= 0; i-- {
+		candidate, ok := asSnapshot(found.records[i])
+		if !ok || candidate.AsOf+1 < found.oldest {
+			continue
+		}
+		if from := candidate.AsOf + 1; from < low {
+			if err := r.extend(ctx, found, from, low); err != nil {
+				return false, err
+			}
+		}
+		found.snapshot = &candidate
+		return true, nil
+	}
+	return false, nil
+}
+
+func asSnapshot(record platform.Record) (snapshot, bool) {
+	var entry Entry
+	if Unmarshal(record.Data, &entry) != nil || entry.Kind != KindSnapshot {
+		return snapshot{}, false
+	}
+	var found snapshot
+	if Unmarshal(entry.Body, &found) != nil || found.AsOf >= record.Offset {
+		return snapshot{}, false
+	}
+	return found, true
+}
--- a/internal/logstream/writer.go
+++ b/internal/logstream/writer.go
@@ -2,47 +2,47 @@
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
 	"sync"
-	"time"
 
 	"github.com/plantainmux/plantainmux/internal/platform"
 )
 
 const (
-	maxBatch         = 256 // records of one append
-	minAppendBackoff = 50 * time.Millisecond
-	maxAppendBackoff = 2 * time.Second
+	maxBatch      = 256     // records of one append
+	maxBatchBytes = 1 << 20 // of one append, unless one record alone is larger
 )
 
 // writer appends proposals in batches, one append at a time. It repeats a
 // batch under the same sequence numbers until it was read back.
 type writer struct {
-	log     platform.Log
-	stream  string
-	options Options
-	wake    chan struct{}
-
-	mu      sync.Mutex
-	seq     uint64
-	settled uint64 // highest own sequence number read back
-	queue   []*proposal
-	pending map[uint64]*proposal
+	log      platform.Log
+	stream   string
+	options  Options
+	counters counters
+	wake     chan struct{}
+	applied  func() platform.Offset // last offset that was applied
+	refused  func() error           // why nothing may be appended; nil when it may
+
+	mu       sync.Mutex
+	seq      uint64
+	settled  uint64 // highest own sequence number read back
+	fenceDue bool   // an abandoned record may still arrive
+	queue    []*proposal
+	pending  []*proposal // by sequence number
 }
 
-func newWriter(log platform.Log, stream string, options Options) *writer {
+func newWriter(log platform.Log, stream string, options Options, counters counters) *writer {
 	return &writer{
-		log:     log,
-		stream:  stream,
-		options: options,
-		wake:    make(chan struct{}, 1),
-		pending: map[uint64]*proposal{},
+		log:      log,
+		stream:   stream,
+		options:  options,
+		counters: counters,
+		wake:     make(chan struct{}, 1),
 	}
 }
 
 func (w *writer) enqueue(kind Kind, body []byte) *proposal {
-	p := &proposal{kind: kind, body: body, reply: make(chan Receipt, 1)}
+	p := &proposal{kind: kind, body: body, reply: make(chan verdict, 1)}
 	w.mu.Lock()
 	w.queue = append(w.queue, p)
 	w.mu.Unlock()
@@ -56,8 +56,8 @@
 func (w *writer) propose(ctx context.Context, kind Kind, body []byte) (Receipt, error) {
 	p := w.enqueue(kind, body)
 	select {
-	case receipt := <-p.reply:
-		return receipt, nil
+	case v := <-p.reply:
+		return v.receipt, v.err
 	case <-ctx.Done():
 		return w.abandon(ctx, p)
 	}
@@ -69,28 +69,60 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	select {
-	case receipt := <-p.reply:
-		return receipt, nil
+	case v := <-p.reply:
+		return v.receipt, v.err
 	default:
 	}
 	p.gone = true
 	return Receipt{}, &ProposalError{Stream: w.stream, Sent: p.sent, Err: context.Cause(ctx)}
 }
 
-// settle delivers the verdict on an own record that was read back.
+// settle delivers the verdict on an own record that was read back. Own records
+// before it that were not read back never take effect.
 func (w *writer) settle(seq uint64, receipt Receipt) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.settled = max(w.settled, seq)
-	if p, ok := w.pending[seq]; ok {
-		delete(w.pending, seq)
-		p.reply <- receipt
+	for len(w.pending) > 0 && w.pending[0].seq <= seq {
+		p := w.pending[0]
+		w.pending = w.pending[1:]
+		if p.seq == seq {
+			p.reply <- verdict{receipt: receipt}
+			continue
+		}
+		p.reply <- verdict{err: &ProposalError{Stream: w.stream, Err: &FencedError{Seq: p.seq, By: seq}}}
+	}
+}
+
+// skip ends the proposals whose records a snapshot covers.
+func (w *writer) skip(seq uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settled = max(w.settled, seq)
+	for len(w.pending) > 0 && w.pending[0].seq <= seq {
+		p := w.pending[0]
+		w.pending = w.pending[1:]
+		p.reply <- verdict{err: &ProposalError{Stream: w.stream, Sent: true, Err: &SkippedError{Seq: p.seq}}}
+	}
+}
+
+// isPending reports whether a proposal, which may be nil, has no verdict yet.
+func (w *writer) isPending(p *proposal) bool {
+	if p == nil {
+		return false
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return p.seq == 0 || p.seq > w.settled
 }
 
 func (w *writer) run(ctx context.Context) {
 	for {
-		batch := w.takeBatch()
+		batch, err := w.takeBatch()
+		if err != nil {
+			w.options.Logger.Error("records not encoded", "stream", w.stream, "error", err)
+			continue
+		}
 		if len(batch) > 0 {
 			w.appendUntilTaken(ctx, batch)
 			continue
@@ -105,115 +137,3 @@
 		}
 	}
 }
-
-// takeBatch numbers the next proposals that are still wanted.
-func (w *writer) takeBatch() []*proposal {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var batch []*proposal
-	for len(w.queue) > 0 && len(batch) < maxBatch {
-		p := w.queue[0]
-		w.queue = w.queue[1:]
-		if p.gone {
-			continue
-		}
-		w.seq++
-		p.seq = w.seq
-		w.pending[p.seq] = p
-		batch = append(batch, p)
-	}
-	return batch
-}
-
-func (w *writer) appendUntilTaken(ctx context.Context, batch []*proposal) {
-	records, err := w.encode(batch)
-	if err != nil {
-		w.options.Logger.Error("records not encoded", "stream", w.stream, "error", err)
-		return
-	}
-	backoff := minAppendBackoff
-	for ctx.Err() == nil {
-		if w.allSettled(batch) || !w.markSending(batch) {
-			return
-		}
-		_, err := w.log.Append(ctx, w.stream, records)
-		if err == nil {
-			return
-		}
-		w.noteFailure(batch, err)
-		sleep(ctx, delayAfter(err, backoff))
-		backoff = min(2*backoff, maxAppendBackoff)
-	}
-}
-
-func (w *writer) encode(batch []*proposal) ([][]byte, error) {
-	records := make([][]byte, 0, len(batch))
-	for _, p := range batch {
-		entry := Entry{
-			Writer: w.options.Writer,
-			Seq:    p.seq,
-			Millis: w.options.Now().UnixMilli(),
-			Kind:   p.kind,
-			Body:   p.body,
-		}
-		data, err := Marshal(entry)
-		if err != nil {
-			return nil, err
-		}
-		records = append(records, data)
-	}
-	return records, nil
-}
-
-// markSending marks a batch as possibly appended. It returns false when nobody
-// waits for any of it.
-func (w *writer) markSending(batch []*proposal) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	wanted := false
-	for _, p := range batch {
-		wanted = wanted || !p.gone
-	}
-	if !wanted {
-		return false
-	}
-	for _, p := range batch {
-		p.sent = true
-	}
-	return true
-}
-
-// noteFailure takes the mark back when the log proved that it appended nothing
-// and no earlier append of the batch is in doubt.
-func (w *writer) noteFailure(batch []*proposal, err error) {
-	w.options.Logger.Warn("append failed", "stream", w.stream, "records", len(batch), "error", err)
-	var unknown *platform.UnknownOutcomeError
-	if errors.As(err, &unknown) {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		for _, p := range batch {
-			p.doubtful = true
-		}
-		return
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, p := range batch {
-		p.sent = p.doubtful
-	}
-}
-
-func (w *writer) allSettled(batch []*proposal) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.settled >= batch[len(batch)-1].seq
-}
-
-// delayAfter returns how long to wait after a failed append, with full jitter.
-func delayAfter(err error, backoff time.Duration) time.Duration {
-	var limited *platform.RateLimitedError
-	if errors.As(err, &limited) {
-		return limited.RetryAfter + rand.N(backoff)
-	}
-	return rand.N(backoff)
-}
