--- a/internal/config/collect_test.go
+++ b/internal/config/collect_test.go
@@ -108,7 +108,7 @@
 		},
 		Entry("unknown field", "members: 4", "member: 4", "a:13: models[1].member: unknown field: known here: "+strings.Join(fieldsBelow("models[]."), ", ")),
 		Entry("duplicate key", "members: 4", "members: 4\n    members: 5", "a:14: models[1].members: duplicate field: also at line 13"),
-		Entry("not YAML", "    members: 4", "\tmembers: 4", "a:12: not YAML: on or after this line: found character that cannot start any token"),
+		Entry("not YAML", "    members: 4", "\tmembers: 4", "a:12: not YAML: on or after this line: found a tab character that violates indentation"),
 		Entry("wrong type", "members: 4", "members: four", "a:13: models[1].members: wrong type: want a whole number"),
 		Entry("fraction", "members: 4", "members: 4.5", "a:13: models[1].members: wrong type: want a whole number"),
 		Entry("wrong type of a switch", "idempotent: true", "idempotent: maybe", "c:13: services[0].calls[1].idempotent: wrong type: want true or false"),
