Operators' tool: collect, validate, diff, publish, status, reference, completion and manual page

A repeat of what is in force succeeds, which settles an unknown outcome. status asks all daemons at once and one that is out of reach hides none. Exit codes stand in the manual page. hash-key reads the key from standard input when none is given.

--- a/cmd/plantainmux/evidence_command.go
+++ b/cmd/plantainmux/evidence_command.go
@@ -14,11 +14,11 @@
 const evidenceTimeout = 2 * time.Minute
 
 type evidenceCommand struct {
+	global      *globalOptions
 	Log         string             `long:"log" required:"true" description:"base URL of the log service"`
 	DataCentres []fleet.DataCentre `long:"data-centre" required:"true" description:"data centre to cover; repeat for each"`
 	From        string             `long:"from" description:"start of the span, RFC 3339; a day before its end by default"`
 	To          string             `long:"to" description:"end of the span, RFC 3339; now by default"`
-	Output      string             `long:"output" default:"text" choice:"text" choice:"json" description:"form of the report"`
 }
 
 // Execute implements flags.Commander. A report with a breach ends the tool
@@ -70,7 +70,7 @@
 }
 
 func (c *evidenceCommand) write(report evidence.Report) error {
-	if c.Output == "json" {
+	if c.global.Output == "json" {
 		encoder := json.NewEncoder(os.Stdout)
 		encoder.SetIndent("", "  ")
 		return encoder.Encode(report)
--- a/cmd/plantainmux/hash_key_command.go
+++ b/cmd/plantainmux/hash_key_command.go
@@ -1,19 +1,35 @@
 package main
 
 import (
-	"fmt"
+	"bufio"
+	"os"
+	"strings"
 
 	"github.com/plantainmux/plantainmux/internal/callerapi"
 )
 
 type hashKeyCommand struct {
-	Args struct {
+	global *globalOptions
+	Args   struct {
 		Key string `positional-arg-name:"KEY"`
-	} `positional-args:"true" required:"true"`
+	} `positional-args:"true"`
+}
+
+// hashed is the JSON form of a hash.
+type hashed struct {
+	Hash string `json:"hash"`
 }
 
 // Execute implements flags.Commander.
 func (c *hashKeyCommand) Execute([]string) error {
-	fmt.Println(callerapi.HashKey(c.Args.Key))
+	key := c.Args.Key
+	if key == "" {
+		line, err := bufio.NewReader(os.Stdin).ReadString('\n')
+		if key = strings.TrimRight(line, "\r\n"); key == "" {
+			return err
+		}
+	}
+	hash := callerapi.HashKey(key)
+	c.global.print(hashed{Hash: hash}, hash)
 	return nil
 }
--- /dev/null
+++ b/cmd/plantainmux/help.go
@@ -0,0 +1,20 @@
+package main
+
+// longDescription heads the help and the manual page.
+const longDescription = `Collects, checks and publishes the configuration, and shows what the daemons say.
+
+Exit codes: 0 success; 1 failure; 2 wrong usage; 3 files refused, nothing applied; 4 another configuration was put in force first, nothing changed; 5 outcome unknown, repeat the command to find out; 6 the log is out of reach, nothing published; 7 the compared configurations differ; 8 a daemon is out of reach, not ready or refuses its log.`
+
+// longHelp describes each command.
+var longHelp = map[string]string{
+	"collect":    "Finds every plantainmux.yaml below the given directories, takes given files as they are, checks the whole and prints it as one configuration.",
+	"validate":   "Checks files as collect does and prints nothing of them. All that is refused is told with file, line, field and reason.",
+	"diff":       "Compares a configuration with the one in force, or two files. Exit code 7 says that they differ.",
+	"publish":    "Collects, checks and appends a configuration. It comes into force only if --base is the version in force; else the difference is told and nothing changes. A repeat of what is in force already succeeds.",
+	"status":     "Asks each daemon for its version in force, the time that it took, and each group's members and condition. One that cannot be reached does not hide the others.",
+	"reference":  "Lists every field with its unit, default and bounds.",
+	"hash-key":   "Prints the SHA-256 of a team key. Without KEY the key is read from standard input, so that it stays out of the shell's history.",
+	"completion": "Prints a script for bash: source <(plantainmux completion).",
+	"man":        "Prints the manual page: plantainmux man | man -l -",
+	"evidence":   "Reads the streams of the log and reports on each condition, with the records that break it. A breach ends the tool with exit code 1.",
+}
--- a/cmd/plantainmux/main.go
+++ b/cmd/plantainmux/main.go
@@ -2,32 +2,45 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
 	"github.com/jessevdk/go-flags"
 )
 
-// Exit codes of the tool.
-const (
-	exitFailure = 1
-	exitUsage   = 2
-)
-
 func main() {
-	parser := flags.NewNamedParser("plantainmux", flags.Default)
-	addCommand(parser, "publish", "put a configuration in force", &publishCommand{})
-	addCommand(parser, "status", "show what daemons say of themselves", &statusCommand{})
-	addCommand(parser, "evidence", "report whether the conditions of operation held", &evidenceCommand{})
-	addCommand(parser, "hash-key", "hash a team key for the configuration", &hashKeyCommand{})
-	if _, err := parser.Parse(); err != nil && !flags.WroteHelp(err) {
-		os.Exit(exitFailure)
+	global := &globalOptions{}
+	parser := newParser(global)
+	if _, err := parser.Parse(); err != nil {
+		os.Exit(report(global, err))
 	}
 }
 
+func newParser(global *globalOptions) *flags.Parser {
+	parser := flags.NewNamedParser("plantainmux", flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "operators' tool of plantainmux"
+	parser.LongDescription = longDescription
+	mustAdd(parser.AddGroup("Global options", "", global))
+	addCommand(parser, "collect", "put files together into one configuration", &collectCommand{global: global})
+	addCommand(parser, "validate", "check files", &validateCommand{global: global})
+	addCommand(parser, "diff", "compare configurations", &diffCommand{global: global})
+	addCommand(parser, "publish", "put a configuration in force", &publishCommand{global: global})
+	addCommand(parser, "status", "show what daemons say of themselves", &statusCommand{global: global})
+	addCommand(parser, "evidence", "report whether the conditions of operation held", &evidenceCommand{global: global})
+	addCommand(parser, "reference", "list the fields of configuration and settings", &referenceCommand{global: global})
+	addCommand(parser, "hash-key", "hash a team key for the configuration", &hashKeyCommand{global: global})
+	addCommand(parser, "completion", "print the shell completion for bash", &completionCommand{})
+	addCommand(parser, "man", "print the manual page", &manCommand{parser: parser})
+	return parser
+}
+
 func addCommand(parser *flags.Parser, name, description string, command flags.Commander) {
-	if _, err := parser.AddCommand(name, description, "", command); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitUsage)
+	mustAdd(parser.AddCommand(name, description, longHelp[name], command))
+}
+
+// mustAdd panics on a command that the parser cannot take, a fault of the
+// program.
+func mustAdd[T any](_ T, err error) {
+	if err != nil {
+		panic(err)
 	}
 }
--- /dev/null
+++ b/internal/adminapi/client.go
@@ -0,0 +1,46 @@
+package adminapi
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-resty/resty/v2"
+)
+
+const clientTimeout = 5 * time.Second
+
+// Client asks daemons on behalf of operators.
+type Client struct {
+	client *resty.Client
+}
+
+// NewClient returns a client that authenticates with token.
+func NewClient(token string) *Client {
+	return &Client{client: resty.New().SetAuthToken(token).SetTimeout(clientTimeout)}
+}
+
+// StatusOfAll asks every daemon at the same time. The answers are in the order
+// of the addresses; a failure of one does not hide the others.
+func (c *Client) StatusOfAll(addresses []string) []StatusAnswer {
+	answers := make([]StatusAnswer, len(addresses))
+	var wait sync.WaitGroup
+	for i, address := range addresses {
+		wait.Go(func() { answers[i] = c.status(address) })
+	}
+	wait.Wait()
+	return answers
+}
+
+func (c *Client) status(address string) StatusAnswer {
+	var status Status
+	response, err := c.client.R().SetResult(&status).Get("http://" + address + "/admin/status")
+	switch {
+	case err != nil:
+		return StatusAnswer{Address: address, Error: err.Error()}
+	case response.StatusCode() != http.StatusOK:
+		return StatusAnswer{Address: address, Error: response.Status()}
+	default:
+		return StatusAnswer{Address: address, Status: &status}
+	}
+}
--- a/internal/adminapi/status.go
+++ b/internal/adminapi/status.go
@@ -8,11 +8,14 @@
 
 // Status is what a daemon says of itself.
 type Status struct {
-	Daemon        fleet.DaemonID     `json:"daemon"`
-	DataCentre    fleet.DataCentre   `json:"data_centre"`
-	Ready         bool               `json:"ready"`
-	Draining      bool               `json:"draining"`
-	ConfigVersion platform.Offset    `json:"config_version"`
-	Peers         []fleet.DaemonID   `json:"peers"`
-	Groups        []view.GroupStatus `json:"groups"`
+	Daemon         fleet.DaemonID     `json:"daemon"`
+	DataCentre     fleet.DataCentre   `json:"data_centre"`
+	Ready          bool               `json:"ready"`
+	Draining       bool               `json:"draining"`
+	ConfigVersion  platform.Offset    `json:"config_version"`
+	ConfigSource   string             `json:"config_source"`             // log or peer
+	ConfigTookMS   int64              `json:"config_took_ms"`            // from its publication until it was in force here, by both clocks
+	RefusedStreams []string           `json:"refused_streams,omitempty"` // log streams that contradict what was applied
+	Peers          []fleet.DaemonID   `json:"peers"`
+	Groups         []view.GroupStatus `json:"groups"`
 }
--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -13,6 +13,9 @@
 // KindPublish puts a configuration in force.
 const KindPublish logstream.Kind = "publish"
 
+// writerWindow is the number of records after which a publisher is forgotten.
+const writerWindow platform.Offset = 1024
+
 // Publish is the body of a KindPublish record.
 type Publish struct {
 	Base          platform.Offset `json:"base"` // version in force that the change was made from
@@ -47,10 +50,18 @@
 	if publish.Base != f.current.Version {
 		return &LostRaceError{Base: publish.Base, InForce: f.current.Version}
 	}
-	f.current = Versioned{Version: at.Offset, Configuration: publish.Configuration}
+	f.current = Versioned{
+		Version:         at.Offset,
+		PublishedMillis: at.Time.UnixMilli(),
+		Configuration:   publish.Configuration,
+	}
 	return nil
 }
 
+// WriterWindow implements logstream.Windowed. Every publication has a writer of
+// its own, so the writers are forgotten early.
+func (f *Fold) WriterWindow() platform.Offset { return writerWindow }
+
 // Encode implements logstream.Fold.
 func (f *Fold) Encode() ([]byte, error) {
 	return logstream.Marshal(f.current)
--- a/internal/logstream/bootstrap.go
+++ b/internal/logstream/bootstrap.go
@@ -55,3 +55,13 @@
 		return false
 	}
 }
+
+// WaitBooted waits until the stream has been read up to an end of it once.
+func (s *Stream[F]) WaitBooted(ctx context.Context) error {
+	select {
+	case <-s.booted:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
