--- /dev/null
+++ b/internal/config/spread_counters.go
@@ -0,0 +1,30 @@
+package config
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/plantainmux/plantainmux/internal/metric"
+)
+
+// spreadCounters are the metrics of a spread.
+type spreadCounters struct {
+	applied  map[Source]*metrics.Counter // versions that came into force
+	served   *metrics.Counter            // to peers
+	failures *metrics.Counter            // fetches from peers
+}
+
+func newSpreadCounters(set *metric.Set, store *Store) spreadCounters {
+	set.Gauge("plantainmux_config_version", func() float64 { return float64(store.Load().Version) })
+	set.Gauge("plantainmux_config_took_seconds", func() float64 { return store.Load().Took().Seconds() })
+	applied := map[Source]*metrics.Counter{}
+	for _, source := range []Source{FromLog, FromPeer} {
+		applied[source] = set.Counter(fmt.Sprintf("plantainmux_config_applied_total{source=%q}", source))
+	}
+	return spreadCounters{
+		applied:  applied,
+		served:   set.Counter("plantainmux_config_served_total"),
+		failures: set.Counter("plantainmux_config_fetch_failures_total"),
+	}
+}
--- /dev/null
+++ b/internal/config/store.go
@@ -0,0 +1,54 @@
+package config
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Store holds the configuration that is in force on this daemon. It only ever
+// moves to a higher version, wherever that comes from. Readers take it by one
+// atomic load.
+type Store struct {
+	current atomic.Pointer[InForce]
+}
+
+// InForce is a configuration and how it came into force here. It is immutable.
+type InForce struct {
+	Versioned
+	Source Source
+	Since  time.Time // own clock
+}
+
+// NewStore returns a store without a configuration.
+func NewStore() *Store {
+	s := &Store{}
+	s.current.Store(&InForce{})
+	return s
+}
+
+// Load returns the configuration in force.
+func (s *Store) Load() *InForce { return s.current.Load() }
+
+// Offer puts a configuration in force if its version is higher than the one in
+// force, and reports whether it did.
+func (s *Store) Offer(offered Versioned, source Source, now time.Time) bool {
+	next := &InForce{Versioned: offered, Source: source, Since: now}
+	for {
+		old := s.current.Load()
+		if offered.Version <= old.Version {
+			return false
+		}
+		if s.current.CompareAndSwap(old, next) {
+			return true
+		}
+	}
+}
+
+// Took returns the time from the publication until the configuration was in
+// force here, by both clocks.
+func (f *InForce) Took() time.Duration {
+	if f.Version == 0 {
+		return 0
+	}
+	return f.Since.Sub(time.UnixMilli(f.PublishedMillis))
+}
--- /dev/null
+++ b/internal/config/version_notice.go
@@ -0,0 +1,17 @@
+package config
+
+import (
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/platform"
+)
+
+// VersionNotice tells peers which version is in force on a daemon.
+type VersionNotice struct {
+	Version    platform.Offset  `cbor:"1,keyasint"`
+	DataCentre fleet.DataCentre `cbor:"2,keyasint"` // of the daemon
+}
+
+// FetchRequest asks for the configuration in force.
+type FetchRequest struct {
+	Above platform.Offset `cbor:"1,keyasint"` // version that the asker holds
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,9 +47,11 @@
 	pool     pond.Pool
 	mesh     *peer.Network
 
-	config *logstream.Stream[*config.Fold]
-	groups *logstream.Stream[*group.Fold]
-	orders [order.Slots]*logstream.Stream[*order.Fold]
+	config  *logstream.Stream[*config.Fold]
+	inForce *config.Store
+	spread  *config.Spread
+	groups  *logstream.Stream[*group.Fold]
+	orders  [order.Slots]*logstream.Stream[*order.Fold]
 
 	table  *watch.Table
 	vms    *watch.VMs
@@ -98,7 +100,7 @@
 
 func (d *Daemon) buildControl() {
 	wake := func() { d.loop.Wake() }
-	d.config = logstream.New(d.adapters.Log, config.StreamName, config.NewFold(), d.streamOptions(wake))
+	d.buildConfig(wake)
 	d.groups = logstream.New(d.adapters.Log, group.StreamName(d.settings.DataCentre), group.NewFold(), d.streamOptions(wake))
 	for slot := range d.orders {
 		d.orders[slot] = logstream.New(d.adapters.Log, order.StreamName(order.Slot(slot)), order.NewFold(), d.streamOptions(func() {}))
@@ -124,7 +126,7 @@
 }
 
 func (d *Daemon) streamOptions(onApply func()) logstream.Options {
-	return logstream.Options{Writer: string(d.id), Logger: d.logger, Metrics: d.metrics, OnApply: onApply}
+	return logstream.Options{Writer: string(d.id), Logger: d.logger, Metrics: d.metrics, SnapshotAge: settings.Millis(d.settings.Timing.SnapshotAgeMS), OnApply: onApply}
 }
 
 func (d *Daemon) bounds() group.Bounds {
@@ -174,12 +176,6 @@
 	return total
 }
 
-func (d *Daemon) currentConfig() config.Versioned {
-	var current config.Versioned
-	d.config.Read(func(fold *config.Fold) { current = fold.Current() })
-	return current
-}
-
 // watched returns the VMs that this daemon polls.
 func (d *Daemon) watched() []fleet.VM {
 	all := d.loop.Known()
@@ -193,12 +189,15 @@
 func (d *Daemon) status() adminapi.Status {
 	current := d.views.Load()
 	return adminapi.Status{
-		Daemon:        d.id,
-		DataCentre:    d.settings.DataCentre,
-		Ready:         current.Config.Version != 0 && d.groups.Booted(),
-		Draining:      d.draining.Load(),
-		Peers:         d.mesh.Live(),
-		ConfigVersion: current.Config.Version,
-		Groups:        current.Status,
+		Daemon:         d.id,
+		DataCentre:     d.settings.DataCentre,
+		Ready:          current.Config.Version != 0 && d.groups.Booted(),
+		Draining:       d.draining.Load(),
+		Peers:          d.mesh.Live(),
+		ConfigVersion:  current.Config.Version,
+		ConfigSource:   string(d.inForce.Load().Source),
+		ConfigTookMS:   d.inForce.Load().Took().Milliseconds(),
+		RefusedStreams: d.refusedStreams(),
+		Groups:         current.Status,
 	}
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -66,6 +66,7 @@
 
 func (d *Daemon) startControl(ctx context.Context) {
 	d.tasks.Go(func() { d.config.Run(ctx) })
+	d.tasks.Go(func() { d.spread.Run(ctx) })
 	d.tasks.Go(func() { d.groups.Run(ctx) })
 	for _, stream := range d.orders {
 		d.tasks.Go(func() { stream.Run(ctx) })
