Admission: teams' shares divided across daemons, bounded queues by deadline, early refusal

Capacity goes to teams by weighted max-min of their demand in the data centre, to daemons by their part of it; unclaimed slots are lent. A team's recent use sways its share of the moment.

--- /dev/null
+++ b/internal/admit/allotment_test.go
@@ -0,0 +1,66 @@
+package admit
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/fleet"
+)
+
+var _ = Describe("Allot", func() {
+	It("gives out the whole capacity and no more, whatever the demands", func() {
+		random := rand.New(rand.NewPCG(uint64(GinkgoRandomSeed()), 1))
+		for range 2000 {
+			daemons, teams := 1+random.IntN(9), 1+random.IntN(6)
+			capacity := random.IntN(200)
+			demands := make([]Demand, teams)
+			total := 0
+			for i := range demands {
+				demands[i] = Demand{Team: fleet.TeamName(rune('a' + i)), Share: float64(random.IntN(5)), ByDaemon: make([]int, daemons)}
+				for d := range daemons {
+					demands[i].ByDaemon[d] = random.IntN(40)
+				}
+				total += demands[i].total()
+			}
+			slots, given := 0, 0
+			for self := range daemons {
+				allotment := Allot(capacity, daemons, self, demands, 3)
+				slots += allotment.Slots
+				for _, count := range allotment.Teams {
+					given += count
+				}
+			}
+			Expect(slots).To(Equal(capacity))
+			Expect(given).To(Equal(min(capacity, total)))
+		}
+	})
+
+	It("gives each team its share, and lends what some leave", func() {
+		demands := []Demand{
+			{Team: "a", Share: 3, ByDaemon: []int{100, 0}},
+			{Team: "b", Share: 1, ByDaemon: []int{50, 50}},
+			{Team: "c", Share: 4, ByDaemon: []int{0, 0}},
+		}
+		first, second := Allot(80, 2, 0, demands, 0), Allot(80, 2, 1, demands, 0)
+		Expect(first.Teams).To(Equal(map[fleet.TeamName]int{"a": 60, "b": 10, "c": 0}))
+		Expect(second.Teams).To(Equal(map[fleet.TeamName]int{"a": 0, "b": 10, "c": 0}))
+	})
+
+	It("keeps a floor for a daemon that hears nobody", func() {
+		now := time.Unix(1000, 0)
+		p := newPeers("a", 4)
+		Expect(p.within(100, now)).To(Equal(25))
+		for _, id := range []fleet.DaemonID{"b", "c", "d", "e"} {
+			p.learn(id, Usage{}, now)
+		}
+		Expect(p.within(100, now)).To(Equal(100))
+		Expect(p.within(100, now.Add(time.Hour))).To(Equal(20))
+		p.learn("b", Usage{}, now.Add(5*time.Second))
+		Expect(p.within(100, now.Add(6*time.Second))).To(Equal(40))
+		p.learn("b", Usage{}, now.Add(20*time.Second))
+		Expect(p.within(100, now.Add(20*time.Second))).To(Equal(100))
+	})
+})
--- /dev/null
+++ b/internal/admit/peers.go
@@ -0,0 +1,85 @@
+package admit
+
+import (
+	"slices"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/fleet"
+)
+
+const (
+	// peerSilent is the age of a usage after which a peer counts as silent.
+	peerSilent = 3 * time.Second
+	// peerForgotten is the age after which a silent peer's part is taken over,
+	// as long as other peers are heard.
+	peerForgotten = 10 * time.Second
+)
+
+// peers is what a daemon knows of the demand on the others. It is not safe for
+// concurrent use.
+type peers struct {
+	self     fleet.DaemonID
+	declared int // daemons of the data centre by the settings, the own one included
+	heard    map[fleet.DaemonID]heardUsage
+}
+
+type heardUsage struct {
+	at    time.Time
+	usage map[demandKey]TeamUsage
+}
+
+// demandKey names one demand.
+type demandKey struct {
+	model fleet.ModelName
+	team  fleet.TeamName
+}
+
+func newPeers(self fleet.DaemonID, declared int) *peers {
+	return &peers{self: self, declared: declared, heard: map[fleet.DaemonID]heardUsage{}}
+}
+
+func (p *peers) learn(from fleet.DaemonID, usage Usage, now time.Time) {
+	held := map[demandKey]TeamUsage{}
+	for _, model := range usage.Models {
+		for _, t := range model.Teams {
+			held[demandKey{model.Model, t.Team}] = t
+		}
+	}
+	p.heard[from] = heardUsage{at: now, usage: held}
+}
+
+// live returns the daemons that are heard, the own one included, sorted.
+func (p *peers) live(now time.Time) []fleet.DaemonID {
+	daemons := []fleet.DaemonID{p.self}
+	for id, usage := range p.heard {
+		if now.Sub(usage.at) <= peerSilent {
+			daemons = append(daemons, id)
+		}
+	}
+	slices.Sort(daemons)
+	return daemons
+}
+
+// within returns the part of a capacity that the heard daemons may divide
+// between them. A silent peer may still use its part: it is taken over only
+// once it was silent for long and others are heard. A daemon that hears nobody
+// keeps its even part, as each of the others does.
+func (p *peers) within(capacity int, now time.Time) int {
+	live := len(p.live(now))
+	silent := 0
+	for _, usage := range p.heard {
+		if age := now.Sub(usage.at); age > peerSilent && (age <= peerForgotten || live == 1) {
+			silent++
+		}
+	}
+	known := live + silent
+	if live == 1 {
+		known = max(known, p.declared)
+	}
+	return max(capacity*live/known, min(capacity, 1))
+}
+
+// usage returns the requests of a team for a model on a daemon.
+func (p *peers) usage(daemon fleet.DaemonID, key demandKey) TeamUsage {
+	return p.heard[daemon].usage[key]
+}
--- /dev/null
+++ b/internal/admit/queue.go
@@ -0,0 +1,44 @@
+package admit
+
+// queue holds the waiting requests of one team, the earliest deadline first. It
+// implements heap.Interface.
+type queue []*Ticket
+
+// Len implements heap.Interface.
+func (q queue) Len() int { return len(q) }
+
+// Less implements heap.Interface.
+func (q queue) Less(i, j int) bool { return q[i].Deadline.Before(q[j].Deadline) }
+
+// Swap implements heap.Interface.
+func (q queue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].place, q[j].place = i, j
+}
+
+// Push implements heap.Interface.
+func (q *queue) Push(x any) {
+	ticket := x.(*Ticket)
+	ticket.place = len(*q)
+	*q = append(*q, ticket)
+}
+
+// Pop implements heap.Interface.
+func (q *queue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*q = old[:len(old)-1]
+	return last
+}
+
+// before returns how many requests have an earlier deadline than a ticket.
+func (q queue) before(t *Ticket) int {
+	count := 0
+	for _, other := range q {
+		if other.Deadline.Before(t.Deadline) {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/admit/waiting.go
@@ -0,0 +1,10 @@
+package admit
+
+import "github.com/plantainmux/plantainmux/internal/fleet"
+
+// waiting is one request at a gate.
+type waiting struct {
+	Ticket
+	model   fleet.ModelName
+	started chan struct{} // closed once the request may run
+}
--- a/internal/callerapi/completions.go
+++ b/internal/callerapi/completions.go
@@ -35,17 +35,18 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
 	defer cancel()
-	release, refused := s.Gate.Admit(ctx, req)
+	admission, refused := s.Gate.Admit(ctx, req)
 	if refused != nil {
 		s.refuse(w, refused)
 		return
 	}
-	defer release()
+	whole := false
+	defer func() { admission.Done(whole) }()
 	if streamed {
-		s.answerStream(ctx, w, req, form)
+		whole = s.answerStream(ctx, w, req, form)
 		return
 	}
-	s.answerWhole(ctx, w, req, form)
+	whole = s.answerWhole(ctx, w, req, form)
 }
 
 func (s *Server) checkModel(req *request.Request) *refusal.Refusal {
--- a/internal/callerapi/stream_sink.go
+++ b/internal/callerapi/stream_sink.go
@@ -96,11 +96,12 @@
 	}
 }
 
-func (s *Server) answerStream(ctx context.Context, w http.ResponseWriter, req *request.Request, form answerForm) {
+// answerStream returns whether the caller got the whole answer.
+func (s *Server) answerStream(ctx context.Context, w http.ResponseWriter, req *request.Request, form answerForm) bool {
 	sink, err := s.newStreamSink(w, req, form)
 	if err != nil {
 		s.refuse(w, refusal.New(refusal.Malformed, 0, "the request cannot be answered as a stream"))
-		return
+		return false
 	}
 	refused := s.Relay.Run(ctx, req, sink)
 	switch {
@@ -114,4 +115,5 @@
 		w.Header().Set(refusal.OutcomeHeader, string(refused.Outcome))
 	}
 	_ = sink.controller.SetWriteDeadline(time.Time{})
+	return refused == nil
 }
--- a/internal/callerapi/whole_sink.go
+++ b/internal/callerapi/whole_sink.go
@@ -48,14 +48,14 @@
 	}
 }
 
-func (s *Server) answerWhole(ctx context.Context, w http.ResponseWriter, req *request.Request, form answerForm) {
+func (s *Server) answerWhole(ctx context.Context, w http.ResponseWriter, req *request.Request, form answerForm) bool {
 	sink := &wholeSink{}
 	if refused := s.Relay.Run(ctx, req, sink); refused != nil {
 		s.refuse(w, refused)
-		return
+		return false
 	}
 	answer := form.whole(req.ID, string(req.Model), sink.text.String(), sink.last.FinishReason, sink.usage())
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(refusal.OutcomeHeader, string(refusal.Done))
-	_ = json.NewEncoder(w).Encode(answer)
+	return json.NewEncoder(w).Encode(answer) == nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,6 +54,7 @@
 	poller *watch.Poller
 	views  *view.Store
 	loop   *reconcile.Loop
+	gate   *admit.Gate
 	caller *callerapi.Server
 	admin  *adminapi.Server
 
@@ -133,10 +134,11 @@
 }
 
 func (d *Daemon) buildRequestPath() {
+	d.gate = d.newGate()
 	d.caller = callerapi.New(callerapi.Dependencies{
 		DataCentre:      d.settings.DataCentre,
 		Views:           d.views,
-		Gate:            admit.NewGate(d.capacity),
+		Gate:            d.gate,
 		Relay:           d.newRelay(),
 		Orders:          order.NewRunner(d.orders, d.adapters.Service),
 		Service:         d.adapters.Service,
@@ -158,13 +160,23 @@
 	})
 }
 
-// capacity returns the concurrent requests that the complete groups can run.
-func (d *Daemon) capacity() int {
-	total := 0
-	for _, serving := range d.views.Load().Groups {
-		total += serving.Capacity
+// newGate returns the gate of the callers' requests.
+func (d *Daemon) newGate() *admit.Gate {
+	declared := 1
+	for _, other := range d.settings.Peers {
+		if other.DataCentre == d.settings.DataCentre {
+			declared++
+		}
 	}
-	return total
+	return admit.NewGate(admit.Dependencies{
+		Views:    d.views,
+		Mesh:     d.mesh,
+		Declared: declared,
+		Bounds: admit.Bounds{
+			QueueLength: d.settings.Limits.QueueLength,
+			QueueWait:   settings.Millis(d.settings.Limits.QueueWaitMS),
+		},
+	})
 }
 
 func (d *Daemon) currentConfig() config.Versioned {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -60,6 +60,7 @@
 	d.tasks.Go(func() { d.vms.Run(ctx) })
 	d.tasks.Go(func() { d.poller.Run(ctx) })
 	d.tasks.Go(func() { d.loop.Run(ctx) })
+	d.tasks.Go(func() { d.gate.Run(ctx) })
 }
 
 func (d *Daemon) serve(listener net.Listener, handler http.Handler) *http.Server {
--- a/internal/route/score.go
+++ b/internal/route/score.go
@@ -10,6 +10,9 @@
 const (
 	// reportHalfLife is the age at which a load report counts half.
 	reportHalfLife = 500 * time.Millisecond
+	// overflowWeight is how much more a request beyond the batch counts than one
+	// in it: it waits for a whole answer.
+	overflowWeight = 8
 	// maxSlowness bounds how much worse a straggler may look.
 	maxSlowness = 8
 	// A group that failed an attempt within failureMemory counts as
@@ -31,8 +34,8 @@
 	age := now.Sub(reported)
 	scored := make([]Scored, 0, len(groups))
 	for _, group := range groups {
-		before := waiting(group, age)
-		wait := (before + 1) / float64(max(group.Capacity, 1)) * slowness(group, fastest)
+		load := (waiting(group, age) + 1) / float64(max(group.Capacity, 1))
+		wait := (load + max(load-1, 0)*overflowWeight) * slowness(group, fastest)
 		if group.Load.FailedSince(now.Add(-failureMemory)) {
 			wait *= failurePenalty
 		}
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -6,6 +6,7 @@
 const (
 	DefaultBodyBytes     = 1 << 20
 	DefaultQueueLength   = 256
+	DefaultQueueWaitMS   = 500
 	DefaultWorkers       = 64
 	DefaultPollMS        = 500
 	DefaultReportBoundMS = 2000
@@ -20,6 +21,7 @@
 func (s Settings) WithDefaults() Settings {
 	setDefault(&s.Limits.BodyBytes, DefaultBodyBytes)
 	setDefault(&s.Limits.QueueLength, DefaultQueueLength)
+	setDefault(&s.Limits.QueueWaitMS, DefaultQueueWaitMS)
 	setDefault(&s.Limits.Workers, DefaultWorkers)
 	setDefault(&s.Timing.PollMS, DefaultPollMS)
 	setDefault(&s.Timing.ReportBoundMS, DefaultReportBoundMS)
