--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,7 +32,9 @@
 const (
 	lostAfterBounds = 3 // report bounds of silence after which a member is lost
 	loadLimit       = 5 * time.Minute
-	orderLife       = 10 * time.Second
+	orderLife       = 10 * time.Second // above the time limits of an order and its confirmation
+	drainSettle     = 3 * time.Second  // above the lag of load reports and the life of a view
+	drainLimit      = 15 * time.Minute // above the longest deadline of a request
 )
 
 // Daemon is one running daemon.
@@ -43,7 +45,7 @@
 	logger   *slog.Logger
 	metrics  *metric.Set
 	pool     pond.Pool
-	mesh     peer.Mesh
+	mesh     *peer.Network
 
 	config *logstream.Stream[*config.Fold]
 	groups *logstream.Stream[*group.Fold]
@@ -60,6 +62,7 @@
 
 	callerListener net.Listener
 	adminListener  net.Listener
+	peerListener   net.Listener
 
 	draining atomic.Bool
 	tasks    sync.WaitGroup
@@ -83,7 +86,9 @@
 		pool:     pond.NewPool(s.Limits.Workers),
 		views:    view.NewStore(),
 	}
-	d.mesh = peer.NewSolo(id)
+	if err := d.buildMesh(); err != nil {
+		return nil, err
+	}
 	d.buildControl()
 	d.buildRequestPath()
 	if err := d.listen(); err != nil {
@@ -111,10 +116,10 @@
 		VMs:        d.vms,
 		Views:      d.views,
 		Engine:     d.adapters.Engine,
-		Pool:       d.pool,
 		Live:       d.mesh.Live,
 		Period:     settings.Millis(d.settings.Timing.ReconcileMS),
 		Bounds:     d.bounds(),
+		Metrics:    d.metrics,
 		Logger:     d.logger,
 	})
 }
@@ -130,6 +135,8 @@
 		LostAfter:   lostAfterBounds * reportBound,
 		LoadLimit:   loadLimit,
 		OrderLife:   orderLife,
+		DrainSettle: drainSettle,
+		DrainLimit:  drainLimit,
 	}
 }
 
@@ -187,7 +194,7 @@
 
 // watched returns the VMs that this daemon polls.
 func (d *Daemon) watched() []fleet.VM {
-	all := d.vms.All()
+	all := d.loop.Known()
 	watched := make([]fleet.VM, 0, len(all))
 	for _, vm := range all {
 		watched = append(watched, vm)
@@ -202,6 +209,7 @@
 		DataCentre:    d.settings.DataCentre,
 		Ready:         current.Config.Version != 0 && d.groups.Booted(),
 		Draining:      d.draining.Load(),
+		Peers:         d.mesh.Live(),
 		ConfigVersion: current.Config.Version,
 		Groups:        current.Status,
 	}
--- a/internal/evidence/doctor_test.go
+++ b/internal/evidence/doctor_test.go
@@ -60,7 +60,10 @@
 	first := d.write(config.StreamName, 0, config.KindPublish, config.Publish{})
 	second := d.write(config.StreamName, 20_000, config.KindPublish, config.Publish{Base: first})
 	stream := group.StreamName(dataCentre)
-	formed := d.write(stream, 1_000, group.KindForm, group.Form{Model: "m", Members: []fleet.VMID{"a", "b"}, DataCentre: dataCentre})
+	formed := d.write(stream, 1_000, group.KindForm, group.Form{
+		Model: "m", DataCentre: dataCentre, Members: []fleet.VMID{"a", "b"},
+		Addresses: []string{"10.0.0.1:1", "10.0.0.2:1"}, Fences: make([]fleet.FencingNumber, 2),
+	})
 	fencing := fleet.FencingNumber(formed)
 	boots := map[fleet.VMID]fleet.BootID{"a": "1", "b": "1"}
 	d.write(stream, 2_000, group.KindReady, group.Ready{Group: fencing, Boots: boots})
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -4,16 +4,17 @@
 
 // Defaults of the settings.
 const (
-	DefaultBodyBytes     = 1 << 20
-	DefaultQueueLength   = 256
-	DefaultQueueWaitMS   = 500
-	DefaultWorkers       = 64
-	DefaultPollMS        = 500
-	DefaultReportBoundMS = 2000
-	DefaultReconcileMS   = 250
-	DefaultVMListMS      = 1000
-	DefaultDrainNoticeMS = 3000
-	DefaultDefaultWaitMS = 60000
+	DefaultBodyBytes       = 1 << 20
+	DefaultQueueLength     = 256
+	DefaultQueueWaitMS     = 500
+	DefaultWorkers         = 64
+	DefaultPollMS          = 500
+	DefaultReportBoundMS   = 2000
+	DefaultReconcileMS     = 250
+	DefaultVMListMS        = 1000
+	DefaultDrainNoticeMS   = 3000
+	DefaultDefaultWaitMS   = 60000
+	DefaultPeerHeartbeatMS = 1000
 )
 
 // WithDefaults returns the settings with every empty field of Limits and
@@ -28,6 +29,7 @@
 	setDefault(&s.Timing.ReconcileMS, DefaultReconcileMS)
 	setDefault(&s.Timing.VMListMS, DefaultVMListMS)
 	setDefault(&s.Timing.DrainNoticeMS, DefaultDrainNoticeMS)
+	setDefault(&s.Timing.PeerHeartbeatMS, DefaultPeerHeartbeatMS)
 	setDefault(&s.Timing.DefaultWaitMS, DefaultDefaultWaitMS)
 	return s
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -17,17 +17,6 @@
 	At       time.Time
 }
 
-// ForModel returns the complete groups that serve a model and adapter.
-func (v *View) ForModel(name fleet.ModelName, adapter string) []*Serving {
-	var groups []*Serving
-	for _, group := range v.Groups {
-		if group.Serves(name, adapter) {
-			groups = append(groups, group)
-		}
-	}
-	return groups
-}
-
 // Group returns the complete group of a fencing number.
 func (v *View) Group(fencing fleet.FencingNumber) (*Serving, bool) {
 	for _, group := range v.Groups {
