Spill to another data centre through a daemon there; a pause of the daemon is no silence of an engine

A request that no group here can run, or that this data centre is too full for, is passed on once to another one that is to serve the model. The watchdog counts periods instead of reading the clock, and keeps its patience with draining groups.

--- a/internal/admit/overload_test.go
+++ b/internal/admit/overload_test.go
@@ -71,7 +71,7 @@
 		current.Config.Teams = append(current.Config.Teams, config.Team{Name: name, Share: 1})
 	}
 	for i := range loadGroups {
-		serving := &view.Serving{Group: fleet.Group{Fencing: fleet.FencingNumber(i + 1), Model: loadModel}, Capacity: groupSlots, Load: &view.Load{}}
+		serving := &view.Serving{Group: fleet.Group{Fencing: fleet.FencingNumber(i + 1), Model: loadModel}, Capacity: groupSlots, ValidUntil: o.now.Add(time.Hour), Load: &view.Load{}}
 		o.groups = append(o.groups, &loadGroup{serving: serving, slow: 1})
 		current.Groups = append(current.Groups, serving)
 	}
--- a/internal/callerapi/completions.go
+++ b/internal/callerapi/completions.go
@@ -6,6 +6,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/refusal"
+	"github.com/plantainmux/plantainmux/internal/relay"
 	"github.com/plantainmux/plantainmux/internal/request"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 )
@@ -35,18 +36,35 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
 	defer cancel()
+	whole := false
 	admission, refused := s.Gate.Admit(ctx, req)
-	if refused != nil {
+	if refused != nil && refused.Reason != refusal.Overloaded {
 		s.refuse(w, refused)
 		return
 	}
-	whole := false
-	defer func() { admission.Done(whole) }()
+	if refused == nil {
+		defer func() { admission.Done(whole) }()
+	}
+	run := s.runner(refused)
 	if streamed {
-		whole = s.answerStream(ctx, w, req, form)
+		whole = s.answerStream(ctx, w, req, form, run)
 		return
 	}
-	whole = s.answerWhole(ctx, w, req, form)
+	whole = s.answerWhole(ctx, w, req, form, run)
+}
+
+// runFunc runs a request and passes its answer to sink.
+type runFunc func(ctx context.Context, req *request.Request, sink relay.Sink) *refusal.Refusal
+
+// runner returns what runs a request: the own data centre, or another one when
+// this is overloaded.
+func (s *Server) runner(overloaded *refusal.Refusal) runFunc {
+	if overloaded == nil {
+		return s.Relay.Run
+	}
+	return func(ctx context.Context, req *request.Request, sink relay.Sink) *refusal.Refusal {
+		return s.Relay.RunElsewhere(ctx, req, sink, overloaded)
+	}
 }
 
 func (s *Server) checkModel(req *request.Request) *refusal.Refusal {
--- a/internal/callerapi/stream_sink.go
+++ b/internal/callerapi/stream_sink.go
@@ -97,13 +97,13 @@
 }
 
 // answerStream returns whether the caller got the whole answer.
-func (s *Server) answerStream(ctx context.Context, w http.ResponseWriter, req *request.Request, form answerForm) bool {
+func (s *Server) answerStream(ctx context.Context, w http.ResponseWriter, req *request.Request, form answerForm, run runFunc) bool {
 	sink, err := s.newStreamSink(w, req, form)
 	if err != nil {
 		s.refuse(w, refusal.New(refusal.Malformed, 0, "the request cannot be answered as a stream"))
 		return false
 	}
-	refused := s.Relay.Run(ctx, req, sink)
+	refused := run(ctx, req, sink)
 	switch {
 	case refused == nil:
 		w.Header().Set(refusal.OutcomeHeader, string(refusal.Done))
--- a/internal/callerapi/whole_sink.go
+++ b/internal/callerapi/whole_sink.go
@@ -48,9 +48,9 @@
 	}
 }
 
-func (s *Server) answerWhole(ctx context.Context, w http.ResponseWriter, req *request.Request, form answerForm) bool {
+func (s *Server) answerWhole(ctx context.Context, w http.ResponseWriter, req *request.Request, form answerForm, run runFunc) bool {
 	sink := &wholeSink{}
-	if refused := s.Relay.Run(ctx, req, sink); refused != nil {
+	if refused := run(ctx, req, sink); refused != nil {
 		s.refuse(w, refused)
 		return false
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/plantainmux/plantainmux/internal/reconcile"
 	"github.com/plantainmux/plantainmux/internal/relay"
 	"github.com/plantainmux/plantainmux/internal/settings"
+	"github.com/plantainmux/plantainmux/internal/spill"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 	"github.com/plantainmux/plantainmux/internal/view"
 	"github.com/plantainmux/plantainmux/internal/watch"
@@ -57,6 +58,7 @@
 	views  *view.Store
 	loop   *reconcile.Loop
 	gate   *admit.Gate
+	spill  *spill.Server
 	caller *callerapi.Server
 	admin  *adminapi.Server
 
@@ -142,11 +144,13 @@
 
 func (d *Daemon) buildRequestPath() {
 	d.gate = d.newGate()
+	runs := d.newRelay()
+	d.spill = spill.NewServer(d.mesh, d.gate, runs)
 	d.caller = callerapi.New(callerapi.Dependencies{
 		DataCentre:      d.settings.DataCentre,
 		Views:           d.views,
 		Gate:            d.gate,
-		Relay:           d.newRelay(),
+		Relay:           runs,
 		Orders:          order.NewRunner(d.orders, d.adapters.Service),
 		Service:         d.adapters.Service,
 		Metrics:         d.metrics,
@@ -163,15 +167,24 @@
 		Engine:   d.adapters.Engine,
 		Suspects: suspect.NewWatch(d.mesh, d.settings.DataCentre),
 		Metrics:  d.metrics,
+		Remote:   spill.NewClient(d.mesh),
 		Failed:   d.table.Fail,
 	})
 }
 
+// ownPeerAddress returns the address under which the peers know this daemon.
+func (d *Daemon) ownPeerAddress() string {
+	if d.adapters.PeerListener != nil {
+		return d.adapters.PeerListener.Addr().String()
+	}
+	return d.settings.Listen.Peer
+}
+
 // newGate returns the gate of the callers' requests.
 func (d *Daemon) newGate() *admit.Gate {
 	declared := 1
 	for _, other := range d.settings.Peers {
-		if other.DataCentre == d.settings.DataCentre {
+		if other.DataCentre == d.settings.DataCentre && other.Address != d.ownPeerAddress() {
 			declared++
 		}
 	}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -99,6 +99,7 @@
 	d.caller.Drain()
 	d.mesh.Leave()
 	_ = callers.Shutdown(context.Background())
+	d.spill.Drain()
 	d.mesh.Drain(d.killed)
 	_ = admins.Shutdown(context.Background())
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -73,7 +73,7 @@
 // resumable reports whether the endpoint may still hold an attempt whose
 // stream failed.
 func (a *attempt) resumable(ctx context.Context, err error) bool {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || a.target.remote != "" {
 		return false
 	}
 	var status *endpoint.StatusError
@@ -87,8 +87,21 @@
 
 // stream opens the stream from the due frame on and passes its frames on.
 func (a *attempt) stream(ctx context.Context) error {
-	a.dog.await(time.Now())
-	stream, err := a.Engine.Generate(ctx, a.target.serving.LeaderAddress, endpoint.GenerateRequest{
+	a.dog.await()
+	stream, err := a.open(ctx)
+	if err != nil {
+		return a.openFailure(err)
+	}
+	a.sent = true
+	defer func() { _ = stream.Close() }()
+	return a.copyFrames(stream)
+}
+
+func (a *attempt) open(ctx context.Context) (endpoint.Stream, error) {
+	if a.target.remote != "" {
+		return a.Remote.Generate(ctx, a.target.remote, a.req, a.frames.attempt)
+	}
+	return a.Engine.Generate(ctx, a.target.serving.LeaderAddress, endpoint.GenerateRequest{
 		Attempt:    a.frames.attempt,
 		Group:      a.target.serving.Fencing,
 		Model:      a.req.Model,
@@ -97,12 +110,6 @@
 		Body:       a.req.Body,
 		ResumeFrom: a.frames.next,
 	})
-	if err != nil {
-		return a.openFailure(err)
-	}
-	a.sent = true
-	defer func() { _ = stream.Close() }()
-	return a.copyFrames(stream)
 }
 
 // openFailure tells an endpoint that lost the attempt, because its process
@@ -176,8 +183,7 @@
 }
 
 func (a *attempt) next(stream endpoint.Stream) (endpoint.Frame, error) {
-	now := time.Now()
-	a.dog.await(now)
+	a.dog.await()
 	frame, err := stream.Next()
 	a.dog.rest()
 	return frame, err
@@ -218,6 +224,9 @@
 	}
 	var died *DiedError
 	var unreachable *endpoint.UnreachableError
+	if a.target.remote != "" {
+		return // the other data centre cancels when its stream is closed
+	}
 	if a.sent && !errors.As(err, &died) && !errors.As(err, &unreachable) {
 		a.canceller.cancel(a.target.serving.LeaderAddress, a.frames.attempt)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,6 +21,7 @@
 	Engine   endpoint.Engine
 	Suspects *suspect.Watch
 	Metrics  *metric.Set
+	Remote   Remote // nil when there is no other data centre
 	// Failed is told of each member that broke a request.
 	Failed func(vm fleet.VMID, at time.Time)
 }
@@ -44,13 +45,28 @@
 // Run runs a request and passes its answer to sink. A nil result means that
 // sink received the whole answer.
 func (r *Relay) Run(ctx context.Context, req *request.Request, sink Sink) *refusal.Refusal {
+	return r.newRun(req, sink).untilWhole(ctx)
+}
+
+// RunElsewhere runs a request in another data centre, since the own one refused
+// it. When no other takes it, the result is that refusal.
+func (r *Relay) RunElsewhere(ctx context.Context, req *request.Request, sink Sink, refused *refusal.Refusal) *refusal.Refusal {
+	run := r.newRun(req, sink)
+	run.onlyElsewhere = true
+	if outcome := run.untilWhole(ctx); outcome == nil || outcome.Outcome != refusal.NotRun {
+		return outcome
+	}
+	return refused
+}
+
+func (r *Relay) newRun(req *request.Request, sink Sink) *run {
 	model, _ := r.Views.Load().Model(req.Model)
-	run := &run{
+	return &run{
 		Relay:         r,
 		req:           req,
 		sink:          sink,
 		deterministic: model.Deterministic,
 		excluded:      map[fleet.FencingNumber]bool{},
+		elsewhere:     map[fleet.DataCentre]bool{},
 	}
-	return run.untilWhole(ctx)
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -22,6 +22,8 @@
 	sink          Sink
 	deterministic bool
 	excluded      map[fleet.FencingNumber]bool // groups that failed this request
+	elsewhere     map[fleet.DataCentre]bool    // data centres that failed this request
+	onlyElsewhere bool                         // the own data centre has no capacity for it
 	attempts      int
 	delivered     int            // frames that the sink has
 	digest        *xxhash.Digest // of the delivered frames; nil while there is none
@@ -71,7 +73,7 @@
 
 // noteFailure tells the watchers and the suspects what an attempt showed.
 func (r *run) noteFailure(t *target, err error, started time.Time) {
-	if isOwnFault(err) {
+	if isOwnFault(err) || t.remote != "" {
 		return
 	}
 	t.serving.Load.SawFailure(time.Now())
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/refusal"
@@ -15,13 +16,18 @@
 // target is the group of one attempt.
 type target struct {
 	serving *view.Serving
-	alone   bool // no other suspect runs on the group
+	remote  fleet.DataCentre // that runs the attempt; empty for a group here
+	alone   bool             // no other suspect runs on the group
 	release func()
 }
 
 // pick chooses the group of the next attempt.
 func (r *run) pick(ctx context.Context) (*target, *refusal.Refusal) {
-	switch r.Suspects.Standing(r.req.Fingerprint) {
+	standing := r.Suspects.Standing(r.req.Fingerprint)
+	if standing != suspect.Refused && r.onlyElsewhere {
+		return r.pickRemote()
+	}
+	switch standing {
 	case suspect.Refused:
 		return nil, r.deny(retry.Suspected)
 	case suspect.Isolated:
@@ -34,7 +40,7 @@
 func (r *run) pickShared() (*target, *refusal.Refusal) {
 	serving, ok := route.Pick(r.Views.Load(), r.req, r.excluded)
 	if !ok {
-		return nil, r.noGroup()
+		return r.pickRemote()
 	}
 	r.excluded[serving.Fencing] = true
 	return &target{serving: serving, release: func() {}}, nil
@@ -50,7 +56,7 @@
 		}
 		return nil, r.ended(ctx)
 	case !ok && r.Suspects.Standing(r.req.Fingerprint) == suspect.Isolated:
-		return nil, r.noGroup()
+		return r.pickRemote()
 	case !ok:
 		return r.pick(ctx)
 	}
@@ -63,6 +69,26 @@
 	return &target{serving: serving, alone: true, release: release}, nil
 }
 
+// pickRemote chooses another data centre that is to serve the model, or refuses
+// the request.
+func (r *run) pickRemote() (*target, *refusal.Refusal) {
+	if r.Remote == nil || r.req.Forwarded {
+		return nil, r.noGroup()
+	}
+	model, _ := r.Views.Load().Model(r.req.Model)
+	reachable := r.Remote.DataCentres()
+	for _, i := range rand.Perm(len(reachable)) {
+		to := reachable[i]
+		if r.elsewhere[to] || model.ReplicasIn(to) == 0 {
+			continue
+		}
+		r.elsewhere[to] = true
+		r.Metrics.Spilled()
+		return &target{serving: &view.Serving{Load: &view.Load{}}, remote: to, release: func() {}}, nil
+	}
+	return nil, r.noGroup()
+}
+
 func (r *run) candidates() []fleet.FencingNumber {
 	groups := route.Candidates(r.Views.Load(), r.req, r.excluded)
 	numbers := make([]fleet.FencingNumber, 0, len(groups))
--- /dev/null
+++ b/internal/spill/request.go
@@ -0,0 +1,55 @@
+// Package spill passes requests on to another data centre, through a daemon
+// there, when the own one cannot serve them.
+package spill
+
+import (
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/request"
+)
+
+// Request is a request as it travels between data centres.
+type Request struct {
+	Attempt   string          `json:"attempt"`
+	ID        string          `json:"id"`
+	Team      fleet.TeamName  `json:"team"`
+	Priority  int             `json:"priority"`
+	Model     fleet.ModelName `json:"model"`
+	Adapter   string          `json:"adapter"`
+	Body      []byte          `json:"body"`
+	MaxTokens int             `json:"max_tokens"`
+	// RemainingMillis is the time left, since clocks of data centres differ.
+	RemainingMillis int64 `json:"remaining_millis"`
+}
+
+func newRequest(req *request.Request, attempt string, now time.Time) Request {
+	return Request{
+		Attempt:         attempt,
+		ID:              req.ID,
+		Team:            req.Team,
+		Priority:        req.Priority,
+		Model:           req.Model,
+		Adapter:         req.Adapter,
+		Body:            req.Body,
+		MaxTokens:       req.MaxTokens,
+		RemainingMillis: req.Deadline.Sub(now).Milliseconds(),
+	}
+}
+
+// forwarded returns the request as the data centre that got it sees it.
+func (r Request) forwarded(now time.Time) *request.Request {
+	return &request.Request{
+		ID:          r.ID,
+		Team:        r.Team,
+		Priority:    r.Priority,
+		Model:       r.Model,
+		Adapter:     r.Adapter,
+		Body:        r.Body,
+		MaxTokens:   r.MaxTokens,
+		Fingerprint: request.Fingerprint(r.Model, r.Adapter, r.Body),
+		Prefix:      request.Prefix(r.Model, r.Adapter, r.Body),
+		Deadline:    now.Add(time.Duration(r.RemainingMillis) * time.Millisecond),
+		Forwarded:   true,
+	}
+}
--- /dev/null
+++ b/internal/spill/sink.go
@@ -0,0 +1,24 @@
+package spill
+
+import "github.com/plantainmux/plantainmux/internal/endpoint"
+
+// sink sends frames to the other data centre, under the attempt that it knows.
+type sink struct {
+	attempt string
+	send    func(any) error
+	sent    int
+}
+
+// Frame implements relay.Sink.
+func (s *sink) Frame(frame endpoint.Frame) error {
+	frame.Attempt = s.attempt
+	frame.Index = s.sent
+	s.sent++
+	return s.send(Answer{Frame: &frame})
+}
+
+// Flush implements relay.Sink.
+func (s *sink) Flush() error { return nil }
+
+// Restart implements relay.Sink.
+func (s *sink) Restart() bool { return s.sent == 0 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -27,6 +27,16 @@
 	return nil, false
 }
 
+// StatusOf returns the status of the group of a fencing number.
+func (v *View) StatusOf(fencing fleet.FencingNumber) (GroupStatus, bool) {
+	for _, status := range v.Status {
+		if status.Fencing == fencing {
+			return status, true
+		}
+	}
+	return GroupStatus{}, false
+}
+
 // Model returns the configured model of a name.
 func (v *View) Model(name fleet.ModelName) (config.Model, bool) {
 	for _, model := range v.Config.Models {
--- a/test/request_retry_test.go
+++ b/test/request_retry_test.go
@@ -131,8 +131,6 @@
 })
 
 var _ = Describe("A request that crashes engines", func() {
-	const crashText = "crash-me"
-
 	It("costs at most two endpoints, and its neighbours nothing", func() {
 		bed := newRequestBed(3, fakes.EngineOptions{TokenDelay: 10 * time.Millisecond, CrashOn: crashText}, nil)
 		innocent := manyBodies("neighbour", 45, 20)
