--- a/internal/fakes/engine_options.go
+++ b/internal/fakes/engine_options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 )
 
@@ -16,6 +17,8 @@
 	Tokens        int           // tokens of an answer that asks for no number
 	ReportLag     time.Duration // age of the load figures in a report
 	MaxRunning    int           // requests in the batch; 0 is no bound
+	// OnFrame is called with each frame when it is generated.
+	OnFrame func(frame endpoint.Frame)
 	// CrashOn crashes the engine when a request's body contains it.
 	CrashOn string
 	// OnCrash is called once the engine has crashed, instead of Kill.
--- a/internal/fakes/generate.go
+++ b/internal/fakes/generate.go
@@ -96,7 +96,11 @@
 		if !waitFor(ctx, e.options.TokenDelay) || !e.alive(a, request.Attempt) {
 			return
 		}
-		a.add(endpoint.Frame{Attempt: request.Attempt, Index: i, Text: Token(request.Body, i)})
+		frame := endpoint.Frame{Attempt: request.Attempt, Index: i, Text: Token(request.Body, i)}
+		if e.options.OnFrame != nil {
+			e.options.OnFrame(frame)
+		}
+		a.add(frame)
 	}
 	a.add(endpoint.Frame{
 		Attempt: request.Attempt, Index: tokens, Done: true,
@@ -126,7 +130,7 @@
 // Token returns the i-th token of the answer to a request's body. It depends on
 // the body, so that an answer given to the wrong caller shows.
 func Token(body []byte, i int) string {
-	return fmt.Sprintf("%04x-%d ", xxhash.Sum64(body)&0xffff, i)
+	return fmt.Sprintf("%016x-%d ", xxhash.Sum64(body), i)
 }
 
 // Answer returns the whole answer to a request's body.
