A daemon takes more than its even part only by a demand that the others know

Also: a lone daemon grows slowly beyond its floor while the engines' reports show room, a status of an engine is not held against its member, a request that an engine rejects is not tried again, and bodies, headers and deadlines of callers are bounded.

--- a/internal/admit/allotment_test.go
+++ b/internal/admit/allotment_test.go
@@ -63,4 +63,13 @@
 		p.learn("b", Usage{}, now.Add(20*time.Second))
 		Expect(p.within(100, now.Add(20*time.Second))).To(Equal(100))
 	})
+
+	It("takes over slowly what peers that are gone left, and gives it back at once", func() {
+		l := lone{}
+		now := time.Unix(1000, 0)
+		Expect(l.grow(100, 0, 0, now)).To(BeZero())
+		Expect(l.grow(100, 50, 50, now.Add(4*time.Second))).To(BeNumerically("~", 0.2, 0.01))
+		Expect(l.grow(100, 97, 95, now.Add(12*time.Second))).To(BeNumerically("~", 0.6, 0.01))
+		Expect(l.grow(100, 97, 50, now.Add(13*time.Second))).To(BeZero())
+	})
 })
--- a/internal/admit/peers.go
+++ b/internal/admit/peers.go
@@ -66,17 +66,26 @@
 // keeps its even part, as each of the others does.
 func (p *peers) within(capacity int, now time.Time) int {
 	live := len(p.live(now))
+	return max(capacity*live/p.known(live, now), min(capacity, 1))
+}
+
+// known returns the daemons that may use the capacity.
+func (p *peers) known(live int, now time.Time) int {
 	silent := 0
 	for _, usage := range p.heard {
 		if age := now.Sub(usage.at); age > peerSilent && (age <= peerForgotten || live == 1) {
 			silent++
 		}
 	}
-	known := live + silent
 	if live == 1 {
-		known = max(known, p.declared)
+		return max(live+silent, p.declared)
 	}
-	return max(capacity*live/known, min(capacity, 1))
+	return live + silent
+}
+
+// isLone reports whether a daemon that is not alone hears nobody.
+func (p *peers) isLone(now time.Time) bool {
+	return len(p.live(now)) == 1 && p.known(1, now) > 1
 }
 
 // usage returns the requests of a team for a model on a daemon.
--- a/internal/admit/state.go
+++ b/internal/admit/state.go
@@ -19,11 +19,14 @@
 	views  *view.Store
 	bounds Bounds
 	pools  map[fleet.ModelName]*Pool
+	lones  map[fleet.ModelName]*lone
 	peers  *peers
+	// The own usage that the others know by now, and the one told last.
+	settled, told map[demandKey]int
 }
 
 func newState(views *view.Store, bounds Bounds, peers *peers) *state {
-	return &state{views: views, bounds: bounds, pools: map[fleet.ModelName]*Pool{}, peers: peers}
+	return &state{views: views, bounds: bounds, pools: map[fleet.ModelName]*Pool{}, lones: map[fleet.ModelName]*lone{}, peers: peers}
 }
 
 func (s *state) pool(model fleet.ModelName) *Pool {
@@ -50,9 +53,20 @@
 		usage.Models = append(usage.Models, ModelUsage{Model: model, Teams: usageOf(pool)})
 	}
 	slices.SortFunc(usage.Models, func(a, b ModelUsage) int { return cmp.Compare(a.Model, b.Model) })
+	s.settled, s.told = s.told, totals(usage)
 	return usage
 }
 
+func totals(usage Usage) map[demandKey]int {
+	all := map[demandKey]int{}
+	for _, model := range usage.Models {
+		for _, t := range model.Teams {
+			all[demandKey{model.Model, t.Team}] = t.Running + t.Waiting
+		}
+	}
+	return all
+}
+
 func usageOf(pool *Pool) []TeamUsage {
 	var teams []TeamUsage
 	for name := range pool.teams {
@@ -95,9 +109,54 @@
 		credit.saw(use(s.running(daemons, demandKey{model, demand.Team}, pool), part*float64(capacity)), now)
 		demands[i].Share *= credit.factor()
 	}
+	pool.SetAllotment(s.divide(model, s.within(model, capacity, now), daemons, demands, now))
+}
+
+// divide returns the own part of a capacity. Beyond its even part a daemon takes
+// only what follows from a demand that the others know by now, so that daemons
+// whose demand rises together do not take the same slots.
+func (s *state) divide(model fleet.ModelName, capacity int, daemons []fleet.DaemonID, demands []Demand, now time.Time) Allotment {
 	rotation := int(now.UnixNano() / int64(rotationPeriod))
 	self := slices.Index(daemons, s.peers.self)
-	pool.SetAllotment(Allot(s.peers.within(capacity, now), len(daemons), self, demands, rotation))
+	allotment := Allot(capacity, len(daemons), self, demands, rotation)
+	even := (capacity + len(daemons) - 1) / len(daemons)
+	if allotment.Slots <= even {
+		return allotment
+	}
+	for i := range demands {
+		demands[i].ByDaemon[self] = s.settled[demandKey{model, demands[i].Team}]
+	}
+	known := Allot(capacity, len(daemons), self, demands, rotation)
+	allotment.Slots = min(allotment.Slots, max(even, known.Slots))
+	return allotment
+}
+
+// within returns the part of a capacity that the heard daemons divide.
+func (s *state) within(model fleet.ModelName, capacity int, now time.Time) int {
+	floor := s.peers.within(capacity, now)
+	l, ok := s.lones[model]
+	if !ok {
+		l = &lone{}
+		s.lones[model] = l
+	}
+	if !s.peers.isLone(now) {
+		l.reset()
+		return floor
+	}
+	used, own := s.inUse(model)
+	return min(capacity, floor+int(l.grow(capacity, used, own, now)*float64(capacity)))
+}
+
+// inUse returns the requests that run and wait by the engines' late reports,
+// and those of this daemon.
+func (s *state) inUse(model fleet.ModelName) (used, own int) {
+	for _, serving := range s.views.Load().Groups {
+		if serving.Model == model {
+			used += serving.Running + serving.Waiting
+			own += serving.Load.InFlight()
+		}
+	}
+	return used, own
 }
 
 // use is the requests that run as a part of those that the share allows.
--- a/internal/callerapi/authenticate.go
+++ b/internal/callerapi/authenticate.go
@@ -1,6 +1,7 @@
 package callerapi
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"net/http"
@@ -43,6 +44,7 @@
 			s.refuse(w, refusal.New(refusal.Unauthenticated, 0, "the key is not known"))
 			return
 		}
+		r.Body = newTimedBody(w, r.Body, cmp.Or(s.BodyTimeout, bodyTimeout))
 		next(w, r, team)
 	}
 }
--- a/internal/callerapi/completion_request.go
+++ b/internal/callerapi/completion_request.go
@@ -20,6 +20,9 @@
 // deadlineHeader gives the milliseconds that the caller will wait.
 const deadlineHeader = "Plantainmux-Timeout-Ms"
 
+// maxDeadlineMillis bounds how long a request may last.
+const maxDeadlineMillis = 24 * 60 * 60 * 1000
+
 // adapterSeparator parts a model's name from its adapter's.
 const adapterSeparator = ":"
 
@@ -79,8 +82,8 @@
 		return time.Now().Add(s.DefaultDeadline), nil
 	}
 	millis, err := strconv.Atoi(value)
-	if err != nil || millis <= 0 {
-		return time.Time{}, refusal.New(refusal.Malformed, 0, deadlineHeader+" is not a positive number")
+	if err != nil || millis <= 0 || millis > maxDeadlineMillis {
+		return time.Time{}, refusal.New(refusal.Malformed, 0, deadlineHeader+" is not a number from 1 to "+strconv.Itoa(maxDeadlineMillis))
 	}
 	return time.Now().Add(time.Duration(millis) * time.Millisecond), nil
 }
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -27,6 +27,7 @@
 	Logger          *slog.Logger
 	BodyLimit       int64 // bytes
 	DefaultDeadline time.Duration
+	BodyTimeout     time.Duration // of the body of a request; 0 is the default
 	WriteTimeout    time.Duration // of one write to a caller; 0 is the default
 }
 
@@ -44,13 +45,6 @@
 // Drain refuses new work from now on.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-func (s *Server) writeTimeout() time.Duration {
-	if s.WriteTimeout > 0 {
-		return s.WriteTimeout
-	}
-	return writeTimeout
-}
-
 // Handler serves the interface.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/callerapi/stream_sink.go
+++ b/internal/callerapi/stream_sink.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -35,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &streamSink{w: w, controller: http.NewResponseController(w), encoder: encoder, writeTimeout: s.writeTimeout()}, nil
+	return &streamSink{w: w, controller: http.NewResponseController(w), encoder: encoder, writeTimeout: cmp.Or(s.WriteTimeout, writeTimeout)}, nil
 }
 
 // Frame implements relay.Sink.
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -10,6 +10,9 @@
 	"github.com/plantainmux/plantainmux/internal/settings"
 )
 
+// headerTimeout is how long a client may take to send the header of a request.
+const headerTimeout = 10 * time.Second
+
 // CallerAddress returns the address of the callers' listener.
 func (d *Daemon) CallerAddress() string { return d.callerListener.Addr().String() }
 
@@ -78,8 +81,9 @@
 
 func (d *Daemon) serve(listener net.Listener, handler http.Handler) *http.Server {
 	server := &http.Server{
-		Handler:     handler,
-		BaseContext: func(net.Listener) context.Context { return d.killed },
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		BaseContext:       func(net.Listener) context.Context { return d.killed },
 	}
 	d.tasks.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/fakes/generate.go
+++ b/internal/fakes/generate.go
@@ -25,10 +25,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	fail, code := e.failing()
-	if fail {
+	status, code := e.failing()
+	if status != 0 {
 		e.noteAttempt(EventRejected, request)
-		http.Error(w, "failing", http.StatusInternalServerError)
+		http.Error(w, "failing", status)
 		return
 	}
 	if code == "" {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -76,8 +76,7 @@
 	if ctx.Err() != nil || a.target.remote != "" {
 		return false
 	}
-	var status *endpoint.StatusError
-	if errors.As(err, &status) {
+	if isStatus(err) {
 		return false
 	}
 	var broken *endpoint.BrokenError
@@ -240,11 +239,3 @@
 		load.SawNextToken(now.Sub(a.first) / time.Duration(a.frames.next-1))
 	}
 }
-
-// isOwnFault reports whether a failure says nothing against the endpoint.
-func isOwnFault(err error) bool {
-	var sink *SinkError
-	var gap *GapError
-	var diverged *DivergedError
-	return errors.As(err, &sink) || errors.As(err, &gap) || errors.As(err, &diverged)
-}
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -38,6 +38,8 @@
 		return r.refuse(refusal.SlowReader, 0, "the caller reads too slowly")
 	case errors.As(err, &sink), ctx.Err() != nil:
 		return r.ended(ctx)
+	case isRejected(err):
+		return r.refuse(refusal.EndpointRefused, 0, "the endpoint rejected the request")
 	case errors.As(err, &diverged):
 		return r.deny(retry.Delivered)
 	default:
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -84,7 +84,9 @@
 		r.Metrics.Crashed()
 		r.Suspects.Crashed(r.req.Fingerprint, t.serving.Fencing, t.alone)
 	}
-	r.Failed(t.serving.Leader(), started)
+	if !isStatus(err) {
+		r.Failed(t.serving.Leader(), started)
+	}
 }
 
 // afterFailure waits before the next attempt, or returns the final refusal.
