--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/plantainmux/plantainmux/internal/reconcile"
 	"github.com/plantainmux/plantainmux/internal/relay"
 	"github.com/plantainmux/plantainmux/internal/settings"
+	"github.com/plantainmux/plantainmux/internal/spill"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 	"github.com/plantainmux/plantainmux/internal/view"
 	"github.com/plantainmux/plantainmux/internal/watch"
@@ -58,6 +59,8 @@
 	poller *watch.Poller
 	views  *view.Store
 	loop   *reconcile.Loop
+	gate   *admit.Gate
+	spill  *spill.Server
 	caller *callerapi.Server
 	admin  *adminapi.Server
 
@@ -142,11 +145,14 @@
 }
 
 func (d *Daemon) buildRequestPath() {
+	d.gate = d.newGate()
+	runs := d.newRelay()
+	d.spill = spill.NewServer(d.mesh, d.gate, runs)
 	d.caller = callerapi.New(callerapi.Dependencies{
 		DataCentre:      d.settings.DataCentre,
 		Views:           d.views,
-		Gate:            admit.NewGate(d.capacity),
-		Relay:           d.newRelay(),
+		Gate:            d.gate,
+		Relay:           runs,
 		Orders:          order.NewRunner(d.orders, d.adapters.Service),
 		Service:         d.adapters.Service,
 		Metrics:         d.metrics,
@@ -163,17 +169,36 @@
 		Engine:   d.adapters.Engine,
 		Suspects: suspect.NewWatch(d.mesh, d.settings.DataCentre),
 		Metrics:  d.metrics,
+		Remote:   spill.NewClient(d.mesh),
 		Failed:   d.table.Fail,
 	})
 }
 
-// capacity returns the concurrent requests that the complete groups can run.
-func (d *Daemon) capacity() int {
-	total := 0
-	for _, serving := range d.views.Load().Groups {
-		total += serving.Capacity
+// ownPeerAddress returns the address under which the peers know this daemon.
+func (d *Daemon) ownPeerAddress() string {
+	if d.adapters.PeerListener != nil {
+		return d.adapters.PeerListener.Addr().String()
 	}
-	return total
+	return d.settings.Listen.Peer
+}
+
+// newGate returns the gate of the callers' requests.
+func (d *Daemon) newGate() *admit.Gate {
+	declared := 1
+	for _, other := range d.settings.Peers {
+		if other.DataCentre == d.settings.DataCentre && other.Address != d.ownPeerAddress() {
+			declared++
+		}
+	}
+	return admit.NewGate(admit.Dependencies{
+		Views:    d.views,
+		Mesh:     d.mesh,
+		Declared: declared,
+		Bounds: admit.Bounds{
+			QueueLength: d.settings.Limits.QueueLength,
+			QueueWait:   settings.Millis(d.settings.Limits.QueueWaitMS),
+		},
+	})
 }
 
 // watched returns the VMs that this daemon polls.
