Orders: slot owners, withdrawn claims, recorded outcomes, operators' settlements

Cause: a claim whose verdict was lost blocked its key for good; a repeat of a settled key was refused as not run while the service was down; the caller's leaving cut its order off; a key was bound to the body only, not to the method and path; the outcome was dropped when the log was away for 30 s; any writer could settle any claim; keys never expired. Now the claimant withdraws a claim that it gave up, an order goes on in a bounded pool until its outcome is recorded, only the claimant settles, and an overdue claim is marked unclear, which grants nothing. An operator's settlement never reopens a key.

--- a/internal/adminapi/server.go
+++ b/internal/adminapi/server.go
@@ -16,6 +16,8 @@
 	token   string
 	status  func() Status
 	metrics *metric.Set
+
+	Orders OrderBook
 }
 
 // New returns a server. Operators authenticate with token.
@@ -30,6 +32,7 @@
 	mux.HandleFunc("GET /readyz", s.ready)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { s.metrics.Write(w) })
 	mux.HandleFunc("GET /admin/status", s.authenticated(s.writeStatus))
+	s.routeOrders(mux)
 	return mux
 }
 
--- /dev/null
+++ b/internal/adminapi/settle_request.go
@@ -0,0 +1,12 @@
+package adminapi
+
+import "github.com/plantainmux/plantainmux/internal/fleet"
+
+// SettleRequest is an operator's word on an unclear order.
+type SettleRequest struct {
+	Team     fleet.TeamName `json:"team"`
+	Service  string         `json:"service"`
+	Key      string         `json:"key"`
+	Ran      bool           `json:"ran"`
+	Operator string         `json:"operator"`
+}
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -7,11 +7,10 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/admit"
-	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/metric"
-	"github.com/plantainmux/plantainmux/internal/order"
 	"github.com/plantainmux/plantainmux/internal/relay"
+	"github.com/plantainmux/plantainmux/internal/service"
 	"github.com/plantainmux/plantainmux/internal/view"
 )
 
@@ -21,8 +20,7 @@
 	Views           *view.Store
 	Gate            *admit.Gate
 	Relay           *relay.Relay
-	Orders          *order.Runner
-	Service         endpoint.Service
+	Services        *service.Caller
 	Metrics         *metric.Set
 	Logger          *slog.Logger
 	BodyLimit       int64 // bytes
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,7 +19,6 @@
 	"github.com/plantainmux/plantainmux/internal/group"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/metric"
-	"github.com/plantainmux/plantainmux/internal/order"
 	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/reconcile"
 	"github.com/plantainmux/plantainmux/internal/relay"
@@ -46,7 +45,7 @@
 
 	config *logstream.Stream[*config.Fold]
 	groups *logstream.Stream[*group.Fold]
-	orders [order.Slots]*logstream.Stream[*order.Fold]
+	orders orders
 
 	table  *watch.Table
 	vms    *watch.VMs
@@ -83,6 +82,7 @@
 	}
 	d.mesh = peer.NewSolo(id)
 	d.buildControl()
+	d.buildOrders()
 	d.buildRequestPath()
 	if err := d.listen(); err != nil {
 		return nil, err
@@ -94,9 +94,6 @@
 	wake := func() { d.loop.Wake() }
 	d.config = logstream.New(d.adapters.Log, config.StreamName, config.NewFold(), d.streamOptions(wake))
 	d.groups = logstream.New(d.adapters.Log, group.StreamName(d.settings.DataCentre), group.NewFold(), d.streamOptions(wake))
-	for slot := range d.orders {
-		d.orders[slot] = logstream.New(d.adapters.Log, order.StreamName(order.Slot(slot)), order.NewFold(), d.streamOptions(func() {}))
-	}
 	d.table = watch.NewTable(func(fleet.VMID, group.Observation) { wake() })
 	d.vms = watch.NewVMs(d.adapters.VMs, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, wake)
 	d.poller = watch.NewPoller(d.adapters.Engine, d.table, d.pool, settings.Millis(d.settings.Timing.PollMS), d.watched)
@@ -137,14 +134,14 @@
 		Views:           d.views,
 		Gate:            admit.NewGate(d.capacity),
 		Relay:           relay.New(d.views, d.adapters.Engine, d.table.Fail),
-		Orders:          order.NewRunner(d.orders, d.adapters.Service),
-		Service:         d.adapters.Service,
+		Services:        d.orders.caller,
 		Metrics:         d.metrics,
 		Logger:          d.logger,
 		BodyLimit:       d.settings.Limits.BodyBytes,
 		DefaultDeadline: settings.Millis(d.settings.Timing.DefaultWaitMS),
 	})
 	d.admin = adminapi.New(d.settings.AdminToken, d.status, d.metrics)
+	d.admin.Orders = d.orders.book
 }
 
 // capacity returns the concurrent requests that the complete groups can run.
--- /dev/null
+++ b/internal/daemon/orders.go
@@ -0,0 +1,77 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/config"
+	"github.com/plantainmux/plantainmux/internal/logstream"
+	"github.com/plantainmux/plantainmux/internal/order"
+	"github.com/plantainmux/plantainmux/internal/service"
+)
+
+const (
+	// orderDrainTimeout is how long a stop waits for the log to take the outcomes
+	// of orders that were answered.
+	orderDrainTimeout = 30 * time.Second
+	// orderSnapshotEvery is the number of records of a slot between snapshots.
+	orderSnapshotEvery = 4096
+)
+
+// orders are the parts that call plain services.
+type orders struct {
+	slots   *order.Slots
+	runner  *order.Runner
+	sweeper *order.Sweeper
+	book    *order.Book
+	caller  *service.Caller
+	checker *service.Checker
+}
+
+func (d *Daemon) buildOrders() {
+	health := service.NewHealth()
+	metrics := order.NewMetrics(d.metrics)
+	slots := order.NewSlots(d.killed, d.mesh, d.openSlot)
+	runner := order.NewRunner(order.Dependencies{
+		Context: d.killed,
+		Slots:   slots,
+		Service: d.adapters.Service,
+		Usable:  health.Usable,
+		Metrics: metrics,
+	})
+	router := order.NewRouter(d.mesh, slots, runner)
+	d.orders = orders{
+		slots:   slots,
+		runner:  runner,
+		sweeper: order.NewSweeper(d.id, slots, metrics, time.Now),
+		book:    order.NewBook(slots),
+		caller:  service.NewCaller(d.adapters.Service, router, health, d.settings.DataCentre, service.NewMetrics(d.metrics)),
+		checker: service.NewChecker(d.adapters.Service, health, d.settings.DataCentre, d.pool, d.services),
+	}
+	d.metrics.Gauge("plantainmux_order_outcomes_pending", func() float64 { return float64(runner.Pending()) })
+	d.metrics.Gauge("plantainmux_order_slots_followed", func() float64 { return float64(slots.Followed()) })
+	d.metrics.Gauge("plantainmux_order_keys", func() float64 { return float64(d.orders.book.Kept()) })
+}
+
+func (d *Daemon) openSlot(slot order.Slot, writer string, onApply func()) *logstream.Stream[*order.Fold] {
+	options := d.streamOptions(onApply)
+	options.Writer = writer
+	options.SnapshotEvery = orderSnapshotEvery
+	return logstream.New(d.adapters.Log, order.StreamName(slot), order.NewFold(), options)
+}
+
+func (d *Daemon) services() map[string]config.Service {
+	return d.views.Load().Services
+}
+
+func (d *Daemon) startOrders(ctx context.Context) {
+	d.tasks.Go(func() { d.orders.sweeper.Run(ctx) })
+	d.tasks.Go(func() { d.orders.checker.Run(ctx) })
+}
+
+// drainOrders waits until the outcomes of the orders are recorded.
+func (d *Daemon) drainOrders() {
+	ctx, cancel := context.WithTimeout(d.killed, orderDrainTimeout)
+	defer cancel()
+	d.orders.runner.Drain(ctx)
+}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -43,6 +43,8 @@
 	}
 	cancel()
 	d.tasks.Wait()
+	d.kill()
+	d.orders.slots.Wait()
 	d.pool.StopAndWait()
 	d.logger.Info("daemon stopped")
 }
@@ -54,9 +56,7 @@
 func (d *Daemon) startControl(ctx context.Context) {
 	d.tasks.Go(func() { d.config.Run(ctx) })
 	d.tasks.Go(func() { d.groups.Run(ctx) })
-	for _, stream := range d.orders {
-		d.tasks.Go(func() { stream.Run(ctx) })
-	}
+	d.startOrders(ctx)
 	d.tasks.Go(func() { d.vms.Run(ctx) })
 	d.tasks.Go(func() { d.poller.Run(ctx) })
 	d.tasks.Go(func() { d.loop.Run(ctx) })
@@ -84,5 +84,6 @@
 	time.Sleep(settings.Millis(d.settings.Timing.DrainNoticeMS))
 	d.caller.Drain()
 	_ = callers.Shutdown(context.Background())
+	d.drainOrders()
 	_ = admins.Shutdown(context.Background())
 }
--- a/internal/endpoint/http_service.go
+++ b/internal/endpoint/http_service.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-resty/resty/v2"
@@ -12,6 +15,8 @@
 	headerIdempotencyKey = "Idempotency-Key"
 	pathHealth           = "/healthz"
 	healthTimeout        = time.Second
+	// serviceAnswerLimit bounds the body of an answer, in bytes.
+	serviceAnswerLimit = 4 << 20
 )
 
 // HTTPService speaks to plain services over HTTP.
@@ -26,7 +31,7 @@
 	// closed. A fresh connection for each call rules that out.
 	transport.DisableKeepAlives = true
 	client := &http.Client{Transport: transport, CheckRedirect: refuseRedirect}
-	return &HTTPService{client: resty.NewWithClient(client)}
+	return &HTTPService{client: resty.NewWithClient(client).SetResponseBodyLimit(serviceAnswerLimit)}
 }
 
 func refuseRedirect(*http.Request, []*http.Request) error {
@@ -35,7 +40,11 @@
 
 // Call implements Service.
 func (s *HTTPService) Call(ctx context.Context, address string, call ServiceCall) (ServiceAnswer, error) {
-	request := s.client.R().SetContext(ctx).SetBody(call.Body)
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	request := s.client.R().SetContext(traced).SetBody(call.Body)
 	for name, values := range call.Header {
 		request.Header[name] = values
 	}
@@ -44,7 +53,7 @@
 	}
 	response, err := request.Execute(call.Method, "http://"+address+call.Path)
 	if err != nil {
-		return ServiceAnswer{}, transportFailure(address, err)
+		return ServiceAnswer{}, callFailure(address, connected.Load(), err)
 	}
 	return ServiceAnswer{
 		Status:      response.StatusCode(),
@@ -53,6 +62,19 @@
 	}, nil
 }
 
+// callFailure tells a call without a connection, after which no byte was sent,
+// from a broken exchange.
+func callFailure(address string, connected bool, err error) error {
+	switch {
+	case errors.Is(err, resty.ErrResponseBodyTooLarge):
+		return &AnswerTooLargeError{Address: address, Limit: serviceAnswerLimit}
+	case !connected:
+		return &UnreachableError{Address: address, Err: err}
+	default:
+		return &BrokenError{Address: address, Err: err}
+	}
+}
+
 // Healthy implements Service.
 func (s *HTTPService) Healthy(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
--- /dev/null
+++ b/internal/order/book.go
@@ -0,0 +1,94 @@
+package order
+
+import (
+	"cmp"
+	"context"
+	"slices"
+)
+
+// Book shows operators the kept orders and takes their settlements.
+type Book struct {
+	slots *Slots
+}
+
+// NewBook returns a book of the orders of all slots.
+func NewBook(slots *Slots) *Book {
+	return &Book{slots: slots}
+}
+
+// Kept returns the number of keys that this daemon holds.
+func (b *Book) Kept() int {
+	kept := 0
+	for _, f := range b.slots.all() {
+		f.stream.Read(func(fold *Fold) { kept += fold.Len() })
+	}
+	return kept
+}
+
+// List returns the orders of the given states, oldest first, at most limit. No
+// state means all of them. It reads every slot up to the log's end.
+func (b *Book) List(ctx context.Context, states []State, limit int) ([]Record, error) {
+	var records []Record
+	for slot := range Slot(SlotCount) {
+		found, err := b.listSlot(ctx, slot, states)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, found...)
+	}
+	slices.SortFunc(records, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(a.ClaimedMillis, b.ClaimedMillis), cmp.Compare(a.Claim.Key, b.Claim.Key))
+	})
+	return records[:min(limit, len(records))], nil
+}
+
+func (b *Book) listSlot(ctx context.Context, slot Slot, states []State) ([]Record, error) {
+	f := b.slots.acquire(slot)
+	defer b.slots.release(f)
+	if err := f.confirm(ctx); err != nil {
+		return nil, err
+	}
+	var records []Record
+	f.stream.Read(func(fold *Fold) {
+		fold.Each(func(record Record) {
+			if len(states) == 0 || slices.Contains(states, record.State) {
+				records = append(records, record)
+			}
+		})
+	})
+	return records, nil
+}
+
+// Show returns one order, as of the log's end.
+func (b *Book) Show(ctx context.Context, key Key) (Record, error) {
+	f := b.slots.acquire(SlotOf(key))
+	defer b.slots.release(f)
+	if err := f.confirm(ctx); err != nil {
+		return Record{}, err
+	}
+	record, ok := f.find(key)
+	if !ok {
+		return record, &UnknownKeyError{Key: key}
+	}
+	return record, nil
+}
+
+// Settle records an operator's word on an unclear order.
+func (b *Book) Settle(ctx context.Context, key Key, ran bool, operator string) (Record, error) {
+	record, err := b.Show(ctx, key)
+	if err != nil {
+		return record, err
+	}
+	f := b.slots.acquire(SlotOf(key))
+	defer b.slots.release(f)
+	settlement := Settlement{Key: key, Claim: record.Offset, Ran: ran, Operator: operator}
+	receipt, err := f.stream.Propose(ctx, KindSettlement, settlement)
+	if err != nil {
+		return record, err
+	}
+	if receipt.Void != nil {
+		return record, receipt.Void
+	}
+	record, _ = f.find(key)
+	return record, nil
+}
--- a/internal/order/fold.go
+++ b/internal/order/fold.go
@@ -1,14 +1,32 @@
 package order
 
 import (
+	"maps"
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/plantainmux/plantainmux/internal/logstream"
 )
 
+const (
+	// doubtBound is how long after its deadline a claim stays without doubt.
+	doubtBound = time.Minute
+	// maxLifetime bounds how long a key is kept.
+	maxLifetime = 31 * 24 * time.Hour
+)
+
 // Fold is the state of one slot.
 type Fold struct {
-	records map[Key]Record
+	records  map[Key]Record
+	clock    clock
+	expiries expiries
+}
+
+// foldState is the encoded form of a Fold.
+type foldState struct {
+	Records map[Key]Record `cbor:"1,keyasint"`
+	Clock   clock          `cbor:"2,keyasint"`
 }
 
 // NewFold returns an empty slot.
@@ -22,64 +40,80 @@
 	return record, ok
 }
 
-// Apply implements logstream.Fold.
+// Len returns the number of kept keys.
+func (f *Fold) Len() int { return len(f.records) }
+
+// Each calls visit with every kept record.
+func (f *Fold) Each(visit func(Record)) {
+	for record := range maps.Values(f.records) {
+		visit(record)
+	}
+}
+
+// Apply implements logstream.Fold. Keys expire by the stream's clock, so every
+// daemon drops a key at the same offset.
 func (f *Fold) Apply(at logstream.Position, kind logstream.Kind, body cbor.RawMessage) error {
+	f.clock.observe(at)
+	f.expire()
 	switch kind {
 	case KindClaim:
-		var claim Claim
-		if err := logstream.Unmarshal(body, &claim); err != nil {
-			return err
-		}
-		return f.claim(at, claim)
+		return applyAs(at, body, f.claim)
 	case KindOutcome:
-		var outcome Outcome
-		if err := logstream.Unmarshal(body, &outcome); err != nil {
-			return err
-		}
-		return f.settle(outcome)
+		return applyAs(at, body, f.outcome)
+	case KindWithdrawal:
+		return applyAs(at, body, f.withdraw)
+	case KindDoubt:
+		return applyAs(at, body, f.doubt)
+	case KindSettlement:
+		return applyAs(at, body, f.settle)
+	case KindDirectRun:
+		return applyAs(at, body, f.directRun)
+	case KindTick:
+		return nil
 	default:
 		return &logstream.UnknownKindError{Kind: kind}
 	}
 }
 
-// claim grants a key to the first claimant, and again only after an outcome
-// proved that it did not run.
-func (f *Fold) claim(at logstream.Position, claim Claim) error {
-	if record, ok := f.records[claim.Key]; ok && record.State != NotRan {
-		return &ClaimedError{Record: record}
-	}
-	f.records[claim.Key] = Record{
-		Claim:     claim,
-		Offset:    at.Offset,
-		Writer:    at.Writer,
-		ClaimedAt: at.Time,
-		State:     Claimed,
+func applyAs[T any](at logstream.Position, body cbor.RawMessage, apply func(logstream.Position, T) error) error {
+	var decoded T
+	if err := logstream.Unmarshal(body, &decoded); err != nil {
+		return err
 	}
-	return nil
+	return apply(at, decoded)
 }
 
-func (f *Fold) settle(outcome Outcome) error {
-	record, ok := f.records[outcome.Key]
-	if !ok || record.Offset != outcome.Claim || record.State == Ran || record.State == NotRan {
-		return &NotClaimantError{Key: outcome.Key}
+func (f *Fold) expire() {
+	now := f.clock.now()
+	for {
+		due, ok := f.expiries.due(now)
+		if !ok {
+			return
+		}
+		if record, kept := f.records[due.key]; kept && record.ExpiresMillis <= now {
+			delete(f.records, due.key)
+		}
 	}
-	record.State = outcome.State
-	record.Answer = outcome.Answer
-	f.records[outcome.Key] = record
-	return nil
 }
 
 // Encode implements logstream.Fold.
 func (f *Fold) Encode() ([]byte, error) {
-	return logstream.Marshal(f.records)
+	return logstream.Marshal(foldState{Records: f.records, Clock: f.clock})
 }
 
 // Decode implements logstream.Fold.
 func (f *Fold) Decode(data []byte) error {
-	records := map[Key]Record{}
-	if err := logstream.Unmarshal(data, &records); err != nil {
+	state := foldState{}
+	if err := logstream.Unmarshal(data, &state); err != nil {
 		return err
 	}
-	f.records = records
+	if state.Records == nil {
+		state.Records = map[Key]Record{}
+	}
+	f.records, f.clock = state.Records, state.Clock
+	f.expiries = f.expiries[:0]
+	for key, record := range f.records {
+		f.expiries.add(key, record.ExpiresMillis)
+	}
 	return nil
 }
--- a/internal/order/key.go
+++ b/internal/order/key.go
@@ -12,7 +12,14 @@
 
 const keySeparator = "\x1f"
 
-// NewKey joins the parts of a key.
+// NewKey joins the parts of a key. Teams never share a key.
 func NewKey(team fleet.TeamName, service, idempotencyKey string) Key {
 	return Key(strings.Join([]string{string(team), service, idempotencyKey}, keySeparator))
 }
+
+// Parts returns the team, the service and the idempotency key.
+func (k Key) Parts() (team fleet.TeamName, service, idempotencyKey string) {
+	first, rest, _ := strings.Cut(string(k), keySeparator)
+	service, idempotencyKey, _ = strings.Cut(rest, keySeparator)
+	return fleet.TeamName(first), service, idempotencyKey
+}
--- a/internal/order/outcome.go
+++ b/internal/order/outcome.go
@@ -5,10 +5,11 @@
 	"github.com/plantainmux/plantainmux/internal/platform"
 )
 
-// Outcome settles a claim.
+// Outcome settles a claim. Only the writer of the claim may write it.
 type Outcome struct {
-	Key    Key                    `json:"key"`
-	Claim  platform.Offset        `json:"claim"` // offset of the claim it settles
-	State  State                  `json:"state"`
-	Answer endpoint.ServiceAnswer `json:"answer"`
+	Key        Key                    `cbor:"1,keyasint"`
+	Claim      platform.Offset        `cbor:"2,keyasint"` // offset of the claim it settles
+	State      State                  `cbor:"3,keyasint"` // Ran, NotRan or Unclear
+	AnswerKept bool                   `cbor:"4,keyasint"`
+	Answer     endpoint.ServiceAnswer `cbor:"5,keyasint"`
 }
--- /dev/null
+++ b/internal/order/repeat.go
@@ -0,0 +1,55 @@
+package order
+
+import (
+	"context"
+	"errors"
+
+	"github.com/plantainmux/plantainmux/internal/refusal"
+)
+
+// repeat answers an order whose key is known. It never runs anything.
+func (r *Runner) repeat(ctx context.Context, f *followed, o Order, record Record) Result {
+	r.Metrics.repeats.Inc()
+	if record.Claim.Fingerprint != NewFingerprint(o.Call.Method, o.Call.Path, o.Call.Body) {
+		return refused(refusal.New(refusal.KeyReused, 0, "the idempotency key belongs to another request"))
+	}
+	ctx, cancel := context.WithDeadline(ctx, o.repeatUntil(r.Now()))
+	defer cancel()
+	latest, ok := f.awaitSettled(ctx, o.Key)
+	if !ok {
+		return refused(refusal.NewUnknown(refusal.OrderUnsettled, retryInProgress, "the key has expired"))
+	}
+	return answerRecord(latest)
+}
+
+// lost answers a claim that another one preceded.
+func (r *Runner) lost(t *task, void error) Result {
+	var claimed *ClaimedError
+	if !errors.As(void, &claimed) {
+		return refused(refusal.New(refusal.LogUnavailable, retryLogAway, void.Error()))
+	}
+	return r.repeat(r.Context, t.followed, t.order, claimed.Record)
+}
+
+// answerRecord answers a repeat by what is recorded.
+func answerRecord(record Record) Result {
+	switch record.State {
+	case Ran:
+		return answerRan(record)
+	case NotRan:
+		return refused(refusal.New(refusal.ServiceDown, retryInProgress, "the order did not run; it may be sent again"))
+	case Closed:
+		return refused(refusal.New(refusal.OrderClosed, 0, "an operator settled the order as not run; use a new key"))
+	case Unclear:
+		return refused(refusal.NewUnknown(refusal.OrderUnsettled, 0, "nobody knows whether the order ran"))
+	default:
+		return refused(refusal.NewUnknown(refusal.OrderInProgress, retryInProgress, "the order is being run"))
+	}
+}
+
+func answerRan(record Record) Result {
+	if record.AnswerKept {
+		return Result{Answer: record.Answer}
+	}
+	return refused(refusal.NewUnknown(refusal.AnswerNotKept, 0, "the order ran, but its answer was not kept"))
+}
--- /dev/null
+++ b/internal/order/rules.go
@@ -0,0 +1,127 @@
+package order
+
+import (
+	"github.com/plantainmux/plantainmux/internal/logstream"
+)
+
+// claim grants a key to the first claimant, and again only after its claimant
+// proved that it did not run.
+func (f *Fold) claim(at logstream.Position, claim Claim) error {
+	if record, ok := f.records[claim.Key]; ok && record.State != NotRan {
+		return &ClaimedError{Record: record}
+	}
+	f.put(f.newRecord(at, claim, Claimed))
+	return nil
+}
+
+// newRecord starts a key's lifetime at its writer's clock, but not before the
+// stream's time: a writer whose clock is behind must not cut it short. A key
+// outlives its order's deadline and the bound on doubt.
+func (f *Fold) newRecord(at logstream.Position, claim Claim, state State) Record {
+	start := max(at.Time.UnixMilli(), f.clock.now())
+	lifetime := min(claim.LifetimeMillis, maxLifetime.Milliseconds())
+	unsettled := claim.DeadlineMillis - at.Time.UnixMilli() + 2*doubtBound.Milliseconds()
+	return Record{
+		Claim:         claim,
+		Offset:        at.Offset,
+		Writer:        at.Writer,
+		ClaimedMillis: at.Time.UnixMilli(),
+		ExpiresMillis: start + max(lifetime, unsettled),
+		State:         state,
+	}
+}
+
+func (f *Fold) put(record Record) {
+	key := record.Claim.Key
+	if old, ok := f.records[key]; !ok || old.ExpiresMillis != record.ExpiresMillis {
+		f.expiries.add(key, record.ExpiresMillis)
+	}
+	f.records[key] = record
+}
+
+// outcome takes the claimant's word. What ran overrides whatever was thought
+// in the meantime; "not run" never reopens what an operator settled.
+func (f *Fold) outcome(at logstream.Position, outcome Outcome) error {
+	record, ok := f.records[outcome.Key]
+	if !ok || record.Offset != outcome.Claim || record.Writer != at.Writer {
+		return &NotClaimantError{Key: outcome.Key}
+	}
+	open := record.State == Claimed || record.State == Unclear
+	byHand := record.Operator != "" && !record.AnswerKept
+	if !open && (!byHand || outcome.State != Ran) {
+		return &NotClaimantError{Key: outcome.Key}
+	}
+	record.State = outcome.State
+	record.AnswerKept = outcome.AnswerKept
+	record.Answer = outcome.Answer
+	f.put(record)
+	return nil
+}
+
+func (f *Fold) withdraw(at logstream.Position, withdrawal Withdrawal) error {
+	record, ok := f.records[withdrawal.Key]
+	if !ok || !record.isAttempt(at.Writer, withdrawal.Attempt) {
+		return &NotClaimantError{Key: withdrawal.Key}
+	}
+	if record.State != Claimed && record.State != Unclear {
+		return &NotClaimantError{Key: withdrawal.Key}
+	}
+	record.State = NotRan
+	f.put(record)
+	return nil
+}
+
+func (r Record) isAttempt(writer string, attempt uint64) bool {
+	return r.Writer == writer && r.Claim.Attempt == attempt
+}
+
+func (f *Fold) doubt(at logstream.Position, doubt Doubt) error {
+	record, ok := f.records[doubt.Key]
+	if !ok || record.Offset != doubt.Claim {
+		return &NotClaimantError{Key: doubt.Key}
+	}
+	if !record.overdue(at.Time) {
+		return &NotOverdueError{Key: doubt.Key}
+	}
+	record.State = Unclear
+	record.DoubtedBy = doubt.By
+	record.DoubtedMillis = at.Time.UnixMilli()
+	f.put(record)
+	return nil
+}
+
+// settle takes an operator's word. "Not run" closes the key: its claimant may
+// still wake, so the key is never run again.
+func (f *Fold) settle(at logstream.Position, settlement Settlement) error {
+	record, ok := f.records[settlement.Key]
+	if !ok || record.Offset != settlement.Claim {
+		return &NotClaimantError{Key: settlement.Key}
+	}
+	if record.State != Unclear {
+		return &NotUnclearError{Key: settlement.Key, State: record.State}
+	}
+	record.State = Closed
+	if settlement.Ran {
+		record.State = Ran
+	}
+	record.Operator = settlement.Operator
+	record.SettledMillis = at.Time.UnixMilli()
+	f.put(record)
+	return nil
+}
+
+// directRun records a run without a claim, unless the key was claimed by
+// another attempt meanwhile.
+func (f *Fold) directRun(at logstream.Position, run DirectRun) error {
+	record, ok := f.records[run.Claim.Key]
+	free := !ok || record.State == NotRan || record.isAttempt(at.Writer, run.Claim.Attempt)
+	if !free {
+		return &ClaimedError{Record: record}
+	}
+	record = f.newRecord(at, run.Claim, run.Outcome.State)
+	record.Direct = true
+	record.AnswerKept = run.Outcome.AnswerKept
+	record.Answer = run.Outcome.Answer
+	f.put(record)
+	return nil
+}
--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -5,91 +5,185 @@
 	"errors"
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/endpoint"
+	"github.com/alitto/pond/v2"
+
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/platform"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 )
 
 const (
-	claimTimeout    = 3 * time.Second
-	outcomeTimeout  = 30 * time.Second
-	retryLogAway    = 5 * time.Second
-	retryInProgress = time.Second
+	claimTimeout      = 3 * time.Second        // wait for the verdict on a claim
+	outcomeWait       = 500 * time.Millisecond // an answer waits so long for its record
+	directRunTimeout  = 5 * time.Second        // wait for the record of a run without a claim
+	tickBound         = time.Hour              // lag of the stream's clock after which a tick is due
+	retryLogAway      = 5 * time.Second
+	retryInProgress   = time.Second
+	retryServiceDown  = 2 * time.Second
+	retryOverloaded   = time.Second
+	repeatWait        = 2 * time.Second // a repeat waits so long for the outcome
+	answerKeptLimit   = 32 << 10        // bytes of an answer that is recorded
+	defaultInProgress = 512
 )
 
-// Runner runs orders of the slots whose streams it holds.
+// Runner runs orders at most once. Each order holds one worker of a bounded
+// pool until its outcome is recorded, so that outcomes that the log does not
+// take are bounded: beyond that, new orders are refused as not run.
 type Runner struct {
-	streams [Slots]*logstream.Stream[*Fold]
-	service endpoint.Service
+	Dependencies
+	pool pond.Pool
 }
 
 // NewRunner returns a runner.
-func NewRunner(streams [Slots]*logstream.Stream[*Fold], service endpoint.Service) *Runner {
-	return &Runner{streams: streams, service: service}
+func NewRunner(dependencies Dependencies) *Runner {
+	if dependencies.InProgress == 0 {
+		dependencies.InProgress = defaultInProgress
+	}
+	if dependencies.Now == nil {
+		dependencies.Now = time.Now
+	}
+	return &Runner{
+		Dependencies: dependencies,
+		pool:         pond.NewPool(dependencies.InProgress, pond.WithNonBlocking(true), pond.WithQueueSize(1)),
+	}
 }
 
 // Run runs an order at most once, or returns the recorded answer of its key.
-func (r *Runner) Run(ctx context.Context, o Order) (endpoint.ServiceAnswer, *refusal.Refusal) {
-	stream := r.streams[SlotOf(o.Claim.Key)]
-	claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	receipt, err := stream.Propose(claimCtx, KindClaim, o.Claim)
-	if err != nil {
-		return endpoint.ServiceAnswer{}, refusal.New(refusal.LogUnavailable, retryLogAway, "the claim was not recorded in time")
-	}
-	if receipt.Void != nil {
-		return answerRepeat(o.Claim, receipt.Void)
+// An order goes on when ctx ends; its outcome is recorded all the same.
+func (r *Runner) Run(ctx context.Context, o Order) Result {
+	f := r.Slots.acquire(SlotOf(o.Key))
+	if record, ok := f.find(o.Key); ok && record.State != NotRan {
+		defer r.Slots.release(f)
+		return r.repeat(ctx, f, o, record)
 	}
-	if ctx.Err() != nil || time.Now().UnixMilli() > o.Claim.DeadlineMillis {
-		r.settle(ctx, stream, Outcome{Key: o.Claim.Key, Claim: receipt.Offset, State: NotRan})
-		return endpoint.ServiceAnswer{}, refusal.New(refusal.DeadlineExceeded, 0, "the deadline passed before the order could run")
+	t := newTask(o, f, r.Now())
+	_, accepted := r.pool.TrySubmit(func() {
+		defer r.Slots.release(f)
+		r.run(t)
+	})
+	if !accepted {
+		r.Slots.release(f)
+		return refused(refusal.New(refusal.Overloaded, retryOverloaded, "too many orders are in progress"))
 	}
-	return r.dispatch(ctx, stream, o, receipt.Offset)
+	return r.await(ctx, t)
 }
 
-// answerRepeat answers a claim that lost by what is recorded of the winner.
-func answerRepeat(claim Claim, void error) (endpoint.ServiceAnswer, *refusal.Refusal) {
-	var claimed *ClaimedError
-	if !errors.As(void, &claimed) {
-		return endpoint.ServiceAnswer{}, refusal.New(refusal.LogUnavailable, retryLogAway, void.Error())
+func (r *Runner) await(ctx context.Context, t *task) Result {
+	select {
+	case result := <-t.result:
+		return result
+	case <-ctx.Done():
+	case <-r.Context.Done():
 	}
-	record := claimed.Record
-	switch {
-	case record.Claim.BodyHash != claim.BodyHash:
-		return endpoint.ServiceAnswer{}, refusal.New(refusal.KeyReused, 0, "the idempotency key belongs to another request")
-	case record.State == Ran:
-		return record.Answer, nil
-	case record.State == Unclear:
-		return endpoint.ServiceAnswer{}, refusal.NewUnknown(refusal.OrderUnsettled, 0, "nobody knows whether the order ran")
+	select {
+	case result := <-t.result:
+		return result
 	default:
-		return endpoint.ServiceAnswer{}, refusal.NewUnknown(refusal.OrderInProgress, retryInProgress, "the order is being run")
+		return refused(refusal.NewUnknown(refusal.OrderInProgress, retryInProgress, "the order is being run"))
 	}
 }
 
-// dispatch sends the order once and records what came of it.
-func (r *Runner) dispatch(ctx context.Context, stream *logstream.Stream[*Fold], o Order, claim platform.Offset) (endpoint.ServiceAnswer, *refusal.Refusal) {
-	answer, err := r.service.Call(ctx, o.Address, o.Call)
-	outcome := Outcome{Key: o.Claim.Key, Claim: claim, State: Ran, Answer: answer}
-	var unreachable *endpoint.UnreachableError
+// Drain waits until every order has its outcome recorded, but no longer than
+// ctx allows.
+func (r *Runner) Drain(ctx context.Context) {
+	select {
+	case <-r.pool.Stop().Done():
+	case <-ctx.Done():
+	}
+}
+
+// Pending returns the number of orders whose outcome is not recorded yet.
+func (r *Runner) Pending() int { return int(r.pool.RunningWorkers()) }
+
+func (r *Runner) run(t *task) {
+	started := r.Now()
+	limit := min(claimTimeout, t.deadline.Sub(started))
+	if limit <= 0 {
+		t.reply(refused(refusal.New(refusal.DeadlineExceeded, 0, "the deadline passed before the order could run")))
+		return
+	}
+	if !t.followed.breaker.enter() {
+		r.unclaimed(t, false)
+		return
+	}
+	receipt, err := r.propose(t, KindClaim, t.claim, limit)
+	t.followed.breaker.leave(err == nil, limit == claimTimeout)
 	switch {
-	case err == nil:
-		r.settle(ctx, stream, outcome)
-		return answer, nil
-	case errors.As(err, &unreachable):
-		outcome.State = NotRan
-		r.settle(ctx, stream, outcome)
-		return answer, refusal.New(refusal.ServiceDown, retryInProgress, "the service cannot be reached")
+	case err != nil:
+		r.unclaimed(t, wasSent(err))
+	case receipt.Void != nil:
+		t.reply(r.lost(t, receipt.Void))
 	default:
-		outcome.State = Unclear
-		r.settle(ctx, stream, outcome)
-		return answer, refusal.NewUnknown(refusal.OrderUnsettled, 0, "the service broke off")
+		r.Metrics.claimed(r.Now().Sub(started))
+		r.claimed(t, receipt.Offset)
 	}
 }
 
-// settle records an outcome, also when the caller has gone away.
-func (r *Runner) settle(ctx context.Context, stream *logstream.Stream[*Fold], outcome Outcome) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), outcomeTimeout)
+func wasSent(err error) bool {
+	var failure *logstream.ProposalError
+	return !errors.As(err, &failure) || failure.Sent
+}
+
+// propose proposes a record for a limited time, whatever becomes of the
+// request. A limit of zero is none.
+func (r *Runner) propose(t *task, kind logstream.Kind, body any, limit time.Duration) (logstream.Receipt, error) {
+	ctx, cancel := r.Context, context.CancelFunc(func() {})
+	if limit != 0 {
+		ctx, cancel = context.WithTimeout(ctx, limit)
+	}
 	defer cancel()
-	_, _ = stream.Propose(ctx, KindOutcome, outcome)
+	return t.followed.stream.Propose(ctx, kind, body)
+}
+
+// unclaimed ends an order whose claim was not read back. One that was sent may
+// stand in the stream later; it is withdrawn, so that it blocks no repeat.
+func (r *Runner) unclaimed(t *task, sent bool) {
+	if t.order.RefusesRepeats {
+		r.runDirect(t, sent)
+		return
+	}
+	t.reply(refused(refusal.New(refusal.LogUnavailable, retryLogAway, "the claim was not recorded in time")))
+	if sent {
+		r.withdraw(t)
+	}
+}
+
+func (r *Runner) withdraw(t *task) {
+	_, _ = r.propose(t, KindWithdrawal, Withdrawal{Key: t.order.Key, Attempt: t.claim.Attempt}, 0)
+}
+
+// claimed runs an order that holds the claim of its key.
+func (r *Runner) claimed(t *task, claim platform.Offset) {
+	state, result := r.dispatch(t)
+	outcome := t.outcome(claim, state)
+	keepAnswer(&outcome, result)
+	late := time.AfterFunc(outcomeWait, func() { t.reply(result) })
+	defer late.Stop()
+	_, _ = r.propose(t, KindOutcome, outcome, 0)
+	t.reply(result)
+}
+
+// runDirect runs an order without a claim: the service itself refuses a key
+// that it has run.
+func (r *Runner) runDirect(t *task, sent bool) {
+	state, result := r.dispatch(t)
+	t.reply(result)
+	if state == NotRan {
+		if sent {
+			r.withdraw(t)
+		}
+		return
+	}
+	outcome := t.outcome(0, state)
+	keepAnswer(&outcome, result)
+	_, _ = r.propose(t, KindDirectRun, DirectRun{Claim: t.claim, Outcome: outcome}, directRunTimeout)
+}
+
+// keepAnswer puts the answer into the record unless it is too large.
+func keepAnswer(outcome *Outcome, result Result) {
+	if outcome.State != Ran || result.Refusal != nil || len(result.Answer.Body) > answerKeptLimit {
+		return
+	}
+	outcome.AnswerKept = true
+	outcome.Answer = result.Answer
 }
--- /dev/null
+++ b/internal/order/slots.go
@@ -0,0 +1,121 @@
+package order
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/logstream"
+	"github.com/plantainmux/plantainmux/internal/peer"
+	"github.com/plantainmux/plantainmux/internal/rendezvous"
+)
+
+const (
+	// ownersPerSlot is the number of daemons of a data centre that follow a slot:
+	// its owner and a standby that takes over without reading the stream anew.
+	ownersPerSlot = 2
+	// idleLinger is how long an unused slot of another owner stays followed.
+	idleLinger = 30 * time.Second
+)
+
+// Opener returns a new stream of a slot.
+type Opener func(slot Slot, writer string, onApply func()) *logstream.Stream[*Fold]
+
+// Slots follows the streams of the slots that this daemon owns or uses.
+type Slots struct {
+	ctx  context.Context
+	mesh peer.Mesh
+	open Opener
+
+	mu          sync.Mutex
+	followed    map[Slot]*followed
+	incarnation int // number of streams opened; each is a writer of its own
+	tasks       sync.WaitGroup
+}
+
+// NewSlots returns slots whose streams run until ctx ends.
+func NewSlots(ctx context.Context, mesh peer.Mesh, open Opener) *Slots {
+	return &Slots{ctx: ctx, mesh: mesh, open: open, followed: map[Slot]*followed{}}
+}
+
+// Owners returns the daemons that follow a slot, its owner first.
+func (s *Slots) Owners(slot Slot) []fleet.DaemonID {
+	return rendezvous.Choose(StreamName(slot), s.mesh.Live(), ownersPerSlot)
+}
+
+// Followed returns the number of slots that are followed.
+func (s *Slots) Followed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.followed)
+}
+
+// Follow opens the slots that this daemon owns, and closes those that it
+// neither owns nor uses.
+func (s *Slots) Follow(now time.Time) {
+	for slot := range Slot(SlotCount) {
+		owned := slices.Contains(s.Owners(slot), s.mesh.Self())
+		s.mu.Lock()
+		s.follow(slot, owned, now)
+		s.mu.Unlock()
+	}
+}
+
+func (s *Slots) follow(slot Slot, owned bool, now time.Time) {
+	f, open := s.followed[slot]
+	if owned {
+		s.opened(slot).idleSince = now
+		return
+	}
+	if open && f.uses == 0 && now.Sub(f.idleSince) > idleLinger {
+		delete(s.followed, slot)
+		f.stop()
+	}
+}
+
+// opened returns a followed slot, opening it when needed.
+func (s *Slots) opened(slot Slot) *followed {
+	if f, ok := s.followed[slot]; ok {
+		return f
+	}
+	s.incarnation++
+	writer := fmt.Sprintf("%s%s%d", s.mesh.Self(), incarnationSeparator, s.incarnation)
+	ctx, stop := context.WithCancel(s.ctx)
+	f := &followed{slot: slot, stop: stop, changed: newBroadcast()}
+	f.stream = s.open(slot, writer, f.changed.notify)
+	s.followed[slot] = f
+	s.tasks.Go(func() { f.stream.Run(ctx) })
+	return f
+}
+
+// acquire returns a slot that stays followed until it is released.
+func (s *Slots) acquire(slot Slot) *followed {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.opened(slot)
+	f.uses++
+	return f
+}
+
+func (s *Slots) release(f *followed) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f.uses--
+	f.idleSince = time.Now()
+}
+
+func (s *Slots) all() []*followed {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*followed, 0, len(s.followed))
+	for _, f := range s.followed {
+		all = append(all, f)
+	}
+	return all
+}
+
+// Wait returns when every stream has ended after the context of the slots.
+func (s *Slots) Wait() { s.tasks.Wait() }
--- /dev/null
+++ b/internal/order/task.go
@@ -0,0 +1,39 @@
+package order
+
+import (
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/platform"
+)
+
+// task is one request of an order on its way.
+type task struct {
+	order    Order
+	followed *followed
+	deadline time.Time
+	claim    Claim
+	result   chan Result
+}
+
+func newTask(o Order, f *followed, now time.Time) *task {
+	deadline := o.deadlineAt(now)
+	return &task{
+		order:    o,
+		followed: f,
+		deadline: deadline,
+		claim:    o.claim(deadline, f.attempts.Add(1)),
+		result:   make(chan Result, 1),
+	}
+}
+
+// reply answers the request, unless it was answered before.
+func (t *task) reply(result Result) {
+	select {
+	case t.result <- result:
+	default:
+	}
+}
+
+func (t *task) outcome(claim platform.Offset, state State) Outcome {
+	return Outcome{Key: t.order.Key, Claim: claim, State: state}
+}
--- /dev/null
+++ b/internal/order/tick.go
@@ -0,0 +1,4 @@
+package order
+
+// Tick advances the stream's clock.
+type Tick struct{}
--- a/internal/refusal/reason.go
+++ b/internal/refusal/reason.go
@@ -26,6 +26,8 @@
 	KeyReused         Reason = "key_reused"          // the key belongs to another request body
 	OrderInProgress   Reason = "order_in_progress"   // the order with this key is being run
 	OrderUnsettled    Reason = "order_unsettled"     // nobody knows whether the order ran
+	OrderClosed       Reason = "order_closed"        // an operator settled the order as not run
+	AnswerNotKept     Reason = "answer_not_kept"     // the order ran, its answer is not recorded
 	CallerGone        Reason = "caller_gone"         // the caller closed its connection
 	ServiceDown       Reason = "service_unavailable" // no endpoint of the service can be reached
 	SlowReader        Reason = "slow_reader"         // the caller reads slower than its buffer allows
@@ -38,5 +40,6 @@
 	NoCompleteGroup, TeamOverShare, Overloaded, DeadlineTooShort, DeadlineExceeded,
 	Draining, CrashSuspect, RetriesExhausted, EndpointBroke, EndpointRefused,
 	LogUnavailable, MissingKey, KeyReused, OrderInProgress, OrderUnsettled,
+	OrderClosed, AnswerNotKept,
 	CallerGone, ServiceDown, SlowReader, ForbiddenForPeers,
 }
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -44,6 +44,8 @@
 	KeyReused:         http.StatusUnprocessableEntity,
 	OrderInProgress:   http.StatusConflict,
 	OrderUnsettled:    http.StatusConflict,
+	OrderClosed:       http.StatusConflict,
+	AnswerNotKept:     http.StatusConflict,
 	DeadlineExceeded:  http.StatusGatewayTimeout,
 	EndpointBroke:     http.StatusBadGateway,
 	EndpointRefused:   http.StatusBadGateway,
--- /dev/null
+++ b/internal/service/idempotent.go
@@ -0,0 +1,105 @@
+package service
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/config"
+	"github.com/plantainmux/plantainmux/internal/endpoint"
+	"github.com/plantainmux/plantainmux/internal/refusal"
+	"github.com/plantainmux/plantainmux/internal/retry"
+)
+
+// maxAttempts bounds the attempts of one call.
+const maxAttempts = 3
+
+// callIdempotent tries the healthy endpoints of the own data centre first, then
+// the others, within the budget of retries and the deadline.
+func (c *Caller) callIdempotent(ctx context.Context, declared config.Service, call endpoint.ServiceCall) (endpoint.ServiceAnswer, *refusal.Refusal) {
+	c.budget.earn()
+	addresses := c.usable(declared)
+	if len(addresses) == 0 {
+		return endpoint.ServiceAnswer{}, refusal.New(refusal.ServiceDown, retryServiceDown, "no endpoint of the service is healthy")
+	}
+	mayHaveRun := false
+	for i, address := range addresses {
+		answer, err := c.attempt(ctx, address, call, len(addresses)-i)
+		last := i == len(addresses)-1
+		if err == nil && (last || !overloaded(answer)) {
+			return answer, nil
+		}
+		reason := reasonOf(err)
+		mayHaveRun = mayHaveRun || reason != retry.Unreachable
+		if last || ctx.Err() != nil {
+			break
+		}
+		if !c.budget.spend() {
+			c.metrics.exhausted.Inc()
+			break
+		}
+		c.metrics.retries[reason].Inc()
+	}
+	return endpoint.ServiceAnswer{}, exhausted(ctx, mayHaveRun)
+}
+
+// usable returns the endpoints to try, at most maxAttempts.
+func (c *Caller) usable(declared config.Service) []string {
+	var usable []string
+	for _, address := range ranked(declared, c.dataCentre, c.turn.Add(1)) {
+		if c.health.Usable(address) && len(usable) < maxAttempts {
+			usable = append(usable, address)
+		}
+	}
+	return usable
+}
+
+// attempt makes one attempt. It leaves time for the ones that may follow.
+func (c *Caller) attempt(ctx context.Context, address string, call endpoint.ServiceCall, left int) (endpoint.ServiceAnswer, error) {
+	if deadline, ok := ctx.Deadline(); ok && left > 1 {
+		limited, cancel := context.WithTimeout(ctx, time.Until(deadline)/2)
+		defer cancel()
+		ctx = limited
+	}
+	answer, err := c.service.Call(ctx, address, call)
+	c.note(address, err)
+	return answer, err
+}
+
+func (c *Caller) note(address string, err error) {
+	switch {
+	case err == nil:
+		c.health.Succeeded(address)
+	case retry.ReasonOf(err) == retry.Unreachable:
+		c.health.Down(address)
+	default:
+		c.health.Failed(address)
+	}
+}
+
+// overloaded reports whether another endpoint may do better.
+func overloaded(answer endpoint.ServiceAnswer) bool {
+	switch answer.Status {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	default:
+		return false
+	}
+}
+
+func reasonOf(err error) retry.Reason {
+	if err == nil {
+		return retry.Broken
+	}
+	return retry.ReasonOf(err)
+}
+
+func exhausted(ctx context.Context, mayHaveRun bool) *refusal.Refusal {
+	if !mayHaveRun {
+		return refusal.New(refusal.ServiceDown, retryServiceDown, "no endpoint of the service can be reached")
+	}
+	if ctx.Err() != nil {
+		return refusal.NewUnknown(refusal.DeadlineExceeded, 0, "the service did not answer in time")
+	}
+	return refusal.NewUnknown(refusal.RetriesExhausted, retryServiceDown, "no endpoint of the service answered")
+}
