--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/plantainmux/plantainmux/internal/reconcile"
 	"github.com/plantainmux/plantainmux/internal/relay"
 	"github.com/plantainmux/plantainmux/internal/settings"
+	"github.com/plantainmux/plantainmux/internal/suspect"
 	"github.com/plantainmux/plantainmux/internal/view"
 	"github.com/plantainmux/plantainmux/internal/watch"
 )
@@ -30,7 +31,9 @@
 const (
 	lostAfterBounds = 3 // report bounds of silence after which a member is lost
 	loadLimit       = 5 * time.Minute
-	orderLife       = 10 * time.Second
+	orderLife       = 10 * time.Second // above the time limits of an order and its confirmation
+	drainSettle     = 3 * time.Second  // above the lag of load reports and the life of a view
+	drainLimit      = 15 * time.Minute // above the longest deadline of a request
 )
 
 // Daemon is one running daemon.
@@ -41,7 +44,7 @@
 	logger   *slog.Logger
 	metrics  *metric.Set
 	pool     pond.Pool
-	mesh     peer.Mesh
+	mesh     *peer.Network
 
 	config *logstream.Stream[*config.Fold]
 	groups *logstream.Stream[*group.Fold]
@@ -57,6 +60,7 @@
 
 	callerListener net.Listener
 	adminListener  net.Listener
+	peerListener   net.Listener
 
 	draining atomic.Bool
 	tasks    sync.WaitGroup
@@ -80,7 +84,9 @@
 		pool:     pond.NewPool(s.Limits.Workers),
 		views:    view.NewStore(),
 	}
-	d.mesh = peer.NewSolo(id)
+	if err := d.buildMesh(); err != nil {
+		return nil, err
+	}
 	d.buildControl()
 	d.buildOrders()
 	d.buildRequestPath()
@@ -106,10 +112,10 @@
 		VMs:        d.vms,
 		Views:      d.views,
 		Engine:     d.adapters.Engine,
-		Pool:       d.pool,
 		Live:       d.mesh.Live,
 		Period:     settings.Millis(d.settings.Timing.ReconcileMS),
 		Bounds:     d.bounds(),
+		Metrics:    d.metrics,
 		Logger:     d.logger,
 	})
 }
@@ -125,6 +131,8 @@
 		LostAfter:   lostAfterBounds * reportBound,
 		LoadLimit:   loadLimit,
 		OrderLife:   orderLife,
+		DrainSettle: drainSettle,
+		DrainLimit:  drainLimit,
 	}
 }
 
@@ -133,7 +141,7 @@
 		DataCentre:      d.settings.DataCentre,
 		Views:           d.views,
 		Gate:            admit.NewGate(d.capacity),
-		Relay:           relay.New(d.views, d.adapters.Engine, d.table.Fail),
+		Relay:           d.newRelay(),
 		Services:        d.orders.caller,
 		Metrics:         d.metrics,
 		Logger:          d.logger,
@@ -144,6 +152,16 @@
 	d.admin.Orders = d.orders.book
 }
 
+func (d *Daemon) newRelay() *relay.Relay {
+	return relay.New(relay.Dependencies{
+		Views:    d.views,
+		Engine:   d.adapters.Engine,
+		Suspects: suspect.NewWatch(d.mesh, d.settings.DataCentre),
+		Metrics:  d.metrics,
+		Failed:   d.table.Fail,
+	})
+}
+
 // capacity returns the concurrent requests that the complete groups can run.
 func (d *Daemon) capacity() int {
 	total := 0
@@ -161,7 +179,7 @@
 
 // watched returns the VMs that this daemon polls.
 func (d *Daemon) watched() []fleet.VM {
-	all := d.vms.All()
+	all := d.loop.Known()
 	watched := make([]fleet.VM, 0, len(all))
 	for _, vm := range all {
 		watched = append(watched, vm)
@@ -176,6 +194,7 @@
 		DataCentre:    d.settings.DataCentre,
 		Ready:         current.Config.Version != 0 && d.groups.Booted(),
 		Draining:      d.draining.Load(),
+		Peers:         d.mesh.Live(),
 		ConfigVersion: current.Config.Version,
 		Groups:        current.Status,
 	}
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -20,7 +20,7 @@
 
 // orders are the parts that call plain services.
 type orders struct {
-	slots   *order.Slots
+	slots   *order.Follower
 	runner  *order.Runner
 	sweeper *order.Sweeper
 	book    *order.Book
@@ -31,7 +31,7 @@
 func (d *Daemon) buildOrders() {
 	health := service.NewHealth()
 	metrics := order.NewMetrics(d.metrics)
-	slots := order.NewSlots(d.killed, d.mesh, d.openSlot)
+	slots := order.NewFollower(d.killed, d.mesh, d.openSlot)
 	runner := order.NewRunner(order.Dependencies{
 		Context: d.killed,
 		Slots:   slots,
--- a/internal/order/book.go
+++ b/internal/order/book.go
@@ -8,11 +8,11 @@
 
 // Book shows operators the kept orders and takes their settlements.
 type Book struct {
-	slots *Slots
+	slots *Follower
 }
 
 // NewBook returns a book of the orders of all slots.
-func NewBook(slots *Slots) *Book {
+func NewBook(slots *Follower) *Book {
 	return &Book{slots: slots}
 }
 
@@ -29,7 +29,7 @@
 // state means all of them. It reads every slot up to the log's end.
 func (b *Book) List(ctx context.Context, states []State, limit int) ([]Record, error) {
 	var records []Record
-	for slot := range Slot(SlotCount) {
+	for slot := range Slot(Slots) {
 		found, err := b.listSlot(ctx, slot, states)
 		if err != nil {
 			return nil, err
--- a/internal/order/dependencies.go
+++ b/internal/order/dependencies.go
@@ -10,7 +10,7 @@
 // Dependencies are what a Runner works with.
 type Dependencies struct {
 	Context    context.Context // ends with the daemon
-	Slots      *Slots
+	Slots      *Follower
 	Service    endpoint.Service
 	Usable     func(address string) bool // whether an endpoint is healthy as far as known
 	Metrics    *Metrics
--- a/internal/order/followed.go
+++ b/internal/order/followed.go
@@ -20,8 +20,8 @@
 	breaker  breaker
 	attempts atomic.Uint64
 
-	uses      int       // guarded by Slots
-	idleSince time.Time // guarded by Slots
+	uses      int       // guarded by Follower
+	idleSince time.Time // guarded by Follower
 }
 
 func (f *followed) find(key Key) (Record, bool) {
--- a/internal/order/slots.go
+++ b/internal/order/follower.go
@@ -24,8 +24,8 @@
 // Opener returns a new stream of a slot.
 type Opener func(slot Slot, writer string, onApply func()) *logstream.Stream[*Fold]
 
-// Slots follows the streams of the slots that this daemon owns or uses.
-type Slots struct {
+// Follower follows the streams of the slots that this daemon owns or uses.
+type Follower struct {
 	ctx  context.Context
 	mesh peer.Mesh
 	open Opener
@@ -36,18 +36,18 @@
 	tasks       sync.WaitGroup
 }
 
-// NewSlots returns slots whose streams run until ctx ends.
-func NewSlots(ctx context.Context, mesh peer.Mesh, open Opener) *Slots {
-	return &Slots{ctx: ctx, mesh: mesh, open: open, followed: map[Slot]*followed{}}
+// NewFollower returns a follower whose streams run until ctx ends.
+func NewFollower(ctx context.Context, mesh peer.Mesh, open Opener) *Follower {
+	return &Follower{ctx: ctx, mesh: mesh, open: open, followed: map[Slot]*followed{}}
 }
 
 // Owners returns the daemons that follow a slot, its owner first.
-func (s *Slots) Owners(slot Slot) []fleet.DaemonID {
+func (s *Follower) Owners(slot Slot) []fleet.DaemonID {
 	return rendezvous.Choose(StreamName(slot), s.mesh.Live(), ownersPerSlot)
 }
 
 // Followed returns the number of slots that are followed.
-func (s *Slots) Followed() int {
+func (s *Follower) Followed() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.followed)
@@ -55,8 +55,8 @@
 
 // Follow opens the slots that this daemon owns, and closes those that it
 // neither owns nor uses.
-func (s *Slots) Follow(now time.Time) {
-	for slot := range Slot(SlotCount) {
+func (s *Follower) Follow(now time.Time) {
+	for slot := range Slot(Slots) {
 		owned := slices.Contains(s.Owners(slot), s.mesh.Self())
 		s.mu.Lock()
 		s.follow(slot, owned, now)
@@ -64,7 +64,7 @@
 	}
 }
 
-func (s *Slots) follow(slot Slot, owned bool, now time.Time) {
+func (s *Follower) follow(slot Slot, owned bool, now time.Time) {
 	f, open := s.followed[slot]
 	if owned {
 		s.opened(slot).idleSince = now
@@ -77,7 +77,7 @@
 }
 
 // opened returns a followed slot, opening it when needed.
-func (s *Slots) opened(slot Slot) *followed {
+func (s *Follower) opened(slot Slot) *followed {
 	if f, ok := s.followed[slot]; ok {
 		return f
 	}
@@ -92,7 +92,7 @@
 }
 
 // acquire returns a slot that stays followed until it is released.
-func (s *Slots) acquire(slot Slot) *followed {
+func (s *Follower) acquire(slot Slot) *followed {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := s.opened(slot)
@@ -100,14 +100,14 @@
 	return f
 }
 
-func (s *Slots) release(f *followed) {
+func (s *Follower) release(f *followed) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f.uses--
 	f.idleSince = time.Now()
 }
 
-func (s *Slots) all() []*followed {
+func (s *Follower) all() []*followed {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	all := make([]*followed, 0, len(s.followed))
@@ -118,4 +118,4 @@
 }
 
 // Wait returns when every stream has ended after the context of the slots.
-func (s *Slots) Wait() { s.tasks.Wait() }
+func (s *Follower) Wait() { s.tasks.Wait() }
--- a/internal/order/router.go
+++ b/internal/order/router.go
@@ -17,12 +17,12 @@
 // of cost only: the claim decides who runs an order.
 type Router struct {
 	mesh   peer.Mesh
-	slots  *Slots
+	slots  *Follower
 	runner *Runner
 }
 
 // NewRouter returns a router and registers its handler with the mesh.
-func NewRouter(mesh peer.Mesh, slots *Slots, runner *Runner) *Router {
+func NewRouter(mesh peer.Mesh, slots *Follower, runner *Runner) *Router {
 	r := &Router{mesh: mesh, slots: slots, runner: runner}
 	mesh.HandleCall(peer.MethodOrder, r.handle)
 	return r
--- a/internal/order/sweeper.go
+++ b/internal/order/sweeper.go
@@ -25,13 +25,13 @@
 // the clocks of the streams going.
 type Sweeper struct {
 	self    fleet.DaemonID
-	slots   *Slots
+	slots   *Follower
 	metrics *Metrics
 	now     func() time.Time
 }
 
 // NewSweeper returns a sweeper.
-func NewSweeper(self fleet.DaemonID, slots *Slots, metrics *Metrics, now func() time.Time) *Sweeper {
+func NewSweeper(self fleet.DaemonID, slots *Follower, metrics *Metrics, now func() time.Time) *Sweeper {
 	return &Sweeper{self: self, slots: slots, metrics: metrics, now: now}
 }
 
