--- a/internal/daemon/config_spread.go
+++ b/internal/daemon/config_spread.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/logstream"
-	"github.com/plantainmux/plantainmux/internal/order"
 )
 
 // buildConfig builds the follower of the configuration stream and the spread
@@ -26,10 +25,7 @@
 
 // refusedStreams names the streams whose log contradicts what was applied.
 func (d *Daemon) refusedStreams() []string {
-	refused := []error{d.config.Refused(), d.groups.Refused()}
-	for slot := range order.Slots {
-		refused = append(refused, d.orders[slot].Refused())
-	}
+	refused := append(d.orders.slots.Refused(), d.config.Refused(), d.groups.Refused())
 	var told []string
 	for _, err := range refused {
 		if err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,7 +19,6 @@
 	"github.com/plantainmux/plantainmux/internal/group"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/metric"
-	"github.com/plantainmux/plantainmux/internal/order"
 	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/reconcile"
 	"github.com/plantainmux/plantainmux/internal/relay"
@@ -52,7 +51,7 @@
 	inForce *config.Store
 	spread  *config.Spread
 	groups  *logstream.Stream[*group.Fold]
-	orders  [order.Slots]*logstream.Stream[*order.Fold]
+	orders  orders
 
 	table  *watch.Table
 	vms    *watch.VMs
@@ -94,6 +93,7 @@
 		return nil, err
 	}
 	d.buildControl()
+	d.buildOrders()
 	d.buildRequestPath()
 	if err := d.listen(); err != nil {
 		return nil, err
@@ -105,9 +105,6 @@
 	wake := func() { d.loop.Wake() }
 	d.buildConfig(wake)
 	d.groups = logstream.New(d.adapters.Log, group.StreamName(d.settings.DataCentre), group.NewFold(), d.streamOptions(wake))
-	for slot := range d.orders {
-		d.orders[slot] = logstream.New(d.adapters.Log, order.StreamName(order.Slot(slot)), order.NewFold(), d.streamOptions(func() {}))
-	}
 	d.table = watch.NewTable(func(fleet.VMID, group.Observation) { wake() })
 	d.vms = watch.NewVMs(d.adapters.VMs, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, wake)
 	d.poller = watch.NewPoller(d.adapters.Engine, d.table, d.pool, settings.Millis(d.settings.Timing.PollMS), d.watched)
@@ -153,14 +150,14 @@
 		Views:           d.views,
 		Gate:            d.gate,
 		Relay:           runs,
-		Orders:          order.NewRunner(d.orders, d.adapters.Service),
-		Service:         d.adapters.Service,
+		Services:        d.orders.caller,
 		Metrics:         d.metrics,
 		Logger:          d.logger,
 		BodyLimit:       d.settings.Limits.BodyBytes,
 		DefaultDeadline: settings.Millis(d.settings.Timing.DefaultWaitMS),
 	})
 	d.admin = adminapi.New(d.settings.AdminToken, d.status, d.metrics)
+	d.admin.Orders = d.orders.book
 }
 
 func (d *Daemon) newRelay() *relay.Relay {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -59,6 +59,8 @@
 	d.mesh.Close()
 	cancel()
 	d.tasks.Wait()
+	d.kill()
+	d.orders.slots.Wait()
 	d.pool.StopAndWait()
 	d.logger.Info("daemon stopped")
 }
@@ -71,9 +73,7 @@
 	d.tasks.Go(func() { d.config.Run(ctx) })
 	d.tasks.Go(func() { d.spread.Run(ctx) })
 	d.tasks.Go(func() { d.groups.Run(ctx) })
-	for _, stream := range d.orders {
-		d.tasks.Go(func() { stream.Run(ctx) })
-	}
+	d.startOrders(ctx)
 	d.tasks.Go(func() { d.vms.Run(ctx) })
 	d.tasks.Go(func() { d.poller.Run(ctx) })
 	d.tasks.Go(func() { d.loop.Run(ctx) })
@@ -106,5 +106,6 @@
 	_ = callers.Shutdown(context.Background())
 	d.spill.Drain()
 	d.mesh.Drain(d.killed)
+	d.drainOrders()
 	_ = admins.Shutdown(context.Background())
 }
