Failure tests of groups over what the stand-ins recorded

The invariant package reads the group stream and the engines' own records. A round asked the stream for Booted while it held the stream's read lock: a waiting writer between the two locks stopped the daemon for good (seen as a run of the new tests that hung for 600 s); the round now asks before it locks.

--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -53,6 +53,14 @@
 	e.highest = fleet.NoGroup
 	e.attempts = map[string]*attempt{}
 	e.lagged = nil
+	e.note(EngineEvent{Kind: EventBoot})
+}
+
+// Note records an event that a test brought about.
+func (e *Engine) Note(kind string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.note(EngineEvent{Kind: kind, Group: e.report.Group})
 }
 
 // Handler serves the engine's protocol.
--- a/internal/fakes/engine_event.go
+++ b/internal/fakes/engine_event.go
@@ -16,6 +16,10 @@
 	EventCancel   = "cancel"   // a request was cut off
 	EventRejected = "rejected" // a request was refused before it ran
 	EventCrash    = "crash"    // the engine crashed
+	EventBoot     = "boot"     // a new boot began
+	EventDown     = "down"     // the process ended
+	EventFrozen   = "frozen"   // the process was paused
+	EventThawed   = "thawed"   // the process went on
 )
 
 // EngineEvent is one thing that was asked of an engine, as a witness for tests.
--- /dev/null
+++ b/internal/invariant/ledger.go
@@ -0,0 +1,96 @@
+package invariant
+
+import (
+	"slices"
+
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/group"
+	"github.com/plantainmux/plantainmux/internal/logstream"
+	"github.com/plantainmux/plantainmux/internal/platform"
+)
+
+// Ledger is a plain reading of a group stream's records: which forms granted
+// their VMs, because all were free.
+type Ledger struct {
+	grants  map[fleet.FencingNumber]*grant
+	forms   map[fleet.FencingNumber]group.Form
+	holder  map[fleet.VMID]fleet.FencingNumber
+	fence   map[fleet.VMID]fleet.FencingNumber
+	written map[string]uint64 // highest sequence number of each writer
+}
+
+// NewLedger reads the records of a stream from its first one on.
+func NewLedger(records []platform.Record) *Ledger {
+	l := &Ledger{
+		grants:  map[fleet.FencingNumber]*grant{},
+		forms:   map[fleet.FencingNumber]group.Form{},
+		holder:  map[fleet.VMID]fleet.FencingNumber{},
+		fence:   map[fleet.VMID]fleet.FencingNumber{},
+		written: map[string]uint64{},
+	}
+	for _, record := range records {
+		l.read(record)
+	}
+	return l
+}
+
+func (l *Ledger) read(record platform.Record) {
+	var entry logstream.Entry
+	if logstream.Unmarshal(record.Data, &entry) != nil || entry.Seq <= l.written[entry.Writer] {
+		return
+	}
+	l.written[entry.Writer] = entry.Seq
+	at := fleet.FencingNumber(record.Offset)
+	switch entry.Kind {
+	case group.KindForm:
+		var form group.Form
+		if logstream.Unmarshal(entry.Body, &form) == nil {
+			l.form(at, form)
+		}
+	case group.KindRelease:
+		var release group.Release
+		if logstream.Unmarshal(entry.Body, &release) == nil {
+			l.release(at, release.Group)
+		}
+	}
+}
+
+func (l *Ledger) form(at fleet.FencingNumber, form group.Form) {
+	l.forms[at] = form
+	for i, vm := range form.Members {
+		if l.holder[vm] != fleet.NoGroup || l.fence[vm] != form.Fences[i] {
+			return
+		}
+	}
+	l.grants[at] = &grant{fencing: at, members: form.Members, live: true}
+	for _, vm := range form.Members {
+		l.holder[vm], l.fence[vm] = at, at
+	}
+}
+
+func (l *Ledger) release(at, fencing fleet.FencingNumber) {
+	found, ok := l.grants[fencing]
+	if !ok || !found.live {
+		return
+	}
+	found.live = false
+	for _, vm := range found.members {
+		l.holder[vm], l.fence[vm] = fleet.NoGroup, at
+	}
+}
+
+// Granted reports whether the log granted a VM to a group.
+func (l *Ledger) Granted(fencing fleet.FencingNumber, vm fleet.VMID) bool {
+	found, ok := l.grants[fencing]
+	return ok && slices.Contains(found.members, vm)
+}
+
+// Members returns the members that a form named, granted or not.
+func (l *Ledger) Members(fencing fleet.FencingNumber) []fleet.VMID {
+	return l.forms[fencing].Members
+}
+
+// Forms returns the number of forms that granted their VMs.
+func (l *Ledger) Forms() int {
+	return len(l.grants)
+}
--- a/internal/reconcile/loop.go
+++ b/internal/reconcile/loop.go
@@ -82,13 +82,17 @@
 func (l *Loop) round(ctx context.Context) {
 	var plan group.Plan
 	var targets []group.ControlTarget
+	live := l.Live()
+	plans := l.isPlanner(live) && l.proposer.begin()
+	// Nothing in here may ask the stream: a reader that locks again behind a
+	// waiting writer waits for ever.
 	l.Groups.Read(func(fold *group.Fold) {
 		in := l.input(fold)
 		l.publish(in)
-		if l.isPlanner() && l.proposer.begin() {
+		if plans {
 			plan = l.plan(in)
 		}
-		targets = l.targets(in)
+		targets = l.targets(in, live)
 	})
 	l.proposer.start(ctx, plan)
 	for _, target := range targets {
@@ -123,14 +127,13 @@
 	return plan
 }
 
-func (l *Loop) isPlanner() bool {
-	return l.Groups.Booted() && rendezvous.Chosen(plannerKey, l.Live(), 1, l.Self)
+func (l *Loop) isPlanner(live []fleet.DaemonID) bool {
+	return l.Groups.Booted() && rendezvous.Chosen(plannerKey, live, 1, l.Self)
 }
 
 // targets returns the orders for the members that this daemon watches.
-func (l *Loop) targets(in group.Input) []group.ControlTarget {
+func (l *Loop) targets(in group.Input, live []fleet.DaemonID) []group.ControlTarget {
 	var targets []group.ControlTarget
-	live := l.Live()
 	for vm, observation := range in.World.Observations {
 		if !observation.Fresh(in.Now, in.Bounds.ReportBound) {
 			continue
--- a/internal/testbed/engine.go
+++ b/internal/testbed/engine.go
@@ -37,6 +37,24 @@
 	}
 }
 
+// Kill ends the engine's process.
+func (e *Engine) Kill() {
+	e.Server.Kill()
+	e.Note(fakes.EventDown)
+}
+
+// Freeze pauses the engine's process.
+func (e *Engine) Freeze() {
+	e.Set(fakes.Faults{Frozen: true})
+	e.Note(fakes.EventFrozen)
+}
+
+// Thaw ends a pause.
+func (e *Engine) Thaw() {
+	e.Note(fakes.EventThawed)
+	e.Set(fakes.Faults{})
+}
+
 // Restart starts a killed engine anew under its address, with a new boot.
 func (e *Engine) Restart() {
 	e.Reboot()
--- a/internal/testbed/latch.go
+++ b/internal/testbed/latch.go
@@ -10,6 +10,7 @@
 type Latch struct {
 	mu     sync.Mutex
 	frozen bool
+	held   bool // control orders alone wait
 	cut    map[Side]bool
 	thawed chan struct{}
 }
@@ -26,11 +27,33 @@
 	l.frozen = true
 }
 
+// HoldOrders holds every control order from now on, as a pause or a slow network
+// between the last check and the send would. All else goes on.
+func (l *Latch) HoldOrders() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held = true
+}
+
+// passOrder waits while frozen or while orders are held.
+func (l *Latch) passOrder() {
+	for {
+		l.mu.Lock()
+		waits, thawed := l.frozen || l.held, l.thawed
+		l.mu.Unlock()
+		if !waits {
+			return
+		}
+		<-thawed
+	}
+}
+
 // Thaw lets all held calls and answers go on.
 func (l *Latch) Thaw() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.frozen = false
+	l.held = false
 	close(l.thawed)
 	l.thawed = make(chan struct{})
 }
--- a/internal/testbed/latched_engine.go
+++ b/internal/testbed/latched_engine.go
@@ -28,7 +28,7 @@
 // Control implements endpoint.Engine. An order that waits in a frozen daemon is
 // sent when it thaws, as late as a paused process would.
 func (e *latchedEngine) Control(ctx context.Context, address string, order endpoint.ControlOrder) (fleet.MemberReport, error) {
-	_ = e.latch.pass(ctx)
+	e.latch.passOrder()
 	if e.latch.isCut(SideEngines) {
 		return fleet.MemberReport{}, &endpoint.UnreachableError{Address: address, Err: &CutError{Side: SideEngines}}
 	}
--- /dev/null
+++ b/test/group_helpers_test.go
@@ -0,0 +1,65 @@
+package test
+
+import (
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/fakes"
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/group"
+	"github.com/plantainmux/plantainmux/internal/invariant"
+	"github.com/plantainmux/plantainmux/internal/testbed"
+)
+
+const (
+	north = fleet.DataCentre("north")
+	// detection allows for the report bound of a bed, 0.6 s, and for a busy
+	// machine. Faults last longer.
+	detection    = 2 * time.Second
+	leavingBound = 3 * time.Second
+	waitRepair   = 30 * time.Second
+	tick         = 50 * time.Millisecond
+)
+
+func complete(d *testbed.Daemon) int { return len(d.CompleteGroups(testbed.SampleModel)) }
+
+// eventuallyComplete waits until a daemon sees count complete groups.
+func eventuallyComplete(d *testbed.Daemon, count int) []fleet.Group {
+	var groups []fleet.Group
+	EventuallyWithOffset(1, func() int {
+		groups = d.CompleteGroups(testbed.SampleModel)
+		return len(groups)
+	}, waitRepair, tick).Should(Equal(count))
+	return groups
+}
+
+func ledger(bed *testbed.Bed) *invariant.Ledger {
+	return invariant.NewLedger(bed.Log.Records(group.StreamName(north)))
+}
+
+func checkOf(bed *testbed.Bed) invariant.Check {
+	check := invariant.Check{Ledger: ledger(bed), Leaving: map[fleet.VMID]time.Time{}, Detection: detection, LeavingBound: leavingBound}
+	for _, engine := range bed.Engines {
+		check.Events = append(check.Events, engine.Events()...)
+	}
+	return check
+}
+
+func expectNoViolation(check invariant.Check) {
+	ExpectWithOffset(1, check.Run()).To(BeEmpty())
+}
+
+func countEvents(bed *testbed.Bed, kind string) int {
+	count := 0
+	for _, event := range checkOf(bed).Events {
+		if event.Kind == kind {
+			count++
+		}
+	}
+	return count
+}
+
+func fast(checksFencing bool) fakes.EngineOptions {
+	return fakes.EngineOptions{ChecksFencing: checksFencing, LoadTime: 100 * time.Millisecond, TokenDelay: time.Millisecond}
+}
--- /dev/null
+++ b/test/group_outage_test.go
@@ -0,0 +1,94 @@
+package test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/fakes"
+	"github.com/plantainmux/plantainmux/internal/testbed"
+)
+
+var _ = Describe("Groups in an outage", func() {
+	It("serve on while the log is away, but for one that lost a member", func() {
+		bed := testbed.New()
+		bed.AddEngines(north, "north-a", 5, fast(true))
+		a := bed.StartDaemon(north, nil)
+		bed.Publish(0, testbed.SampleConfig(2, north))
+		groups := eventuallyComplete(a, 2)
+		load := startTraffic(a)
+		bed.Log.Set(fakes.Faults{Frozen: true})
+		bed.Engines[groups[0].Members[1]].Kill()
+		Eventually(func() int { return complete(a) }, waitRepair, tick).Should(Equal(1))
+		refused, answered := load.refused.Load(), load.answered.Load()
+		time.Sleep(2 * outage) // beyond the time limit of a proposal
+		Expect(load.refused.Load()).To(Equal(refused))
+		Expect(load.answered.Load()).To(BeNumerically(">", answered+50))
+		bed.Log.Set(fakes.Faults{})
+		eventuallyComplete(a, 2)
+		load.stop()
+		expectNoViolation(checkOf(bed))
+	})
+
+	It("are formed once when the answers of the appends are lost", func() {
+		bed := testbed.New()
+		bed.AddEngines(north, "north-a", 4, fast(true))
+		a := bed.StartDaemon(north, nil)
+		bed.Publish(0, testbed.SampleConfig(1, north))
+		eventuallyComplete(a, 1)
+		bed.Log.Set(fakes.Faults{LoseAnswers: true})
+		bed.Engines[a.CompleteGroups(testbed.SampleModel)[0].Members[1]].Kill()
+		time.Sleep(outage)
+		bed.Log.Set(fakes.Faults{})
+		eventuallyComplete(a, 1)
+		Consistently(func() int { return complete(a) }, detection, tick).Should(Equal(1))
+		Expect(ledger(bed).Forms()).To(Equal(2))
+		expectNoViolation(checkOf(bed))
+	})
+
+	It("stay known to a daemon that starts without a list of VMs", func() {
+		bed := testbed.New()
+		bed.AddEngines(north, "north-a", 2, fast(true))
+		a := bed.StartDaemon(north, nil)
+		bed.Publish(0, testbed.SampleConfig(1, north))
+		eventuallyComplete(a, 1)
+		bed.VMList.Set(fakes.Faults{Down: true})
+		a.Kill()
+		b := bed.StartDaemon(north, nil)
+		eventuallyComplete(b, 1)
+		Expect(ledger(bed).Forms()).To(Equal(1))
+	})
+
+	It("are ordered and formed by nobody who has not read the log", func() {
+		bed := testbed.New()
+		bed.AddEngines(north, "north-a", 2, fast(true))
+		bed.Publish(0, testbed.SampleConfig(1, north))
+		bed.Log.Set(fakes.Faults{Down: true})
+		a := bed.StartDaemon(north, nil)
+		Consistently(func() int { return countEvents(bed, fakes.EventControl) }, detection, tick).Should(Equal(0))
+		bed.Log.Set(fakes.Faults{})
+		eventuallyComplete(a, 1)
+	})
+
+	It("serve through a list of VMs that leaves members out or gives wrong addresses", func() {
+		bed := testbed.New()
+		engines := bed.AddEngines(north, "north-a", 5, fast(true))
+		a := bed.StartDaemon(north, nil)
+		bed.Publish(0, testbed.SampleConfig(2, north))
+		groups := eventuallyComplete(a, 2)
+		load := startTraffic(a)
+		Eventually(load.answered.Load, waitRepair, tick).Should(BeNumerically(">", 20))
+		wrong := bed.Engines[groups[1].Members[1]].VM(north, "north-a")
+		wrong.Address = engines[4].Server.Address()
+		bed.VMList.Remove(groups[0].Members[0])
+		bed.VMList.Remove(groups[0].Members[1])
+		bed.VMList.Put(wrong)
+		refused := load.refused.Load()
+		time.Sleep(outage)
+		load.stop()
+		Expect(load.refused.Load()).To(Equal(refused))
+		Expect(ledger(bed).Forms()).To(Equal(2))
+		expectNoViolation(checkOf(bed))
+	})
+})
