--- a/internal/callerapi/refuse.go
+++ b/internal/callerapi/refuse.go
@@ -12,6 +12,7 @@
 // refuse sends a refusal as the whole answer.
 func (s *Server) refuse(w http.ResponseWriter, refused *refusal.Refusal) {
 	s.Metrics.Refused(refused.Reason)
+	s.Evidence.Refused(refused)
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(refusal.OutcomeHeader, string(refused.Outcome))
--- a/internal/callerapi/rig_test.go
+++ b/internal/callerapi/rig_test.go
@@ -9,6 +9,7 @@
 	"github.com/plantainmux/plantainmux/internal/callerapi"
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/endpoint"
+	"github.com/plantainmux/plantainmux/internal/evidence"
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/metric"
@@ -83,12 +84,13 @@
 		Bounds: admit.Bounds{QueueLength: rigRequests, QueueWait: time.Second},
 	})
 	return callerapi.New(callerapi.Dependencies{
-		Views:   r.views,
-		Gate:    gate,
-		Metrics: metrics,
-		Logger:  slog.New(slog.DiscardHandler),
+		Views:    r.views,
+		Gate:     gate,
+		Metrics:  metrics,
+		Evidence: evidence.NewRecorder("daemon", "north", time.Now()),
+		Logger:   slog.New(slog.DiscardHandler),
 		Relay: relay.New(relay.Dependencies{
-			Views: r.views, Engine: endpoint.NewHTTPEngine(), Suspects: suspect.NewWatch(mesh, "north"), Metrics: metrics,
+			Views: r.views, Engine: endpoint.NewHTTPEngine(), Suspects: suspect.NewWatch(mesh, "north"), Metrics: metrics, Observer: relay.NoObserver{},
 			Failed: func(vm fleet.VMID, _ time.Time) { r.failed = append(r.failed, vm) },
 		}),
 		BodyLimit:       1 << 20,
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/admit"
+	"github.com/plantainmux/plantainmux/internal/evidence"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/metric"
 	"github.com/plantainmux/plantainmux/internal/relay"
@@ -22,6 +23,7 @@
 	Relay           *relay.Relay
 	Services        *service.Caller
 	Metrics         *metric.Set
+	Evidence        *evidence.Recorder
 	Logger          *slog.Logger
 	BodyLimit       int64 // bytes
 	DefaultDeadline time.Duration
@@ -32,7 +34,8 @@
 // Server serves callers.
 type Server struct {
 	Dependencies
-	draining atomic.Bool
+	draining   atomic.Bool
+	inProgress atomic.Int64
 }
 
 // New returns a server.
@@ -43,6 +46,9 @@
 // Drain refuses new work from now on.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// InProgress returns the number of requests that are being answered.
+func (s *Server) InProgress() int { return int(s.inProgress.Load()) }
+
 // Handler serves the interface.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/callerapi/stream_sink.go
+++ b/internal/callerapi/stream_sink.go
@@ -112,6 +112,7 @@
 		s.refuse(w, refused)
 	default:
 		s.Metrics.Refused(refused.Reason)
+		s.Evidence.Refused(refused)
 		sink.fail(refused)
 		w.Header().Set(refusal.OutcomeHeader, string(refused.Outcome))
 	}
--- a/internal/daemon/config_spread.go
+++ b/internal/daemon/config_spread.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"time"
+
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 )
@@ -9,7 +11,11 @@
 // among peers. Both offer versions to one store, which takes the higher only.
 func (d *Daemon) buildConfig(wake func()) {
 	d.inForce = config.NewStore()
-	d.spread = config.NewSpread(d.mesh, d.settings.DataCentre, d.inForce, d.metrics, d.logger, wake)
+	changed := func() {
+		d.evidence.InForce(d.inForce.Load().Version, time.Now())
+		wake()
+	}
+	d.spread = config.NewSpread(d.mesh, d.settings.DataCentre, d.inForce, d.metrics, d.logger, changed)
 	d.config = logstream.New(d.adapters.Log, config.StreamName, config.NewFold(), d.streamOptions(d.offerFolded))
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/plantainmux/plantainmux/internal/admit"
 	"github.com/plantainmux/plantainmux/internal/callerapi"
 	"github.com/plantainmux/plantainmux/internal/config"
+	"github.com/plantainmux/plantainmux/internal/evidence"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/group"
 	"github.com/plantainmux/plantainmux/internal/logstream"
@@ -57,6 +58,11 @@
 	vms    *watch.VMs
 	poller *watch.Poller
 	views  *view.Store
+
+	evidence *evidence.Recorder
+	digests  *evidence.Publisher
+	notices  *notices
+
 	loop   *reconcile.Loop
 	gate   *admit.Gate
 	spill  *spill.Server
@@ -92,6 +98,7 @@
 	if err := d.buildMesh(); err != nil {
 		return nil, err
 	}
+	d.buildEvidence()
 	d.buildControl()
 	d.buildOrders()
 	d.buildRequestPath()
@@ -106,7 +113,7 @@
 	d.buildConfig(wake)
 	d.groups = logstream.New(d.adapters.Log, group.StreamName(d.settings.DataCentre), group.NewFold(), d.streamOptions(wake))
 	d.table = watch.NewTable(func(fleet.VMID, group.Observation) { wake() })
-	d.vms = watch.NewVMs(d.adapters.VMs, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, wake)
+	d.vms = watch.NewVMs(d.adapters.VMs, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, d.noteVMs)
 	d.poller = watch.NewPoller(d.adapters.Engine, d.table, d.pool, settings.Millis(d.settings.Timing.PollMS), d.watched)
 	d.loop = reconcile.NewLoop(reconcile.Dependencies{
 		Self:       d.id,
@@ -125,6 +132,12 @@
 	})
 }
 
+// noteVMs takes a new list of VMs.
+func (d *Daemon) noteVMs() {
+	d.notices.update(d.vms.All(), time.Now())
+	d.loop.Wake()
+}
+
 func (d *Daemon) streamOptions(onApply func()) logstream.Options {
 	return logstream.Options{Writer: string(d.id), Logger: d.logger, Metrics: d.metrics, SnapshotAge: settings.Millis(d.settings.Timing.SnapshotAgeMS), OnApply: onApply}
 }
@@ -152,6 +165,7 @@
 		Relay:           runs,
 		Services:        d.orders.caller,
 		Metrics:         d.metrics,
+		Evidence:        d.evidence,
 		Logger:          d.logger,
 		BodyLimit:       d.settings.Limits.BodyBytes,
 		DefaultDeadline: settings.Millis(d.settings.Timing.DefaultWaitMS),
@@ -167,6 +181,7 @@
 		Suspects: suspect.NewWatch(d.mesh, d.settings.DataCentre),
 		Metrics:  d.metrics,
 		Remote:   spill.NewClient(d.mesh),
+		Observer: &observer{Recorder: d.evidence, notices: d.notices},
 		Failed:   d.table.Fail,
 	})
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -78,6 +78,7 @@
 	d.tasks.Go(func() { d.poller.Run(ctx) })
 	d.tasks.Go(func() { d.loop.Run(ctx) })
 	d.tasks.Go(func() { d.gate.Run(ctx) })
+	d.tasks.Go(func() { d.digests.Run(ctx) })
 }
 
 func (d *Daemon) serve(listener net.Listener, handler http.Handler) *http.Server {
@@ -107,5 +108,6 @@
 	d.spill.Drain()
 	d.mesh.Drain(d.killed)
 	d.drainOrders()
+	d.finishEvidence()
 	_ = admins.Shutdown(context.Background())
 }
--- a/internal/evidence/recorder.go
+++ b/internal/evidence/recorder.go
@@ -63,14 +63,13 @@
 	}
 }
 
-// Refused counts a refusal. mayHaveRun says that an attempt at the request may
-// have run.
-func (r *Recorder) Refused(refused *refusal.Refusal, mayHaveRun bool) {
+// RanNotRun counts a refusal as not run though an attempt may have run.
+func (r *Recorder) RanNotRun() { r.ranNotRun.Add(1) }
+
+// Refused counts a refusal.
+func (r *Recorder) Refused(refused *refusal.Refusal) {
 	if refused.Outcome == refusal.NotRun {
 		r.notRun.Add(1)
-		if mayHaveRun {
-			r.ranNotRun.Add(1)
-		}
 	} else {
 		r.unknown.Add(1)
 	}
@@ -86,8 +85,8 @@
 // bound.
 func (r *Recorder) LeavingStart() { r.leavingStarts.Add(1) }
 
-// RequestCut counts a request that a planned stop ended.
-func (r *Recorder) RequestCut() { r.cutRequests.Add(1) }
+// RequestsCut counts requests that a planned stop ended.
+func (r *Recorder) RequestsCut(count int) { r.cutRequests.Add(uint64(count)) }
 
 // InForce notes the configuration in force.
 func (r *Recorder) InForce(version platform.Offset, now time.Time) {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -158,6 +158,9 @@
 		if fault != noFault {
 			a.Metrics.FrameFaulty(fault)
 		}
+		if fault == metric.OtherAttempt {
+			a.Observer.ForeignFrame()
+		}
 		if fault == metric.Gap {
 			return &GapError{Attempt: a.frames.attempt, Want: a.frames.next, Got: frame.Index}
 		}
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -37,7 +37,7 @@
 		r.Metrics.RetryDenied(retry.CallerLeft)
 		return r.refuse(refusal.SlowReader, 0, "the caller reads too slowly")
 	case errors.As(err, &sink), ctx.Err() != nil:
-		return r.ended(ctx)
+		return r.timeOver(ctx)
 	case isRejected(err):
 		return r.refuse(refusal.EndpointRefused, 0, "the endpoint rejected the request")
 	case errors.As(err, &diverged):
@@ -47,9 +47,9 @@
 	}
 }
 
-// ended returns the refusal of a request whose time is over or whose caller
+// timeOver returns the refusal of a request whose time is over or whose caller
 // went away.
-func (r *run) ended(ctx context.Context) *refusal.Refusal {
+func (r *run) timeOver(ctx context.Context) *refusal.Refusal {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		r.Metrics.RetryDenied(retry.NoTime)
 		return r.refuse(refusal.DeadlineExceeded, comeBackDeadline, "the request's time is over")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,6 +22,7 @@
 	Suspects *suspect.Watch
 	Metrics  *metric.Set
 	Remote   Remote // nil when there is no other data centre
+	Observer Observer
 	// Failed is told of each member that broke a request.
 	Failed func(vm fleet.VMID, at time.Time)
 }
@@ -45,7 +46,7 @@
 // Run runs a request and passes its answer to sink. A nil result means that
 // sink received the whole answer.
 func (r *Relay) Run(ctx context.Context, req *request.Request, sink Sink) *refusal.Refusal {
-	return r.newRun(req, sink).untilWhole(ctx)
+	return r.newRun(req, sink).observed(ctx)
 }
 
 // RunElsewhere runs a request in another data centre, since the own one refused
@@ -53,7 +54,7 @@
 func (r *Relay) RunElsewhere(ctx context.Context, req *request.Request, sink Sink, refused *refusal.Refusal) *refusal.Refusal {
 	run := r.newRun(req, sink)
 	run.onlyElsewhere = true
-	if outcome := run.untilWhole(ctx); outcome == nil || outcome.Outcome != refusal.NotRun {
+	if outcome := run.observed(ctx); outcome == nil || outcome.Outcome != refusal.NotRun {
 		return outcome
 	}
 	return refused
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -28,9 +28,22 @@
 	delivered     int            // frames that the sink has
 	digest        *xxhash.Digest // of the delivered frames; nil while there is none
 	mayHaveRun    bool
+	ended         bool // the sink has the end marker
 	lastFailure   retry.Reason
 }
 
+// observed runs the request and tells the observer what became of it.
+func (r *run) observed(ctx context.Context) *refusal.Refusal {
+	refused := r.untilWhole(ctx)
+	switch {
+	case refused == nil:
+		r.Observer.Answered(r.ended)
+	case refused.Outcome == refusal.NotRun && r.mayHaveRun:
+		r.Observer.RanNotRun()
+	}
+	return refused
+}
+
 func (r *run) untilWhole(ctx context.Context) *refusal.Refusal {
 	for {
 		target, refused := r.pick(ctx)
@@ -64,6 +77,9 @@
 	t.serving.Load.Begin()
 	defer t.serving.Load.End()
 	started := time.Now()
+	if t.remote == "" {
+		r.Observer.AttemptStarted(t.serving, started)
+	}
 	err := newAttempt(r, t, fmt.Sprintf("%s.%d", r.req.ID, r.attempts)).make(ctx)
 	if err != nil && ctx.Err() == nil {
 		r.noteFailure(t, err, started)
@@ -104,7 +120,7 @@
 	r.Metrics.Retried(reason)
 	select {
 	case <-ctx.Done():
-		return r.ended(ctx)
+		return r.timeOver(ctx)
 	case <-time.After(delay):
 		return nil
 	}
@@ -131,6 +147,7 @@
 		return &SinkError{Err: err}
 	}
 	r.delivered++
+	r.ended = frame.Done
 	if r.deterministic {
 		if r.digest == nil {
 			r.digest = xxhash.New()
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -54,7 +54,7 @@
 		if ok {
 			release()
 		}
-		return nil, r.ended(ctx)
+		return nil, r.timeOver(ctx)
 	case !ok && r.Suspects.Standing(r.req.Fingerprint) == suspect.Isolated:
 		return r.pickRemote()
 	case !ok:
