Two watchers a member: changes told at once, digests repeated, times never too late

Each VM is polled by two daemons, by rendezvous; the others learn of changes at once, and of no change by one short message a round that carries a digest. A peer that missed a change sees another digest and asks for the whole list. A VM that no watcher speaks of for half the report bound is polled by everybody.

A time crosses as a reading of the sender's clock. Each link learns a bound of the other clock from stamps that come back, so a late message never makes an observation look younger than its poll, without any common time.

A failed poll counts only when no other watcher's success speaks for the member; it takes away what its own observer proved. A failed request counts at once for the daemon that made it, and sends the watchers to look.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -50,7 +50,9 @@
 
 	table  *watch.Table
 	vms    *watch.VMs
+	duty   *watch.Duty
 	poller *watch.Poller
+	sharer *watch.Sharer
 	views  *view.Store
 	loop   *reconcile.Loop
 	caller *callerapi.Server
@@ -100,9 +102,8 @@
 	for slot := range d.orders {
 		d.orders[slot] = logstream.New(d.adapters.Log, order.StreamName(order.Slot(slot)), order.NewFold(), d.streamOptions(func() {}))
 	}
-	d.table = watch.NewTable(func(fleet.VMID, group.Observation) { wake() })
 	d.vms = watch.NewVMs(d.adapters.VMs, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, wake)
-	d.poller = watch.NewPoller(d.adapters.Engine, d.table, d.pool, settings.Millis(d.settings.Timing.PollMS), d.watched)
+	d.buildWatching(wake)
 	d.loop = reconcile.NewLoop(reconcile.Dependencies{
 		Self:       d.id,
 		DataCentre: d.settings.DataCentre,
@@ -165,16 +166,6 @@
 	return current
 }
 
-// watched returns the VMs that this daemon polls.
-func (d *Daemon) watched() []fleet.VM {
-	all := d.vms.All()
-	watched := make([]fleet.VM, 0, len(all))
-	for _, vm := range all {
-		watched = append(watched, vm)
-	}
-	return watched
-}
-
 func (d *Daemon) status() adminapi.Status {
 	current := d.views.Load()
 	return adminapi.Status{
--- /dev/null
+++ b/internal/daemon/watching.go
@@ -0,0 +1,23 @@
+package daemon
+
+import (
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/group"
+	"github.com/plantainmux/plantainmux/internal/settings"
+	"github.com/plantainmux/plantainmux/internal/watch"
+)
+
+// buildWatching builds what polls members and shares the reports with peers.
+func (d *Daemon) buildWatching(wake func()) {
+	bound := settings.Millis(d.settings.Timing.ReportBoundMS)
+	period := settings.Millis(d.settings.Timing.PollMS)
+	changed := func(fleet.VMID, group.Observation) { wake() }
+	failed := func(vm fleet.VMID) { d.sharer.RequestFailed(vm) }
+	d.table = watch.NewTable(d.id, bound, changed, failed)
+	d.duty = watch.NewDuty(d.id, d.mesh.Live, d.knownVMs, d.table, bound)
+	d.poller = watch.NewPoller(d.id, d.adapters.Engine, d.table, d.duty, period)
+	d.sharer = watch.NewSharer(d.mesh, d.table, d.duty, d.poller)
+}
+
+// knownVMs returns the VMs to watch. The map must not be changed.
+func (d *Daemon) knownVMs() map[fleet.VMID]fleet.VM { return d.vms.All() }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -18,6 +18,8 @@
 	Failure    failureCode      `cbor:"8,keyasint,omitempty"`
 	Message    string           `cbor:"9,keyasint,omitempty"`  // of a failure
 	Credit     int              `cbor:"10,keyasint,omitempty"` // answers more that the caller takes
+	Echo       Stamp            `cbor:"11,keyasint,omitempty"` // newest stamp received from the other side
+	Held       Stamp            `cbor:"12,keyasint,omitempty"` // how long it has been held
 }
 
 func encodeFrame(f frame) ([]byte, error) {
--- a/internal/peer/frame_kind.go
+++ b/internal/peer/frame_kind.go
@@ -16,4 +16,5 @@
 	frameFailure             // the call failed
 	frameCancel              // the caller gave the call up
 	frameCredit              // the caller takes more answers
+	frameClock               // the sender's clock
 )
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -33,6 +33,9 @@
 	lastReceived atomic.Int64 // Unix nanoseconds
 	lastSent     atomic.Int64 // Unix nanoseconds
 	retiring     atomic.Bool
+	clock        *remoteClock // set when the link is registered
+	lastClock    atomic.Int64 // own clock at the last clock frame
+	greeted      atomic.Bool  // a clock frame was answered
 }
 
 func newLink(ctx context.Context, owner *Network, conn *websocket.Conn, remote identity, dialled bool) *link {
@@ -152,9 +155,13 @@
 	return nil
 }
 
-// heartbeat returns a heartbeat frame, or nothing when another frame was sent
-// within the period.
+// heartbeat returns a heartbeat or clock frame, or nothing when another frame
+// was sent within the period.
 func (l *link) heartbeat() []byte {
+	elapsed := time.Duration(int64(l.owner.clocks.now())-l.lastClock.Load()) * time.Millisecond
+	if elapsed >= clockHeartbeats*l.owner.options.Heartbeat {
+		return l.clockFrame()
+	}
 	idle := time.Duration(time.Now().UnixNano() - l.lastSent.Load())
 	if idle < l.owner.options.Heartbeat/2 {
 		return nil
@@ -197,6 +204,8 @@
 	case frameHeartbeat:
 	case frameState:
 		l.owner.noteState(l, f)
+	case frameClock:
+		l.noteClock(f)
 	case framePublish:
 		l.owner.receive(l, f)
 	case frameCall:
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -21,10 +21,12 @@
 	if exists {
 		go old.retire(&ClosedError{Reason: "replaced by another link"})
 	}
+	l.clock = n.clocks.of(l.remote.Daemon)
 	n.links[l.remote.Daemon] = l
 	n.running[l] = true
 	n.refresh()
 	n.greet(l)
+	n.tellClock(l)
 	return true
 }
 
@@ -42,6 +44,7 @@
 		return
 	}
 	delete(n.links, l.remote.Daemon)
+	n.clocks.keep(n.links)
 	n.refresh()
 }
 
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -16,13 +16,15 @@
 	It("are one for each pair, though both dial, and none to oneself", func() {
 		nodes := startNodes(nil, "north", "north", "north", "north")
 		awaitMesh(nodes)
-		Consistently(func() []int {
+		open := func() []int {
 			var sizes []int
 			for _, n := range nodes {
-				sizes = append(sizes, n.size())
+				sizes = append(sizes, n.openLinks())
 			}
 			return sizes
-		}, 5*testHeartbeat, pollOften).Should(HaveEach(3))
+		}
+		Eventually(open, waitLong, pollOften).Should(HaveEach(3))
+		Consistently(open, 5*testHeartbeat, pollOften).Should(HaveEach(3))
 		Eventually(func() int { return len(nodes[0].routing.Load().local) }, waitLong).Should(Equal(3))
 	})
 
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -29,6 +29,7 @@
 
 	routing  atomic.Pointer[routing]
 	windows  *windows
+	clocks   *clocks
 	sequence atomic.Uint64
 	turn     atomic.Uint64
 
@@ -59,6 +60,7 @@
 		callHandlers:   map[Method]CallHandler{},
 		openHandlers:   map[Method]OpenHandler{},
 		windows:        newWindows(),
+		clocks:         newClocks(),
 		links:          map[fleet.DaemonID]*link{},
 		running:        map[*link]bool{},
 		changed:        make(chan struct{}),
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -108,6 +108,13 @@
 	return append([]string{}, n.got...)
 }
 
+// openLinks returns how many links are open, in use or not.
+func (n *node) openLinks() int {
+	n.Network.mu.Lock()
+	defer n.Network.mu.Unlock()
+	return len(n.running)
+}
+
 // regionalLinks returns how many links the nodes have to other data centres.
 func regionalLinks(nodes []*node) int {
 	count := 0
--- a/internal/peer/topic.go
+++ b/internal/peer/topic.go
@@ -6,6 +6,8 @@
 // Topics of the mesh.
 const (
 	TopicReports  Topic = "reports"  // observations of members
+	TopicAlive    Topic = "alive"    // digests of observations, unchanged
+	TopicHints    Topic = "hints"    // members that a request failed on
 	TopicUsage    Topic = "usage"    // use of capacity by team
 	TopicSuspects Topic = "suspects" // requests that crashed endpoints
 	TopicVersions Topic = "versions" // configuration version in force
--- /dev/null
+++ b/internal/watch/duty.go
@@ -0,0 +1,81 @@
+package watch
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/rendezvous"
+)
+
+// watchersPerMember is how many daemons of a data centre poll each VM.
+const watchersPerMember = 2
+
+// Duty decides which VMs this daemon polls: those that it is a watcher of, and
+// those of which no watcher has spoken lately.
+type Duty struct {
+	self  fleet.DaemonID
+	live  func() []fleet.DaemonID
+	known func() map[fleet.VMID]fleet.VM
+	table *Table
+	bound time.Duration
+
+	mu       sync.Mutex
+	lastLive []fleet.DaemonID
+	lastVMs  map[fleet.VMID]fleet.VM
+	watched  []fleet.VM
+}
+
+// NewDuty returns the duty of a daemon. live returns the daemons of the data
+// centre and known its VMs.
+func NewDuty(self fleet.DaemonID, live func() []fleet.DaemonID, known func() map[fleet.VMID]fleet.VM, table *Table, bound time.Duration) *Duty {
+	return &Duty{self: self, live: live, known: known, table: table, bound: bound}
+}
+
+// Watched returns the VMs that this daemon is a watcher of. The result must not
+// be changed.
+func (d *Duty) Watched() []fleet.VM {
+	live, vms := d.live(), d.known()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if slices.Equal(live, d.lastLive) && maps.Equal(vms, d.lastVMs) {
+		return d.watched
+	}
+	d.lastLive, d.lastVMs = live, vms
+	d.watched = nil
+	for _, vm := range vms {
+		if rendezvous.Chosen(string(vm.ID), live, watchersPerMember, d.self) {
+			d.watched = append(d.watched, vm)
+		}
+	}
+	return d.watched
+}
+
+// Watches returns a VM if this daemon is a watcher of it.
+func (d *Duty) Watches(id fleet.VMID) (fleet.VM, bool) {
+	for _, vm := range d.Watched() {
+		if vm.ID == id {
+			return vm, true
+		}
+	}
+	return fleet.VM{}, false
+}
+
+// Targets returns the VMs to poll at now. A VM of which no watcher has spoken
+// for half the report bound is polled by every daemon, so that it does not go
+// stale while the watchers are lost and not replaced yet.
+func (d *Duty) Targets(now time.Time) []fleet.VM {
+	watched := d.Watched()
+	targets := slices.Clone(watched)
+	for _, vm := range d.known() {
+		if !d.table.Unheard(vm.ID, now.Add(-d.bound/2)) {
+			continue
+		}
+		if !slices.ContainsFunc(watched, func(w fleet.VM) bool { return w.ID == vm.ID }) {
+			targets = append(targets, vm)
+		}
+	}
+	return targets
+}
--- /dev/null
+++ b/internal/watch/engines_test.go
@@ -0,0 +1,106 @@
+package watch
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/endpoint"
+	"github.com/plantainmux/plantainmux/internal/fleet"
+)
+
+// engines stands for all engines of a data centre. Their addresses are their
+// VM's names.
+type engines struct {
+	mu      sync.Mutex
+	reports map[string]fleet.MemberReport
+	dead    map[string]bool
+	cut     map[fleet.DaemonID]map[string]bool
+	polls   int
+	last    map[string]time.Time // when the last poll of each was answered
+}
+
+func newEngines(count int) *engines {
+	e := &engines{
+		reports: map[string]fleet.MemberReport{},
+		dead:    map[string]bool{},
+		cut:     map[fleet.DaemonID]map[string]bool{},
+		last:    map[string]time.Time{},
+	}
+	for i := range count {
+		name := fmt.Sprintf("vm-%03d", i)
+		e.reports[name] = fleet.MemberReport{
+			VM: fleet.VMID(name), Boot: "boot-1", Group: 7, State: fleet.EngineReady,
+			Model: "swatch-draft", Version: "v1", Adapters: []string{"paper"},
+		}
+	}
+	return e
+}
+
+func (e *engines) vms() map[fleet.VMID]fleet.VM {
+	vms := map[fleet.VMID]fleet.VM{}
+	for name := range e.reports {
+		vms[fleet.VMID(name)] = fleet.VM{ID: fleet.VMID(name), Address: name}
+	}
+	return vms
+}
+
+func (e *engines) update(name string, change func(*fleet.MemberReport)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	report := e.reports[name]
+	change(&report)
+	e.reports[name] = report
+}
+
+func (e *engines) setDead(name string, dead bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dead[name] = dead
+}
+
+// setCut cuts one daemon off from an engine.
+func (e *engines) setCut(daemon fleet.DaemonID, name string, cut bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cut[daemon] == nil {
+		e.cut[daemon] = map[string]bool{}
+	}
+	e.cut[daemon][name] = cut
+}
+
+func (e *engines) pollCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.polls
+}
+
+func (e *engines) lastPolls() map[string]time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.last)
+}
+
+func (e *engines) report(daemon fleet.DaemonID, address string) (fleet.MemberReport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.polls++
+	e.last[address] = time.Now()
+	if e.dead[address] || e.cut[daemon][address] {
+		return fleet.MemberReport{}, &endpoint.UnreachableError{Address: address}
+	}
+	return e.reports[address], nil
+}
+
+// engineOf is the engines as one daemon reaches them.
+type engineOf struct {
+	endpoint.Engine
+	engines *engines
+	daemon  fleet.DaemonID
+}
+
+func (e *engineOf) Report(_ context.Context, address string) (fleet.MemberReport, error) {
+	return e.engines.report(e.daemon, address)
+}
--- a/internal/watch/poller.go
+++ b/internal/watch/poller.go
@@ -11,62 +11,113 @@
 	"github.com/plantainmux/plantainmux/internal/group"
 )
 
+const (
+	hintQueue = 1024 // VMs that may wait for a poll out of turn
+	// pollWorkers is so large that polls which hang, as when a fabric domain goes
+	// dark, do not keep the others waiting.
+	pollWorkers = 4096
+)
+
 // Poller polls members for their reports.
 type Poller struct {
+	self    fleet.DaemonID
 	engine  endpoint.Engine
 	table   *Table
+	duty    *Duty
 	pool    pond.Pool
 	period  time.Duration
-	targets func() []fleet.VM
+	timeout time.Duration
+	polling *inProgress
+	hints   chan fleet.VM
+	changed func()          // told after each poll that brought something new
+	round   func(time.Time) // told in the middle of each round that began at a time
 }
 
-// NewPoller returns a poller of the VMs that targets returns at each round.
-func NewPoller(engine endpoint.Engine, table *Table, pool pond.Pool, period time.Duration, targets func() []fleet.VM) *Poller {
-	return &Poller{engine: engine, table: table, pool: pool, period: period, targets: targets}
+// NewPoller returns a poller of the VMs of a duty.
+func NewPoller(self fleet.DaemonID, engine endpoint.Engine, table *Table, duty *Duty, period time.Duration) *Poller {
+	return &Poller{
+		self:    self,
+		engine:  engine,
+		table:   table,
+		duty:    duty,
+		pool:    pond.NewPool(pollWorkers),
+		period:  period,
+		timeout: table.bound / 2,
+		polling: newInProgress(),
+		hints:   make(chan fleet.VM, hintQueue),
+		changed: func() {},
+		round:   func(time.Time) {},
+	}
+}
+
+// Hint polls a VM soon, out of turn.
+func (p *Poller) Hint(vm fleet.VM) {
+	select {
+	case p.hints <- vm:
+	default:
+	}
 }
 
 // Run polls until ctx ends.
 func (p *Poller) Run(ctx context.Context) {
-	ticker := time.NewTicker(p.period)
-	defer ticker.Stop()
-	polling := newInProgress()
+	rounds := time.NewTicker(p.period)
+	defer rounds.Stop()
+	defer p.pool.StopAndWait()
+	middle := time.NewTimer(p.period / 2)
+	defer middle.Stop()
+	began := p.startRound(ctx)
 	for {
-		for _, vm := range p.targets() {
-			p.start(ctx, polling, vm)
-		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case vm := <-p.hints:
+			p.start(ctx, vm)
+		case <-middle.C:
+			p.round(began)
+		case <-rounds.C:
+			began = p.startRound(ctx)
+			middle.Reset(p.period / 2)
 		}
 	}
 }
 
+func (p *Poller) startRound(ctx context.Context) time.Time {
+	began := time.Now()
+	for _, vm := range p.duty.Targets(began) {
+		p.start(ctx, vm)
+	}
+	return began
+}
+
 // start polls one VM, unless its last poll is still under way.
-func (p *Poller) start(ctx context.Context, polling *inProgress, vm fleet.VM) {
-	if !polling.begin(vm.ID) {
+func (p *Poller) start(ctx context.Context, vm fleet.VM) {
+	if vm.Address == "" || !p.polling.begin(vm.ID) {
 		return
 	}
 	_, ok := p.pool.TrySubmit(func() {
-		defer polling.end(vm.ID)
-		p.poll(ctx, vm)
+		changed := p.poll(ctx, vm)
+		p.polling.end(vm.ID)
+		if changed {
+			p.changed()
+		}
 	})
 	if !ok {
-		polling.end(vm.ID)
+		p.polling.end(vm.ID)
 	}
 }
 
-func (p *Poller) poll(ctx context.Context, vm fleet.VM) {
-	started := time.Now()
-	report, err := p.engine.Report(ctx, vm.Address)
-	if err != nil {
-		p.table.Fail(vm.ID, started)
-		return
+// poll reports whether it brought something new.
+func (p *Poller) poll(ctx context.Context, vm fleet.VM) bool {
+	began := time.Now()
+	limited, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
+	report, err := p.engine.Report(limited, vm.Address)
+	if ctx.Err() != nil {
+		return false
 	}
 	// An engine that answers for another VM proves nothing of this one.
-	if report.VM != vm.ID {
-		p.table.Fail(vm.ID, started)
-		return
+	if err != nil || report.VM != vm.ID {
+		return p.table.Missed(p.self, vm.ID, began, time.Now())
 	}
-	p.table.Put(group.Observation{Report: report, At: started})
+	return p.table.Put(group.Observation{Report: report, Address: vm.Address, At: began})
 }
--- /dev/null
+++ b/internal/watch/report_item.go
@@ -0,0 +1,16 @@
+package watch
+
+import (
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/peer"
+)
+
+// reportItem is one daemon's own observation of one VM.
+type reportItem struct {
+	_         struct{} `cbor:",toarray"`
+	Report    fleet.MemberReport
+	Address   string
+	Age       peer.Stamp // since the last successful poll began
+	Failed    bool       // the last poll failed
+	FailedAge peer.Stamp // since it began
+}
