--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,11 +19,12 @@
 	"github.com/plantainmux/plantainmux/internal/group"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/metric"
-	"github.com/plantainmux/plantainmux/internal/order"
 	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/reconcile"
 	"github.com/plantainmux/plantainmux/internal/relay"
 	"github.com/plantainmux/plantainmux/internal/settings"
+	"github.com/plantainmux/plantainmux/internal/spill"
+	"github.com/plantainmux/plantainmux/internal/suspect"
 	"github.com/plantainmux/plantainmux/internal/view"
 	"github.com/plantainmux/plantainmux/internal/watch"
 )
@@ -31,7 +32,9 @@
 const (
 	lostAfterBounds = 3 // report bounds of silence after which a member is lost
 	loadLimit       = 5 * time.Minute
-	orderLife       = 10 * time.Second
+	orderLife       = 10 * time.Second // above the time limits of an order and its confirmation
+	drainSettle     = 3 * time.Second  // above the lag of load reports and the life of a view
+	drainLimit      = 15 * time.Minute // above the longest deadline of a request
 )
 
 // Daemon is one running daemon.
@@ -44,9 +47,11 @@
 	pool     pond.Pool
 	mesh     *peer.Network
 
-	config *logstream.Stream[*config.Fold]
-	groups *logstream.Stream[*group.Fold]
-	orders [order.Slots]*logstream.Stream[*order.Fold]
+	config  *logstream.Stream[*config.Fold]
+	inForce *config.Store
+	spread  *config.Spread
+	groups  *logstream.Stream[*group.Fold]
+	orders  orders
 
 	table  *watch.Table
 	vms    *watch.VMs
@@ -55,6 +60,8 @@
 	sharer *watch.Sharer
 	views  *view.Store
 	loop   *reconcile.Loop
+	gate   *admit.Gate
+	spill  *spill.Server
 	caller *callerapi.Server
 	admin  *adminapi.Server
 
@@ -88,6 +95,7 @@
 		return nil, err
 	}
 	d.buildControl()
+	d.buildOrders()
 	d.buildRequestPath()
 	if err := d.listen(); err != nil {
 		return nil, err
@@ -97,11 +105,8 @@
 
 func (d *Daemon) buildControl() {
 	wake := func() { d.loop.Wake() }
-	d.config = logstream.New(d.adapters.Log, config.StreamName, config.NewFold(), d.streamOptions(wake))
+	d.buildConfig(wake)
 	d.groups = logstream.New(d.adapters.Log, group.StreamName(d.settings.DataCentre), group.NewFold(), d.streamOptions(wake))
-	for slot := range d.orders {
-		d.orders[slot] = logstream.New(d.adapters.Log, order.StreamName(order.Slot(slot)), order.NewFold(), d.streamOptions(func() {}))
-	}
 	d.vms = watch.NewVMs(d.adapters.VMs, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, wake)
 	d.buildWatching(wake)
 	d.loop = reconcile.NewLoop(reconcile.Dependencies{
@@ -113,16 +118,16 @@
 		VMs:        d.vms,
 		Views:      d.views,
 		Engine:     d.adapters.Engine,
-		Pool:       d.pool,
 		Live:       d.mesh.Live,
 		Period:     settings.Millis(d.settings.Timing.ReconcileMS),
 		Bounds:     d.bounds(),
+		Metrics:    d.metrics,
 		Logger:     d.logger,
 	})
 }
 
 func (d *Daemon) streamOptions(onApply func()) logstream.Options {
-	return logstream.Options{Writer: string(d.id), Logger: d.logger, OnApply: onApply}
+	return logstream.Options{Writer: string(d.id), Logger: d.logger, Metrics: d.metrics, SnapshotAge: settings.Millis(d.settings.Timing.SnapshotAgeMS), OnApply: onApply}
 }
 
 func (d *Daemon) bounds() group.Bounds {
@@ -132,49 +137,80 @@
 		LostAfter:   lostAfterBounds * reportBound,
 		LoadLimit:   loadLimit,
 		OrderLife:   orderLife,
+		DrainSettle: drainSettle,
+		DrainLimit:  drainLimit,
 	}
 }
 
 func (d *Daemon) buildRequestPath() {
+	d.gate = d.newGate()
+	runs := d.newRelay()
+	d.spill = spill.NewServer(d.mesh, d.gate, runs)
 	d.caller = callerapi.New(callerapi.Dependencies{
 		DataCentre:      d.settings.DataCentre,
 		Views:           d.views,
-		Gate:            admit.NewGate(d.capacity),
-		Relay:           relay.New(d.views, d.adapters.Engine, d.table.Fail),
-		Orders:          order.NewRunner(d.orders, d.adapters.Service),
-		Service:         d.adapters.Service,
+		Gate:            d.gate,
+		Relay:           runs,
+		Services:        d.orders.caller,
 		Metrics:         d.metrics,
 		Logger:          d.logger,
 		BodyLimit:       d.settings.Limits.BodyBytes,
 		DefaultDeadline: settings.Millis(d.settings.Timing.DefaultWaitMS),
 	})
 	d.admin = adminapi.New(d.settings.AdminToken, d.status, d.metrics)
+	d.admin.Orders = d.orders.book
+}
+
+func (d *Daemon) newRelay() *relay.Relay {
+	return relay.New(relay.Dependencies{
+		Views:    d.views,
+		Engine:   d.adapters.Engine,
+		Suspects: suspect.NewWatch(d.mesh, d.settings.DataCentre),
+		Metrics:  d.metrics,
+		Remote:   spill.NewClient(d.mesh),
+		Failed:   d.table.Fail,
+	})
 }
 
-// capacity returns the concurrent requests that the complete groups can run.
-func (d *Daemon) capacity() int {
-	total := 0
-	for _, serving := range d.views.Load().Groups {
-		total += serving.Capacity
+// ownPeerAddress returns the address under which the peers know this daemon.
+func (d *Daemon) ownPeerAddress() string {
+	if d.adapters.PeerListener != nil {
+		return d.adapters.PeerListener.Addr().String()
 	}
-	return total
+	return d.settings.Listen.Peer
 }
 
-func (d *Daemon) currentConfig() config.Versioned {
-	var current config.Versioned
-	d.config.Read(func(fold *config.Fold) { current = fold.Current() })
-	return current
+// newGate returns the gate of the callers' requests.
+func (d *Daemon) newGate() *admit.Gate {
+	declared := 1
+	for _, other := range d.settings.Peers {
+		if other.DataCentre == d.settings.DataCentre && other.Address != d.ownPeerAddress() {
+			declared++
+		}
+	}
+	return admit.NewGate(admit.Dependencies{
+		Views:    d.views,
+		Mesh:     d.mesh,
+		Declared: declared,
+		Bounds: admit.Bounds{
+			QueueLength: d.settings.Limits.QueueLength,
+			QueueWait:   settings.Millis(d.settings.Limits.QueueWaitMS),
+		},
+	})
 }
 
 func (d *Daemon) status() adminapi.Status {
 	current := d.views.Load()
 	return adminapi.Status{
-		Daemon:        d.id,
-		DataCentre:    d.settings.DataCentre,
-		Ready:         current.Config.Version != 0 && d.groups.Booted(),
-		Draining:      d.draining.Load(),
-		Peers:         d.mesh.Live(),
-		ConfigVersion: current.Config.Version,
-		Groups:        current.Status,
+		Daemon:         d.id,
+		DataCentre:     d.settings.DataCentre,
+		Ready:          current.Config.Version != 0 && d.groups.Booted(),
+		Draining:       d.draining.Load(),
+		Peers:          d.mesh.Live(),
+		ConfigVersion:  current.Config.Version,
+		ConfigSource:   string(d.inForce.Load().Source),
+		ConfigTookMS:   d.inForce.Load().Took().Milliseconds(),
+		RefusedStreams: d.refusedStreams(),
+		Groups:         current.Status,
 	}
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -10,6 +10,9 @@
 	"github.com/plantainmux/plantainmux/internal/settings"
 )
 
+// headerTimeout is how long a client may take to send the header of a request.
+const headerTimeout = 10 * time.Second
+
 // CallerAddress returns the address of the callers' listener.
 func (d *Daemon) CallerAddress() string { return d.callerListener.Addr().String() }
 
@@ -56,6 +59,8 @@
 	d.mesh.Close()
 	cancel()
 	d.tasks.Wait()
+	d.kill()
+	d.orders.slots.Wait()
 	d.pool.StopAndWait()
 	d.logger.Info("daemon stopped")
 }
@@ -66,19 +71,20 @@
 
 func (d *Daemon) startControl(ctx context.Context) {
 	d.tasks.Go(func() { d.config.Run(ctx) })
+	d.tasks.Go(func() { d.spread.Run(ctx) })
 	d.tasks.Go(func() { d.groups.Run(ctx) })
-	for _, stream := range d.orders {
-		d.tasks.Go(func() { stream.Run(ctx) })
-	}
+	d.startOrders(ctx)
 	d.tasks.Go(func() { d.vms.Run(ctx) })
 	d.tasks.Go(func() { d.poller.Run(ctx) })
 	d.tasks.Go(func() { d.loop.Run(ctx) })
+	d.tasks.Go(func() { d.gate.Run(ctx) })
 }
 
 func (d *Daemon) serve(listener net.Listener, handler http.Handler) *http.Server {
 	server := &http.Server{
-		Handler:     handler,
-		BaseContext: func(net.Listener) context.Context { return d.killed },
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		BaseContext:       func(net.Listener) context.Context { return d.killed },
 	}
 	d.tasks.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -98,6 +104,8 @@
 	d.caller.Drain()
 	d.mesh.Leave()
 	_ = callers.Shutdown(context.Background())
+	d.spill.Drain()
 	d.mesh.Drain(d.killed)
+	d.drainOrders()
 	_ = admins.Shutdown(context.Background())
 }
--- a/internal/daemon/watching.go
+++ b/internal/daemon/watching.go
@@ -20,4 +20,4 @@
 }
 
 // knownVMs returns the VMs to watch. The map must not be changed.
-func (d *Daemon) knownVMs() map[fleet.VMID]fleet.VM { return d.vms.All() }
+func (d *Daemon) knownVMs() map[fleet.VMID]fleet.VM { return d.loop.Known() }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -17,15 +17,24 @@
 	At       time.Time
 }
 
-// ForModel returns the complete groups that serve a model and adapter.
-func (v *View) ForModel(name fleet.ModelName, adapter string) []*Serving {
-	var groups []*Serving
+// Group returns the complete group of a fencing number.
+func (v *View) Group(fencing fleet.FencingNumber) (*Serving, bool) {
 	for _, group := range v.Groups {
-		if group.Serves(name, adapter) {
-			groups = append(groups, group)
+		if group.Fencing == fencing {
+			return group, true
 		}
 	}
-	return groups
+	return nil, false
+}
+
+// StatusOf returns the status of the group of a fencing number.
+func (v *View) StatusOf(fencing fleet.FencingNumber) (GroupStatus, bool) {
+	for _, status := range v.Status {
+		if status.Fencing == fencing {
+			return status, true
+		}
+	}
+	return GroupStatus{}, false
 }
 
 // Model returns the configured model of a name.
