--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -56,7 +56,9 @@
 
 	table  *watch.Table
 	vms    *watch.VMs
+	duty   *watch.Duty
 	poller *watch.Poller
+	sharer *watch.Sharer
 	views  *view.Store
 
 	evidence *evidence.Recorder
@@ -112,9 +114,8 @@
 	wake := func() { d.loop.Wake() }
 	d.buildConfig(wake)
 	d.groups = logstream.New(d.adapters.Log, group.StreamName(d.settings.DataCentre), group.NewFold(), d.streamOptions(wake))
-	d.table = watch.NewTable(func(fleet.VMID, group.Observation) { wake() })
 	d.vms = watch.NewVMs(d.adapters.VMs, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, d.noteVMs)
-	d.poller = watch.NewPoller(d.adapters.Engine, d.table, d.pool, settings.Millis(d.settings.Timing.PollMS), d.watched)
+	d.buildWatching(wake)
 	d.loop = reconcile.NewLoop(reconcile.Dependencies{
 		Self:       d.id,
 		DataCentre: d.settings.DataCentre,
@@ -213,16 +214,6 @@
 	})
 }
 
-// watched returns the VMs that this daemon polls.
-func (d *Daemon) watched() []fleet.VM {
-	all := d.loop.Known()
-	watched := make([]fleet.VM, 0, len(all))
-	for _, vm := range all {
-		watched = append(watched, vm)
-	}
-	return watched
-}
-
 func (d *Daemon) status() adminapi.Status {
 	current := d.views.Load()
 	return adminapi.Status{
