--- /dev/null
+++ b/internal/order/bed_test.go
@@ -0,0 +1,123 @@
+package order_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/endpoint"
+	"github.com/plantainmux/plantainmux/internal/fakes"
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/order"
+	"github.com/plantainmux/plantainmux/internal/refusal"
+)
+
+const (
+	testClaimTimeout = 400 * time.Millisecond
+	testLogRate      = 2000 // appends a second
+	placeTimeout     = 6 * time.Second
+	waitLong         = 20 * time.Second
+	pollOften        = 20 * time.Millisecond
+)
+
+// bed is a log, a service and the nodes before them.
+type bed struct {
+	hub           *hub
+	log           *fakes.Log
+	logServer     *fakes.Server
+	service       *fakes.Service
+	serviceServer *fakes.Server
+	snapshotEvery int
+}
+
+func newBed() *bed {
+	b := &bed{
+		hub:           &hub{nodes: map[fleet.DaemonID]*node{}},
+		log:           fakes.NewLog(testLogRate),
+		service:       fakes.NewService(false),
+		snapshotEvery: 256,
+	}
+	b.logServer = b.serve(b.log)
+	b.serviceServer = b.serve(b.service)
+	DeferCleanup(func() {
+		for _, n := range b.hub.nodes {
+			n.kill()
+		}
+	})
+	return b
+}
+
+func (b *bed) startNodes(count int) []*node {
+	var nodes []*node
+	for i := range count {
+		nodes = append(nodes, b.startNode(fleet.DaemonID(fmt.Sprintf("node-%d", i))))
+	}
+	return nodes
+}
+
+func (b *bed) order(key string) order.Order {
+	return order.Order{
+		Key:            order.NewKey("merchants", "orders", key),
+		Addresses:      []string{b.serviceServer.Address()},
+		Call:           endpoint.ServiceCall{Method: "POST", Path: "/orders", Key: key, Body: []byte("swatch " + key)},
+		Lifetime:       time.Hour,
+		Timeout:        placeTimeout,
+		DeadlineMillis: time.Now().Add(placeTimeout).UnixMilli(),
+	}
+}
+
+// ownerOf returns the node that owns a key's slot, and the others.
+func (b *bed) ownerOf(key string, nodes []*node) (owner *node, others []*node) {
+	id := nodes[0].slots.Owners(order.SlotOf(b.order(key).Key))[0]
+	for _, n := range nodes {
+		if n.id == id {
+			owner = n
+			continue
+		}
+		others = append(others, n)
+	}
+	return owner, others
+}
+
+// keyOwnedBy returns a key of a slot that a node owns.
+func (b *bed) keyOwnedBy(n *node, nodes []*node) string {
+	for i := 0; ; i++ {
+		key := fmt.Sprintf("of-%s-%d", n.id, i)
+		if owner, _ := b.ownerOf(key, nodes); owner == n {
+			return key
+		}
+	}
+}
+
+// settled repeats an order on a node until its answer is final.
+func (b *bed) settled(n *node, key string) order.Result {
+	GinkgoHelper()
+	var result order.Result
+	Eventually(func() bool {
+		result = n.place(b.order(key))
+		return result.Refusal == nil || result.Refusal.RetryAfter == 0
+	}, waitLong, pollOften).Should(BeTrue())
+	return result
+}
+
+func (b *bed) stateOf(n *node, key string) func() order.State {
+	return func() order.State {
+		ctx, cancel := contextWithTimeout()
+		defer cancel()
+		record, err := n.book.Show(ctx, b.order(key).Key)
+		if err != nil {
+			return ""
+		}
+		return record.State
+	}
+}
+
+func isNotRun(result order.Result) bool {
+	return result.Refusal != nil && result.Refusal.Outcome == refusal.NotRun
+}
+
+func isUnknown(result order.Result) bool {
+	return result.Refusal != nil && result.Refusal.Outcome == refusal.Unknown
+}
--- a/internal/order/dependencies.go
+++ b/internal/order/dependencies.go
@@ -14,6 +14,8 @@
 	Service    endpoint.Service
 	Usable     func(address string) bool // whether an endpoint is healthy as far as known
 	Metrics    *Metrics
-	InProgress int // orders whose outcome is not recorded yet
-	Now        func() time.Time
+	InProgress int // most orders whose outcome is not recorded yet
+	// ClaimTimeout bounds the wait for the verdict on a claim.
+	ClaimTimeout time.Duration
+	Now          func() time.Time
 }
--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -13,7 +12,7 @@
 )
 
 const (
-	claimTimeout      = 3 * time.Second        // wait for the verdict on a claim
+	claimTimeout      = 3 * time.Second        // wait for the verdict on a claim, by default
 	outcomeWait       = 500 * time.Millisecond // an answer waits so long for its record
 	directRunTimeout  = 5 * time.Second        // wait for the record of a run without a claim
 	tickBound         = time.Hour              // lag of the stream's clock after which a tick is due
@@ -24,6 +23,7 @@
 	repeatWait        = 2 * time.Second // a repeat waits so long for the outcome
 	answerKeptLimit   = 32 << 10        // bytes of an answer that is recorded
 	defaultInProgress = 512
+	withdrawalsLimit  = 256 // claims in withdrawal; beyond it, a claim ends as unclear
 )
 
 // Runner runs orders at most once. Each order holds one worker of a bounded
@@ -31,7 +31,8 @@
 // take are bounded: beyond that, new orders are refused as not run.
 type Runner struct {
 	Dependencies
-	pool pond.Pool
+	pool        pond.Pool
+	withdrawals pond.Pool
 }
 
 // NewRunner returns a runner.
@@ -39,15 +40,23 @@
 	if dependencies.InProgress == 0 {
 		dependencies.InProgress = defaultInProgress
 	}
+	if dependencies.ClaimTimeout == 0 {
+		dependencies.ClaimTimeout = claimTimeout
+	}
 	if dependencies.Now == nil {
 		dependencies.Now = time.Now
 	}
 	return &Runner{
 		Dependencies: dependencies,
-		pool:         pond.NewPool(dependencies.InProgress, pond.WithNonBlocking(true), pond.WithQueueSize(1)),
+		pool:         newBoundedPool(dependencies.InProgress),
+		withdrawals:  newBoundedPool(withdrawalsLimit),
 	}
 }
 
+func newBoundedPool(workers int) pond.Pool {
+	return pond.NewPool(workers, pond.WithNonBlocking(true), pond.WithQueueSize(1))
+}
+
 // Run runs an order at most once, or returns the recorded answer of its key.
 // An order goes on when ctx ends; its outcome is recorded all the same.
 func (r *Runner) Run(ctx context.Context, o Order) Result {
@@ -86,9 +95,11 @@
 // Drain waits until every order has its outcome recorded, but no longer than
 // ctx allows.
 func (r *Runner) Drain(ctx context.Context) {
-	select {
-	case <-r.pool.Stop().Done():
-	case <-ctx.Done():
+	for _, pool := range []pond.Pool{r.pool, r.withdrawals} {
+		select {
+		case <-pool.Stop().Done():
+		case <-ctx.Done():
+		}
 	}
 }
 
@@ -97,7 +108,7 @@
 
 func (r *Runner) run(t *task) {
 	started := r.Now()
-	limit := min(claimTimeout, t.deadline.Sub(started))
+	limit := min(r.ClaimTimeout, t.deadline.Sub(started))
 	if limit <= 0 {
 		t.reply(refused(refusal.New(refusal.DeadlineExceeded, 0, "the deadline passed before the order could run")))
 		return
@@ -107,10 +118,10 @@
 		return
 	}
 	receipt, err := r.propose(t, KindClaim, t.claim, limit)
-	t.followed.breaker.leave(err == nil, limit == claimTimeout)
+	t.followed.breaker.leave(err == nil, limit == r.ClaimTimeout)
 	switch {
 	case err != nil:
-		r.unclaimed(t, wasSent(err))
+		r.unclaimed(t, true)
 	case receipt.Void != nil:
 		t.reply(r.lost(t, receipt.Void))
 	default:
@@ -119,11 +130,6 @@
 	}
 }
 
-func wasSent(err error) bool {
-	var failure *logstream.ProposalError
-	return !errors.As(err, &failure) || failure.Sent
-}
-
 // propose proposes a record for a limited time, whatever becomes of the
 // request. A limit of zero is none.
 func (r *Runner) propose(t *task, kind logstream.Kind, body any, limit time.Duration) (logstream.Receipt, error) {
@@ -135,21 +141,31 @@
 	return t.followed.stream.Propose(ctx, kind, body)
 }
 
-// unclaimed ends an order whose claim was not read back. One that was sent may
-// stand in the stream later; it is withdrawn, so that it blocks no repeat.
-func (r *Runner) unclaimed(t *task, sent bool) {
+// unclaimed ends an order whose claim was not read back. A claim that was
+// proposed may stand in the stream later; it is withdrawn, so that it blocks no
+// repeat.
+func (r *Runner) unclaimed(t *task, proposed bool) {
 	if t.order.RefusesRepeats {
-		r.runDirect(t, sent)
+		r.runDirect(t, proposed)
 		return
 	}
 	t.reply(refused(refusal.New(refusal.LogUnavailable, retryLogAway, "the claim was not recorded in time")))
-	if sent {
+	if proposed {
 		r.withdraw(t)
 	}
 }
 
+// withdraw settles a claim in the background, however long the log is away.
 func (r *Runner) withdraw(t *task) {
-	_, _ = r.propose(t, KindWithdrawal, Withdrawal{Key: t.order.Key, Attempt: t.claim.Attempt}, 0)
+	f := r.Slots.acquire(t.followed.slot)
+	_, accepted := r.withdrawals.TrySubmit(func() {
+		defer r.Slots.release(f)
+		withdrawal := Withdrawal{Key: t.order.Key, Attempt: t.claim.Attempt}
+		_, _ = r.propose(t, KindWithdrawal, withdrawal, 0)
+	})
+	if !accepted {
+		r.Slots.release(f)
+	}
 }
 
 // claimed runs an order that holds the claim of its key.
@@ -165,11 +181,11 @@
 
 // runDirect runs an order without a claim: the service itself refuses a key
 // that it has run.
-func (r *Runner) runDirect(t *task, sent bool) {
+func (r *Runner) runDirect(t *task, proposed bool) {
 	state, result := r.dispatch(t)
 	t.reply(result)
 	if state == NotRan {
-		if sent {
+		if proposed {
 			r.withdraw(t)
 		}
 		return
--- /dev/null
+++ b/internal/order/service_faults_test.go
@@ -0,0 +1,86 @@
+package order_test
+
+import (
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/fakes"
+	"github.com/plantainmux/plantainmux/internal/order"
+	"github.com/plantainmux/plantainmux/internal/refusal"
+)
+
+var _ = Describe("An order", func() {
+	const key = "fault-1"
+
+	It("is unknown, never run again and settled by hand when the service's answer is lost", func() {
+		b := newBed()
+		nodes := b.startNodes(2)
+		b.service.Set(fakes.Faults{LoseAnswers: true})
+		Expect(isUnknown(nodes[0].place(b.order(key)))).To(BeTrue())
+		b.service.Set(fakes.Faults{})
+		Expect(isUnknown(b.settled(nodes[1], key))).To(BeTrue())
+		ctx, cancel := contextWithTimeout()
+		defer cancel()
+		_, err := nodes[1].book.Settle(ctx, b.order(key).Key, false, "ana")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(nodes[0].place(b.order(key)).Refusal.Reason).To(Equal(refusal.OrderClosed))
+		Expect(b.service.RunsOf(key)).To(Equal(1))
+	})
+
+	It("gets the recorded answer while the service is down", func() {
+		b := newBed()
+		nodes := b.startNodes(2)
+		first := b.settled(nodes[0], key)
+		b.serviceServer.Kill()
+		Expect(nodes[1].place(b.order(key))).To(Equal(first))
+		Expect(isNotRun(nodes[1].place(b.order("unborn")))).To(BeTrue())
+		other := b.order(key)
+		other.Call.Path = "/refunds"
+		Expect(nodes[1].place(other).Refusal.Reason).To(Equal(refusal.KeyReused))
+		Expect(b.serviceServer.Start()).To(Succeed())
+		Expect(b.settled(nodes[1], "unborn").Refusal).To(BeNil())
+		Expect(b.service.RunsOf("unborn")).To(Equal(1))
+	})
+
+	It("is refused as not run at once while the log is away", func() {
+		b := newBed()
+		nodes := b.startNodes(2)
+		Expect(b.settled(nodes[0], key).Refusal).To(BeNil())
+		b.log.Set(fakes.Faults{Down: true})
+		var wait sync.WaitGroup
+		started := time.Now()
+		for i := range 200 {
+			wait.Go(func() {
+				defer GinkgoRecover()
+				Expect(isNotRun(nodes[i%2].place(b.order("away-" + string(rune('a'+i%20)))))).To(BeTrue())
+			})
+		}
+		wait.Wait()
+		Expect(time.Since(started)).To(BeNumerically("<", placeTimeout))
+		Expect(nodes[0].place(b.order(key)).Refusal).To(BeNil())
+		Expect(b.service.Runs()).To(HaveLen(1))
+		self := b.order("self-refusing")
+		self.RefusesRepeats = true
+		Expect(nodes[0].place(self).Refusal).To(BeNil())
+		b.log.Set(fakes.Faults{})
+		Eventually(b.stateOf(nodes[1], "self-refusing"), waitLong, pollOften).Should(Equal(order.Ran))
+		Expect(b.settled(nodes[1], "away-a").Refusal).To(BeNil())
+		Expect(b.service.RunsOf("away-a")).To(Equal(1))
+	})
+
+	It("is asked for again, not run again, when its owner's answer is lost", func() {
+		b := newBed()
+		nodes := b.startNodes(3)
+		owner, others := b.ownerOf(key, nodes)
+		owner.losesAnswers.Store(true)
+		Expect(others[0].place(b.order(key)).Refusal).To(BeNil())
+		Expect(b.service.RunsOf(key)).To(Equal(1))
+		b.serviceServer.Kill()
+		lost := b.keyOwnedBy(owner, nodes)
+		Expect(isUnknown(others[0].place(b.order(lost)))).To(BeTrue())
+		Expect(b.service.RunsOf(lost)).To(BeZero())
+	})
+})
