--- a/internal/callerapi/stream_sink.go
+++ b/internal/callerapi/stream_sink.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -35,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &streamSink{w: w, controller: http.NewResponseController(w), encoder: encoder, writeTimeout: s.writeTimeout()}, nil
+	return &streamSink{w: w, controller: http.NewResponseController(w), encoder: encoder, writeTimeout: cmp.Or(s.WriteTimeout, writeTimeout)}, nil
 }
 
 // Frame implements relay.Sink.
@@ -96,13 +97,14 @@
 	}
 }
 
-func (s *Server) answerStream(ctx context.Context, w http.ResponseWriter, req *request.Request, form answerForm) {
+// answerStream returns whether the caller got the whole answer.
+func (s *Server) answerStream(ctx context.Context, w http.ResponseWriter, req *request.Request, form answerForm, run runFunc) bool {
 	sink, err := s.newStreamSink(w, req, form)
 	if err != nil {
 		s.refuse(w, refusal.New(refusal.Malformed, 0, "the request cannot be answered as a stream"))
-		return
+		return false
 	}
-	refused := s.Relay.Run(ctx, req, sink)
+	refused := run(ctx, req, sink)
 	switch {
 	case refused == nil:
 		w.Header().Set(refusal.OutcomeHeader, string(refusal.Done))
@@ -114,4 +116,5 @@
 		w.Header().Set(refusal.OutcomeHeader, string(refused.Outcome))
 	}
 	_ = sink.controller.SetWriteDeadline(time.Time{})
+	return refused == nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/plantainmux/plantainmux/internal/reconcile"
 	"github.com/plantainmux/plantainmux/internal/relay"
 	"github.com/plantainmux/plantainmux/internal/settings"
+	"github.com/plantainmux/plantainmux/internal/spill"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 	"github.com/plantainmux/plantainmux/internal/view"
 	"github.com/plantainmux/plantainmux/internal/watch"
@@ -46,15 +47,19 @@
 	pool     pond.Pool
 	mesh     *peer.Network
 
-	config *logstream.Stream[*config.Fold]
-	groups *logstream.Stream[*group.Fold]
-	orders orders
+	config  *logstream.Stream[*config.Fold]
+	inForce *config.Store
+	spread  *config.Spread
+	groups  *logstream.Stream[*group.Fold]
+	orders  orders
 
 	table  *watch.Table
 	vms    *watch.VMs
 	poller *watch.Poller
 	views  *view.Store
 	loop   *reconcile.Loop
+	gate   *admit.Gate
+	spill  *spill.Server
 	caller *callerapi.Server
 	admin  *adminapi.Server
 
@@ -98,7 +103,7 @@
 
 func (d *Daemon) buildControl() {
 	wake := func() { d.loop.Wake() }
-	d.config = logstream.New(d.adapters.Log, config.StreamName, config.NewFold(), d.streamOptions(wake))
+	d.buildConfig(wake)
 	d.groups = logstream.New(d.adapters.Log, group.StreamName(d.settings.DataCentre), group.NewFold(), d.streamOptions(wake))
 	d.table = watch.NewTable(func(fleet.VMID, group.Observation) { wake() })
 	d.vms = watch.NewVMs(d.adapters.VMs, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, wake)
@@ -121,7 +126,7 @@
 }
 
 func (d *Daemon) streamOptions(onApply func()) logstream.Options {
-	return logstream.Options{Writer: string(d.id), Logger: d.logger, OnApply: onApply}
+	return logstream.Options{Writer: string(d.id), Logger: d.logger, Metrics: d.metrics, SnapshotAge: settings.Millis(d.settings.Timing.SnapshotAgeMS), OnApply: onApply}
 }
 
 func (d *Daemon) bounds() group.Bounds {
@@ -137,11 +142,14 @@
 }
 
 func (d *Daemon) buildRequestPath() {
+	d.gate = d.newGate()
+	runs := d.newRelay()
+	d.spill = spill.NewServer(d.mesh, d.gate, runs)
 	d.caller = callerapi.New(callerapi.Dependencies{
 		DataCentre:      d.settings.DataCentre,
 		Views:           d.views,
-		Gate:            admit.NewGate(d.capacity),
-		Relay:           d.newRelay(),
+		Gate:            d.gate,
+		Relay:           runs,
 		Services:        d.orders.caller,
 		Metrics:         d.metrics,
 		Logger:          d.logger,
@@ -158,23 +166,36 @@
 		Engine:   d.adapters.Engine,
 		Suspects: suspect.NewWatch(d.mesh, d.settings.DataCentre),
 		Metrics:  d.metrics,
+		Remote:   spill.NewClient(d.mesh),
 		Failed:   d.table.Fail,
 	})
 }
 
-// capacity returns the concurrent requests that the complete groups can run.
-func (d *Daemon) capacity() int {
-	total := 0
-	for _, serving := range d.views.Load().Groups {
-		total += serving.Capacity
+// ownPeerAddress returns the address under which the peers know this daemon.
+func (d *Daemon) ownPeerAddress() string {
+	if d.adapters.PeerListener != nil {
+		return d.adapters.PeerListener.Addr().String()
 	}
-	return total
+	return d.settings.Listen.Peer
 }
 
-func (d *Daemon) currentConfig() config.Versioned {
-	var current config.Versioned
-	d.config.Read(func(fold *config.Fold) { current = fold.Current() })
-	return current
+// newGate returns the gate of the callers' requests.
+func (d *Daemon) newGate() *admit.Gate {
+	declared := 1
+	for _, other := range d.settings.Peers {
+		if other.DataCentre == d.settings.DataCentre && other.Address != d.ownPeerAddress() {
+			declared++
+		}
+	}
+	return admit.NewGate(admit.Dependencies{
+		Views:    d.views,
+		Mesh:     d.mesh,
+		Declared: declared,
+		Bounds: admit.Bounds{
+			QueueLength: d.settings.Limits.QueueLength,
+			QueueWait:   settings.Millis(d.settings.Limits.QueueWaitMS),
+		},
+	})
 }
 
 // watched returns the VMs that this daemon polls.
@@ -190,12 +211,15 @@
 func (d *Daemon) status() adminapi.Status {
 	current := d.views.Load()
 	return adminapi.Status{
-		Daemon:        d.id,
-		DataCentre:    d.settings.DataCentre,
-		Ready:         current.Config.Version != 0 && d.groups.Booted(),
-		Draining:      d.draining.Load(),
-		Peers:         d.mesh.Live(),
-		ConfigVersion: current.Config.Version,
-		Groups:        current.Status,
+		Daemon:         d.id,
+		DataCentre:     d.settings.DataCentre,
+		Ready:          current.Config.Version != 0 && d.groups.Booted(),
+		Draining:       d.draining.Load(),
+		Peers:          d.mesh.Live(),
+		ConfigVersion:  current.Config.Version,
+		ConfigSource:   string(d.inForce.Load().Source),
+		ConfigTookMS:   d.inForce.Load().Took().Milliseconds(),
+		RefusedStreams: d.refusedStreams(),
+		Groups:         current.Status,
 	}
 }
--- a/internal/order/follower.go
+++ b/internal/order/follower.go
@@ -117,5 +117,17 @@
 	return all
 }
 
+// Refused returns why streams are refused whose log contradicts what was
+// applied.
+func (s *Follower) Refused() []error {
+	var refused []error
+	for _, f := range s.all() {
+		if err := f.stream.Refused(); err != nil {
+			refused = append(refused, err)
+		}
+	}
+	return refused
+}
+
 // Wait returns when every stream has ended after the context of the slots.
 func (s *Follower) Wait() { s.tasks.Wait() }
