Tool: order list, show and settle, through the admin API

Exit codes 9 (no such order) and 10 (not unclear, nothing changed) join the documented ones; a settlement whose answer was lost ends with 5.

--- a/cmd/plantainmux/exit_code.go
+++ b/cmd/plantainmux/exit_code.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"os"
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/plantainmux/plantainmux/internal/adminapi"
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/strictyaml"
 )
@@ -21,6 +23,8 @@
 	exitLogAway = 6
 	exitDiffers = 7
 	exitDaemons = 8
+	exitNoOrder = 9
+	exitSettled = 10
 )
 
 // report prints a failure and returns the exit code.
@@ -49,13 +53,13 @@
 
 func exitCode(err error) int {
 	switch {
-	case is[*flags.Error](err):
+	case is[*flags.Error](err) || is[*verdictError](err):
 		return exitUsage
 	case is[strictyaml.Problems](err) || is[*strictyaml.FileError](err) || is[*config.NoFilesError](err):
 		return exitRefused
 	case is[*config.LostRaceError](err):
 		return exitLost
-	case is[*config.OutcomeUnknownError](err):
+	case is[*config.OutcomeUnknownError](err) || is[*settleUnknownError](err):
 		return exitUnknown
 	case is[*config.LogAwayError](err):
 		return exitLogAway
@@ -63,6 +67,24 @@
 		return exitDiffers
 	case is[*daemonsError](err):
 		return exitDaemons
+	case is[*adminapi.OrderCallError](err):
+		return orderExitCode(err)
+	default:
+		return exitFailure
+	}
+}
+
+func orderExitCode(err error) int {
+	failed, _ := errors.AsType[*adminapi.OrderCallError](err)
+	switch failed.Status {
+	case http.StatusNotFound:
+		return exitNoOrder
+	case http.StatusConflict:
+		return exitSettled
+	case http.StatusServiceUnavailable:
+		return exitLogAway
+	case 0:
+		return exitDaemons
 	default:
 		return exitFailure
 	}
--- a/cmd/plantainmux/help.go
+++ b/cmd/plantainmux/help.go
@@ -3,7 +3,7 @@
 // longDescription heads the help and the manual page.
 const longDescription = `Collects, checks and publishes the configuration, and shows what the daemons say.
 
-Exit codes: 0 success; 1 failure; 2 wrong usage; 3 files refused, nothing applied; 4 another configuration was put in force first, nothing changed; 5 outcome unknown, repeat the command to find out; 6 the log is out of reach, nothing published; 7 the compared configurations differ; 8 a daemon is out of reach, not ready or refuses its log.`
+Exit codes: 0 success; 1 failure; 2 wrong usage; 3 files refused, nothing applied; 4 another configuration was put in force first, nothing changed; 5 outcome unknown, repeat the command to find out; 6 the log is out of reach, nothing published; 7 the compared configurations differ; 8 a daemon is out of reach, not ready or refuses its log; 9 no such order is kept; 10 the order is not unclear, nothing changed.`
 
 // longHelp describes each command.
 var longHelp = map[string]string{
@@ -12,6 +12,7 @@
 	"diff":       "Compares a configuration with the one in force, or two files. Exit code 7 says that they differ.",
 	"publish":    "Collects, checks and appends a configuration. It comes into force only if --base is the version in force; else the difference is told and nothing changes. A repeat of what is in force already succeeds.",
 	"status":     "Asks each daemon for its version in force, the time that it took, and each group's members and condition. One that cannot be reached does not hide the others.",
+	"order":      "Shows the orders that the log keeps, asked of any daemon, and settles unclear ones by hand. A settlement is recorded with its operator and time. A key settled as not run is closed: it never runs, and the caller is told to use a new one.",
 	"reference":  "Lists every field with its unit, default and bounds.",
 	"hash-key":   "Prints the SHA-256 of a team key. Without KEY the key is read from standard input, so that it stays out of the shell's history.",
 	"completion": "Prints a script for bash: source <(plantainmux completion).",
--- a/cmd/plantainmux/main.go
+++ b/cmd/plantainmux/main.go
@@ -25,6 +25,7 @@
 	addCommand(parser, "diff", "compare configurations", &diffCommand{global: global})
 	addCommand(parser, "publish", "put a configuration in force", &publishCommand{global: global})
 	addCommand(parser, "status", "show what daemons say of themselves", &statusCommand{global: global})
+	addOrderCommands(parser, global)
 	addCommand(parser, "evidence", "report whether the conditions of operation held", &evidenceCommand{global: global})
 	addCommand(parser, "reference", "list the fields of configuration and settings", &referenceCommand{global: global})
 	addCommand(parser, "hash-key", "hash a team key for the configuration", &hashKeyCommand{global: global})
--- /dev/null
+++ b/cmd/plantainmux/order_show_command.go
@@ -0,0 +1,17 @@
+package main
+
+type orderShowCommand struct {
+	global *globalOptions
+	orderOptions
+	Args orderName `positional-args:"true" required:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *orderShowCommand) Execute([]string) error {
+	status, err := c.client().Show(c.Args.team(), c.Args.Service, c.Args.Key)
+	if err != nil {
+		return err
+	}
+	c.global.print(status, orderLines(status)...)
+	return nil
+}
--- a/cmd/plantainmux/tool_test.go
+++ b/cmd/plantainmux/tool_test.go
@@ -142,7 +142,7 @@
 
 	It("documents its exit codes and prints completion and reference", func() {
 		_, manual := run("man")
-		for _, code := range []int{exitFailure, exitUsage, exitRefused, exitLost, exitUnknown, exitLogAway, exitDiffers, exitDaemons} {
+		for _, code := range []int{exitFailure, exitUsage, exitRefused, exitLost, exitUnknown, exitLogAway, exitDiffers, exitDaemons, exitNoOrder, exitSettled} {
 			Expect(manual).To(ContainSubstring("; " + strconv.Itoa(code) + " "))
 		}
 		Expect(second(run("completion"))).To(ContainSubstring("complete -F"))
