--- /dev/null
+++ b/test/order_test.go
@@ -0,0 +1,155 @@
+package test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/config"
+	"github.com/plantainmux/plantainmux/internal/fakes"
+	"github.com/plantainmux/plantainmux/internal/refusal"
+	"github.com/plantainmux/plantainmux/internal/testbed"
+)
+
+const (
+	waitOrders = 30 * time.Second
+	orderPoll  = 50 * time.Millisecond
+)
+
+// orderBed is a bed with one order application.
+type orderBed struct {
+	*testbed.Bed
+	service *fakes.Service
+}
+
+func newOrderBed() *orderBed {
+	b := &orderBed{Bed: testbed.New(), service: fakes.NewService(false)}
+	address := testbed.Serve(b.service.Handler()).Address()
+	configuration := testbed.SampleConfig(0, "north")
+	configuration.Services = []config.Service{{
+		Name:        "orders",
+		KeyLifetime: 3600,
+		Endpoints:   []config.ServiceEndpoint{{Address: address, DataCentre: "north"}},
+		Calls:       []config.Call{{Method: http.MethodPost, Path: "/orders", TimeoutSeconds: 8}},
+	}}
+	b.Publish(0, configuration)
+	return b
+}
+
+// told is what a caller was told of an order.
+type told struct {
+	outcome refusal.Outcome // empty when the connection broke
+	reason  refusal.Reason
+	body    string
+}
+
+func (t told) done() bool { return t.outcome == refusal.Done }
+
+func place(d *testbed.Daemon, key string) told {
+	header := http.Header{"Idempotency-Key": {key}}
+	response, err := d.Post("/v1/services/orders/orders", testbed.TeamKey, `{"swatch":"`+key+`"}`, header)
+	if err != nil {
+		return told{}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return told{}
+	}
+	var failure struct {
+		Error struct{ Type refusal.Reason }
+	}
+	_ = json.Unmarshal(body, &failure)
+	return told{outcome: refusal.Outcome(response.Header.Get(refusal.OutcomeHeader)), reason: failure.Error.Type, body: string(body)}
+}
+
+var _ = Describe("An order through daemons", func() {
+	It("runs once, and keeps its answer when every daemon is replaced in turn", func() {
+		b := newOrderBed()
+		started := b.StartDaemons(nil, "north", "north", "north", "south")
+		var daemons [4]atomic.Pointer[testbed.Daemon]
+		for i, d := range started {
+			daemons[i].Store(d)
+			Eventually(func() bool { return place(d, "warm-up").done() }, waitOrders, orderPoll).Should(BeTrue())
+		}
+		stop := make(chan struct{})
+		var keys atomic.Int64
+		var callers sync.WaitGroup
+		for caller := range 4 {
+			callers.Go(func() {
+				defer GinkgoRecover()
+				for i := 0; ; i++ {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					key := fmt.Sprintf("rolling-%d", keys.Add(1))
+					Eventually(func() bool {
+						i++
+						return place(daemons[(caller+i)%len(daemons)].Load(), key).done()
+					}, waitOrders, orderPoll).Should(BeTrue())
+				}
+			})
+		}
+		for i := range daemons {
+			old := daemons[i].Load()
+			<-old.Stop()
+			daemons[i].Store(b.Replace(old))
+		}
+		close(stop)
+		callers.Wait()
+		for i := range keys.Load() {
+			Expect(b.service.RunsOf(fmt.Sprintf("rolling-%d", i+1))).To(Equal(1))
+		}
+		first := place(daemons[0].Load(), "rolling-1")
+		Expect(first.done()).To(BeTrue())
+		Expect(place(daemons[3].Load(), "rolling-1")).To(Equal(first))
+		Expect(b.service.RunsOf("warm-up")).To(Equal(1))
+	})
+
+	It("goes on when its caller leaves, and is answered from the record", func() {
+		b := newOrderBed()
+		d := b.StartDaemons(nil, "north")[0]
+		Eventually(func() bool { return place(d, "warm-up").done() }, waitOrders, orderPoll).Should(BeTrue())
+		b.service.Set(fakes.Faults{DelayMS: 500})
+		client := http.Client{Timeout: 200 * time.Millisecond}
+		request, err := http.NewRequest(http.MethodPost, "http://"+d.CallerAddress()+"/v1/services/orders/orders", http.NoBody)
+		Expect(err).NotTo(HaveOccurred())
+		request.Header.Set("Authorization", "Bearer "+testbed.TeamKey)
+		request.Header.Set("Idempotency-Key", "left")
+		_, err = client.Do(request)
+		Expect(err).To(HaveOccurred())
+		Eventually(func() int { return b.service.RunsOf("left") }, waitOrders, orderPoll).Should(Equal(1))
+		Expect(place(d, "left").reason).To(Equal(refusal.KeyReused))
+		Eventually(d.Metrics, waitOrders, orderPoll).Should(ContainSubstring("plantainmux_order_outcomes_pending 0"))
+		Expect(b.service.RunsOf("left")).To(Equal(1))
+	})
+
+	It("is not sent late by a daemon that was frozen, and runs elsewhere meanwhile", func() {
+		b := newOrderBed()
+		daemons := b.StartDaemons(nil, "north", "north")
+		for _, d := range daemons {
+			Eventually(peersOf(d), waitMesh, tick).Should(Equal(2))
+			Eventually(func() bool { return place(d, "warm-up").done() }, waitOrders, orderPoll).Should(BeTrue())
+		}
+		daemons[0].Latch.Freeze()
+		for i := range 8 {
+			key := fmt.Sprintf("frozen-%d", i)
+			Eventually(func() bool { return place(daemons[1], key).done() }, waitOrders, orderPoll).Should(BeTrue())
+		}
+		daemons[0].Latch.Thaw()
+		for i := range 8 {
+			key := fmt.Sprintf("frozen-%d", i)
+			Eventually(func() bool { return place(daemons[0], key).done() }, waitOrders, orderPoll).Should(BeTrue())
+			Expect(b.service.RunsOf(key)).To(Equal(1))
+		}
+	})
+})
--- a/test/request_bed_test.go
+++ b/test/request_bed_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -17,8 +16,6 @@
 	"github.com/plantainmux/plantainmux/internal/testbed"
 )
 
-const tick = 20 * time.Millisecond
-
 // requestBed is one daemon before groups of two engines each.
 type requestBed struct {
 	*testbed.Bed
