--- a/internal/group/outages.go
+++ b/internal/group/outages.go
@@ -17,11 +17,13 @@
 	silent    bool
 	boot      fleet.BootID
 	bootSince time.Time
+	renewed   bool // it has started anew since it was first seen
 }
 
 // note counts an outage when a report grows stale or its boot changes.
 func (o *outages) note(observation Observation, now time.Time, bound time.Duration) {
 	if boot := observation.Report.Boot; o.boot != boot {
+		o.renewed = o.boot != ""
 		o.boot = boot
 		o.bootSince = now
 	}
--- a/internal/group/plan_form.go
+++ b/internal/group/plan_form.go
@@ -86,8 +86,8 @@
 }
 
 // pickMembers takes the members from one fabric domain: where steady VMs
-// suffice, then where the model has the fewest groups, then where most are
-// free.
+// suffice, then where a rolling replacement has been, then where the model has
+// the fewest groups, then where most are free.
 func (p *planner) pickMembers(n need) (Form, bool) {
 	best := fleet.FabricDomain("")
 	for _, domain := range sortedDomains(p.free) {
@@ -111,6 +111,7 @@
 func (p *planner) compareDomains(a, b fleet.FabricDomain, model *config.Model) int {
 	return cmp.Or(
 		cmp.Compare(p.unsteadyIn(p.free[a][:model.Members]), p.unsteadyIn(p.free[b][:model.Members])),
+		cmp.Compare(p.toBeReplaced(p.free[a][:model.Members]), p.toBeReplaced(p.free[b][:model.Members])),
 		cmp.Compare(p.groupsIn(a, model), p.groupsIn(b, model)),
 		cmp.Compare(len(p.free[b]), len(p.free[a])),
 	)
@@ -126,6 +127,21 @@
 	return count
 }
 
+// toBeReplaced counts the VMs that a rolling replacement may yet reach: while
+// some VM is leaving, those that have not started anew.
+func (p *planner) toBeReplaced(vms []fleet.VMID) int {
+	if !p.rolling {
+		return 0
+	}
+	count := 0
+	for _, vm := range vms {
+		if o := p.in.History.outages[vm]; o == nil || !o.renewed {
+			count++
+		}
+	}
+	return count
+}
+
 // groupsIn returns how many groups of a model a domain holds, planned ones
 // included.
 func (p *planner) groupsIn(domain fleet.FabricDomain, model *config.Model) int {
--- a/internal/group/plan_repair.go
+++ b/internal/group/plan_repair.go
@@ -106,12 +106,25 @@
 	case suspended:
 		return g.silence > p.patience(g)
 	case serving, loading:
-		return g.model != n.model && n.age > max(p.in.Bounds.LostAfter, loadTime(n.model))
+		return g.model != n.model && n.age > p.outagePatience(n.model)
 	default:
 		return false
 	}
 }
 
+// outagePatience is how long a model's groups are waited for before those of
+// another are taken apart: about what the exchange costs in loads. A domain that
+// is dark as a whole tends to come back as a whole, so it gets twice that.
+func (p *planner) outagePatience(model *config.Model) time.Duration {
+	patience := max(p.in.Bounds.LostAfter, loadTime(model))
+	for _, g := range p.groups {
+		if g.model == model && !g.ended && g.standing == suspended && p.survivors(g) == 0 {
+			return 2 * patience
+		}
+	}
+	return patience
+}
+
 // patience is how long a silent member is waited for. One that keeps failing is
 // not.
 func (p *planner) patience(g *candidateGroup) time.Duration {
--- a/internal/group/planner.go
+++ b/internal/group/planner.go
@@ -33,7 +33,8 @@
 	in           Input
 	plan         Plan
 	models       map[fleet.ModelName]*config.Model
-	accelerators int // of one VM
+	accelerators int  // of one VM
+	rolling      bool // some VM is leaving
 	groups       []*candidateGroup
 	free         map[fleet.FabricDomain][]fleet.VMID // best first
 	pending      map[fleet.FabricDomain]int          // VMs that will be free soon
@@ -47,6 +48,9 @@
 		models:       map[fleet.ModelName]*config.Model{},
 		accelerators: in.accelerators(),
 	}
+	for _, vm := range in.World.VMs {
+		p.rolling = p.rolling || vm.Leaving
+	}
 	for i := range in.Config.Models {
 		p.models[in.Config.Models[i].Name] = &in.Config.Models[i]
 	}
--- /dev/null
+++ b/internal/group/trace/count.go
@@ -0,0 +1,61 @@
+package trace
+
+import (
+	"github.com/plantainmux/plantainmux/internal/config"
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/group"
+)
+
+// count adds what one step costs. A healthy VM is stranded when it serves
+// nothing while groups are missing that could use it: loading for one, bound to
+// an incomplete one, or free. Spares beyond the missing groups are not stranded,
+// so that a release alone gains nothing.
+func (r *replay) count(cost *Cost) {
+	complete, busy := r.complete()
+	missingVMs := 0
+	for i := range r.trace.Models {
+		model := &r.trace.Models[i]
+		missing := max(0, model.ReplicasIn(DataCentre)-complete[model.Name])
+		missingVMs += missing * model.Members
+		cost.add(model, missing)
+	}
+	idle := 0
+	for id, m := range r.machines {
+		if m.healthy() && !m.vm.Leaving && !busy[id] {
+			idle++
+		}
+	}
+	cost.Stranded += float64(min(idle, missingVMs)*r.trace.Accelerators) * step.Seconds()
+}
+
+func (c *Cost) add(model *config.Model, missing int) {
+	c.Downtime += float64(missing) * step.Seconds()
+	c.Valued += float64(missing) * group.ValueOf(model) * step.Seconds()
+}
+
+// complete returns the groups that serve by model, and the VMs in them. A group
+// serves only if its members are healthy in truth and by their reports.
+func (r *replay) complete() (map[fleet.ModelName]int, map[fleet.VMID]bool) {
+	complete := map[fleet.ModelName]int{}
+	busy := map[fleet.VMID]bool{}
+	world := r.input().World
+	for _, record := range r.fold.Groups() {
+		if !r.allHealthy(record) || group.Check(record, world, r.now, bounds.ReportBound) != group.Complete {
+			continue
+		}
+		complete[record.Model]++
+		for _, vm := range record.Members {
+			busy[vm] = true
+		}
+	}
+	return complete, busy
+}
+
+func (r *replay) allHealthy(record *group.Record) bool {
+	for _, vm := range record.Members {
+		if !r.machines[vm].healthy() {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/group/trace/replay.go
@@ -0,0 +1,179 @@
+package trace
+
+import (
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/config"
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/group"
+	"github.com/plantainmux/plantainmux/internal/logstream"
+	"github.com/plantainmux/plantainmux/internal/platform"
+)
+
+const (
+	step   = time.Second
+	warmUp = 30 * time.Minute // for the first groups to form
+)
+
+// epoch is the time at which every replay starts.
+var epoch = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+// bounds are those of a daemon with default settings.
+var bounds = group.Bounds{
+	ReportBound: 2 * time.Second,
+	LostAfter:   6 * time.Second,
+	LoadLimit:   5 * time.Minute,
+	OrderLife:   10 * time.Second,
+	DrainSettle: 3 * time.Second,
+	DrainLimit:  15 * time.Minute,
+}
+
+// replay is one run of a policy over a trace.
+type replay struct {
+	trace        Trace
+	policy       Policy
+	config       config.Configuration
+	machines     map[fleet.VMID]*machine
+	observations map[fleet.VMID]group.Observation
+	history      *group.History
+	fold         *group.Fold
+	next         platform.Offset
+	now          time.Time
+}
+
+// Run measures a policy on a trace, for a user's weights.
+func Run(t Trace, weights config.Policy, policy Policy) Cost {
+	weights.LoadingVMs = t.LoadingVMs
+	r := &replay{
+		trace:        t,
+		policy:       group.MakePlan, // every policy starts from the same groups
+		config:       config.Configuration{Models: t.Models, Policy: weights},
+		machines:     map[fleet.VMID]*machine{},
+		observations: map[fleet.VMID]group.Observation{},
+		history:      group.NewHistory(),
+		fold:         group.NewFold(),
+		next:         platform.FirstOffset,
+		now:          epoch,
+	}
+	for _, vm := range t.VMs {
+		r.machines[vm.ID] = &machine{vm: vm}
+	}
+	for range int(warmUp / step) {
+		r.step()
+	}
+	r.policy = policy
+	return r.measure()
+}
+
+func (r *replay) measure() Cost {
+	var cost Cost
+	events := r.trace.Events
+	for at := time.Duration(0); at < r.trace.Length; at += step {
+		for len(events) > 0 && events[0].At <= at {
+			r.machines[events[0].VM].happen(events[0].Kind)
+			events = events[1:]
+		}
+		r.step()
+		r.count(&cost)
+	}
+	return cost
+}
+
+func (r *replay) step() {
+	r.now = r.now.Add(step)
+	r.load()
+	r.observe()
+	in := r.input()
+	r.history.Update(in)
+	r.apply(r.policy(in))
+	r.order()
+}
+
+func (r *replay) input() group.Input {
+	vms := make(map[fleet.VMID]fleet.VM, len(r.machines))
+	for id, m := range r.machines {
+		vms[id] = m.vm
+	}
+	return group.Input{
+		DataCentre: DataCentre,
+		Fold:       r.fold,
+		World:      group.World{VMs: vms, Observations: r.observations},
+		History:    r.history,
+		Config:     r.config,
+		Now:        r.now,
+		Bounds:     bounds,
+	}
+}
+
+// load lets all loads go on. They share the weight store.
+func (r *replay) load() {
+	count := 0
+	for _, m := range r.machines {
+		if m.loading && m.healthy() {
+			count++
+		}
+	}
+	speed := min(1, float64(r.trace.LoadingVMs)/float64(max(1, count)))
+	for _, m := range r.machines {
+		if !m.loading || !m.healthy() {
+			continue
+		}
+		m.left -= time.Duration(speed * float64(step))
+		m.loading = m.left > 0
+	}
+}
+
+func (r *replay) observe() {
+	for id, m := range r.machines {
+		if m.healthy() {
+			r.observations[id] = group.Observation{Report: m.report(), Address: m.vm.Address, At: r.now}
+		}
+	}
+}
+
+func (r *replay) apply(plan group.Plan) {
+	for _, release := range plan.Releases {
+		r.append(group.KindRelease, release)
+	}
+	for _, drain := range plan.Drains {
+		r.append(group.KindDrain, drain)
+	}
+	for _, ready := range plan.Readies {
+		r.append(group.KindReady, ready)
+	}
+	for _, form := range plan.Forms {
+		r.append(group.KindForm, form)
+	}
+}
+
+// append folds a record as the log would; a void one changes nothing.
+func (r *replay) append(kind logstream.Kind, body any) {
+	data, err := logstream.Marshal(body)
+	if err != nil {
+		return
+	}
+	_ = r.fold.Apply(logstream.Position{Offset: r.next, Time: r.now}, kind, data)
+	r.next++
+}
+
+func (r *replay) order() {
+	for id, m := range r.machines {
+		if !m.healthy() {
+			continue
+		}
+		target, ok := group.Target(r.fold, r.observations[id])
+		if !ok {
+			continue
+		}
+		m.obey(target, r.loadTime(target.Group.Model))
+	}
+}
+
+func (r *replay) loadTime(name fleet.ModelName) time.Duration {
+	for _, model := range r.trace.Models {
+		if model.Name == name {
+			return time.Duration(model.LoadSeconds) * time.Second
+		}
+	}
+	return 0
+}
