--- /dev/null
+++ b/internal/group/fold_test.go
@@ -0,0 +1,90 @@
+package group_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/config"
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/group"
+)
+
+func formOf(fences ...fleet.FencingNumber) group.Form {
+	return group.Form{
+		Model: "m", Members: []fleet.VMID{"a-000", "a-001"}, Addresses: []string{"x", "y"},
+		Fences: fences, RestMillis: 10_000,
+	}
+}
+
+var _ = Describe("The fold", func() {
+	It("voids a form made before its VMs were granted and released again", func() {
+		w := newWorld(nil, nil)
+		Expect(w.append(group.KindForm, formOf(0, 0))).To(Succeed())
+		var taken *group.VMTakenError
+		Expect(w.append(group.KindForm, formOf(0, 0))).To(BeAssignableToTypeOf(taken))
+		Expect(w.append(group.KindRelease, group.Release{Group: 1})).To(Succeed())
+		var stale *group.StaleFenceError
+		Expect(w.append(group.KindForm, formOf(0, 0))).To(BeAssignableToTypeOf(stale))
+		Expect(w.append(group.KindForm, formOf(3, 3))).To(Succeed())
+	})
+
+	It("pins the boots once and never takes a drain back", func() {
+		w := newWorld(nil, nil)
+		Expect(w.append(group.KindForm, formOf(0, 0))).To(Succeed())
+		ready := group.Ready{Group: 1, Boots: map[fleet.VMID]fleet.BootID{"a-000": "b", "a-001": "b"}}
+		Expect(w.append(group.KindReady, ready)).To(Succeed())
+		Expect(w.append(group.KindReady, ready)).NotTo(Succeed())
+		Expect(w.append(group.KindDrain, group.Drain{Group: 1})).To(Succeed())
+		Expect(w.append(group.KindDrain, group.Drain{Group: 1})).NotTo(Succeed())
+		Expect(group.Check(w.Fold.Groups()[1], w.World, w.Now, time.Hour)).To(Equal(group.Draining))
+
+		data, err := w.Fold.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		copied := group.NewFold()
+		Expect(copied.Decode(data)).To(Succeed())
+		Expect(copied).To(Equal(w.Fold))
+	})
+
+	It("keeps a boot that was replaced before the ready record from counting", func() {
+		w := newWorld([]config.Model{model("m", 2, 1, 1)}, map[fleet.FabricDomain]int{"a": 2})
+		w.pass(time.Second)
+		w.carryOut(group.MakePlan(w.Input), true)
+		w.pass(time.Second)
+		plan := group.MakePlan(w.Input)
+		Expect(plan.Readies).To(HaveLen(1))
+		w.report("a-001", func(r *fleet.MemberReport) { r.Boot = "boot-2" }) // while the record is on its way
+		w.carryOut(plan, true)
+		Expect(w.complete()).To(BeEmpty())
+		w.pass(time.Second)
+		Expect(group.MakePlan(w.Input).Releases).To(HaveLen(1))
+	})
+
+	It("lets released VMs rest from the proposer's own sight of the release", func() {
+		m := model("m", 2, 1, 1)
+		m.ChecksFencing = false
+		w := newWorld([]config.Model{m}, map[fleet.FabricDomain]int{"a": 2})
+		w.settle()
+		w.report("a-000", func(r *fleet.MemberReport) { r.Boot, r.Group, r.State = "boot-2", fleet.NoGroup, fleet.EngineIdle })
+		w.carryOut(group.MakePlan(w.Input), true)
+		Expect(w.Fold.Groups()).To(BeEmpty())
+		w.pass(9 * time.Second)
+		Expect(group.MakePlan(w.Input).Forms).To(BeEmpty())
+		w.pass(2 * time.Second)
+		Expect(group.MakePlan(w.Input).Forms).To(HaveLen(1))
+	})
+})
+
+var _ = Describe("The roster", func() {
+	It("knows the members of groups and keeps a VM leaving once it left the list", func() {
+		w := newWorld([]config.Model{model("m", 2, 1, 1)}, map[fleet.FabricDomain]int{"a": 2})
+		w.settle()
+		var roster group.Roster
+		listed := map[fleet.VMID]fleet.VM{"a-000": {ID: "a-000", Address: "moved", Leaving: true}}
+		known := roster.Update(listed, w.Fold, w.World.Observations, w.Now, w.Bounds.ReportBound)
+		Expect(known["a-001"].Address).To(Equal("a-001")) // as it was formed
+		known = roster.Update(nil, w.Fold, w.World.Observations, w.Now, w.Bounds.ReportBound)
+		Expect(known["a-000"].Leaving).To(BeTrue())
+	})
+})
--- a/internal/group/plan_form.go
+++ b/internal/group/plan_form.go
@@ -9,8 +9,9 @@
 	"github.com/plantainmux/plantainmux/internal/fleet"
 )
 
-// planForms forms the missing groups on free VMs, those that cost most for
-// each member first. It starts no more loads at once than the weight store
+// planForms forms the missing groups on free VMs, those that cost most first:
+// by the measure that planRepairs takes groups apart by, so that the VMs go to
+// the group that they were freed for. It starts no more loads at once than the weight store
 // takes, so that the first ones end early instead of all late.
 func (p *planner) planForms() {
 	p.findFree()
@@ -51,16 +52,11 @@
 		needs = append(needs, p.needsOf(&p.in.Config.Models[i])...)
 	}
 	slices.SortStableFunc(needs, func(a, b need) int {
-		return cmp.Or(compareBool(a.covered, b.covered), cmp.Compare(p.density(b.model), p.density(a.model)))
+		return cmp.Or(compareBool(a.covered, b.covered), cmp.Compare(p.costRate(b.model), p.costRate(a.model)))
 	})
 	return needs
 }
 
-// density is the cost rate of a group for each of its VMs and loads.
-func (p *planner) density(model *config.Model) float64 {
-	return p.costRate(model) / float64(model.Members)
-}
-
 func (p *planner) needsOf(model *config.Model) []need {
 	missing := model.ReplicasIn(p.in.DataCentre) - p.count(model, p.secured)
 	covered := p.count(model, func(g *candidateGroup) bool { return g.standing == serving && g.replaceable() })
--- a/internal/group/plan_ready.go
+++ b/internal/group/plan_ready.go
@@ -4,7 +4,7 @@
 
 func (p *planner) planReadies() {
 	for _, g := range p.groups {
-		if g.standing != loading {
+		if g.standing != loading || g.ended {
 			continue
 		}
 		if boots, ok := p.loadedBoots(g.Record); ok {
--- a/internal/group/planner.go
+++ b/internal/group/planner.go
@@ -20,12 +20,12 @@
 func MakePlan(in Input) Plan {
 	p := newPlanner(in)
 	p.classify()
-	p.planReadies()
 	p.planEnds()
 	p.planSurplus()
 	p.planForms()
 	p.planRepairs()
 	p.planRollouts()
+	p.planReadies()
 	return p.plan
 }
 
