--- /dev/null
+++ b/internal/admit/state.go
@@ -0,0 +1,202 @@
+package admit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/refusal"
+	"github.com/plantainmux/plantainmux/internal/view"
+)
+
+// rotationPeriod is how long one daemon keeps the advantage of a rounding.
+const rotationPeriod = time.Second
+
+// state is the admission of one daemon: its pools and what it knows of the
+// others. It is not safe for concurrent use.
+type state struct {
+	views  *view.Store
+	bounds Bounds
+	pools  map[fleet.ModelName]*Pool
+	lones  map[fleet.ModelName]*lone
+	peers  *peers
+	// The own usage that the others know by now, and the one told last.
+	settled, told map[demandKey]int
+}
+
+func newState(views *view.Store, bounds Bounds, peers *peers) *state {
+	return &state{views: views, bounds: bounds, pools: map[fleet.ModelName]*Pool{}, lones: map[fleet.ModelName]*lone{}, peers: peers}
+}
+
+func (s *state) pool(model fleet.ModelName) *Pool {
+	pool, ok := s.pools[model]
+	if !ok {
+		pool = NewPool(s.bounds)
+		s.pools[model] = pool
+	}
+	return pool
+}
+
+// arrive decides on a request after it has divided the capacity with the
+// request's own demand.
+func (s *state) arrive(model fleet.ModelName, ticket *Ticket, now time.Time) (bool, *refusal.Refusal) {
+	s.allot(model, ticket.Team, now)
+	return s.pool(model).Arrive(ticket, now)
+}
+
+// round divides the capacity of each model anew and returns the own usage.
+func (s *state) round(now time.Time) Usage {
+	var usage Usage
+	for model, pool := range s.pools {
+		s.allot(model, "", now)
+		usage.Models = append(usage.Models, ModelUsage{Model: model, Teams: usageOf(pool)})
+	}
+	slices.SortFunc(usage.Models, func(a, b ModelUsage) int { return cmp.Compare(a.Model, b.Model) })
+	s.settled, s.told = s.told, totals(usage)
+	return usage
+}
+
+func totals(usage Usage) map[demandKey]int {
+	all := map[demandKey]int{}
+	for _, model := range usage.Models {
+		for _, t := range model.Teams {
+			all[demandKey{model.Model, t.Team}] = t.Running + t.Waiting
+		}
+	}
+	return all
+}
+
+func usageOf(pool *Pool) []TeamUsage {
+	var teams []TeamUsage
+	for name := range pool.teams {
+		running, waiting := pool.Demand(name)
+		if running+waiting > 0 {
+			teams = append(teams, TeamUsage{Team: name, Running: running, Waiting: waiting})
+		}
+	}
+	slices.SortFunc(teams, func(a, b TeamUsage) int { return cmp.Compare(a.Team, b.Team) })
+	return teams
+}
+
+// capacity returns the requests that the complete groups of a model run at
+// once.
+func (s *state) capacity(model fleet.ModelName, now time.Time) int {
+	total := 0
+	for _, serving := range s.views.Load().Groups {
+		if serving.Model == model && serving.Proven(now) {
+			total += serving.Capacity
+		}
+	}
+	return total
+}
+
+// allot divides the capacity of a model between the daemons that are heard. A
+// request that is just arriving counts for its team.
+func (s *state) allot(model fleet.ModelName, arriving fleet.TeamName, now time.Time) {
+	pool := s.pool(model)
+	daemons := s.peers.live(now)
+	capacity := s.capacity(model, now)
+	demands := s.demands(model, pool, daemons, arriving)
+	shares := 0.0
+	for _, demand := range demands {
+		shares += demand.Share
+	}
+	for i, demand := range demands {
+		part := demand.Share / max(shares, 1)
+		pool.SetPart(demand.Team, part)
+		credit := &pool.team(demand.Team).credit
+		credit.saw(use(s.running(daemons, demandKey{model, demand.Team}, pool), part*float64(capacity)), now)
+		demands[i].Share *= credit.factor()
+	}
+	pool.SetAllotment(s.divide(model, s.within(model, capacity, now), daemons, demands, now))
+}
+
+// divide returns the own part of a capacity. Beyond its even part a daemon takes
+// only what follows from a demand that the others know by now, so that daemons
+// whose demand rises together do not take the same slots.
+func (s *state) divide(model fleet.ModelName, capacity int, daemons []fleet.DaemonID, demands []Demand, now time.Time) Allotment {
+	rotation := int(now.UnixNano() / int64(rotationPeriod))
+	self := slices.Index(daemons, s.peers.self)
+	allotment := Allot(capacity, len(daemons), self, demands, rotation)
+	even := (capacity + len(daemons) - 1) / len(daemons)
+	if allotment.Slots <= even {
+		return allotment
+	}
+	for i := range demands {
+		demands[i].ByDaemon[self] = s.settled[demandKey{model, demands[i].Team}]
+	}
+	known := Allot(capacity, len(daemons), self, demands, rotation)
+	allotment.Slots = min(allotment.Slots, max(even, known.Slots))
+	return allotment
+}
+
+// within returns the part of a capacity that the heard daemons divide.
+func (s *state) within(model fleet.ModelName, capacity int, now time.Time) int {
+	floor := s.peers.within(capacity, now)
+	l, ok := s.lones[model]
+	if !ok {
+		l = &lone{}
+		s.lones[model] = l
+	}
+	if !s.peers.isLone(now) {
+		l.reset()
+		return floor
+	}
+	used, own := s.inUse(model)
+	return min(capacity, floor+int(l.grow(capacity, used, own, now)*float64(capacity)))
+}
+
+// inUse returns the requests that run and wait by the engines' late reports,
+// and those of this daemon.
+func (s *state) inUse(model fleet.ModelName) (used, own int) {
+	for _, serving := range s.views.Load().Groups {
+		if serving.Model == model {
+			used += serving.Running + serving.Waiting
+			own += serving.Load.InFlight()
+		}
+	}
+	return used, own
+}
+
+// use is the requests that run as a part of those that the share allows.
+func use(running int, allowed float64) float64 {
+	if allowed == 0 {
+		return float64(running)
+	}
+	return float64(running) / allowed
+}
+
+// running returns the requests of a team that run on all daemons.
+func (s *state) running(daemons []fleet.DaemonID, key demandKey, pool *Pool) int {
+	total := 0
+	for _, daemon := range daemons {
+		total += s.usageOn(daemon, key, pool).Running
+	}
+	return total
+}
+
+func (s *state) demands(model fleet.ModelName, pool *Pool, daemons []fleet.DaemonID, arriving fleet.TeamName) []Demand {
+	teams := s.views.Load().Config.Teams
+	demands := make([]Demand, 0, len(teams))
+	for _, team := range teams {
+		demand := Demand{Team: team.Name, Share: float64(team.Share), ByDaemon: make([]int, len(daemons))}
+		for i, daemon := range daemons {
+			usage := s.usageOn(daemon, demandKey{model, team.Name}, pool)
+			demand.ByDaemon[i] = usage.Running + usage.Waiting
+			if team.Name == arriving && daemon == s.peers.self {
+				demand.ByDaemon[i]++
+			}
+		}
+		demands = append(demands, demand)
+	}
+	return demands
+}
+
+func (s *state) usageOn(daemon fleet.DaemonID, key demandKey, pool *Pool) TeamUsage {
+	if daemon != s.peers.self {
+		return s.peers.usage(daemon, key)
+	}
+	running, waiting := pool.Demand(key.team)
+	return TeamUsage{Team: key.team, Running: running, Waiting: waiting}
+}
--- a/internal/callerapi/completion_request.go
+++ b/internal/callerapi/completion_request.go
@@ -20,6 +20,9 @@
 // deadlineHeader gives the milliseconds that the caller will wait.
 const deadlineHeader = "Plantainmux-Timeout-Ms"
 
+// maxDeadlineMillis bounds how long a request may last.
+const maxDeadlineMillis = 24 * 60 * 60 * 1000
+
 // adapterSeparator parts a model's name from its adapter's.
 const adapterSeparator = ":"
 
@@ -55,6 +58,7 @@
 		Body:        body,
 		MaxTokens:   parsed.MaxTokens,
 		Fingerprint: request.Fingerprint(fleet.ModelName(name), adapter, body),
+		Prefix:      request.Prefix(fleet.ModelName(name), adapter, body),
 		Deadline:    deadline,
 	}
 	return req, parsed.Stream, nil
@@ -78,8 +82,8 @@
 		return time.Now().Add(s.DefaultDeadline), nil
 	}
 	millis, err := strconv.Atoi(value)
-	if err != nil || millis <= 0 {
-		return time.Time{}, refusal.New(refusal.Malformed, 0, deadlineHeader+" is not a positive number")
+	if err != nil || millis <= 0 || millis > maxDeadlineMillis {
+		return time.Time{}, refusal.New(refusal.Malformed, 0, deadlineHeader+" is not a number from 1 to "+strconv.Itoa(maxDeadlineMillis))
 	}
 	return time.Now().Add(time.Duration(millis) * time.Millisecond), nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,11 +19,12 @@
 	"github.com/plantainmux/plantainmux/internal/group"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/metric"
-	"github.com/plantainmux/plantainmux/internal/order"
 	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/reconcile"
 	"github.com/plantainmux/plantainmux/internal/relay"
 	"github.com/plantainmux/plantainmux/internal/settings"
+	"github.com/plantainmux/plantainmux/internal/spill"
+	"github.com/plantainmux/plantainmux/internal/suspect"
 	"github.com/plantainmux/plantainmux/internal/view"
 	"github.com/plantainmux/plantainmux/internal/watch"
 )
@@ -44,22 +45,27 @@
 	logger   *slog.Logger
 	metrics  *metric.Set
 	pool     pond.Pool
-	mesh     peer.Mesh
+	mesh     *peer.Network
 
-	config *logstream.Stream[*config.Fold]
-	groups *logstream.Stream[*group.Fold]
-	orders [order.Slots]*logstream.Stream[*order.Fold]
+	config  *logstream.Stream[*config.Fold]
+	inForce *config.Store
+	spread  *config.Spread
+	groups  *logstream.Stream[*group.Fold]
+	orders  orders
 
 	table  *watch.Table
 	vms    *watch.VMs
 	poller *watch.Poller
 	views  *view.Store
 	loop   *reconcile.Loop
+	gate   *admit.Gate
+	spill  *spill.Server
 	caller *callerapi.Server
 	admin  *adminapi.Server
 
 	callerListener net.Listener
 	adminListener  net.Listener
+	peerListener   net.Listener
 
 	draining atomic.Bool
 	tasks    sync.WaitGroup
@@ -83,8 +89,11 @@
 		pool:     pond.NewPool(s.Limits.Workers),
 		views:    view.NewStore(),
 	}
-	d.mesh = peer.NewSolo(id)
+	if err := d.buildMesh(); err != nil {
+		return nil, err
+	}
 	d.buildControl()
+	d.buildOrders()
 	d.buildRequestPath()
 	if err := d.listen(); err != nil {
 		return nil, err
@@ -94,11 +103,8 @@
 
 func (d *Daemon) buildControl() {
 	wake := func() { d.loop.Wake() }
-	d.config = logstream.New(d.adapters.Log, config.StreamName, config.NewFold(), d.streamOptions(wake))
+	d.buildConfig(wake)
 	d.groups = logstream.New(d.adapters.Log, group.StreamName(d.settings.DataCentre), group.NewFold(), d.streamOptions(wake))
-	for slot := range d.orders {
-		d.orders[slot] = logstream.New(d.adapters.Log, order.StreamName(order.Slot(slot)), order.NewFold(), d.streamOptions(func() {}))
-	}
 	d.table = watch.NewTable(func(fleet.VMID, group.Observation) { wake() })
 	d.vms = watch.NewVMs(d.adapters.VMs, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, wake)
 	d.poller = watch.NewPoller(d.adapters.Engine, d.table, d.pool, settings.Millis(d.settings.Timing.PollMS), d.watched)
@@ -120,7 +126,7 @@
 }
 
 func (d *Daemon) streamOptions(onApply func()) logstream.Options {
-	return logstream.Options{Writer: string(d.id), Logger: d.logger, OnApply: onApply}
+	return logstream.Options{Writer: string(d.id), Logger: d.logger, Metrics: d.metrics, SnapshotAge: settings.Millis(d.settings.Timing.SnapshotAgeMS), OnApply: onApply}
 }
 
 func (d *Daemon) bounds() group.Bounds {
@@ -136,34 +142,60 @@
 }
 
 func (d *Daemon) buildRequestPath() {
+	d.gate = d.newGate()
+	runs := d.newRelay()
+	d.spill = spill.NewServer(d.mesh, d.gate, runs)
 	d.caller = callerapi.New(callerapi.Dependencies{
 		DataCentre:      d.settings.DataCentre,
 		Views:           d.views,
-		Gate:            admit.NewGate(d.capacity),
-		Relay:           relay.New(d.views, d.adapters.Engine, d.table.Fail),
-		Orders:          order.NewRunner(d.orders, d.adapters.Service),
-		Service:         d.adapters.Service,
+		Gate:            d.gate,
+		Relay:           runs,
+		Services:        d.orders.caller,
 		Metrics:         d.metrics,
 		Logger:          d.logger,
 		BodyLimit:       d.settings.Limits.BodyBytes,
 		DefaultDeadline: settings.Millis(d.settings.Timing.DefaultWaitMS),
 	})
 	d.admin = adminapi.New(d.settings.AdminToken, d.status, d.metrics)
+	d.admin.Orders = d.orders.book
+}
+
+func (d *Daemon) newRelay() *relay.Relay {
+	return relay.New(relay.Dependencies{
+		Views:    d.views,
+		Engine:   d.adapters.Engine,
+		Suspects: suspect.NewWatch(d.mesh, d.settings.DataCentre),
+		Metrics:  d.metrics,
+		Remote:   spill.NewClient(d.mesh),
+		Failed:   d.table.Fail,
+	})
 }
 
-// capacity returns the concurrent requests that the complete groups can run.
-func (d *Daemon) capacity() int {
-	total := 0
-	for _, serving := range d.views.Load().Groups {
-		total += serving.Capacity
+// ownPeerAddress returns the address under which the peers know this daemon.
+func (d *Daemon) ownPeerAddress() string {
+	if d.adapters.PeerListener != nil {
+		return d.adapters.PeerListener.Addr().String()
 	}
-	return total
+	return d.settings.Listen.Peer
 }
 
-func (d *Daemon) currentConfig() config.Versioned {
-	var current config.Versioned
-	d.config.Read(func(fold *config.Fold) { current = fold.Current() })
-	return current
+// newGate returns the gate of the callers' requests.
+func (d *Daemon) newGate() *admit.Gate {
+	declared := 1
+	for _, other := range d.settings.Peers {
+		if other.DataCentre == d.settings.DataCentre && other.Address != d.ownPeerAddress() {
+			declared++
+		}
+	}
+	return admit.NewGate(admit.Dependencies{
+		Views:    d.views,
+		Mesh:     d.mesh,
+		Declared: declared,
+		Bounds: admit.Bounds{
+			QueueLength: d.settings.Limits.QueueLength,
+			QueueWait:   settings.Millis(d.settings.Limits.QueueWaitMS),
+		},
+	})
 }
 
 // watched returns the VMs that this daemon polls.
@@ -179,11 +211,15 @@
 func (d *Daemon) status() adminapi.Status {
 	current := d.views.Load()
 	return adminapi.Status{
-		Daemon:        d.id,
-		DataCentre:    d.settings.DataCentre,
-		Ready:         current.Config.Version != 0 && d.groups.Booted(),
-		Draining:      d.draining.Load(),
-		ConfigVersion: current.Config.Version,
-		Groups:        current.Status,
+		Daemon:         d.id,
+		DataCentre:     d.settings.DataCentre,
+		Ready:          current.Config.Version != 0 && d.groups.Booted(),
+		Draining:       d.draining.Load(),
+		Peers:          d.mesh.Live(),
+		ConfigVersion:  current.Config.Version,
+		ConfigSource:   string(d.inForce.Load().Source),
+		ConfigTookMS:   d.inForce.Load().Took().Milliseconds(),
+		RefusedStreams: d.refusedStreams(),
+		Groups:         current.Status,
 	}
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -10,12 +10,18 @@
 	"github.com/plantainmux/plantainmux/internal/settings"
 )
 
+// headerTimeout is how long a client may take to send the header of a request.
+const headerTimeout = 10 * time.Second
+
 // CallerAddress returns the address of the callers' listener.
 func (d *Daemon) CallerAddress() string { return d.callerListener.Addr().String() }
 
 // AdminAddress returns the address of the operators' listener.
 func (d *Daemon) AdminAddress() string { return d.adminListener.Addr().String() }
 
+// PeerAddress returns the address of the listener for other daemons.
+func (d *Daemon) PeerAddress() string { return d.peerListener.Addr().String() }
+
 func (d *Daemon) listen() error {
 	var err error
 	if d.callerListener, err = net.Listen("tcp", d.settings.Listen.Caller); err != nil {
@@ -24,6 +30,12 @@
 	if d.adminListener, err = net.Listen("tcp", d.settings.Listen.Admin); err != nil {
 		return &ListenError{Name: "admin", Err: err}
 	}
+	if d.peerListener = d.adapters.PeerListener; d.peerListener != nil {
+		return nil
+	}
+	if d.peerListener, err = net.Listen("tcp", d.settings.Listen.Peer); err != nil {
+		return &ListenError{Name: "peer", Err: err}
+	}
 	return nil
 }
 
@@ -31,9 +43,11 @@
 func (d *Daemon) Run(ctx context.Context) {
 	background, cancel := context.WithCancel(d.killed)
 	d.startControl(background)
+	peers := d.serve(d.peerListener, d.mesh.Handler())
+	d.tasks.Go(d.mesh.Run)
 	callers := d.serve(d.callerListener, d.caller.Handler())
 	admins := d.serve(d.adminListener, d.admin.Handler())
-	d.logger.Info("daemon started", "caller", d.CallerAddress(), "admin", d.AdminAddress())
+	d.logger.Info("daemon started", "caller", d.CallerAddress(), "admin", d.AdminAddress(), "peer", d.PeerAddress())
 	select {
 	case <-ctx.Done():
 		d.stop(callers, admins)
@@ -41,8 +55,12 @@
 		_ = callers.Close()
 		_ = admins.Close()
 	}
+	_ = peers.Close()
+	d.mesh.Close()
 	cancel()
 	d.tasks.Wait()
+	d.kill()
+	d.orders.slots.Wait()
 	d.pool.StopAndWait()
 	d.logger.Info("daemon stopped")
 }
@@ -53,19 +71,20 @@
 
 func (d *Daemon) startControl(ctx context.Context) {
 	d.tasks.Go(func() { d.config.Run(ctx) })
+	d.tasks.Go(func() { d.spread.Run(ctx) })
 	d.tasks.Go(func() { d.groups.Run(ctx) })
-	for _, stream := range d.orders {
-		d.tasks.Go(func() { stream.Run(ctx) })
-	}
+	d.startOrders(ctx)
 	d.tasks.Go(func() { d.vms.Run(ctx) })
 	d.tasks.Go(func() { d.poller.Run(ctx) })
 	d.tasks.Go(func() { d.loop.Run(ctx) })
+	d.tasks.Go(func() { d.gate.Run(ctx) })
 }
 
 func (d *Daemon) serve(listener net.Listener, handler http.Handler) *http.Server {
 	server := &http.Server{
-		Handler:     handler,
-		BaseContext: func(net.Listener) context.Context { return d.killed },
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		BaseContext:       func(net.Listener) context.Context { return d.killed },
 	}
 	d.tasks.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -83,6 +102,10 @@
 	d.logger.Info("daemon draining")
 	time.Sleep(settings.Millis(d.settings.Timing.DrainNoticeMS))
 	d.caller.Drain()
+	d.mesh.Leave()
 	_ = callers.Shutdown(context.Background())
+	d.spill.Drain()
+	d.mesh.Drain(d.killed)
+	d.drainOrders()
 	_ = admins.Shutdown(context.Background())
 }
--- a/internal/fakes/generate.go
+++ b/internal/fakes/generate.go
@@ -25,7 +25,16 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if code := e.refuse(request); code != "" {
+	status, code := e.failing()
+	if status != 0 {
+		e.noteAttempt(EventRejected, request)
+		http.Error(w, "failing", status)
+		return
+	}
+	if code == "" {
+		code = e.refuse(request)
+	}
+	if code != "" {
 		e.noteAttempt(EventRejected, request)
 		writeJSON(w, http.StatusConflict, endpoint.EngineError{Code: code})
 		return
@@ -35,7 +44,7 @@
 		writeJSON(w, http.StatusConflict, endpoint.EngineError{Code: endpoint.CodeNoAttempt})
 		return
 	}
-	e.stream(w, r, a, request.ResumeFrom)
+	e.stream(w, r, a, request)
 }
 
 func (e *Engine) refuse(request endpoint.GenerateRequest) string {
@@ -78,11 +87,20 @@
 		return
 	}
 	tokens := e.tokensOf(request)
+	leave, ok := e.enterBatch(ctx, a, request.Attempt)
+	if !ok {
+		return
+	}
+	defer leave()
 	for i := range tokens {
 		if !waitFor(ctx, e.options.TokenDelay) || !e.alive(a, request.Attempt) {
 			return
 		}
-		a.add(endpoint.Frame{Attempt: request.Attempt, Index: i, Text: Token(request.Body, i)})
+		frame := endpoint.Frame{Attempt: request.Attempt, Index: i, Text: Token(request.Body, i)}
+		if e.options.OnFrame != nil {
+			e.options.OnFrame(frame)
+		}
+		a.add(frame)
 	}
 	a.add(endpoint.Frame{
 		Attempt: request.Attempt, Index: tokens, Done: true,
@@ -91,10 +109,28 @@
 	e.finish(a, request)
 }
 
+// enterBatch waits for a place in the batch. It returns false when the attempt
+// ended meanwhile.
+func (e *Engine) enterBatch(ctx context.Context, a *attempt, id string) (leave func(), ok bool) {
+	if e.batch == nil {
+		return func() {}, true
+	}
+	for {
+		select {
+		case e.batch <- struct{}{}:
+			return func() { <-e.batch }, true
+		case <-time.After(batchPoll):
+		}
+		if !e.alive(a, id) || ctx.Err() != nil {
+			return nil, false
+		}
+	}
+}
+
 // Token returns the i-th token of the answer to a request's body. It depends on
 // the body, so that an answer given to the wrong caller shows.
 func Token(body []byte, i int) string {
-	return fmt.Sprintf("%04x-%d ", xxhash.Sum64(body)&0xffff, i)
+	return fmt.Sprintf("%016x-%d ", xxhash.Sum64(body), i)
 }
 
 // Answer returns the whole answer to a request's body.
@@ -140,31 +176,42 @@
 	time.AfterFunc(resumeRetention, func() { e.forget(request.Attempt) })
 }
 
+func (e *Engine) forgetAll() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.attempts = map[string]*attempt{}
+}
+
 func (e *Engine) forget(id string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.attempts, id)
 }
 
-// stream sends the frames of an attempt. A caller that goes away cancels it.
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, a *attempt, from int) {
+// stream sends the frames of an attempt. A connection that ends does not cancel
+// it.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, a *attempt, request endpoint.GenerateRequest) {
+	faults := e.forConnection(request.Attempt)
+	if faults.CutBefore < 0 {
+		e.cut(request, faults)
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
-	flusher, _ := w.(http.Flusher)
+	writer := &frameWriter{w: w, faults: faults}
+	from := request.ResumeFrom
 	for {
 		frames, more := a.from(from)
 		for _, frame := range frames {
-			if !writeFrame(w, frame) {
-				return
+			if !writer.write(frame) {
+				flush(w)
+				e.cut(request, faults)
 			}
 			if frame.Done {
 				return
 			}
 		}
 		from += len(frames)
-		if flusher != nil {
-			flusher.Flush()
-		}
+		flush(w)
 		if len(frames) > 0 {
 			continue
 		}
@@ -176,18 +223,24 @@
 	}
 }
 
-func writeFrame(w http.ResponseWriter, frame endpoint.Frame) bool {
-	data, err := json.Marshal(frame)
-	if err != nil {
-		return false
+func flush(w http.ResponseWriter) {
+	if flusher, ok := w.(http.Flusher); ok {
+		flusher.Flush()
+	}
+}
+
+// cut ends a connection without an end marker.
+func (e *Engine) cut(request endpoint.GenerateRequest, faults StreamFaults) {
+	if faults.Forget {
+		e.forget(request.Attempt)
 	}
-	_, err = fmt.Fprintf(w, "data: %s\n\n", data)
-	return err == nil
+	panic(http.ErrAbortHandler)
 }
 
 // crash ends the engine as a failing process would.
 func (e *Engine) crash(request endpoint.GenerateRequest) {
 	e.noteAttempt(EventCrash, request)
+	e.forgetAll()
 	if e.options.OnCrash != nil {
 		e.options.OnCrash()
 	}
--- a/internal/testbed/latch.go
+++ b/internal/testbed/latch.go
@@ -13,6 +13,7 @@
 	held   bool // control orders alone wait
 	cut    map[Side]bool
 	thawed chan struct{}
+	notify func() // told of each change; may be nil
 }
 
 // NewLatch returns an open latch.
@@ -22,6 +23,7 @@
 
 // Freeze holds every call and answer from now on.
 func (l *Latch) Freeze() {
+	defer l.changed()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.frozen = true
@@ -50,6 +52,7 @@
 
 // Thaw lets all held calls and answers go on.
 func (l *Latch) Thaw() {
+	defer l.changed()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.frozen = false
@@ -65,11 +68,35 @@
 func (l *Latch) Mend(side Side) { l.setCut(side, false) }
 
 func (l *Latch) setCut(side Side, cut bool) {
+	defer l.changed()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.cut[side] = cut
 }
 
+// onChange registers a function that is told of each change.
+func (l *Latch) onChange(notify func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.notify = notify
+}
+
+func (l *Latch) changed() {
+	l.mu.Lock()
+	notify := l.notify
+	l.mu.Unlock()
+	if notify != nil {
+		notify()
+	}
+}
+
+// holdsPeers reports whether nothing passes between the daemon and others.
+func (l *Latch) holdsPeers() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.frozen || l.cut[SidePeers]
+}
+
 func (l *Latch) isCut(side Side) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/view/serving.go
+++ b/internal/view/serving.go
@@ -19,6 +19,12 @@
 	Load          *Load
 }
 
+// Proven reports whether the group's completeness is still proven at now. A
+// process that was paused holds a view that no longer is.
+func (s *Serving) Proven(now time.Time) bool {
+	return now.Before(s.ValidUntil)
+}
+
 // Serves reports whether the group answers for a model and adapter. An empty
 // adapter is the plain model.
 func (s *Serving) Serves(name fleet.ModelName, adapter string) bool {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -17,22 +17,24 @@
 	At       time.Time
 }
 
-// ForModel returns the groups that serve a model and adapter and are still known
-// to be complete. It looks at the clock itself: a daemon that was paused must
-// not go by the view that it published before.
-func (v *View) ForModel(name fleet.ModelName, adapter string) []*Serving {
-	return v.ForModelAt(name, adapter, time.Now())
+// Group returns the complete group of a fencing number.
+func (v *View) Group(fencing fleet.FencingNumber) (*Serving, bool) {
+	for _, group := range v.Groups {
+		if group.Fencing == fencing {
+			return group, true
+		}
+	}
+	return nil, false
 }
 
-// ForModelAt returns the groups that serve a model and adapter at now.
-func (v *View) ForModelAt(name fleet.ModelName, adapter string, now time.Time) []*Serving {
-	var groups []*Serving
-	for _, group := range v.Groups {
-		if group.Serves(name, adapter) && now.Before(group.ValidUntil) {
-			groups = append(groups, group)
+// StatusOf returns the status of the group of a fencing number.
+func (v *View) StatusOf(fencing fleet.FencingNumber) (GroupStatus, bool) {
+	for _, status := range v.Status {
+		if status.Fencing == fencing {
+			return status, true
 		}
 	}
-	return groups
+	return GroupStatus{}, false
 }
 
 // Model returns the configured model of a name.
