--- a/test/group_order_test.go
+++ b/test/group_order_test.go
@@ -93,9 +93,14 @@
 		late, other := heldOrders(bed, false, func() {
 			Eventually(func() int { return joinsOf(bed, "v2") }, waitRepair, tick).Should(Equal(2))
 		})
-		eventuallyComplete(other, 1)
+		members := eventuallyComplete(other, 1)[0].Members
 		load := startTraffic(other)
+		// Only the second member gets its late order: the leader would go on alone.
+		leader := bed.Engines[members[0]]
+		leader.Set(fakes.Faults{Down: true})
 		late.Latch.Thaw()
+		Eventually(func() int { return joinsOf(bed, "v1") }, waitRepair, tick).Should(Equal(3))
+		leader.Set(fakes.Faults{})
 		time.Sleep(outage)
 		eventuallyComplete(other, 1)
 		load.stop()
@@ -112,6 +117,9 @@
 		a := bed.StartDaemon(north, nil)
 		b := bed.StartDaemon(north, nil)
 		bed.Publish(0, testbed.SampleConfig(2, north))
+		Eventually(func() int { return countEvents(bed, fakes.EventControl) }, waitRepair, tick).Should(BeNumerically(">=", 4))
+		time.Sleep(time.Second)
+		expectNoViolation(checkOf(bed))
 		eventuallyComplete(a, 2)
 		eventuallyComplete(b, 2)
 		expectNoViolation(checkOf(bed))
