--- /dev/null
+++ b/internal/config/fold_test.go
@@ -0,0 +1,17 @@
+package config
+
+import (
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/logstream"
+	"github.com/plantainmux/plantainmux/internal/platform"
+)
+
+// applyPublish applies an empty configuration to a fold.
+func applyPublish(fold *Fold, offset, base platform.Offset) error {
+	body, err := logstream.Marshal(Publish{Base: base})
+	if err != nil {
+		return err
+	}
+	return fold.Apply(logstream.Position{Offset: offset, Time: time.UnixMilli(1), Writer: "w"}, KindPublish, body)
+}
--- a/internal/config/publisher_test.go
+++ b/internal/config/publisher_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -20,6 +22,48 @@
 	return publisher.Publish(ctx, 0, Configuration{Teams: []Team{{Name: "merchants", Share: share}}})
 }
 
+// gatedLog holds every append until all racers have come to theirs.
+type gatedLog struct {
+	platform.Log
+	gate *sync.WaitGroup
+}
+
+func (l *gatedLog) Append(ctx context.Context, stream string, records [][]byte) (platform.Offset, error) {
+	l.gate.Done()
+	l.gate.Wait()
+	return l.Log.Append(ctx, stream, records)
+}
+
+var _ = Describe("Racing publishers", func() {
+	It("have exactly one accepted, and the others are told the difference", func() {
+		const racers = 6
+		log := fakes.NewLog(fakes.DefaultAppendRate)
+		var gate sync.WaitGroup
+		gate.Add(racers)
+		failures := make(chan error, racers)
+		for racer := range racers {
+			client := &gatedLog{Log: fakes.NewFaultyLog(log, 1, fakes.LogFaults{}), gate: &gate}
+			go func() {
+				_, err := publishThrough(client, fmt.Sprint("racer-", racer), racer+1, 10*time.Second)
+				failures <- err
+			}()
+		}
+		accepted := 0
+		for range racers {
+			err := <-failures
+			if err == nil {
+				accepted++
+				continue
+			}
+			Expect(err).To(BeAssignableToTypeOf(&ConflictError{}))
+			Expect(err.(*ConflictError).Changes).To(HaveLen(1))
+			Expect(err.(*ConflictError).Changes[0].Field).To(Equal("teams[merchants].share"))
+		}
+		Expect(accepted).To(Equal(1))
+		Expect(log.Appends()).To(Equal(racers))
+	})
+})
+
 var _ = Describe("A publisher", func() {
 	It("settles a lost answer by reading back, and counts the publication once", func() {
 		log := fakes.NewLog(fakes.DefaultAppendRate)
