A failure that a later resume met no longer hides that the request may have run

A resume refused with queue_full, or whose dial failed, was classified by the error inside the BrokenError: the caller was told not run although the engine had run it. Each answer of an unknown path carries an outcome.

--- a/internal/callerapi/completions_test.go
+++ b/internal/callerapi/completions_test.go
@@ -71,6 +71,10 @@
 		expect(post(`{"model":"other"}`), refusal.UnknownModel, refusal.NotRun)
 		expect(post(body, "Plantainmux-Timeout-Ms", "9000000000000000"), refusal.Malformed, refusal.NotRun)
 		Expect(started()).To(BeZero())
+		response, err := http.Get(r.caller.URL() + "/v1/completions")
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = response.Body.Close() }()
+		expect(response, refusal.UnknownService, refusal.NotRun)
 	})
 
 	It("ends at its deadline with an explicit outcome", func() {
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -11,6 +11,7 @@
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/metric"
 	"github.com/plantainmux/plantainmux/internal/order"
+	"github.com/plantainmux/plantainmux/internal/refusal"
 	"github.com/plantainmux/plantainmux/internal/relay"
 	"github.com/plantainmux/plantainmux/internal/view"
 )
@@ -52,5 +53,12 @@
 	mux.HandleFunc("POST /v1/chat/completions", s.authenticated(s.chatCompletions))
 	mux.HandleFunc("GET /v1/models", s.authenticated(s.models))
 	mux.HandleFunc("/v1/services/{name}/{path...}", s.authenticated(s.service))
+	mux.HandleFunc("/", s.unknownPath)
 	return mux
 }
+
+// unknownPath refuses what no other handler takes, so that each answer carries
+// an outcome.
+func (s *Server) unknownPath(w http.ResponseWriter, r *http.Request) {
+	s.refuse(w, refusal.New(refusal.UnknownService, 0, r.Method+" "+r.URL.Path+" is not served"))
+}
--- a/internal/fakes/generate.go
+++ b/internal/fakes/generate.go
@@ -25,7 +25,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	status, code := e.failing()
+	status, code := e.failing(request.Attempt)
 	if status != 0 {
 		e.noteAttempt(EventRejected, request)
 		http.Error(w, "failing", status)
--- a/internal/fakes/stream_faults.go
+++ b/internal/fakes/stream_faults.go
@@ -5,14 +5,15 @@
 // StreamFaults spoil the streams of an engine's answers. The zero value is
 // healthy.
 type StreamFaults struct {
-	CutBefore int    // end each connection once, before the frame of this index; -1 before any byte, 0 is none
-	CutEach   bool   // end a connection before every frame but its first
-	Cross     bool   // send frames of another attempt in between
-	Duplicate bool   // send every frame twice
-	Reorder   bool   // on the first connection, send the frames in pairs, the later one first
-	Status    int    // answer this status instead of running a request
-	Refuse    string // refuse each request with this code
-	Forget    bool   // lose the attempt when its connection is cut
+	CutBefore    int    // end each connection once, before the frame of this index; -1 before any byte, 0 is none
+	CutEach      bool   // end a connection before every frame but its first
+	Cross        bool   // send frames of another attempt in between
+	Duplicate    bool   // send every frame twice
+	Reorder      bool   // on the first connection, send the frames in pairs, the later one first
+	Status       int    // answer this status instead of running a request
+	Refuse       string // refuse each request with this code
+	RefuseResume string // refuse with this code to go on with an attempt
+	Forget       bool   // lose the attempt when its connection is cut
 }
 
 // streamSwitches guards the stream faults of an engine.
@@ -30,10 +31,14 @@
 	s.spoiled = map[string]bool{}
 }
 
-// failing returns the faults that strike before a request runs.
-func (s *streamSwitches) failing() (status int, refuse string) {
+// failing returns the faults that strike before a request runs: a status or a
+// code of a refusal.
+func (s *streamSwitches) failing(attempt string) (status int, refuse string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.spoiled[attempt] && s.faults.RefuseResume != "" {
+		return 0, s.faults.RefuseResume
+	}
 	return s.faults.Status, s.faults.Refuse
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -222,11 +222,10 @@
 		return
 	}
 	var died *DiedError
-	var unreachable *endpoint.UnreachableError
 	if a.target.remote != "" {
 		return // the other data centre cancels when its stream is closed
 	}
-	if a.sent && !errors.As(err, &died) && !errors.As(err, &unreachable) {
+	if a.sent && !errors.As(err, &died) {
 		a.canceller.cancel(a.target.serving.LeaderAddress, a.frames.attempt)
 	}
 }
--- a/internal/retry/reason.go
+++ b/internal/retry/reason.go
@@ -29,6 +29,11 @@
 	if errors.As(err, &typed) {
 		return typed.RetryReason()
 	}
+	// A broken exchange stays broken, whatever a later try to resume it met.
+	var broken *endpoint.BrokenError
+	if errors.As(err, &broken) {
+		return Broken
+	}
 	var unreachable *endpoint.UnreachableError
 	if errors.As(err, &unreachable) {
 		return Unreachable
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -59,6 +59,8 @@
 
 	It("takes an unknown failure for one that may have run", func() {
 		Expect(retry.ReasonOf(&endpoint.BrokenError{}).MayHaveRun()).To(BeTrue())
+		Expect(retry.ReasonOf(&endpoint.BrokenError{Err: &endpoint.NotRunError{}}).MayHaveRun()).To(BeTrue())
+		Expect(retry.ReasonOf(&endpoint.BrokenError{Err: &endpoint.UnreachableError{}}).MayHaveRun()).To(BeTrue())
 		Expect(retry.ReasonOf(&endpoint.AttemptLostError{}).MayHaveRun()).To(BeTrue())
 		Expect(retry.ReasonOf(&endpoint.NotRunError{}).MayHaveRun()).To(BeFalse())
 		Expect(retry.ReasonOf(&endpoint.UnreachableError{}).MayHaveRun()).To(BeFalse())
--- a/internal/spill/sink.go
+++ b/internal/spill/sink.go
@@ -12,7 +12,6 @@
 // Frame implements relay.Sink.
 func (s *sink) Frame(frame endpoint.Frame) error {
 	frame.Attempt = s.attempt
-	frame.Index = s.sent
 	s.sent++
 	return s.send(Answer{Frame: &frame})
 }
--- a/test/request_bed_test.go
+++ b/test/request_bed_test.go
@@ -109,6 +109,9 @@
 	r.outcome = response.Header.Get(refusal.OutcomeHeader)
 	data, err := io.ReadAll(response.Body)
 	r.broken = err
+	if err != nil {
+		return r
+	}
 	r.read(data)
 	r.whole = err == nil && r.status == http.StatusOK
 	return r
