--- a/internal/group/trace/replay.go
+++ b/internal/group/trace/replay.go
@@ -39,6 +39,7 @@
 	fold         *group.Fold
 	next         platform.Offset
 	now          time.Time
+	logAway      bool
 }
 
 // Run measures a policy on a trace, for a user's weights.
@@ -73,6 +74,7 @@
 			r.machines[events[0].VM].happen(events[0].Kind)
 			events = events[1:]
 		}
+		r.logAway = r.trace.LogAway.holds(at)
 		r.step()
 		r.count(&cost)
 	}
@@ -85,7 +87,9 @@
 	r.observe()
 	in := r.input()
 	r.history.Update(in)
-	r.apply(r.policy(in))
+	if !r.logAway {
+		r.apply(r.policy(in))
+	}
 	r.order()
 }
 
--- a/internal/group/trace/trace.go
+++ b/internal/group/trace/trace.go
@@ -17,6 +17,7 @@
 	Models       []config.Model
 	Events       []Event // in the order of time
 	Length       time.Duration
-	LoadingVMs   int // VMs that the weight store serves at full speed
-	Accelerators int // of one VM
+	LogAway      Span // no record can be appended
+	LoadingVMs   int  // VMs that the weight store serves at full speed
+	Accelerators int  // of one VM
 }
--- a/internal/group/trace/trace_test.go
+++ b/internal/group/trace/trace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -41,6 +42,18 @@
 		}
 	}
 
+	// What forming without the log could gain at most: the same fault, log at hand.
+	for _, t := range trace.LogAway(30 * time.Minute) {
+		It("loses no more than the outage by waiting for the log: "+t.Name, func() {
+			waiting := trace.Run(t, users[0].weights, group.MakePlan)
+			outage := t.LogAway.To - t.LogAway.From
+			t.LogAway = trace.Span{}
+			forming := trace.Run(t, users[0].weights, group.MakePlan)
+			AddReportEntry("cost", fmt.Sprintf("%s: waiting %+v, forming at once %+v", t.Name, waiting, forming))
+			Expect(waiting.Downtime - forming.Downtime).To(BeNumerically("<=", outage.Seconds()))
+		})
+	}
+
 	It("costs the same each time", func() {
 		for _, t := range trace.Traces()[:1] {
 			Expect(trace.Run(t, users[0].weights, group.MakePlan)).To(Equal(trace.Run(t, users[0].weights, group.MakePlan)))
--- a/internal/group/trace/traces.go
+++ b/internal/group/trace/traces.go
@@ -82,6 +82,25 @@
 	return t
 }
 
+// LogAway returns a trace in which the log is away while one member is killed,
+// one VM is replaced, or a fabric domain goes dark for a moment.
+func LogAway(outage time.Duration) []Trace {
+	killed := newTrace("log away, a member killed", smallDomains, 1, outage+20*time.Minute)
+	killed.add(vmID(0, 1), 2*time.Minute, Kill)
+	replaced := newTrace("log away, a VM replaced", smallDomains, 1, outage+20*time.Minute)
+	replaced.add(vmID(0, 1), 2*time.Minute, Leaving)
+	replaced.add(vmID(0, 1), 3*time.Minute, Kill)
+	replaced.add(vmID(0, 1), 4*time.Minute, Boot)
+	dark := newTrace("log away, a fabric domain dark for 90 s", smallDomains, 1, outage+20*time.Minute)
+	dark.addDomain(0, 2*time.Minute, Pause)
+	dark.addDomain(0, 2*time.Minute+90*time.Second, Resume)
+	traces := []Trace{killed, replaced, dark}
+	for i := range traces {
+		traces[i].LogAway = Span{From: time.Minute, To: time.Minute + outage}
+	}
+	return traces
+}
+
 func shortPauses() Trace {
 	t := newTrace("members pause shortly", smallDomains, 1, 20*time.Minute)
 	for i := range 6 {
