--- a/internal/group/fold.go
+++ b/internal/group/fold.go
@@ -1,12 +1,19 @@
 package group
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 )
 
+// maxFreeVMs is how many free VMs a fold remembers: several times the VMs of a
+// data centre, so that none is forgotten while a form of it is on its way.
+const maxFreeVMs = 2048
+
 // Fold is the state of one data centre's groups. Records are never changed in
 // place, so a reader may keep one.
 type Fold struct {
@@ -162,6 +169,7 @@
 	for _, vm := range record.Members {
 		f.vms[vm] = VMState{Fence: fleet.FencingNumber(at.Offset), RestMillis: record.RestMillis}
 	}
+	f.forgetOldest()
 	return nil
 }
 
@@ -191,3 +199,25 @@
 	}
 	return nil
 }
+
+// forgetOldest drops the free VMs that were released longest ago, beyond
+// maxFreeVMs. VMs are replaced under new names, and the fold must not keep all
+// of them for ever. A form that saw such a VM free under a number is void, since
+// the number is gone; the next one sees none.
+func (f *Fold) forgetOldest() {
+	var free []fleet.VMID
+	for vm, state := range f.vms {
+		if state.Group == fleet.NoGroup {
+			free = append(free, vm)
+		}
+	}
+	if len(free) <= maxFreeVMs {
+		return
+	}
+	slices.SortFunc(free, func(a, b fleet.VMID) int {
+		return cmp.Or(cmp.Compare(f.vms[a].Fence, f.vms[b].Fence), cmp.Compare(a, b))
+	})
+	for _, vm := range free[:len(free)-maxFreeVMs] {
+		delete(f.vms, vm)
+	}
+}
--- a/internal/group/fold_test.go
+++ b/internal/group/fold_test.go
@@ -1,6 +1,7 @@
 package group_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -47,6 +48,18 @@
 		Expect(copied).To(Equal(w.Fold))
 	})
 
+	It("forgets the VMs that were released longest ago, and no member", func() {
+		w := newWorld(nil, nil)
+		Expect(w.append(group.KindForm, formOf(0, 0))).To(Succeed())
+		for i := range 3000 {
+			form := group.Form{Members: []fleet.VMID{fleet.VMID(fmt.Sprintf("old-%d", i))}, Addresses: []string{"x"}, Fences: make([]fleet.FencingNumber, 1)}
+			Expect(w.append(group.KindForm, form)).To(Succeed())
+			Expect(w.append(group.KindRelease, group.Release{Group: fleet.FencingNumber(w.next - 1)})).To(Succeed())
+		}
+		Expect(w.Fold.VMs()).To(HaveLen(2048 + 2))
+		Expect(w.Fold.VMs()).To(And(HaveKey(fleet.VMID("a-000")), HaveKey(fleet.VMID("old-2999")), Not(HaveKey(fleet.VMID("old-0")))))
+	})
+
 	It("keeps a boot that was replaced before the ready record from counting", func() {
 		w := newWorld([]config.Model{model("m", 2, 1, 1)}, map[fleet.FabricDomain]int{"a": 2})
 		w.pass(time.Second)
--- a/internal/group/history.go
+++ b/internal/group/history.go
@@ -38,6 +38,7 @@
 	dropGone(h.ready, in.Fold)
 	dropGone(h.idling, in.Fold)
 	h.noteFences(in)
+	h.dropForgotten(in.Fold)
 	h.noteOutages(in)
 	h.noteShort(in)
 }
@@ -76,6 +77,15 @@
 	}
 }
 
+// dropForgotten forgets the VMs that the fold no longer knows.
+func (h *History) dropForgotten(fold *Fold) {
+	for vm := range h.fences {
+		if _, ok := fold.vms[vm]; !ok {
+			delete(h.fences, vm)
+		}
+	}
+}
+
 // noteShort notes since when a model has had too few complete groups.
 func (h *History) noteShort(in Input) {
 	complete := map[fleet.ModelName]int{}
