Graceful stop with the listener open to the end; TLS of all listeners; client certificates for operators

A stop closed the listener as soon as new work was refused, so a late request got a reset instead of a refusal. Now each answer ends its connection while the balancer has its time, then late requests get 503, not_run and Retry-After until the last request in progress ends. Idle connections have a time limit; none of the limits ends a request.

--- a/internal/adminapi/server.go
+++ b/internal/adminapi/server.go
@@ -44,8 +44,18 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// holdsCertificate reports whether the client proved a certificate of the
+// authority that the listener accepts.
+func holdsCertificate(r *http.Request) bool {
+	return r.TLS != nil && len(r.TLS.VerifiedChains) > 0
+}
+
 func (s *Server) authenticated(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		if holdsCertificate(r) {
+			next(w, r)
+			return
+		}
 		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
 		if subtle.ConstantTimeCompare([]byte(token), []byte(s.token)) != 1 {
 			w.WriteHeader(http.StatusUnauthorized)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -69,6 +69,8 @@
 	adminListener  net.Listener
 	peerListener   net.Listener
 
+	tls      tlsConfigs
+	inFlight *inFlight
 	draining atomic.Bool
 	tasks    sync.WaitGroup
 	killed   context.Context
@@ -91,6 +93,10 @@
 		pool:     pond.NewPool(s.Limits.Workers),
 		views:    view.NewStore(),
 	}
+	var err error
+	if d.tls, err = loadTLS(s.TLS); err != nil {
+		return nil, err
+	}
 	if err := d.buildMesh(); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/daemon/in_flight.go
@@ -0,0 +1,73 @@
+package daemon
+
+import (
+	"net/http"
+	"sync"
+)
+
+// inFlight counts the requests in progress that began before the daemon
+// refused new ones. Once the daemon drains, each answer ends its connection, so
+// that clients open their next one elsewhere.
+type inFlight struct {
+	next http.Handler
+
+	mu       sync.Mutex
+	draining bool
+	refusing bool
+	count    int
+	done     chan struct{} // closed when the last one ends after refuse
+}
+
+func newInFlight(next http.Handler) *inFlight {
+	return &inFlight{next: next, done: make(chan struct{})}
+}
+
+// ServeHTTP implements http.Handler.
+func (f *inFlight) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	draining, counted := f.begin()
+	if draining {
+		w.Header().Set("Connection", "close")
+	}
+	if counted {
+		defer f.end()
+	}
+	f.next.ServeHTTP(w, r)
+}
+
+func (f *inFlight) begin() (draining, counted bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refusing {
+		return true, false
+	}
+	f.count++
+	return f.draining, true
+}
+
+func (f *inFlight) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.count--
+	if f.refusing && f.count == 0 {
+		close(f.done)
+	}
+}
+
+// drain ends each connection with its next answer from now on.
+func (f *inFlight) drain() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.draining = true
+}
+
+// refuse stops counting new requests and returns a channel that is closed when
+// the counted ones have ended. It is called once, when new work is refused.
+func (f *inFlight) refuse() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refusing = true
+	if f.count == 0 {
+		close(f.done)
+	}
+	return f.done
+}
--- a/internal/daemon/mesh.go
+++ b/internal/daemon/mesh.go
@@ -16,6 +16,7 @@
 		Secret:     d.settings.PeerSecret,
 		Addresses:  addresses,
 		Dial:       d.adapters.PeerDial,
+		ClientTLS:  d.tls.dial,
 		Heartbeat:  settings.Millis(d.settings.Timing.PeerHeartbeatMS),
 		Logger:     d.logger,
 		Metrics:    d.metrics,
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -10,8 +11,11 @@
 	"github.com/plantainmux/plantainmux/internal/settings"
 )
 
-// headerTimeout is how long a client may take to send the header of a request.
-const headerTimeout = 10 * time.Second
+// Time limits of connections. None of them ends a request in progress.
+const (
+	headerTimeout = 10 * time.Second // to send the header of a request
+	idleTimeout   = 2 * time.Minute  // between two requests; longer than common balancers keep a connection
+)
 
 // CallerAddress returns the address of the callers' listener.
 func (d *Daemon) CallerAddress() string { return d.callerListener.Addr().String() }
@@ -43,18 +47,19 @@
 func (d *Daemon) Run(ctx context.Context) {
 	background, cancel := context.WithCancel(d.killed)
 	d.startControl(background)
-	peers := d.serve(d.peerListener, d.mesh.Handler())
+	peers := d.serve(withTLS(d.peerListener, d.tls.peer), d.mesh.Handler())
 	d.tasks.Go(d.mesh.Run)
-	callers := d.serve(d.callerListener, d.caller.Handler())
-	admins := d.serve(d.adminListener, d.admin.Handler())
+	d.inFlight = newInFlight(d.caller.Handler())
+	callers := d.serve(withTLS(d.callerListener, d.tls.caller), d.inFlight)
+	admins := d.serve(withTLS(d.adminListener, d.tls.admin), d.admin.Handler())
 	d.logger.Info("daemon started", "caller", d.CallerAddress(), "admin", d.AdminAddress(), "peer", d.PeerAddress())
 	select {
 	case <-ctx.Done():
 		d.stop(callers, admins)
 	case <-d.killed.Done():
-		_ = callers.Close()
-		_ = admins.Close()
 	}
+	_ = callers.Close()
+	_ = admins.Close()
 	_ = peers.Close()
 	d.mesh.Close()
 	cancel()
@@ -84,6 +89,7 @@
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
 		BaseContext:       func(net.Listener) context.Context { return d.killed },
 	}
 	d.tasks.Go(func() {
@@ -94,18 +100,45 @@
 	return server
 }
 
-// stop ends the daemon without cutting off a request: readiness fails first,
-// the balancer gets its time to notice, then new work ends and the requests in
-// progress finish, however long their own deadlines allow.
+func withTLS(listener net.Listener, config *tls.Config) net.Listener {
+	if config == nil {
+		return listener
+	}
+	return tls.NewListener(listener, config)
+}
+
+// stop ends the daemon without cutting off a request. Readiness fails first and
+// each answer ends its connection, while the balancer has its time to notice.
+// Then new requests are refused as not run, the peers are told, and the requests
+// in progress finish, however long their own deadlines allow. The listener stays
+// open until then, so that a late request gets its refusal.
 func (d *Daemon) stop(callers, admins *http.Server) {
 	d.draining.Store(true)
 	d.logger.Info("daemon draining")
-	time.Sleep(settings.Millis(d.settings.Timing.DrainNoticeMS))
+	d.inFlight.drain()
+	d.pause(settings.Millis(d.settings.Timing.DrainNoticeMS))
 	d.caller.Drain()
 	d.mesh.Leave()
-	_ = callers.Shutdown(context.Background())
+	d.await(d.inFlight.refuse())
+	_ = callers.Shutdown(d.killed)
 	d.spill.Drain()
 	d.mesh.Drain(d.killed)
 	d.drainOrders()
-	_ = admins.Shutdown(context.Background())
+	_ = admins.Shutdown(d.killed)
+}
+
+// pause waits for a time, or until the daemon is killed.
+func (d *Daemon) pause(length time.Duration) {
+	select {
+	case <-time.After(length):
+	case <-d.killed.Done():
+	}
+}
+
+// await waits until done is closed, or the daemon is killed.
+func (d *Daemon) await(done <-chan struct{}) {
+	select {
+	case <-done:
+	case <-d.killed.Done():
+	}
 }
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/coder/websocket"
@@ -82,6 +83,8 @@
 		nodes := startNodes(nil, "north", "north", "north")
 		started := make(chan struct{})
 		release := make(chan struct{})
+		finish := sync.OnceFunc(func() { close(release) })
+		DeferCleanup(finish)
 		nodes[2].callHandlers["slow"] = func(context.Context, fleet.DaemonID, cbor.RawMessage) (any, error) {
 			close(started)
 			<-release
@@ -101,7 +104,7 @@
 			nodes[2].Drain(context.Background())
 		}()
 		Consistently(drained, 3*testHeartbeat).ShouldNot(BeClosed())
-		close(release)
+		finish()
 		Eventually(answered, waitLong).Should(Receive(BeNil()))
 		Expect(reply).To(Equal("done"))
 		Eventually(drained, waitLong).Should(BeClosed())
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -23,7 +23,6 @@
 	DataCentre fleet.DataCentre
 	Secret     string // shared by all daemons
 	Addresses  []Address
-	ServerTLS  *tls.Config // nil: plain TCP
 	ClientTLS  *tls.Config // nil: plain TCP
 	Dial       func(ctx context.Context, network, address string) (net.Conn, error)
 	Heartbeat  time.Duration // longest time between two frames of a link
--- a/internal/watch/engines_test.go
+++ b/internal/watch/engines_test.go
@@ -14,20 +14,22 @@
 // engines stands for all engines of a data centre. Their addresses are their
 // VM's names.
 type engines struct {
-	mu      sync.Mutex
-	reports map[string]fleet.MemberReport
-	dead    map[string]bool
-	cut     map[fleet.DaemonID]map[string]bool
-	polls   int
-	last    map[string]time.Time // when the last poll of each was answered
+	mu       sync.Mutex
+	reports  map[string]fleet.MemberReport
+	dead     map[string]bool
+	cut      map[fleet.DaemonID]map[string]bool
+	polls    int
+	polledBy map[fleet.DaemonID]map[string]int
+	last     map[string]time.Time // when the last poll of each was answered
 }
 
 func newEngines(count int) *engines {
 	e := &engines{
-		reports: map[string]fleet.MemberReport{},
-		dead:    map[string]bool{},
-		cut:     map[fleet.DaemonID]map[string]bool{},
-		last:    map[string]time.Time{},
+		reports:  map[string]fleet.MemberReport{},
+		dead:     map[string]bool{},
+		cut:      map[fleet.DaemonID]map[string]bool{},
+		last:     map[string]time.Time{},
+		polledBy: map[fleet.DaemonID]map[string]int{},
 	}
 	for i := range count {
 		name := fmt.Sprintf("vm-%03d", i)
@@ -83,10 +85,21 @@
 	return maps.Clone(e.last)
 }
 
+// pollsBy returns how often a daemon polled an engine.
+func (e *engines) pollsBy(daemon fleet.DaemonID, name string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.polledBy[daemon][name]
+}
+
 func (e *engines) report(daemon fleet.DaemonID, address string) (fleet.MemberReport, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.polls++
+	if e.polledBy[daemon] == nil {
+		e.polledBy[daemon] = map[string]int{}
+	}
+	e.polledBy[daemon][address]++
 	e.last[address] = time.Now()
 	if e.dead[address] || e.cut[daemon][address] {
 		return fleet.MemberReport{}, &endpoint.UnreachableError{Address: address}
--- a/internal/watch/sharing_test.go
+++ b/internal/watch/sharing_test.go
@@ -132,11 +132,13 @@
 		watchers, others := watchersOf(nodes, vm)
 		Expect(others).To(HaveLen(1))
 		others[0].deaf.Store(true)
+		polls := engines.pollsBy(others[0].id, string(vm))
 		engines.update(string(vm), func(r *fleet.MemberReport) { r.Group = 9 })
 		for _, n := range watchers {
 			Eventually(func() fleet.FencingNumber { return n.see(vm).Report.Group }, waitLong, pollOften).Should(Equal(fleet.FencingNumber(9)))
 		}
 		Eventually(func() fleet.FencingNumber { return others[0].see(vm).Report.Group }, waitLong, pollOften).Should(Equal(fleet.FencingNumber(9)))
+		Expect(engines.pollsBy(others[0].id, string(vm))).To(Equal(polls), "it asked its peers, not the member")
 	})
 
 	It("never see a member younger than the poll that brought its report", func() {
