--- a/internal/callerapi/authenticate.go
+++ b/internal/callerapi/authenticate.go
@@ -45,8 +45,6 @@
 			return
 		}
 		r.Body = newTimedBody(w, r.Body, cmp.Or(s.BodyTimeout, bodyTimeout))
-		s.inProgress.Add(1)
-		defer s.inProgress.Add(-1)
 		next(w, r, team)
 	}
 }
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -35,8 +35,7 @@
 // Server serves callers.
 type Server struct {
 	Dependencies
-	draining   atomic.Bool
-	inProgress atomic.Int64
+	draining atomic.Bool
 }
 
 // New returns a server.
@@ -47,9 +46,6 @@
 // Drain refuses new work from now on.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// InProgress returns the number of requests that are being answered.
-func (s *Server) InProgress() int { return int(s.inProgress.Load()) }
-
 // Handler serves the interface.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/daemon/evidence.go
+++ b/internal/daemon/evidence.go
@@ -38,6 +38,6 @@
 
 // finishEvidence records the end of a planned stop.
 func (d *Daemon) finishEvidence() {
-	d.evidence.RequestsCut(d.caller.InProgress())
+	d.evidence.RequestsCut(d.inFlight.remaining())
 	d.digests.Finish(context.WithoutCancel(d.killed), time.Now())
 }
--- a/internal/daemon/in_flight.go
+++ b/internal/daemon/in_flight.go
@@ -44,6 +44,13 @@
 	return f.draining, true
 }
 
+// remaining returns the number of counted requests that have not ended.
+func (f *inFlight) remaining() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.count
+}
+
 func (f *inFlight) end() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/test/request_retry_test.go
+++ b/test/request_retry_test.go
@@ -147,7 +147,7 @@
 				replies[i] = ask(bed.Daemons[i%len(daemons)], body)
 			})
 		}
-		Eventually(func() int { return bed.count(fakes.EventStart, "") }, waitComplete, tick).Should(BeNumerically(">=", 36))
+		Eventually(func() int { return bed.count(fakes.EventStart, "") }, waitComplete, tick).Should(BeNumerically(">=", 40))
 		guilty := completionBody(crashText, 5, false)
 		first := ask(bed.daemon, guilty)
 		Expect(first.reason).To(Equal(string(refusal.CrashSuspect)))
