Control traffic counted by counterpart; the list of VMs is fetched for the own data centre and only when its entity tag changed

At 434 VMs a data centre a list of about 150 bytes a VM each second would be 65 KB/s, above the 27 KB/s that a daemon may spend (worked out, not measured). The demo links its daemons, stops one gracefully and asks for the evidence.

--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -16,16 +16,21 @@
 	Engine  endpoint.Engine
 	Service endpoint.Service
 
+	Traffic *Traffic
+
 	PeerListener net.Listener // nil: listen on the address of the settings
 	PeerDial     func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // NewAdapters returns the adapters that speak over the network.
 func NewAdapters(s settings.Settings) Adapters {
+	counted := &Traffic{}
 	return Adapters{
-		Log:     platform.NewHTTPLog(s.Platform.Log),
-		VMs:     platform.NewHTTPVMList(s.Platform.VMs),
-		Engine:  endpoint.NewHTTPEngine(),
-		Service: endpoint.NewHTTPService(),
+		Log:      platform.NewHTTPLog(s.Platform.Log).CountOn(&counted.Log),
+		VMs:      platform.NewHTTPVMList(s.Platform.VMs, s.DataCentre).CountOn(&counted.VMs),
+		Engine:   endpoint.NewHTTPEngine().CountControlOn(&counted.Engines),
+		Service:  endpoint.NewHTTPService(),
+		Traffic:  counted,
+		PeerDial: counted.dialPeer,
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -106,6 +106,7 @@
 	if err := d.buildMesh(); err != nil {
 		return nil, err
 	}
+	d.adapters.Traffic.register(d.metrics)
 	d.buildEvidence()
 	d.buildControl()
 	d.buildOrders()
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/settings"
+	"github.com/plantainmux/plantainmux/internal/traffic"
 )
 
 // Time limits of connections. None of them ends a request in progress.
@@ -40,6 +41,7 @@
 	if d.peerListener, err = net.Listen("tcp", d.settings.Listen.Peer); err != nil {
 		return &ListenError{Name: "peer", Err: err}
 	}
+	d.peerListener = traffic.Listen(d.peerListener, &d.adapters.Traffic.Peers)
 	return nil
 }
 
--- a/internal/endpoint/http_engine.go
+++ b/internal/endpoint/http_engine.go
@@ -13,6 +13,7 @@
 	"github.com/go-resty/resty/v2"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/traffic"
 )
 
 // Paths of an engine.
@@ -46,6 +47,15 @@
 	}
 }
 
+// CountControlOn gives reports and orders connections of their own, whose bytes
+// are counted. It is called before the first use.
+func (e *HTTPEngine) CountControlOn(counter *traffic.Counter) *HTTPEngine {
+	transport := newTransport()
+	transport.DialContext = traffic.NewDialer(dialTimeout, counter).DialContext
+	e.control = resty.NewWithClient(&http.Client{Transport: transport})
+	return e
+}
+
 func newTransport() *http.Transport {
 	return &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
--- a/internal/fakes/vm_list.go
+++ b/internal/fakes/vm_list.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -16,8 +17,9 @@
 type VMList struct {
 	*Switches
 
-	mu  sync.Mutex
-	vms map[fleet.VMID]fleet.VM
+	mu      sync.Mutex
+	vms     map[fleet.VMID]fleet.VM
+	changes int
 }
 
 // NewVMList returns a list of VMs.
@@ -39,13 +41,22 @@
 	return mux
 }
 
-func (l *VMList) handleList(w http.ResponseWriter, _ *http.Request) {
+func (l *VMList) handleList(w http.ResponseWriter, r *http.Request) {
+	wanted := fleet.DataCentre(r.URL.Query().Get("data_centre"))
 	l.mu.Lock()
 	vms := make([]fleet.VM, 0, len(l.vms))
 	for _, vm := range l.vms {
-		vms = append(vms, vm)
+		if wanted == "" || vm.DataCentre == wanted {
+			vms = append(vms, vm)
+		}
 	}
+	tag := strconv.Quote(strconv.Itoa(l.changes))
 	l.mu.Unlock()
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	slices.SortFunc(vms, func(a, b fleet.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	writeJSON(w, http.StatusOK, platform.VMListAnswer{VMs: vms})
 }
@@ -68,6 +79,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.vms[vm.ID] = vm
+	l.changes++
 }
 
 // Remove drops a VM.
@@ -75,4 +87,5 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.vms, id)
+	l.changes++
 }
--- a/internal/platform/http_log.go
+++ b/internal/platform/http_log.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-resty/resty/v2"
+
+	"github.com/plantainmux/plantainmux/internal/traffic"
 )
 
 // Paths and query names of the log service.
@@ -32,6 +34,13 @@
 	return &HTTPLog{client: resty.New().SetBaseURL(baseURL)}
 }
 
+// CountOn counts the bytes of the client's connections. It is called before the
+// first use.
+func (l *HTTPLog) CountOn(counter *traffic.Counter) *HTTPLog {
+	l.client.SetTransport(newTransport(counter))
+	return l
+}
+
 // Append implements Log.
 func (l *HTTPLog) Append(ctx context.Context, stream string, records [][]byte) (Offset, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestMargin)
--- a/internal/platform/http_vm_list.go
+++ b/internal/platform/http_vm_list.go
@@ -2,37 +2,65 @@
 
 import (
 	"context"
+	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-resty/resty/v2"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/traffic"
 )
 
 const (
-	pathVMs       = "/vms"
-	vmListTimeout = 5 * time.Second
+	pathVMs         = "/vms"
+	queryDataCentre = "data_centre"
+	vmListTimeout   = 5 * time.Second
 )
 
-// HTTPVMList reads the list of VMs over HTTP and JSON.
+// HTTPVMList reads the VMs of one data centre over HTTP and JSON. It fetches
+// the list again only when the platform's entity tag has changed.
 type HTTPVMList struct {
-	client *resty.Client
+	client     *resty.Client
+	dataCentre fleet.DataCentre
+
+	mu   sync.Mutex
+	tag  string
+	last []fleet.VM
 }
 
 // NewHTTPVMList returns a client of the VM list at baseURL.
-func NewHTTPVMList(baseURL string) *HTTPVMList {
-	return &HTTPVMList{client: resty.New().SetBaseURL(baseURL).SetTimeout(vmListTimeout)}
+func NewHTTPVMList(baseURL string, dataCentre fleet.DataCentre) *HTTPVMList {
+	return &HTTPVMList{client: resty.New().SetBaseURL(baseURL).SetTimeout(vmListTimeout), dataCentre: dataCentre}
+}
+
+// CountOn counts the bytes of the client's connections. It is called before the
+// first use.
+func (l *HTTPVMList) CountOn(counter *traffic.Counter) *HTTPVMList {
+	l.client.SetTransport(newTransport(counter))
+	return l
 }
 
 // VMs implements VMList.
 func (l *HTTPVMList) VMs(ctx context.Context) ([]fleet.VM, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	var answer VMListAnswer
-	response, err := l.client.R().SetContext(ctx).SetResult(&answer).Get(pathVMs)
+	request := l.client.R().SetContext(ctx).SetQueryParam(queryDataCentre, string(l.dataCentre)).SetResult(&answer)
+	if l.tag != "" {
+		request.SetHeader("If-None-Match", l.tag)
+	}
+	response, err := request.Get(pathVMs)
 	if err != nil {
 		return nil, &UnavailableError{Operation: "list VMs", Err: err}
 	}
+	if response.StatusCode() == http.StatusNotModified {
+		return l.last, nil
+	}
 	if !response.IsSuccess() {
 		return nil, &UnavailableError{Operation: "list VMs", Err: statusError(response.StatusCode())}
 	}
-	return answer.VMs, nil
+	l.tag = response.Header().Get("ETag")
+	l.last = answer.VMs
+	return l.last, nil
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -52,7 +52,7 @@
 next_port; weights=127.0.0.1:$port; start weights ./bin/plantainfake weights --listen "$weights"
 next_port; orders=127.0.0.1:$port;  start orders ./bin/plantainfake service --listen "$orders"
 for address in "$log" "$vms" "$weights" "$orders"; do
-  until_ok 5 "start of $address" curl -s -o /dev/null "http://$address/"
+  until_ok 5 "start of $address" curl --max-time 10 -s -o /dev/null "http://$address/"
 done
 
 echo "starting 12 engines"
@@ -64,25 +64,33 @@
     start "$vm" ./bin/plantainfake engine --listen "127.0.0.1:$port" --vm "$vm" --weight-store "http://$weights"
     engine_pid[$vm]=$started
     engine_address[$vm]=127.0.0.1:$port
-    curl -sf -X PUT "http://$vms/vms" -d "{\"id\":\"$vm\",\"address\":\"127.0.0.1:$port\",\"data_centre\":\"$centre\",\"fabric_domain\":\"$centre-a\",\"accelerators\":8}"
+    curl --max-time 10 -sf -X PUT "http://$vms/vms" -d "{\"id\":\"$vm\",\"address\":\"127.0.0.1:$port\",\"data_centre\":\"$centre\",\"fabric_domain\":\"$centre-a\",\"accelerators\":8}"
   done
 done
 
 echo "starting 4 daemons"
-callers=(); admins=()
-for name in north-1 north-2 south-1 south-2; do
-  next_port; caller=127.0.0.1:$port; callers+=("$caller")
-  next_port; admin=127.0.0.1:$port;  admins+=("$admin")
-  next_port; peer=127.0.0.1:$port
+names=(north-1 north-2 south-1 south-2)
+callers=(); admins=(); peers=(); peer_list=""
+for name in "${names[@]}"; do
+  next_port; callers+=("127.0.0.1:$port")
+  next_port; admins+=("127.0.0.1:$port")
+  next_port; peers+=("127.0.0.1:$port")
+  peer_list+="{address: \"127.0.0.1:$port\", data_centre: ${name%-*}}, "
+done
+declare -A daemon_pid
+for i in "${!names[@]}"; do
+  name=${names[$i]}
   cat >"$work/$name.yaml" <<YAML
 data_centre: ${name%-*}
-listen: {caller: "$caller", peer: "$peer", admin: "$admin"}
+listen: {caller: "${callers[$i]}", peer: "${peers[$i]}", admin: "${admins[$i]}"}
 platform: {log: "http://$log", vms: "http://$vms"}
+peers: [${peer_list%, }]
 peer_secret: demo-peer-secret-0000
 admin_token: $TOKEN
 timing: {drain_notice_ms: 200}
 YAML
   start "$name" ./bin/plantainmuxd --settings "$work/$name.yaml"
+  daemon_pid[$name]=$started
 done
 
 echo "publishing a configuration"
@@ -116,7 +124,7 @@
 YAML
 ./bin/plantainmux publish --log "http://$log" "$work/plantainmux.yaml"
 
-ready() { curl -sf -o /dev/null "http://$1/readyz"; }
+ready() { curl --max-time 10 -sf -o /dev/null "http://$1/readyz"; }
 for admin in "${admins[@]}"; do until_ok 10 "readiness of $admin" ready "$admin"; done
 
 # complete ADMIN MODEL prints the members of the model's complete group.
@@ -129,7 +137,7 @@
 ./bin/plantainmux status --token "$TOKEN" --daemon "${admins[0]}"
 
 ask() {
-  curl -sf -N -H "Authorization: Bearer $KEY" "http://$1/v1/chat/completions" \
+  curl --max-time 10 -sf -N -H "Authorization: Bearer $KEY" "http://$1/v1/chat/completions" \
     -d "{\"model\":\"$2\",\"stream\":true,\"max_tokens\":12,\"messages\":[{\"role\":\"user\",\"content\":\"describe sample $3\"}]}"
 }
 echo "asking for a streamed answer"
@@ -138,13 +146,13 @@
 [ "$(grep -c '"content"' <<<"$answer")" -eq 13 ] || fail "the streamed answer has not 12 tokens and an end"
 
 place() {
-  curl -sf -H "Authorization: Bearer $KEY" -H "Idempotency-Key: $2" "http://$1/v1/services/orders/orders" -d '{"swatch":"laid cream 120g"}'
+  curl --max-time 10 -sf -H "Authorization: Bearer $KEY" -H "Idempotency-Key: $2" "http://$1/v1/services/orders/orders" -d '{"swatch":"laid cream 120g"}'
 }
 echo "placing an order, then repeating it on another daemon"
 first=$(place "${callers[0]}" demo-1);  requests=$((requests + 1))
 second=$(place "${callers[3]}" demo-1); requests=$((requests + 1))
 [ "$first" = "$second" ] || fail "the repeat was answered otherwise: $first, $second"
-runs=$(curl -sf "http://$orders/runs" | grep -o '"key":"demo-1"' | wc -l)
+runs=$(curl --max-time 10 -sf "http://$orders/runs" | grep -o '"key":"demo-1"' | wc -l)
 [ "$runs" -eq 1 ] || fail "the order ran $runs times"
 
 echo "killing one member of swatch-draft in north"
@@ -159,6 +167,15 @@
 answer=$(ask "${callers[1]}" swatch-draft 2); requests=$((requests + 1))
 grep -q '^data: \[DONE\]' <<<"$answer" || fail "the answer after the repair is not whole"
 
+echo "stopping one daemon gracefully, then asking for the evidence"
+kill "${daemon_pid[south-2]}"
+wait "${daemon_pid[south-2]}" || fail "the daemon did not stop cleanly"
+./bin/plantainmux evidence --log "http://$log" --data-centre north --data-centre south >"$work/evidence.txt" || {
+  cat "$work/evidence.txt"
+  fail "the evidence shows a breach"
+}
+sed -n '3p' "$work/evidence.txt"
+
 groups=0
 for admin in "${admins[0]}" "${admins[2]}"; do
   groups=$((groups + $(./bin/plantainmux status --token "$TOKEN" --daemon "$admin" | grep -c ': complete')))
