--- /dev/null
+++ b/cmd/plantainfake/fit_command.go
@@ -0,0 +1,20 @@
+package main
+
+import (
+	"os"
+
+	"github.com/plantainmux/plantainmux/internal/capacity"
+)
+
+// fitCommand reads the lines of measure from standard input and prints the
+// fitted slopes as a table.
+type fitCommand struct{}
+
+// Execute implements flags.Commander.
+func (c *fitCommand) Execute([]string) error {
+	series, err := capacity.ReadSeries(os.Stdin)
+	if err != nil {
+		return err
+	}
+	return capacity.WriteTable(os.Stdout, series)
+}
--- a/cmd/plantainfake/main.go
+++ b/cmd/plantainfake/main.go
@@ -22,6 +22,8 @@
 	addCommand(parser, "weights", "the weight store", &weightsCommand{})
 	addCommand(parser, "engine", "the model engine of one VM", &engineCommand{})
 	addCommand(parser, "engines", "the model engines of many VMs", &enginesCommand{})
+	addCommand(parser, "measure", "measure what daemons spend", &measureCommand{})
+	addCommand(parser, "fit", "fit slopes to measurements", &fitCommand{})
 	addCommand(parser, "service", "a plain service", &serviceCommand{})
 	if _, err := parser.Parse(); err != nil && !flags.WroteHelp(err) {
 		os.Exit(exitUsage)
