Leaving VMs: the first list that says so counts for every daemon of the data centre

Daemons name the VMs that their lists give as leaving, at once and again every five reads; a notice holds for fifteen reads unless repeated, so a list that was wrong costs no more. Only a list just read is passed on.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -113,7 +113,7 @@
 	wake := func() { d.loop.Wake() }
 	d.buildConfig(wake)
 	d.groups = logstream.New(d.adapters.Log, group.StreamName(d.settings.DataCentre), group.NewFold(), d.streamOptions(wake))
-	d.vms = watch.NewVMs(d.adapters.VMs, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, wake)
+	d.vms = watch.NewVMs(d.adapters.VMs, d.mesh, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, wake)
 	d.buildWatching(wake)
 	d.loop = reconcile.NewLoop(reconcile.Dependencies{
 		Self:       d.id,
--- a/internal/watch/sharing_test.go
+++ b/internal/watch/sharing_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/group"
+	"github.com/plantainmux/plantainmux/internal/peer"
 )
 
 var _ = Describe("Daemons that watch together", func() {
@@ -118,6 +119,37 @@
 		}, 4*testBound, pollOften).Should(BeZero())
 	})
 
+	It("take over from watchers that are linked but poll no more", func() {
+		start(5)
+		watchers, others := watchersOf(nodes, vm)
+		for _, n := range watchers {
+			n.stop()
+		}
+		Consistently(func() bool {
+			for _, n := range others {
+				if !n.see(vm).Fresh(time.Now(), testBound) {
+					return false
+				}
+			}
+			return true
+		}, 4*testBound, pollOften).Should(BeTrue())
+	})
+
+	It("poll a member at once that the other watcher could not reach", func() {
+		engines = newEngines(4)
+		nodes = startNodes(GinkgoTB(), engines, 2, time.Minute, 2*time.Minute)
+		for _, n := range nodes {
+			Eventually(func() int { return n.stale(time.Minute) }, waitLong, pollOften).Should(BeZero())
+		}
+		polls := engines.pollsBy(nodes[1].id, string(vm))
+		engines.setDead(string(vm), true)
+		nodes[0].poller.Hint(engines.vms()[vm])
+		Eventually(func() int { return engines.pollsBy(nodes[1].id, string(vm)) }, waitLong, pollOften).Should(BeNumerically(">", polls))
+		for _, n := range nodes {
+			Eventually(func() bool { return n.see(vm).Failed }, waitLong, pollOften).Should(BeTrue())
+		}
+	})
+
 	It("poll all members themselves when cut off from every peer", func() {
 		start(4)
 		for _, n := range nodes[1:] {
@@ -177,6 +209,36 @@
 	})
 })
 
+var _ = Describe("A digest", func() {
+	It("brings each observation with the age of its own poll, and the load", func() {
+		start := time.Now()
+		stampAt := func(at time.Time) peer.Stamp { return peer.Stamp(at.Sub(start) / time.Millisecond) }
+		atOf := func(stamp peer.Stamp) time.Time { return start.Add(time.Duration(stamp) * time.Millisecond) }
+		seen := func(vm fleet.VMID, at time.Duration, running int) ownItem {
+			item := ownItem{vm: vm}
+			item.opinion.seen = group.Observation{Report: fleet.MemberReport{VM: vm, Running: running}, At: start.Add(at)}
+			return item
+		}
+		told := newOwnList([]ownItem{seen("a", 100*time.Millisecond, 0), seen("b", 100*time.Millisecond, 0), seen("c", 100*time.Millisecond, 0)})
+		var remote remoteList
+		_, removed := remote.apply(told.changeFrom(ownList{}, 150, stampAt), atOf)
+		Expect(removed).To(BeEmpty())
+
+		later := newOwnList([]ownItem{seen("a", 210*time.Millisecond, 0), seen("b", 130*time.Millisecond, 0), seen("c", 205*time.Millisecond, 3)})
+		message := later.alive(start.Add(200*time.Millisecond), 250, stampAt)
+		items, same := remote.refresh(message, atOf)
+		Expect(same).To(BeTrue())
+		Expect(items[0].opinion.seen.At).To(Equal(start.Add(205 * time.Millisecond)))
+		Expect(items[1].opinion.seen.At).To(Equal(start.Add(130 * time.Millisecond)))
+		Expect(items[2].opinion.seen.At).To(Equal(start.Add(205 * time.Millisecond)))
+		Expect(items[2].opinion.seen.Report.Running).To(Equal(3))
+
+		later.items[0].opinion.seen.Report.Boot = "another"
+		_, same = remote.refresh(newOwnList(later.items).alive(start, 300, stampAt), atOf)
+		Expect(same).To(BeFalse())
+	})
+})
+
 var _ = Describe("An observation", func() {
 	It("of an observer that failed since proves nothing, whatever others said before", func() {
 		table := NewTable("self", time.Second, func(fleet.VMID, group.Observation) {}, func(fleet.VMID) {})
