--- a/test/group_random_test.go
+++ b/test/group_random_test.go
@@ -14,7 +14,7 @@
 
 const (
 	scheduleSeed  = 20
-	scheduleSteps = 12
+	scheduleSteps = 16
 	faultTime     = 1500 * time.Millisecond
 )
 
@@ -81,7 +81,7 @@
 		eventuallyComplete(a, 3)
 		load := startTraffic(a, b)
 		faults := []fault{
-			killEngine, freezeEngine, darkDomain, freezeDaemon, emptyList,
+			killEngine, killEngine, killEngine, freezeEngine, darkDomain, freezeDaemon, emptyList,
 			logFault(fakes.Faults{Down: true}), logFault(fakes.Faults{LoseAnswers: true}), logFault(fakes.Faults{DelayMS: 300}),
 		}
 		for range scheduleSteps {
@@ -94,6 +94,7 @@
 		}
 		eventuallyComplete(a, 3)
 		eventuallyComplete(b, 3)
+		time.Sleep(outage) // what was not noticed shows
 		load.stop()
 		check := checkOf(bed)
 		check.Detection += faultTime // a request may wait in a frozen daemon
