A daemon without a configuration plans nothing

By an empty configuration no group is wanted: a daemon that had read the group stream before any configuration, as after a start in an outage, drained every group of its data centre. Its test failed on drain records before.

--- a/internal/reconcile/loop.go
+++ b/internal/reconcile/loop.go
@@ -127,8 +127,10 @@
 	return plan
 }
 
+// isPlanner reports whether this daemon plans. One that knows no configuration
+// yet must not: by an empty one, no group is wanted.
 func (l *Loop) isPlanner(live []fleet.DaemonID) bool {
-	return l.Groups.Booted() && rendezvous.Chosen(plannerKey, live, 1, l.Self)
+	return l.Groups.Booted() && l.Config().Version != 0 && rendezvous.Chosen(plannerKey, live, 1, l.Self)
 }
 
 // targets returns the orders for the members that this daemon watches.
--- a/test/group_outage_test.go
+++ b/test/group_outage_test.go
@@ -6,7 +6,11 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/fakes"
+	"github.com/plantainmux/plantainmux/internal/group"
+	"github.com/plantainmux/plantainmux/internal/logstream"
+	"github.com/plantainmux/plantainmux/internal/platform"
 	"github.com/plantainmux/plantainmux/internal/testbed"
 )
 
@@ -91,4 +95,45 @@
 		Expect(ledger(bed).Forms()).To(Equal(2))
 		expectNoViolation(checkOf(bed))
 	})
+
+	It("are left alone by a daemon that has no configuration", func() {
+		bed := testbed.New()
+		bed.AddEngines(north, "north-a", 2, fast(true))
+		a := bed.StartDaemon(north, nil)
+		bed.Publish(0, testbed.SampleConfig(1, north))
+		eventuallyComplete(a, 1)
+		a.Kill()
+		bed.Log.Truncate(config.StreamName, platform.FirstOffset)
+		bed.StartDaemon(north, nil)
+		Consistently(func() []logstream.Kind { return kinds(bed) }, detection, tick).Should(Equal([]logstream.Kind{group.KindForm, group.KindReady}))
+	})
+
+	It("are repaired by the one daemon that is left when its peers are frozen", func() {
+		bed := testbed.New()
+		bed.AddEngines(north, "north-a", 3, fast(true))
+		daemons := bed.StartDaemons(nil, north, north, north)
+		bed.Publish(0, testbed.SampleConfig(1, north))
+		members := eventuallyComplete(daemons[2], 1)[0].Members
+		daemons[0].Latch.Freeze()
+		daemons[1].Latch.Freeze()
+		bed.Engines[members[1]].Kill()
+		Eventually(func() int { return complete(daemons[2]) }, waitRepair, tick).Should(Equal(0))
+		eventuallyComplete(daemons[2], 1)
+		daemons[0].Latch.Thaw()
+		daemons[1].Latch.Thaw()
+		eventuallyComplete(daemons[0], 1)
+		Expect(ledger(bed).Forms()).To(Equal(2))
+		expectNoViolation(checkOf(bed))
+	})
 })
+
+// kinds returns the kinds of the records of the group stream.
+func kinds(bed *testbed.Bed) []logstream.Kind {
+	var kinds []logstream.Kind
+	for _, record := range bed.Log.Records(group.StreamName(north)) {
+		var entry logstream.Entry
+		Expect(logstream.Unmarshal(record.Data, &entry)).To(Succeed())
+		kinds = append(kinds, entry.Kind)
+	}
+	return kinds
+}
