--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -7,12 +7,12 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/admit"
-	"github.com/plantainmux/plantainmux/internal/endpoint"
+	"github.com/plantainmux/plantainmux/internal/evidence"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/metric"
-	"github.com/plantainmux/plantainmux/internal/order"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 	"github.com/plantainmux/plantainmux/internal/relay"
+	"github.com/plantainmux/plantainmux/internal/service"
 	"github.com/plantainmux/plantainmux/internal/view"
 )
 
@@ -22,9 +22,9 @@
 	Views           *view.Store
 	Gate            *admit.Gate
 	Relay           *relay.Relay
-	Orders          *order.Runner
-	Service         endpoint.Service
+	Services        *service.Caller
 	Metrics         *metric.Set
+	Evidence        *evidence.Recorder
 	Logger          *slog.Logger
 	BodyLimit       int64 // bytes
 	DefaultDeadline time.Duration
@@ -35,7 +35,8 @@
 // Server serves callers.
 type Server struct {
 	Dependencies
-	draining atomic.Bool
+	draining   atomic.Bool
+	inProgress atomic.Int64
 }
 
 // New returns a server.
@@ -46,6 +47,9 @@
 // Drain refuses new work from now on.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// InProgress returns the number of requests that are being answered.
+func (s *Server) InProgress() int { return int(s.inProgress.Load()) }
+
 // Handler serves the interface.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
--- /dev/null
+++ b/internal/config/publisher_test.go
@@ -0,0 +1,90 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/fakes"
+	"github.com/plantainmux/plantainmux/internal/platform"
+)
+
+// publishThrough publishes on top of nothing with a publisher of its own.
+func publishThrough(log platform.Log, writer string, share int, timeout time.Duration) (Versioned, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	publisher := NewPublisher(log, writer)
+	go publisher.Run(ctx)
+	return publisher.Publish(ctx, 0, Configuration{Teams: []Team{{Name: "merchants", Share: share}}})
+}
+
+// gatedLog holds every append until all racers have come to theirs.
+type gatedLog struct {
+	platform.Log
+	gate *sync.WaitGroup
+}
+
+func (l *gatedLog) Append(ctx context.Context, stream string, records [][]byte) (platform.Offset, error) {
+	l.gate.Done()
+	l.gate.Wait()
+	return l.Log.Append(ctx, stream, records)
+}
+
+var _ = Describe("Racing publishers", func() {
+	It("have exactly one accepted, and the others are told the difference", func() {
+		const racers = 6
+		log := fakes.NewLog(fakes.DefaultAppendRate)
+		var gate sync.WaitGroup
+		gate.Add(racers)
+		failures := make(chan error, racers)
+		for racer := range racers {
+			client := &gatedLog{Log: fakes.NewFaultyLog(log, 1, fakes.LogFaults{}), gate: &gate}
+			go func() {
+				_, err := publishThrough(client, fmt.Sprint("racer-", racer), racer+1, 10*time.Second)
+				failures <- err
+			}()
+		}
+		accepted := 0
+		for range racers {
+			err := <-failures
+			if err == nil {
+				accepted++
+				continue
+			}
+			Expect(err).To(BeAssignableToTypeOf(&ConflictError{}))
+			Expect(err.(*ConflictError).Changes).To(HaveLen(1))
+			Expect(err.(*ConflictError).Changes[0].Field).To(Equal("teams[merchants].share"))
+		}
+		Expect(accepted).To(Equal(1))
+		Expect(log.Appends()).To(Equal(racers))
+	})
+})
+
+var _ = Describe("A publisher", func() {
+	It("settles a lost answer by reading back, and counts the publication once", func() {
+		log := fakes.NewLog(fakes.DefaultAppendRate)
+		published, err := publishThrough(fakes.NewFaultyLog(log, 1, fakes.LogFaults{LoseAnswer: 1}), "a", 1, 10*time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(published.Version).To(BeEquivalentTo(1))
+		again, err := publishThrough(fakes.NewFaultyLog(log, 1, fakes.LogFaults{}), "b", 1, 10*time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Version).To(BeEquivalentTo(1))
+	})
+
+	It("says that the outcome is unknown when a request may be on its way", func() {
+		log := fakes.NewLog(fakes.DefaultAppendRate)
+		_, err := publishThrough(fakes.NewFaultyLog(log, 1, fakes.LogFaults{LoseRequest: 1}), "a", 1, 300*time.Millisecond)
+		Expect(err).To(BeAssignableToTypeOf(&OutcomeUnknownError{}))
+	})
+
+	It("says that nothing was published while the log proves that", func() {
+		log := fakes.NewLog(fakes.DefaultAppendRate)
+		_, err := publishThrough(fakes.NewFaultyLog(log, 1, fakes.LogFaults{Limited: 1}), "a", 1, 300*time.Millisecond)
+		Expect(err).To(BeAssignableToTypeOf(&LogAwayError{}))
+		Expect(log.Appends()).To(BeZero())
+	})
+})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,11 +15,11 @@
 	"github.com/plantainmux/plantainmux/internal/admit"
 	"github.com/plantainmux/plantainmux/internal/callerapi"
 	"github.com/plantainmux/plantainmux/internal/config"
+	"github.com/plantainmux/plantainmux/internal/evidence"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/group"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/metric"
-	"github.com/plantainmux/plantainmux/internal/order"
 	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/reconcile"
 	"github.com/plantainmux/plantainmux/internal/relay"
@@ -48,14 +48,23 @@
 	pool     pond.Pool
 	mesh     *peer.Network
 
-	config *logstream.Stream[*config.Fold]
-	groups *logstream.Stream[*group.Fold]
-	orders [order.Slots]*logstream.Stream[*order.Fold]
+	config  *logstream.Stream[*config.Fold]
+	inForce *config.Store
+	spread  *config.Spread
+	groups  *logstream.Stream[*group.Fold]
+	orders  orders
 
 	table  *watch.Table
 	vms    *watch.VMs
+	duty   *watch.Duty
 	poller *watch.Poller
+	sharer *watch.Sharer
 	views  *view.Store
+
+	evidence *evidence.Recorder
+	digests  *evidence.Publisher
+	notices  *notices
+
 	loop   *reconcile.Loop
 	gate   *admit.Gate
 	spill  *spill.Server
@@ -91,7 +100,9 @@
 	if err := d.buildMesh(); err != nil {
 		return nil, err
 	}
+	d.buildEvidence()
 	d.buildControl()
+	d.buildOrders()
 	d.buildRequestPath()
 	if err := d.listen(); err != nil {
 		return nil, err
@@ -101,14 +112,10 @@
 
 func (d *Daemon) buildControl() {
 	wake := func() { d.loop.Wake() }
-	d.config = logstream.New(d.adapters.Log, config.StreamName, config.NewFold(), d.streamOptions(wake))
+	d.buildConfig(wake)
 	d.groups = logstream.New(d.adapters.Log, group.StreamName(d.settings.DataCentre), group.NewFold(), d.streamOptions(wake))
-	for slot := range d.orders {
-		d.orders[slot] = logstream.New(d.adapters.Log, order.StreamName(order.Slot(slot)), order.NewFold(), d.streamOptions(func() {}))
-	}
-	d.table = watch.NewTable(func(fleet.VMID, group.Observation) { wake() })
-	d.vms = watch.NewVMs(d.adapters.VMs, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, wake)
-	d.poller = watch.NewPoller(d.adapters.Engine, d.table, d.pool, settings.Millis(d.settings.Timing.PollMS), d.watched)
+	d.vms = watch.NewVMs(d.adapters.VMs, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, d.noteVMs)
+	d.buildWatching(wake)
 	d.loop = reconcile.NewLoop(reconcile.Dependencies{
 		Self:       d.id,
 		DataCentre: d.settings.DataCentre,
@@ -126,8 +133,14 @@
 	})
 }
 
+// noteVMs takes a new list of VMs.
+func (d *Daemon) noteVMs() {
+	d.notices.update(d.vms.All(), time.Now())
+	d.loop.Wake()
+}
+
 func (d *Daemon) streamOptions(onApply func()) logstream.Options {
-	return logstream.Options{Writer: string(d.id), Logger: d.logger, OnApply: onApply}
+	return logstream.Options{Writer: string(d.id), Logger: d.logger, Metrics: d.metrics, SnapshotAge: settings.Millis(d.settings.Timing.SnapshotAgeMS), OnApply: onApply}
 }
 
 func (d *Daemon) bounds() group.Bounds {
@@ -151,14 +164,15 @@
 		Views:           d.views,
 		Gate:            d.gate,
 		Relay:           runs,
-		Orders:          order.NewRunner(d.orders, d.adapters.Service),
-		Service:         d.adapters.Service,
+		Services:        d.orders.caller,
 		Metrics:         d.metrics,
+		Evidence:        d.evidence,
 		Logger:          d.logger,
 		BodyLimit:       d.settings.Limits.BodyBytes,
 		DefaultDeadline: settings.Millis(d.settings.Timing.DefaultWaitMS),
 	})
 	d.admin = adminapi.New(d.settings.AdminToken, d.status, d.metrics)
+	d.admin.Orders = d.orders.book
 }
 
 func (d *Daemon) newRelay() *relay.Relay {
@@ -168,6 +182,7 @@
 		Suspects: suspect.NewWatch(d.mesh, d.settings.DataCentre),
 		Metrics:  d.metrics,
 		Remote:   spill.NewClient(d.mesh),
+		Observer: &observer{Recorder: d.evidence, notices: d.notices},
 		Failed:   d.table.Fail,
 	})
 }
@@ -199,31 +214,18 @@
 	})
 }
 
-func (d *Daemon) currentConfig() config.Versioned {
-	var current config.Versioned
-	d.config.Read(func(fold *config.Fold) { current = fold.Current() })
-	return current
-}
-
-// watched returns the VMs that this daemon polls.
-func (d *Daemon) watched() []fleet.VM {
-	all := d.loop.Known()
-	watched := make([]fleet.VM, 0, len(all))
-	for _, vm := range all {
-		watched = append(watched, vm)
-	}
-	return watched
-}
-
 func (d *Daemon) status() adminapi.Status {
 	current := d.views.Load()
 	return adminapi.Status{
-		Daemon:        d.id,
-		DataCentre:    d.settings.DataCentre,
-		Ready:         current.Config.Version != 0 && d.groups.Booted(),
-		Draining:      d.draining.Load(),
-		Peers:         d.mesh.Live(),
-		ConfigVersion: current.Config.Version,
-		Groups:        current.Status,
+		Daemon:         d.id,
+		DataCentre:     d.settings.DataCentre,
+		Ready:          current.Config.Version != 0 && d.groups.Booted(),
+		Draining:       d.draining.Load(),
+		Peers:          d.mesh.Live(),
+		ConfigVersion:  current.Config.Version,
+		ConfigSource:   string(d.inForce.Load().Source),
+		ConfigTookMS:   d.inForce.Load().Took().Milliseconds(),
+		RefusedStreams: d.refusedStreams(),
+		Groups:         current.Status,
 	}
 }
--- /dev/null
+++ b/internal/order/dependencies.go
@@ -0,0 +1,21 @@
+package order
+
+import (
+	"context"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/endpoint"
+)
+
+// Dependencies are what a Runner works with.
+type Dependencies struct {
+	Context    context.Context // ends with the daemon
+	Slots      *Follower
+	Service    endpoint.Service
+	Usable     func(address string) bool // whether an endpoint is healthy as far as known
+	Metrics    *Metrics
+	InProgress int // most orders whose outcome is not recorded yet
+	// ClaimTimeout bounds the wait for the verdict on a claim.
+	ClaimTimeout time.Duration
+	Now          func() time.Time
+}
