--- a/internal/callerapi/completions_test.go
+++ b/internal/callerapi/completions_test.go
@@ -88,6 +88,7 @@
 			conn, err := net.Dial("tcp", r.caller.Address())
 			Expect(err).NotTo(HaveOccurred())
 			defer func() { _ = conn.Close() }()
+			Expect(conn.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
 			_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.0\r\nAuthorization: Bearer key\r\nContent-Length: %d\r\n\r\n%s", len(body), sent)
 			Expect(err).NotTo(HaveOccurred())
 			answer, err := io.ReadAll(conn)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -159,6 +159,7 @@
 	d.gate = d.newGate()
 	runs := d.newRelay()
 	d.spill = spill.NewServer(d.mesh, d.gate, runs)
+	d.registerRequestGauges(runs.Suspects.Table.Len)
 	d.caller = callerapi.New(callerapi.Dependencies{
 		DataCentre:      d.settings.DataCentre,
 		Views:           d.views,
