--- a/internal/order/bed_test.go
+++ b/internal/order/bed_test.go
@@ -30,21 +30,29 @@
 	service       *fakes.Service
 	serviceServer *fakes.Server
 	snapshotEvery int
+	claimTimeout  time.Duration
 }
 
 func newBed() *bed {
+	return buildBed(testLogRate, func(cleanup func()) { DeferCleanup(cleanup) })
+}
+
+func buildBed(logRate int, onEnd func(func())) *bed {
 	b := &bed{
 		hub:           &hub{nodes: map[fleet.DaemonID]*node{}},
-		log:           fakes.NewLog(testLogRate),
+		log:           fakes.NewLog(logRate),
 		service:       fakes.NewService(false),
 		snapshotEvery: 256,
+		claimTimeout:  testClaimTimeout,
 	}
-	b.logServer = b.serve(b.log)
-	b.serviceServer = b.serve(b.service)
-	DeferCleanup(func() {
+	b.logServer = mustServe(b.log)
+	b.serviceServer = mustServe(b.service)
+	onEnd(func() {
 		for _, n := range b.hub.nodes {
 			n.kill()
 		}
+		b.logServer.Kill()
+		b.serviceServer.Kill()
 	})
 	return b
 }
--- a/internal/order/doc.go
+++ b/internal/order/doc.go
@@ -1,4 +1,29 @@
-// Package order runs calls that are not idempotent at most once. The log
-// decides who may run a key: the first claim of a key wins, and only its writer
-// may dispatch, once.
+// Package order runs calls that are not idempotent at most once.
+//
+// The log decides who may run a key: the first claim of a key in the stream of
+// its slot wins, and only its writer may dispatch, once, before the deadline.
+// The claimant then records the outcome with the answer. A repeat is answered
+// from the record; it never runs anything.
+//
+// What is never undone by time, clocks or other daemons: a claim whose claimant
+// does not settle it stays unsettled. Any daemon may mark it unclear after its
+// deadline and a bound, which only tells operators. An operator may settle it
+// by hand; a key settled as not run is closed and never runs, because its
+// claimant may still wake.
+//
+// "Not run" speaks of one request. It is said when the claimant proved that no
+// byte went to the service, or gave its claim up before dispatch. It is never
+// said of a request that another daemon was given and whose answer was lost.
+//
+// With the log away an order is refused as not run, at once after the first
+// ones have found out. A call that declares refuses_repeated_keys is then run
+// without a claim, with its key passed on: this package guarantees that each
+// request sends it at most once, and the service, which refuses a key that it
+// has run, guarantees the rest. Its outcome is recorded when the log takes it
+// within a few seconds, else the service alone knows the key.
+//
+// Keys live for their declared time by the stream's clock, the latest time that
+// two daemons have both reached. One daemon's wrong clock neither expires keys
+// early nor is it believed for its own claims when it is behind. A slot that
+// only one daemon ever wrote to keeps its keys.
 package order
--- a/internal/order/follower.go
+++ b/internal/order/follower.go
@@ -19,6 +19,9 @@
 	ownersPerSlot = 2
 	// idleLinger is how long an unused slot of another owner stays followed.
 	idleLinger = 30 * time.Second
+	// startGrace is how long a daemon that sees no peers yet opens slots on demand
+	// only.
+	startGrace = 3 * time.Second
 )
 
 // Opener returns a new stream of a slot.
@@ -30,6 +33,8 @@
 	mesh peer.Mesh
 	open Opener
 
+	started time.Time
+
 	mu          sync.Mutex
 	followed    map[Slot]*followed
 	incarnation int // number of streams opened; each is a writer of its own
@@ -38,7 +43,7 @@
 
 // NewFollower returns a follower whose streams run until ctx ends.
 func NewFollower(ctx context.Context, mesh peer.Mesh, open Opener) *Follower {
-	return &Follower{ctx: ctx, mesh: mesh, open: open, followed: map[Slot]*followed{}}
+	return &Follower{ctx: ctx, mesh: mesh, open: open, started: time.Now(), followed: map[Slot]*followed{}}
 }
 
 // Owners returns the daemons that follow a slot, its owner first.
@@ -56,6 +61,9 @@
 // Follow opens the slots that this daemon owns, and closes those that it
 // neither owns nor uses.
 func (s *Follower) Follow(now time.Time) {
+	if len(s.mesh.Live()) == 1 && time.Since(s.started) < startGrace {
+		return
+	}
 	for slot := range Slot(Slots) {
 		owned := slices.Contains(s.Owners(slot), s.mesh.Self())
 		s.mu.Lock()
--- a/internal/order/moving_test.go
+++ b/internal/order/moving_test.go
@@ -92,3 +92,20 @@
 	}
 	return last
 }
+
+var _ = Describe("Orders at the same time", func() {
+	It("share appends", func() {
+		b := newBed()
+		b.claimTimeout = 0 // the default
+		nodes := b.startNodes(3)
+		Eventually(func() int { return nodes[0].slots.Followed() }, waitLong, pollOften).Should(BeNumerically(">", 0))
+		const orders = 480
+		b.log.Set(fakes.Faults{DelayMS: 100})
+		before := b.log.Appends()
+		spread(orders, orders, func(i int) {
+			defer GinkgoRecover()
+			Expect(b.settled(nodes[0], fmt.Sprintf("batch-%d", i)).Refusal).To(BeNil())
+		})
+		Expect(b.log.Appends() - before).To(BeNumerically("<", orders)) // two records an order
+	})
+})
--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -14,6 +14,7 @@
 const (
 	claimTimeout      = 3 * time.Second        // wait for the verdict on a claim, by default
 	outcomeWait       = 500 * time.Millisecond // an answer waits so long for its record
+	insistDelay       = 200 * time.Millisecond // between two proposals of a record that must not be lost
 	directRunTimeout  = 5 * time.Second        // wait for the record of a run without a claim
 	tickBound         = time.Hour              // lag of the stream's clock after which a tick is due
 	retryLogAway      = 5 * time.Second
@@ -160,8 +161,7 @@
 	f := r.Slots.acquire(t.followed.slot)
 	_, accepted := r.withdrawals.TrySubmit(func() {
 		defer r.Slots.release(f)
-		withdrawal := Withdrawal{Key: t.order.Key, Attempt: t.claim.Attempt}
-		_, _ = r.propose(t, KindWithdrawal, withdrawal, 0)
+		r.insist(t, KindWithdrawal, Withdrawal{Key: t.order.Key, Attempt: t.claim.Attempt})
 	})
 	if !accepted {
 		r.Slots.release(f)
@@ -175,10 +175,21 @@
 	keepAnswer(&outcome, result)
 	late := time.AfterFunc(outcomeWait, func() { t.reply(result) })
 	defer late.Stop()
-	_, _ = r.propose(t, KindOutcome, outcome, 0)
+	r.insist(t, KindOutcome, outcome)
 	t.reply(result)
 }
 
+// insist proposes a record until its verdict is read. A repeat of one that is
+// in the stream already is void.
+func (r *Runner) insist(t *task, kind logstream.Kind, body any) {
+	for r.Context.Err() == nil {
+		if _, err := r.propose(t, kind, body, 0); err == nil {
+			return
+		}
+		_ = sleep(r.Context, insistDelay)
+	}
+}
+
 // runDirect runs an order without a claim: the service itself refuses a key
 // that it has run.
 func (r *Runner) runDirect(t *task, proposed bool) {
--- a/internal/order/serve_test.go
+++ b/internal/order/serve_test.go
@@ -4,21 +4,22 @@
 	"context"
 	"net/http"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
-
 	"github.com/plantainmux/plantainmux/internal/fakes"
+	"github.com/plantainmux/plantainmux/internal/platform"
 )
 
 type standIn interface{ Handler() http.Handler }
 
-func (b *bed) serve(s standIn) *fakes.Server {
+func mustServe(s standIn) *fakes.Server {
 	server, err := fakes.StartServer("127.0.0.1:0", s.Handler())
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(server.Kill)
+	if err != nil {
+		panic(err)
+	}
 	return server
 }
 
 func contextWithTimeout() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), placeTimeout)
 }
+
+func logOffset(n int) platform.Offset { return platform.Offset(n) }
--- a/test/whole_path_test.go
+++ b/test/whole_path_test.go
@@ -14,7 +14,10 @@
 	"github.com/plantainmux/plantainmux/internal/testbed"
 )
 
-const waitComplete = 15 * time.Second
+const (
+	waitComplete = 15 * time.Second
+	tick         = 50 * time.Millisecond // between two looks at a condition
+)
 
 var _ = Describe("A request", func() {
 	It("gets the whole answer of a complete group", func() {
