--- a/internal/config/spread.go
+++ b/internal/config/spread.go
@@ -98,20 +98,28 @@
 
 // announce tells the data centre, and one daemon of it tells the fleet.
 func (s *Spread) announce() {
-	version := s.store.Load().Version
-	if version == 0 {
+	current := s.store.Load()
+	if current.Version == 0 {
 		return
 	}
 	scope := peer.ScopeDataCentre
 	if live := s.mesh.Live(); len(live) > 0 && live[0] == s.mesh.Self() {
 		scope = peer.ScopeFleet
 	}
-	s.mesh.Publish(peer.TopicVersions, scope, VersionNotice{Version: version, DataCentre: s.dataCentre})
+	s.mesh.Publish(peer.TopicVersions, scope, VersionNotice{Version: current.Version, DataCentre: s.dataCentre, Digest: current.Digest})
 }
 
 func (s *Spread) receive(from fleet.DaemonID, body cbor.RawMessage) {
 	var told VersionNotice
-	if cbor.Unmarshal(body, &told) != nil || told.Version <= s.store.Load().Version {
+	if cbor.Unmarshal(body, &told) != nil {
+		return
+	}
+	current := s.store.Load()
+	if told.Version == current.Version && told.Digest != current.Digest {
+		s.counters.conflicts.Inc()
+		s.logger.Error("a peer holds another configuration under the same version", "version", told.Version, "peer", from)
+	}
+	if told.Version <= current.Version {
 		return
 	}
 	s.mu.Lock()
--- a/internal/config/spread_counters.go
+++ b/internal/config/spread_counters.go
@@ -10,9 +10,10 @@
 
 // spreadCounters are the metrics of a spread.
 type spreadCounters struct {
-	applied  map[Source]*metrics.Counter // versions that came into force
-	served   *metrics.Counter            // to peers
-	failures *metrics.Counter            // fetches from peers
+	applied   map[Source]*metrics.Counter // versions that came into force
+	served    *metrics.Counter            // to peers
+	failures  *metrics.Counter            // fetches from peers
+	conflicts *metrics.Counter            // notices of the own version with another content
 }
 
 func newSpreadCounters(set *metric.Set, store *Store) spreadCounters {
@@ -23,8 +24,9 @@
 		applied[source] = set.Counter(fmt.Sprintf("plantainmux_config_applied_total{source=%q}", source))
 	}
 	return spreadCounters{
-		applied:  applied,
-		served:   set.Counter("plantainmux_config_served_total"),
-		failures: set.Counter("plantainmux_config_fetch_failures_total"),
+		applied:   applied,
+		conflicts: set.Counter("plantainmux_config_conflicts_total"),
+		served:    set.Counter("plantainmux_config_served_total"),
+		failures:  set.Counter("plantainmux_config_fetch_failures_total"),
 	}
 }
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -3,6 +3,10 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/plantainmux/plantainmux/internal/logstream"
 )
 
 // Store holds the configuration that is in force on this daemon. It only ever
@@ -17,6 +21,7 @@
 	Versioned
 	Source Source
 	Since  time.Time // own clock
+	Digest uint64    // of the configuration; equal on all daemons
 }
 
 // NewStore returns a store without a configuration.
@@ -32,7 +37,10 @@
 // Offer puts a configuration in force if its version is higher than the one in
 // force, and reports whether it did.
 func (s *Store) Offer(offered Versioned, source Source, now time.Time) bool {
-	next := &InForce{Versioned: offered, Source: source, Since: now}
+	if offered.Version <= s.current.Load().Version {
+		return false
+	}
+	next := &InForce{Versioned: offered, Source: source, Since: now, Digest: digest(offered)}
 	for {
 		old := s.current.Load()
 		if offered.Version <= old.Version {
@@ -44,6 +52,14 @@
 	}
 }
 
+func digest(versioned Versioned) uint64 {
+	data, err := logstream.Marshal(versioned)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(data)
+}
+
 // Took returns the time from the publication until the configuration was in
 // force here, by both clocks.
 func (f *InForce) Took() time.Duration {
--- a/internal/config/version_notice.go
+++ b/internal/config/version_notice.go
@@ -9,6 +9,7 @@
 type VersionNotice struct {
 	Version    platform.Offset  `cbor:"1,keyasint"`
 	DataCentre fleet.DataCentre `cbor:"2,keyasint"` // of the daemon
+	Digest     uint64           `cbor:"3,keyasint"` // of the configuration
 }
 
 // FetchRequest asks for the configuration in force.
--- a/internal/logstream/batch.go
+++ b/internal/logstream/batch.go
@@ -34,16 +34,25 @@
 		size += len(p.data)
 		batch = append(batch, p)
 	}
-	if len(batch) == 0 && w.fenceDue {
-		fence := &proposal{kind: KindFence, reply: make(chan verdict, 1)}
-		if err := w.number(fence); err != nil {
-			return nil, err
-		}
-		w.counters.fences.Inc()
-		batch = append(batch, fence)
+	fenced := len(batch) > 0 || !w.fenceDue
+	if fenced && !endsWithSnapshot(batch) {
+		w.fenceDue = false
+		return batch, nil
+	}
+	fence := &proposal{kind: KindFence, reply: make(chan verdict, 1)}
+	if err := w.number(fence); err != nil {
+		return nil, err
 	}
+	w.counters.fences.Inc()
 	w.fenceDue = false
-	return batch, nil
+	return append(batch, fence), nil
+}
+
+// endsWithSnapshot reports whether a batch would leave a snapshot, a large
+// record, at the end of the stream. Followers read the last record again to
+// check it, so a small fence is put after it.
+func endsWithSnapshot(batch []*proposal) bool {
+	return len(batch) > 0 && batch[len(batch)-1].kind == KindSnapshot
 }
 
 // number gives a proposal its sequence number and its one encoded form.
--- a/internal/logstream/failures_test.go
+++ b/internal/logstream/failures_test.go
@@ -127,6 +127,40 @@
 		Expect(valuesOf(stream)).To(Equal([]int{1, 3}))
 	})
 
+	ginkgo.It("carries all that waits in one append", func() {
+		const waiting = 100
+		var appends atomic.Int64
+		client.hook(func(name string, records [][]byte) (platform.Offset, error) {
+			if kindOf(records[0]) != kindAdd {
+				first, _ := log.Append(name, records)
+				return first, nil
+			}
+			appends.Add(1)
+			queued := func() int {
+				stream.writer.mu.Lock()
+				defer stream.writer.mu.Unlock()
+				return len(stream.writer.queue)
+			}
+			if appends.Load() == 1 {
+				Eventually(queued, waitLong, waitPoll).Should(Equal(waiting - 1))
+			}
+			first, _ := log.Append(name, records)
+			return first, nil
+		}, nil)
+		var wait sync.WaitGroup
+		for value := range waiting {
+			wait.Go(func() {
+				defer ginkgo.GinkgoRecover()
+				propose(stream, 7*value+1)
+			})
+			if value == 0 {
+				Eventually(appends.Load, waitLong, waitPoll).Should(BeEquivalentTo(1))
+			}
+		}
+		wait.Wait()
+		Expect(appends.Load()).To(BeEquivalentTo(2))
+	})
+
 	ginkgo.It("ends a proposal whose verdict expired unread, and stops appending it", func() {
 		client.hook(func(name string, records [][]byte) (platform.Offset, error) {
 			log.Append(name, records)
@@ -152,7 +186,7 @@
 		Expect(err.Sent).To(BeTrue())
 		Expect(errors.As(got, &skipped)).To(BeTrue())
 		propose(stream, 3)
-		Expect(valuesOf(stream)).To(Equal(valuesOf(other)))
+		Eventually(func() []int { return valuesOf(other) }, waitLong, waitPoll).Should(Equal(valuesOf(stream)))
 	})
 })
 
@@ -236,11 +270,24 @@
 		stream := runStream(newHooked(log), newListFold(), options)
 		propose(stream, 1)
 		Eventually(func() platform.Offset { return stream.snapshots.newestSeen(stream) }, waitLong, waitPoll).Should(BeNumerically(">", 2))
-		log.Expire(testStream, logEnd(log)-1)
+		log.Expire(testStream, logEnd(log)-2)
 		late := runStream(newHooked(log), newListFold(), testOptions("late"))
 		Eventually(func() []int { return valuesOf(late) }, waitLong, waitPoll).Should(Equal([]int{1}))
 	})
 
+	ginkgo.It("finds a small record at the end, as it reads that again to check it", func() {
+		log := fakes.NewLog(fakes.DefaultAppendRate)
+		stream := runStream(newHooked(log), newListFold(), testOptions("a"))
+		propose(stream, 1)
+		stream.ProposeSnapshot()
+		Eventually(stream.Next, waitLong, waitPoll).Should(BeEquivalentTo(4))
+		var last Entry
+		records := log.Records(testStream)
+		Expect(Unmarshal(records[len(records)-1].Data, &last)).To(Succeed())
+		Expect(last.Kind).To(Equal(KindFence))
+		Expect(log.Appends()).To(Equal(2))
+	})
+
 	ginkgo.It("forgets idle writers, and voids the records that would need them", func() {
 		log := fakes.NewLog(fakes.DefaultAppendRate)
 		fold := newListFold()
--- a/internal/logstream/helpers_test.go
+++ b/internal/logstream/helpers_test.go
@@ -163,3 +163,9 @@
 	Expect(err).NotTo(HaveOccurred())
 	return data
 }
+
+func kindOf(record []byte) Kind {
+	var entry Entry
+	Expect(Unmarshal(record, &entry)).To(Succeed())
+	return entry.Kind
+}
--- a/internal/logstream/property_test.go
+++ b/internal/logstream/property_test.go
@@ -137,6 +137,7 @@
 
 func (r *propertyRun) checkAgreement() {
 	chains := map[platform.Offset]uint64{}
+	compared := uint64(0)
 	for i, s := range r.streams {
 		s.Read(func(f *listFold) {
 			Expect(f.Values).To(Equal(r.folds[0].Values), "daemon %d", i)
@@ -147,9 +148,11 @@
 				chains[offset] = chain
 			}
 		})
+		compared += s.counters.snapshots.Get()
 		Expect(s.counters.divergences.Get()).To(BeZero())
 		Expect(s.Refused()).NotTo(HaveOccurred())
 	}
+	Expect(compared).To(BeNumerically(">", 1))
 }
 
 func (r *propertyRun) checkTold() {
