--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -7,11 +7,12 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/admit"
-	"github.com/plantainmux/plantainmux/internal/endpoint"
+	"github.com/plantainmux/plantainmux/internal/evidence"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/metric"
-	"github.com/plantainmux/plantainmux/internal/order"
+	"github.com/plantainmux/plantainmux/internal/refusal"
 	"github.com/plantainmux/plantainmux/internal/relay"
+	"github.com/plantainmux/plantainmux/internal/service"
 	"github.com/plantainmux/plantainmux/internal/view"
 )
 
@@ -21,12 +22,13 @@
 	Views           *view.Store
 	Gate            *admit.Gate
 	Relay           *relay.Relay
-	Orders          *order.Runner
-	Service         endpoint.Service
+	Services        *service.Caller
 	Metrics         *metric.Set
+	Evidence        *evidence.Recorder
 	Logger          *slog.Logger
 	BodyLimit       int64 // bytes
 	DefaultDeadline time.Duration
+	BodyTimeout     time.Duration // of the body of a request; 0 is the default
 	WriteTimeout    time.Duration // of one write to a caller; 0 is the default
 }
 
@@ -44,13 +46,6 @@
 // Drain refuses new work from now on.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-func (s *Server) writeTimeout() time.Duration {
-	if s.WriteTimeout > 0 {
-		return s.WriteTimeout
-	}
-	return writeTimeout
-}
-
 // Handler serves the interface.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -58,5 +53,12 @@
 	mux.HandleFunc("POST /v1/chat/completions", s.authenticated(s.chatCompletions))
 	mux.HandleFunc("GET /v1/models", s.authenticated(s.models))
 	mux.HandleFunc("/v1/services/{name}/{path...}", s.authenticated(s.service))
+	mux.HandleFunc("/", s.unknownPath)
 	return mux
 }
+
+// unknownPath refuses what no other handler takes, so that each answer carries
+// an outcome.
+func (s *Server) unknownPath(w http.ResponseWriter, r *http.Request) {
+	s.refuse(w, refusal.New(refusal.UnknownService, 0, r.Method+" "+r.URL.Path+" is not served"))
+}
--- a/internal/daemon/config_spread.go
+++ b/internal/daemon/config_spread.go
@@ -1,16 +1,21 @@
 package daemon
 
 import (
+	"time"
+
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/logstream"
-	"github.com/plantainmux/plantainmux/internal/order"
 )
 
 // buildConfig builds the follower of the configuration stream and the spread
 // among peers. Both offer versions to one store, which takes the higher only.
 func (d *Daemon) buildConfig(wake func()) {
 	d.inForce = config.NewStore()
-	d.spread = config.NewSpread(d.mesh, d.settings.DataCentre, d.inForce, d.metrics, d.logger, wake)
+	changed := func() {
+		d.evidence.InForce(d.inForce.Load().Version, time.Now())
+		wake()
+	}
+	d.spread = config.NewSpread(d.mesh, d.settings.DataCentre, d.inForce, d.metrics, d.logger, changed)
 	d.config = logstream.New(d.adapters.Log, config.StreamName, config.NewFold(), d.streamOptions(d.offerFolded))
 }
 
@@ -26,10 +31,7 @@
 
 // refusedStreams names the streams whose log contradicts what was applied.
 func (d *Daemon) refusedStreams() []string {
-	refused := []error{d.config.Refused(), d.groups.Refused()}
-	for slot := range order.Slots {
-		refused = append(refused, d.orders[slot].Refused())
-	}
+	refused := append(d.orders.slots.Refused(), d.config.Refused(), d.groups.Refused())
 	var told []string
 	for _, err := range refused {
 		if err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,15 +15,16 @@
 	"github.com/plantainmux/plantainmux/internal/admit"
 	"github.com/plantainmux/plantainmux/internal/callerapi"
 	"github.com/plantainmux/plantainmux/internal/config"
+	"github.com/plantainmux/plantainmux/internal/evidence"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/group"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/metric"
-	"github.com/plantainmux/plantainmux/internal/order"
 	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/reconcile"
 	"github.com/plantainmux/plantainmux/internal/relay"
 	"github.com/plantainmux/plantainmux/internal/settings"
+	"github.com/plantainmux/plantainmux/internal/spill"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 	"github.com/plantainmux/plantainmux/internal/view"
 	"github.com/plantainmux/plantainmux/internal/watch"
@@ -51,13 +52,22 @@
 	inForce *config.Store
 	spread  *config.Spread
 	groups  *logstream.Stream[*group.Fold]
-	orders  [order.Slots]*logstream.Stream[*order.Fold]
+	orders  orders
 
 	table  *watch.Table
 	vms    *watch.VMs
+	duty   *watch.Duty
 	poller *watch.Poller
+	sharer *watch.Sharer
 	views  *view.Store
+
+	evidence *evidence.Recorder
+	digests  *evidence.Publisher
+	notices  *notices
+
 	loop   *reconcile.Loop
+	gate   *admit.Gate
+	spill  *spill.Server
 	caller *callerapi.Server
 	admin  *adminapi.Server
 
@@ -65,6 +75,8 @@
 	adminListener  net.Listener
 	peerListener   net.Listener
 
+	tls      tlsConfigs
+	inFlight *inFlight
 	draining atomic.Bool
 	tasks    sync.WaitGroup
 	killed   context.Context
@@ -87,10 +99,17 @@
 		pool:     pond.NewPool(s.Limits.Workers),
 		views:    view.NewStore(),
 	}
+	var err error
+	if d.tls, err = loadTLS(s.TLS); err != nil {
+		return nil, err
+	}
 	if err := d.buildMesh(); err != nil {
 		return nil, err
 	}
+	d.adapters.Traffic.register(d.metrics)
+	d.buildEvidence()
 	d.buildControl()
+	d.buildOrders()
 	d.buildRequestPath()
 	if err := d.listen(); err != nil {
 		return nil, err
@@ -102,12 +121,8 @@
 	wake := func() { d.loop.Wake() }
 	d.buildConfig(wake)
 	d.groups = logstream.New(d.adapters.Log, group.StreamName(d.settings.DataCentre), group.NewFold(), d.streamOptions(wake))
-	for slot := range d.orders {
-		d.orders[slot] = logstream.New(d.adapters.Log, order.StreamName(order.Slot(slot)), order.NewFold(), d.streamOptions(func() {}))
-	}
-	d.table = watch.NewTable(func(fleet.VMID, group.Observation) { wake() })
-	d.vms = watch.NewVMs(d.adapters.VMs, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, wake)
-	d.poller = watch.NewPoller(d.adapters.Engine, d.table, d.pool, settings.Millis(d.settings.Timing.PollMS), d.watched)
+	d.vms = watch.NewVMs(d.adapters.VMs, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, d.noteVMs)
+	d.buildWatching(wake)
 	d.loop = reconcile.NewLoop(reconcile.Dependencies{
 		Self:       d.id,
 		DataCentre: d.settings.DataCentre,
@@ -125,6 +140,12 @@
 	})
 }
 
+// noteVMs takes a new list of VMs.
+func (d *Daemon) noteVMs() {
+	d.notices.update(d.vms.All(), time.Now())
+	d.loop.Wake()
+}
+
 func (d *Daemon) streamOptions(onApply func()) logstream.Options {
 	return logstream.Options{Writer: string(d.id), Logger: d.logger, Metrics: d.metrics, SnapshotAge: settings.Millis(d.settings.Timing.SnapshotAgeMS), OnApply: onApply}
 }
@@ -142,19 +163,23 @@
 }
 
 func (d *Daemon) buildRequestPath() {
+	d.gate = d.newGate()
+	runs := d.newRelay()
+	d.spill = spill.NewServer(d.mesh, d.gate, runs)
 	d.caller = callerapi.New(callerapi.Dependencies{
 		DataCentre:      d.settings.DataCentre,
 		Views:           d.views,
-		Gate:            admit.NewGate(d.capacity),
-		Relay:           d.newRelay(),
-		Orders:          order.NewRunner(d.orders, d.adapters.Service),
-		Service:         d.adapters.Service,
+		Gate:            d.gate,
+		Relay:           runs,
+		Services:        d.orders.caller,
 		Metrics:         d.metrics,
+		Evidence:        d.evidence,
 		Logger:          d.logger,
 		BodyLimit:       d.settings.Limits.BodyBytes,
 		DefaultDeadline: settings.Millis(d.settings.Timing.DefaultWaitMS),
 	})
 	d.admin = adminapi.New(d.settings.AdminToken, d.status, d.metrics)
+	d.admin.Orders = d.orders.book
 }
 
 func (d *Daemon) newRelay() *relay.Relay {
@@ -163,27 +188,37 @@
 		Engine:   d.adapters.Engine,
 		Suspects: suspect.NewWatch(d.mesh, d.settings.DataCentre),
 		Metrics:  d.metrics,
+		Remote:   spill.NewClient(d.mesh),
+		Observer: &observer{Recorder: d.evidence, notices: d.notices},
 		Failed:   d.table.Fail,
 	})
 }
 
-// capacity returns the concurrent requests that the complete groups can run.
-func (d *Daemon) capacity() int {
-	total := 0
-	for _, serving := range d.views.Load().Groups {
-		total += serving.Capacity
+// ownPeerAddress returns the address under which the peers know this daemon.
+func (d *Daemon) ownPeerAddress() string {
+	if d.adapters.PeerListener != nil {
+		return d.adapters.PeerListener.Addr().String()
 	}
-	return total
+	return d.settings.Listen.Peer
 }
 
-// watched returns the VMs that this daemon polls.
-func (d *Daemon) watched() []fleet.VM {
-	all := d.loop.Known()
-	watched := make([]fleet.VM, 0, len(all))
-	for _, vm := range all {
-		watched = append(watched, vm)
+// newGate returns the gate of the callers' requests.
+func (d *Daemon) newGate() *admit.Gate {
+	declared := 1
+	for _, other := range d.settings.Peers {
+		if other.DataCentre == d.settings.DataCentre && other.Address != d.ownPeerAddress() {
+			declared++
+		}
 	}
-	return watched
+	return admit.NewGate(admit.Dependencies{
+		Views:    d.views,
+		Mesh:     d.mesh,
+		Declared: declared,
+		Bounds: admit.Bounds{
+			QueueLength: d.settings.Limits.QueueLength,
+			QueueWait:   settings.Millis(d.settings.Limits.QueueWaitMS),
+		},
+	})
 }
 
 func (d *Daemon) status() adminapi.Status {
--- a/internal/group/plan_form.go
+++ b/internal/group/plan_form.go
@@ -9,8 +9,9 @@
 	"github.com/plantainmux/plantainmux/internal/fleet"
 )
 
-// planForms forms the missing groups on free VMs, those that cost most for
-// each member first. It starts no more loads at once than the weight store
+// planForms forms the missing groups on free VMs, those that cost most first:
+// by the measure that planRepairs takes groups apart by, so that the VMs go to
+// the group that they were freed for. It starts no more loads at once than the weight store
 // takes, so that the first ones end early instead of all late.
 func (p *planner) planForms() {
 	p.findFree()
@@ -51,16 +52,11 @@
 		needs = append(needs, p.needsOf(&p.in.Config.Models[i])...)
 	}
 	slices.SortStableFunc(needs, func(a, b need) int {
-		return cmp.Or(compareBool(a.covered, b.covered), cmp.Compare(p.density(b.model), p.density(a.model)))
+		return cmp.Or(compareBool(a.covered, b.covered), cmp.Compare(p.costRate(b.model), p.costRate(a.model)))
 	})
 	return needs
 }
 
-// density is the cost rate of a group for each of its VMs and loads.
-func (p *planner) density(model *config.Model) float64 {
-	return p.costRate(model) / float64(model.Members)
-}
-
 func (p *planner) needsOf(model *config.Model) []need {
 	missing := model.ReplicasIn(p.in.DataCentre) - p.count(model, p.secured)
 	covered := p.count(model, func(g *candidateGroup) bool { return g.standing == serving && g.replaceable() })
@@ -86,8 +82,8 @@
 }
 
 // pickMembers takes the members from one fabric domain: where steady VMs
-// suffice, then where the model has the fewest groups, then where most are
-// free.
+// suffice, then where a rolling replacement has been, then where the model has
+// the fewest groups, then where most are free.
 func (p *planner) pickMembers(n need) (Form, bool) {
 	best := fleet.FabricDomain("")
 	for _, domain := range sortedDomains(p.free) {
@@ -111,6 +107,7 @@
 func (p *planner) compareDomains(a, b fleet.FabricDomain, model *config.Model) int {
 	return cmp.Or(
 		cmp.Compare(p.unsteadyIn(p.free[a][:model.Members]), p.unsteadyIn(p.free[b][:model.Members])),
+		cmp.Compare(p.toBeReplaced(p.free[a][:model.Members]), p.toBeReplaced(p.free[b][:model.Members])),
 		cmp.Compare(p.groupsIn(a, model), p.groupsIn(b, model)),
 		cmp.Compare(len(p.free[b]), len(p.free[a])),
 	)
@@ -126,6 +123,21 @@
 	return count
 }
 
+// toBeReplaced counts the VMs that a rolling replacement may yet reach: while
+// some VM is leaving, those that have not started anew.
+func (p *planner) toBeReplaced(vms []fleet.VMID) int {
+	if !p.rolling {
+		return 0
+	}
+	count := 0
+	for _, vm := range vms {
+		if o := p.in.History.outages[vm]; o == nil || !o.renewed {
+			count++
+		}
+	}
+	return count
+}
+
 // groupsIn returns how many groups of a model a domain holds, planned ones
 // included.
 func (p *planner) groupsIn(domain fleet.FabricDomain, model *config.Model) int {
--- /dev/null
+++ b/internal/order/slot.go
@@ -0,0 +1,24 @@
+package order
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Slots is the number of order streams. It is part of the format of the
+// log: changing it moves keys to other streams.
+const Slots = 16
+
+// Slot is the number of an order stream.
+type Slot int
+
+// SlotOf returns the slot of a key.
+func SlotOf(key Key) Slot {
+	return Slot(xxhash.Sum64String(string(key)) % Slots)
+}
+
+// StreamName returns the name of a slot's stream.
+func StreamName(slot Slot) string {
+	return fmt.Sprintf("orders.%d", slot)
+}
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/coder/websocket"
@@ -16,13 +17,15 @@
 	It("are one for each pair, though both dial, and none to oneself", func() {
 		nodes := startNodes(nil, "north", "north", "north", "north")
 		awaitMesh(nodes)
-		Consistently(func() []int {
+		open := func() []int {
 			var sizes []int
 			for _, n := range nodes {
-				sizes = append(sizes, n.size())
+				sizes = append(sizes, n.openLinks())
 			}
 			return sizes
-		}, 5*testHeartbeat, pollOften).Should(HaveEach(3))
+		}
+		Eventually(open, waitLong, pollOften).Should(HaveEach(3))
+		Consistently(open, 5*testHeartbeat, pollOften).Should(HaveEach(3))
 		Eventually(func() int { return len(nodes[0].routing.Load().local) }, waitLong).Should(Equal(3))
 	})
 
@@ -80,6 +83,8 @@
 		nodes := startNodes(nil, "north", "north", "north")
 		started := make(chan struct{})
 		release := make(chan struct{})
+		finish := sync.OnceFunc(func() { close(release) })
+		DeferCleanup(finish)
 		nodes[2].callHandlers["slow"] = func(context.Context, fleet.DaemonID, cbor.RawMessage) (any, error) {
 			close(started)
 			<-release
@@ -99,7 +104,7 @@
 			nodes[2].Drain(context.Background())
 		}()
 		Consistently(drained, 3*testHeartbeat).ShouldNot(BeClosed())
-		close(release)
+		finish()
 		Eventually(answered, waitLong).Should(Receive(BeNil()))
 		Expect(reply).To(Equal("done"))
 		Eventually(drained, waitLong).Should(BeClosed())
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -6,15 +6,16 @@
 const (
 	DefaultBodyBytes       = 1 << 20
 	DefaultQueueLength     = 256
+	DefaultQueueWaitMS     = 500
 	DefaultWorkers         = 64
 	DefaultPollMS          = 500
 	DefaultReportBoundMS   = 2000
 	DefaultReconcileMS     = 250
 	DefaultVMListMS        = 1000
 	DefaultDrainNoticeMS   = 3000
-	DefaultPeerHeartbeatMS = 1000
 	DefaultSnapshotAgeMS   = 600000
 	DefaultDefaultWaitMS   = 60000
+	DefaultPeerHeartbeatMS = 1000
 )
 
 // WithDefaults returns the settings with every empty field of Limits and
@@ -22,6 +23,7 @@
 func (s Settings) WithDefaults() Settings {
 	setDefault(&s.Limits.BodyBytes, DefaultBodyBytes)
 	setDefault(&s.Limits.QueueLength, DefaultQueueLength)
+	setDefault(&s.Limits.QueueWaitMS, DefaultQueueWaitMS)
 	setDefault(&s.Limits.Workers, DefaultWorkers)
 	setDefault(&s.Timing.PollMS, DefaultPollMS)
 	setDefault(&s.Timing.ReportBoundMS, DefaultReportBoundMS)
--- a/test/request_bed_test.go
+++ b/test/request_bed_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -17,8 +16,6 @@
 	"github.com/plantainmux/plantainmux/internal/testbed"
 )
 
-const tick = 20 * time.Millisecond
-
 // requestBed is one daemon before groups of two engines each.
 type requestBed struct {
 	*testbed.Bed
@@ -109,6 +106,9 @@
 	r.outcome = response.Header.Get(refusal.OutcomeHeader)
 	data, err := io.ReadAll(response.Body)
 	r.broken = err
+	if err != nil {
+		return r
+	}
 	r.read(data)
 	r.whole = err == nil && r.status == http.StatusOK
 	return r
