--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/plantainmux/plantainmux/internal/admit"
 	"github.com/plantainmux/plantainmux/internal/callerapi"
 	"github.com/plantainmux/plantainmux/internal/config"
+	"github.com/plantainmux/plantainmux/internal/evidence"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/group"
 	"github.com/plantainmux/plantainmux/internal/logstream"
@@ -59,6 +60,11 @@
 	poller *watch.Poller
 	sharer *watch.Sharer
 	views  *view.Store
+
+	evidence *evidence.Recorder
+	digests  *evidence.Publisher
+	leaving  *leavingSince
+
 	loop   *reconcile.Loop
 	gate   *admit.Gate
 	spill  *spill.Server
@@ -100,6 +106,8 @@
 	if err := d.buildMesh(); err != nil {
 		return nil, err
 	}
+	d.adapters.Traffic.register(d.metrics)
+	d.buildEvidence()
 	d.buildControl()
 	d.buildOrders()
 	d.buildRequestPath()
@@ -113,7 +121,7 @@
 	wake := func() { d.loop.Wake() }
 	d.buildConfig(wake)
 	d.groups = logstream.New(d.adapters.Log, group.StreamName(d.settings.DataCentre), group.NewFold(), d.streamOptions(wake))
-	d.vms = watch.NewVMs(d.adapters.VMs, d.mesh, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, wake)
+	d.vms = watch.NewVMs(d.adapters.VMs, d.mesh, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, d.noteVMs)
 	d.buildWatching(wake)
 	d.loop = reconcile.NewLoop(reconcile.Dependencies{
 		Self:       d.id,
@@ -132,6 +140,12 @@
 	})
 }
 
+// noteVMs takes a new list of VMs.
+func (d *Daemon) noteVMs() {
+	d.leaving.update(d.vms.All(), time.Now())
+	d.loop.Wake()
+}
+
 func (d *Daemon) streamOptions(onApply func()) logstream.Options {
 	return logstream.Options{Writer: string(d.id), Logger: d.logger, Metrics: d.metrics, SnapshotAge: settings.Millis(d.settings.Timing.SnapshotAgeMS), OnApply: onApply}
 }
@@ -152,6 +166,7 @@
 	d.gate = d.newGate()
 	runs := d.newRelay()
 	d.spill = spill.NewServer(d.mesh, d.gate, runs)
+	d.registerRequestGauges(runs.Suspects.Table.Len)
 	d.caller = callerapi.New(callerapi.Dependencies{
 		DataCentre:      d.settings.DataCentre,
 		Views:           d.views,
@@ -159,6 +174,7 @@
 		Relay:           runs,
 		Services:        d.orders.caller,
 		Metrics:         d.metrics,
+		Evidence:        d.evidence,
 		Logger:          d.logger,
 		BodyLimit:       d.settings.Limits.BodyBytes,
 		DefaultDeadline: settings.Millis(d.settings.Timing.DefaultWaitMS),
@@ -174,6 +190,7 @@
 		Suspects: suspect.NewWatch(d.mesh, d.settings.DataCentre),
 		Metrics:  d.metrics,
 		Remote:   spill.NewClient(d.mesh),
+		Observer: &observer{Recorder: d.evidence, leaving: d.leaving},
 		Failed:   d.table.Fail,
 	})
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/settings"
+	"github.com/plantainmux/plantainmux/internal/traffic"
 )
 
 // Time limits of connections. None of them ends a request in progress.
@@ -40,6 +41,7 @@
 	if d.peerListener, err = net.Listen("tcp", d.settings.Listen.Peer); err != nil {
 		return &ListenError{Name: "peer", Err: err}
 	}
+	d.peerListener = traffic.Listen(d.peerListener, &d.adapters.Traffic.Peers)
 	return nil
 }
 
@@ -83,6 +85,7 @@
 	d.tasks.Go(func() { d.poller.Run(ctx) })
 	d.tasks.Go(func() { d.loop.Run(ctx) })
 	d.tasks.Go(func() { d.gate.Run(ctx) })
+	d.tasks.Go(func() { d.digests.Run(ctx) })
 }
 
 func (d *Daemon) serve(listener net.Listener, handler http.Handler) *http.Server {
@@ -124,6 +127,7 @@
 	d.spill.Drain()
 	d.mesh.Drain(d.killed)
 	d.drainOrders()
+	d.finishEvidence()
 	_ = admins.Shutdown(d.killed)
 }
 
--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -13,8 +13,9 @@
 )
 
 const (
-	claimTimeout      = 3 * time.Second        // wait for the verdict on a claim
+	claimTimeout      = 3 * time.Second        // wait for the verdict on a claim, by default
 	outcomeWait       = 500 * time.Millisecond // an answer waits so long for its record
+	insistDelay       = 200 * time.Millisecond // between two proposals of a record that must not be lost
 	directRunTimeout  = 5 * time.Second        // wait for the record of a run without a claim
 	tickBound         = time.Hour              // lag of the stream's clock after which a tick is due
 	retryLogAway      = 5 * time.Second
@@ -24,6 +25,7 @@
 	repeatWait        = 2 * time.Second // a repeat waits so long for the outcome
 	answerKeptLimit   = 32 << 10        // bytes of an answer that is recorded
 	defaultInProgress = 512
+	withdrawalsLimit  = 256 // claims in withdrawal; beyond it, a claim ends as unclear
 )
 
 // Runner runs orders at most once. Each order holds one worker of a bounded
@@ -31,7 +33,9 @@
 // take are bounded: beyond that, new orders are refused as not run.
 type Runner struct {
 	Dependencies
-	pool pond.Pool
+	pool        pond.Pool
+	withdrawals pond.Pool
+	draining    atomic.Bool
 }
 
 // NewRunner returns a runner.
@@ -39,15 +43,23 @@
 	if dependencies.InProgress == 0 {
 		dependencies.InProgress = defaultInProgress
 	}
+	if dependencies.ClaimTimeout == 0 {
+		dependencies.ClaimTimeout = claimTimeout
+	}
 	if dependencies.Now == nil {
 		dependencies.Now = time.Now
 	}
 	return &Runner{
 		Dependencies: dependencies,
-		pool:         pond.NewPool(dependencies.InProgress, pond.WithNonBlocking(true), pond.WithQueueSize(1)),
+		pool:         newBoundedPool(dependencies.InProgress),
+		withdrawals:  newBoundedPool(withdrawalsLimit),
 	}
 }
 
+func newBoundedPool(workers int) pond.Pool {
+	return pond.NewPool(workers, pond.WithNonBlocking(true), pond.WithQueueSize(1))
+}
+
 // Run runs an order at most once, or returns the recorded answer of its key.
 // An order goes on when ctx ends; its outcome is recorded all the same.
 func (r *Runner) Run(ctx context.Context, o Order) Result {
@@ -63,11 +75,18 @@
 	})
 	if !accepted {
 		r.Slots.release(f)
-		return refused(refusal.New(refusal.Overloaded, retryOverloaded, "too many orders are in progress"))
+		return refused(r.full())
 	}
 	return r.await(ctx, t)
 }
 
+func (r *Runner) full() *refusal.Refusal {
+	if r.draining.Load() {
+		return refusal.New(refusal.Draining, retryOverloaded, "this daemon is stopping")
+	}
+	return refusal.New(refusal.Overloaded, retryOverloaded, "too many orders are in progress")
+}
+
 func (r *Runner) await(ctx context.Context, t *task) Result {
 	select {
 	case result := <-t.result:
@@ -86,9 +105,12 @@
 // Drain waits until every order has its outcome recorded, but no longer than
 // ctx allows.
 func (r *Runner) Drain(ctx context.Context) {
-	select {
-	case <-r.pool.Stop().Done():
-	case <-ctx.Done():
+	r.draining.Store(true)
+	for _, pool := range []pond.Pool{r.pool, r.withdrawals} {
+		select {
+		case <-pool.Stop().Done():
+		case <-ctx.Done():
+		}
 	}
 }
 
@@ -97,7 +119,7 @@
 
 func (r *Runner) run(t *task) {
 	started := r.Now()
-	limit := min(claimTimeout, t.deadline.Sub(started))
+	limit := min(r.ClaimTimeout, t.deadline.Sub(started))
 	if limit <= 0 {
 		t.reply(refused(refusal.New(refusal.DeadlineExceeded, 0, "the deadline passed before the order could run")))
 		return
@@ -107,10 +129,10 @@
 		return
 	}
 	receipt, err := r.propose(t, KindClaim, t.claim, limit)
-	t.followed.breaker.leave(err == nil, limit == claimTimeout)
+	t.followed.breaker.leave(err == nil, limit == r.ClaimTimeout)
 	switch {
 	case err != nil:
-		r.unclaimed(t, wasSent(err))
+		r.unclaimed(t, true)
 	case receipt.Void != nil:
 		t.reply(r.lost(t, receipt.Void))
 	default:
@@ -119,11 +141,6 @@
 	}
 }
 
-func wasSent(err error) bool {
-	var failure *logstream.ProposalError
-	return !errors.As(err, &failure) || failure.Sent
-}
-
 // propose proposes a record for a limited time, whatever becomes of the
 // request. A limit of zero is none.
 func (r *Runner) propose(t *task, kind logstream.Kind, body any, limit time.Duration) (logstream.Receipt, error) {
@@ -135,21 +152,30 @@
 	return t.followed.stream.Propose(ctx, kind, body)
 }
 
-// unclaimed ends an order whose claim was not read back. One that was sent may
-// stand in the stream later; it is withdrawn, so that it blocks no repeat.
-func (r *Runner) unclaimed(t *task, sent bool) {
+// unclaimed ends an order whose claim was not read back. A claim that was
+// proposed may stand in the stream later; it is withdrawn, so that it blocks no
+// repeat.
+func (r *Runner) unclaimed(t *task, proposed bool) {
 	if t.order.RefusesRepeats {
-		r.runDirect(t, sent)
+		r.runDirect(t, proposed)
 		return
 	}
 	t.reply(refused(refusal.New(refusal.LogUnavailable, retryLogAway, "the claim was not recorded in time")))
-	if sent {
+	if proposed {
 		r.withdraw(t)
 	}
 }
 
+// withdraw settles a claim in the background, however long the log is away.
 func (r *Runner) withdraw(t *task) {
-	_, _ = r.propose(t, KindWithdrawal, Withdrawal{Key: t.order.Key, Attempt: t.claim.Attempt}, 0)
+	f := r.Slots.acquire(t.followed.slot)
+	_, accepted := r.withdrawals.TrySubmit(func() {
+		defer r.Slots.release(f)
+		r.insist(t, KindWithdrawal, Withdrawal{Key: t.order.Key, Attempt: t.claim.Attempt})
+	})
+	if !accepted {
+		r.Slots.release(f)
+	}
 }
 
 // claimed runs an order that holds the claim of its key.
@@ -159,17 +185,28 @@
 	keepAnswer(&outcome, result)
 	late := time.AfterFunc(outcomeWait, func() { t.reply(result) })
 	defer late.Stop()
-	_, _ = r.propose(t, KindOutcome, outcome, 0)
+	r.insist(t, KindOutcome, outcome)
 	t.reply(result)
 }
 
+// insist proposes a record until its verdict is read. A repeat of one that is
+// in the stream already is void.
+func (r *Runner) insist(t *task, kind logstream.Kind, body any) {
+	for r.Context.Err() == nil {
+		if _, err := r.propose(t, kind, body, 0); err == nil {
+			return
+		}
+		_ = sleep(r.Context, insistDelay)
+	}
+}
+
 // runDirect runs an order without a claim: the service itself refuses a key
 // that it has run.
-func (r *Runner) runDirect(t *task, sent bool) {
+func (r *Runner) runDirect(t *task, proposed bool) {
 	state, result := r.dispatch(t)
 	t.reply(result)
 	if state == NotRan {
-		if sent {
+		if proposed {
 			r.withdraw(t)
 		}
 		return
--- /dev/null
+++ b/internal/order/serve_test.go
@@ -0,0 +1,25 @@
+package order_test
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/plantainmux/plantainmux/internal/fakes"
+	"github.com/plantainmux/plantainmux/internal/platform"
+)
+
+type standIn interface{ Handler() http.Handler }
+
+func mustServe(s standIn) *fakes.Server {
+	server, err := fakes.StartServer("127.0.0.1:0", s.Handler())
+	if err != nil {
+		panic(err)
+	}
+	return server
+}
+
+func contextWithTimeout() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), placeTimeout)
+}
+
+func logOffset(n int) platform.Offset { return platform.Offset(n) }
--- a/test/whole_path_test.go
+++ b/test/whole_path_test.go
@@ -14,7 +14,9 @@
 	"github.com/plantainmux/plantainmux/internal/testbed"
 )
 
-const waitComplete = 15 * time.Second
+const (
+	waitComplete = 15 * time.Second
+)
 
 var _ = Describe("A request", func() {
 	It("gets the whole answer of a complete group", func() {
