--- a/internal/adminapi/status.go
+++ b/internal/adminapi/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/platform"
 	"github.com/plantainmux/plantainmux/internal/view"
 )
@@ -17,5 +18,8 @@
 	ConfigTookMS   int64              `json:"config_took_ms"`            // from its publication until it was in force here, by both clocks
 	RefusedStreams []string           `json:"refused_streams,omitempty"` // log streams that contradict what was applied
 	Peers          []fleet.DaemonID   `json:"peers"`
+	Links          []peer.LinkStatus  `json:"links"`
+	DataCentres    []fleet.DataCentre `json:"data_centres"` // others that can be reached
+	Streams        []StreamStatus     `json:"streams"`
 	Groups         []view.GroupStatus `json:"groups"`
 }
--- a/internal/reconcile/loop_test.go
+++ b/internal/reconcile/loop_test.go
@@ -17,6 +17,7 @@
 	"github.com/plantainmux/plantainmux/internal/group"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/metric"
+	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/platform"
 	"github.com/plantainmux/plantainmux/internal/view"
 	"github.com/plantainmux/plantainmux/internal/watch"
@@ -52,7 +53,7 @@
 func newTestLoop(log platform.Log, vms fixedList) *Loop {
 	logger := slog.New(slog.DiscardHandler)
 	groups := logstream.New(log, "groups.north", group.NewFold(), logstream.Options{Writer: "w", Logger: logger})
-	followed := watch.NewVMs(vms, "north", time.Hour, logger, func() {})
+	followed := watch.NewVMs(vms, peer.NewSolo("d"), "north", time.Hour, logger, func() {})
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	followed.Run(ctx) // reads the list once
--- a/internal/watch/table.go
+++ b/internal/watch/table.go
@@ -1,6 +1,3 @@
-// Package watch keeps what is known of each member, polls the members that this
-// daemon is a watcher of, and shares the reports with the other daemons of the
-// data centre.
 package watch
 
 import (
