--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -16,9 +16,7 @@
 	for _, node := range nodes {
 		candidates = append(candidates, candidate[N]{node, weight(key, string(node))})
 	}
-	slices.SortFunc(candidates, func(a, b candidate[N]) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.node, b.node))
-	})
+	slices.SortFunc(candidates, compare)
 	chosen := make([]N, 0, n)
 	for _, c := range candidates[:min(n, len(candidates))] {
 		chosen = append(chosen, c.node)
@@ -28,19 +26,43 @@
 
 // Chosen reports whether a node is among the n chosen for a key.
 func Chosen[N ~string](key string, nodes []N, n int, self N) bool {
-	return slices.Contains(Choose(key, nodes, n), self)
+	own := candidate[N]{self, weight(key, string(self))}
+	listed := false
+	better := 0
+	for _, node := range nodes {
+		if node == self {
+			listed = true
+			continue
+		}
+		if compare(candidate[N]{node, weight(key, string(node))}, own) < 0 {
+			better++
+		}
+		if better == n {
+			return false
+		}
+	}
+	return listed
 }
 
+// separator keeps a key's end from being taken for a node's beginning.
+var separator = []byte{0}
+
 // candidate is a node with its weight for a key.
 type candidate[N ~string] struct {
 	node   N
 	weight uint64
 }
 
+// compare puts the better candidate first.
+func compare[N ~string](a, b candidate[N]) int {
+	return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.node, b.node))
+}
+
 func weight(key, node string) uint64 {
-	digest := xxhash.New()
+	var digest xxhash.Digest
+	digest.Reset()
 	_, _ = digest.WriteString(key)
-	_, _ = digest.Write([]byte{0})
+	_, _ = digest.Write(separator)
 	_, _ = digest.WriteString(node)
 	return digest.Sum64()
 }
--- a/test/group_helpers_test.go
+++ b/test/group_helpers_test.go
@@ -19,7 +19,6 @@
 	detection    = 2 * time.Second
 	leavingBound = 3 * time.Second
 	waitRepair   = 30 * time.Second
-	tick         = 50 * time.Millisecond
 )
 
 func complete(d *testbed.Daemon) int { return len(d.CompleteGroups(testbed.SampleModel)) }
