--- a/test/group_outage_test.go
+++ b/test/group_outage_test.go
@@ -11,6 +11,7 @@
 	"github.com/plantainmux/plantainmux/internal/group"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/settings"
 	"github.com/plantainmux/plantainmux/internal/testbed"
 )
 
@@ -108,6 +109,28 @@
 		Consistently(func() []logstream.Kind { return kinds(bed) }, detection, tick).Should(Equal([]logstream.Kind{group.KindForm, group.KindReady}))
 	})
 
+	It("are known from a snapshot to daemons that missed what has expired", func() {
+		bed := testbed.New()
+		bed.AddEngines(north, "north-a", 3, fast(true))
+		often := func(s *settings.Settings) { s.Timing.SnapshotAgeMS = 300 }
+		a := bed.StartDaemon(north, often)
+		b := bed.StartDaemon(north, often)
+		bed.Publish(0, testbed.SampleConfig(1, north))
+		first := eventuallyComplete(a, 1)[0]
+		a.Latch.Cut(testbed.SideLog)
+		bed.Engines[first.Members[1]].Kill()
+		Eventually(func() int { return complete(b) }, waitRepair, tick).Should(Equal(0))
+		second := eventuallyComplete(b, 1)[0]
+		Eventually(func() logstream.Kind { return lastOf(kinds(bed)) }, waitRepair, tick).Should(Equal(logstream.KindSnapshot))
+		records := bed.Log.Records(group.StreamName(north))
+		bed.Log.Expire(group.StreamName(north), records[len(records)-1].Offset)
+		a.Latch.Mend(testbed.SideLog)
+		c := bed.StartDaemon(north, often)
+		for _, d := range []*testbed.Daemon{a, b, c} {
+			Expect(eventuallyComplete(d, 1)[0].Fencing).To(Equal(second.Fencing))
+		}
+	})
+
 	It("are repaired by the one daemon that is left when its peers are frozen", func() {
 		bed := testbed.New()
 		bed.AddEngines(north, "north-a", 3, fast(true))
@@ -127,6 +150,10 @@
 	})
 })
 
+func lastOf(kinds []logstream.Kind) logstream.Kind {
+	return kinds[len(kinds)-1]
+}
+
 // kinds returns the kinds of the records of the group stream.
 func kinds(bed *testbed.Bed) []logstream.Kind {
 	var kinds []logstream.Kind
