--- a/test/whole_path_test.go
+++ b/test/whole_path_test.go
@@ -16,7 +16,6 @@
 
 const (
 	waitComplete = 15 * time.Second
-	tick         = 50 * time.Millisecond // between two looks at a condition
 )
 
 var _ = Describe("A request", func() {
