--- a/internal/group/trace/count.go
+++ b/internal/group/trace/count.go
@@ -10,8 +10,8 @@
 // nothing while groups are missing that could use it: loading for one, bound to
 // an incomplete one, or free. Spares beyond the missing groups are not stranded,
 // so that a release alone gains nothing.
-func (r *replay) count(cost *Cost) {
-	complete, busy := r.complete()
+func (r *replay) count(world group.World, cost *Cost) {
+	complete, busy := r.complete(world)
 	missingVMs := 0
 	for i := range r.trace.Models {
 		model := &r.trace.Models[i]
@@ -35,10 +35,9 @@
 
 // complete returns the groups that serve by model, and the VMs in them. A group
 // serves only if its members are healthy in truth and by their reports.
-func (r *replay) complete() (map[fleet.ModelName]int, map[fleet.VMID]bool) {
+func (r *replay) complete(world group.World) (map[fleet.ModelName]int, map[fleet.VMID]bool) {
 	complete := map[fleet.ModelName]int{}
 	busy := map[fleet.VMID]bool{}
-	world := r.input().World
 	for _, record := range r.fold.Groups() {
 		if !r.allHealthy(record) || group.Check(record, world, r.now, bounds.ReportBound) != group.Complete {
 			continue
--- a/internal/group/trace/replay.go
+++ b/internal/group/trace/replay.go
@@ -12,7 +12,7 @@
 
 const (
 	step   = time.Second
-	warmUp = 30 * time.Minute // for the first groups to form
+	warmUp = 30 * time.Minute // longest time for the first groups to form
 )
 
 // epoch is the time at which every replay starts.
@@ -59,13 +59,24 @@
 	for _, vm := range t.VMs {
 		r.machines[vm.ID] = &machine{vm: vm}
 	}
-	for range int(warmUp / step) {
+	for at := time.Duration(0); at < warmUp && !r.settled(); at += step {
 		r.step()
 	}
 	r.policy = policy
 	return r.measure()
 }
 
+// settled reports whether all groups serve.
+func (r *replay) settled() bool {
+	complete, _ := r.complete(r.input().World)
+	for _, model := range r.trace.Models {
+		if complete[model.Name] < model.ReplicasIn(DataCentre) {
+			return false
+		}
+	}
+	return true
+}
+
 func (r *replay) measure() Cost {
 	var cost Cost
 	events := r.trace.Events
@@ -75,13 +86,13 @@
 			events = events[1:]
 		}
 		r.logAway = r.trace.LogAway.holds(at)
-		r.step()
-		r.count(&cost)
+		r.count(r.step(), &cost)
 	}
 	return cost
 }
 
-func (r *replay) step() {
+// step lets one step pass and returns the world as its plan saw it.
+func (r *replay) step() group.World {
 	r.now = r.now.Add(step)
 	r.load()
 	r.observe()
@@ -91,6 +102,7 @@
 		r.apply(r.policy(in))
 	}
 	r.order()
+	return in.World
 }
 
 func (r *replay) input() group.Input {
