--- a/internal/group/world_test.go
+++ b/internal/group/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -69,22 +70,13 @@
 func (w *world) pass(d time.Duration, silent ...fleet.VMID) {
 	w.Now = w.Now.Add(d)
 	for id := range w.World.Observations {
-		if !contains(silent, id) {
+		if !slices.Contains(silent, id) {
 			w.report(id, func(*fleet.MemberReport) {})
 		}
 	}
 	w.History.Update(w.Input)
 }
 
-func contains(ids []fleet.VMID, id fleet.VMID) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
-
 func (w *world) append(kind logstream.Kind, body any) error {
 	data, err := logstream.Marshal(body)
 	Expect(err).NotTo(HaveOccurred())
