--- a/internal/admit/pool.go
+++ b/internal/admit/pool.go
@@ -23,6 +23,8 @@
 	running int
 	waiting int
 	pace    pace
+
+	allotted time.Time // when the capacity was divided last
 }
 
 // NewPool returns a pool that admits nothing until it has an allotment.
@@ -156,6 +158,12 @@
 	return p.running < p.allowed.Slots && t.running < p.allowed.Limit(name)
 }
 
+// hasRoom reports whether a request of a team would run at once.
+func (p *Pool) hasRoom(name fleet.TeamName) bool {
+	t := p.team(name)
+	return t.queue.Len() == 0 && p.mayRun(name, t)
+}
+
 func (p *Pool) start(t *team) {
 	t.running++
 	p.running++
--- a/internal/admit/state.go
+++ b/internal/admit/state.go
@@ -13,6 +13,9 @@
 // rotationPeriod is how long one daemon keeps the advantage of a rounding.
 const rotationPeriod = time.Second
 
+// minDivideGap bounds the work of dividing a capacity under a flood of requests.
+const minDivideGap = 2 * time.Millisecond
+
 // state is the admission of one daemon: its pools and what it knows of the
 // others. It is not safe for concurrent use.
 type state struct {
@@ -38,11 +41,14 @@
 	return pool
 }
 
-// arrive decides on a request after it has divided the capacity with the
-// request's own demand.
+// arrive decides on a request. A request that the present division does not let
+// run has the capacity divided anew with its own demand.
 func (s *state) arrive(model fleet.ModelName, ticket *Ticket, now time.Time) (bool, *refusal.Refusal) {
-	s.allot(model, ticket.Team, now)
-	return s.pool(model).Arrive(ticket, now)
+	pool := s.pool(model)
+	if !pool.hasRoom(ticket.Team) && now.Sub(pool.allotted) >= minDivideGap {
+		s.allot(model, ticket.Team, now)
+	}
+	return pool.Arrive(ticket, now)
 }
 
 // round divides the capacity of each model anew and returns the own usage.
@@ -109,6 +115,7 @@
 		credit.saw(use(s.running(daemons, demandKey{model, demand.Team}, pool), part*float64(capacity)), now)
 		demands[i].Share *= credit.factor()
 	}
+	pool.allotted = now
 	pool.SetAllotment(s.divide(model, s.within(model, capacity, now), daemons, demands, now))
 }
 
