A group that falls silent while others serve counts as a crash against what ran on it

A request that kills a member other than the leader left the leader's stream open and silent, so it was only stalled, never a suspect, and took a group with each attempt.

--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -93,10 +93,11 @@
 		return
 	}
 	t.serving.Load.SawFailure(time.Now())
-	switch retry.ReasonOf(err) {
-	case retry.NotRun:
+	reason := retry.ReasonOf(err)
+	if reason == retry.NotRun {
 		return
-	case retry.Died:
+	}
+	if reason == retry.Died || reason == retry.Stalled && groupDied(r.Views.Load(), t.serving.Fencing) {
 		r.Metrics.Crashed()
 		r.Suspects.Crashed(r.req.Fingerprint, t.serving.Fencing, t.alone)
 	}
