--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,7 +63,7 @@
 
 	evidence *evidence.Recorder
 	digests  *evidence.Publisher
-	notices  *notices
+	leaving  *leavingSince
 
 	loop   *reconcile.Loop
 	gate   *admit.Gate
@@ -75,6 +75,8 @@
 	adminListener  net.Listener
 	peerListener   net.Listener
 
+	tls      tlsConfigs
+	inFlight *inFlight
 	draining atomic.Bool
 	tasks    sync.WaitGroup
 	killed   context.Context
@@ -97,9 +99,14 @@
 		pool:     pond.NewPool(s.Limits.Workers),
 		views:    view.NewStore(),
 	}
+	var err error
+	if d.tls, err = loadTLS(s.TLS); err != nil {
+		return nil, err
+	}
 	if err := d.buildMesh(); err != nil {
 		return nil, err
 	}
+	d.adapters.Traffic.register(d.metrics)
 	d.buildEvidence()
 	d.buildControl()
 	d.buildOrders()
@@ -114,7 +121,7 @@
 	wake := func() { d.loop.Wake() }
 	d.buildConfig(wake)
 	d.groups = logstream.New(d.adapters.Log, group.StreamName(d.settings.DataCentre), group.NewFold(), d.streamOptions(wake))
-	d.vms = watch.NewVMs(d.adapters.VMs, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, d.noteVMs)
+	d.vms = watch.NewVMs(d.adapters.VMs, d.mesh, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, d.noteVMs)
 	d.buildWatching(wake)
 	d.loop = reconcile.NewLoop(reconcile.Dependencies{
 		Self:       d.id,
@@ -135,7 +142,7 @@
 
 // noteVMs takes a new list of VMs.
 func (d *Daemon) noteVMs() {
-	d.notices.update(d.vms.All(), time.Now())
+	d.leaving.update(d.vms.All(), time.Now())
 	d.loop.Wake()
 }
 
@@ -159,6 +166,7 @@
 	d.gate = d.newGate()
 	runs := d.newRelay()
 	d.spill = spill.NewServer(d.mesh, d.gate, runs)
+	d.registerRequestGauges(runs.Suspects.Table.Len)
 	d.caller = callerapi.New(callerapi.Dependencies{
 		DataCentre:      d.settings.DataCentre,
 		Views:           d.views,
@@ -182,7 +190,7 @@
 		Suspects: suspect.NewWatch(d.mesh, d.settings.DataCentre),
 		Metrics:  d.metrics,
 		Remote:   spill.NewClient(d.mesh),
-		Observer: &observer{Recorder: d.evidence, notices: d.notices},
+		Observer: &observer{Recorder: d.evidence, leaving: d.leaving},
 		Failed:   d.table.Fail,
 	})
 }
--- a/internal/daemon/evidence.go
+++ b/internal/daemon/evidence.go
@@ -15,14 +15,14 @@
 // observer records what the relay does.
 type observer struct {
 	*evidence.Recorder
-	notices *notices
+	leaving *leavingSince
 }
 
 // AttemptStarted implements relay.Observer.
 func (o *observer) AttemptStarted(serving *view.Serving, at time.Time) {
 	o.Recorder.AttemptStarted(serving.Fencing, at)
 	for _, vm := range serving.Members {
-		if o.notices.lasted(vm, leavingBound, at) {
+		if o.leaving.longerThan(vm, leavingBound, at) {
 			o.LeavingStart()
 			return
 		}
@@ -31,13 +31,13 @@
 
 func (d *Daemon) buildEvidence() {
 	d.evidence = evidence.NewRecorder(d.id, d.settings.DataCentre, time.Now())
-	d.notices = newNotices()
+	d.leaving = newLeavingSince()
 	lost := d.metrics.Counter("plantainmux_evidence_digests_lost_total")
 	d.digests = evidence.NewPublisher(d.adapters.Log, d.evidence, d.logger, func() { lost.Inc() })
 }
 
 // finishEvidence records the end of a planned stop.
 func (d *Daemon) finishEvidence() {
-	d.evidence.RequestsCut(d.caller.InProgress())
+	d.evidence.RequestsCut(d.inFlight.remaining())
 	d.digests.Finish(context.WithoutCancel(d.killed), time.Now())
 }
