--- a/internal/order/node_test.go
+++ b/internal/order/node_test.go
@@ -41,7 +41,7 @@
 	sweeper *order.Sweeper
 	clock   atomic.Int64 // offset of its clock, nanoseconds
 
-	hidden, alone, losesAnswers, appendsCut, readsCut atomic.Bool
+	hidden, alone, losesAnswers, appendsCut, readsCut, serviceDown atomic.Bool
 
 	mu     sync.Mutex
 	strike func(step string) // called at each step
@@ -62,7 +62,7 @@
 		Context:      n.ctx,
 		Slots:        n.slots,
 		Service:      &struckService{Service: endpoint.NewHTTPService(), node: n},
-		Usable:       func(string) bool { return true },
+		Usable:       func(string) bool { return !n.serviceDown.Load() },
 		Metrics:      metrics,
 		ClaimTimeout: b.claimTimeout,
 		Now:          n.now,
--- a/internal/order/repeat.go
+++ b/internal/order/repeat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/plantainmux/plantainmux/internal/refusal"
 )
@@ -53,3 +54,19 @@
 	}
 	return refused(refusal.NewUnknown(refusal.AnswerNotKept, 0, "the order ran, but its answer was not kept"))
 }
+
+// withoutService answers an order while no endpoint is healthy. It appends
+// nothing: a key that the log holds is answered from its record, and any other
+// is refused as not run.
+func (r *Runner) withoutService(t *task, limit time.Duration) Result {
+	ctx, cancel := context.WithTimeout(r.Context, limit)
+	defer cancel()
+	if err := t.followed.confirm(ctx); err != nil {
+		return refused(refusal.New(refusal.LogUnavailable, retryLogAway, "the log cannot be read"))
+	}
+	if record, ok := t.followed.find(t.order.Key); ok && record.State != NotRan {
+		return r.repeat(r.Context, t.followed, t.order, record)
+	}
+	r.Metrics.notRun.Inc()
+	return refused(refusal.New(refusal.ServiceDown, retryServiceDown, "no endpoint of the service is healthy"))
+}
--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -124,6 +124,10 @@
 		t.reply(refused(refusal.New(refusal.DeadlineExceeded, 0, "the deadline passed before the order could run")))
 		return
 	}
+	if len(r.usable(t.order.Addresses)) == 0 {
+		t.reply(r.withoutService(t, limit))
+		return
+	}
 	if !t.followed.breaker.enter() {
 		r.unclaimed(t, false)
 		return
--- a/internal/order/service_faults_test.go
+++ b/internal/order/service_faults_test.go
@@ -45,6 +45,19 @@
 		Expect(b.service.RunsOf("unborn")).To(Equal(1))
 	})
 
+	It("costs the log nothing while no endpoint is healthy", func() {
+		b := newBed()
+		node := b.startNodes(1)[0]
+		first := b.settled(node, key)
+		node.kill()
+		fresh := b.startNode("fresh")
+		fresh.serviceDown.Store(true)
+		before := b.log.Appends()
+		Expect(fresh.place(b.order(key))).To(Equal(first))
+		Expect(fresh.place(b.order("unborn")).Refusal.Reason).To(Equal(refusal.ServiceDown))
+		Expect(b.log.Appends()).To(Equal(before))
+	})
+
 	It("is refused as not run at once while the log is away", func() {
 		b := newBed()
 		nodes := b.startNodes(2)
