Tests of the mesh wait until the relays have settled

The streamed call found no relayed stream in one full run: the mesh was taken as settled while daemons that had dialled before they knew their peers still held extra links.

--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -116,6 +116,20 @@
 }
 
 // regionalLinks returns how many links the nodes have to other data centres.
+// linksAsRelay reports whether a node holds links to the data centres that it
+// dials exactly if it is a relay to them. Once all nodes of its data centre are
+// live that does not change again.
+func (n *node) linksAsRelay() bool {
+	for _, to := range n.DataCentres() {
+		rank, _ := n.relayRank(to)
+		dials := n.options.DataCentre < to
+		if dials && (rank >= 0) != (len(n.routing.Load().direct(to)) > 0) {
+			return false
+		}
+	}
+	return true
+}
+
 func regionalLinks(nodes []*node) int {
 	count := 0
 	for _, n := range nodes {
@@ -138,6 +152,9 @@
 		Eventually(n.Live, waitLong, pollOften).Should(HaveLen(sizes[n.options.DataCentre]))
 		Eventually(n.DataCentres, waitLong, pollOften).Should(HaveLen(len(sizes) - 1))
 	}
+	for _, n := range nodes {
+		Eventually(n.linksAsRelay, waitLong, pollOften).Should(BeTrue())
+	}
 	pairs := len(sizes) * (len(sizes) - 1) / 2
 	Eventually(func() int { return regionalLinks(nodes) }, waitLong, pollOften).Should(Equal(2 * relaysPerPair * pairs))
 }
