--- a/internal/evidence/check_groups.go
+++ b/internal/evidence/check_groups.go
@@ -53,8 +53,8 @@
 	if use.First < life.readyAt-skew {
 		return fmt.Sprintf("group %d was given work %d ms before it was ready", fencing, life.readyAt-use.First)
 	}
-	if life.releasedAt != 0 && use.Last > life.releasedAt+skew+bounds.ViewStale.Milliseconds() {
-		return fmt.Sprintf("group %d was given work %d ms after its release", fencing, use.Last-life.releasedAt)
+	if life.endedAt != 0 && use.Last > life.endedAt+skew+bounds.ViewStale.Milliseconds() {
+		return fmt.Sprintf("group %d was given work %d ms after its drain or release", fencing, use.Last-life.endedAt)
 	}
 	return ""
 }
--- a/internal/evidence/check_orders.go
+++ b/internal/evidence/check_orders.go
@@ -17,7 +17,7 @@
 		}
 	}
 	for _, history := range records.Orders {
-		for _, claims := range orderClaims(history) {
+		for _, claims := range readOrders(history).byKey {
 			for _, claim := range claims {
 				if claim.notRan == nil {
 					continue
@@ -42,9 +42,12 @@
 		OrdersAtMostOnce,
 		"what a service did beyond the calls that it was sent",
 	)
-	var keys, ran, open uint64
+	var keys, ran, open, direct, byHand uint64
 	for _, history := range records.Orders {
-		for _, claims := range orderClaims(history) {
+		book := readOrders(history)
+		direct += book.direct
+		byHand += book.byHand
+		for _, claims := range book.byKey {
 			keys++
 			var first *orderClaim
 			settled := false
@@ -67,7 +70,9 @@
 	}
 	f.checked("keys", keys)
 	f.checked("orders recorded as run", ran)
-	f.checked("keys without a recorded run", open)
+	f.checked("orders run without a claim, by services that refuse repeats", direct)
+	f.checked("orders settled by an operator", byHand)
+	f.checked("keys without a settled outcome", open)
 	if open > 0 {
 		f.NotKnown = append(f.NotKnown, fmt.Sprintf("whether %d orders without a settled outcome ran", open))
 	}
--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -54,6 +54,24 @@
 	d.write(slot, 1_002, order.KindOutcome, order.Outcome{Key: key, Claim: claim, State: order.Ran})
 }
 
+// plantWithdrawnRun records that a withdrawn claim ran.
+func plantWithdrawnRun(d *doctor) {
+	key := order.NewKey("merchants", "orders", "k4")
+	slot := order.StreamName(order.SlotOf(key))
+	claim := d.write(slot, 1_000, order.KindClaim, order.Claim{Key: key, LifetimeMillis: 1_000_000, Attempt: 7})
+	d.write(slot, 1_001, order.KindWithdrawal, order.Withdrawal{Key: key, Attempt: 7})
+	d.write(slot, 1_002, order.KindOutcome, order.Outcome{Key: key, Claim: claim, State: order.Ran})
+}
+
+// plantDirectRun records a run without a claim.
+func plantDirectRun(d *doctor) {
+	key := order.NewKey("merchants", "orders", "k5")
+	d.write(order.StreamName(order.SlotOf(key)), 1_000, order.KindDirectRun, order.DirectRun{
+		Claim:   order.Claim{Key: key, LifetimeMillis: 1_000_000},
+		Outcome: order.Outcome{Key: key, State: order.Ran},
+	})
+}
+
 func breached(report evidence.Report) []evidence.Condition {
 	var conditions []evidence.Condition
 	for _, finding := range report.Findings {
@@ -120,6 +138,11 @@
 			d.digest(60_000, func(digest *evidence.Digest) { digest.Answers.RanNotRun = 1 })
 		}),
 		Entry("truthful refusals: an order", evidence.NotRunTruthful, func() { plantBothOutcomes(d) }),
+		Entry("truthful refusals: a withdrawn order", evidence.NotRunTruthful, func() { plantWithdrawnRun(d) }),
+		Entry("orders at most once: a run without a claim", evidence.OrdersAtMostOnce, func() {
+			plantDirectRun(d)
+			plantDirectRun(d)
+		}),
 		Entry("orders at most once", evidence.OrdersAtMostOnce, func() { plantRuns(d) }),
 		Entry("drained endpoints", evidence.LeavingDrained, func() {
 			d.digest(60_000, func(digest *evidence.Digest) { digest.LeavingStarts = 1 })
--- a/internal/evidence/group_life.go
+++ b/internal/evidence/group_life.go
@@ -9,8 +9,8 @@
 // groupLife is when a group may have worked. Times are Unix milliseconds; zero
 // is not yet.
 type groupLife struct {
-	readyAt    int64
-	releasedAt int64
+	readyAt int64
+	endedAt int64 // of its drain, or else of its release
 }
 
 // groupReplay folds a group stream anew.
@@ -46,11 +46,22 @@
 		var ready group.Ready
 		_ = logstream.Unmarshal(item.Entry.Body, &ready)
 		r.lives[ready.Group] = groupLife{readyAt: item.Entry.Millis}
+	case group.KindDrain:
+		var drain group.Drain
+		_ = logstream.Unmarshal(item.Entry.Body, &drain)
+		r.end(drain.Group, item)
 	case group.KindRelease:
 		var release group.Release
 		_ = logstream.Unmarshal(item.Entry.Body, &release)
-		life := r.lives[release.Group]
-		life.releasedAt = item.Entry.Millis
-		r.lives[release.Group] = life
+		r.end(release.Group, item)
+	}
+}
+
+// end notes the first record that ended a group's work.
+func (r *groupReplay) end(fencing fleet.FencingNumber, item Item) {
+	life := r.lives[fencing]
+	if life.endedAt == 0 {
+		life.endedAt = item.Entry.Millis
+		r.lives[fencing] = life
 	}
 }
