--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -13,11 +13,19 @@
 // Client asks daemons on behalf of operators.
 type Client struct {
 	client *resty.Client
+	scheme string
 }
 
-// NewClient returns a client that authenticates with token.
-func NewClient(token string) *Client {
-	return &Client{client: resty.New().SetAuthToken(token).SetTimeout(clientTimeout)}
+// NewClient returns a client that authenticates with token. With an authority,
+// a PEM file, it speaks TLS to daemons that hold a certificate of it.
+func NewClient(token, authority string) *Client {
+	client := resty.New().SetAuthToken(token).SetTimeout(clientTimeout)
+	scheme := "http://"
+	if authority != "" {
+		client.SetRootCertificate(authority)
+		scheme = "https://"
+	}
+	return &Client{client: client, scheme: scheme}
 }
 
 // StatusOfAll asks every daemon at the same time. The answers are in the order
@@ -34,7 +42,7 @@
 
 func (c *Client) status(address string) StatusAnswer {
 	var status Status
-	response, err := c.client.R().SetResult(&status).Get("http://" + address + "/admin/status")
+	response, err := c.client.R().SetResult(&status).Get(c.scheme + address + "/admin/status")
 	switch {
 	case err != nil:
 		return StatusAnswer{Address: address, Error: err.Error()}
--- a/internal/logstream/apply.go
+++ b/internal/logstream/apply.go
@@ -11,6 +11,7 @@
 	applied, err := s.applyLocked(records)
 	if applied > 0 {
 		s.options.OnApply()
+		s.sendOwnCheckpoint()
 	}
 	return err
 }
@@ -45,5 +46,6 @@
 	}
 	if record.Offset%platform.Offset(s.options.SnapshotEvery) == 0 {
 		s.takeCheckpoint()
+		s.snapshots.own = ok && entry.Writer == s.options.Writer
 	}
 }
--- a/internal/logstream/snapshots.go
+++ b/internal/logstream/snapshots.go
@@ -21,6 +21,7 @@
 	newest      platform.Offset // highest state that a snapshot in the log covers
 	newestAt    time.Time
 	underway    *proposal
+	own         bool // the newest checkpoint is at an own record
 }
 
 // takeCheckpoint encodes the state at a round offset. All followers do so at
@@ -82,8 +83,24 @@
 	return taken.digest, err == nil
 }
 
-// runSnapshots appends the snapshots that are due. Its waits are random, so
-// that one daemon usually comes first and spares the others the work.
+// sendOwnCheckpoint appends the newest checkpoint at once when it is at an own
+// record, so that one daemon does it.
+func (s *Stream[F]) sendOwnCheckpoint() {
+	s.mu.Lock()
+	own := s.snapshots.own
+	s.snapshots.own = false
+	s.mu.Unlock()
+	if !own {
+		return
+	}
+	if body, due := s.dueSnapshot(); due {
+		s.sendSnapshot(body)
+	}
+}
+
+// runSnapshots appends the snapshots that are due and that nobody else
+// appended. Its waits are random, so that one daemon usually comes first and
+// spares the others the work.
 func (s *Stream[F]) runSnapshots(ctx context.Context) {
 	for {
 		sleep(ctx, s.options.SnapshotCheck/2+rand.N(s.options.SnapshotCheck))
