--- a/internal/order/node_test.go
+++ b/internal/order/node_test.go
@@ -41,7 +41,7 @@
 	sweeper *order.Sweeper
 	clock   atomic.Int64 // offset of its clock, nanoseconds
 
-	hidden, alone, losesAnswers, appendsCut, readsCut atomic.Bool
+	hidden, alone, losesAnswers, appendsCut, readsCut, serviceDown atomic.Bool
 
 	mu     sync.Mutex
 	strike func(step string) // called at each step
@@ -54,7 +54,7 @@
 	log := &struckLog{Log: platform.NewHTTPLog(b.logServer.URL()), node: n}
 	n.slots = order.NewFollower(n.ctx, n.mesh, func(slot order.Slot, writer string, onApply func()) *logstream.Stream[*order.Fold] {
 		return logstream.New[*order.Fold](log, order.StreamName(slot), order.NewFold(), logstream.Options{
-			Writer: writer, OnApply: onApply, Now: n.now, SnapshotEvery: b.snapshotEvery, Logger: slog.New(slog.DiscardHandler),
+			Writer: writer, OnApply: onApply, Now: n.now, SnapshotEvery: b.snapshotEvery, SnapshotCheck: pollOften, Logger: slog.New(slog.DiscardHandler),
 		})
 	})
 	metrics := order.NewMetrics(metric.NewSet())
@@ -62,9 +62,9 @@
 		Context:      n.ctx,
 		Slots:        n.slots,
 		Service:      &struckService{Service: endpoint.NewHTTPService(), node: n},
-		Usable:       func(string) bool { return true },
+		Usable:       func(string) bool { return !n.serviceDown.Load() },
 		Metrics:      metrics,
-		ClaimTimeout: testClaimTimeout,
+		ClaimTimeout: b.claimTimeout,
 		Now:          n.now,
 	})
 	n.router = order.NewRouter(n.mesh, n.slots, n.runner)
--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -14,6 +15,7 @@
 const (
 	claimTimeout      = 3 * time.Second        // wait for the verdict on a claim, by default
 	outcomeWait       = 500 * time.Millisecond // an answer waits so long for its record
+	insistDelay       = 200 * time.Millisecond // between two proposals of a record that must not be lost
 	directRunTimeout  = 5 * time.Second        // wait for the record of a run without a claim
 	tickBound         = time.Hour              // lag of the stream's clock after which a tick is due
 	retryLogAway      = 5 * time.Second
@@ -33,6 +35,7 @@
 	Dependencies
 	pool        pond.Pool
 	withdrawals pond.Pool
+	draining    atomic.Bool
 }
 
 // NewRunner returns a runner.
@@ -72,11 +75,18 @@
 	})
 	if !accepted {
 		r.Slots.release(f)
-		return refused(refusal.New(refusal.Overloaded, retryOverloaded, "too many orders are in progress"))
+		return refused(r.full())
 	}
 	return r.await(ctx, t)
 }
 
+func (r *Runner) full() *refusal.Refusal {
+	if r.draining.Load() {
+		return refusal.New(refusal.Draining, retryOverloaded, "this daemon is stopping")
+	}
+	return refusal.New(refusal.Overloaded, retryOverloaded, "too many orders are in progress")
+}
+
 func (r *Runner) await(ctx context.Context, t *task) Result {
 	select {
 	case result := <-t.result:
@@ -95,6 +105,7 @@
 // Drain waits until every order has its outcome recorded, but no longer than
 // ctx allows.
 func (r *Runner) Drain(ctx context.Context) {
+	r.draining.Store(true)
 	for _, pool := range []pond.Pool{r.pool, r.withdrawals} {
 		select {
 		case <-pool.Stop().Done():
@@ -113,6 +124,10 @@
 		t.reply(refused(refusal.New(refusal.DeadlineExceeded, 0, "the deadline passed before the order could run")))
 		return
 	}
+	if len(r.usable(t.order.Addresses)) == 0 {
+		t.reply(r.withoutService(t, limit))
+		return
+	}
 	if !t.followed.breaker.enter() {
 		r.unclaimed(t, false)
 		return
@@ -160,8 +175,7 @@
 	f := r.Slots.acquire(t.followed.slot)
 	_, accepted := r.withdrawals.TrySubmit(func() {
 		defer r.Slots.release(f)
-		withdrawal := Withdrawal{Key: t.order.Key, Attempt: t.claim.Attempt}
-		_, _ = r.propose(t, KindWithdrawal, withdrawal, 0)
+		r.insist(t, KindWithdrawal, Withdrawal{Key: t.order.Key, Attempt: t.claim.Attempt})
 	})
 	if !accepted {
 		r.Slots.release(f)
@@ -175,10 +189,21 @@
 	keepAnswer(&outcome, result)
 	late := time.AfterFunc(outcomeWait, func() { t.reply(result) })
 	defer late.Stop()
-	_, _ = r.propose(t, KindOutcome, outcome, 0)
+	r.insist(t, KindOutcome, outcome)
 	t.reply(result)
 }
 
+// insist proposes a record until its verdict is read. A repeat of one that is
+// in the stream already is void.
+func (r *Runner) insist(t *task, kind logstream.Kind, body any) {
+	for r.Context.Err() == nil {
+		if _, err := r.propose(t, kind, body, 0); err == nil {
+			return
+		}
+		_ = sleep(r.Context, insistDelay)
+	}
+}
+
 // runDirect runs an order without a claim: the service itself refuses a key
 // that it has run.
 func (r *Runner) runDirect(t *task, proposed bool) {
