Doubt of a member after a failed request: no longer looked at too late

The test now counts both changes of the daemon's mind, and a test of the table alone pins when a doubt ends.

--- a/internal/watch/sharing_test.go
+++ b/internal/watch/sharing_test.go
@@ -196,9 +196,10 @@
 		start(5)
 		_, others := watchersOf(nodes, vm)
 		polls := engines.pollCount()
+		changes := others[0].changes.Load()
 		others[0].table.Fail(vm, time.Now())
-		Expect(others[0].see(vm).Failed).To(BeTrue())
-		Eventually(func() bool { return others[0].see(vm).Failed }, waitLong, pollOften).Should(BeFalse())
+		Eventually(others[0].changes.Load, waitLong, pollOften).Should(Equal(changes+2), "doubted, then proved")
+		Expect(others[0].see(vm).Failed).To(BeFalse())
 		Expect(engines.pollCount()).To(BeNumerically(">", polls))
 		Expect(others[1].see(vm).Failed).To(BeFalse())
 
@@ -240,6 +241,26 @@
 })
 
 var _ = Describe("An observation", func() {
+	It("is doubted after an own request failed, until an own poll or the bound", func() {
+		table := NewTable("self", time.Second, func(fleet.VMID, group.Observation) {}, func(fleet.VMID) {})
+		t0 := time.Now()
+		seen := func(at time.Duration) group.Observation {
+			return group.Observation{Report: fleet.MemberReport{VM: "vm"}, At: t0.Add(at)}
+		}
+		failed := func() bool { return table.All()["vm"].Failed }
+		table.Saw("other", seen(0), t0)
+		table.Fail("vm", t0.Add(100*time.Millisecond))
+		Expect(failed()).To(BeTrue())
+		table.Saw("other", seen(1099*time.Millisecond), t0)
+		Expect(failed()).To(BeTrue(), "this daemon may be the one that cannot reach it")
+		table.Saw("other", seen(1100*time.Millisecond), t0)
+		Expect(failed()).To(BeFalse())
+		table.Fail("vm", t0.Add(1200*time.Millisecond))
+		Expect(failed()).To(BeTrue())
+		table.Saw("self", seen(1201*time.Millisecond), t0)
+		Expect(failed()).To(BeFalse())
+	})
+
 	It("of an observer that failed since proves nothing, whatever others said before", func() {
 		table := NewTable("self", time.Second, func(fleet.VMID, group.Observation) {}, func(fleet.VMID) {})
 		t0 := time.Now()
