The test of a doubted member waits for the link that carries the doubt

It began before the two daemons were linked, so a change told then reached nobody, and its next digest was a minute away.

--- a/internal/watch/sharing_test.go
+++ b/internal/watch/sharing_test.go
@@ -138,8 +138,14 @@
 	It("poll a member at once that the other watcher could not reach", func() {
 		engines = newEngines(4)
 		nodes = startNodes(GinkgoTB(), engines, 2, time.Minute, 2*time.Minute)
-		for _, n := range nodes {
+		for i, n := range nodes {
+			other := nodes[1-i]
 			Eventually(func() int { return n.stale(time.Minute) }, waitLong, pollOften).Should(BeZero())
+			Eventually(n.mesh.Live, waitLong, pollOften).Should(HaveLen(2))
+			Eventually(func() bool {
+				_, known := n.mesh.Earliest(other.id, other.mesh.Stamp())
+				return known
+			}, waitLong, pollOften).Should(BeTrue())
 		}
 		polls := engines.pollsBy(nodes[1].id, string(vm))
 		engines.setDead(string(vm), true)
