--- a/cmd/plantainmuxd/main.go
+++ b/cmd/plantainmuxd/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -11,6 +10,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/plantainmux/plantainmux/internal/daemon"
+	"github.com/plantainmux/plantainmux/internal/logging"
 	"github.com/plantainmux/plantainmux/internal/settings"
 )
 
@@ -33,7 +33,7 @@
 		}
 		os.Exit(exitUsage)
 	}
-	logger := slog.New(slog.NewJSONHandler(os.Stderr, nil))
+	logger := logging.New(os.Stderr)
 	loaded, err := settings.Load(opts.Settings)
 	if err != nil {
 		logger.Error("settings refused", "error", err)
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/plantainmux/plantainmux/internal/settings"
 	"github.com/plantainmux/plantainmux/internal/traffic"
 )
@@ -30,16 +32,16 @@
 func (d *Daemon) listen() error {
 	var err error
 	if d.callerListener, err = net.Listen("tcp", d.settings.Listen.Caller); err != nil {
-		return &ListenError{Name: "caller", Err: err}
+		return &ListenError{Name: "caller", Err: merry.Wrap(err)}
 	}
 	if d.adminListener, err = net.Listen("tcp", d.settings.Listen.Admin); err != nil {
-		return &ListenError{Name: "admin", Err: err}
+		return &ListenError{Name: "admin", Err: merry.Wrap(err)}
 	}
 	if d.peerListener = d.adapters.PeerListener; d.peerListener != nil {
 		return nil
 	}
 	if d.peerListener, err = net.Listen("tcp", d.settings.Listen.Peer); err != nil {
-		return &ListenError{Name: "peer", Err: err}
+		return &ListenError{Name: "peer", Err: merry.Wrap(err)}
 	}
 	d.peerListener = traffic.Listen(d.peerListener, &d.adapters.Traffic.Peers)
 	return nil
--- a/internal/endpoint/http_engine.go
+++ b/internal/endpoint/http_engine.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/go-resty/resty/v2"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
@@ -108,13 +109,13 @@
 func (e *HTTPEngine) Generate(ctx context.Context, address string, request GenerateRequest) (Stream, error) {
 	body, err := json.Marshal(request)
 	if err != nil {
-		return nil, &UnreachableError{Address: address, Err: err}
+		return nil, &UnreachableError{Address: address, Err: merry.Wrap(err)}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+PathGenerate, bytes.NewReader(body))
 	if err != nil {
 		cancel()
-		return nil, &UnreachableError{Address: address, Err: err}
+		return nil, &UnreachableError{Address: address, Err: merry.Wrap(err)}
 	}
 	httpRequest.Header.Set("Content-Type", "application/json")
 	response, err := e.transport.RoundTrip(httpRequest)
@@ -168,9 +169,9 @@
 func transportFailure(address string, err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return &UnreachableError{Address: address, Err: err}
+		return &UnreachableError{Address: address, Err: merry.Wrap(err)}
 	}
-	return &BrokenError{Address: address, Err: err}
+	return &BrokenError{Address: address, Err: merry.Wrap(err)}
 }
 
 func restyStatus(response *resty.Response) error {
--- a/internal/endpoint/http_service.go
+++ b/internal/endpoint/http_service.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/go-resty/resty/v2"
 )
 
@@ -69,9 +70,9 @@
 	case errors.Is(err, resty.ErrResponseBodyTooLarge):
 		return &AnswerTooLargeError{Address: address, Limit: serviceAnswerLimit}
 	case !connected:
-		return &UnreachableError{Address: address, Err: err}
+		return &UnreachableError{Address: address, Err: merry.Wrap(err)}
 	default:
-		return &BrokenError{Address: address, Err: err}
+		return &BrokenError{Address: address, Err: merry.Wrap(err)}
 	}
 }
 
--- a/internal/endpoint/sse_stream.go
+++ b/internal/endpoint/sse_stream.go
@@ -6,6 +6,8 @@
 	"context"
 	"encoding/json"
 	"io"
+
+	"github.com/ansel1/merry/v2"
 )
 
 const (
@@ -34,7 +36,7 @@
 	for {
 		line, err := s.line()
 		if err != nil {
-			return Frame{}, &BrokenError{Address: s.address, Err: err}
+			return Frame{}, &BrokenError{Address: s.address, Err: merry.Wrap(err)}
 		}
 		payload, ok := bytes.CutPrefix(line, dataPrefix)
 		if !ok {
@@ -42,7 +44,7 @@
 		}
 		var frame Frame
 		if err := json.Unmarshal(payload, &frame); err != nil {
-			return Frame{}, &BrokenError{Address: s.address, Err: err}
+			return Frame{}, &BrokenError{Address: s.address, Err: merry.Wrap(err)}
 		}
 		return frame, nil
 	}
--- a/internal/platform/http_log.go
+++ b/internal/platform/http_log.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/go-resty/resty/v2"
 
 	"github.com/plantainmux/plantainmux/internal/traffic"
@@ -82,7 +83,7 @@
 		SetError(&page).
 		Get(pathStream)
 	if err != nil {
-		return Page{}, &UnavailableError{Operation: "read", Err: err}
+		return Page{}, &UnavailableError{Operation: "read", Err: merry.Wrap(err)}
 	}
 	if response.StatusCode() == http.StatusGone {
 		return Page{}, &ExpiredError{Stream: stream, From: from, Oldest: page.Oldest}
@@ -98,9 +99,9 @@
 func appendFailure(err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return &UnavailableError{Operation: "append", Err: err}
+		return &UnavailableError{Operation: "append", Err: merry.Wrap(err)}
 	}
-	return &UnknownOutcomeError{Operation: "append", Err: err}
+	return &UnknownOutcomeError{Operation: "append", Err: merry.Wrap(err)}
 }
 
 func retryAfter(response *resty.Response) time.Duration {
--- a/internal/platform/http_vm_list.go
+++ b/internal/platform/http_vm_list.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/go-resty/resty/v2"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
@@ -52,7 +53,7 @@
 	}
 	response, err := request.Get(pathVMs)
 	if err != nil {
-		return nil, &UnavailableError{Operation: "list VMs", Err: err}
+		return nil, &UnavailableError{Operation: "list VMs", Err: merry.Wrap(err)}
 	}
 	if response.StatusCode() == http.StatusNotModified {
 		return l.last, nil
--- a/internal/strictyaml/strictyaml.go
+++ b/internal/strictyaml/strictyaml.go
@@ -11,6 +11,7 @@
 	"regexp"
 	"strconv"
 
+	"github.com/ansel1/merry/v2"
 	"go.yaml.in/yaml/v3"
 )
 
@@ -21,7 +22,7 @@
 func ReadFile(path string, value any) (*Document, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, &FileError{File: path, Err: err}
+		return nil, &FileError{File: path, Err: merry.Wrap(err)}
 	}
 	return Decode(path, data, value)
 }
