--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -82,17 +82,18 @@
 	}
 	err := newAttempt(r, t, fmt.Sprintf("%s.%d", r.req.ID, r.attempts)).make(ctx)
 	if err != nil && ctx.Err() == nil {
-		r.noteFailure(t, err, started)
+		r.noteFailure(t, err)
 	}
 	return err
 }
 
 // noteFailure tells the watchers and the suspects what an attempt showed.
-func (r *run) noteFailure(t *target, err error, started time.Time) {
+func (r *run) noteFailure(t *target, err error) {
 	if isOwnFault(err) || t.remote != "" {
 		return
 	}
-	t.serving.Load.SawFailure(time.Now())
+	now := time.Now()
+	t.serving.Load.SawFailure(now)
 	reason := retry.ReasonOf(err)
 	if reason == retry.NotRun {
 		return
@@ -102,7 +103,7 @@
 		r.Suspects.Crashed(r.req.Fingerprint, t.serving.Fencing, t.alone)
 	}
 	if !isStatus(err) {
-		r.Failed(t.serving.Leader(), started)
+		r.Failed(t.serving.Leader(), now)
 	}
 }
 
