--- a/internal/admit/peers.go
+++ b/internal/admit/peers.go
@@ -23,17 +23,6 @@
 	heard    map[fleet.DaemonID]heardUsage
 }
 
-type heardUsage struct {
-	at    time.Time
-	usage map[demandKey]TeamUsage
-}
-
-// demandKey names one demand.
-type demandKey struct {
-	model fleet.ModelName
-	team  fleet.TeamName
-}
-
 func newPeers(self fleet.DaemonID, declared int) *peers {
 	return &peers{self: self, declared: declared, heard: map[fleet.DaemonID]heardUsage{}}
 }
--- /dev/null
+++ b/internal/fleet/model_name.go
@@ -0,0 +1,4 @@
+package fleet
+
+// ModelName names a served model.
+type ModelName string
--- /dev/null
+++ b/internal/peer/call_handler.go
@@ -0,0 +1,12 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/plantainmux/plantainmux/internal/fleet"
+)
+
+// CallHandler answers a call.
+type CallHandler func(ctx context.Context, from fleet.DaemonID, body cbor.RawMessage) (any, error)
--- /dev/null
+++ b/internal/peer/closed_error.go
@@ -0,0 +1,9 @@
+package peer
+
+// ClosedError says that this daemon closed a link.
+type ClosedError struct {
+	Reason string
+}
+
+// Error implements error.
+func (e *ClosedError) Error() string { return "closed: " + e.Reason }
--- /dev/null
+++ b/internal/peer/queue_full_error.go
@@ -0,0 +1,7 @@
+package peer
+
+// QueueFullError says that the send queue of a link is full.
+type QueueFullError struct{}
+
+// Error implements error.
+func (e *QueueFullError) Error() string { return "send queue full" }
--- /dev/null
+++ b/internal/platform/unavailable_error.go
@@ -0,0 +1,17 @@
+package platform
+
+import "fmt"
+
+// UnavailableError says that the platform took no action on a call.
+type UnavailableError struct {
+	Operation string
+	Err       error
+}
+
+// Error implements error.
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("platform unavailable: %s: %v", e.Operation, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Err }
