--- a/internal/config/spread.go
+++ b/internal/config/spread.go
@@ -12,6 +12,7 @@
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/metric"
 	"github.com/plantainmux/plantainmux/internal/peer"
+	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
 // Times of the spread.
@@ -137,7 +138,7 @@
 			return
 		case <-s.noticed:
 		}
-		if !pause(ctx, fetchGrace+rand.N(fetchGrace)) {
+		if !wait.For(ctx, fetchGrace+rand.N(fetchGrace)) {
 			return
 		}
 		s.fetchIfHigher(ctx)
@@ -207,15 +208,3 @@
 	default:
 	}
 }
-
-// pause returns false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -13,6 +13,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
 const (
@@ -188,7 +189,7 @@
 
 func (e *Engine) fetchWeights(ctx context.Context) bool {
 	if e.options.WeightStore == "" {
-		return waitFor(ctx, e.options.LoadTime)
+		return wait.For(ctx, e.options.LoadTime)
 	}
 	report := e.Report()
 	url := fmt.Sprintf("%s/weights/%s/%s", e.options.WeightStore, report.Model, report.Version)
@@ -204,21 +205,12 @@
 		if err == nil && response.StatusCode == http.StatusOK {
 			return true
 		}
-		if !waitFor(ctx, 100*time.Millisecond) {
+		if !wait.For(ctx, 100*time.Millisecond) {
 			return false
 		}
 	}
 }
 
-func waitFor(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // note records an event. The caller holds mu.
 func (e *Engine) note(event EngineEvent) {
 	event.At = time.Now()
--- a/internal/fakes/generate.go
+++ b/internal/fakes/generate.go
@@ -12,6 +12,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
 // generateBody is what the engine reads of a caller's request.
@@ -93,7 +94,7 @@
 	}
 	defer leave()
 	for i := range tokens {
-		if !waitFor(ctx, e.options.TokenDelay) || !e.alive(a, request.Attempt) {
+		if !wait.For(ctx, e.options.TokenDelay) || !e.alive(a, request.Attempt) {
 			return
 		}
 		frame := endpoint.Frame{Attempt: request.Attempt, Index: i, Text: Token(request.Body, i)}
--- a/internal/logstream/batch.go
+++ b/internal/logstream/batch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
 const (
@@ -91,9 +92,9 @@
 				return
 			}
 			w.noteFailure(batch, err)
-			sleep(ctx, delayAfter(err, backoff))
+			wait.For(ctx, delayAfter(err, backoff))
 		} else {
-			sleep(ctx, backoff)
+			wait.For(ctx, backoff)
 		}
 		backoff = min(2*backoff, maxAppendBackoff)
 	}
--- a/internal/logstream/follow.go
+++ b/internal/logstream/follow.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
 // follow reads and applies until ctx ends.
@@ -18,7 +19,7 @@
 		s.noteHealth(err)
 		if err != nil {
 			s.reportReadFailure(ctx, err)
-			sleep(ctx, backoff)
+			wait.For(ctx, backoff)
 			backoff = min(2*backoff, maxReadBackoff)
 			continue
 		}
--- a/internal/logstream/property_test.go
+++ b/internal/logstream/property_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
 const (
@@ -85,9 +86,9 @@
 		}
 		client := r.clients[random.IntN(len(r.clients))]
 		client.SetDown(true)
-		sleep(ctx, time.Duration(random.IntN(40))*time.Millisecond)
+		wait.For(ctx, time.Duration(random.IntN(40))*time.Millisecond)
 		client.SetDown(false)
-		sleep(ctx, time.Duration(random.IntN(40))*time.Millisecond)
+		wait.For(ctx, time.Duration(random.IntN(40))*time.Millisecond)
 	}
 }
 
--- a/internal/logstream/snapshots.go
+++ b/internal/logstream/snapshots.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
 // keptCheckpoints is the number of checkpoints that arriving snapshots are
@@ -103,7 +104,7 @@
 // spares the others the work.
 func (s *Stream[F]) runSnapshots(ctx context.Context) {
 	for {
-		sleep(ctx, s.options.SnapshotCheck/2+rand.N(s.options.SnapshotCheck))
+		wait.For(ctx, s.options.SnapshotCheck/2+rand.N(s.options.SnapshotCheck))
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/logstream/stream.go
+++ b/internal/logstream/stream.go
@@ -124,12 +124,3 @@
 	ok := errors.As(err, &expired)
 	return expired, ok
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/order/followed.go
+++ b/internal/order/followed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/logstream"
+	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
 // bootPoll is the time between two looks at a stream that is being opened.
@@ -51,20 +52,9 @@
 // confirm reads the slot up to the log's end as of now.
 func (f *followed) confirm(ctx context.Context) error {
 	for !f.stream.Booted() {
-		if err := sleep(ctx, bootPoll); err != nil {
-			return err
+		if !wait.For(ctx, bootPoll) {
+			return ctx.Err()
 		}
 	}
 	return f.stream.Confirm(ctx)
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -10,6 +10,7 @@
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/platform"
 	"github.com/plantainmux/plantainmux/internal/refusal"
+	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
 const (
@@ -200,7 +201,7 @@
 		if _, err := r.propose(t, kind, body, 0); err == nil {
 			return
 		}
-		_ = sleep(r.Context, insistDelay)
+		wait.For(r.Context, insistDelay)
 	}
 }
 
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -4,11 +4,11 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"time"
 
 	"github.com/coder/websocket"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
 // dialLoop keeps a link to the daemon at an address of the own data centre.
@@ -28,7 +28,7 @@
 			failures++
 			n.options.Logger.Debug("peer not reached", "address", address.HostPort, "error", err)
 		}
-		sleep(ctx, backoff(failures, rand.Float64()))
+		wait.For(ctx, backoff(failures, rand.Float64()))
 		n.awaitUnlinked(ctx, remote.Daemon)
 	}
 }
@@ -96,10 +96,3 @@
 	}
 	return conn, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/peer/regional.go
+++ b/internal/peer/regional.go
@@ -7,6 +7,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/rendezvous"
+	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
 const (
@@ -39,7 +40,7 @@
 		if err == nil && result == verdictAccepted {
 			failures = 0
 		}
-		sleep(ctx, backoff(failures, rand.Float64()))
+		wait.For(ctx, backoff(failures, rand.Float64()))
 	}
 }
 
@@ -78,7 +79,7 @@
 			}
 			continue
 		}
-		sleep(ctx, settleHeartbeats*n.options.Heartbeat)
+		wait.For(ctx, settleHeartbeats*n.options.Heartbeat)
 		if rank, _ := n.relayRank(to); rank < 0 {
 			n.retireRegional(to)
 			cancel()
--- a/internal/peer/run.go
+++ b/internal/peer/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
 // Run keeps the links until Close.
@@ -42,7 +43,7 @@
 		if !n.idle() {
 			quiet = time.Now()
 		}
-		sleep(ctx, n.options.Heartbeat/8)
+		wait.For(ctx, n.options.Heartbeat/8)
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,12 @@
 	"github.com/plantainmux/plantainmux/internal/view"
 )
 
+// Bounds of the retries of one daemon.
+const (
+	retryShare = 0.2 // of the successes
+	retryBurst = 50  // retries that may be made at once
+)
+
 // Dependencies are what a relay works with.
 type Dependencies struct {
 	Views    *view.Store
@@ -38,7 +44,7 @@
 func New(dependencies Dependencies) *Relay {
 	return &Relay{
 		Dependencies: dependencies,
-		budget:       retry.NewBudget(),
+		budget:       retry.NewBudget(retryShare, retryBurst),
 		canceller:    newCanceller(dependencies.Engine, dependencies.Metrics),
 	}
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -63,7 +63,7 @@
 }
 
 func (r *run) succeeded(t *target) {
-	r.budget.Succeeded()
+	r.budget.Earn()
 	r.Metrics.Frames(r.delivered)
 	if t.alone {
 		r.Suspects.Acquit(r.req.Fingerprint)
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -2,31 +2,30 @@
 
 import "sync/atomic"
 
-// The budget in thousandths of a retry.
-const (
-	retryCost       = 1000
-	successEarnings = 200    // a fifth of the successes may be retried
-	maxBudget       = 50_000 // retries that may be made at once
-)
+// retryCost is the cost of one retry. Earnings are parts of it.
+const retryCost = 1000
 
-// Budget bounds retries to a share of the successes, so that they cannot
+// Budget bounds retries to a share of the requests, so that they cannot
 // multiply an overload. It is safe for concurrent use.
 type Budget struct {
-	held atomic.Int64
+	earning int64 // of one request, in parts of retryCost
+	most    int64 // that is saved up
+	held    atomic.Int64
 }
 
-// NewBudget returns a full budget.
-func NewBudget() *Budget {
-	b := &Budget{}
-	b.held.Store(maxBudget)
+// NewBudget returns a full budget. Each request that earns allows share of a
+// retry; burst retries may be made at once.
+func NewBudget(share float64, burst int64) *Budget {
+	b := &Budget{earning: int64(share * retryCost), most: burst * retryCost}
+	b.held.Store(b.most)
 	return b
 }
 
-// Succeeded earns a part of a retry.
-func (b *Budget) Succeeded() {
+// Earn credits one request.
+func (b *Budget) Earn() {
 	for {
 		held := b.held.Load()
-		if held == maxBudget || b.held.CompareAndSwap(held, min(held+successEarnings, maxBudget)) {
+		if held == b.most || b.held.CompareAndSwap(held, min(held+b.earning, b.most)) {
 			return
 		}
 	}
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -18,29 +18,29 @@
 
 	It("retries inside the deadline only", func() {
 		f := failure()
-		_, denial := retry.Decide(f, retry.NewBudget(), 0.5)
+		_, denial := retry.Decide(f, retry.NewBudget(0.2, 50), 0.5)
 		Expect(denial).To(Equal(retry.Allowed))
 		f.Deadline = now.Add(time.Millisecond)
-		_, denial = retry.Decide(f, retry.NewBudget(), 0.5)
+		_, denial = retry.Decide(f, retry.NewBudget(0.2, 50), 0.5)
 		Expect(denial).To(Equal(retry.NoTime))
 	})
 
 	It("never begins anew an answer of which a part is out", func() {
 		f := failure()
 		f.Delivered = true
-		_, denial := retry.Decide(f, retry.NewBudget(), 0)
+		_, denial := retry.Decide(f, retry.NewBudget(0.2, 50), 0)
 		Expect(denial).To(Equal(retry.Delivered))
 		f.Continuable = true
-		_, denial = retry.Decide(f, retry.NewBudget(), 0)
+		_, denial = retry.Decide(f, retry.NewBudget(0.2, 50), 0)
 		Expect(denial).To(Equal(retry.Allowed))
 	})
 
 	It("spends a share of the successes", func() {
-		budget := retry.NewBudget()
+		budget := retry.NewBudget(0.2, 50)
 		for budget.Take() {
 		}
 		for range 100 {
-			budget.Succeeded()
+			budget.Earn()
 		}
 		granted := 0
 		for budget.Take() {
--- a/internal/service/caller.go
+++ b/internal/service/caller.go
@@ -10,6 +10,7 @@
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/order"
 	"github.com/plantainmux/plantainmux/internal/refusal"
+	"github.com/plantainmux/plantainmux/internal/retry"
 )
 
 const (
@@ -19,6 +20,8 @@
 	// nothing.
 	defaultKeyLifetime = 24 * time.Hour
 	retryServiceDown   = 2 * time.Second
+	retryShare         = 0.1 // of the calls
+	retryBurst         = 10  // retries that may be made at once
 )
 
 // Caller calls plain services.
@@ -28,13 +31,13 @@
 	health     *Health
 	dataCentre fleet.DataCentre
 	metrics    *Metrics
-	budget     *budget
+	budget     *retry.Budget
 	turn       atomic.Uint64
 }
 
 // NewCaller returns a caller.
 func NewCaller(service endpoint.Service, orders Orders, health *Health, dataCentre fleet.DataCentre, metrics *Metrics) *Caller {
-	return &Caller{service: service, orders: orders, health: health, dataCentre: dataCentre, metrics: metrics, budget: newBudget()}
+	return &Caller{service: service, orders: orders, health: health, dataCentre: dataCentre, metrics: metrics, budget: retry.NewBudget(retryShare, retryBurst)}
 }
 
 // Call runs one declared call of a team within its timeout.
--- a/internal/service/idempotent.go
+++ b/internal/service/idempotent.go
@@ -17,7 +17,7 @@
 // callIdempotent tries the healthy endpoints of the own data centre first, then
 // the others, within the budget of retries and the deadline.
 func (c *Caller) callIdempotent(ctx context.Context, declared config.Service, call endpoint.ServiceCall) (endpoint.ServiceAnswer, *refusal.Refusal) {
-	c.budget.earn()
+	c.budget.Earn()
 	addresses := c.usable(declared)
 	if len(addresses) == 0 {
 		return endpoint.ServiceAnswer{}, refusal.New(refusal.ServiceDown, retryServiceDown, "no endpoint of the service is healthy")
@@ -34,7 +34,7 @@
 		if last || ctx.Err() != nil {
 			break
 		}
-		if !c.budget.spend() {
+		if !c.budget.Take() {
 			c.metrics.exhausted.Inc()
 			break
 		}
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/peer"
+	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
 const (
@@ -69,7 +70,7 @@
 				return candidate, func() { w.release(claim) }, true
 			}
 		}
-		if !sleep(ctx, pollTime) {
+		if !wait.For(ctx, pollTime) {
 			break
 		}
 	}
@@ -82,7 +83,7 @@
 		return claim, taken
 	}
 	w.mesh.Publish(peer.TopicSuspects, peer.ScopeDataCentre, Message{Claim: &claim})
-	if !sleep(ctx, settleTime) {
+	if !wait.For(ctx, settleTime) {
 		w.release(claim)
 		return Claim{}, false
 	}
@@ -110,14 +111,3 @@
 		w.Table.Acquit(message.Acquittal.Fingerprint, now)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
