--- a/internal/adminapi/server.go
+++ b/internal/adminapi/server.go
@@ -4,6 +4,7 @@
 	"crypto/subtle"
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 
 	"github.com/plantainmux/plantainmux/internal/metric"
@@ -32,6 +33,8 @@
 	mux.HandleFunc("GET /readyz", s.ready)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { s.metrics.Write(w) })
 	mux.HandleFunc("GET /admin/status", s.authenticated(s.writeStatus))
+	mux.HandleFunc("GET /debug/pprof/profile", s.authenticated(pprof.Profile))
+	mux.HandleFunc("GET /debug/pprof/{name}", s.authenticated(pprof.Index))
 	s.routeOrders(mux)
 	return mux
 }
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -8,6 +8,7 @@
 readonly START_PORT=${PLANTAINMUX_CAPACITY_PORT:-24000}
 readonly SETTLE=${PLANTAINMUX_CAPACITY_SETTLE:-15}   # seconds before a measurement
 readonly WINDOW=${PLANTAINMUX_CAPACITY_WINDOW:-20s}
+readonly CORES=${PLANTAINMUX_CAPACITY_CORES:-2}        # of an entry VM
 readonly TOKEN=capacity-admin-token
 work=$(mktemp -d)
 lines=$work/lines
@@ -62,7 +63,7 @@
 peer_secret: capacity-peer-secret
 admin_token: $TOKEN
 YAML
-      start "dc$centre-$index" ./bin/plantainmuxd --settings "$work/dc$centre-$index.yaml"
+      GOMAXPROCS=$CORES start "dc$centre-$index" ./bin/plantainmuxd --settings "$work/dc$centre-$index.yaml"
     done
   done
   publish 0 "$centres" "$vms"
