Usage of capacity is told at a pace that keeps its bytes inside a budget

It is paced by its size and the number of daemons to 8 KB/s now, at most 2.5 s apart, before a daemon counts as silent. Among a few daemons nothing changes. A usage above 445 bytes at 47 daemons (many models with many teams at once) is still over that budget: it would need to be sent as changes.

--- a/internal/admit/exchange.go
+++ b/internal/admit/exchange.go
@@ -5,16 +5,9 @@
 	"reflect"
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/peer"
-)
+	"github.com/fxamacker/cbor/v2"
 
-const (
-	// periodPerDaemon keeps the bytes that a daemon sends independent of how many
-	// daemons there are.
-	periodPerDaemon = 10 * time.Millisecond
-	minPeriod       = 100 * time.Millisecond
-	// unchangedPeriod is how often a usage that did not change is sent.
-	unchangedPeriod = time.Second
+	"github.com/plantainmux/plantainmux/internal/peer"
 )
 
 // Run tells the other daemons the own usage until ctx ends, and divides the
@@ -25,6 +18,7 @@
 	for {
 		now := time.Now()
 		usage, daemons := g.round(now)
+		period := usagePeriod(sizeOf(usage), daemons)
 		if now.Sub(sent) >= unchangedPeriod || !reflect.DeepEqual(usage, last) {
 			g.Mesh.Publish(peer.TopicUsage, peer.ScopeDataCentre, usage)
 			last, sent = usage, now
@@ -32,11 +26,21 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(max(minPeriod, time.Duration(daemons)*periodPerDaemon)):
+		case <-time.After(period):
 		}
 	}
 }
 
+// sizeOf returns the encoded size of a usage in bytes, or 0 when it cannot be
+// encoded.
+func sizeOf(usage Usage) int {
+	data, err := cbor.Marshal(usage)
+	if err != nil {
+		return 0
+	}
+	return len(data)
+}
+
 // round divides the capacity anew, starts what may run now, and returns the own
 // usage and the number of daemons that are heard.
 func (g *Gate) round(now time.Time) (Usage, int) {
