--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Measures what a daemon spends on control by the number of peers, watched VMs and configuration changes, at three
 # sizes or more each, and fits the slopes that docs/CAPACITY.md works with. Real processes on loopback; stops all it
-# started. Takes about ten minutes; run it on an idle machine.
+# started. Usage: capacity.sh [vms|daemons|centres|changes]...; all parts take about eight minutes, on an idle machine.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -81,7 +81,12 @@
   - {name: merchants, share: 10, key_hashes: [$(./bin/plantainmux hash-key "capacity-$base")]}
 policy: {downtime_weight: 1, stranded_weight: 1}
 YAML
-  ./bin/plantainmux publish --log "http://$log" --base "$base" "$work/plantainmux.yaml" >/dev/null
+  version=$(./bin/plantainmux publish --log "http://$log" --base "$base" "$work/plantainmux.yaml" | grep -o '[0-9]*' | head -1)
+}
+
+# in_force prints the version in force.
+in_force() {
+  ./bin/plantainmux status --token "$TOKEN" --daemon "${admins[0]}" --output json | grep -o '"config_version": *[0-9]*' | grep -o '[0-9]*$' | head -1
 }
 
 measure() {
@@ -92,35 +97,47 @@
 
 go build -o bin/ ./cmd/...
 
-for vms in 32 96 192 384; do
-  fleet 1 4 "$vms"
-  measure vms_polled_by_a_daemon "$((vms / 2))"   # two of four daemons watch each VM
-  stop_all
-done
-for daemons in 2 4 8 16; do
-  fleet 1 "$daemons" 64
-  measure daemons_of_a_data_centre "$daemons"
-  stop_all
-done
-for centres in 1 2 3; do
-  fleet "$centres" 3 16
-  measure data_centres "$centres"
-  stop_all
-done
-fleet 1 4 32
-for changes in 0 10 20; do
-  (
-    base=$(./bin/plantainmux status --token "$TOKEN" --daemon "${admins[0]}" --output json | grep -o '"config_version":[0-9]*' | head -1 | cut -d: -f2)
+measure_vms() {
+  for vms in 32 96 192 384; do
+    fleet 1 4 "$vms"
+    measure vms_polled_by_a_daemon "$((vms / 2))"   # two of four daemons watch each VM
+    stop_all
+  done
+}
+
+measure_daemons() {
+  for daemons in 2 4 8 16; do
+    fleet 1 "$daemons" 64
+    measure daemons_of_a_data_centre "$daemons"
+    stop_all
+  done
+}
+
+measure_centres() {
+  for centres in 1 2 3; do
+    fleet "$centres" 3 16
+    measure data_centres "$centres"
+    stop_all
+  done
+}
+
+measure_changes() {
+  fleet 1 4 32
+  for changes in 0 10 20; do
     for _ in $(seq "$changes"); do
-      publish "$base" 1 32
-      base=$((base + 1))
-      sleep 0.7
-    done
-  ) &
-  measure configuration_changes_in_the_window "$changes"
-  wait $!
+      publish "$version" 1 32
+      sleep 0.5
+    done &
+    measure configuration_changes_in_the_window "$changes"
+    wait $!
+    version=$(in_force)
+  done
+  stop_all
+}
+
+for part in "${@:-vms daemons centres changes}"; do
+  for name in $part; do "measure_$name"; done
 done
-stop_all
 
 echo
 ./bin/plantainfake fit <"$lines"
