Tests of the mesh wait until no link opens, closes or is replaced any more

Two daemons that both dial replace one of their links with the other at the start, and a call that is on its way over the replaced one ends as broken, which is allowed: its caller is told that the outcome is unknown. No check changed.

--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -157,4 +158,23 @@
 	}
 	pairs := len(sizes) * (len(sizes) - 1) / 2
 	Eventually(func() int { return regionalLinks(nodes) }, waitLong, pollOften).Should(Equal(2 * relaysPerPair * pairs))
+	Eventually(func() bool { return linksRest(nodes) }, waitLong).Should(BeTrue())
+}
+
+// linksRest reports whether no link opened, closed or was replaced for some
+// heartbeats. While both sides still dial, a link may break under a call.
+func linksRest(nodes []*node) bool {
+	before := linksOf(nodes)
+	time.Sleep(3 * testHeartbeat)
+	return maps.Equal(before, linksOf(nodes))
+}
+
+func linksOf(nodes []*node) map[*link]bool {
+	links := map[*link]bool{}
+	for _, n := range nodes {
+		n.Network.mu.Lock()
+		maps.Copy(links, n.running)
+		n.Network.mu.Unlock()
+	}
+	return links
 }
