Orders: the owner killed after the claim dies before it reads the claim

Cause: the entry "after the claim" killed the owner when its append returned, and expected no run. The log shows a record to readers when it takes it, so the owner's long poll may bring the claim before the append's answer: the owner then has its claim and has dispatched when it is killed. One run and an unclear record are right there; the entry describes another schedule.

Ruled out: a second run (the service counted 1), and a dispatch without a claim (the record was Unclear, so the claim stood).

The expected counts are unchanged; the reader of this entry waits for the kill, and an entry is added in which the owner dies when it reads its claim.

--- a/internal/order/at_most_once_test.go
+++ b/internal/order/at_most_once_test.go
@@ -21,8 +21,13 @@
 			nodes := b.startNodes(3)
 			owner, others := b.ownerOf(key, nodes)
 			owner.onStep(func(at string) {
-				if at == step {
+				switch {
+				case at == step:
 					owner.kill()
+				case at == readClaim && step == afterClaim:
+					// A claim may be read before its append is answered. The
+					// owner of this entry dies before it reads its claim.
+					<-owner.ctx.Done()
 				}
 			})
 			lost := owner.place(b.order(key))
@@ -42,6 +47,7 @@
 		},
 		Entry("before the claim", beforeClaim, 1, order.Ran),
 		Entry("after the claim", afterClaim, 0, order.Unclear),
+		Entry("after the claim was read", readClaim, 0, order.Unclear),
 		Entry("before dispatch", beforeDispatch, 0, order.Unclear),
 		Entry("after dispatch", afterDispatch, 1, order.Unclear),
 		Entry("before the outcome", beforeOutcome, 1, order.Unclear),
