A new daemon is ready only once it has word of each member

Cause: /readyz answered 200 as soon as the configuration and the groups' stream were read. The members' reports come up to a poll later; until then every group is member_silent, so a balancer that believed the new daemon had its first requests refused: no_complete_group, as not run. A planned replacement of daemons refused callers whom the old ones would have served.

Ruled out: streams cut by the stopping daemon (their answers were whole; each refusal came from the daemon that had just started), and the list of VMs (the groups were read).

Now readiness also waits until somebody has spoken of each member that keeps a group from serving, for the report bound at most; once ready it stays so.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -75,12 +75,13 @@
 	adminListener  net.Listener
 	peerListener   net.Listener
 
-	tls      tlsConfigs
-	inFlight *inFlight
-	draining atomic.Bool
-	tasks    sync.WaitGroup
-	killed   context.Context
-	kill     context.CancelFunc
+	tls       tlsConfigs
+	inFlight  *inFlight
+	draining  atomic.Bool
+	readiness *readiness
+	tasks     sync.WaitGroup
+	killed    context.Context
+	kill      context.CancelFunc
 }
 
 // New returns a daemon that has not started. It listens already, so that its
@@ -123,6 +124,7 @@
 	d.groups = logstream.New(d.adapters.Log, group.StreamName(d.settings.DataCentre), group.NewFold(), d.streamOptions(wake))
 	d.vms = watch.NewVMs(d.adapters.VMs, d.mesh, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, d.noteVMs)
 	d.buildWatching(wake)
+	d.readiness = newReadiness(d.table.Unheard, settings.Millis(d.settings.Timing.ReportBoundMS))
 	d.loop = reconcile.NewLoop(reconcile.Dependencies{
 		Self:       d.id,
 		DataCentre: d.settings.DataCentre,
@@ -227,7 +229,7 @@
 	return adminapi.Status{
 		Daemon:         d.id,
 		DataCentre:     d.settings.DataCentre,
-		Ready:          current.Config.Version != 0 && d.groups.Booted(),
+		Ready:          d.readiness.check(current, time.Now()),
 		Draining:       d.draining.Load(),
 		Peers:          d.mesh.Live(),
 		Links:          d.mesh.Links(),
--- a/internal/reconcile/loop.go
+++ b/internal/reconcile/loop.go
@@ -83,12 +83,13 @@
 	var plan group.Plan
 	var targets []group.ControlTarget
 	live := l.Live()
+	booted := l.Groups.Booted()
 	plans := l.isPlanner(live) && l.proposer.begin()
 	// Nothing in here may ask the stream: a reader that locks again behind a
 	// waiting writer waits for ever.
 	l.Groups.Read(func(fold *group.Fold) {
 		in := l.input(fold)
-		l.publish(in)
+		l.publish(in, booted)
 		if plans {
 			plan = l.plan(in)
 		}
--- a/internal/reconcile/publish.go
+++ b/internal/reconcile/publish.go
@@ -7,14 +7,16 @@
 	"github.com/plantainmux/plantainmux/internal/view"
 )
 
-// publish builds the view of this moment.
-func (l *Loop) publish(in group.Input) {
+// publish builds the view of this moment. booted says that the stream of the
+// groups has been read.
+func (l *Loop) publish(in group.Input, booted bool) {
 	current := l.Config()
 	next := &view.View{
-		Config:   current,
-		Teams:    teamsByKey(current.Configuration),
-		Services: servicesByName(current.Configuration),
-		At:       in.Now,
+		Config:      current,
+		Teams:       teamsByKey(current.Configuration),
+		Services:    servicesByName(current.Configuration),
+		GroupsKnown: booted,
+		At:          in.Now,
 	}
 	for _, record := range in.Fold.Groups() {
 		condition := group.Check(record, in.World, in.Now, in.Bounds.ReportBound)
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -14,7 +14,10 @@
 	Services map[string]config.Service
 	Groups   []*Serving // complete groups only
 	Status   []GroupStatus
-	At       time.Time
+	// GroupsKnown says that the groups come from their stream, and are not
+	// merely unread yet.
+	GroupsKnown bool
+	At          time.Time
 }
 
 // Group returns the complete group of a fencing number.
--- a/test/rolling_stop_test.go
+++ b/test/rolling_stop_test.go
@@ -35,8 +35,8 @@
 	return &balancer{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2 * rollingCalls}}}
 }
 
-// check looks which daemons are ready.
-func (b *balancer) check(daemons []*testbed.Daemon) {
+// check looks which daemons are ready, and returns how many are.
+func (b *balancer) check(daemons []*testbed.Daemon) int {
 	var ready []*testbed.Daemon
 	for _, d := range daemons {
 		response, err := http.Get("http://" + d.AdminAddress() + "/readyz")
@@ -49,6 +49,7 @@
 		}
 	}
 	b.daemons.Store(&ready)
+	return len(ready)
 }
 
 // ask sends one streamed request and returns what was wrong with its answer.
@@ -123,8 +124,7 @@
 			b.check(daemons)
 			Eventually(stopped, waitRepair).Should(BeClosed())
 			daemons[i] = bed.Replace(old)
-			eventuallyComplete(daemons[i], 2)
-			b.check(daemons)
+			Eventually(func() int { return b.check(daemons) }, waitRepair, tick).Should(Equal(len(daemons)))
 		}
 		stop.Store(true)
 		callers.Wait()
