Failures of whole processes under load, with real signals

scripts/processes.sh runs stand-ins, engines and daemons as processes of their own: SIGTERM to each daemon in turn, SIGKILL to one, SIGSTOP to one while a member is frozen, SIGSTOP to the log. Callers behind a balancer ask for streams and place orders all the while. Judged by the callers' answers (whole, of one fingerprint, no two alike; "not run" compared with the service's runs at once), by the service's runs of each key, and by `plantainfake check`, which runs the invariants over the engines' records and the group stream. The engine stand-in records a freeze that is set over HTTP.

--- a/cmd/plantainfake/main.go
+++ b/cmd/plantainfake/main.go
@@ -22,6 +22,7 @@
 	addCommand(parser, "weights", "the weight store", &weightsCommand{})
 	addCommand(parser, "engine", "the model engine of one VM", &engineCommand{})
 	addCommand(parser, "engines", "the model engines of many VMs", &enginesCommand{})
+	addCommand(parser, "check", "check what the stand-ins recorded", &checkCommand{})
 	addCommand(parser, "measure", "measure what daemons spend", &measureCommand{})
 	addCommand(parser, "fit", "fit slopes to measurements", &fitCommand{})
 	addCommand(parser, "service", "a plain service", &serviceCommand{})
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -77,8 +77,8 @@
 	mux.Handle("POST "+endpoint.PathControl, e.wrap(http.HandlerFunc(e.handleControl)))
 	mux.Handle("POST "+endpoint.PathGenerate, e.wrap(http.HandlerFunc(e.handleGenerate)))
 	mux.Handle("DELETE "+endpoint.PathGenerate+"/{attempt}", e.wrap(http.HandlerFunc(e.handleCancel)))
-	mux.HandleFunc("POST "+pathFaults, e.handle)
-	mux.HandleFunc("GET /events", e.handleEvents)
+	mux.HandleFunc("POST "+pathFaults, e.handleFaults)
+	mux.HandleFunc("GET "+PathEvents, e.handleEvents)
 	return mux
 }
 
--- a/internal/fakes/engine_event.go
+++ b/internal/fakes/engine_event.go
@@ -7,6 +7,9 @@
 	"github.com/plantainmux/plantainmux/internal/fleet"
 )
 
+// PathEvents returns what was asked of an engine.
+const PathEvents = "/events"
+
 // Kinds of an engine's recorded events.
 const (
 	EventControl  = "control"  // an accepted control order
