Tool: orders are shown and settled on daemons that speak TLS

Cause: with tls.certificate every listener speaks TLS, but the order commands spoke plain HTTP only, so an unclear order could not be settled there; status took an authority but no certificate, and a wrong authority file was only logged by the HTTP library.

Now one Access (token, authority, certificate, key) serves all commands that ask daemons; a file that cannot be used is a typed error that names it, exit code 2. The spec failed before: exit code 2, unknown flags.

--- a/cmd/plantainmux/exit_code.go
+++ b/cmd/plantainmux/exit_code.go
@@ -53,7 +53,7 @@
 
 func exitCode(err error) int {
 	switch {
-	case is[*flags.Error](err) || is[*verdictError](err):
+	case is[*flags.Error](err) || is[*verdictError](err) || is[*accessError](err) || is[*adminapi.CredentialError](err):
 		return exitUsage
 	case is[strictyaml.Problems](err) || is[*strictyaml.FileError](err) || is[*config.NoFilesError](err):
 		return exitRefused
--- a/cmd/plantainmux/order_list_command.go
+++ b/cmd/plantainmux/order_list_command.go
@@ -15,7 +15,11 @@
 	for _, state := range c.States {
 		states = append(states, order.State(state))
 	}
-	listed, err := c.client().List(states, c.Limit)
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	listed, err := client.List(states, c.Limit)
 	if err != nil {
 		return err
 	}
--- a/cmd/plantainmux/order_options.go
+++ b/cmd/plantainmux/order_options.go
@@ -4,10 +4,14 @@
 
 // orderOptions are the options of the commands about orders.
 type orderOptions struct {
-	Token  string `long:"token" required:"true" env:"PLANTAINMUX_ADMIN_TOKEN" description:"admin token of the daemons"`
+	accessOptions
 	Daemon string `long:"daemon" required:"true" description:"admin address of any daemon, IP number and port"`
 }
 
-func (o *orderOptions) client() *adminapi.OrderClient {
-	return adminapi.NewOrderClient(o.Daemon, o.Token)
+func (o *orderOptions) client() (*adminapi.OrderClient, error) {
+	access, err := o.access()
+	if err != nil {
+		return nil, err
+	}
+	return adminapi.NewOrderClient(o.Daemon, access)
 }
--- a/cmd/plantainmux/order_settle_command.go
+++ b/cmd/plantainmux/order_settle_command.go
@@ -21,7 +21,11 @@
 	if c.Ran == c.NotRan {
 		return &verdictError{}
 	}
-	status, err := c.client().Settle(adminapi.SettleRequest{
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	status, err := client.Settle(adminapi.SettleRequest{
 		Team:     c.Args.team(),
 		Service:  c.Args.Service,
 		Key:      c.Args.Key,
--- a/cmd/plantainmux/order_show_command.go
+++ b/cmd/plantainmux/order_show_command.go
@@ -8,7 +8,11 @@
 
 // Execute implements flags.Commander.
 func (c *orderShowCommand) Execute([]string) error {
-	status, err := c.client().Show(c.Args.team(), c.Args.Service, c.Args.Key)
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	status, err := client.Show(c.Args.team(), c.Args.Service, c.Args.Key)
 	if err != nil {
 		return err
 	}
--- a/cmd/plantainmux/status_command.go
+++ b/cmd/plantainmux/status_command.go
@@ -5,15 +5,22 @@
 )
 
 type statusCommand struct {
-	global    *globalOptions
-	Token     string   `long:"token" required:"true" env:"PLANTAINMUX_ADMIN_TOKEN" description:"admin token of the daemons"`
-	Authority string   `long:"authority" description:"PEM file of the authority of the daemons' certificates; plain HTTP without it"`
-	Daemons   []string `long:"daemon" required:"true" description:"admin address of a daemon, IP number and port; may be repeated"`
+	global *globalOptions
+	accessOptions
+	Daemons []string `long:"daemon" required:"true" description:"admin address of a daemon, IP number and port; may be repeated"`
 }
 
 // Execute implements flags.Commander.
 func (c *statusCommand) Execute([]string) error {
-	answers := adminapi.NewClient(c.Token, c.Authority).StatusOfAll(c.Daemons)
+	access, err := c.access()
+	if err != nil {
+		return err
+	}
+	client, err := adminapi.NewClient(access)
+	if err != nil {
+		return err
+	}
+	answers := client.StatusOfAll(c.Daemons)
 	var lines []string
 	unwell := 0
 	for _, answer := range answers {
--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -16,16 +16,14 @@
 	scheme string
 }
 
-// NewClient returns a client that authenticates with token. With an authority,
-// a PEM file, it speaks TLS to daemons that hold a certificate of it.
-func NewClient(token, authority string) *Client {
-	client := resty.New().SetAuthToken(token).SetTimeout(clientTimeout)
-	scheme := "http://"
-	if authority != "" {
-		client.SetRootCertificate(authority)
-		scheme = "https://"
+// NewClient returns a client with an operator's access. It fails with a
+// CredentialError.
+func NewClient(access Access) (*Client, error) {
+	client, scheme, err := access.connect(clientTimeout)
+	if err != nil {
+		return nil, err
 	}
-	return &Client{client: client, scheme: scheme}
+	return &Client{client: client, scheme: scheme}, nil
 }
 
 // StatusOfAll asks every daemon at the same time. The answers are in the order
--- a/internal/adminapi/order_client.go
+++ b/internal/adminapi/order_client.go
@@ -13,13 +13,18 @@
 // OrderClient asks one daemon about orders on behalf of operators.
 type OrderClient struct {
 	client  *resty.Client
+	scheme  string
 	address string
 }
 
-// NewOrderClient returns a client of the daemon at an admin address.
-func NewOrderClient(address, token string) *OrderClient {
-	client := resty.New().SetAuthToken(token).SetTimeout(orderTimeout + clientTimeout)
-	return &OrderClient{client: client, address: address}
+// NewOrderClient returns a client of the daemon at an admin address. It fails
+// with a CredentialError.
+func NewOrderClient(address string, access Access) (*OrderClient, error) {
+	client, scheme, err := access.connect(orderTimeout + clientTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return &OrderClient{client: client, scheme: scheme, address: address}, nil
 }
 
 // List returns the orders of the given states, oldest first.
@@ -51,7 +56,7 @@
 	return status, c.failure(response, err)
 }
 
-func (c *OrderClient) url(path string) string { return "http://" + c.address + path }
+func (c *OrderClient) url(path string) string { return c.scheme + c.address + path }
 
 func (c *OrderClient) failure(response *resty.Response, err error) error {
 	if err != nil {
