Status: what is wrong first, then each data centre once

A model with too few groups showed nowhere.

Now the first line says whether anything is wrong, then each problem on a line of its own, then each data centre with its daemons, its models (groups that serve, of those wanted) and its groups once, with the conditions counted where daemons differ. The status JSON gains the models.

--- a/internal/adminapi/status.go
+++ b/internal/adminapi/status.go
@@ -21,5 +21,18 @@
 	Links          []peer.LinkStatus  `json:"links"`
 	DataCentres    []fleet.DataCentre `json:"data_centres"` // others that can be reached
 	Streams        []StreamStatus     `json:"streams"`
+	Models         []ModelStatus      `json:"models"`
 	Groups         []view.GroupStatus `json:"groups"`
 }
+
+// phase says in one word whether the daemon takes requests.
+func (s *Status) phase() string {
+	switch {
+	case s.Draining:
+		return "draining"
+	case s.Ready:
+		return "ready"
+	default:
+		return "not ready"
+	}
+}
--- a/internal/adminapi/status_answer.go
+++ b/internal/adminapi/status_answer.go
@@ -12,22 +12,26 @@
 // Well reports whether the daemon answered, is ready or stopping in order, and
 // refuses no log.
 func (a StatusAnswer) Well() bool {
-	return a.Status != nil && (a.Status.Ready || a.Status.Draining) && len(a.Status.RefusedStreams) == 0
+	return len(a.problems()) == 0
 }
 
-// Lines returns the answer as text.
-func (a StatusAnswer) Lines() []string {
+func (a StatusAnswer) problems() []string {
 	if a.Status == nil {
 		return []string{fmt.Sprintf("daemon at %s cannot be asked: %s", a.Address, a.Error)}
 	}
-	s := a.Status
-	lines := []string{fmt.Sprintf("daemon %s at %s in %s: ready %t, draining %t, configuration version %d from the %s, in force %d ms after its publication",
-		s.Daemon, a.Address, s.DataCentre, s.Ready, s.Draining, s.ConfigVersion, s.ConfigSource, s.ConfigTookMS)}
-	for _, refused := range s.RefusedStreams {
-		lines = append(lines, "  log refused: "+refused)
+	var problems []string
+	if !a.Status.Ready && !a.Status.Draining {
+		problems = append(problems, fmt.Sprintf("daemon at %s is not ready", a.Address))
 	}
-	for _, group := range s.Groups {
-		lines = append(lines, fmt.Sprintf("  group %d of %s %s: %s, members %v", group.Fencing, group.Model, group.Version, group.Condition, group.Members))
+	for _, refused := range a.Status.RefusedStreams {
+		problems = append(problems, fmt.Sprintf("daemon at %s refuses the log: %s", a.Address, refused))
 	}
-	return lines
+	return problems
+}
+
+// line describes a daemon that answered.
+func (a StatusAnswer) line() string {
+	s := a.Status
+	return fmt.Sprintf("daemon %s at %s: %s, configuration %d from the %s, in force %d ms after its publication",
+		s.Daemon, a.Address, s.phase(), s.ConfigVersion, s.ConfigSource, s.ConfigTookMS)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -239,6 +239,7 @@
 		ConfigSource:   string(d.inForce.Load().Source),
 		ConfigTookMS:   d.inForce.Load().Took().Milliseconds(),
 		RefusedStreams: d.refusedStreams(),
+		Models:         adminapi.Models(current, d.settings.DataCentre),
 		Groups:         current.Status,
 	}
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -25,7 +25,8 @@
 echo "publishing a configuration"
 publish_sample north south
 await_groups "${daemons[@]}"
-./bin/plantainmux status --token "$TOKEN" --daemon "${admin_of[north-1]}"
+./bin/plantainmux status --token "$TOKEN" --daemon "${admin_of[north-1]}" --daemon "${admin_of[north-2]}" \
+  --daemon "${admin_of[south-1]}" --daemon "${admin_of[south-2]}"
 
 echo "asking for a streamed answer"
 answer=$(ask "${caller_of[north-1]}" swatch-draft 1 12); requests=$((requests + 1))
