--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Failures of whole processes under load, with real signals: three daemons are stopped in turn (SIGTERM), one is killed
-# (SIGKILL), one is paused while a member is frozen (SIGSTOP), and the log is paused. Callers behind a balancer ask for
-# streams and place orders all the while. The verdict comes from the callers' answers and from what the stand-ins
+# (SIGKILL), one is paused while a member is frozen (SIGSTOP), the log is paused, and all daemons are killed at once.
+# Callers behind a balancer ask for streams and place orders all the while. The verdict comes from the callers' answers and from what the stand-ins
 # recorded. Stops everything it started, by process id. Exit code 0 only if every check passed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -159,6 +159,16 @@
 no_cuts "$cuts_before" "the pause of the log"
 until_ok 30 "orders after the pause of the log" more done "$(($(lines done) + 10))"
 
+echo "SIGKILL to all daemons at once, then new ones"
+before=$(place "${caller_of[north-1]}" kept -f) || fail "the order before the kill was not answered"
+for daemon in "${daemons[@]}"; do kill -KILL "${daemon_pid[$daemon]}"; done
+for daemon in "${daemons[@]}"; do wait "${daemon_pid[$daemon]}" 2>/dev/null || true; start_daemon "$daemon"; done
+await_groups "${daemons[@]}"
+after=$(place "${caller_of[north-2]}" kept -f) || fail "the repeat after the kill was not answered"
+[ "$before" = "$after" ] || fail "the repeat was answered otherwise: $before, $after"
+until_ok 30 "orders of new daemons" more done "$(($(lines done) + 10))"
+until_ok 20 "answers of new daemons" more whole "$(($(lines whole) + 20))"
+
 touch "$work/stop"
 sleep 1
 engines=()
@@ -171,5 +181,5 @@
 [ "$(sort "$work/done" | comm -23 - "$work/runs" | wc -l)" -eq 0 ] || fail "orders were answered that did not run"
 ./bin/plantainmux evidence --log "http://$log" --data-centre north >"$work/evidence.txt" || { cat "$work/evidence.txt"; fail "the evidence shows a breach"; }
 
-echo "processes ok: $(lines whole) whole streams, $killed_cuts cut by the killed daemon, $(($(lines cut) - killed_cuts)) cut or refused while a member was frozen," \
+echo "processes ok: $(lines whole) whole streams, $killed_cuts cut by the killed daemon, $(($(lines cut) - killed_cuts)) cut or refused later," \
   "$(lines done) orders, $(lines not_run) refusals as not run, $(lines unsettled) unsettled"
