Caller API: time of creation, the role of a chat's first chunk, usage at the end of a stream

Cause: clients of language models read created on every answer, take the role from the first chunk, ask for the count of tokens by stream_options.include_usage, and send max_completion_tokens in place of max_tokens. None of these was there; the last one also hid the length of an answer from admission, which then could not refuse early.

The first chunk alone is encoded as a whole; the others keep the template that is encoded once.

--- a/internal/callerapi/answer_form.go
+++ b/internal/callerapi/answer_form.go
@@ -2,15 +2,12 @@
 
 // answerForm is the JSON form of an answer: of plain or of chat completions.
 type answerForm interface {
-	chunk(id, model, text, finishReason string) any
-	whole(id, model, text, finishReason string, usage usage) any
-}
-
-// usage counts the tokens of an answer.
-type usage struct {
-	PromptTokens     int `json:"prompt_tokens"`
-	CompletionTokens int `json:"completion_tokens"`
-	TotalTokens      int `json:"total_tokens"`
+	// chunk is a part of a streamed answer; first says that it is the first.
+	chunk(head answerHead, text, finishReason string, first bool) any
+	// end counts the tokens of a streamed answer, after its last part.
+	end(head answerHead, usage usage) any
+	// whole is an answer in one piece.
+	whole(head answerHead, text, finishReason string, usage usage) any
 }
 
 func optional(text string) *string {
--- a/internal/callerapi/chat_form.go
+++ b/internal/callerapi/chat_form.go
@@ -1,14 +1,24 @@
 package callerapi
 
+const assistantRole = "assistant"
+
 // chatForm is the form of chat completions.
 type chatForm struct{}
 
-func (chatForm) chunk(id, model, text, finishReason string) any {
-	choice := chatChoice{Delta: &chatMessage{Content: text}, FinishReason: optional(finishReason)}
-	return chatAnswer{ID: id, Object: "chat.completion.chunk", Model: model, Choices: []chatChoice{choice}}
+func (chatForm) chunk(head answerHead, text, finishReason string, first bool) any {
+	delta := &chatMessage{Content: text}
+	if first {
+		delta.Role = assistantRole
+	}
+	choice := chatChoice{Delta: delta, FinishReason: optional(finishReason)}
+	return chatAnswer{answerHead: head.of("chat.completion.chunk"), Choices: []chatChoice{choice}}
+}
+
+func (chatForm) end(head answerHead, usage usage) any {
+	return chatAnswer{answerHead: head.of("chat.completion.chunk"), Choices: []chatChoice{}, Usage: &usage}
 }
 
-func (chatForm) whole(id, model, text, finishReason string, usage usage) any {
-	choice := chatChoice{Message: &chatMessage{Role: "assistant", Content: text}, FinishReason: optional(finishReason)}
-	return chatAnswer{ID: id, Object: "chat.completion", Model: model, Choices: []chatChoice{choice}, Usage: &usage}
+func (chatForm) whole(head answerHead, text, finishReason string, usage usage) any {
+	choice := chatChoice{Message: &chatMessage{Role: assistantRole, Content: text}, FinishReason: optional(finishReason)}
+	return chatAnswer{answerHead: head.of("chat.completion"), Choices: []chatChoice{choice}, Usage: &usage}
 }
--- a/internal/callerapi/chunk_encoder.go
+++ b/internal/callerapi/chunk_encoder.go
@@ -12,20 +12,20 @@
 // is encoded once.
 type chunkEncoder struct {
 	form          answerForm
-	id, model     string
+	head          answerHead
 	before, after []byte // of the text
+	begun         bool   // the first chunk was encoded
 }
 
-func newChunkEncoder(form answerForm, id, model string) (*chunkEncoder, error) {
-	template, err := json.Marshal(form.chunk(id, model, textMark, ""))
+func newChunkEncoder(form answerForm, head answerHead) (*chunkEncoder, error) {
+	template, err := json.Marshal(form.chunk(head, textMark, "", false))
 	if err != nil {
 		return nil, err
 	}
 	at := bytes.LastIndex(template, []byte(`"`+textMark+`"`))
 	return &chunkEncoder{
 		form:   form,
-		id:     id,
-		model:  model,
+		head:   head,
 		before: template[:at],
 		after:  template[at+len(textMark)+2:],
 	}, nil
@@ -33,8 +33,10 @@
 
 // encode appends a chunk to out.
 func (e *chunkEncoder) encode(out *bytes.Buffer, text, finishReason string) error {
-	if finishReason != "" {
-		return encodeJSON(out, e.form.chunk(e.id, e.model, text, finishReason))
+	first := !e.begun
+	e.begun = true
+	if first || finishReason != "" {
+		return encodeJSON(out, e.form.chunk(e.head, text, finishReason, first))
 	}
 	out.Write(e.before)
 	if err := encodeJSON(out, text); err != nil {
@@ -44,6 +46,14 @@
 	return nil
 }
 
+// restart makes the next chunk the first one.
+func (e *chunkEncoder) restart() { e.begun = false }
+
+// end appends what follows the last chunk to out.
+func (e *chunkEncoder) end(out *bytes.Buffer, usage usage) error {
+	return encodeJSON(out, e.form.end(e.head, usage))
+}
+
 func encodeJSON(out *bytes.Buffer, value any) error {
 	data, err := json.Marshal(value)
 	if err != nil {
--- a/internal/callerapi/completion_request.go
+++ b/internal/callerapi/completion_request.go
@@ -1,6 +1,7 @@
 package callerapi
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"io"
@@ -29,25 +30,27 @@
 // completionRequest is what the daemon reads of a completion's body. The
 // engine gets the body as it came.
 type completionRequest struct {
-	Model     string `json:"model"`
-	Stream    bool   `json:"stream"`
-	MaxTokens int    `json:"max_tokens"`
+	Model               string        `json:"model"`
+	Stream              bool          `json:"stream"`
+	StreamOptions       streamOptions `json:"stream_options"`
+	MaxTokens           int           `json:"max_tokens"`
+	MaxCompletionTokens int           `json:"max_completion_tokens"` // the newer name
 }
 
 // readCompletion reads and checks the body of a completion.
-func (s *Server) readCompletion(r *http.Request, team config.Team) (*request.Request, bool, *refusal.Refusal) {
+func (s *Server) readCompletion(r *http.Request, team config.Team) (*request.Request, completionRequest, *refusal.Refusal) {
+	var parsed completionRequest
 	body, refused := s.readBody(r)
 	if refused != nil {
-		return nil, false, refused
+		return nil, parsed, refused
 	}
-	var parsed completionRequest
 	if err := json.Unmarshal(body, &parsed); err != nil {
-		return nil, false, refusal.New(refusal.Malformed, 0, "the body is not valid JSON: "+err.Error())
+		return nil, parsed, refusal.New(refusal.Malformed, 0, "the body is not valid JSON: "+err.Error())
 	}
 	name, adapter, _ := strings.Cut(parsed.Model, adapterSeparator)
 	deadline, refused := s.deadline(r)
 	if refused != nil {
-		return nil, false, refused
+		return nil, parsed, refused
 	}
 	req := &request.Request{
 		ID:          uuid.NewString(),
@@ -56,12 +59,12 @@
 		Model:       fleet.ModelName(name),
 		Adapter:     adapter,
 		Body:        body,
-		MaxTokens:   parsed.MaxTokens,
+		MaxTokens:   cmp.Or(parsed.MaxTokens, parsed.MaxCompletionTokens),
 		Fingerprint: request.Fingerprint(fleet.ModelName(name), adapter, body),
 		Prefix:      request.Prefix(fleet.ModelName(name), adapter, body),
 		Deadline:    deadline,
 	}
-	return req, parsed.Stream, nil
+	return req, parsed, nil
 }
 
 func (s *Server) readBody(r *http.Request) ([]byte, *refusal.Refusal) {
--- a/internal/callerapi/completions.go
+++ b/internal/callerapi/completions.go
@@ -21,7 +21,7 @@
 
 // complete admits a completion, runs it and sends its answer.
 func (s *Server) complete(w http.ResponseWriter, r *http.Request, team config.Team, form answerForm) {
-	req, streamed, refused := s.readCompletion(r, team)
+	req, asked, refused := s.readCompletion(r, team)
 	if refused != nil {
 		s.refuse(w, refused)
 		return
@@ -46,8 +46,8 @@
 		defer func() { admission.Done(whole) }()
 	}
 	run := s.runner(refused)
-	if streamed {
-		whole = s.answerStream(ctx, w, req, form, run)
+	if asked.Stream {
+		whole = s.answerStream(ctx, w, req, form, asked.StreamOptions, run)
 		return
 	}
 	whole = s.answerWhole(ctx, w, req, form, run)
--- a/internal/callerapi/stream_sink.go
+++ b/internal/callerapi/stream_sink.go
@@ -16,8 +16,10 @@
 	// writeTimeout is how long a caller may leave one write unread.
 	writeTimeout = 5 * time.Second
 	// heldBytes bounds what is held back before it is sent.
-	heldBytes = 16 << 10
-	endEvent  = "data: [DONE]\n\n"
+	heldBytes  = 16 << 10
+	eventStart = "data: "
+	eventEnd   = "\n\n"
+	endMarker  = eventStart + "[DONE]" + eventEnd
 )
 
 // streamSink sends frames to the caller as server-sent events. The headers go
@@ -28,26 +30,34 @@
 	encoder      *chunkEncoder
 	held         bytes.Buffer
 	writeTimeout time.Duration
+	tellsUsage   bool // before the end marker
 	started      bool
 }
 
 func (s *Server) newStreamSink(w http.ResponseWriter, req *request.Request, form answerForm) (*streamSink, error) {
-	encoder, err := newChunkEncoder(form, req.ID, string(req.Model))
+	encoder, err := newChunkEncoder(form, newAnswerHead(req))
 	if err != nil {
 		return nil, err
 	}
-	return &streamSink{w: w, controller: http.NewResponseController(w), encoder: encoder, writeTimeout: cmp.Or(s.WriteTimeout, writeTimeout)}, nil
+	return &streamSink{
+		w:            w,
+		controller:   http.NewResponseController(w),
+		encoder:      encoder,
+		writeTimeout: cmp.Or(s.WriteTimeout, writeTimeout),
+	}, nil
 }
 
 // Frame implements relay.Sink.
 func (s *streamSink) Frame(frame endpoint.Frame) error {
-	s.held.WriteString("data: ")
+	s.held.WriteString(eventStart)
 	if err := s.encoder.encode(&s.held, frame.Text, frame.FinishReason); err != nil {
 		return err
 	}
-	s.held.WriteString("\n\n")
+	s.held.WriteString(eventEnd)
 	if frame.Done {
-		s.held.WriteString(endEvent)
+		if err := s.end(frame); err != nil {
+			return err
+		}
 	}
 	if s.held.Len() < heldBytes {
 		return nil
@@ -55,6 +65,19 @@
 	return s.Flush()
 }
 
+// end holds what follows the last frame.
+func (s *streamSink) end(last endpoint.Frame) error {
+	if s.tellsUsage {
+		s.held.WriteString(eventStart)
+		if err := s.encoder.end(&s.held, usageOf(last)); err != nil {
+			return err
+		}
+		s.held.WriteString(eventEnd)
+	}
+	s.held.WriteString(endMarker)
+	return nil
+}
+
 // Flush implements relay.Sink. A caller that does not read blocks it for a
 // bounded time and no memory beyond the buffers.
 func (s *streamSink) Flush() error {
@@ -74,6 +97,7 @@
 		return false
 	}
 	s.held.Reset()
+	s.encoder.restart()
 	return true
 }
 
@@ -90,20 +114,21 @@
 
 // fail ends a started stream with an error event.
 func (s *streamSink) fail(refused *refusal.Refusal) {
-	s.held.WriteString("event: error\ndata: ")
+	s.held.WriteString("event: error\n" + eventStart)
 	if encodeJSON(&s.held, newErrorBody(refused)) == nil {
-		s.held.WriteString("\n\n")
+		s.held.WriteString(eventEnd)
 		_ = s.Flush()
 	}
 }
 
 // answerStream returns whether the caller got the whole answer.
-func (s *Server) answerStream(ctx context.Context, w http.ResponseWriter, req *request.Request, form answerForm, run runFunc) bool {
+func (s *Server) answerStream(ctx context.Context, w http.ResponseWriter, req *request.Request, form answerForm, options streamOptions, run runFunc) bool {
 	sink, err := s.newStreamSink(w, req, form)
 	if err != nil {
 		s.refuse(w, refusal.New(refusal.Malformed, 0, "the request cannot be answered as a stream"))
 		return false
 	}
+	sink.tellsUsage = options.IncludeUsage
 	refused := run(ctx, req, sink)
 	switch {
 	case refused == nil:
--- a/internal/callerapi/text_form.go
+++ b/internal/callerapi/text_form.go
@@ -1,14 +1,20 @@
 package callerapi
 
+const textObject = "text_completion"
+
 // textForm is the form of plain completions.
 type textForm struct{}
 
-func (textForm) chunk(id, model, text, finishReason string) any {
+func (textForm) chunk(head answerHead, text, finishReason string, _ bool) any {
 	choice := textChoice{Text: text, FinishReason: optional(finishReason)}
-	return textAnswer{ID: id, Object: "text_completion", Model: model, Choices: []textChoice{choice}}
+	return textAnswer{answerHead: head.of(textObject), Choices: []textChoice{choice}}
+}
+
+func (textForm) end(head answerHead, usage usage) any {
+	return textAnswer{answerHead: head.of(textObject), Choices: []textChoice{}, Usage: &usage}
 }
 
-func (textForm) whole(id, model, text, finishReason string, usage usage) any {
+func (textForm) whole(head answerHead, text, finishReason string, usage usage) any {
 	choice := textChoice{Text: text, FinishReason: optional(finishReason)}
-	return textAnswer{ID: id, Object: "text_completion", Model: model, Choices: []textChoice{choice}, Usage: &usage}
+	return textAnswer{answerHead: head.of(textObject), Choices: []textChoice{choice}, Usage: &usage}
 }
--- a/internal/callerapi/whole_sink.go
+++ b/internal/callerapi/whole_sink.go
@@ -40,21 +40,13 @@
 	return true
 }
 
-func (s *wholeSink) usage() usage {
-	return usage{
-		PromptTokens:     s.last.PromptTokens,
-		CompletionTokens: s.last.OutputTokens,
-		TotalTokens:      s.last.PromptTokens + s.last.OutputTokens,
-	}
-}
-
 func (s *Server) answerWhole(ctx context.Context, w http.ResponseWriter, req *request.Request, form answerForm, run runFunc) bool {
 	sink := &wholeSink{}
 	if refused := run(ctx, req, sink); refused != nil {
 		s.refuse(w, refused)
 		return false
 	}
-	answer := form.whole(req.ID, string(req.Model), sink.text.String(), sink.last.FinishReason, sink.usage())
+	answer := form.whole(newAnswerHead(req), sink.text.String(), sink.last.FinishReason, usageOf(sink.last))
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(refusal.OutcomeHeader, string(refusal.Done))
 	return json.NewEncoder(w).Encode(answer) == nil
