Routing: cache events of engines, with the answers

Cause: routing knew only the home of a prompt's first 256 bytes. What overflowed from there, and the turns of a conversation after them, went to whichever group waited least, and engines' cache events were not used.

Now the first frame of an answer carries the engine's cache events after the last that the daemon has. A bounded index for each group takes them and the daemon's own prompts; of the groups within the old bound of 1.25, routing prefers that which holds most of the prompt. A gap drops the index and is counted; an event older than an own request does not undo it; blocks age out after 5 minutes. No message and no byte of control is added.

Breaks that the new specs failed against: marks left out; gaps not seen; an old event evicting; no ageing; the bound left out.

--- a/internal/callerapi/completion_request.go
+++ b/internal/callerapi/completion_request.go
@@ -32,6 +32,7 @@
 	Model     string `json:"model"`
 	Stream    bool   `json:"stream"`
 	MaxTokens int    `json:"max_tokens"`
+	request.Prompt
 }
 
 // readCompletion reads and checks the body of a completion.
@@ -59,6 +60,7 @@
 		MaxTokens:   parsed.MaxTokens,
 		Fingerprint: request.Fingerprint(fleet.ModelName(name), adapter, body),
 		Prefix:      request.Prefix(fleet.ModelName(name), adapter, body),
+		Blocks:      parsed.Blocks(fleet.ModelName(name), adapter),
 		Deadline:    deadline,
 	}
 	return req, parsed.Stream, nil
--- a/internal/endpoint/doc.go
+++ b/internal/endpoint/doc.go
@@ -7,4 +7,9 @@
 // events: each data line is one Frame, and an answer is whole only when its
 // last frame has Done set. DELETE /v1/generate/{attempt} cancels. A generate
 // with ResumeFrom continues an attempt that the engine still holds.
+//
+// The first frame of an answer carries the engine's cache events that follow
+// CacheAfter. A block of a prompt is named by the XXH64 hash, cut to 53 bits, of
+// the model, a zero byte, the adapter, a zero byte and the prompt's JSON text up
+// to the end of the block; see request.Prompt.
 package endpoint
--- a/internal/endpoint/frame.go
+++ b/internal/endpoint/frame.go
@@ -9,4 +9,6 @@
 	FinishReason string `json:"finish_reason,omitempty"`
 	PromptTokens int    `json:"prompt_tokens,omitempty"`
 	OutputTokens int    `json:"output_tokens,omitempty"`
+	// Cache comes with the first frame, from engines that publish cache events.
+	Cache *CacheEvents `json:"cache,omitempty"`
 }
--- a/internal/endpoint/generate_request.go
+++ b/internal/endpoint/generate_request.go
@@ -15,4 +15,5 @@
 	Priority   int                 `json:"priority"`
 	Body       json.RawMessage     `json:"body"`                  // the caller's request
 	ResumeFrom int                 `json:"resume_from,omitempty"` // index of the first frame wanted
+	CacheAfter uint64              `json:"cache_after,omitempty"` // last cache event that the daemon has
 }
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -37,6 +37,7 @@
 	events   []EngineEvent
 	lagged   []loadSample
 	loadStop context.CancelFunc
+	prompts  *PromptCache
 }
 
 // NewEngine returns an idle engine.
@@ -60,6 +61,7 @@
 	e.highest = fleet.NoGroup
 	e.attempts = map[string]*attempt{}
 	e.lagged = nil
+	e.prompts = NewPromptCache(e.options.CacheBlocks)
 	e.note(EngineEvent{Kind: EventBoot})
 }
 
--- a/internal/fakes/engine_options.go
+++ b/internal/fakes/engine_options.go
@@ -17,6 +17,8 @@
 	Tokens        int           // tokens of an answer that asks for no number
 	ReportLag     time.Duration // age of the load figures in a report
 	MaxRunning    int           // requests in the batch; 0 is no bound
+	CacheBlocks   int           // blocks of the prefix cache; 0 is no cache and no cache events
+	ReadDelay     time.Duration // to read one block of a prompt that is not cached
 	// OnFrame is called with each frame when it is generated.
 	OnFrame func(frame endpoint.Frame)
 	// CrashOn crashes the engine when a request's body contains it.
--- a/internal/fakes/generate.go
+++ b/internal/fakes/generate.go
@@ -12,6 +12,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/fleet"
+	caller "github.com/plantainmux/plantainmux/internal/request"
 	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
@@ -93,11 +94,18 @@
 		return
 	}
 	defer leave()
+	cache, missed := e.readPrompt(request)
+	if !wait.For(ctx, time.Duration(missed)*e.options.ReadDelay) {
+		return
+	}
 	for i := range tokens {
 		if !wait.For(ctx, e.options.TokenDelay) || !e.alive(a, request.Attempt) {
 			return
 		}
 		frame := endpoint.Frame{Attempt: request.Attempt, Index: i, Text: Token(request.Body, i)}
+		if i == 0 {
+			frame.Cache = cache
+		}
 		if e.options.OnFrame != nil {
 			e.options.OnFrame(frame)
 		}
@@ -110,6 +118,25 @@
 	e.finish(a, request)
 }
 
+// readPrompt reads a prompt into the cache. It returns what the answer tells of
+// the cache and how many blocks were not held.
+func (e *Engine) readPrompt(request endpoint.GenerateRequest) (events *endpoint.CacheEvents, missed int) {
+	blocks := caller.Blocks(request.Model, request.Adapter, request.Body)
+	if e.options.CacheBlocks == 0 {
+		return nil, len(blocks)
+	}
+	faults := e.cacheFaults()
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	missed = len(blocks) - e.prompts.Read(blocks, now)
+	events = e.prompts.Published(request.CacheAfter, now.Add(-faults.CacheLag))
+	if faults.CacheGap {
+		loseOldest(events, len(events.Events)/2)
+	}
+	return events, missed
+}
+
 // enterBatch waits for a place in the batch. It returns false when the attempt
 // ended meanwhile.
 func (e *Engine) enterBatch(ctx context.Context, a *attempt, id string) (leave func(), ok bool) {
--- a/internal/fakes/stream_faults.go
+++ b/internal/fakes/stream_faults.go
@@ -1,6 +1,9 @@
 package fakes
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // StreamFaults spoil the streams of an engine's answers. The zero value is
 // healthy.
@@ -14,6 +17,9 @@
 	Refuse       string // refuse each request with this code
 	RefuseResume string // refuse with this code to go on with an attempt
 	Forget       bool   // lose the attempt when its connection is cut
+
+	CacheLag time.Duration // publish cache events so much later
+	CacheGap bool          // leave out the older half of the cache events of each answer
 }
 
 // streamSwitches guards the stream faults of an engine.
@@ -42,6 +48,13 @@
 	return s.faults.Status, s.faults.Refuse
 }
 
+// cacheFaults returns the faults of cache events.
+func (s *streamSwitches) cacheFaults() StreamFaults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
 // forConnection returns the faults of a connection of an attempt. Those that
 // strike once are left out from the second connection on.
 func (s *streamSwitches) forConnection(attempt string) StreamFaults {
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -24,6 +24,11 @@
 	crashes  *metrics.Counter
 	spills   *metrics.Counter
 	tokens   *metrics.Counter
+
+	cacheEvents *metrics.Counter
+	cacheGaps   *metrics.Counter
+	blocks      *metrics.Counter
+	blocksHeld  *metrics.Counter
 }
 
 // NewSet registers a counter for each reason of a refusal, of a retry and of a
@@ -42,6 +47,11 @@
 		crashes:  set.NewCounter("plantainmux_suspect_crashes_total"),
 		spills:   set.NewCounter("plantainmux_spills_total"),
 		tokens:   set.NewCounter("plantainmux_frames_total"),
+
+		cacheEvents: set.NewCounter("plantainmux_cache_events_total"),
+		cacheGaps:   set.NewCounter("plantainmux_cache_event_gaps_total"),
+		blocks:      set.NewCounter("plantainmux_prompt_blocks_total"),
+		blocksHeld:  set.NewCounter("plantainmux_prompt_blocks_held_total"),
 	}
 }
 
@@ -99,6 +109,19 @@
 // Frames counts the frames of an answer that was passed on.
 func (s *Set) Frames(count int) { s.tokens.Add(count) }
 
+// CacheEvents counts cache events that engines published.
+func (s *Set) CacheEvents(count int) { s.cacheEvents.Add(count) }
+
+// CacheGap counts a gap in an engine's cache events.
+func (s *Set) CacheGap() { s.cacheGaps.Inc() }
+
+// Prompt counts the blocks of a routed prompt, and those of them that the group
+// was believed to hold.
+func (s *Set) Prompt(blocks, held int) {
+	s.blocks.Add(blocks)
+	s.blocksHeld.Add(held)
+}
+
 // Counter returns the counter of a name, registering it when needed.
 func (s *Set) Counter(name string) *metrics.Counter {
 	return s.set.GetOrCreateCounter(name)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -108,6 +108,7 @@
 		Priority:   a.req.Priority,
 		Body:       a.req.Body,
 		ResumeFrom: a.frames.next,
+		CacheAfter: a.target.serving.Load.Prompts.Applied(),
 	})
 }
 
@@ -197,7 +198,9 @@
 	if a.frames.next == 0 {
 		a.first = time.Now()
 		a.target.serving.Load.SawFirstToken(a.first.Sub(a.started))
+		a.learnCache(frame.Cache)
 	}
+	frame.Cache = nil
 	a.frames.next++
 	if a.frames.next > a.delivered {
 		return a.take(frame)
@@ -205,6 +208,19 @@
 	return a.skip(frame)
 }
 
+// learnCache takes what the first frame tells of the engine's prefix cache.
+func (a *attempt) learnCache(events *endpoint.CacheEvents) {
+	if a.target.remote != "" {
+		return
+	}
+	if events != nil {
+		a.Metrics.CacheEvents(len(events.Events))
+	}
+	if a.target.serving.Load.Prompts.Learn(a.req.Blocks, events, a.first) {
+		a.Metrics.CacheGap()
+	}
+}
+
 // skip compares a frame that the caller already has with what it got.
 func (a *attempt) skip(frame endpoint.Frame) error {
 	if a.skipped == nil {
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"time"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/refusal"
@@ -43,6 +44,7 @@
 		return r.pickRemote()
 	}
 	r.excluded[serving.Fencing] = true
+	r.Metrics.Prompt(len(r.req.Blocks), serving.Load.Prompts.Held(r.req.Blocks, time.Now()))
 	return &target{serving: serving, release: func() {}}, nil
 }
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -18,8 +18,9 @@
 	Adapter     string
 	Body        json.RawMessage
 	MaxTokens   int
-	Fingerprint uint64 // hash of model, adapter and body
-	Prefix      uint64 // hash of the beginning of the body
+	Fingerprint uint64   // hash of model, adapter and body
+	Prefix      uint64   // hash of the beginning of the body
+	Blocks      []uint64 // hashes of the blocks of the prompt
 	Deadline    time.Time
 	Forwarded   bool // came from a daemon of another data centre
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -1,5 +1,5 @@
-// Package route picks the group that runs a request, in three stages: filter,
-// score and pick.
+// Package route picks the group that runs a request, in four stages: filter,
+// score, mark what is cached, and pick.
 package route
 
 import (
@@ -15,6 +15,7 @@
 func Pick(v *view.View, r *request.Request, excluded map[fleet.FencingNumber]bool) (*view.Serving, bool) {
 	now := time.Now()
 	scored := Score(Filter(v, r, excluded, now), v.At, now)
+	MarkHeld(scored, r.Blocks, now)
 	return PickBest(scored, r.Prefix)
 }
 
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -89,4 +89,22 @@
 		}
 		Expect(best(7, 0, groups...)).NotTo(Equal(at))
 	})
+
+	It("prefers a group that holds more of the prompt, within the same bound", func() {
+		groups := []*view.Serving{serving(1, 4, 0), serving(2, 5, 0), serving(3, 4, 0)}
+		blocks := []uint64{11, 12, 13}
+		pick := func() fleet.FencingNumber {
+			scored := route.Score(groups, now, now)
+			route.MarkHeld(scored, blocks, now)
+			picked, _ := route.PickBest(scored, 0)
+			return picked.Fencing
+		}
+		Expect(pick()).To(BeEquivalentTo(1))
+		groups[2].Load.Prompts.Learn(blocks[:1], nil, now)
+		Expect(pick()).To(BeEquivalentTo(3))
+		groups[1].Load.Prompts.Learn(blocks, nil, now)
+		Expect(pick()).To(BeEquivalentTo(2))
+		groups[1].Load.Begin() // 1.4 times the best group's waiting
+		Expect(pick()).To(BeEquivalentTo(3))
+	})
 })
--- a/internal/route/score.go
+++ b/internal/route/score.go
@@ -25,6 +25,7 @@
 type Scored struct {
 	Group *view.Serving
 	Wait  float64 // expected waiting, in requests for each one that runs at once
+	Held  int     // leading blocks of the prompt that it probably caches
 }
 
 // Score rates each group by the requests before a new one, times how much
--- a/internal/spill/request.go
+++ b/internal/spill/request.go
@@ -49,6 +49,7 @@
 		MaxTokens:   r.MaxTokens,
 		Fingerprint: request.Fingerprint(r.Model, r.Adapter, r.Body),
 		Prefix:      request.Prefix(r.Model, r.Adapter, r.Body),
+		Blocks:      request.Blocks(r.Model, r.Adapter, r.Body),
 		Deadline:    now.Add(time.Duration(r.RemainingMillis) * time.Millisecond),
 		Forwarded:   true,
 	}
--- a/internal/view/load.go
+++ b/internal/view/load.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/plantainmux/plantainmux/internal/promptcache"
 )
 
 // averageWeight is the share, in percent, of a new sample in a moving average.
@@ -16,6 +18,9 @@
 	nextToken  atomic.Int64 // nanoseconds between two tokens
 	service    atomic.Int64 // nanoseconds of a whole answer
 	failed     atomic.Int64 // Unix nanoseconds of the last failed attempt
+
+	// Prompts is what is known of the prefix cache of the group's engine.
+	Prompts promptcache.Index
 }
 
 // Begin counts one request more.
