Suspects wait to run alone outside their team's concurrency

Cause: a suspect was admitted first and then waited for a group without another suspect, up to its deadline, holding its place. So a crashing request that its caller repeats took all places of a team, and others of the team were refused.

Now a run gives its place back while it waits to run alone and takes one again afterwards, before the queue's bounds (it was admitted before) and until its deadline; without a complete group of the model it goes on at once, as on arrival.

Ruled out: isolating before admission. A request becomes a suspect in the midst of its run too.

--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -38,26 +38,25 @@
 // request for a model without a complete group here is let through: routing
 // knows whether another data centre serves it.
 func (g *Gate) Admit(ctx context.Context, req *request.Request) (*Admission, *refusal.Refusal) {
-	w := &waiting{
-		Ticket:  Ticket{Team: req.Team, MaxTokens: req.MaxTokens, Deadline: req.Deadline, NoWait: req.Forwarded},
-		model:   req.Model,
-		started: make(chan struct{}),
-	}
+	w := newWaiting(req.Model, Ticket{Team: req.Team, MaxTokens: req.MaxTokens, Deadline: req.Deadline, NoWait: req.Forwarded})
 	if !g.served(req.Model) {
 		return &Admission{}, nil
 	}
-	admitted, refused := g.arrive(w)
-	if refused != nil {
+	if refused := g.enter(ctx, w); refused != nil {
 		return nil, refused
 	}
-	if !admitted {
-		if refused := g.wait(ctx, w); refused != nil {
-			return nil, refused
-		}
-	}
 	return &Admission{gate: g, waiting: w, started: time.Now()}, nil
 }
 
+// enter waits until a request may run.
+func (g *Gate) enter(ctx context.Context, w *waiting) *refusal.Refusal {
+	admitted, refused := g.arrive(w)
+	if refused != nil || admitted {
+		return refused
+	}
+	return g.wait(ctx, w)
+}
+
 func (g *Gate) served(model fleet.ModelName) bool {
 	return g.state.capacity(model, time.Now()) > 0
 }
--- a/internal/admit/pool.go
+++ b/internal/admit/pool.go
@@ -73,6 +73,7 @@
 	wait := p.expectedWait(ticket, t)
 	comeBack := max(wait, minComeBack)
 	switch {
+	case ticket.Returning:
 	case t.queue.Len() >= t.queueLength:
 		return refusal.New(refusal.TeamOverShare, comeBack, "the team's queue is full")
 	case p.waiting >= p.bounds.QueueLength, ticket.NoWait:
@@ -84,7 +85,7 @@
 	if latest := ticket.Deadline.Add(-service); latest.Before(ticket.StartBy) {
 		ticket.StartBy = latest
 	}
-	if now.Add(wait).After(ticket.StartBy) {
+	if !ticket.Returning && now.Add(wait).After(ticket.StartBy) {
 		return refusal.New(refusal.DeadlineTooShort, comeBack, "the request cannot finish in time")
 	}
 	return nil
--- a/internal/admit/pool_test.go
+++ b/internal/admit/pool_test.go
@@ -58,6 +58,9 @@
 			_, reason = arrive("a", time.Minute)
 		}
 		Expect(reason).To(Equal(refusal.TeamOverShare))
+		returning := &Ticket{Team: "a", Deadline: now.Add(time.Minute), Returning: true}
+		_, refused := pool.Arrive(returning, now)
+		Expect(refused).To(BeNil())
 		for range 8 {
 			_, reason = arrive("b", time.Minute)
 		}
--- a/internal/admit/waiting.go
+++ b/internal/admit/waiting.go
@@ -8,3 +8,7 @@
 	model   fleet.ModelName
 	started chan struct{} // closed once the request may run
 }
+
+func newWaiting(model fleet.ModelName, ticket Ticket) *waiting {
+	return &waiting{Ticket: ticket, model: model, started: make(chan struct{})}
+}
--- a/internal/callerapi/completions.go
+++ b/internal/callerapi/completions.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/plantainmux/plantainmux/internal/admit"
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 	"github.com/plantainmux/plantainmux/internal/relay"
@@ -45,7 +46,7 @@
 	if refused == nil {
 		defer func() { admission.Done(whole) }()
 	}
-	run := s.runner(refused)
+	run := s.runner(admission, refused)
 	if streamed {
 		whole = s.answerStream(ctx, w, req, form, run)
 		return
@@ -58,9 +59,11 @@
 
 // runner returns what runs a request: the own data centre, or another one when
 // this is overloaded.
-func (s *Server) runner(overloaded *refusal.Refusal) runFunc {
+func (s *Server) runner(admission *admit.Admission, overloaded *refusal.Refusal) runFunc {
 	if overloaded == nil {
-		return s.Relay.Run
+		return func(ctx context.Context, req *request.Request, sink relay.Sink) *refusal.Refusal {
+			return s.Relay.Run(ctx, req, sink, admission)
+		}
 	}
 	return func(ctx context.Context, req *request.Request, sink relay.Sink) *refusal.Refusal {
 		return s.Relay.RunElsewhere(ctx, req, sink, overloaded)
--- a/internal/callerapi/rig_test.go
+++ b/internal/callerapi/rig_test.go
@@ -32,11 +32,12 @@
 
 // rig is one engine stand-in, and the request path of a daemon before it.
 type rig struct {
-	engine *fakes.Engine
-	direct *fakes.Server
-	caller *fakes.Server
-	views  *view.Store
-	failed []fleet.VMID
+	engine   *fakes.Engine
+	direct   *fakes.Server
+	caller   *fakes.Server
+	views    *view.Store
+	failed   []fleet.VMID
+	suspects *suspect.Watch
 }
 
 func newRig(t tester, options fakes.EngineOptions) *rig {
@@ -78,6 +79,7 @@
 
 func (r *rig) path() http.Handler {
 	mesh := peer.NewSolo("daemon")
+	r.suspects = suspect.NewWatch(mesh, "north")
 	metrics := metric.NewSet()
 	gate := admit.NewGate(admit.Dependencies{
 		Views: r.views, Mesh: mesh, Declared: 1,
@@ -90,7 +92,7 @@
 		Evidence: evidence.NewRecorder("daemon", "north", time.Now()),
 		Logger:   slog.New(slog.DiscardHandler),
 		Relay: relay.New(relay.Dependencies{
-			Views: r.views, Engine: endpoint.NewHTTPEngine(), Suspects: suspect.NewWatch(mesh, "north"), Metrics: metrics, Observer: relay.NoObserver{},
+			Views: r.views, Engine: endpoint.NewHTTPEngine(), Suspects: r.suspects, Metrics: metrics, Observer: relay.NoObserver{},
 			Failed: func(vm fleet.VMID, _ time.Time) { r.failed = append(r.failed, vm) },
 		}),
 		BodyLimit:       1 << 20,
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -15,6 +15,7 @@
 	comeBackNoGroup  = 2 * time.Second
 	comeBackFailed   = time.Second
 	comeBackDeadline = time.Second
+	comeBackSuspect  = 2 * time.Second
 )
 
 // refuse returns a refusal whose outcome says whether the request may have run.
@@ -73,6 +74,15 @@
 	}
 }
 
+// tooManySuspects returns the refusal of a suspect beyond those that may wait to
+// run alone.
+func (r *run) tooManySuspects() *refusal.Refusal {
+	if r.attempts > 0 {
+		r.Metrics.RetryDenied(retry.Suspected)
+	}
+	return r.refuse(refusal.CrashSuspect, comeBackSuspect, "too many such requests wait to run alone")
+}
+
 func (r *run) exhausted() *refusal.Refusal {
 	if r.lastFailure == retry.NotRun && !r.mayHaveRun {
 		return r.refuse(refusal.EndpointRefused, comeBackFailed, "the endpoints refused the request")
--- /dev/null
+++ b/internal/relay/no_slot.go
@@ -0,0 +1,16 @@
+package relay
+
+import (
+	"context"
+
+	"github.com/plantainmux/plantainmux/internal/refusal"
+)
+
+// noSlot is the place of a request that another data centre runs.
+type noSlot struct{}
+
+// Pause implements Slot.
+func (noSlot) Pause() {}
+
+// Resume implements Slot.
+func (noSlot) Resume(context.Context) *refusal.Refusal { return nil }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -50,15 +50,15 @@
 }
 
 // Run runs a request and passes its answer to sink. A nil result means that
-// sink received the whole answer.
-func (r *Relay) Run(ctx context.Context, req *request.Request, sink Sink) *refusal.Refusal {
-	return r.newRun(req, sink).observed(ctx)
+// sink received the whole answer. The caller holds slot, also afterwards.
+func (r *Relay) Run(ctx context.Context, req *request.Request, sink Sink, slot Slot) *refusal.Refusal {
+	return r.newRun(req, sink, slot).observed(ctx)
 }
 
 // RunElsewhere runs a request in another data centre, since the own one refused
 // it. When no other takes it, the result is that refusal.
 func (r *Relay) RunElsewhere(ctx context.Context, req *request.Request, sink Sink, refused *refusal.Refusal) *refusal.Refusal {
-	run := r.newRun(req, sink)
+	run := r.newRun(req, sink, noSlot{})
 	run.onlyElsewhere = true
 	if outcome := run.observed(ctx); outcome == nil || outcome.Outcome != refusal.NotRun {
 		return outcome
@@ -66,12 +66,13 @@
 	return refused
 }
 
-func (r *Relay) newRun(req *request.Request, sink Sink) *run {
+func (r *Relay) newRun(req *request.Request, sink Sink, slot Slot) *run {
 	model, _ := r.Views.Load().Model(req.Model)
 	return &run{
 		Relay:         r,
 		req:           req,
 		sink:          sink,
+		slot:          slot,
 		deterministic: model.Deterministic,
 		excluded:      map[fleet.FencingNumber]bool{},
 		elsewhere:     map[fleet.DataCentre]bool{},
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -20,6 +20,7 @@
 	*Relay
 	req           *request.Request
 	sink          Sink
+	slot          Slot
 	deterministic bool
 	excluded      map[fleet.FencingNumber]bool // groups that failed this request
 	elsewhere     map[fleet.DataCentre]bool    // data centres that failed this request
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -48,15 +48,22 @@
 	return &target{serving: serving, release: func() {}}, nil
 }
 
-// pickAlone waits for a group without another suspect.
+// pickAlone waits for a group without another suspect, outside the team's
+// concurrency.
 func (r *run) pickAlone(ctx context.Context) (*target, *refusal.Refusal) {
+	if !r.Suspects.BeginWait(r.req.Fingerprint) {
+		return nil, r.tooManySuspects()
+	}
+	r.slot.Pause()
 	fencing, release, ok := r.Suspects.Isolate(ctx, r.req.Fingerprint, r.candidates)
-	switch {
-	case ctx.Err() != nil:
+	r.Suspects.EndWait(r.req.Fingerprint)
+	if refused := r.resume(ctx); refused != nil {
 		if ok {
 			release()
 		}
-		return nil, r.timeOver(ctx)
+		return nil, refused
+	}
+	switch {
 	case !ok && r.Suspects.Standing(r.req.Fingerprint) == suspect.Isolated:
 		return r.pickRemote()
 	case !ok:
@@ -71,6 +78,22 @@
 	return &target{serving: serving, alone: true, release: release}, nil
 }
 
+// resume takes the request's place in the team's concurrency again.
+func (r *run) resume(ctx context.Context) *refusal.Refusal {
+	if ctx.Err() != nil {
+		return r.timeOver(ctx)
+	}
+	refused := r.slot.Resume(ctx)
+	switch {
+	case ctx.Err() != nil:
+		return r.timeOver(ctx)
+	case refused != nil:
+		return r.refuse(refused.Reason, refused.RetryAfter, refused.Detail)
+	default:
+		return nil
+	}
+}
+
 // pickRemote chooses another data centre that is to serve the model, or refuses
 // the request.
 func (r *run) pickRemote() (*target, *refusal.Refusal) {
--- a/internal/spill/server.go
+++ b/internal/spill/server.go
@@ -74,7 +74,7 @@
 	if refused != nil {
 		return refused
 	}
-	refused = s.relay.Run(ctx, req, &sink{attempt: r.Attempt, send: send})
+	refused = s.relay.Run(ctx, req, &sink{attempt: r.Attempt, send: send}, admission)
 	admission.Done(refused == nil)
 	return refused
 }
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -21,13 +21,14 @@
 type Watch struct {
 	Table      *Table
 	slots      *Slots
+	waiters    *waiters
 	mesh       peer.Mesh
 	dataCentre fleet.DataCentre
 }
 
 // NewWatch returns a watch and subscribes it to the mesh.
 func NewWatch(mesh peer.Mesh, dataCentre fleet.DataCentre) *Watch {
-	w := &Watch{Table: NewTable(), slots: NewSlots(mesh.Self()), mesh: mesh, dataCentre: dataCentre}
+	w := &Watch{Table: NewTable(), slots: NewSlots(mesh.Self()), waiters: newWaiters(), mesh: mesh, dataCentre: dataCentre}
 	mesh.Subscribe(peer.TopicSuspects, w.learn)
 	return w
 }
@@ -52,6 +53,13 @@
 	w.mesh.Publish(peer.TopicSuspects, peer.ScopeFleet, Message{Acquittal: &Acquittal{Fingerprint: fingerprint, At: now}})
 }
 
+// BeginWait lets a request wait to run alone, unless too many do. On success the
+// caller calls EndWait once.
+func (w *Watch) BeginWait(fingerprint uint64) bool { return w.waiters.begin(fingerprint) }
+
+// EndWait ends a wait to run alone.
+func (w *Watch) EndWait(fingerprint uint64) { w.waiters.end(fingerprint) }
+
 // Isolate waits until one of the candidate groups is free of suspects and
 // claims it. The caller calls release once. It returns false when ctx ends, or
 // when the request is no longer merely isolated.
