Copies of a request in progress share a group

Cause: copies of a crashing request that came before its first crash were spread over the groups, and each cost one.

Now a daemon lets a copy join the group on which an equal request (the fingerprint of the suspects) is in progress, while that group's batch has room. When it crashes there, all of them are suspects and run one at a time. Bound: what n copies sent to one daemon before the first crash cost is 1 group for each batch that n fills, and one more on which a suspect runs alone.

--- a/internal/fakes/engine_options.go
+++ b/internal/fakes/engine_options.go
@@ -23,6 +23,8 @@
 	OnFrame func(frame endpoint.Frame)
 	// CrashOn crashes the engine when a request's body contains it.
 	CrashOn string
+	// CrashAfter is how long such a request runs before it.
+	CrashAfter time.Duration
 	// OnCrash is called once the engine has crashed, instead of Kill.
 	OnCrash func()
 }
--- a/internal/fakes/generate.go
+++ b/internal/fakes/generate.go
@@ -85,7 +85,9 @@
 // produce generates the tokens of an attempt at the engine's pace.
 func (e *Engine) produce(ctx context.Context, a *attempt, request endpoint.GenerateRequest) {
 	if e.shouldCrash(request) {
-		e.crash(request)
+		if wait.For(ctx, e.options.CrashAfter) && e.alive(a, request.Attempt) {
+			e.crash(request)
+		}
 		return
 	}
 	tokens := e.tokensOf(request)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,6 +38,7 @@
 	Dependencies
 	budget    *retry.Budget
 	canceller *canceller
+	copies    *copies
 }
 
 // New returns a relay.
@@ -46,6 +47,7 @@
 		Dependencies: dependencies,
 		budget:       retry.NewBudget(retryShare, retryBurst),
 		canceller:    newCanceller(dependencies.Engine, dependencies.Metrics),
+		copies:       newCopies(),
 	}
 }
 
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -39,13 +39,26 @@
 }
 
 func (r *run) pickShared() (*target, *refusal.Refusal) {
-	serving, ok := route.Pick(r.Views.Load(), r.req, r.excluded)
+	v := r.Views.Load()
+	serving, ok := route.Pick(v, r.req, r.excluded)
 	if !ok {
 		return r.pickRemote()
 	}
-	r.excluded[serving.Fencing] = true
+	joinable := func(group fleet.FencingNumber) bool { return r.joinable(v, group) }
+	fencing, release := r.copies.begin(r.req.Fingerprint, serving.Fencing, joinable)
+	if fencing != serving.Fencing {
+		serving, _ = v.Group(fencing)
+	}
+	r.excluded[fencing] = true
 	r.Metrics.Prompt(len(r.req.Blocks), serving.Load.Prompts.Held(r.req.Blocks, time.Now()))
-	return &target{serving: serving, release: func() {}}, nil
+	return &target{serving: serving, release: release}, nil
+}
+
+// joinable reports whether a copy of a request in progress may run on its group.
+func (r *run) joinable(v *view.View, fencing fleet.FencingNumber) bool {
+	now := time.Now()
+	serving, ok := v.Group(fencing)
+	return ok && !r.excluded[fencing] && serving.Proven(now) && route.HasRoom(serving, v.At, now)
 }
 
 // pickAlone waits for a group without another suspect, outside the team's
