Copies of a crashing request that have brought nothing are taken back

Cause: a copy that another daemon had sent to another group before the first crash ran on there and crashed it too, though that daemon had been told of the suspect.

Now whatever becomes a suspect, on any daemon, takes back its attempts that have brought no frame and do not run alone: they are cancelled on their endpoint and tried again alone (retry reason "recalled"), and the group is not held to have failed. An attempt that has brought a frame goes on: it may be innocent, and its caller may have a part of the answer. One step of an atomic decides between the first frame and the recall. Bound: on further daemons only the groups that crash before the message of the first crash arrives.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -25,6 +25,7 @@
 	frames  sequence
 	skipped *xxhash.Digest // of the frames that the caller has from an earlier attempt
 	dog     *watchdog
+	recall  *recall
 	sent    bool // bytes may have reached the endpoint
 	started time.Time
 	first   time.Time // of the first frame
@@ -41,15 +42,30 @@
 	defer giveUp(nil)
 	a.dog = startWatchdog(a.frames.attempt, a.target.serving.Fencing, a.Views, giveUp)
 	defer a.dog.stop()
+	a.recall = &recall{attempt: a.frames.attempt, giveUp: giveUp}
+	if !a.target.alone && a.target.remote == "" {
+		a.recalls.add(a.req.Fingerprint, a.recall)
+		defer a.recalls.remove(a.req.Fingerprint, a.recall)
+	}
 	err := a.streamUntilDone(ctx)
-	var stalled *StalledError
-	if err != nil && errors.As(context.Cause(ctx), &stalled) {
-		err = stalled
+	if err != nil {
+		err = whyGivenUp(ctx, err)
 	}
 	a.end(err)
 	return err
 }
 
+// whyGivenUp returns why an attempt was given up, or err when it was not.
+func whyGivenUp(ctx context.Context, err error) error {
+	cause := context.Cause(ctx)
+	var stalled *StalledError
+	var recalled *RecalledError
+	if errors.As(cause, &stalled) || errors.As(cause, &recalled) {
+		return cause
+	}
+	return err
+}
+
 func (a *attempt) streamUntilDone(ctx context.Context) error {
 	fruitless := 0
 	for {
@@ -196,6 +212,9 @@
 // brought it.
 func (a *attempt) accept(frame endpoint.Frame) error {
 	if a.frames.next == 0 {
+		if !a.recall.begin() {
+			return a.recall.failure()
+		}
 		a.first = time.Now()
 		a.target.serving.Load.SawFirstToken(a.first.Sub(a.started))
 		a.learnCache(frame.Cache)
--- a/internal/relay/classify.go
+++ b/internal/relay/classify.go
@@ -12,6 +12,10 @@
 	var sink *SinkError
 	var gap *GapError
 	var diverged *DivergedError
+	var recalled *RecalledError
+	if errors.As(err, &recalled) {
+		return true
+	}
 	return errors.As(err, &sink) || errors.As(err, &gap) || errors.As(err, &diverged)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -39,15 +39,19 @@
 	budget    *retry.Budget
 	canceller *canceller
 	copies    *copies
+	recalls   *recalls
 }
 
 // New returns a relay.
 func New(dependencies Dependencies) *Relay {
+	recalls := newRecalls()
+	dependencies.Suspects.OnCrash(recalls.make)
 	return &Relay{
 		Dependencies: dependencies,
 		budget:       retry.NewBudget(retryShare, retryBurst),
 		canceller:    newCanceller(dependencies.Engine, dependencies.Metrics),
 		copies:       newCopies(),
+		recalls:      recalls,
 	}
 }
 
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -90,6 +91,10 @@
 
 // noteFailure tells the watchers and the suspects what an attempt showed.
 func (r *run) noteFailure(t *target, err error) {
+	var recalled *RecalledError
+	if errors.As(err, &recalled) {
+		delete(r.excluded, t.serving.Fencing) // it did not fail
+	}
 	if isOwnFault(err) || t.remote != "" {
 		return
 	}
--- a/internal/retry/reason.go
+++ b/internal/retry/reason.go
@@ -18,10 +18,11 @@
 	Broken      Reason = "broken"      // the exchange broke and could not be resumed
 	Died        Reason = "died"        // the endpoint's process was gone afterwards
 	Stalled     Reason = "stalled"     // no frame came for too long
+	Recalled    Reason = "recalled"    // an equal request crashed another group
 )
 
 // Reasons lists every reason, for the metrics page.
-var Reasons = []Reason{Unreachable, NotRun, Broken, Died, Stalled}
+var Reasons = []Reason{Unreachable, NotRun, Broken, Died, Stalled, Recalled}
 
 // ReasonOf classifies the failure of an attempt.
 func ReasonOf(err error) Reason {
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -24,6 +25,7 @@
 	waiters    *waiters
 	mesh       peer.Mesh
 	dataCentre fleet.DataCentre
+	onCrash    atomic.Pointer[func(fingerprint uint64)]
 }
 
 // NewWatch returns a watch and subscribes it to the mesh.
@@ -33,6 +35,17 @@
 	return w
 }
 
+// OnCrash sets what is told of each request that becomes a suspect or crashes again. It must not
+// block.
+func (w *Watch) OnCrash(told func(fingerprint uint64)) { w.onCrash.Store(&told) }
+
+func (w *Watch) hold(crash Crash, now time.Time) {
+	w.Table.Add(crash, now)
+	if told := w.onCrash.Load(); told != nil {
+		(*told)(crash.Fingerprint)
+	}
+}
+
 // Standing returns how a request is to be treated now.
 func (w *Watch) Standing(fingerprint uint64) Standing {
 	return w.Table.Standing(fingerprint, time.Now())
@@ -42,7 +55,7 @@
 func (w *Watch) Crashed(fingerprint uint64, group fleet.FencingNumber, alone bool) {
 	now := time.Now()
 	crash := Crash{Fingerprint: fingerprint, DataCentre: w.dataCentre, Group: group, Alone: alone, At: now}
-	w.Table.Add(crash, now)
+	w.hold(crash, now)
 	w.mesh.Publish(peer.TopicSuspects, peer.ScopeFleet, Message{Crash: &crash})
 }
 
@@ -112,7 +125,7 @@
 	now := time.Now()
 	switch {
 	case message.Crash != nil:
-		w.Table.Add(*message.Crash, now)
+		w.hold(*message.Crash, now)
 	case message.Claim != nil:
 		w.slots.Learn(*message.Claim, now)
 	case message.Acquittal != nil:
--- a/test/request_copies_test.go
+++ b/test/request_copies_test.go
@@ -48,4 +48,24 @@
 		Expect(len(bed.crashed())).To(BeNumerically("<=", 2))
 		innocent := completionBody("after", 5, true)
 		expectWhole(ask(bed.daemon, innocent), innocent, 5)
-	})})
+	})
+	It("are taken back on the other daemons while they have brought nothing", func() {
+		bed := &requestBed{Bed: testbed.New()}
+		bed.AddEngines("north", "north-a", 12, fakes.EngineOptions{
+			ChecksFencing: true, TokenDelay: 5 * time.Millisecond, CrashOn: crashText, CrashAfter: 1500 * time.Millisecond,
+		})
+		daemons := bed.StartDaemons(nil, "north", "north")
+		bed.Publish(0, testbed.SampleConfig(6, "north"))
+		for _, d := range daemons {
+			Eventually(func() int { return len(d.CompleteGroups(testbed.SampleModel)) }, waitComplete, tick).Should(Equal(6))
+		}
+		sendCopies(daemons, 700*time.Millisecond) // the second daemon sees the first one's group busy
+		GinkgoWriter.Println("crashed", bed.crashed())
+		Expect(len(bed.crashed())).To(BeNumerically("<=", 2))
+		recalled := 0
+		for _, d := range daemons {
+			recalled += metricOf(d, `plantainmux_retries_total{reason="recalled"}`)
+		}
+		Expect(recalled).To(BeNumerically(">", 0))
+	})
+})
