The stand-in engine runs waiting requests by priority

Cause: its batch gave free places to whichever waiting request polled first, so that "priorities are passed on" was shown only by what it recorded.

Now its queue is by priority, then by arrival, and a spec shows a request of a team with a higher priority overtaking those of another team in an engine's queue under load.

--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -28,7 +28,7 @@
 	*Switches
 	streamSwitches
 	options EngineOptions
-	batch   chan struct{} // a place for each request in the batch; nil is no bound
+	batch   *batch // nil is no bound
 
 	mu       sync.Mutex
 	report   fleet.MemberReport
@@ -44,7 +44,7 @@
 func NewEngine(options EngineOptions) *Engine {
 	e := &Engine{Switches: NewSwitches(), options: options}
 	if options.MaxRunning > 0 {
-		e.batch = make(chan struct{}, options.MaxRunning)
+		e.batch = newBatch(options.MaxRunning)
 	}
 	e.Reboot()
 	return e
--- a/internal/fakes/generate.go
+++ b/internal/fakes/generate.go
@@ -91,7 +91,7 @@
 		return
 	}
 	tokens := e.tokensOf(request)
-	leave, ok := e.enterBatch(ctx, a, request.Attempt)
+	leave, ok := e.enterBatch(ctx, a, request)
 	if !ok {
 		return
 	}
@@ -141,17 +141,20 @@
 
 // enterBatch waits for a place in the batch. It returns false when the attempt
 // ended meanwhile.
-func (e *Engine) enterBatch(ctx context.Context, a *attempt, id string) (leave func(), ok bool) {
+func (e *Engine) enterBatch(ctx context.Context, a *attempt, request endpoint.GenerateRequest) (leave func(), ok bool) {
 	if e.batch == nil {
 		return func() {}, true
 	}
+	place := e.batch.queue(request.Priority)
+	leave = func() { e.batch.leave(place) }
 	for {
 		select {
-		case e.batch <- struct{}{}:
-			return func() { <-e.batch }, true
+		case <-place.entered:
+			return leave, true
 		case <-time.After(batchPoll):
 		}
-		if !e.alive(a, id) || ctx.Err() != nil {
+		if !e.alive(a, request.Attempt) || ctx.Err() != nil {
+			leave()
 			return nil, false
 		}
 	}
