--- a/internal/callerapi/completion_request.go
+++ b/internal/callerapi/completion_request.go
@@ -35,6 +35,7 @@
 	StreamOptions       streamOptions `json:"stream_options"`
 	MaxTokens           int           `json:"max_tokens"`
 	MaxCompletionTokens int           `json:"max_completion_tokens"` // the newer name
+	request.Prompt
 }
 
 // readCompletion reads and checks the body of a completion.
@@ -62,6 +63,7 @@
 		MaxTokens:   cmp.Or(parsed.MaxTokens, parsed.MaxCompletionTokens),
 		Fingerprint: request.Fingerprint(fleet.ModelName(name), adapter, body),
 		Prefix:      request.Prefix(fleet.ModelName(name), adapter, body),
+		Blocks:      parsed.Blocks(fleet.ModelName(name), adapter),
 		Deadline:    deadline,
 	}
 	return req, parsed, nil
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -28,7 +28,7 @@
 	*Switches
 	streamSwitches
 	options EngineOptions
-	batch   chan struct{} // a place for each request in the batch; nil is no bound
+	batch   *batch // nil is no bound
 
 	mu       sync.Mutex
 	report   fleet.MemberReport
@@ -37,13 +37,14 @@
 	events   []EngineEvent
 	lagged   []loadSample
 	loadStop context.CancelFunc
+	prompts  *PromptCache
 }
 
 // NewEngine returns an idle engine.
 func NewEngine(options EngineOptions) *Engine {
 	e := &Engine{Switches: NewSwitches(), options: options}
 	if options.MaxRunning > 0 {
-		e.batch = make(chan struct{}, options.MaxRunning)
+		e.batch = newBatch(options.MaxRunning)
 	}
 	e.Reboot()
 	return e
@@ -60,6 +61,7 @@
 	e.highest = fleet.NoGroup
 	e.attempts = map[string]*attempt{}
 	e.lagged = nil
+	e.prompts = NewPromptCache(e.options.CacheBlocks)
 	e.note(EngineEvent{Kind: EventBoot})
 }
 
--- a/internal/fakes/generate.go
+++ b/internal/fakes/generate.go
@@ -12,6 +12,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/fleet"
+	caller "github.com/plantainmux/plantainmux/internal/request"
 	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
@@ -84,20 +85,29 @@
 // produce generates the tokens of an attempt at the engine's pace.
 func (e *Engine) produce(ctx context.Context, a *attempt, request endpoint.GenerateRequest) {
 	if e.shouldCrash(request) {
-		e.crash(request)
+		if wait.For(ctx, e.options.CrashAfter) && e.alive(a, request.Attempt) {
+			e.crash(request)
+		}
 		return
 	}
 	tokens := e.tokensOf(request)
-	leave, ok := e.enterBatch(ctx, a, request.Attempt)
+	leave, ok := e.enterBatch(ctx, a, request)
 	if !ok {
 		return
 	}
 	defer leave()
+	cache, missed := e.readPrompt(request)
+	if !wait.For(ctx, time.Duration(missed)*e.options.ReadDelay) {
+		return
+	}
 	for i := range tokens {
 		if !wait.For(ctx, e.options.TokenDelay) || !e.alive(a, request.Attempt) {
 			return
 		}
 		frame := endpoint.Frame{Attempt: request.Attempt, Index: i, Text: Token(request.Body, i)}
+		if i == 0 {
+			frame.Cache = cache
+		}
 		if e.options.OnFrame != nil {
 			e.options.OnFrame(frame)
 		}
@@ -110,19 +120,41 @@
 	e.finish(a, request)
 }
 
+// readPrompt reads a prompt into the cache. It returns what the answer tells of
+// the cache and how many blocks were not held.
+func (e *Engine) readPrompt(request endpoint.GenerateRequest) (events *endpoint.CacheEvents, missed int) {
+	blocks := caller.Blocks(request.Model, request.Adapter, request.Body)
+	if e.options.CacheBlocks == 0 {
+		return nil, len(blocks)
+	}
+	faults := e.cacheFaults()
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	missed = len(blocks) - e.prompts.Read(blocks, now)
+	events = e.prompts.Published(request.CacheAfter, now.Add(-faults.CacheLag))
+	if faults.CacheGap {
+		loseOldest(events, len(events.Events)/2)
+	}
+	return events, missed
+}
+
 // enterBatch waits for a place in the batch. It returns false when the attempt
 // ended meanwhile.
-func (e *Engine) enterBatch(ctx context.Context, a *attempt, id string) (leave func(), ok bool) {
+func (e *Engine) enterBatch(ctx context.Context, a *attempt, request endpoint.GenerateRequest) (leave func(), ok bool) {
 	if e.batch == nil {
 		return func() {}, true
 	}
+	place := e.batch.queue(request.Priority)
+	leave = func() { e.batch.leave(place) }
 	for {
 		select {
-		case e.batch <- struct{}{}:
-			return func() { <-e.batch }, true
+		case <-place.entered:
+			return leave, true
 		case <-time.After(batchPoll):
 		}
-		if !e.alive(a, id) || ctx.Err() != nil {
+		if !e.alive(a, request.Attempt) || ctx.Err() != nil {
+			leave()
 			return nil, false
 		}
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -25,6 +25,7 @@
 	frames  sequence
 	skipped *xxhash.Digest // of the frames that the caller has from an earlier attempt
 	dog     *watchdog
+	recall  *recall
 	sent    bool // bytes may have reached the endpoint
 	started time.Time
 	first   time.Time // of the first frame
@@ -41,15 +42,30 @@
 	defer giveUp(nil)
 	a.dog = startWatchdog(a.frames.attempt, a.target.serving.Fencing, a.Views, giveUp)
 	defer a.dog.stop()
+	a.recall = &recall{attempt: a.frames.attempt, giveUp: giveUp}
+	if !a.target.alone && a.target.remote == "" {
+		a.recalls.add(a.req.Fingerprint, a.recall)
+		defer a.recalls.remove(a.req.Fingerprint, a.recall)
+	}
 	err := a.streamUntilDone(ctx)
-	var stalled *StalledError
-	if err != nil && errors.As(context.Cause(ctx), &stalled) {
-		err = stalled
+	if err != nil {
+		err = whyGivenUp(ctx, err)
 	}
 	a.end(err)
 	return err
 }
 
+// whyGivenUp returns why an attempt was given up, or err when it was not.
+func whyGivenUp(ctx context.Context, err error) error {
+	cause := context.Cause(ctx)
+	var stalled *StalledError
+	var recalled *RecalledError
+	if errors.As(cause, &stalled) || errors.As(cause, &recalled) {
+		return cause
+	}
+	return err
+}
+
 func (a *attempt) streamUntilDone(ctx context.Context) error {
 	fruitless := 0
 	for {
@@ -108,6 +124,7 @@
 		Priority:   a.req.Priority,
 		Body:       a.req.Body,
 		ResumeFrom: a.frames.next,
+		CacheAfter: a.target.serving.Load.Prompts.Applied(),
 	})
 }
 
@@ -195,9 +212,14 @@
 // brought it.
 func (a *attempt) accept(frame endpoint.Frame) error {
 	if a.frames.next == 0 {
+		if !a.recall.begin() {
+			return a.recall.failure()
+		}
 		a.first = time.Now()
 		a.target.serving.Load.SawFirstToken(a.first.Sub(a.started))
+		a.learnCache(frame.Cache)
 	}
+	frame.Cache = nil
 	a.frames.next++
 	if a.frames.next > a.delivered {
 		return a.take(frame)
@@ -205,6 +227,19 @@
 	return a.skip(frame)
 }
 
+// learnCache takes what the first frame tells of the engine's prefix cache.
+func (a *attempt) learnCache(events *endpoint.CacheEvents) {
+	if a.target.remote != "" {
+		return
+	}
+	if events != nil {
+		a.Metrics.CacheEvents(len(events.Events))
+	}
+	if a.target.serving.Load.Prompts.Learn(a.req.Blocks, events, a.first) {
+		a.Metrics.CacheGap()
+	}
+}
+
 // skip compares a frame that the caller already has with what it got.
 func (a *attempt) skip(frame endpoint.Frame) error {
 	if a.skipped == nil {
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"time"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/refusal"
@@ -38,23 +39,44 @@
 }
 
 func (r *run) pickShared() (*target, *refusal.Refusal) {
-	serving, ok := route.Pick(r.Views.Load(), r.req, r.excluded)
+	v := r.Views.Load()
+	serving, ok := route.Pick(v, r.req, r.excluded)
 	if !ok {
 		return r.pickRemote()
 	}
-	r.excluded[serving.Fencing] = true
-	return &target{serving: serving, release: func() {}}, nil
+	joinable := func(group fleet.FencingNumber) bool { return r.joinable(v, group) }
+	fencing, release := r.copies.begin(r.req.Fingerprint, serving.Fencing, joinable)
+	if fencing != serving.Fencing {
+		serving, _ = v.Group(fencing)
+	}
+	r.excluded[fencing] = true
+	r.Metrics.Prompt(len(r.req.Blocks), serving.Load.Prompts.Held(r.req.Blocks, time.Now()))
+	return &target{serving: serving, release: release}, nil
+}
+
+// joinable reports whether a copy of a request in progress may run on its group.
+func (r *run) joinable(v *view.View, fencing fleet.FencingNumber) bool {
+	now := time.Now()
+	serving, ok := v.Group(fencing)
+	return ok && !r.excluded[fencing] && serving.Proven(now) && route.HasRoom(serving, v.At, now)
 }
 
-// pickAlone waits for a group without another suspect.
+// pickAlone waits for a group without another suspect, outside the team's
+// concurrency.
 func (r *run) pickAlone(ctx context.Context) (*target, *refusal.Refusal) {
+	if !r.Suspects.BeginWait(r.req.Fingerprint) {
+		return nil, r.tooManySuspects()
+	}
+	r.slot.Pause()
 	fencing, release, ok := r.Suspects.Isolate(ctx, r.req.Fingerprint, r.candidates)
-	switch {
-	case ctx.Err() != nil:
+	r.Suspects.EndWait(r.req.Fingerprint)
+	if refused := r.resume(ctx); refused != nil {
 		if ok {
 			release()
 		}
-		return nil, r.timeOver(ctx)
+		return nil, refused
+	}
+	switch {
 	case !ok && r.Suspects.Standing(r.req.Fingerprint) == suspect.Isolated:
 		return r.pickRemote()
 	case !ok:
@@ -69,6 +91,22 @@
 	return &target{serving: serving, alone: true, release: release}, nil
 }
 
+// resume takes the request's place in the team's concurrency again.
+func (r *run) resume(ctx context.Context) *refusal.Refusal {
+	if ctx.Err() != nil {
+		return r.timeOver(ctx)
+	}
+	refused := r.slot.Resume(ctx)
+	switch {
+	case ctx.Err() != nil:
+		return r.timeOver(ctx)
+	case refused != nil:
+		return r.refuse(refused.Reason, refused.RetryAfter, refused.Detail)
+	default:
+		return nil
+	}
+}
+
 // pickRemote chooses another data centre that is to serve the model, or refuses
 // the request.
 func (r *run) pickRemote() (*target, *refusal.Refusal) {
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -21,17 +22,30 @@
 type Watch struct {
 	Table      *Table
 	slots      *Slots
+	waiters    *waiters
 	mesh       peer.Mesh
 	dataCentre fleet.DataCentre
+	onCrash    atomic.Pointer[func(fingerprint uint64)]
 }
 
 // NewWatch returns a watch and subscribes it to the mesh.
 func NewWatch(mesh peer.Mesh, dataCentre fleet.DataCentre) *Watch {
-	w := &Watch{Table: NewTable(), slots: NewSlots(mesh.Self()), mesh: mesh, dataCentre: dataCentre}
+	w := &Watch{Table: NewTable(), slots: NewSlots(mesh.Self()), waiters: newWaiters(), mesh: mesh, dataCentre: dataCentre}
 	mesh.Subscribe(peer.TopicSuspects, w.learn)
 	return w
 }
 
+// OnCrash sets what is told of each request that becomes a suspect or crashes again. It must not
+// block.
+func (w *Watch) OnCrash(told func(fingerprint uint64)) { w.onCrash.Store(&told) }
+
+func (w *Watch) hold(crash Crash, now time.Time) {
+	w.Table.Add(crash, now)
+	if told := w.onCrash.Load(); told != nil {
+		(*told)(crash.Fingerprint)
+	}
+}
+
 // Standing returns how a request is to be treated now.
 func (w *Watch) Standing(fingerprint uint64) Standing {
 	return w.Table.Standing(fingerprint, time.Now())
@@ -41,7 +55,7 @@
 func (w *Watch) Crashed(fingerprint uint64, group fleet.FencingNumber, alone bool) {
 	now := time.Now()
 	crash := Crash{Fingerprint: fingerprint, DataCentre: w.dataCentre, Group: group, Alone: alone, At: now}
-	w.Table.Add(crash, now)
+	w.hold(crash, now)
 	w.mesh.Publish(peer.TopicSuspects, peer.ScopeFleet, Message{Crash: &crash})
 }
 
@@ -52,6 +66,13 @@
 	w.mesh.Publish(peer.TopicSuspects, peer.ScopeFleet, Message{Acquittal: &Acquittal{Fingerprint: fingerprint, At: now}})
 }
 
+// BeginWait lets a request wait to run alone, unless too many do. On success the
+// caller calls EndWait once.
+func (w *Watch) BeginWait(fingerprint uint64) bool { return w.waiters.begin(fingerprint) }
+
+// EndWait ends a wait to run alone.
+func (w *Watch) EndWait(fingerprint uint64) { w.waiters.end(fingerprint) }
+
 // Isolate waits until one of the candidate groups is free of suspects and
 // claims it. The caller calls release once. It returns false when ctx ends, or
 // when the request is no longer merely isolated.
@@ -104,7 +125,7 @@
 	now := time.Now()
 	switch {
 	case message.Crash != nil:
-		w.Table.Add(*message.Crash, now)
+		w.hold(*message.Crash, now)
 	case message.Claim != nil:
 		w.slots.Learn(*message.Claim, now)
 	case message.Acquittal != nil:
