Orders: the stream's clock counts the time that passed, not what clocks say

Cause: a slot's time was the second highest clock reading of any daemon. Two daemons whose clocks were fast at the same time expired keys early, and an expired key runs again: a doubled order. One fast VM was enough, since a restarted daemon has a new name and counted as a second daemon. A slot that only one daemon wrote to kept its keys for ever.

A clock that is wrong by a fixed time has no effect, on however many daemons. Keys live an hour longer than declared, which covers credit from before the claim and one step of each clock; the daemon writes these records by a clock that is never stepped.

Weighed: the median reading of the daemons (a common wrong time source, or restarts of one VM, still carry it); a bound on the advance for each record (a busy slot advances without bound); the log's own time of a record (its protocol gives none).

The old spec of one wrong clock is replaced: it asserted expiry by absolute readings. The new one covers clocks ahead on three daemons and a restarted one, one behind, and a step of both honest clocks; it failed on the old clock (the key was granted twice), and fails without the bound on credit, with one daemon in place of two, and without the margin. The lone writer's spec failed on the old clock too. The deadline of an order keeps its monotonic reading, so that a clock stepped back does not extend it (read, not tested).

--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -20,6 +20,7 @@
 
 // orders are the parts that call plain services.
 type orders struct {
+	clock   func() time.Time // time of the records of orders
 	slots   *order.Follower
 	runner  *order.Runner
 	sweeper *order.Sweeper
@@ -40,10 +41,12 @@
 		Metrics: metrics,
 	})
 	router := order.NewRouter(d.mesh, slots, runner)
+	steady := order.SteadyClock()
 	d.orders = orders{
+		clock:   steady,
 		slots:   slots,
 		runner:  runner,
-		sweeper: order.NewSweeper(d.id, slots, metrics, time.Now),
+		sweeper: order.NewSweeper(d.id, slots, metrics, steady),
 		book:    order.NewBook(slots),
 		caller:  service.NewCaller(d.adapters.Service, router, health, d.settings.DataCentre, service.NewMetrics(d.metrics)),
 		checker: service.NewChecker(d.adapters.Service, health, d.settings.DataCentre, d.pool, d.services),
@@ -57,6 +60,7 @@
 func (d *Daemon) openSlot(slot order.Slot, writer string, onApply func()) *logstream.Stream[*order.Fold] {
 	options := d.streamOptions(onApply)
 	options.Writer = writer
+	options.Now = d.orders.clock
 	options.SnapshotEvery = orderSnapshotEvery
 	return logstream.New(d.adapters.Log, order.StreamName(slot), order.NewFold(), options)
 }
--- a/internal/order/doc.go
+++ b/internal/order/doc.go
@@ -22,8 +22,12 @@
 // has run, guarantees the rest. Its outcome is recorded when the log takes it
 // within a few seconds, else the service alone knows the key.
 //
-// Keys live for their declared time by the stream's clock, the latest time that
-// two daemons have both reached. One daemon's wrong clock neither expires keys
-// early nor is it believed for its own claims when it is behind. A slot that
-// only one daemon ever wrote to keeps its keys.
+// Keys live for their declared time and an hour, by the stream's clock. That
+// clock adds up the time between two records of the same daemon, at most half
+// an hour each, and counts what two daemons vouch for. So clocks that are wrong
+// by any fixed time, on however many daemons, expire no key early; nor does one
+// step of each clock. Daemons write their records by a clock that is not
+// stepped, so that it takes two daemons whose clocks run too fast. A daemon
+// that alone writes to a slot is believed a day late. A clock that lags keeps
+// keys for longer.
 package order
--- a/internal/order/fold.go
+++ b/internal/order/fold.go
@@ -27,7 +27,7 @@
 // foldState is the encoded form of a Fold.
 type foldState struct {
 	Records map[Key]Record `cbor:"1,keyasint"`
-	Clock   clock          `cbor:"2,keyasint"`
+	Clock   clock          `cbor:"3,keyasint"`
 }
 
 // NewFold returns an empty slot.
--- a/internal/order/fold_test.go
+++ b/internal/order/fold_test.go
@@ -1,6 +1,8 @@
 package order_test
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -28,6 +30,22 @@
 	return f.Apply(position, kind, encoded)
 }
 
+// tick advances the clocks of writers to a time.
+func (f *slotFold) tick(at time.Duration, writers ...string) {
+	GinkgoHelper()
+	for _, writer := range writers {
+		Expect(f.apply(writer, at, order.KindTick, order.Tick{})).To(Succeed())
+	}
+}
+
+// tickAll ticks writers whose clocks differ by fixed times.
+func (f *slotFold) tickAll(at time.Duration, clocks map[string]time.Duration) {
+	GinkgoHelper()
+	for _, writer := range slices.Sorted(maps.Keys(clocks)) {
+		f.tick(at+clocks[writer], writer)
+	}
+}
+
 func claimOf(key order.Key) order.Claim {
 	return order.Claim{Key: key, DeadlineMillis: time.Minute.Milliseconds(), LifetimeMillis: time.Hour.Milliseconds(), Attempt: 1}
 }
@@ -35,18 +53,40 @@
 var _ = Describe("Fold", func() {
 	const key order.Key = "k"
 
-	It("keeps a key for its lifetime whatever one daemon's clock says", func() {
+	It("keeps a key for its lifetime whatever clocks are wrong, or stepped once, and drops it after", func() {
+		f := newSlotFold()
+		clocks := map[string]time.Duration{"ahead/1": 9000 * time.Hour, "ahead/2": 9000 * time.Hour, "ahead-too/1": 9001 * time.Hour, "behind/1": -9000 * time.Hour}
+		f.tick(0, "a/1", "b/1")
+		Expect(f.apply("a/1", 0, order.KindClaim, claimOf(key))).To(Succeed())
+		f.tickAll(0, clocks)
+		late := claimOf("other")
+		late.DeadlineMillis -= 9000 * time.Hour.Milliseconds()
+		Expect(f.apply("behind/1", -9000*time.Hour, order.KindClaim, late)).To(Succeed())
+		for at := time.Duration(0); at <= 59*time.Minute; at += 10 * time.Minute {
+			f.tickAll(at, clocks)
+			f.tick(at, "a/1", "b/1")
+			Expect(f.apply("b/1", at, order.KindClaim, claimOf(key))).NotTo(Succeed())
+		}
+		f.tick(9000*time.Hour, "a/1", "b/1")
+		Expect(f.apply("late/1", 59*time.Minute, order.KindClaim, claimOf(key))).NotTo(Succeed())
+		Expect(f.Len()).To(Equal(2))
+		for at := time.Duration(0); at <= 3*time.Hour; at += 10 * time.Minute {
+			f.tick(9000*time.Hour+at, "a/1", "b/1")
+		}
+		Expect(f.Len()).To(BeZero())
+	})
+
+	It("drops the keys that one daemon alone writes, but a day later", func() {
 		f := newSlotFold()
 		Expect(f.apply("a/1", 0, order.KindClaim, claimOf(key))).To(Succeed())
-		Expect(f.apply("ahead/1", 9000*time.Hour, order.KindTick, order.Tick{})).To(Succeed())
-		Expect(f.apply("ahead/2", 9000*time.Hour, order.KindTick, order.Tick{})).To(Succeed())
-		Expect(f.apply("b/1", 59*time.Minute, order.KindClaim, claimOf(key))).NotTo(Succeed())
-		Expect(f.apply("behind/1", -9000*time.Hour, order.KindClaim, claimOf("other"))).To(Succeed())
-		Expect(f.apply("b/1", 61*time.Minute, order.KindTick, order.Tick{})).To(Succeed())
-		_, kept := f.Find(key)
-		Expect(kept).To(BeFalse())
-		_, kept = f.Find("other")
-		Expect(kept).To(BeTrue())
+		for at := time.Duration(0); at < 25*time.Hour; at += 10 * time.Minute {
+			f.tick(at, "a/1")
+		}
+		Expect(f.Len()).To(Equal(1))
+		for at := 25 * time.Hour; at < 28*time.Hour; at += 10 * time.Minute {
+			f.tick(at, "a/1")
+		}
+		Expect(f.Len()).To(BeZero())
 	})
 
 	It("drops the same keys at the same offset after a snapshot", func() {
@@ -58,10 +98,10 @@
 		Expect(err).NotTo(HaveOccurred())
 		restored := &slotFold{Fold: order.NewFold(), next: f.next}
 		Expect(restored.Decode(data)).To(Succeed())
-		for _, at := range []time.Duration{60 * time.Minute, 60*time.Minute + time.Second, 61 * time.Minute} {
+		for at := time.Minute; at <= 3*time.Hour; at += 7 * time.Minute {
 			for _, writer := range []string{"a/1", "b/1"} {
-				Expect(f.apply(writer, at, order.KindTick, order.Tick{})).To(Succeed())
-				Expect(restored.apply(writer, at, order.KindTick, order.Tick{})).To(Succeed())
+				f.tick(at, writer)
+				restored.tick(at, writer)
 				Expect(restored.Len()).To(Equal(f.Len()))
 			}
 		}
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -25,12 +25,10 @@
 // deadlineAt returns the order's deadline by the clock of a daemon that got it
 // at a time. An order that was held back on its way is late there too.
 func (o Order) deadlineAt(now time.Time) time.Time {
-	relative := now.Add(o.Timeout)
 	absolute := time.UnixMilli(o.DeadlineMillis).Add(clockSkewBound)
-	if absolute.Before(relative) {
-		return absolute
-	}
-	return relative
+	// The sum keeps now's monotonic reading: a clock that is stepped back later
+	// does not extend the deadline.
+	return now.Add(min(o.Timeout, absolute.Sub(now)))
 }
 
 // claim returns the claim of the order.
--- a/internal/order/rules.go
+++ b/internal/order/rules.go
@@ -14,19 +14,18 @@
 	return nil
 }
 
-// newRecord starts a key's lifetime at its writer's clock, but not before the
-// stream's time: a writer whose clock is behind must not cut it short. A key
-// outlives its order's deadline and the bound on doubt.
+// newRecord starts a key's lifetime at the stream's time. A key outlives its
+// order's deadline and the bound on doubt.
 func (f *Fold) newRecord(at logstream.Position, claim Claim, state State) Record {
-	start := max(at.Time.UnixMilli(), f.clock.now())
 	lifetime := min(claim.LifetimeMillis, maxLifetime.Milliseconds())
-	unsettled := min(claim.DeadlineMillis-at.Time.UnixMilli(), maxLifetime.Milliseconds()) + 2*doubtBound.Milliseconds()
+	timeout := claim.DeadlineMillis - at.Time.UnixMilli()
+	unsettled := max(0, min(timeout, maxLifetime.Milliseconds())) + 2*doubtBound.Milliseconds()
 	return Record{
 		Claim:         claim,
 		Offset:        at.Offset,
 		Writer:        at.Writer,
 		ClaimedMillis: at.Time.UnixMilli(),
-		ExpiresMillis: start + max(lifetime, unsettled),
+		ExpiresMillis: f.clock.now() + max(lifetime, unsettled) + lifetimeMargin.Milliseconds(),
 		State:         state,
 	}
 }
--- a/internal/order/sweeper.go
+++ b/internal/order/sweeper.go
@@ -84,7 +84,7 @@
 	var due []chore
 	now := s.now()
 	f.stream.Read(func(fold *Fold) {
-		if fold.Len() > 0 && fold.clock.lags(now) && !fold.clock.knows(string(s.self), now) {
+		if fold.Len() > 0 && !fold.clock.knows(string(s.self), now) {
 			due = append(due, chore{kind: KindTick, body: Tick{}})
 		}
 		fold.Each(func(record Record) {
