Orders: an outcome that reached the log too late to be judged is proposed anew

Cause: a record that is appended more than 32,768 records after it was written is void as stale. An owner that could not append meanwhile took that verdict as final and gave up the outcome: the order had run, but stayed claimed and became unclear. The same held for withdrawals. A claim with that verdict was refused as not run, rightly, but an earlier copy of it might stand; it is withdrawn now.

--- a/internal/order/bed_test.go
+++ b/internal/order/bed_test.go
@@ -10,7 +10,9 @@
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/order"
+	"github.com/plantainmux/plantainmux/internal/platform"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 )
 
@@ -122,6 +124,22 @@
 	}
 }
 
+// fill appends records without effect to a slot's stream.
+func (b *bed) fill(slot order.Slot, count int) {
+	GinkgoHelper()
+	const page = 1000
+	for seq := 0; seq < count; seq += page {
+		records := make([][]byte, page)
+		for i := range records {
+			entry := logstream.Entry{Writer: "filler/1", Seq: uint64(seq + i + 1), Kind: logstream.KindFence, Since: platform.Offset(seq)}
+			data, err := logstream.Marshal(entry)
+			Expect(err).NotTo(HaveOccurred())
+			records[i] = data
+		}
+		b.log.Append(order.StreamName(slot), records)
+	}
+}
+
 func isNotRun(result order.Result) bool {
 	return result.Refusal != nil && result.Refusal.Outcome == refusal.NotRun
 }
--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -18,7 +19,6 @@
 	outcomeWait       = 500 * time.Millisecond // an answer waits so long for its record
 	insistDelay       = 200 * time.Millisecond // between two proposals of a record that must not be lost
 	directRunTimeout  = 5 * time.Second        // wait for the record of a run without a claim
-	tickBound         = time.Hour              // lag of the stream's clock after which a tick is due
 	retryLogAway      = 5 * time.Second
 	retryInProgress   = time.Second
 	retryServiceDown  = 2 * time.Second
@@ -136,7 +136,7 @@
 	receipt, err := r.propose(t, KindClaim, t.claim, limit)
 	t.followed.breaker.leave(err == nil, limit == r.ClaimTimeout)
 	switch {
-	case err != nil:
+	case err != nil || isStale(receipt.Void):
 		r.unclaimed(t, true)
 	case receipt.Void != nil:
 		t.reply(r.lost(t, receipt.Void))
@@ -195,16 +195,23 @@
 }
 
 // insist proposes a record until its verdict is read. A repeat of one that is
-// in the stream already is void.
+// in the stream already is void. One that came too late to be judged is
+// proposed anew.
 func (r *Runner) insist(t *task, kind logstream.Kind, body any) {
 	for r.Context.Err() == nil {
-		if _, err := r.propose(t, kind, body, 0); err == nil {
+		receipt, err := r.propose(t, kind, body, 0)
+		if err == nil && !isStale(receipt.Void) {
 			return
 		}
 		wait.For(r.Context, insistDelay)
 	}
 }
 
+func isStale(void error) bool {
+	var stale *logstream.StaleError
+	return errors.As(void, &stale)
+}
+
 // runDirect runs an order without a claim: the service itself refuses a key
 // that it has run.
 func (r *Runner) runDirect(t *task, proposed bool) {
--- a/internal/order/service_faults_test.go
+++ b/internal/order/service_faults_test.go
@@ -84,6 +84,23 @@
 		Expect(b.service.RunsOf("away-a")).To(Equal(1))
 	})
 
+	It("is recorded by an owner that could not append while others wrote very much", func() {
+		b := newBed()
+		b.snapshotEvery = 1 << 20
+		nodes := b.startNodes(2)
+		owner, others := b.ownerOf(key, nodes)
+		owner.onStep(func(at string) {
+			if at == beforeOutcome {
+				owner.appendsCut.Store(true)
+			}
+		})
+		Expect(owner.place(b.order(key)).Refusal).To(BeNil())
+		b.fill(order.SlotOf(b.order(key).Key), 40_000)
+		owner.onStep(nil)
+		owner.appendsCut.Store(false)
+		Eventually(b.stateOf(others[0], key), waitLong, pollOften).Should(Equal(order.Ran))
+	})
+
 	It("is asked for again, not run again, when its owner's answer is lost", func() {
 		b := newBed()
 		nodes := b.startNodes(3)
