Orders: keys are kept for as long as a service may declare

Cause: the configuration allows a key lifetime of 366 days, the slots cut it to 31 without a word, after which the key could run again. The spec failed before: 31 days kept of 366.

--- a/internal/order/fold.go
+++ b/internal/order/fold.go
@@ -12,8 +12,9 @@
 const (
 	// doubtBound is how long after its deadline a claim stays without doubt.
 	doubtBound = time.Minute
-	// maxLifetime bounds how long a key is kept.
-	maxLifetime = 31 * 24 * time.Hour
+	// maxLifetime bounds how long a key is kept: the longest that a configuration
+	// may declare.
+	maxLifetime = 366 * 24 * time.Hour
 )
 
 // Fold is the state of one slot.
--- a/internal/order/fold_test.go
+++ b/internal/order/fold_test.go
@@ -76,6 +76,15 @@
 		Expect(f.Len()).To(BeZero())
 	})
 
+	It("keeps a key for the longest lifetime that a service may declare", func() {
+		f := newSlotFold()
+		declared := claimOf(key)
+		declared.LifetimeMillis = (366 * 24 * time.Hour).Milliseconds()
+		Expect(f.apply("a/1", 0, order.KindClaim, declared)).To(Succeed())
+		record, _ := f.Find(key)
+		Expect(record.ExpiresMillis).To(BeNumerically(">=", declared.LifetimeMillis))
+	})
+
 	It("drops the keys that one daemon alone writes, but a day later", func() {
 		f := newSlotFold()
 		Expect(f.apply("a/1", 0, order.KindClaim, claimOf(key))).To(Succeed())
