Orders: a repeat that waits is never answered with another request's answer

Cause: a repeat looked at the fingerprint of the key's record before it waited for the outcome, not after. When the claim ended as not run and another request got the key within one page of records, the repeat got that request's answer.

The spec failed before (the other request's answer came back without a refusal); now key_reused.

--- a/internal/order/repeat.go
+++ b/internal/order/repeat.go
@@ -11,8 +11,9 @@
 // repeat answers an order whose key is known. It never runs anything.
 func (r *Runner) repeat(ctx context.Context, f *followed, o Order, record Record) Result {
 	r.Metrics.repeats.Inc()
-	if record.Claim.Fingerprint != NewFingerprint(o.Call.Method, o.Call.Path, o.Call.Body) {
-		return refused(refusal.New(refusal.KeyReused, 0, "the idempotency key belongs to another request"))
+	fingerprint := NewFingerprint(o.Call.Method, o.Call.Path, o.Call.Body)
+	if record.Claim.Fingerprint != fingerprint {
+		return keyReused()
 	}
 	ctx, cancel := context.WithDeadline(ctx, o.repeatUntil(r.Now()))
 	defer cancel()
@@ -20,9 +21,18 @@
 	if !ok {
 		return refused(refusal.NewUnknown(refusal.OrderUnsettled, retryInProgress, "the key has expired"))
 	}
+	// The claim that was waited for may have ended as not run, and another
+	// request have got the key.
+	if latest.Claim.Fingerprint != fingerprint {
+		return keyReused()
+	}
 	return answerRecord(latest)
 }
 
+func keyReused() Result {
+	return refused(refusal.New(refusal.KeyReused, 0, "the idempotency key belongs to another request"))
+}
+
 // lost answers a claim that another one preceded.
 func (r *Runner) lost(t *task, void error) Result {
 	var claimed *ClaimedError
--- a/internal/order/service_faults_test.go
+++ b/internal/order/service_faults_test.go
@@ -84,6 +84,42 @@
 		Expect(b.service.RunsOf("away-a")).To(Equal(1))
 	})
 
+	It("is never answered with another request's answer that got its key meanwhile", func() {
+		b := newBed()
+		nodes := b.startNodes(3)
+		claimant, waiting, other := nodes[0], nodes[1], nodes[2]
+		for _, n := range nodes {
+			n.alone.Store(true)
+		}
+		thawed := make(chan struct{})
+		claimant.onStep(func(at string) {
+			if at == readClaim {
+				<-thawed
+			}
+		})
+		o := b.order(key)
+		o.Timeout = time.Second
+		o.DeadlineMillis = time.Now().Add(o.Timeout).UnixMilli()
+		go claimant.place(o)
+		Eventually(b.stateOf(waiting, key), waitLong, pollOften).Should(Equal(order.Claimed))
+		waiting.readsCut.Store(true)
+		results := make(chan order.Result, 1)
+		repeat := b.order(key)
+		repeat.Again = true // waits all its time for the outcome
+		go func() { results <- waiting.place(repeat) }()
+		claimant.clock.Store(int64(time.Minute))
+		close(thawed)
+		Eventually(b.stateOf(other, key), waitLong, pollOften).Should(Equal(order.NotRan))
+		another := b.order(key)
+		another.Call.Body = []byte("another request")
+		Expect(other.place(another).Refusal).To(BeNil())
+		waiting.readsCut.Store(false)
+		var result order.Result
+		Eventually(results, waitLong).Should(Receive(&result))
+		Expect(result.Refusal).NotTo(BeNil())
+		Expect(result.Refusal.Reason).To(Equal(refusal.KeyReused))
+	})
+
 	It("is recorded by an owner that could not append while others wrote very much", func() {
 		b := newBed()
 		b.snapshotEvery = 1 << 20
