Orders: callers of the random schedule draw their nodes from the seed; more strikes

A caller drew its node from an unseeded source. It draws from the seed now, and so do new strikes: appends cut, a wrong clock for the rest of a node's life, and a node held back at a step. SCHEDULE_SEED names another seed. What stays unseeded is the timing of goroutines and of the log.

--- a/internal/order/schedule_test.go
+++ b/internal/order/schedule_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"strconv"
 	"sync"
 	"time"
 
@@ -16,7 +18,7 @@
 )
 
 const (
-	scheduleSeed   = 7
+	scheduleSeed   = 7 // used when SCHEDULE_SEED does not name another
 	scheduleOrders = 400
 	scheduleNodes  = 4
 	maxCallers     = 4 // callers of one key, at the same time
@@ -67,10 +69,11 @@
 	born   int
 }
 
-func (s *schedule) any() *node {
+// pick returns the node that a caller draws.
+func (s *schedule) pick(random *rand.Rand) *node {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.nodes[rand.N(len(s.nodes))]
+	return s.nodes[random.IntN(len(s.nodes))]
 }
 
 // replace kills a node, at once or at its next time at a step, and starts
@@ -94,7 +97,7 @@
 	index := s.random.IntN(scheduleNodes)
 	n := s.nodes[index]
 	pause := time.Duration(s.random.IntN(300)) * time.Millisecond
-	switch s.random.IntN(10) {
+	switch s.random.IntN(13) {
 	case 0, 1:
 		s.replace(index, steps[s.random.IntN(len(steps))])
 	case 2:
@@ -113,6 +116,12 @@
 		s.bed.log.Set(fakes.Faults{DelayMS: 200})
 	case 9:
 		s.bed.service.Set(fakes.Faults{Frozen: true})
+	case 10:
+		n.appendsCut.Store(true)
+	case 11:
+		n.clock.Store(int64(time.Duration(s.random.IntN(240)-120) * time.Second)) // for the rest of its life
+	case 12:
+		defer n.freezeAt(steps[s.random.IntN(len(steps))])()
 	}
 	time.Sleep(pause)
 	s.bed.log.Set(fakes.Faults{})
@@ -121,15 +130,31 @@
 		n.alone.Store(false)
 		n.losesAnswers.Store(false)
 		n.readsCut.Store(false)
+		n.appendsCut.Store(false)
+	}
+}
+
+// freezeAt holds a node back whenever it reaches a step, until thaw is called.
+func (n *node) freezeAt(step string) (thaw func()) {
+	thawed := make(chan struct{})
+	n.onStep(func(at string) {
+		if at == step {
+			<-thawed
+		}
+	})
+	return func() {
+		n.onStep(nil)
+		close(thawed)
 	}
 }
 
 var _ = Describe("A schedule of failures", func() {
 	It("never runs an order twice, nor one that was always refused as not run", func() {
-		GinkgoWriter.Printf("seed %d\n", scheduleSeed)
+		seed := seedOf(scheduleSeed)
+		GinkgoWriter.Printf("seed %d\n", seed)
 		b := newBed()
 		b.snapshotEvery = 64
-		s := &schedule{bed: b, random: rand.New(rand.NewPCG(scheduleSeed, 0)), nodes: b.startNodes(scheduleNodes)}
+		s := &schedule{bed: b, random: rand.New(rand.NewPCG(seed, 0)), nodes: b.startNodes(scheduleNodes)}
 		told := make([]history, scheduleOrders)
 		var placing sync.WaitGroup
 		stop := make(chan struct{})
@@ -146,8 +171,9 @@
 		})
 		for i := range scheduleOrders {
 			key := fmt.Sprintf("s-%d", i)
-			for range 1 + s.callers(i) {
-				placing.Go(func() { s.persist(key, &told[i]) })
+			for caller := range 1 + s.callers(i) {
+				random := rand.New(rand.NewPCG(seed, uint64(1+i*maxCallers+caller)))
+				placing.Go(func() { s.persist(key, random, &told[i]) })
 			}
 			time.Sleep(15 * time.Millisecond)
 		}
@@ -165,16 +191,24 @@
 	})
 })
 
+// seedOf returns the seed that the environment names, or the usual one.
+func seedOf(usual uint64) uint64 {
+	if seed, err := strconv.ParseUint(os.Getenv("SCHEDULE_SEED"), 10, 64); err == nil {
+		return seed
+	}
+	return usual
+}
+
 func (s *schedule) callers(i int) int { return i % maxCallers }
 
 // persist sends an order again, to any node, until its answer is final or its
 // patience ends.
-func (s *schedule) persist(key string, told *history) {
+func (s *schedule) persist(key string, random *rand.Rand, told *history) {
 	for range 6 {
 		o := s.bed.order(key)
 		o.Timeout = 2 * time.Second
 		o.DeadlineMillis = time.Now().Add(o.Timeout).UnixMilli()
-		result := s.any().place(o)
+		result := s.pick(random).place(o)
 		told.add(result)
 		if result.Refusal == nil || result.Refusal.Reason == refusal.OrderUnsettled {
 			return
