--- a/internal/logstream/apply.go
+++ b/internal/logstream/apply.go
@@ -11,7 +11,7 @@
 	applied, err := s.applyLocked(records)
 	if applied > 0 {
 		s.options.OnApply()
-		s.sendOwnCheckpoint()
+		s.wakeOwnCheckpoint()
 	}
 	return err
 }
@@ -34,8 +34,12 @@
 }
 
 func (s *Stream[F]) applyOne(record platform.Record) {
-	s.compareSnapshot(record)
-	entry, verdict, ok := s.state.apply(record)
+	var entry Entry
+	readable := Unmarshal(record.Data, &entry) == nil
+	if readable && entry.Kind == KindSnapshot {
+		s.noteArrival(record.Offset, entry)
+	}
+	verdict, ok := s.state.apply(record, entry, readable)
 	s.next.Store(uint64(s.state.next))
 	s.counters.records.Inc()
 	if !ok {
--- a/internal/logstream/snapshots.go
+++ b/internal/logstream/snapshots.go
@@ -8,7 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/plantainmux/plantainmux/internal/platform"
-	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
 // keptCheckpoints is the number of checkpoints that arriving snapshots are
@@ -18,112 +17,147 @@
 // snapshots is what a stream knows of its snapshots. It is guarded by the
 // stream.
 type snapshots struct {
-	checkpoints []checkpoint
+	checkpoints []*frozen
+	arrivals    []arrival
 	newest      platform.Offset // highest state that a snapshot in the log covers
 	newestAt    time.Time
 	underway    *proposal
 	own         bool // the newest checkpoint is at an own record
 }
 
-// takeCheckpoint encodes the state at a round offset. All followers do so at
+// takeCheckpoint freezes the state at a round offset. All followers do so at
 // the same offsets, so that their snapshots are equal byte by byte.
 func (s *Stream[F]) takeCheckpoint() {
-	taken, err := s.state.encode()
-	if err != nil {
-		s.options.Logger.Error("snapshot not encoded", "stream", s.name, "error", err)
-		return
-	}
-	kept := append(s.snapshots.checkpoints, taken)
+	kept := append(s.snapshots.checkpoints, s.state.freeze())
 	s.snapshots.checkpoints = kept[max(0, len(kept)-keptCheckpoints):]
 }
 
-// compareSnapshot compares an arriving snapshot with the own state at the same
-// offset.
-func (s *Stream[F]) compareSnapshot(record platform.Record) {
-	arrived, ok := asSnapshot(record)
+// noteArrival remembers a snapshot that was read, and that it is to be compared
+// with the own state at the same offset.
+func (s *Stream[F]) noteArrival(at platform.Offset, entry Entry) {
+	asOf, ok := coveredBy(entry, at)
 	if !ok {
 		return
 	}
-	s.noteSnapshot(arrived.AsOf, record)
-	own, ok := s.digestAt(arrived.AsOf)
+	s.noteSnapshot(asOf, entry.Time())
+	own, ok := s.frozenAt(asOf)
 	if !ok {
 		return
 	}
-	body, err := Marshal(arrived)
-	if err == nil && xxhash.Sum64(body) == own {
-		return
-	}
-	s.counters.divergences.Inc()
-	s.options.Logger.Error("snapshot differs from the own state", "stream", s.name, "as_of", arrived.AsOf)
+	waiting := append(s.snapshots.arrivals, arrival{own: own, digest: xxhash.Sum64(entry.Body)})
+	s.snapshots.arrivals = waiting[max(0, len(waiting)-keptCheckpoints):]
+	s.wakeSnapshots()
 }
 
-func (s *Stream[F]) noteSnapshot(asOf platform.Offset, record platform.Record) {
+func (s *Stream[F]) noteSnapshot(asOf platform.Offset, writtenAt time.Time) {
 	if asOf < s.snapshots.newest {
 		return
 	}
 	s.snapshots.newest = asOf
 	s.snapshots.newestAt = s.options.Now()
-	var entry Entry
-	if Unmarshal(record.Data, &entry) == nil && entry.Time().Before(s.snapshots.newestAt) {
-		s.snapshots.newestAt = entry.Time()
+	if writtenAt.Before(s.snapshots.newestAt) {
+		s.snapshots.newestAt = writtenAt
 	}
 }
 
-// digestAt returns the digest of the own snapshot at an offset, when it is
-// known.
-func (s *Stream[F]) digestAt(asOf platform.Offset) (uint64, bool) {
+// frozenAt returns the own state at an offset, when it is known.
+func (s *Stream[F]) frozenAt(asOf platform.Offset) (*frozen, bool) {
 	for _, kept := range s.snapshots.checkpoints {
 		if kept.asOf == asOf {
-			return kept.digest, true
+			return kept, true
 		}
 	}
 	if asOf+1 != s.state.next {
-		return 0, false
+		return nil, false
 	}
-	taken, err := s.state.encode()
-	return taken.digest, err == nil
+	return s.state.freeze(), true
 }
 
-// sendOwnCheckpoint appends the newest checkpoint at once when it is at an own
-// record, so that one daemon does it.
-func (s *Stream[F]) sendOwnCheckpoint() {
+// compareArrivals compares the snapshots that were read with the own states.
+func (s *Stream[F]) compareArrivals() {
 	s.mu.Lock()
-	own := s.snapshots.own
-	s.snapshots.own = false
+	waiting := s.snapshots.arrivals
+	s.snapshots.arrivals = nil
 	s.mu.Unlock()
-	if !own {
-		return
+	for _, arrived := range waiting {
+		digest, err := arrived.own.knownDigest()
+		if err == nil && digest == arrived.digest {
+			continue
+		}
+		s.counters.divergences.Inc()
+		s.options.Logger.Error("snapshot differs from the own state", "stream", s.name, "as_of", arrived.own.asOf, "error", err)
+	}
+}
+
+// wakeOwnCheckpoint wakes the writer of snapshots at once when the newest
+// checkpoint is at an own record, so that one daemon appends it.
+func (s *Stream[F]) wakeOwnCheckpoint() {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.snapshots.own {
+		s.wakeSnapshots()
 	}
-	if body, due := s.dueSnapshot(); due {
-		s.sendSnapshot(body)
+}
+
+func (s *Stream[F]) wakeSnapshots() {
+	select {
+	case s.snapshotWork <- struct{}{}:
+	default:
 	}
 }
 
-// runSnapshots appends the snapshots that are due and that nobody else
-// appended. Its waits are random, so that one daemon usually comes first and
-// spares the others the work.
+// runSnapshots compares the snapshots that were read, and appends those that
+// are due and that nobody else appended. Its waits are random, so that one
+// daemon usually comes first and spares the others the work.
 func (s *Stream[F]) runSnapshots(ctx context.Context) {
+	check := time.NewTimer(s.snapshotDelay())
+	defer check.Stop()
 	for {
-		wait.For(ctx, s.options.SnapshotCheck/2+rand.N(s.options.SnapshotCheck))
-		if ctx.Err() != nil {
+		select {
+		case <-ctx.Done():
 			return
+		case <-check.C:
+			check.Reset(s.snapshotDelay())
+			s.sendDueSnapshot()
+		case <-s.snapshotWork:
+			s.compareArrivals()
+			if s.takeOwnCheckpoint() {
+				s.sendDueSnapshot()
+			}
 		}
-		if body, due := s.dueSnapshot(); due {
-			s.sendSnapshot(body)
-		}
 	}
 }
 
-// dueSnapshot returns the snapshot to append: the newest checkpoint when the
-// log has none so new, or the present state when the newest one is old.
-func (s *Stream[F]) dueSnapshot() ([]byte, bool) {
+func (s *Stream[F]) snapshotDelay() time.Duration {
+	return s.options.SnapshotCheck/2 + rand.N(s.options.SnapshotCheck)
+}
+
+// takeOwnCheckpoint reports whether the newest checkpoint is at an own record,
+// once.
+func (s *Stream[F]) takeOwnCheckpoint() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own := s.snapshots.own
+	s.snapshots.own = false
+	return own
+}
+
+func (s *Stream[F]) sendDueSnapshot() {
+	if due, ok := s.dueSnapshot(); ok {
+		s.sendSnapshot(due)
+	}
+}
+
+// dueSnapshot returns the state to append: the newest checkpoint when the log
+// has none so new, or the present state when the newest one is old.
+func (s *Stream[F]) dueSnapshot() (*frozen, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state.next == platform.FirstOffset || s.Refused() != nil || s.writer.isPending(s.snapshots.underway) {
 		return nil, false
 	}
 	if n := len(s.snapshots.checkpoints); n > 0 && s.snapshots.checkpoints[n-1].asOf > s.snapshots.newest {
-		return s.snapshots.checkpoints[n-1].body, true
+		return s.snapshots.checkpoints[n-1], true
 	}
 	if s.snapshots.newestAt.IsZero() {
 		s.snapshots.newestAt = s.options.Now()
@@ -131,25 +165,25 @@
 	if s.options.Now().Sub(s.snapshots.newestAt) < s.options.SnapshotAge {
 		return nil, false
 	}
-	taken, err := s.state.encode()
-	return taken.body, err == nil
+	return s.state.freeze(), true
 }
 
 // ProposeSnapshot appends a snapshot of the state in the background.
 func (s *Stream[F]) ProposeSnapshot() {
 	s.mu.Lock()
-	taken, err := s.state.encode()
+	taken := s.state.freeze()
 	s.mu.Unlock()
+	s.sendSnapshot(taken)
+}
+
+func (s *Stream[F]) sendSnapshot(taken *frozen) {
+	encoded, err := taken.encode()
 	if err != nil {
 		s.options.Logger.Error("snapshot not encoded", "stream", s.name, "error", err)
 		return
 	}
-	s.sendSnapshot(taken.body)
-}
-
-func (s *Stream[F]) sendSnapshot(body []byte) {
 	s.counters.snapshots.Inc()
-	underway := s.writer.enqueue(KindSnapshot, body)
+	underway := s.writer.enqueue(KindSnapshot, encoded.body)
 	s.mu.Lock()
 	s.snapshots.underway = underway
 	s.mu.Unlock()
--- a/internal/logstream/state.go
+++ b/internal/logstream/state.go
@@ -25,26 +25,26 @@
 	}
 }
 
-// apply folds one record of the log and returns its entry and verdict. A
+// apply folds one record of the log and returns the verdict on its entry. A
 // repeated or unreadable record returns ok false.
-func (s *state[F]) apply(record platform.Record) (entry Entry, verdict error, ok bool) {
+func (s *state[F]) apply(record platform.Record, entry Entry, readable bool) (verdict error, ok bool) {
 	s.next = record.Offset + 1
 	s.last = xxhash.Sum64(record.Data)
-	if err := Unmarshal(record.Data, &entry); err != nil {
-		return Entry{}, nil, false
+	if !readable {
+		return nil, false
 	}
 	if entry.Seq <= s.seqOf(entry.Writer, record.Offset) {
-		return entry, nil, false
+		return nil, false
 	}
 	if entry.Since+s.window < record.Offset {
-		return entry, &StaleError{Offset: record.Offset, Since: entry.Since, Window: s.window}, true
+		return &StaleError{Offset: record.Offset, Since: entry.Since, Window: s.window}, true
 	}
 	s.writers[entry.Writer] = writerState{Seq: entry.Seq, Last: record.Offset}
 	if entry.Kind == KindSnapshot || entry.Kind == KindFence {
-		return entry, nil, true
+		return nil, true
 	}
 	at := Position{Offset: record.Offset, Time: entry.Time(), Writer: entry.Writer}
-	return entry, s.fold.Apply(at, entry.Kind, entry.Body), true
+	return s.fold.Apply(at, entry.Kind, entry.Body), true
 }
 
 // seqOf returns the highest sequence number of a writer, 0 when it is
@@ -57,25 +57,6 @@
 	return known.Seq
 }
 
-// encode returns a snapshot of the state and forgets the idle writers.
-func (s *state[F]) encode() (checkpoint, error) {
-	data, err := s.fold.Encode()
-	if err != nil {
-		return checkpoint{}, err
-	}
-	for writer, known := range s.writers {
-		if known.idle(s.next, s.window) {
-			delete(s.writers, writer)
-		}
-	}
-	taken := snapshot{AsOf: s.next - 1, Writers: s.writers, State: data, Last: s.last}
-	body, err := Marshal(taken)
-	if err != nil {
-		return checkpoint{}, err
-	}
-	return checkpoint{asOf: taken.AsOf, digest: xxhash.Sum64(body), body: body}, nil
-}
-
 // restore replaces the state by a snapshot.
 func (s *state[F]) restore(from snapshot) error {
 	if err := s.fold.Decode(from.State); err != nil {
--- a/internal/logstream/stream.go
+++ b/internal/logstream/stream.go
@@ -24,9 +24,10 @@
 	counters counters
 	writer   *writer
 
-	mu        sync.RWMutex
-	state     state[F]
-	snapshots snapshots
+	mu           sync.RWMutex
+	state        state[F]
+	snapshots    snapshots
+	snapshotWork chan struct{} // wakes runSnapshots
 
 	booted   chan struct{} // closed when the stream was read up to an end of it
 	bootOnce sync.Once
@@ -44,6 +45,8 @@
 		options: options.withDefaults(),
 		state:   newState(empty),
 		booted:  make(chan struct{}),
+
+		snapshotWork: make(chan struct{}, 1),
 	}
 	s.counters = newCounters(s.options.Metrics, name)
 	s.options.Metrics.Gauge(gaugeRefused(name), s.refusedGauge)
--- a/internal/order/clock.go
+++ b/internal/order/clock.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"strings"
 	"time"
 
@@ -93,6 +94,11 @@
 	c.Millis = max(second, first-loneLag.Milliseconds())
 }
 
+// clone returns a copy that shares nothing.
+func (c *clock) clone() clock {
+	return clock{Millis: c.Millis, Witnesses: maps.Clone(c.Witnesses)}
+}
+
 // now returns the stream's time in Unix milliseconds.
 func (c *clock) now() int64 {
 	return c.Millis
--- a/internal/order/fold.go
+++ b/internal/order/fold.go
@@ -1,7 +1,6 @@
 package order
 
 import (
-	"maps"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -19,7 +18,7 @@
 
 // Fold is the state of one slot.
 type Fold struct {
-	records  map[Key]Record
+	records  table
 	clock    clock
 	expiries expiries
 	unclear  int // number of unclear orders
@@ -27,32 +26,29 @@
 
 // foldState is the encoded form of a Fold.
 type foldState struct {
-	Records map[Key]Record `cbor:"1,keyasint"`
-	Clock   clock          `cbor:"3,keyasint"`
+	Records map[Key]*Record `cbor:"1,keyasint"`
+	Clock   clock           `cbor:"3,keyasint"`
 }
 
 // NewFold returns an empty slot.
 func NewFold() *Fold {
-	return &Fold{records: map[Key]Record{}}
+	return &Fold{}
 }
 
 // Find returns the record of a key.
 func (f *Fold) Find(key Key) (Record, bool) {
-	record, ok := f.records[key]
-	return record, ok
+	return f.records.find(key)
 }
 
 // Len returns the number of kept keys.
-func (f *Fold) Len() int { return len(f.records) }
+func (f *Fold) Len() int { return f.records.size }
 
 // Unclear returns the number of unclear orders.
 func (f *Fold) Unclear() int { return f.unclear }
 
 // Each calls visit with every kept record.
 func (f *Fold) Each(visit func(Record)) {
-	for record := range maps.Values(f.records) {
-		visit(record)
-	}
+	f.records.each(func(record *Record) { visit(*record) })
 }
 
 // Apply implements logstream.Fold. Keys expire by the stream's clock, so every
@@ -95,16 +91,25 @@
 		if !ok {
 			return
 		}
-		if record, kept := f.records[due.key]; kept && record.ExpiresMillis <= now {
+		if record, kept := f.records.find(due.key); kept && record.ExpiresMillis <= now {
 			f.unclear += record.unclear(-1)
-			delete(f.records, due.key)
+			f.records.remove(due.key)
 		}
 	}
 }
 
 // Encode implements logstream.Fold.
 func (f *Fold) Encode() ([]byte, error) {
-	return logstream.Marshal(foldState{Records: f.records, Clock: f.clock})
+	return f.Freeze()()
+}
+
+// Freeze implements logstream.Freezer.
+func (f *Fold) Freeze() func() ([]byte, error) {
+	records := f.records.freeze()
+	clock := f.clock.clone()
+	return func() ([]byte, error) {
+		return logstream.Marshal(foldState{Records: records.all(), Clock: clock})
+	}
 }
 
 // Decode implements logstream.Fold.
@@ -113,14 +118,10 @@
 	if err := logstream.Unmarshal(data, &state); err != nil {
 		return err
 	}
-	if state.Records == nil {
-		state.Records = map[Key]Record{}
-	}
-	f.records, f.clock = state.Records, state.Clock
-	f.expiries = f.expiries[:0]
-	f.unclear = 0
-	for key, record := range f.records {
+	*f = Fold{clock: state.Clock}
+	for key, record := range state.Records {
 		f.unclear += record.unclear(1)
+		f.records.put(key, *record)
 		f.expiries.add(key, record.ExpiresMillis)
 	}
 	return nil
--- a/internal/order/fold_test.go
+++ b/internal/order/fold_test.go
@@ -1,6 +1,8 @@
 package order_test
 
 import (
+	"bytes"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -120,6 +122,26 @@
 		Expect(one).To(Equal(other))
 	})
 
+	It("is encoded as of its freezing, whatever is applied meanwhile", func() {
+		f := newSlotFold()
+		for i := range 2000 {
+			Expect(f.apply("a/1", 0, order.KindClaim, claimOf(order.Key(fmt.Sprint(i))))).To(Succeed())
+		}
+		before, err := f.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		encode := f.Freeze()
+		for i := range 2000 {
+			Expect(f.apply("a/1", 0, order.KindOutcome, order.Outcome{Key: order.Key(fmt.Sprint(i)), Claim: platform.Offset(i + 1), State: order.Ran})).To(Succeed())
+		}
+		f.tick(time.Minute, "b/1")
+		frozen, err := encode()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bytes.Equal(frozen, before)).To(BeTrue())
+		after, err := f.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bytes.Equal(frozen, after)).To(BeFalse())
+	})
+
 	It("lets only the claimant settle, and never runs again what an operator closed", func() {
 		f := newSlotFold()
 		Expect(f.apply("a/1", 0, order.KindClaim, claimOf(key))).To(Succeed())
--- a/internal/order/rules.go
+++ b/internal/order/rules.go
@@ -7,7 +7,7 @@
 // claim grants a key to the first claimant, and again only after its claimant
 // proved that it did not run.
 func (f *Fold) claim(at logstream.Position, claim Claim) error {
-	if record, ok := f.records[claim.Key]; ok && record.State != NotRan {
+	if record, ok := f.records.find(claim.Key); ok && record.State != NotRan {
 		return &ClaimedError{Record: record}
 	}
 	f.put(f.newRecord(at, claim, Claimed))
@@ -40,18 +40,18 @@
 
 func (f *Fold) put(record Record) {
 	key := record.Claim.Key
-	old, ok := f.records[key]
+	old, ok := f.records.find(key)
 	if !ok || old.ExpiresMillis != record.ExpiresMillis {
 		f.expiries.add(key, record.ExpiresMillis)
 	}
 	f.unclear += old.unclear(-1) + record.unclear(1)
-	f.records[key] = record
+	f.records.put(key, record)
 }
 
 // outcome takes the claimant's word. What ran overrides whatever was thought
 // in the meantime; "not run" never reopens what an operator settled.
 func (f *Fold) outcome(at logstream.Position, outcome Outcome) error {
-	record, ok := f.records[outcome.Key]
+	record, ok := f.records.find(outcome.Key)
 	if !ok || record.Offset != outcome.Claim || record.Writer != at.Writer {
 		return &NotClaimantError{Key: outcome.Key}
 	}
@@ -68,7 +68,7 @@
 }
 
 func (f *Fold) withdraw(at logstream.Position, withdrawal Withdrawal) error {
-	record, ok := f.records[withdrawal.Key]
+	record, ok := f.records.find(withdrawal.Key)
 	if !ok || !record.isAttempt(at.Writer, withdrawal.Attempt) {
 		return &NotClaimantError{Key: withdrawal.Key}
 	}
@@ -85,7 +85,7 @@
 }
 
 func (f *Fold) doubt(at logstream.Position, doubt Doubt) error {
-	record, ok := f.records[doubt.Key]
+	record, ok := f.records.find(doubt.Key)
 	if !ok || record.Offset != doubt.Claim {
 		return &NotClaimantError{Key: doubt.Key}
 	}
@@ -102,7 +102,7 @@
 // settle takes an operator's word. "Not run" closes the key: its claimant may
 // still wake, so the key is never run again.
 func (f *Fold) settle(at logstream.Position, settlement Settlement) error {
-	record, ok := f.records[settlement.Key]
+	record, ok := f.records.find(settlement.Key)
 	if !ok || record.Offset != settlement.Claim {
 		return &NotClaimantError{Key: settlement.Key}
 	}
@@ -122,7 +122,7 @@
 // directRun records a run without a claim, unless the key was claimed by
 // another attempt meanwhile.
 func (f *Fold) directRun(at logstream.Position, run DirectRun) error {
-	record, ok := f.records[run.Claim.Key]
+	record, ok := f.records.find(run.Claim.Key)
 	free := !ok || record.State == NotRan || record.isAttempt(at.Writer, run.Claim.Attempt)
 	if !free {
 		return &ClaimedError{Record: record}
--- a/internal/order/slot.go
+++ b/internal/order/slot.go
@@ -15,7 +15,11 @@
 
 // SlotOf returns the slot of a key.
 func SlotOf(key Key) Slot {
-	return Slot(xxhash.Sum64String(string(key)) % Slots)
+	return Slot(keyHash(key) % Slots)
+}
+
+func keyHash(key Key) uint64 {
+	return xxhash.Sum64String(string(key))
 }
 
 // StreamName returns the name of a slot's stream.
--- /dev/null
+++ b/internal/order/snapshot_bench_test.go
@@ -0,0 +1,68 @@
+package order_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/fakes"
+	"github.com/plantainmux/plantainmux/internal/logstream"
+	"github.com/plantainmux/plantainmux/internal/order"
+)
+
+// BenchmarkClaimsDuringSnapshot measures how long claims wait, one each
+// millisecond, while a snapshot of a slot is taken, appended and read back.
+func BenchmarkClaimsDuringSnapshot(b *testing.B) {
+	for _, keys := range []int{10_000, 40_000, 160_000} {
+		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
+			for range b.N {
+				benchClaimsDuringSnapshot(b, keys)
+			}
+		})
+	}
+}
+
+func benchClaimsDuringSnapshot(b *testing.B, keys int) {
+	const (
+		claims   = 2000
+		interval = time.Millisecond
+	)
+	fold := order.NewFold()
+	for i := range keys {
+		applyOrder(fold, i)
+	}
+	log := fakes.NewFaultyLog(fakes.NewLog(testLogRate), 1, fakes.LogFaults{})
+	stream := logstream.New(log, order.StreamName(0), fold, logstream.Options{Writer: "a/1", SnapshotEvery: 1 << 30, Logger: slog.New(slog.DiscardHandler)})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go stream.Run(ctx)
+	took := make([]time.Duration, claims)
+	propose := func(i int) {
+		claim := order.Claim{Key: order.Key(fmt.Sprintf("new-%d", i)), DeadlineMillis: 1 << 42, LifetimeMillis: 1 << 40}
+		started := time.Now()
+		if _, err := stream.Propose(ctx, order.KindClaim, claim); err != nil {
+			b.Error(err)
+		}
+		took[i] = time.Since(started)
+	}
+	propose(0)
+	done := make(chan struct{}, claims)
+	pace := time.NewTicker(interval)
+	defer pace.Stop()
+	for i := range claims {
+		<-pace.C
+		if i == claims/4 {
+			go stream.ProposeSnapshot()
+		}
+		go func() { propose(i); done <- struct{}{} }()
+	}
+	for range claims {
+		<-done
+	}
+	quiet := slices.Max(took[claims/8 : claims/4])
+	b.ReportMetric(float64(quiet.Microseconds())/1000, "max-ms-before")
+	b.ReportMetric(float64(slices.Max(took[claims/4:]).Microseconds())/1000, "max-ms-during")
+}
