--- a/internal/logstream/apply.go
+++ b/internal/logstream/apply.go
@@ -36,9 +36,10 @@
 func (s *Stream[F]) applyOne(record platform.Record) {
 	var entry Entry
 	readable := Unmarshal(record.Data, &entry) == nil
-	if readable && entry.Kind == KindSnapshot {
+	if readable && entry.Kind.internal() {
 		s.noteArrival(record.Offset, entry)
 	}
+	s.snapshots.since += len(record.Data)
 	verdict, ok := s.state.apply(record, entry, readable)
 	s.next.Store(uint64(s.state.next))
 	s.counters.records.Inc()
--- a/internal/logstream/coverage.go
+++ b/internal/logstream/coverage.go
@@ -1,17 +1,29 @@
 package logstream
 
-import "github.com/plantainmux/plantainmux/internal/platform"
+import (
+	"github.com/cespare/xxhash/v2"
 
-// coverage is the part of a snapshot that tells what it covers.
+	"github.com/plantainmux/plantainmux/internal/platform"
+)
+
+// coverage is what a record tells of a snapshot.
 type coverage struct {
-	AsOf platform.Offset `cbor:"1,keyasint"`
+	asOf   platform.Offset
+	digest uint64
+	bytes  int
 }
 
-// coveredBy returns the offset that a snapshot in a record covers.
-func coveredBy(entry Entry, at platform.Offset) (platform.Offset, bool) {
-	var found coverage
-	if Unmarshal(entry.Body, &found) != nil || found.AsOf >= at {
-		return 0, false
+// coverageOf returns what a record at an offset tells of the snapshot that it
+// carries or names.
+func coverageOf(entry Entry, at platform.Offset) (coverage, bool) {
+	if named, ok := asReference(entry, at); ok {
+		return coverage{asOf: named.AsOf, digest: named.Digest, bytes: named.Bytes}, true
+	}
+	var carried struct {
+		AsOf platform.Offset `cbor:"1,keyasint"`
+	}
+	if entry.Kind != KindSnapshot || Unmarshal(entry.Body, &carried) != nil || carried.AsOf >= at {
+		return coverage{}, false
 	}
-	return found.AsOf, true
+	return coverage{asOf: carried.AsOf, digest: xxhash.Sum64(entry.Body), bytes: len(entry.Body)}, true
 }
--- a/internal/logstream/options.go
+++ b/internal/logstream/options.go
@@ -14,9 +14,12 @@
 	SnapshotEvery int           // records between two checkpoints, of which each becomes a snapshot
 	SnapshotAge   time.Duration // age of the newest snapshot at which another is due; well below the log's retention
 	SnapshotCheck time.Duration // mean time between two looks for a due snapshot
-	Logger        *slog.Logger
-	Metrics       *metric.Set
-	Now           func() time.Time
+	// SnapshotsApart keeps the snapshots in a stream of their own, which a
+	// follower reads only when it starts. It is for folds that grow large.
+	SnapshotsApart bool
+	Logger         *slog.Logger
+	Metrics        *metric.Set
+	Now            func() time.Time
 	// OnApply is called after each batch of applied records, without locks held.
 	OnApply func()
 }
--- a/internal/logstream/property_test.go
+++ b/internal/logstream/property_test.go
@@ -59,11 +59,18 @@
 		fold := newListFold()
 		run.clients = append(run.clients, client)
 		run.folds = append(run.folds, fold)
-		run.streams = append(run.streams, runStream(client, fold, testOptions(fmt.Sprintf("daemon-%d", i))))
+		run.streams = append(run.streams, runStream(client, fold, propertyOptions(seed, i)))
 	}
 	return run
 }
 
+// propertyOptions keep the snapshots apart for every other seed.
+func propertyOptions(seed uint64, daemon int) Options {
+	options := testOptions(fmt.Sprintf("daemon-%d", daemon))
+	options.SnapshotsApart = seed%2 == 0
+	return options
+}
+
 func (r *propertyRun) propose(daemon, proposer int, random *rand.Rand) {
 	for i := range propertyProposals {
 		value := (daemon*propertyProposers+proposer)*propertyProposals + i + 1
--- a/internal/logstream/snapshots.go
+++ b/internal/logstream/snapshots.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/plantainmux/plantainmux/internal/platform"
 )
 
@@ -21,6 +19,8 @@
 	arrivals    []arrival
 	newest      platform.Offset // highest state that a snapshot in the log covers
 	newestAt    time.Time
+	bytes       int // of the newest
+	since       int // bytes of the records after the newest
 	underway    *proposal
 	own         bool // the newest checkpoint is at an own record
 }
@@ -35,25 +35,27 @@
 // noteArrival remembers a snapshot that was read, and that it is to be compared
 // with the own state at the same offset.
 func (s *Stream[F]) noteArrival(at platform.Offset, entry Entry) {
-	asOf, ok := coveredBy(entry, at)
+	arrived, ok := coverageOf(entry, at)
 	if !ok {
 		return
 	}
-	s.noteSnapshot(asOf, entry.Time())
-	own, ok := s.frozenAt(asOf)
+	s.noteSnapshot(arrived, entry.Time())
+	own, ok := s.frozenAt(arrived.asOf)
 	if !ok {
 		return
 	}
-	waiting := append(s.snapshots.arrivals, arrival{own: own, digest: xxhash.Sum64(entry.Body)})
+	waiting := append(s.snapshots.arrivals, arrival{own: own, digest: arrived.digest})
 	s.snapshots.arrivals = waiting[max(0, len(waiting)-keptCheckpoints):]
 	s.wakeSnapshots()
 }
 
-func (s *Stream[F]) noteSnapshot(asOf platform.Offset, writtenAt time.Time) {
-	if asOf < s.snapshots.newest {
+func (s *Stream[F]) noteSnapshot(arrived coverage, writtenAt time.Time) {
+	if arrived.asOf < s.snapshots.newest {
 		return
 	}
-	s.snapshots.newest = asOf
+	s.snapshots.newest = arrived.asOf
+	s.snapshots.bytes = arrived.bytes
+	s.snapshots.since = 0
 	s.snapshots.newestAt = s.options.Now()
 	if writtenAt.Before(s.snapshots.newestAt) {
 		s.snapshots.newestAt = writtenAt
@@ -118,11 +120,11 @@
 			return
 		case <-check.C:
 			check.Reset(s.snapshotDelay())
-			s.sendDueSnapshot()
+			s.sendDueSnapshot(ctx)
 		case <-s.snapshotWork:
 			s.compareArrivals()
 			if s.takeOwnCheckpoint() {
-				s.sendDueSnapshot()
+				s.sendDueSnapshot(ctx)
 			}
 		}
 	}
@@ -142,9 +144,9 @@
 	return own
 }
 
-func (s *Stream[F]) sendDueSnapshot() {
+func (s *Stream[F]) sendDueSnapshot(ctx context.Context) {
 	if due, ok := s.dueSnapshot(); ok {
-		s.sendSnapshot(due)
+		s.sendSnapshot(ctx, due)
 	}
 }
 
@@ -156,7 +158,7 @@
 	if s.state.next == platform.FirstOffset || s.Refused() != nil || s.writer.isPending(s.snapshots.underway) {
 		return nil, false
 	}
-	if n := len(s.snapshots.checkpoints); n > 0 && s.snapshots.checkpoints[n-1].asOf > s.snapshots.newest {
+	if n := len(s.snapshots.checkpoints); n > 0 && s.snapshots.checkpoints[n-1].asOf > s.snapshots.newest && s.outgrown() {
 		return s.snapshots.checkpoints[n-1], true
 	}
 	if s.snapshots.newestAt.IsZero() {
@@ -168,23 +170,45 @@
 	return s.state.freeze(), true
 }
 
+// outgrown reports whether the records since the newest snapshot outweigh it, so
+// that a new one saves its readers more than it costs. Those of a stream that
+// carries its snapshots itself come after a number of records.
+func (s *Stream[F]) outgrown() bool {
+	return !s.options.SnapshotsApart || s.snapshots.since >= s.snapshots.bytes
+}
+
 // ProposeSnapshot appends a snapshot of the state in the background.
 func (s *Stream[F]) ProposeSnapshot() {
 	s.mu.Lock()
 	taken := s.state.freeze()
 	s.mu.Unlock()
-	s.sendSnapshot(taken)
+	s.sendSnapshot(context.Background(), taken)
 }
 
-func (s *Stream[F]) sendSnapshot(taken *frozen) {
-	encoded, err := taken.encode()
+func (s *Stream[F]) sendSnapshot(ctx context.Context, taken *frozen) {
+	kind, body, err := s.packSnapshot(ctx, taken)
 	if err != nil {
-		s.options.Logger.Error("snapshot not encoded", "stream", s.name, "error", err)
+		s.options.Logger.Error("snapshot not written", "stream", s.name, "error", err)
 		return
 	}
 	s.counters.snapshots.Inc()
-	underway := s.writer.enqueue(KindSnapshot, encoded.body)
+	underway := s.writer.enqueue(kind, body)
 	s.mu.Lock()
 	s.snapshots.underway = underway
 	s.mu.Unlock()
 }
+
+// packSnapshot returns the record that carries a snapshot, or names it after it
+// was appended to the stream of snapshots.
+func (s *Stream[F]) packSnapshot(ctx context.Context, taken *frozen) (Kind, []byte, error) {
+	encoded, err := taken.encode()
+	if err != nil || !s.options.SnapshotsApart {
+		return KindSnapshot, encoded.body, err
+	}
+	named, err := s.appendApart(ctx, encoded)
+	if err != nil {
+		return KindReference, nil, err
+	}
+	body, err := Marshal(named)
+	return KindReference, body, err
+}
--- a/internal/logstream/state.go
+++ b/internal/logstream/state.go
@@ -40,7 +40,7 @@
 		return &StaleError{Offset: record.Offset, Since: entry.Since, Window: s.window}, true
 	}
 	s.writers[entry.Writer] = writerState{Seq: entry.Seq, Last: record.Offset}
-	if entry.Kind == KindSnapshot || entry.Kind == KindFence {
+	if entry.Kind.internal() {
 		return nil, true
 	}
 	at := Position{Offset: record.Offset, Time: entry.Time(), Writer: entry.Writer}
--- a/internal/logstream/tail.go
+++ b/internal/logstream/tail.go
@@ -71,11 +71,14 @@
 }
 
 // useSnapshot looks for a snapshot that the retained records continue, and
-// reads the records between its state and the record that carries it.
+// reads the records between its state and the record that carries or names it.
 func (r tailReader) useSnapshot(ctx context.Context, found *tail, low platform.Offset) (bool, error) {
 	for i := len(found.records) - 1; i >= 0; i-- {
-		candidate, ok := asSnapshot(found.records[i])
-		if !ok || candidate.AsOf+1 < found.oldest {
+		candidate, err := r.load(ctx, found.records[i], found.oldest)
+		if err != nil {
+			return false, err
+		}
+		if candidate == nil {
 			continue
 		}
 		if from := candidate.AsOf + 1; from < low {
@@ -83,20 +86,29 @@
 				return false, err
 			}
 		}
-		found.snapshot = &candidate
+		found.snapshot = candidate
 		return true, nil
 	}
 	return false, nil
 }
 
-func asSnapshot(record platform.Record) (snapshot, bool) {
+// load returns the snapshot that a record carries or names. It is nil when there
+// is none, or none that the records from oldest on continue.
+func (r tailReader) load(ctx context.Context, record platform.Record, oldest platform.Offset) (*snapshot, error) {
 	var entry Entry
-	if Unmarshal(record.Data, &entry) != nil || entry.Kind != KindSnapshot {
-		return snapshot{}, false
+	if Unmarshal(record.Data, &entry) != nil {
+		return nil, nil
+	}
+	covered, ok := coverageOf(entry, record.Offset)
+	if !ok || covered.asOf+1 < oldest {
+		return nil, nil
+	}
+	if named, ok := asReference(entry, record.Offset); ok {
+		return r.readApart(ctx, named)
 	}
-	var found snapshot
-	if Unmarshal(entry.Body, &found) != nil || found.AsOf >= record.Offset {
-		return snapshot{}, false
+	var carried snapshot
+	if Unmarshal(entry.Body, &carried) != nil {
+		return nil, nil
 	}
-	return found, true
+	return &carried, nil
 }
--- a/internal/order/bench_test.go
+++ b/internal/order/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"runtime"
 	"slices"
@@ -172,9 +173,9 @@
 // applyOrder folds the claim and the outcome of one order and returns the bytes
 // of both records.
 func applyOrder(fold *order.Fold, i int) int {
-	key := order.NewKey("merchants", "orders", fmt.Sprintf("0e7b8f0c-6a51-4d0b-9c1e-%012d", i))
+	key := order.NewKey("merchants", "orders", fmt.Sprintf("%x", sha256.Sum256(fmt.Append(nil, i)))[:36])
 	claim := order.Claim{Key: key, Method: "POST", Path: "/orders", DeadlineMillis: 1, LifetimeMillis: 1 << 40, Attempt: uint64(i)}
-	answer := endpoint.ServiceAnswer{Status: 200, ContentType: "application/json", Body: make([]byte, 100)}
+	answer := endpoint.ServiceAnswer{Status: 200, ContentType: "application/json", Body: benchAnswer(i)}
 	offset := 2*i + 1
 	outcome := order.Outcome{Key: key, State: order.Ran, AnswerKept: true, Answer: answer}
 	outcome.Claim += logOffset(offset)
@@ -182,6 +183,11 @@
 	return size + applyRecord(fold, offset+1, order.KindOutcome, outcome)
 }
 
+// benchAnswer returns an answer of 100 bytes.
+func benchAnswer(i int) []byte {
+	return fmt.Appendf(nil, `{"status":"accepted","ticket":"%x","n":%05d}`, sha256.Sum256([]byte{byte(i), byte(i >> 8), byte(i >> 16)}), i%100_000)[:100]
+}
+
 func applyRecord(fold *order.Fold, offset int, kind logstream.Kind, body any) int {
 	encoded, _ := logstream.Marshal(body)
 	const writer = "0e7b8f0c-6a51-4d0b-9c1e-000000000000/1"
--- a/internal/order/moving_test.go
+++ b/internal/order/moving_test.go
@@ -82,11 +82,12 @@
 	})
 })
 
-// lastSnapshot returns the offset of a slot's last snapshot, or zero.
+// lastSnapshot returns the offset of a slot's last reference to a snapshot, or
+// zero.
 func (b *bed) lastSnapshot(slot order.Slot) platform.Offset {
 	var last platform.Offset
 	for _, record := range b.log.Records(order.StreamName(slot)) {
-		if kindOf([][]byte{record.Data}) == string(logstream.KindSnapshot) {
+		if kindOf([][]byte{record.Data}) == string(logstream.KindReference) {
 			last = record.Offset
 		}
 	}
--- a/internal/order/node_test.go
+++ b/internal/order/node_test.go
@@ -54,7 +54,7 @@
 	log := &struckLog{Log: platform.NewHTTPLog(b.logServer.URL()), node: n}
 	n.slots = order.NewFollower(n.ctx, n.mesh, func(slot order.Slot, writer string, onApply func()) *logstream.Stream[*order.Fold] {
 		return logstream.New[*order.Fold](log, order.StreamName(slot), order.NewFold(), logstream.Options{
-			Writer: writer, OnApply: onApply, Now: n.now, SnapshotEvery: b.snapshotEvery, SnapshotCheck: pollOften, Logger: slog.New(slog.DiscardHandler),
+			Writer: writer, OnApply: onApply, Now: n.now, SnapshotEvery: b.snapshotEvery, SnapshotCheck: pollOften, SnapshotsApart: true, Logger: slog.New(slog.DiscardHandler),
 		})
 	})
 	metrics := order.NewMetrics(metric.NewSet())
