--- a/internal/order/rules.go
+++ b/internal/order/rules.go
@@ -7,26 +7,25 @@
 // claim grants a key to the first claimant, and again only after its claimant
 // proved that it did not run.
 func (f *Fold) claim(at logstream.Position, claim Claim) error {
-	if record, ok := f.records[claim.Key]; ok && record.State != NotRan {
+	if record, ok := f.records.find(claim.Key); ok && record.State != NotRan {
 		return &ClaimedError{Record: record}
 	}
 	f.put(f.newRecord(at, claim, Claimed))
 	return nil
 }
 
-// newRecord starts a key's lifetime at its writer's clock, but not before the
-// stream's time: a writer whose clock is behind must not cut it short. A key
-// outlives its order's deadline and the bound on doubt.
+// newRecord starts a key's lifetime at the stream's time. A key outlives its
+// order's deadline and the bound on doubt.
 func (f *Fold) newRecord(at logstream.Position, claim Claim, state State) Record {
-	start := max(at.Time.UnixMilli(), f.clock.now())
 	lifetime := min(claim.LifetimeMillis, maxLifetime.Milliseconds())
-	unsettled := min(claim.DeadlineMillis-at.Time.UnixMilli(), maxLifetime.Milliseconds()) + 2*doubtBound.Milliseconds()
+	timeout := claim.DeadlineMillis - at.Time.UnixMilli()
+	unsettled := max(0, min(timeout, maxLifetime.Milliseconds())) + 2*doubtBound.Milliseconds()
 	return Record{
 		Claim:         claim,
 		Offset:        at.Offset,
 		Writer:        at.Writer,
 		ClaimedMillis: at.Time.UnixMilli(),
-		ExpiresMillis: start + max(lifetime, unsettled),
+		ExpiresMillis: f.clock.now() + max(lifetime, unsettled) + lifetimeMargin.Milliseconds(),
 		State:         state,
 	}
 }
@@ -41,18 +40,18 @@
 
 func (f *Fold) put(record Record) {
 	key := record.Claim.Key
-	old, ok := f.records[key]
+	old, ok := f.records.find(key)
 	if !ok || old.ExpiresMillis != record.ExpiresMillis {
 		f.expiries.add(key, record.ExpiresMillis)
 	}
 	f.unclear += old.unclear(-1) + record.unclear(1)
-	f.records[key] = record
+	f.records.put(key, record)
 }
 
 // outcome takes the claimant's word. What ran overrides whatever was thought
 // in the meantime; "not run" never reopens what an operator settled.
 func (f *Fold) outcome(at logstream.Position, outcome Outcome) error {
-	record, ok := f.records[outcome.Key]
+	record, ok := f.records.find(outcome.Key)
 	if !ok || record.Offset != outcome.Claim || record.Writer != at.Writer {
 		return &NotClaimantError{Key: outcome.Key}
 	}
@@ -69,7 +68,7 @@
 }
 
 func (f *Fold) withdraw(at logstream.Position, withdrawal Withdrawal) error {
-	record, ok := f.records[withdrawal.Key]
+	record, ok := f.records.find(withdrawal.Key)
 	if !ok || !record.isAttempt(at.Writer, withdrawal.Attempt) {
 		return &NotClaimantError{Key: withdrawal.Key}
 	}
@@ -86,7 +85,7 @@
 }
 
 func (f *Fold) doubt(at logstream.Position, doubt Doubt) error {
-	record, ok := f.records[doubt.Key]
+	record, ok := f.records.find(doubt.Key)
 	if !ok || record.Offset != doubt.Claim {
 		return &NotClaimantError{Key: doubt.Key}
 	}
@@ -103,7 +102,7 @@
 // settle takes an operator's word. "Not run" closes the key: its claimant may
 // still wake, so the key is never run again.
 func (f *Fold) settle(at logstream.Position, settlement Settlement) error {
-	record, ok := f.records[settlement.Key]
+	record, ok := f.records.find(settlement.Key)
 	if !ok || record.Offset != settlement.Claim {
 		return &NotClaimantError{Key: settlement.Key}
 	}
@@ -123,7 +122,7 @@
 // directRun records a run without a claim, unless the key was claimed by
 // another attempt meanwhile.
 func (f *Fold) directRun(at logstream.Position, run DirectRun) error {
-	record, ok := f.records[run.Claim.Key]
+	record, ok := f.records.find(run.Claim.Key)
 	free := !ok || record.State == NotRan || record.isAttempt(at.Writer, run.Claim.Attempt)
 	if !free {
 		return &ClaimedError{Record: record}
