Peers: soft state that may wait goes with the next message of its link

Cause: the CPU profile of one of 47 daemons (64 VMs in all, PLANTAINMUX_CAPACITY_PROFILES, 20 s) has 46 % of its samples in reading messages, 14 % in writing them and 25 % in the scheduler's going to sleep and waking; CBOR 5 %, the garbage collector 7 %, timers below 2 %. Digests (2/s), usage (1/s), heartbeats and versions (0.5/s) each went as a message of their own to each peer, and each link had a ticker of its own.

Change: PublishSoon beside Publish. What may wait (usage unless it is told faster than every 750 ms, repeats of the version and of leaving notices) goes with the next digest, urgent publication or call on its link, and alone after 750 ms at the latest. Urgent as before and at once: changed reports, digests, hints, suspects, a new version, a new leaving notice, states of members. Digests keep their pace of two a second: a VM that no watcher spoke of for half the report bound (1 s) is polled by every daemon, so one a second would be no longer than that limit. Relays keep the publisher's choice. One timer looks at all links, every 250 ms, for silence, heartbeats and what waits; heartbeats go only where nothing went for 0.75 heartbeats, clock frames with any message. Encoding was once for all links already.

Tried first: a look every 500 ms that lets go whatever waits.

--- a/internal/admit/exchange.go
+++ b/internal/admit/exchange.go
@@ -19,8 +19,9 @@
 		now := time.Now()
 		usage, daemons := g.round(now)
 		period := usagePeriod(sizeOf(usage), daemons)
-		if now.Sub(sent) >= unchangedPeriod || !reflect.DeepEqual(usage, last) {
-			g.Mesh.Publish(peer.TopicUsage, peer.ScopeDataCentre, usage)
+		changed := !reflect.DeepEqual(usage, last)
+		if changed || now.Sub(sent) >= unchangedPeriod {
+			g.tell(usage, changed && period < peer.MaxWait)
 			last, sent = usage, now
 		}
 		select {
@@ -31,6 +32,17 @@
 	}
 }
 
+// tell sends a usage, in a message of its own if it is urgent. One that is not
+// is told no more often than once in their longest wait, so that the peers know it by the next
+// time.
+func (g *Gate) tell(usage Usage, urgent bool) {
+	publish := g.Mesh.PublishSoon
+	if urgent {
+		publish = g.Mesh.Publish
+	}
+	publish(peer.TopicUsage, peer.ScopeDataCentre, usage)
+}
+
 // sizeOf returns the encoded size of a usage in bytes, or 0 when it cannot be
 // encoded.
 func sizeOf(usage Usage) int {
--- a/internal/capacity/costs.go
+++ b/internal/capacity/costs.go
@@ -11,6 +11,7 @@
 	CostMemory     = "resident_megabytes"
 	CostGoroutines = "goroutines"
 	CostBytes      = "control_bytes_per_second"
+	CostMessages   = "sent_messages_per_second"
 )
 
 const (
@@ -18,6 +19,7 @@
 	metricMemory     = "process_resident_memory_bytes"
 	metricGoroutines = "go_goroutines"
 	metricBytes      = "plantainmux_control_bytes_total"
+	metricMessages   = "plantainmux_peer_sent_messages_total"
 	megabyte         = 1 << 20
 	percent          = 100
 )
@@ -33,6 +35,7 @@
 		{CostMemory, mean(after, metricMemory) / megabyte},
 		{CostGoroutines, mean(after, metricGoroutines)},
 		{CostBytes, rise(before, after, metricBytes) / seconds},
+		{CostMessages, rise(before, after, metricMessages) / seconds},
 	}
 	for _, with := range counterparts {
 		costs = append(costs, Cost{CostBytes + "_" + with, rise(before, after, metricBytes+`{with="`+with+`"`) / seconds})
--- a/internal/config/spread.go
+++ b/internal/config/spread.go
@@ -91,14 +91,15 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			s.announce(s.mesh.PublishSoon)
 		case <-s.changed:
+			s.announce(s.mesh.Publish)
 		}
-		s.announce()
 	}
 }
 
 // announce tells the data centre, and one daemon of it tells the fleet.
-func (s *Spread) announce() {
+func (s *Spread) announce(publish func(peer.Topic, peer.Scope, any)) {
 	current := s.store.Load()
 	if current.Version == 0 {
 		return
@@ -107,7 +108,7 @@
 	if live := s.mesh.Live(); len(live) > 0 && live[0] == s.mesh.Self() {
 		scope = peer.ScopeFleet
 	}
-	s.mesh.Publish(peer.TopicVersions, scope, VersionNotice{Version: current.Version, DataCentre: s.dataCentre, Digest: current.Digest})
+	publish(peer.TopicVersions, scope, VersionNotice{Version: current.Version, DataCentre: s.dataCentre, Digest: current.Digest})
 }
 
 func (s *Spread) receive(from fleet.DaemonID, body cbor.RawMessage) {
--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -12,6 +12,7 @@
 type counters struct {
 	set            *metric.Set
 	sentBytes      *metrics.Counter
+	sentMessages   *metrics.Counter
 	receivedBytes  *metrics.Counter
 	strayFrames    *metrics.Counter
 	duplicates     *metrics.Counter
@@ -24,6 +25,7 @@
 	return &counters{
 		set:            set,
 		sentBytes:      set.Counter("plantainmux_peer_sent_bytes_total"),
+		sentMessages:   set.Counter("plantainmux_peer_sent_messages_total"),
 		receivedBytes:  set.Counter("plantainmux_peer_received_bytes_total"),
 		strayFrames:    set.Counter("plantainmux_peer_stray_frames_total"),
 		duplicates:     set.Counter("plantainmux_peer_duplicates_total"),
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -20,6 +20,7 @@
 	Credit     int              `cbor:"10,keyasint,omitempty"` // answers more that the caller takes
 	Echo       Stamp            `cbor:"11,keyasint,omitempty"` // newest stamp received from the other side
 	Held       Stamp            `cbor:"12,keyasint,omitempty"` // how long it has been held
+	MayWait    bool             `cbor:"13,keyasint,omitempty"` // a publication to the fleet that may wait on each link
 }
 
 func encodeFrame(f frame) ([]byte, error) {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -99,8 +99,6 @@
 
 // write sends queued frames and heartbeats until the link closes.
 func (l *link) write() {
-	ticker := time.NewTicker(l.owner.options.Heartbeat)
-	defer ticker.Stop()
 	var batch []byte
 	for {
 		batch = batch[:0]
@@ -109,17 +107,16 @@
 			return
 		case data := <-l.queue.calls:
 			batch = append(batch, data...)
-		case <-l.queue.wake:
-		case <-ticker.C:
-			if !l.checkAlive() {
-				return
-			}
-			batch = append(batch, l.heartbeat()...)
+		case <-l.queue.due:
 		}
 		batch = l.fill(batch)
+		if len(batch) == 0 && l.heartbeatDue() {
+			batch = append(batch, l.owner.heartbeatFrame...)
+		}
 		if len(batch) == 0 {
 			continue
 		}
+		batch = append(batch, l.clockWhenDue()...)
 		if err := l.send(batch); err != nil {
 			l.cancel(err)
 			return
@@ -152,21 +149,34 @@
 	}
 	l.lastSent.Store(time.Now().UnixNano())
 	l.owner.counters.sentBytes.Add(len(batch))
+	l.owner.counters.sentMessages.Inc()
 	return nil
 }
 
-// heartbeat returns a heartbeat or clock frame, or nothing when another frame
-// was sent within the period.
-func (l *link) heartbeat() []byte {
-	elapsed := time.Duration(int64(l.owner.clocks.now())-l.lastClock.Load()) * time.Millisecond
-	if elapsed >= clockHeartbeats*l.owner.options.Heartbeat {
-		return l.clockFrame()
+// look lets go what has waited for long, and a heartbeat when nothing was sent
+// for long.
+func (l *link) look(now time.Time) {
+	waited := l.queue.oldestAge(now) >= l.owner.options.MaxWait-l.owner.options.lookPeriod()
+	if l.checkAlive() && (waited || l.heartbeatDue()) {
+		l.queue.flush()
 	}
+}
+
+// heartbeatDue reports whether nothing was sent for so long that the next look
+// might come late.
+func (l *link) heartbeatDue() bool {
 	idle := time.Duration(time.Now().UnixNano() - l.lastSent.Load())
-	if idle < l.owner.options.Heartbeat/2 {
+	return idle >= l.owner.options.Heartbeat-l.owner.options.lookPeriod()
+}
+
+// clockWhenDue returns a clock frame to go with a message, or nothing when one
+// was sent lately.
+func (l *link) clockWhenDue() []byte {
+	elapsed := time.Duration(int64(l.owner.clocks.now())-l.lastClock.Load()) * time.Millisecond
+	if elapsed < clockHeartbeats*l.owner.options.Heartbeat {
 		return nil
 	}
-	return l.owner.heartbeatFrame
+	return l.clockFrame()
 }
 
 // checkAlive closes a link that was silent for too long.
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -16,9 +16,12 @@
 	Live() []fleet.DaemonID
 	// DataCentres returns the other data centres that can be reached, sorted.
 	DataCentres() []fleet.DataCentre
-	// Publish sends soft state to other daemons. It never blocks: a full queue
-	// drops its oldest message.
+	// Publish sends soft state to other daemons at once, and with it what waits.
+	// It never blocks: a full queue drops its oldest message.
 	Publish(topic Topic, scope Scope, body any)
+	// PublishSoon does so with the next message of each link, at most
+	// MaxWait later.
+	PublishSoon(topic Topic, scope Scope, body any)
 	// Subscribe registers the handler of a topic.
 	Subscribe(topic Topic, handler Handler)
 	// Call asks one daemon of the own data centre and decodes its answer into
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -151,7 +151,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		f := frame{Kind: framePublish, ID: 7, Name: string(testTopic), Body: body, Origin: "far-1", Hops: hopsFromRelay}
 		for range 3 {
-			nodes[0].sendSoft(f, nodes[0].routing.Load().local)
+			nodes[0].sendSoft(f, nodes[0].routing.Load().local, false)
 		}
 		Eventually(nodes[1].counters.duplicates.Get, waitLong, pollOften).Should(Equal(uint64(2)))
 		Expect(nodes[1].received()).To(Equal([]string{"far-1 again"}))
--- a/internal/peer/publish.go
+++ b/internal/peer/publish.go
@@ -19,6 +19,15 @@
 
 // Publish implements Mesh.
 func (n *Network) Publish(topic Topic, scope Scope, body any) {
+	n.publish(topic, scope, body, false)
+}
+
+// PublishSoon implements Mesh.
+func (n *Network) PublishSoon(topic Topic, scope Scope, body any) {
+	n.publish(topic, scope, body, true)
+}
+
+func (n *Network) publish(topic Topic, scope Scope, body any, mayWait bool) {
 	encoded, err := cbor.Marshal(body)
 	if err != nil {
 		n.options.Logger.Error("soft state has no encoding", "topic", topic, "error", err)
@@ -28,9 +37,10 @@
 	if scope == ScopeFleet {
 		f.ID = n.sequence.Add(1)
 		f.Origin = n.options.Self
+		f.MayWait = mayWait
 	}
 	routing := n.routing.Load()
-	n.sendSoft(f, routing.local)
+	n.sendSoft(f, routing.local, mayWait)
 	if scope == ScopeFleet {
 		n.forwardAcross(f, routing)
 	}
@@ -59,7 +69,7 @@
 	case hopsAcross:
 		f.Hops = hopsFromRelay
 		n.counters.forwarded.Inc()
-		n.sendSoft(f, routing.local)
+		n.sendSoft(f, routing.local, f.MayWait)
 	}
 }
 
@@ -76,13 +86,13 @@
 	for dataCentre, links := range routing.regional {
 		if rendezvous.Chosen(string(f.Origin), routing.relays[dataCentre], 1, n.options.Self) {
 			n.counters.forwarded.Inc()
-			n.sendSoft(f, links[:1])
+			n.sendSoft(f, links[:1], f.MayWait)
 		}
 	}
 }
 
-// sendSoft queues one frame on links.
-func (n *Network) sendSoft(f frame, links []*link) {
+// sendSoft queues one frame on links. Unless it may wait, it goes at once.
+func (n *Network) sendSoft(f frame, links []*link, mayWait bool) {
 	if len(links) == 0 {
 		return
 	}
@@ -95,5 +105,8 @@
 		if l.queue.pushSoft(data) {
 			n.counters.dropped(Topic(f.Name))
 		}
+		if !mayWait {
+			l.queue.flush()
+		}
 	}
 }
--- a/internal/peer/run.go
+++ b/internal/peer/run.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
@@ -10,6 +12,7 @@
 
 // Run keeps the links until Close.
 func (n *Network) Run() {
+	n.tasks.Go(n.lookLoop)
 	regional := map[fleet.DataCentre][]string{}
 	for _, address := range n.options.Addresses {
 		if address.DataCentre == n.options.DataCentre {
@@ -26,6 +29,33 @@
 	n.tasks.Wait()
 }
 
+// lookLoop looks at all links again and again. One timer serves all of them.
+func (n *Network) lookLoop() {
+	ticker := time.NewTicker(n.options.lookPeriod())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case now := <-ticker.C:
+			n.lookAtLinks(now)
+		}
+	}
+}
+
+func (n *Network) lookAtLinks(now time.Time) {
+	for _, l := range n.runningLinks() {
+		l.look(now)
+	}
+}
+
+// runningLinks returns the links in use and those that retire.
+func (n *Network) runningLinks() []*link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Collect(maps.Keys(n.running))
+}
+
 // Leave tells the peers that this daemon stops: they take it out of Live at
 // once. Calls in progress go on.
 func (n *Network) Leave() {
--- a/internal/peer/send_queue.go
+++ b/internal/peer/send_queue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 const (
@@ -14,33 +15,52 @@
 // its oldest frame when full; calls are refused.
 type sendQueue struct {
 	calls chan []byte
-	wake  chan struct{} // soft state waits
+	due   chan struct{} // what waits is to go now
 
-	mu   sync.Mutex
-	soft [][]byte
+	mu    sync.Mutex
+	soft  [][]byte
+	since time.Time // when the oldest soft state was added
 }
 
 func newSendQueue() *sendQueue {
 	return &sendQueue{
 		calls: make(chan []byte, callQueueFrames),
-		wake:  make(chan struct{}, 1),
+		due:   make(chan struct{}, 1),
 	}
 }
 
-// pushSoft adds soft state and reports whether an older frame was dropped.
+// pushSoft adds soft state, which waits for a flush or a call to go with, and
+// reports whether an older frame was dropped.
 func (q *sendQueue) pushSoft(data []byte) (dropped bool) {
 	q.mu.Lock()
+	if len(q.soft) == 0 {
+		q.since = time.Now()
+	}
 	if len(q.soft) == softQueueFrames {
 		q.soft = q.soft[1:]
 		dropped = true
 	}
 	q.soft = append(q.soft, data)
 	q.mu.Unlock()
+	return dropped
+}
+
+// flush lets what waits go now.
+func (q *sendQueue) flush() {
 	select {
-	case q.wake <- struct{}{}:
+	case q.due <- struct{}{}:
 	default:
 	}
-	return dropped
+}
+
+// oldestAge returns how long soft state has waited, 0 when there is none.
+func (q *sendQueue) oldestAge(now time.Time) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.soft) == 0 {
+		return 0
+	}
+	return now.Sub(q.since)
 }
 
 // takeSoft removes all soft state.
--- a/internal/peer/solo.go
+++ b/internal/peer/solo.go
@@ -28,6 +28,9 @@
 // Publish implements Mesh.
 func (s *Solo) Publish(Topic, Scope, any) {}
 
+// PublishSoon implements Mesh.
+func (s *Solo) PublishSoon(Topic, Scope, any) {}
+
 // Subscribe implements Mesh.
 func (s *Solo) Subscribe(Topic, Handler) {}
 
--- a/internal/watch/vms.go
+++ b/internal/watch/vms.go
@@ -113,15 +113,21 @@
 func (v *VMs) tell(leaving []fleet.VMID) {
 	v.mu.Lock()
 	v.reads++
-	due := !slices.Equal(leaving, v.told) || v.reads >= noticeReads
+	news := !slices.Equal(leaving, v.told)
+	due := news || v.reads >= noticeReads
 	if due {
 		v.told = leaving
 		v.reads = 0
 	}
 	v.mu.Unlock()
-	if due && len(leaving) > 0 {
-		v.mesh.Publish(peer.TopicLeaving, peer.ScopeDataCentre, notice{VMs: leaving})
+	if !due || len(leaving) == 0 {
+		return
+	}
+	publish := v.mesh.PublishSoon
+	if news {
+		publish = v.mesh.Publish
 	}
+	publish(peer.TopicLeaving, peer.ScopeDataCentre, notice{VMs: leaving})
 }
 
 func (v *VMs) receive(_ fleet.DaemonID, body cbor.RawMessage) {
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,13 +1,16 @@
 #!/usr/bin/env bash
 # Measures what a daemon spends on control by the number of peers, watched VMs and configuration changes, at three
 # sizes or more each, and fits the slopes that docs/CAPACITY.md works with. Real processes on loopback; stops all it
-# started. Usage: capacity.sh [vms|daemons|centres|changes]...; all parts take about eight minutes, on an idle machine.
+# started. Usage: capacity.sh [vms|daemons|centres|changes]...; all parts take about twelve minutes, on an idle machine.
+# With PLANTAINMUX_CAPACITY_PROFILES set to a directory, the first daemon's CPU profile of each size is kept there.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 readonly START_PORT=${PLANTAINMUX_CAPACITY_PORT:-24000}
 readonly SETTLE=${PLANTAINMUX_CAPACITY_SETTLE:-15}   # seconds before a measurement
 readonly WINDOW=${PLANTAINMUX_CAPACITY_WINDOW:-20s}
+readonly PROFILES=${PLANTAINMUX_CAPACITY_PROFILES:-}
+readonly PROFILE_SECONDS=20
 readonly CORES=${PLANTAINMUX_CAPACITY_CORES:-2}        # of an entry VM
 readonly TOKEN=capacity-admin-token
 work=$(mktemp -d)
@@ -93,6 +96,14 @@
   local by=$1 size=$2 flags=() admin
   for admin in "${admins[@]}"; do flags+=(--admin "$admin"); done
   ./bin/plantainfake measure "${flags[@]}" --window "$WINDOW" --by "$by" --size "$size" | tee -a "$lines"
+  profile "$by-$size"
+}
+
+# profile NAME keeps the first daemon's CPU profile, if profiles are asked for.
+profile() {
+  [ -n "$PROFILES" ] || return 0
+  curl --max-time $((PROFILE_SECONDS + 10)) -sf -H "Authorization: Bearer $TOKEN" -o "$PROFILES/$1.pprof" \
+    "http://${admins[0]}/debug/pprof/profile?seconds=$PROFILE_SECONDS"
 }
 
 go build -o bin/ ./cmd/...
@@ -106,7 +117,7 @@
 }
 
 measure_daemons() {
-  for daemons in 2 4 8 16; do
+  for daemons in ${PLANTAINMUX_CAPACITY_DAEMONS:-2 4 8 16 24 32 47}; do
     fleet 1 "$daemons" 64
     measure daemons_of_a_data_centre "$daemons"
     stop_all
