Peers: reads and writes of a link without a context each, one buffer for all its messages

Table.Saw hashed two reports, with a slice each, to see that nothing had changed.

Change: reads and writes take the background context; the end of the link's own context closes the connection under them, and a write that hangs for as long as a silent link may is found by the common look. One buffer for the messages of a link (frames copy what they keep). Reports are compared field by field.

Seen to fail first: the new spec, without the look at writingSince.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 const (
 	messageBytes = 16 << 20 // largest WebSocket message
 	batchBytes   = 32 << 10 // size at which a message is closed
+	keptBytes    = 4 << 10  // largest buffer that an idle link keeps
 	// retireHeartbeats is how long a link that is no longer used stays open for
 	// calls that the other side has already begun.
 	retireHeartbeats = 2
@@ -32,6 +34,7 @@
 	cancel       context.CancelCauseFunc
 	lastReceived atomic.Int64 // Unix nanoseconds
 	lastSent     atomic.Int64 // Unix nanoseconds
+	writingSince atomic.Int64 // Unix nanoseconds; 0: no message is being written
 	retiring     atomic.Bool
 	clock        *remoteClock // set when the link is registered
 	lastClock    atomic.Int64 // own clock at the last clock frame
@@ -55,8 +58,12 @@
 	return l
 }
 
-// run serves the link until it closes and returns why it did.
+// run serves the link until it closes and returns why it did. Reads and writes
+// take no context, which would cost each of them a timer: the end of the link's
+// own closes the connection under them.
 func (l *link) run() error {
+	stop := context.AfterFunc(l.ctx, func() { _ = l.conn.CloseNow() })
+	defer stop()
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
@@ -141,10 +148,12 @@
 	return batch
 }
 
+// send writes one message. A write that hangs is ended by checkAlive.
 func (l *link) send(batch []byte) error {
-	ctx, cancel := context.WithTimeout(l.ctx, l.owner.options.silence())
-	defer cancel()
-	if err := l.conn.Write(ctx, websocket.MessageBinary, batch); err != nil {
+	l.writingSince.Store(time.Now().UnixNano())
+	err := l.conn.Write(context.Background(), websocket.MessageBinary, batch)
+	l.writingSince.Store(0)
+	if err != nil {
 		return err
 	}
 	l.lastSent.Store(time.Now().UnixNano())
@@ -179,9 +188,14 @@
 	return l.clockFrame()
 }
 
-// checkAlive closes a link that was silent for too long.
+// checkAlive closes a link that was silent for too long, or that has taken no
+// message for as long.
 func (l *link) checkAlive() bool {
-	silence := time.Duration(time.Now().UnixNano() - l.lastReceived.Load())
+	now := time.Now().UnixNano()
+	silence := time.Duration(now - l.lastReceived.Load())
+	if since := l.writingSince.Load(); since > 0 {
+		silence = max(silence, time.Duration(now-since))
+	}
 	if silence <= l.owner.options.silence() {
 		return true
 	}
@@ -191,23 +205,40 @@
 
 // read handles frames until the link closes and returns why it did.
 func (l *link) read() error {
+	var message bytes.Buffer
 	for {
-		_, data, err := l.conn.Read(l.ctx)
+		if message.Cap() > keptBytes {
+			message = bytes.Buffer{}
+		}
+		message.Reset()
+		_, reader, err := l.conn.Reader(context.Background())
 		if err != nil {
 			return err
 		}
+		if _, err := message.ReadFrom(reader); err != nil {
+			return err
+		}
 		l.lastReceived.Store(time.Now().UnixNano())
-		l.owner.counters.receivedBytes.Add(len(data))
-		for len(data) > 0 {
-			var f frame
-			if data, err = cbor.UnmarshalFirst(data, &f); err != nil {
-				return &ProtocolError{Rule: "a message is a sequence of frames: " + err.Error()}
-			}
-			l.handle(f)
+		l.owner.counters.receivedBytes.Add(message.Len())
+		if err := l.handleAll(message.Bytes()); err != nil {
+			return err
 		}
 	}
 }
 
+// handleAll handles the frames of one message. They keep nothing of data.
+func (l *link) handleAll(data []byte) error {
+	for len(data) > 0 {
+		var f frame
+		var err error
+		if data, err = cbor.UnmarshalFirst(data, &f); err != nil {
+			return &ProtocolError{Rule: "a message is a sequence of frames: " + err.Error()}
+		}
+		l.handle(f)
+	}
+	return nil
+}
+
 // handle must not block.
 func (l *link) handle(f frame) {
 	switch f.Kind {
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -68,6 +68,16 @@
 		awaitMesh(nodes)
 	})
 
+	It("are dropped when they take no message for long, though the other side is heard", func() {
+		nodes := startNodes(func(_ int, o *Options) { o.Heartbeat = time.Hour }, "north", "north")
+		awaitMesh(nodes)
+		l := nodes[0].routing.Load().local[0]
+		l.writingSince.Store(time.Now().Add(-nodes[0].options.silence()).UnixNano())
+		nodes[0].lookAtLinks(time.Now())
+		Eventually(l.ctx.Done(), waitLong).Should(BeClosed())
+		Expect(context.Cause(l.ctx)).To(BeAssignableToTypeOf(&SilentError{}))
+	})
+
 	It("are refused from a daemon of another data centre than the settings say", func() {
 		nodes := startNodes(func(i int, o *Options) {
 			if i == 1 {
--- a/internal/watch/own_list.go
+++ b/internal/watch/own_list.go
@@ -71,8 +71,12 @@
 	return change
 }
 
+// sameContent compares what digestOf hashes.
 func sameContent(a, b opinion) bool {
-	return digestOf([]ownItem{{opinion: a}}) == digestOf([]ownItem{{opinion: b}})
+	x, y := &a.seen.Report, &b.seen.Report
+	return x.VM == y.VM && a.seen.Address == b.seen.Address && x.Boot == y.Boot && x.State == y.State &&
+		x.Model == y.Model && x.Version == y.Version && x.Group == y.Group &&
+		slices.Equal(x.Adapters, y.Adapters) && a.failing() == b.failing()
 }
 
 func encodeItem(o opinion, stamp peer.Stamp, stampAt func(time.Time) peer.Stamp) reportItem {
