Polls: a short name of the client, and net/http without the layers around it

Cause: polls are half of a daemon's bytes at 434 VMs a data centre, and half of its processor time beside the peers. The library's user agent is 51 B of each request.

Orders to engines stay with resty.

--- a/internal/endpoint/http_engine.go
+++ b/internal/endpoint/http_engine.go
@@ -30,6 +30,7 @@
 	dialTimeout        = time.Second
 	idleConnsPerEngine = 64
 	idleConnTimeout    = 90 * time.Second
+	userAgent          = "plantainmux"
 	errorBodyLimit     = 4 << 10 // bytes
 )
 
@@ -42,10 +43,7 @@
 // NewHTTPEngine returns a client of engines.
 func NewHTTPEngine() *HTTPEngine {
 	transport := newTransport()
-	return &HTTPEngine{
-		transport: transport,
-		control:   resty.NewWithClient(&http.Client{Transport: transport}),
-	}
+	return &HTTPEngine{transport: transport, control: newControl(transport)}
 }
 
 // CountControlOn gives reports and orders connections of their own, whose bytes
@@ -53,10 +51,16 @@
 func (e *HTTPEngine) CountControlOn(counter *traffic.Counter) *HTTPEngine {
 	transport := newTransport()
 	transport.DialContext = traffic.NewDialer(dialTimeout, counter).DialContext
-	e.control = resty.NewWithClient(&http.Client{Transport: transport})
+	e.control = newControl(transport)
 	return e
 }
 
+// newControl returns a client for reports and orders. Its short name counts: it
+// goes with every poll.
+func newControl(transport *http.Transport) *resty.Client {
+	return resty.NewWithClient(&http.Client{Transport: transport}).SetHeader("User-Agent", userAgent)
+}
+
 func newTransport() *http.Transport {
 	return &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
@@ -66,17 +70,31 @@
 	}
 }
 
-// Report implements Engine.
+// Report implements Engine. Polls are most of the traffic with engines, so they
+// go without the library's layers around net/http.
 func (e *HTTPEngine) Report(ctx context.Context, address string) (fleet.MemberReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	var report fleet.MemberReport
-	response, err := e.control.R().SetContext(ctx).SetResult(&report).Get("http://" + address + PathReport)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PathReport, nil)
 	if err != nil {
 		return report, transportFailure(address, err)
 	}
-	if !response.IsSuccess() {
-		return report, &BrokenError{Address: address, Err: restyStatus(response)}
+	request.Header["User-Agent"] = []string{userAgent}
+	response, err := e.control.GetClient().Do(request)
+	if err != nil {
+		return report, transportFailure(address, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return report, transportFailure(address, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return report, &BrokenError{Address: address, Err: &StatusError{Status: response.StatusCode, Body: string(body)}}
+	}
+	if err := json.Unmarshal(body, &report); err != nil {
+		return report, &BrokenError{Address: address, Err: merry.Wrap(err)}
 	}
 	return report, nil
 }
