A daemon that starts while the log is away takes the groups from a peer

Cause: such a daemon got its configuration from peers, but not the fold of its group stream, and stayed not ready until the log was back. With daemons replaced daily, a long outage would leave a data centre without any.

It asks the daemons of its data centre how far they are (a mesh call, CBOR) and adopts the state with the highest offset as an unconfirmed starting point. It serves by it, proposes nothing and orders nothing before it has read the log, and goes on from that offset. The log must then hold the state's last record: RegressedError or RewrittenError else. A peer whose log contradicts it gives its state to nobody, so that a restart still takes what the log holds.

Not mended here: a daemon cut off from the log alone may be the one chosen to plan, and then nobody forms groups in its data centre. The spec of the furthest peer therefore cuts off a daemon that does not plan.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/plantainmux/plantainmux/internal/evidence"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/group"
+	"github.com/plantainmux/plantainmux/internal/groupsync"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/metric"
 	"github.com/plantainmux/plantainmux/internal/peer"
@@ -52,6 +53,7 @@
 	inForce *config.Store
 	spread  *config.Spread
 	groups  *logstream.Stream[*group.Fold]
+	sync    *groupsync.Sync
 	orders  orders
 
 	table  *watch.Table
@@ -121,6 +123,7 @@
 	wake := func() { d.loop.Wake() }
 	d.buildConfig(wake)
 	d.groups = logstream.New(d.adapters.Log, group.StreamName(d.settings.DataCentre), group.NewFold(), d.streamOptions(wake))
+	d.sync = groupsync.New(d.mesh, d.groups, d.metrics, d.logger)
 	d.vms = watch.NewVMs(d.adapters.VMs, d.mesh, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, d.noteVMs)
 	d.buildWatching(wake)
 	d.loop = reconcile.NewLoop(reconcile.Dependencies{
@@ -227,7 +230,7 @@
 	return adminapi.Status{
 		Daemon:         d.id,
 		DataCentre:     d.settings.DataCentre,
-		Ready:          current.Config.Version != 0 && d.groups.Booted(),
+		Ready:          current.Config.Version != 0 && d.groups.Known(),
 		Draining:       d.draining.Load(),
 		Peers:          d.mesh.Live(),
 		Links:          d.mesh.Links(),
--- /dev/null
+++ b/internal/daemon/group_start_test.go
@@ -0,0 +1,101 @@
+package daemon_test
+
+import (
+	"cmp"
+	"slices"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/fakes"
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/group"
+	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/rendezvous"
+	"github.com/plantainmux/plantainmux/internal/testbed"
+)
+
+const groupStream = 1 // index of the group stream in a status
+
+func groupsNext(d *testbed.Daemon) platform.Offset {
+	streams := statusOf(d).Streams
+	if len(streams) <= groupStream {
+		return 0
+	}
+	return streams[groupStream].Next
+}
+
+func completeOf(d *testbed.Daemon) []fleet.Group { return d.CompleteGroups(testbed.SampleModel) }
+
+// eventuallyOne waits until a daemon sees one complete group.
+func eventuallyOne(d *testbed.Daemon) fleet.Group {
+	var groups []fleet.Group
+	EventuallyWithOffset(1, func() []fleet.Group {
+		groups = completeOf(d)
+		return groups
+	}, waitSpread, pollSpread).Should(HaveLen(1))
+	return groups[0]
+}
+
+// planner is 1 for the daemon that plans the groups, which must reach the log.
+func planner(d *testbed.Daemon) int {
+	if rendezvous.Chosen("planner", statusOf(d).Peers, 1, statusOf(d).Daemon) {
+		return 1
+	}
+	return 0
+}
+
+func ready(d *testbed.Daemon) func() bool { return func() bool { return statusOf(d).Ready } }
+
+var _ = Describe("The groups of a daemon that starts while the log is away", func() {
+	var bed *testbed.Bed
+	var daemons []*testbed.Daemon
+	var first fleet.Group
+
+	BeforeEach(func() {
+		bed = testbed.New()
+		bed.AddEngines("north", "north-a", 3, fakes.EngineOptions{ChecksFencing: true})
+		daemons = bed.StartDaemons(nil, "north", "north", "north")
+		bed.Publish(0, testbed.SampleConfig(1, "north"))
+		for _, d := range daemons {
+			first = eventuallyOne(d)
+			Eventually(func() int { return len(statusOf(d).Peers) }, waitSpread, pollSpread).Should(Equal(3))
+		}
+	})
+
+	It("are those of the peer that is furthest", func() {
+		slices.SortFunc(daemons, func(a, b *testbed.Daemon) int { return cmp.Compare(planner(b), planner(a)) })
+		ahead, behind := daemons[0], daemons[1]
+		behind.Latch.Cut(testbed.SideLog)
+		bed.Engines[first.Members[1]].Kill()
+		before := groupsNext(behind)
+		Eventually(func() []fleet.Group { return completeOf(ahead) }, waitSpread, pollSpread).Should(BeEmpty())
+		second := eventuallyOne(ahead)
+		bed.Log.Set(fakes.Faults{Down: true})
+		daemons[2].Kill()
+		started := bed.Replace(daemons[2])
+		Eventually(ready(started), waitSpread, pollSpread).Should(BeTrue())
+		Expect(groupsNext(started)).To(Equal(groupsNext(ahead)))
+		Expect(groupsNext(started)).To(BeNumerically(">", before))
+		Expect(eventuallyOne(started)).To(Equal(second))
+	})
+
+	It("are kept when the log comes back without them, and not given on any more", func() {
+		bed.Log.Set(fakes.Faults{Down: true})
+		daemons[2].Kill()
+		started := bed.Replace(daemons[2])
+		Eventually(ready(started), waitSpread, pollSpread).Should(BeTrue())
+		Expect(eventuallyOne(started)).To(Equal(first))
+		bed.Log.Truncate(group.StreamName("north"), groupsNext(started)-1)
+		bed.Log.Set(fakes.Faults{})
+		for _, d := range []*testbed.Daemon{daemons[0], daemons[1], started} {
+			Eventually(func() []string { return statusOf(d).RefusedStreams }, waitSpread, pollSpread).ShouldNot(BeEmpty())
+		}
+		Expect(eventuallyOne(started)).To(Equal(first))
+		bed.Log.Set(fakes.Faults{Down: true})
+		daemons[1].Kill()
+		last := bed.Replace(daemons[1])
+		Eventually(func() int { return len(statusOf(last).Peers) }, waitSpread, pollSpread).Should(Equal(3))
+		Consistently(ready(last), 2*holdSpread, pollSpread).Should(BeFalse())
+	})
+})
--- /dev/null
+++ b/internal/groupsync/counters.go
@@ -0,0 +1,22 @@
+package groupsync
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/plantainmux/plantainmux/internal/metric"
+)
+
+// syncCounters are the metrics of a sync.
+type syncCounters struct {
+	adopted  *metrics.Counter // states taken from peers
+	served   *metrics.Counter // states given to peers
+	failures *metrics.Counter // states that could not be taken
+}
+
+func newSyncCounters(set *metric.Set) syncCounters {
+	return syncCounters{
+		adopted:  set.Counter("plantainmux_group_states_adopted_total"),
+		served:   set.Counter("plantainmux_group_states_served_total"),
+		failures: set.Counter("plantainmux_group_state_failures_total"),
+	}
+}
--- /dev/null
+++ b/internal/groupsync/offer.go
@@ -0,0 +1,12 @@
+package groupsync
+
+import (
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/platform"
+)
+
+// offer says how far the state of a peer is.
+type offer struct {
+	from fleet.DaemonID
+	next platform.Offset
+}
--- a/internal/logstream/bootstrap.go
+++ b/internal/logstream/bootstrap.go
@@ -6,12 +6,17 @@
 // it. It never steps back below what was applied.
 func (s *Stream[F]) bootstrap(ctx context.Context) error {
 	started := s.options.Now()
-	found, err := tailReader{log: s.log, stream: s.name}.read(ctx, s.Next())
+	adoptions := s.adoptions.Load()
+	next, last := s.end()
+	found, err := tailReader{log: s.log, stream: s.name}.read(ctx, next)
 	if err != nil {
 		return err
 	}
-	if found.next < s.Next() {
-		return &RegressedError{Stream: s.name, Applied: s.Next() - 1, Next: found.next}
+	if found.next < next {
+		return &RegressedError{Stream: s.name, Applied: next - 1, Next: found.next}
+	}
+	if err := s.verifyAdopted(ctx, next, last); err != nil {
+		return err
 	}
 	if err := s.restore(found); err != nil {
 		return err
@@ -19,8 +24,8 @@
 	if err := s.applyAll(found.records); err != nil {
 		return err
 	}
-	s.noteConfirmed(found.next, started)
-	s.markBooted()
+	s.noteConfirmed(found.next, started, adoptions)
+	s.markBooted(adoptions)
 	return nil
 }
 
@@ -42,8 +47,14 @@
 	return nil
 }
 
-func (s *Stream[F]) markBooted() {
-	s.bootOnce.Do(func() { close(s.booted) })
+// markBooted ends the start, unless a state was adopted meanwhile: that one has
+// not been checked yet.
+func (s *Stream[F]) markBooted(adoptions uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unchanged(adoptions) {
+		s.bootOnce.Do(func() { close(s.booted) })
+	}
 }
 
 // Booted reports whether the stream has been read up to an end of it once.
--- a/internal/logstream/follow.go
+++ b/internal/logstream/follow.go
@@ -33,6 +33,7 @@
 		return s.bootstrap(ctx)
 	}
 	started := s.options.Now()
+	adoptions := s.adoptions.Load()
 	from, last := s.end()
 	page, err := s.log.Read(ctx, s.name, from, readLimit, s.options.PollWait)
 	if _, expired := asExpired(err); expired {
@@ -52,7 +53,7 @@
 	if err := s.applyAll(page.Records); err != nil {
 		return err
 	}
-	s.noteConfirmed(page.Next, started)
+	s.noteConfirmed(page.Next, started, adoptions)
 	return nil
 }
 
@@ -94,6 +95,7 @@
 
 func (s *Stream[F]) confirm(ctx context.Context) error {
 	started := s.options.Now()
+	adoptions := s.adoptions.Load()
 	for {
 		from, _ := s.end()
 		page, err := s.readLinked(ctx, from)
@@ -107,7 +109,7 @@
 			return err
 		}
 		if s.Next() >= page.Next {
-			s.noteConfirmed(page.Next, started)
+			s.noteConfirmed(page.Next, started, adoptions)
 			return nil
 		}
 	}
@@ -126,9 +128,12 @@
 	return page, err
 }
 
-// noteConfirmed moves the time of confirmation forward, never back.
-func (s *Stream[F]) noteConfirmed(next platform.Offset, at time.Time) {
-	if s.Next() < next {
+// noteConfirmed moves the time of confirmation forward, never back. A reading
+// confirms nothing of a state that was adopted during it.
+func (s *Stream[F]) noteConfirmed(next platform.Offset, at time.Time, adoptions uint64) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.state.next < next || !s.unchanged(adoptions) {
 		return
 	}
 	for {
--- a/internal/logstream/stream.go
+++ b/internal/logstream/stream.go
@@ -31,6 +31,7 @@
 	booted   chan struct{} // closed when the stream was read up to an end of it
 	bootOnce sync.Once
 
+	adoptions atomic.Uint64         // states taken from other followers
 	next      atomic.Uint64         // offset after the last applied record
 	confirmed atomic.Int64          // Unix nanoseconds at which the view was last known to be the log's end
 	refused   atomic.Pointer[error] // why the log is refused
@@ -56,18 +57,18 @@
 // Run follows the stream and writes proposals until ctx ends.
 func (s *Stream[F]) Run(ctx context.Context) {
 	var wait sync.WaitGroup
-	wait.Go(func() { s.write(ctx) })
-	wait.Go(func() { s.runSnapshots(ctx) })
+	wait.Go(func() { s.onceBooted(ctx, s.writer.run) })
+	wait.Go(func() { s.onceBooted(ctx, s.runSnapshots) })
 	s.follow(ctx)
 	wait.Wait()
 }
 
-// write appends proposals once the stream has been read: a record tells what
-// its writer had applied.
-func (s *Stream[F]) write(ctx context.Context) {
+// onceBooted runs what appends once the stream has been read: a record tells
+// what its writer had applied, and an adopted state is not to be relied on.
+func (s *Stream[F]) onceBooted(ctx context.Context, run func(context.Context)) {
 	select {
 	case <-s.booted:
-		s.writer.run(ctx)
+		run(ctx)
 	case <-ctx.Done():
 	}
 }
