--- a/internal/group/free_vms.go
+++ b/internal/group/free_vms.go
@@ -15,6 +15,7 @@
 func (p *planner) findFree() {
 	p.free = map[fleet.FabricDomain][]fleet.VMID{}
 	p.pending = map[fleet.FabricDomain]int{}
+	p.pendingSteady = map[fleet.FabricDomain]int{}
 	for id, vm := range p.in.World.VMs {
 		switch {
 		case !p.usable(vm):
@@ -22,6 +23,9 @@
 			p.free[vm.FabricDomain] = append(p.free[vm.FabricDomain], id)
 		default:
 			p.pending[vm.FabricDomain]++
+			if !p.unsteady(id) {
+				p.pendingSteady[vm.FabricDomain]++
+			}
 		}
 	}
 	p.findPending()
--- a/internal/group/outages.go
+++ b/internal/group/outages.go
@@ -20,15 +20,12 @@
 	renewed   bool // it has started anew since it was first seen
 }
 
-// note counts an outage when a report grows stale or its boot changes.
+// note counts an outage when a report grows stale, or when its boot changes
+// without that.
 func (o *outages) note(observation Observation, now time.Time, bound time.Duration) {
-	if boot := observation.Report.Boot; o.boot != boot {
-		o.renewed = o.boot != ""
-		o.boot = boot
-		o.bootSince = now
-	}
+	restarted := o.noteBoot(observation.Report.Boot, now)
 	silent := !observation.Fresh(now, bound)
-	if silent && !o.silent {
+	if !o.silent && (silent || restarted) {
 		o.starts = append(o.starts, now)
 	}
 	o.silent = silent
@@ -37,6 +34,17 @@
 	}
 }
 
+// noteBoot reports whether the VM has started anew since the last report.
+func (o *outages) noteBoot(boot fleet.BootID, now time.Time) bool {
+	if o.boot == boot {
+		return false
+	}
+	o.renewed = o.boot != ""
+	o.boot = boot
+	o.bootSince = now
+	return o.renewed
+}
+
 // unsteady reports whether the VM has failed too often lately.
 func (o *outages) unsteady() bool {
 	return len(o.starts) >= flapLimit
--- a/internal/group/plan_form.go
+++ b/internal/group/plan_form.go
@@ -101,7 +101,18 @@
 
 func (p *planner) suits(domain fleet.FabricDomain, n need) bool {
 	vms := p.free[domain]
-	return len(vms) >= n.model.Members && (!n.covered || p.unsteadyIn(vms[:n.model.Members]) == 0)
+	if len(vms) < n.model.Members {
+		return false
+	}
+	unsteady := p.unsteadyIn(vms[:n.model.Members])
+	return unsteady == 0 || !n.covered && !p.steadySoon(domain, unsteady, n)
+}
+
+// steadySoon reports whether steady VMs that could stand in for unsteady ones
+// are about to let go of their former group. They are waited for no longer than
+// a member is before it is lost.
+func (p *planner) steadySoon(domain fleet.FabricDomain, unsteady int, n need) bool {
+	return n.age <= p.in.Bounds.LostAfter && p.pendingSteady[domain] >= unsteady
 }
 
 func (p *planner) compareDomains(a, b fleet.FabricDomain, model *config.Model) int {
--- a/internal/group/planner.go
+++ b/internal/group/planner.go
@@ -38,8 +38,11 @@
 	groups       []*candidateGroup
 	free         map[fleet.FabricDomain][]fleet.VMID // best first
 	pending      map[fleet.FabricDomain]int          // VMs that will be free soon
-	loadingVMs   int
-	unmet        []need
+	// pendingSteady counts those that let go of their former group now and do
+	// not keep failing.
+	pendingSteady map[fleet.FabricDomain]int
+	loadingVMs    int
+	unmet         []need
 }
 
 func newPlanner(in Input) *planner {
