--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/plantainmux/plantainmux/internal/evidence"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/group"
+	"github.com/plantainmux/plantainmux/internal/groupsync"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/metric"
 	"github.com/plantainmux/plantainmux/internal/peer"
@@ -52,6 +53,7 @@
 	inForce *config.Store
 	spread  *config.Spread
 	groups  *logstream.Stream[*group.Fold]
+	sync    *groupsync.Sync
 	orders  orders
 
 	table  *watch.Table
@@ -122,6 +124,7 @@
 	wake := func() { d.loop.Wake() }
 	d.buildConfig(wake)
 	d.groups = logstream.New(d.adapters.Log, group.StreamName(d.settings.DataCentre), group.NewFold(), d.streamOptions(wake))
+	d.sync = groupsync.New(d.mesh, d.groups, d.metrics, d.logger)
 	d.vms = watch.NewVMs(d.adapters.VMs, d.mesh, d.settings.DataCentre, settings.Millis(d.settings.Timing.VMListMS), d.logger, d.noteVMs)
 	d.buildWatching(wake)
 	d.readiness = newReadiness(d.table.Unheard, settings.Millis(d.settings.Timing.ReportBoundMS))
--- a/internal/reconcile/publish.go
+++ b/internal/reconcile/publish.go
@@ -7,15 +7,15 @@
 	"github.com/plantainmux/plantainmux/internal/view"
 )
 
-// publish builds the view of this moment. booted says that the stream of the
-// groups has been read.
-func (l *Loop) publish(in group.Input, booted bool) {
+// publish builds the view of this moment. known says that the groups come
+// from the log or a peer.
+func (l *Loop) publish(in group.Input, known bool) {
 	current := l.Config()
 	next := &view.View{
 		Config:      current,
 		Teams:       teamsByKey(current.Configuration),
 		Services:    servicesByName(current.Configuration),
-		GroupsKnown: booted,
+		GroupsKnown: known,
 		At:          in.Now,
 	}
 	for _, record := range in.Fold.Groups() {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -14,7 +14,7 @@
 	Services map[string]config.Service
 	Groups   []*Serving // complete groups only
 	Status   []GroupStatus
-	// GroupsKnown says that the groups come from their stream, and are not
+	// GroupsKnown says that the groups come from the log or a peer, and are not
 	// merely unread yet.
 	GroupsKnown bool
 	At          time.Time
