What needs the log is done by daemons that can read it

Cause: the planner, the senders of control orders and the owners of order slots are chosen among the live daemons. One that was cut off from the log alone stayed chosen: its data centre formed and repaired no group, and the orders of its slots were refused as not run, for as long as that lasted, though its neighbours could have done both. So did a daemon that had just started and had not read the log yet, for a moment.

Ruled out: asking the next owner when one refuses for the log (claims would first wait their 3 s at each order), and leaving the mesh (its reports of members and its requests are of use).

Now a daemon tells its peers when its group stream was not read yet, or when its reads have failed for 2 s, and they choose among the others; when none can read the log, among all. Polling of members is chosen among all as before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -137,7 +137,7 @@
 		VMs:        d.vms,
 		Views:      d.views,
 		Engine:     d.adapters.Engine,
-		Live:       d.mesh.Live,
+		WithLog:    d.mesh.WithLog,
 		Period:     settings.Millis(d.settings.Timing.ReconcileMS),
 		Bounds:     d.bounds(),
 		Metrics:    d.metrics,
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -82,6 +82,7 @@
 	d.tasks.Go(func() { d.config.Run(ctx) })
 	d.tasks.Go(func() { d.spread.Run(ctx) })
 	d.tasks.Go(func() { d.groups.Run(ctx) })
+	d.tasks.Go(func() { d.watchLogReach(ctx) })
 	d.tasks.Go(func() { d.sync.Run(ctx) })
 	d.startOrders(ctx)
 	d.tasks.Go(func() { d.vms.Run(ctx) })
--- a/internal/logstream/follow.go
+++ b/internal/logstream/follow.go
@@ -17,6 +17,7 @@
 	for ctx.Err() == nil {
 		err := s.step(ctx)
 		s.noteHealth(err)
+		s.noteReach(err)
 		if err != nil {
 			s.reportReadFailure(ctx, err)
 			wait.For(ctx, backoff)
@@ -144,6 +145,24 @@
 	}
 }
 
+// noteReach remembers since when reads fail.
+func (s *Stream[F]) noteReach(err error) {
+	if err == nil {
+		s.failingSince.Store(0)
+		return
+	}
+	s.failingSince.CompareAndSwap(0, time.Now().UnixNano())
+}
+
+// Failing returns for how long every read has failed.
+func (s *Stream[F]) Failing(now time.Time) time.Duration {
+	since := s.failingSince.Load()
+	if since == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, since))
+}
+
 // noteHealth remembers whether the log contradicts what was applied.
 func (s *Stream[F]) noteHealth(err error) {
 	if err == nil {
--- a/internal/logstream/stream.go
+++ b/internal/logstream/stream.go
@@ -32,10 +32,11 @@
 	booted   chan struct{} // closed when the stream was read up to an end of it
 	bootOnce sync.Once
 
-	adoptions atomic.Uint64         // states taken from other followers
-	next      atomic.Uint64         // offset after the last applied record
-	confirmed atomic.Int64          // Unix nanoseconds at which the view was last known to be the log's end
-	refused   atomic.Pointer[error] // why the log is refused
+	adoptions    atomic.Uint64         // states taken from other followers
+	next         atomic.Uint64         // offset after the last applied record
+	confirmed    atomic.Int64          // Unix nanoseconds at which the view was last known to be the log's end
+	failingSince atomic.Int64          // Unix nanoseconds of the first of the failed reads; zero after a success
+	refused      atomic.Pointer[error] // why the log is refused
 }
 
 // New returns a stream that starts from the empty fold.
--- a/internal/order/follower.go
+++ b/internal/order/follower.go
@@ -46,9 +46,10 @@
 	return &Follower{ctx: ctx, mesh: mesh, open: open, started: time.Now(), followed: map[Slot]*followed{}}
 }
 
-// Owners returns the daemons that follow a slot, its owner first.
+// Owners returns the daemons that follow a slot, its owner first. One that
+// cannot read the log is none while others can.
 func (s *Follower) Owners(slot Slot) []fleet.DaemonID {
-	return rendezvous.Choose(StreamName(slot), s.mesh.Live(), ownersPerSlot)
+	return rendezvous.Choose(StreamName(slot), s.mesh.WithLog(), ownersPerSlot)
 }
 
 // Followed returns the number of slots that are followed.
--- a/internal/order/hub_test.go
+++ b/internal/order/hub_test.go
@@ -44,6 +44,8 @@
 	return m.hub.live()
 }
 
+func (m *hubMesh) WithLog() []fleet.DaemonID { return m.Live() }
+
 func (m *hubMesh) HandleCall(_ peer.Method, handler peer.CallHandler) { m.handler = handler }
 
 func (m *hubMesh) Call(ctx context.Context, to fleet.DaemonID, _ peer.Method, body, reply any) error {
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -1,8 +1,6 @@
 package peer
 
 import (
-	"slices"
-
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
@@ -64,12 +62,12 @@
 // refresh publishes a new routing snapshot and tells the peers what changed
 // for them. The caller holds mu.
 func (n *Network) refresh() {
-	next := newRouting(n.self, n.leaving, n.links)
+	next := newRouting(n.self, remoteState{Leaving: n.leaving, LogAway: n.logAway}, n.links)
 	n.routing.Store(next)
 	close(n.changed)
 	n.changed = make(chan struct{})
-	state := remoteState{Leaving: n.leaving, DataCentres: sortedKeys(next.regional)}
-	if state.Leaving == n.told.Leaving && slices.Equal(state.DataCentres, n.told.DataCentres) {
+	state := remoteState{Leaving: n.leaving, LogAway: n.logAway, DataCentres: sortedKeys(next.regional)}
+	if state.equals(n.told) {
 		return
 	}
 	n.told = state
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -14,6 +14,9 @@
 	// Live returns the daemons of the own data centre that can be reached, sorted,
 	// the own one included.
 	Live() []fleet.DaemonID
+	// WithLog returns those of Live that can read the platform's log, or all when
+	// none can: the daemons that may be chosen for what needs the log.
+	WithLog() []fleet.DaemonID
 	// DataCentres returns the other data centres that can be reached, sorted.
 	DataCentres() []fleet.DataCentre
 	// Publish sends soft state to other daemons at once, and with it what waits.
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -89,6 +89,27 @@
 		Expect(nodes[0].Live()).To(HaveLen(1))
 	})
 
+	It("tell which daemons can read the log, and name all when none can", func() {
+		nodes := startNodes(nil, "north", "north", "north")
+		awaitMesh(nodes)
+		all := nodes[0].Live()
+		for i := range nodes[:2] {
+			nodes[i].SetLogAway(true)
+			for _, n := range nodes {
+				Eventually(n.WithLog, waitLong, pollOften).Should(Equal(all[i+1:]))
+				Expect(n.Live()).To(Equal(all))
+			}
+		}
+		nodes[2].SetLogAway(true)
+		for _, n := range nodes {
+			Eventually(n.WithLog, waitLong, pollOften).Should(Equal(all))
+		}
+		nodes[1].SetLogAway(false)
+		for _, n := range nodes {
+			Eventually(n.WithLog, waitLong, pollOften).Should(Equal(all[1:2]))
+		}
+	})
+
 	It("drop a leaving daemon from Live at once, while its calls go on", func() {
 		nodes := startNodes(nil, "north", "north", "north")
 		started := make(chan struct{})
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -42,6 +42,7 @@
 	running map[*link]bool           // in use or retiring
 	changed chan struct{}            // closed and replaced when links change
 	leaving bool
+	logAway bool
 	told    remoteState
 }
 
@@ -68,7 +69,7 @@
 	n.counters = newCounters(n.options.Metrics)
 	n.options.Metrics.Gauge("plantainmux_peer_links", func() float64 { return float64(n.size()) })
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.routing.Store(newRouting(n.self, false, n.links))
+	n.routing.Store(newRouting(n.self, remoteState{}, n.links))
 	return n, nil
 }
 
@@ -78,6 +79,9 @@
 // Live implements Mesh.
 func (n *Network) Live() []fleet.DaemonID { return n.routing.Load().live }
 
+// WithLog implements Mesh.
+func (n *Network) WithLog() []fleet.DaemonID { return n.routing.Load().withLog }
+
 // DataCentres implements Mesh.
 func (n *Network) DataCentres() []fleet.DataCentre { return n.routing.Load().dataCentres }
 
--- a/internal/peer/routing.go
+++ b/internal/peer/routing.go
@@ -9,6 +9,7 @@
 // routing is an immutable snapshot of what can be reached and how.
 type routing struct {
 	live        []fleet.DaemonID // own data centre, sorted
+	withLog     []fleet.DaemonID // those of live that can read the log, or all when none can
 	local       []*link          // to daemons of the own data centre
 	links       map[fleet.DaemonID]*link
 	regional    map[fleet.DataCentre][]*link // to daemons of another data centre
@@ -17,7 +18,7 @@
 }
 
 // newRouting computes the snapshot from the links of a daemon.
-func newRouting(self identity, leaving bool, links map[fleet.DaemonID]*link) *routing {
+func newRouting(self identity, own remoteState, links map[fleet.DaemonID]*link) *routing {
 	r := &routing{
 		links:    map[fleet.DaemonID]*link{},
 		regional: map[fleet.DataCentre][]*link{},
@@ -29,9 +30,13 @@
 	for dataCentre := range r.regional {
 		r.relays[dataCentre] = append(r.relays[dataCentre], self.Daemon)
 	}
-	if !leaving || len(r.live) == 0 {
-		r.live = append(r.live, self.Daemon)
-		slices.Sort(r.live)
+	if !own.Leaving || len(r.live) == 0 {
+		r.addLive(self.Daemon, own)
+	}
+	slices.Sort(r.live)
+	slices.Sort(r.withLog)
+	if len(r.withLog) == 0 {
+		r.withLog = r.live
 	}
 	r.dataCentres = sortedKeys(r.relays)
 	return r
@@ -50,12 +55,19 @@
 	if state.Leaving {
 		return
 	}
-	r.live = append(r.live, l.remote.Daemon)
+	r.addLive(l.remote.Daemon, *state)
 	for _, dataCentre := range state.DataCentres {
 		r.relays[dataCentre] = append(r.relays[dataCentre], l.remote.Daemon)
 	}
 }
 
+func (r *routing) addLive(daemon fleet.DaemonID, state remoteState) {
+	r.live = append(r.live, daemon)
+	if !state.LogAway {
+		r.withLog = append(r.withLog, daemon)
+	}
+}
+
 // link returns the link to a daemon of the own data centre.
 func (r *routing) link(to fleet.DaemonID) (*link, bool) {
 	l, ok := r.links[to]
--- a/internal/peer/run.go
+++ b/internal/peer/run.go
@@ -65,6 +65,17 @@
 	n.refresh()
 }
 
+// SetLogAway tells the peers whether this daemon cannot read the platform's log.
+func (n *Network) SetLogAway(away bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.logAway == away {
+		return
+	}
+	n.logAway = away
+	n.refresh()
+}
+
 // Drain waits until no call has been in progress for a heartbeat, so that calls
 // sent before the peers knew of the leave are answered too.
 func (n *Network) Drain(ctx context.Context) {
--- a/internal/peer/solo.go
+++ b/internal/peer/solo.go
@@ -22,6 +22,9 @@
 // Live implements Mesh.
 func (s *Solo) Live() []fleet.DaemonID { return []fleet.DaemonID{s.self} }
 
+// WithLog implements Mesh.
+func (s *Solo) WithLog() []fleet.DaemonID { return s.Live() }
+
 // DataCentres implements Mesh.
 func (s *Solo) DataCentres() []fleet.DataCentre { return nil }
 
--- a/internal/reconcile/dependencies.go
+++ b/internal/reconcile/dependencies.go
@@ -24,7 +24,7 @@
 	VMs        *watch.VMs
 	Views      *view.Store
 	Engine     endpoint.Engine
-	Live       func() []fleet.DaemonID // daemons of the data centre, this one included
+	WithLog    func() []fleet.DaemonID // daemons of the data centre that can read the log
 	Period     time.Duration
 	Bounds     group.Bounds
 	Metrics    *metric.Set
--- a/internal/reconcile/loop.go
+++ b/internal/reconcile/loop.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	watchersPerMember = 2
+	orderersPerMember = 2
 	plannerKey        = "planner"
 	minWakeGap        = 10 * time.Millisecond
 )
@@ -82,9 +82,9 @@
 func (l *Loop) round(ctx context.Context) {
 	var plan group.Plan
 	var targets []group.ControlTarget
-	live := l.Live()
+	candidates := l.WithLog()
 	known := l.Groups.Known()
-	plans := l.isPlanner(live) && l.proposer.begin()
+	plans := l.isPlanner(candidates) && l.proposer.begin()
 	// Nothing in here may ask the stream: a reader that locks again behind a
 	// waiting writer waits for ever.
 	l.Groups.Read(func(fold *group.Fold) {
@@ -93,7 +93,7 @@
 		if plans {
 			plan = l.plan(in)
 		}
-		targets = l.targets(in, live)
+		targets = l.targets(in, candidates)
 	})
 	l.proposer.start(ctx, plan)
 	for _, target := range targets {
@@ -130,19 +130,19 @@
 
 // isPlanner reports whether this daemon plans. One that knows no configuration
 // yet must not: by an empty one, no group is wanted.
-func (l *Loop) isPlanner(live []fleet.DaemonID) bool {
-	return l.Groups.Booted() && l.Config().Version != 0 && rendezvous.Chosen(plannerKey, live, 1, l.Self)
+func (l *Loop) isPlanner(candidates []fleet.DaemonID) bool {
+	return l.Groups.Booted() && l.Config().Version != 0 && rendezvous.Chosen(plannerKey, candidates, 1, l.Self)
 }
 
-// targets returns the orders for the members that this daemon watches.
-func (l *Loop) targets(in group.Input, live []fleet.DaemonID) []group.ControlTarget {
+// targets returns the orders for the members that this daemon is chosen for.
+func (l *Loop) targets(in group.Input, candidates []fleet.DaemonID) []group.ControlTarget {
 	var targets []group.ControlTarget
 	for vm, observation := range in.World.Observations {
 		if !observation.Fresh(in.Now, in.Bounds.ReportBound) {
 			continue
 		}
 		target, ok := group.Target(in.Fold, observation)
-		if ok && rendezvous.Chosen(string(vm), live, watchersPerMember, l.Self) {
+		if ok && rendezvous.Chosen(string(vm), candidates, orderersPerMember, l.Self) {
 			targets = append(targets, target)
 		}
 	}
--- a/internal/reconcile/loop_test.go
+++ b/internal/reconcile/loop_test.go
@@ -65,7 +65,7 @@
 		Table:      watch.NewTable("d", 2*time.Second, func(fleet.VMID, group.Observation) {}, func(fleet.VMID) {}),
 		VMs:        followed,
 		Views:      view.NewStore(),
-		Live:       func() []fleet.DaemonID { return []fleet.DaemonID{"d"} },
+		WithLog:    func() []fleet.DaemonID { return []fleet.DaemonID{"d"} },
 		Period:     time.Millisecond,
 		Bounds:     group.Bounds{ReportBound: 2 * time.Second},
 		Metrics:    metric.NewSet(),
