At most 8 copies of a request share a group

Cause: many callers may send one harmless prompt at once. With the batch's room as the only bound, copies filled one group after another while others stood idle, and daemons that know each other's load late could fill the same one.

Now 8 copies share a group; the next is routed by load, and further ones join it there. Bound for a crashing request: one group for each 8 copies that a daemon sent before the first crash, and one on which a suspect runs alone. What sharing costs harmless copies was not measured: the stand-in's pace does not depend on its batch.

--- a/internal/relay/copies.go
+++ b/internal/relay/copies.go
@@ -6,6 +6,10 @@
 	"github.com/plantainmux/plantainmux/internal/fleet"
 )
 
+// copiesTogether is how many copies share a group. It bounds how far a request that
+// many callers send departs from routing by load.
+const copiesTogether = 8
+
 // copies knows the group on which a daemon's requests of one fingerprint are in
 // progress. Copies share a group, so that one that crashes it costs no other.
 type copies struct {
@@ -21,7 +25,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	place, ok := c.places[fingerprint]
-	if !ok || !joinable(place.group) {
+	if !ok || place.count >= copiesTogether || !joinable(place.group) {
 		place = &copyPlace{group: chosen}
 		c.places[fingerprint] = place
 	}
