Orders: a slow log delays orders, it does not refuse them

Cause: a claim waited 3 s for its verdict. On a log that answers each append and read after 0.5 to 2 s a verdict takes an append, a long poll and the check of the last record, 4 s or more: nearly all orders were refused as not run and their claims withdrawn, however long their callers would wait.

A claim now waits while the log serves the stream's calls, up to three quarters of the order's time; it is still given up after 3 s in which the log served nothing. Only such a silence opens the breaker. The stand-ins have a switch for slow answers (slow_ms, slowest_ms), half of the delay after acting.

--- a/internal/fakes/faults.go
+++ b/internal/fakes/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -13,6 +14,8 @@
 	Frozen      bool `json:"frozen"`       // neither act nor answer until thawed
 	LoseAnswers bool `json:"lose_answers"` // act, then cut the connection
 	DelayMS     int  `json:"delay_ms"`     // wait before acting
+	SlowMS      int  `json:"slow_ms"`      // least time of an answer, half of it after acting
+	SlowestMS   int  `json:"slowest_ms"`   // longest time of an answer; drawn for each call
 }
 
 // Switches guards the faults of one stand-in.
@@ -71,6 +74,8 @@
 		}
 		faults := s.Get()
 		time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
+		held := faults.slowness() / 2
+		time.Sleep(held)
 		switch {
 		case faults.Down:
 			http.Error(w, "down", http.StatusServiceUnavailable)
@@ -78,11 +83,20 @@
 			next.ServeHTTP(newDiscard(), r)
 			panic(http.ErrAbortHandler)
 		default:
-			next.ServeHTTP(w, r)
+			next.ServeHTTP(holdBack(w, held), r)
 		}
 	})
 }
 
+// slowness draws the time of one answer.
+func (f Faults) slowness() time.Duration {
+	least, longest := time.Duration(f.SlowMS)*time.Millisecond, time.Duration(f.SlowestMS)*time.Millisecond
+	if longest <= least {
+		return least
+	}
+	return least + rand.N(longest-least)
+}
+
 // handle lets a test or an operator of the stand-in set the faults over HTTP.
 func (s *Switches) handle(w http.ResponseWriter, r *http.Request) {
 	var faults Faults
--- a/internal/logstream/batch.go
+++ b/internal/logstream/batch.go
@@ -89,6 +89,7 @@
 			_, err := w.log.Append(ctx, w.stream, records)
 			if err == nil {
 				w.counters.appends.Inc()
+				w.answered()
 				return
 			}
 			w.noteFailure(batch, err)
--- a/internal/logstream/follow.go
+++ b/internal/logstream/follow.go
@@ -41,6 +41,7 @@
 	if err != nil {
 		return err
 	}
+	s.answers.Add(1)
 	if page.Next < from {
 		return &RegressedError{Stream: s.name, Applied: from - 1, Next: page.Next}
 	}
--- a/internal/logstream/stream.go
+++ b/internal/logstream/stream.go
@@ -34,6 +34,7 @@
 
 	next      atomic.Uint64         // offset after the last applied record
 	confirmed atomic.Int64          // Unix nanoseconds at which the view was last known to be the log's end
+	answers   atomic.Uint64         // calls that the log has served
 	refused   atomic.Pointer[error] // why the log is refused
 }
 
@@ -53,6 +54,7 @@
 	s.writer = newWriter(log, name, s.options, s.counters)
 	s.writer.applied = func() platform.Offset { return s.Next() - 1 }
 	s.writer.refused = s.Refused
+	s.writer.answered = func() { s.answers.Add(1) }
 	return s
 }
 
--- a/internal/logstream/writer.go
+++ b/internal/logstream/writer.go
@@ -21,6 +21,7 @@
 	counters counters
 	wake     chan struct{}
 	applied  func() platform.Offset // last offset that was applied
+	answered func()                 // notes that the log took an append
 	refused  func() error           // why nothing may be appended; nil when it may
 
 	mu       sync.Mutex
--- a/internal/order/bed_test.go
+++ b/internal/order/bed_test.go
@@ -33,6 +33,7 @@
 	serviceServer *fakes.Server
 	snapshotEvery int
 	claimTimeout  time.Duration
+	inProgress    int // of each node; zero is the default
 }
 
 func newBed() *bed {
--- a/internal/order/bench_test.go
+++ b/internal/order/bench_test.go
@@ -121,15 +121,18 @@
 }
 
 func reportDelays(b *testing.B, took []time.Duration) {
-	slices.Sort(took)
-	at := func(share float64) float64 {
-		return float64(took[int(share*float64(len(took)-1))].Microseconds()) / 1000
-	}
+	at := func(share float64) float64 { return float64(delayAt(took, share).Microseconds()) / 1000 }
 	b.ReportMetric(at(0.5), "p50-ms")
 	b.ReportMetric(at(0.95), "p95-ms")
 	b.ReportMetric(at(0.99), "p99-ms")
 }
 
+// delayAt returns the delay that a share of the calls stayed within.
+func delayAt(took []time.Duration, share float64) time.Duration {
+	slices.Sort(took)
+	return took[int(share*float64(len(took)-1))]
+}
+
 func cpuTime() time.Duration {
 	var usage syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
--- a/internal/order/node_test.go
+++ b/internal/order/node_test.go
@@ -65,6 +65,7 @@
 		Usable:       func(string) bool { return !n.serviceDown.Load() },
 		Metrics:      metrics,
 		ClaimTimeout: b.claimTimeout,
+		InProgress:   b.inProgress,
 		Now:          n.now,
 	})
 	n.router = order.NewRouter(n.mesh, n.slots, n.runner)
--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -17,6 +17,7 @@
 const (
 	claimTimeout      = 3 * time.Second        // wait for the verdict on a claim, by default
 	outcomeWait       = 500 * time.Millisecond // an answer waits so long for its record
+	dispatchShare     = 4                      // a claim leaves this part of an order's time, one in so many, to the call
 	insistDelay       = 200 * time.Millisecond // between two proposals of a record that must not be lost
 	directRunTimeout  = 5 * time.Second        // wait for the record of a run without a claim
 	retryLogAway      = 5 * time.Second
@@ -120,7 +121,8 @@
 
 func (r *Runner) run(t *task) {
 	started := r.Now()
-	limit := min(r.ClaimTimeout, t.deadline.Sub(started))
+	left := t.deadline.Sub(started)
+	limit := min(r.ClaimTimeout, left)
 	if limit <= 0 {
 		t.reply(refused(refusal.New(refusal.DeadlineExceeded, 0, "the deadline passed before the order could run")))
 		return
@@ -133,8 +135,10 @@
 		r.unclaimed(t, false)
 		return
 	}
-	receipt, err := r.propose(t, KindClaim, t.claim, limit)
-	t.followed.breaker.leave(err == nil, limit == r.ClaimTimeout)
+	served := t.followed.stream.Answers()
+	receipt, err := r.proposeClaim(t, max(limit, left-left/dispatchShare))
+	answers := err == nil || t.followed.stream.Answers() != served
+	t.followed.breaker.leave(answers, limit == r.ClaimTimeout)
 	switch {
 	case err != nil || isStale(receipt.Void):
 		r.unclaimed(t, true)
@@ -146,6 +150,31 @@
 	}
 }
 
+// proposeClaim proposes the claim of an order. It waits for the verdict while
+// the log answers, however slowly, but no longer than a limit.
+func (r *Runner) proposeClaim(t *task, limit time.Duration) (logstream.Receipt, error) {
+	ctx, cancel := context.WithTimeout(r.Context, limit)
+	defer cancel()
+	go r.cancelUnanswered(ctx, cancel, t.followed.stream)
+	return t.followed.stream.Propose(ctx, KindClaim, t.claim)
+}
+
+// cancelUnanswered cancels a proposal once the log has served no call for the
+// claim timeout.
+func (r *Runner) cancelUnanswered(ctx context.Context, cancel context.CancelFunc, stream *logstream.Stream[*Fold]) {
+	for {
+		before := stream.Answers()
+		wait.For(ctx, r.ClaimTimeout)
+		if ctx.Err() != nil {
+			return
+		}
+		if stream.Answers() == before {
+			cancel()
+			return
+		}
+	}
+}
+
 // propose proposes a record for a limited time, whatever becomes of the
 // request. A limit of zero is none.
 func (r *Runner) propose(t *task, kind logstream.Kind, body any, limit time.Duration) (logstream.Receipt, error) {
