Orders: none waits behind a full pool; a spec of the log away with orders in progress

Cause: the pool of orders in progress had one place in its queue. With every worker waiting for the log to take its outcome, one further order stood in that place until its caller gave up and was told that it is in progress, though it had not begun. It is refused as not run at once now (overloaded).

The spec: 8 orders in progress (the bound) when the log goes away. All 8 are answered, all outcomes stay pending, a further order is refused at once, and once the log is back every outcome is recorded, read by another daemon, and each order has run once. The outcomes themselves were recorded before too.

--- a/internal/order/log_faults_test.go
+++ b/internal/order/log_faults_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainmux/plantainmux/internal/fakes"
+	"github.com/plantainmux/plantainmux/internal/order"
+	"github.com/plantainmux/plantainmux/internal/refusal"
 )
 
 var _ = Describe("Orders on a log", func() {
@@ -45,4 +48,45 @@
 		}
 		Expect(done).To(BeNumerically(">", orders/2))
 	})
+
+	It("that goes away while they run are all recorded later, and bound what is taken on meanwhile", func() {
+		const pending = 8
+		b := newBed()
+		b.inProgress = pending
+		node := b.startNodes(1)[0]
+		Expect(b.settled(node, "warm").Refusal).To(BeNil())
+		Eventually(node.runner.Pending, waitLong, pollOften).Should(BeZero())
+		b.service.Set(fakes.Faults{Frozen: true})
+		results := make(chan order.Result, pending)
+		for i := range pending {
+			go func() { results <- node.place(b.order(fmt.Sprintf("held-%d", i))) }()
+		}
+		for i := range pending {
+			Eventually(b.stateOf(node, fmt.Sprintf("held-%d", i)), waitLong, pollOften).Should(Equal(order.Claimed))
+		}
+		b.log.Set(fakes.Faults{Down: true})
+		b.service.Set(fakes.Faults{})
+		for range pending {
+			var result order.Result
+			Eventually(results, waitLong).Should(Receive(&result))
+			Expect(result.Refusal).To(BeNil()) // answered before it is recorded
+		}
+		// Longer than any wait of an order.
+		Consistently(func() int { return node.runner.Pending() }, 3*time.Second, pollOften).Should(Equal(pending))
+		refused := node.place(b.order("more")).Refusal
+		Expect(refused.Reason).To(Equal(refusal.Overloaded))
+		Expect(refused.Outcome).To(Equal(refusal.NotRun))
+		Expect(refused.RetryAfter).To(BeNumerically(">", 0))
+		b.log.Set(fakes.Faults{})
+		other := b.startNode("other")
+		for i := range pending {
+			key := fmt.Sprintf("held-%d", i)
+			Eventually(b.stateOf(other, key), waitLong, pollOften).Should(Equal(order.Ran))
+			Expect(b.settled(other, key).Refusal).To(BeNil())
+			Expect(b.service.RunsOf(key)).To(Equal(1))
+		}
+		Eventually(node.runner.Pending, waitLong, pollOften).Should(BeZero())
+		Expect(b.settled(node, "more").Refusal).To(BeNil())
+		Expect(b.service.RunsOf("more")).To(Equal(1))
+	})
 })
--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/alitto/pond/v2"
-
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/platform"
 	"github.com/plantainmux/plantainmux/internal/refusal"
@@ -35,8 +33,8 @@
 // take are bounded: beyond that, new orders are refused as not run.
 type Runner struct {
 	Dependencies
-	pool        pond.Pool
-	withdrawals pond.Pool
+	pool        *boundedPool
+	withdrawals *boundedPool
 	draining    atomic.Bool
 }
 
@@ -58,10 +56,6 @@
 	}
 }
 
-func newBoundedPool(workers int) pond.Pool {
-	return pond.NewPool(workers, pond.WithNonBlocking(true), pond.WithQueueSize(1))
-}
-
 // Run runs an order at most once, or returns the recorded answer of its key.
 // An order goes on when ctx ends; its outcome is recorded all the same.
 func (r *Runner) Run(ctx context.Context, o Order) Result {
@@ -71,7 +65,7 @@
 		return r.repeat(ctx, f, o, record)
 	}
 	t := newTask(o, f, r.Now())
-	_, accepted := r.pool.TrySubmit(func() {
+	accepted := r.pool.try(func() {
 		defer r.Slots.release(f)
 		r.run(t)
 	})
@@ -108,16 +102,16 @@
 // ctx allows.
 func (r *Runner) Drain(ctx context.Context) {
 	r.draining.Store(true)
-	for _, pool := range []pond.Pool{r.pool, r.withdrawals} {
+	for _, pool := range []*boundedPool{r.pool, r.withdrawals} {
 		select {
-		case <-pool.Stop().Done():
+		case <-pool.stop():
 		case <-ctx.Done():
 		}
 	}
 }
 
 // Pending returns the number of orders whose outcome is not recorded yet.
-func (r *Runner) Pending() int { return int(r.pool.RunningWorkers()) }
+func (r *Runner) Pending() int { return r.pool.running() }
 
 func (r *Runner) run(t *task) {
 	started := r.Now()
@@ -203,7 +197,7 @@
 // withdraw settles a claim in the background, however long the log is away.
 func (r *Runner) withdraw(t *task) {
 	f := r.Slots.acquire(t.followed.slot)
-	_, accepted := r.withdrawals.TrySubmit(func() {
+	accepted := r.withdrawals.try(func() {
 		defer r.Slots.release(f)
 		r.insist(t, KindWithdrawal, Withdrawal{Key: t.order.Key, Attempt: t.claim.Attempt})
 	})
