--- a/internal/logstream/stream.go
+++ b/internal/logstream/stream.go
@@ -37,6 +37,7 @@
 	confirmed    atomic.Int64          // Unix nanoseconds at which the view was last known to be the log's end
 	failingSince atomic.Int64          // Unix nanoseconds of the first of the failed reads; zero after a success
 	refused      atomic.Pointer[error] // why the log is refused
+	answers      atomic.Uint64         // calls that the log has served
 }
 
 // New returns a stream that starts from the empty fold.
@@ -55,6 +56,7 @@
 	s.writer = newWriter(log, name, s.options, s.counters)
 	s.writer.applied = func() platform.Offset { return s.Next() - 1 }
 	s.writer.refused = s.Refused
+	s.writer.answered = func() { s.answers.Add(1) }
 	return s
 }
 
--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/alitto/pond/v2"
-
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/platform"
 	"github.com/plantainmux/plantainmux/internal/refusal"
@@ -17,6 +15,7 @@
 const (
 	claimTimeout      = 3 * time.Second        // wait for the verdict on a claim, by default
 	outcomeWait       = 500 * time.Millisecond // an answer waits so long for its record
+	dispatchShare     = 4                      // a claim leaves this part of an order's time, one in so many, to the call
 	insistDelay       = 200 * time.Millisecond // between two proposals of a record that must not be lost
 	directRunTimeout  = 5 * time.Second        // wait for the record of a run without a claim
 	retryLogAway      = 5 * time.Second
@@ -34,8 +33,8 @@
 // take are bounded: beyond that, new orders are refused as not run.
 type Runner struct {
 	Dependencies
-	pool        pond.Pool
-	withdrawals pond.Pool
+	pool        *boundedPool
+	withdrawals *boundedPool
 	draining    atomic.Bool
 }
 
@@ -57,10 +56,6 @@
 	}
 }
 
-func newBoundedPool(workers int) pond.Pool {
-	return pond.NewPool(workers, pond.WithNonBlocking(true), pond.WithQueueSize(1))
-}
-
 // Run runs an order at most once, or returns the recorded answer of its key.
 // An order goes on when ctx ends; its outcome is recorded all the same.
 func (r *Runner) Run(ctx context.Context, o Order) Result {
@@ -70,7 +65,7 @@
 		return r.repeat(ctx, f, o, record)
 	}
 	t := newTask(o, f, r.Now())
-	_, accepted := r.pool.TrySubmit(func() {
+	accepted := r.pool.try(func() {
 		defer r.Slots.release(f)
 		r.run(t)
 	})
@@ -107,20 +102,21 @@
 // ctx allows.
 func (r *Runner) Drain(ctx context.Context) {
 	r.draining.Store(true)
-	for _, pool := range []pond.Pool{r.pool, r.withdrawals} {
+	for _, pool := range []*boundedPool{r.pool, r.withdrawals} {
 		select {
-		case <-pool.Stop().Done():
+		case <-pool.stop():
 		case <-ctx.Done():
 		}
 	}
 }
 
 // Pending returns the number of orders whose outcome is not recorded yet.
-func (r *Runner) Pending() int { return int(r.pool.RunningWorkers()) }
+func (r *Runner) Pending() int { return r.pool.running() }
 
 func (r *Runner) run(t *task) {
 	started := r.Now()
-	limit := min(r.ClaimTimeout, t.deadline.Sub(started))
+	left := t.deadline.Sub(started)
+	limit := min(r.ClaimTimeout, left)
 	if limit <= 0 {
 		t.reply(refused(refusal.New(refusal.DeadlineExceeded, 0, "the deadline passed before the order could run")))
 		return
@@ -133,8 +129,10 @@
 		r.unclaimed(t, false)
 		return
 	}
-	receipt, err := r.propose(t, KindClaim, t.claim, limit)
-	t.followed.breaker.leave(err == nil, limit == r.ClaimTimeout)
+	served := t.followed.stream.Answers()
+	receipt, err := r.proposeClaim(t, max(limit, left-left/dispatchShare))
+	answers := err == nil || t.followed.stream.Answers() != served
+	t.followed.breaker.leave(answers, limit == r.ClaimTimeout)
 	switch {
 	case err != nil || isStale(receipt.Void):
 		r.unclaimed(t, true)
@@ -146,6 +144,31 @@
 	}
 }
 
+// proposeClaim proposes the claim of an order. It waits for the verdict while
+// the log answers, however slowly, but no longer than a limit.
+func (r *Runner) proposeClaim(t *task, limit time.Duration) (logstream.Receipt, error) {
+	ctx, cancel := context.WithTimeout(r.Context, limit)
+	defer cancel()
+	go r.cancelUnanswered(ctx, cancel, t.followed.stream)
+	return t.followed.stream.Propose(ctx, KindClaim, t.claim)
+}
+
+// cancelUnanswered cancels a proposal once the log has served no call for the
+// claim timeout.
+func (r *Runner) cancelUnanswered(ctx context.Context, cancel context.CancelFunc, stream *logstream.Stream[*Fold]) {
+	for {
+		before := stream.Answers()
+		wait.For(ctx, r.ClaimTimeout)
+		if ctx.Err() != nil {
+			return
+		}
+		if stream.Answers() == before {
+			cancel()
+			return
+		}
+	}
+}
+
 // propose proposes a record for a limited time, whatever becomes of the
 // request. A limit of zero is none.
 func (r *Runner) propose(t *task, kind logstream.Kind, body any, limit time.Duration) (logstream.Receipt, error) {
@@ -174,7 +197,7 @@
 // withdraw settles a claim in the background, however long the log is away.
 func (r *Runner) withdraw(t *task) {
 	f := r.Slots.acquire(t.followed.slot)
-	_, accepted := r.withdrawals.TrySubmit(func() {
+	accepted := r.withdrawals.try(func() {
 		defer r.Slots.release(f)
 		r.insist(t, KindWithdrawal, Withdrawal{Key: t.order.Key, Attempt: t.claim.Attempt})
 	})
