A streamed call that was over before its caller looked counted as broken

A fast answer from another data centre could be accepted and ended before the caller's select ran; both channels were ready, and the select took either. Half the time the whole answer was thrown away as a broken exchange: an unknown outcome for the caller, or a second run elsewhere. Ruled out: a link that went down (none in the logs), budget and admission (counters), the engine (it started once).

Now a call that is over counts as accepted if it was, and its stream tells answers and end. The new spec failed with the old order of the two checks.

--- a/internal/peer/call_test.go
+++ b/internal/peer/call_test.go
@@ -181,6 +181,23 @@
 		Expect(stream.Close()).To(Succeed())
 	})
 
+	It("is whole when it ended before its caller saw that it was accepted", func() {
+		l := &link{}
+		for range 100 {
+			call := newOutgoing()
+			for _, kind := range []frameKind{frameAccepted, frameAnswer, frameEnd} {
+				call.deliver(l, frame{Kind: kind})
+			}
+			Expect(call.awaitAccepted(ctx, l)).To(Succeed())
+			_, ok, err := call.next(ctx)
+			Expect(ok).To(BeTrue())
+			Expect(err).NotTo(HaveOccurred())
+			_, ok, err = call.next(ctx)
+			Expect(ok).To(BeFalse())
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+
 	It("breaks with an error, never quietly, when the far daemon dies in its midst", func() {
 		nodes := startNodes(nil, "east", "east", "east", "west", "west")
 		var sent atomic.Int64
--- a/internal/peer/open.go
+++ b/internal/peer/open.go
@@ -37,19 +37,11 @@
 		return nil, err
 	}
 	stream := newLinkStream(ctx, l, call, id)
-	select {
-	case <-call.accepted:
-		return stream, nil
-	case <-call.over:
+	if err := call.awaitAccepted(ctx, l); err != nil {
 		_ = stream.Close()
-		if call.err == nil {
-			return nil, &BrokenError{Daemon: l.remote.Daemon, Err: &ProtocolError{Rule: "a stream is accepted before it ends"}}
-		}
-		return nil, call.err
-	case <-ctx.Done():
-		_ = stream.Close()
-		return nil, &BrokenError{Daemon: l.remote.Daemon, Err: ctx.Err()}
+		return nil, err
 	}
+	return stream, nil
 }
 
 // passOn relays a streamed call of the own data centre to another one. A slow
--- a/internal/peer/outgoing.go
+++ b/internal/peer/outgoing.go
@@ -54,6 +54,33 @@
 	})
 }
 
+// awaitAccepted waits until the other side accepted the call. A call may be
+// accepted and over by the time that this daemon looks; its stream then tells
+// its answers and how it ended.
+func (o *outgoing) awaitAccepted(ctx context.Context, l *link) error {
+	select {
+	case <-o.accepted:
+		return nil
+	case <-o.over:
+		return o.endedUnaccepted(l)
+	case <-ctx.Done():
+		return &BrokenError{Daemon: l.remote.Daemon, Err: ctx.Err()}
+	}
+}
+
+// endedUnaccepted returns nil if the call that is over was accepted before.
+func (o *outgoing) endedUnaccepted(l *link) error {
+	select {
+	case <-o.accepted:
+		return nil
+	default:
+	}
+	if o.err == nil {
+		return &BrokenError{Daemon: l.remote.Daemon, Err: &ProtocolError{Rule: "a stream is accepted before it ends"}}
+	}
+	return o.err
+}
+
 // next returns the next answer. Answers that came before the end are returned
 // before it.
 func (o *outgoing) next(ctx context.Context) (cbor.RawMessage, bool, error) {
