--- a/internal/group/fold_test.go
+++ b/internal/group/fold_test.go
@@ -31,6 +31,24 @@
 		Expect(w.append(group.KindForm, formOf(3, 3))).To(Succeed())
 	})
 
+	It("voids a form that names a VM twice or leaves something out, and a ready record without every boot", func() {
+		w := newWorld(nil, nil)
+		twice, unnamed, unaddressed := formOf(0, 0), formOf(0, 0), formOf(0, 0)
+		twice.Members[1] = "a-000"
+		unnamed.Members[1] = ""
+		unaddressed.Addresses = nil
+		for _, form := range []group.Form{{}, formOf(0), twice, unnamed, unaddressed} {
+			Expect(w.append(group.KindForm, form)).NotTo(Succeed())
+		}
+		Expect(w.Fold.VMs()).To(BeEmpty())
+		Expect(w.append(group.KindForm, formOf(0, 0))).To(Succeed())
+		for _, second := range []fleet.VMID{"a-001", "b-000"} {
+			boots := map[fleet.VMID]fleet.BootID{"a-000": "b", second: ""}
+			Expect(w.append(group.KindReady, group.Ready{Group: 6, Boots: boots})).NotTo(Succeed())
+		}
+		Expect(w.Fold.Groups()[6].IsReady()).To(BeFalse())
+	})
+
 	It("pins the boots once and never takes a drain back", func() {
 		w := newWorld(nil, nil)
 		Expect(w.append(group.KindForm, formOf(0, 0))).To(Succeed())
--- a/internal/group/planner_test.go
+++ b/internal/group/planner_test.go
@@ -156,6 +156,15 @@
 		Expect(w.complete()["v1"]).To(Equal(3))
 	})
 
+	It("takes no VM that is leaving", func() {
+		w := newWorld([]config.Model{model("m", 2, 1, 1)}, map[fleet.FabricDomain]int{"a": 2})
+		vm := w.World.VMs["a-001"]
+		vm.Leaving = true
+		w.World.VMs["a-001"] = vm
+		w.pass(time.Second)
+		Expect(group.MakePlan(w.Input).Forms).To(BeEmpty())
+	})
+
 	It("takes no VM that works for a group unknown to it", func() {
 		w := newWorld([]config.Model{model("m", 2, 1, 1)}, map[fleet.FabricDomain]int{"a": 2})
 		w.report("a-001", func(r *fleet.MemberReport) { r.Group, r.State = 77, fleet.EngineReady })
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -23,6 +23,9 @@
 		f.Deadline = now.Add(time.Millisecond)
 		_, denial = retry.Decide(f, retry.NewBudget(0.2, 50), 0.5)
 		Expect(denial).To(Equal(retry.NoTime))
+		f.Attempts = retry.MaxAttempts
+		_, denial = retry.Decide(f, retry.NewBudget(0.2, 50), 0.5)
+		Expect(denial).To(Equal(retry.NoAttempts))
 	})
 
 	It("never begins anew an answer of which a part is out", func() {
