Specs of requests between data centres reach what they name

"is refused as not run when no data centre serves it" asked a daemon that was not ready yet: it was refused for that (reason not_ready) and passed whatever the relay did. It now waits for the refusal that it names, no_complete_group, and fails when that refusal's outcome is unknown.

New: refused by every endpoint there (failed with refusals from elsewhere counted as broken), and an endpoint there that refuses first (failed when the far daemon sent frames under its own attempt, which no spec noticed, since both attempts happened to have the same number).

--- a/test/request_regions_test.go
+++ b/test/request_regions_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/refusal"
@@ -48,6 +49,13 @@
 	}, waitComplete, tick).Should(BeTrue())
 }
 
+// refuseAt lets the leaders of groups refuse every request.
+func (b *requestBed) refuseAt(groups []fleet.Group) {
+	for _, g := range groups {
+		b.Engines[g.Leader()].SetStreamFaults(fakes.StreamFaults{Refuse: endpoint.CodeQueueFull})
+	}
+}
+
 var _ = Describe("A request that its data centre cannot serve", func() {
 	It("gets its whole answer from another one", func() {
 		bed := twoCentres(0, 1, fakes.EngineOptions{}, "north", "south")
@@ -63,6 +71,31 @@
 		}
 	})
 
+	It("gets its whole answer also when an endpoint there refuses it first", func() {
+		bed := twoCentres(0, 2, fakes.EngineOptions{}, "north", "south")
+		bed.answered()
+		for _, g := range bed.Daemons[1].CompleteGroups(testbed.SampleModel) {
+			bed.eachEngine(func(e *testbed.Engine) { e.SetStreamFaults(fakes.StreamFaults{}) })
+			bed.refuseAt([]fleet.Group{g})
+			for _, body := range manyBodies(fmt.Sprint("second try after ", g.Fencing), 10, 6) {
+				expectWhole(ask(bed.daemon, body), body, 6)
+			}
+		}
+		Expect(bed.count(fakes.EventRejected, "")).To(BeNumerically(">", 0))
+	})
+
+	It("is refused as not run when every endpoint there refuses it", func() {
+		bed := twoCentres(0, 1, fakes.EngineOptions{}, "north", "south")
+		bed.answered()
+		bed.refuseAt(bed.Daemons[1].CompleteGroups(testbed.SampleModel))
+		body := completionBody("refused there", 3, true)
+		got := ask(bed.daemon, body)
+		Expect(got.outcome).To(Equal(string(refusal.NotRun)))
+		Expect(got.after).NotTo(BeEmpty())
+		Expect(bed.count(fakes.EventRejected, body)).To(BeNumerically(">", 0))
+		Expect(bed.count(fakes.EventStart, body)).To(BeZero())
+	})
+
 	It("ends in an explicit error when the engine there dies", func() {
 		bed := twoCentres(0, 1, fakes.EngineOptions{TokenDelay: 30 * time.Millisecond}, "north", "south")
 		bed.answered()
@@ -94,7 +127,11 @@
 
 	It("is refused as not run when no data centre serves it", func() {
 		bed := twoCentres(0, 0, fakes.EngineOptions{}, "north", "south")
-		got := ask(bed.daemon, completionBody("nowhere", 3, true))
+		var got reply
+		Eventually(func() string {
+			got = ask(bed.daemon, completionBody("nowhere", 3, true))
+			return got.reason
+		}, waitComplete, tick).Should(Equal(string(refusal.NoCompleteGroup)))
 		Expect(got.outcome).To(Equal(string(refusal.NotRun)))
 		Expect(got.after).NotTo(BeEmpty())
 	})
