--- a/internal/logstream/failures_test.go
+++ b/internal/logstream/failures_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainmux/plantainmux/internal/fakes"
+	"github.com/plantainmux/plantainmux/internal/metric"
 	"github.com/plantainmux/plantainmux/internal/platform"
 )
 
@@ -127,6 +128,18 @@
 		Expect(valuesOf(stream)).To(Equal([]int{1, 3}))
 	})
 
+	ginkgo.It("takes no own record for accepted that a later one overtook", func() {
+		w := newWriter(nil, testStream, testOptions("a").withDefaults(), newCounters(metric.NewSet(), testStream))
+		w.applied = func() platform.Offset { return 0 }
+		overtaken, later := w.enqueue(kindAdd, nil), w.enqueue(kindAdd, nil)
+		_, err := w.takeBatch()
+		Expect(err).NotTo(HaveOccurred())
+		w.settle(2, Receipt{Offset: 1})
+		var fenced *FencedError
+		Expect(errors.As((<-overtaken.reply).err, &fenced)).To(BeTrue())
+		Expect((<-later.reply).err).NotTo(HaveOccurred())
+	})
+
 	ginkgo.It("carries all that waits in one append", func() {
 		const waiting = 100
 		var appends atomic.Int64
@@ -222,6 +235,37 @@
 		Expect(stream.refusedGauge()).To(Equal(1.0))
 	})
 
+	ginkgo.It("counts as confirmed only from the start of a read that reached the log's end", func() {
+		log := fakes.NewLog(fakes.DefaultAppendRate)
+		client := newHooked(log)
+		now := time.Unix(0, 0)
+		client.hook(nil, func(platform.Offset, int) error { now = now.Add(time.Hour); return nil })
+		options := testOptions("a")
+		options.Now = func() time.Time { return now }
+		stream := New(client, testStream, newListFold(), options)
+		Expect(stream.step(context.Background())).To(Succeed())
+		for value := range 2*readLimit + 1 {
+			log.Append(testStream, [][]byte{rawRecord("filler", uint64(value+1), logEnd(log)-1, value)})
+		}
+		before := stream.ConfirmedAt()
+		Expect(stream.step(context.Background())).To(Succeed())
+		Expect(stream.ConfirmedAt()).To(Equal(before))
+		started := now
+		Expect(stream.Confirm(context.Background())).To(Succeed())
+		Expect(stream.Next()).To(Equal(logEnd(log)))
+		Expect(stream.ConfirmedAt()).To(BeTemporally("==", started))
+
+		log.Truncate(testStream, 3)
+		var regressed *RegressedError
+		Expect(errors.As(stream.Confirm(context.Background()), &regressed)).To(BeTrue())
+		Expect(stream.ConfirmedAt()).To(BeTemporally("==", started))
+		stream.writer.enqueue(kindAdd, nil)
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		stream.writer.run(ctx)
+		Expect(logEnd(log)).To(BeEquivalentTo(3), "nothing is appended to it")
+	})
+
 	ginkgo.It("starts from the newest snapshot and the records after it", func() {
 		log := fakes.NewLog(fakes.DefaultAppendRate)
 		stream := runStream(newHooked(log), newListFold(), testOptions("a"))
@@ -240,6 +284,38 @@
 		Expect(asked.Load()).To(BeNumerically("<=", 2*firstTailSpan))
 	})
 
+	ginkgo.It("starts from a snapshot that came late with all records since, or not at all once some expired", func() {
+		log := fakes.NewLog(fakes.DefaultAppendRate)
+		fill := func(from, to int) {
+			for value := from; value < to; value++ {
+				log.Append(testStream, [][]byte{rawRecord("filler", uint64(value+1), logEnd(log)-1, value)})
+			}
+		}
+		start := func() (*Stream[*listFold], error) {
+			stream := New(newHooked(log), testStream, newListFold(), testOptions("a"))
+			return stream, stream.step(context.Background())
+		}
+		fill(0, 100)
+		early, err := start()
+		Expect(err).NotTo(HaveOccurred())
+		taken, err := early.state.encode()
+		Expect(err).NotTo(HaveOccurred())
+		fill(100, 100+2*firstTailSpan)
+		whole, err := start()
+		Expect(err).NotTo(HaveOccurred())
+		late, err := Marshal(Entry{Writer: "b", Seq: 1, Kind: KindSnapshot, Body: taken.body, Since: logEnd(log) - 1})
+		Expect(err).NotTo(HaveOccurred())
+		log.Append(testStream, [][]byte{late})
+		log.Expire(testStream, 50)
+		restored, err := start()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(valuesOf(restored)).To(Equal(valuesOf(whole)))
+		log.Expire(testStream, 200)
+		_, err = start()
+		var missing *NoSnapshotError
+		Expect(errors.As(err, &missing)).To(BeTrue())
+	})
+
 	ginkgo.It("reports a start without a snapshot of what expired", func() {
 		log := fakes.NewLog(fakes.DefaultAppendRate)
 		for value := range 10 {
