Specs: a failed request makes the watchers poll; nobody orders before it has read the log

"are ordered and formed by nobody who has not read the log" cannot fail: its daemon has no configuration either.

--- a/internal/watch/sharing_test.go
+++ b/internal/watch/sharing_test.go
@@ -154,6 +154,9 @@
 		for _, n := range nodes {
 			Eventually(func() bool { return n.see(vm).Failed }, waitLong, pollOften).Should(BeTrue())
 		}
+		polls = engines.pollsBy(nodes[1].id, string(vm))
+		nodes[0].table.Fail(vm, time.Now())
+		Eventually(func() int { return engines.pollsBy(nodes[1].id, string(vm)) }, waitLong, pollOften).Should(BeNumerically(">", polls), "a failed request of the other daemon")
 	})
 
 	It("poll all members themselves when cut off from every peer", func() {
--- a/test/group_outage_test.go
+++ b/test/group_outage_test.go
@@ -76,6 +76,23 @@
 		eventuallyComplete(a, 1)
 	})
 
+	It("are left alone by a daemon that starts while the log is away", func() {
+		bed := testbed.New()
+		bed.AddEngines(north, "north-a", 4, fast(false))
+		daemons := bed.StartDaemons(nil, north, north)
+		version := bed.Publish(0, testbed.SampleConfig(1, north))
+		first := eventuallyComplete(daemons[0], 1)[0]
+		daemons[1].Kill()
+		bed.Log.Set(fakes.Faults{Down: true})
+		orders := countEvents(bed, fakes.EventControl)
+		b := bed.Replace(daemons[1])
+		Eventually(func() platform.Offset { status, _ := b.Status(); return status.ConfigVersion }, waitMesh, tick).Should(Equal(version))
+		Consistently(func() int { return countEvents(bed, fakes.EventControl) }, detection, tick).Should(Equal(orders))
+		bed.Log.Set(fakes.Faults{})
+		Expect(eventuallyComplete(b, 1)[0].Fencing).To(Equal(first.Fencing))
+		Expect(ledger(bed).Forms()).To(Equal(1))
+	})
+
 	It("serve through a list of VMs that leaves members out or gives wrong addresses", func() {
 		bed := testbed.New()
 		engines := bed.AddEngines(north, "north-a", 5, fast(true))
