--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -65,5 +65,12 @@
 		Expect(apply(5, 0)).To(MatchError("configuration is based on version 0, but version 3 is in force"))
 		Expect(apply(6, 3)).To(Succeed())
 		Expect(fold.Current().Version).To(BeEquivalentTo(6))
+
+		data, err := fold.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		fold = NewFold()
+		Expect(fold.Decode(data)).To(Succeed())
+		Expect(apply(7, 3)).NotTo(Succeed(), "after a snapshot")
+		Expect(apply(8, 6)).To(Succeed())
 	})
 })
