Reconcile and caller specs: only complete groups are given to requests; orders rest on the newest fence

Published with an incomplete or a draining group as serving, ./internal/reconcile and "group that loses a member" passed: the planner ends such a group within the bound that the whole-system spec allows. A spec of the view now fails.

--- /dev/null
+++ b/internal/callerapi/stream_sink_test.go
@@ -0,0 +1,25 @@
+package callerapi
+
+import (
+	"net/http/httptest"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/endpoint"
+	"github.com/plantainmux/plantainmux/internal/request"
+)
+
+var _ = Describe("A stream to the caller", func() {
+	It("begins anew without the frames that it held back, and never once some are out", func() {
+		written := httptest.NewRecorder()
+		sink, err := (&Server{}).newStreamSink(written, &request.Request{ID: "id", Model: "m"}, textForm{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(sink.Frame(endpoint.Frame{Text: "first"})).To(Succeed())
+		Expect(sink.Restart()).To(BeTrue())
+		Expect(sink.Frame(endpoint.Frame{Text: "second"})).To(Succeed())
+		_ = sink.Flush() // a recorder has no write deadline
+		Expect(written.Body.String()).To(And(ContainSubstring("second"), Not(ContainSubstring("first"))))
+		Expect(sink.Restart()).To(BeFalse())
+	})
+})
--- a/internal/reconcile/loop_test.go
+++ b/internal/reconcile/loop_test.go
@@ -34,14 +34,48 @@
 	return platform.Page{}, &platform.UnavailableError{Operation: "read"}
 }
 
-// countingEngine counts the orders that are sent.
+// recordedLog holds some records of another writer.
+type recordedLog struct {
+	awayLog
+	records []platform.Record
+}
+
+func (l *recordedLog) add(kind logstream.Kind, body any) *recordedLog {
+	encoded, err := logstream.Marshal(body)
+	Expect(err).NotTo(HaveOccurred())
+	seq := uint64(len(l.records) + 1)
+	data, err := logstream.Marshal(logstream.Entry{Writer: "other", Seq: seq, Kind: kind, Body: encoded})
+	Expect(err).NotTo(HaveOccurred())
+	l.records = append(l.records, platform.Record{Offset: platform.Offset(seq), Data: data})
+	return l
+}
+
+func (l *recordedLog) Read(_ context.Context, _ string, from platform.Offset, _ int, _ time.Duration) (platform.Page, error) {
+	next := platform.FirstOffset + platform.Offset(len(l.records))
+	return platform.Page{Records: l.records[from-platform.FirstOffset:], Oldest: platform.FirstOffset, Next: next}, nil
+}
+
+// formedLog returns a log whose first record grants one VM.
+func formedLog() *recordedLog {
+	return new(recordedLog).add(group.KindForm, group.Form{Members: []fleet.VMID{"vm"}, Addresses: []string{"x"}, Fences: []fleet.FencingNumber{0}})
+}
+
+// testOrderLife is the longest life of an order of a test.
+const testOrderLife = time.Minute
+
+// countingEngine counts the orders that are sent, and those that may live for
+// longer than an order's life.
 type countingEngine struct {
 	endpoint.Engine
-	orders atomic.Int64
+	orders    atomic.Int64
+	unlimited atomic.Int64
 }
 
-func (e *countingEngine) Control(context.Context, string, endpoint.ControlOrder) (fleet.MemberReport, error) {
+func (e *countingEngine) Control(ctx context.Context, _ string, _ endpoint.ControlOrder) (fleet.MemberReport, error) {
 	e.orders.Add(1)
+	if deadline, ok := ctx.Deadline(); !ok || time.Until(deadline) > testOrderLife {
+		e.unlimited.Add(1)
+	}
 	return fleet.MemberReport{}, &endpoint.UnreachableError{}
 }
 
@@ -82,6 +116,39 @@
 		l.orderer.stop()
 		Expect(engine.orders.Load()).To(BeZero())
 	})
+
+	It("is not sent under a fencing number that the log has left behind", func() {
+		for fencing, want := range map[fleet.FencingNumber]int{0: 0, 1: 1} {
+			l := newTestLoop(formedLog(), nil)
+			engine := &countingEngine{}
+			l.orderer.Engine = engine
+			l.orderer.Bounds.OrderLife = testOrderLife
+			l.orderer.start(context.Background(), group.ControlTarget{VM: "vm", Fencing: fencing}, fleet.VM{ID: "vm", Address: "192.0.2.1:80"})
+			l.orderer.stop()
+			Expect(engine.orders.Load()).To(BeEquivalentTo(want))
+			Expect(engine.unlimited.Load()).To(BeZero())
+		}
+	})
+})
+
+var _ = Describe("A view", func() {
+	It("gives a group to requests only while it is complete", func() {
+		ready := group.Ready{Group: 1, Boots: map[fleet.VMID]fleet.BootID{"vm": "b"}}
+		serving := func(log *recordedLog, boot fleet.BootID) []*view.Serving {
+			l := newTestLoop(log, nil)
+			Expect(l.Groups.Confirm(context.Background())).To(Succeed())
+			report := fleet.MemberReport{VM: "vm", Boot: boot, Group: 1, State: fleet.EngineReady}
+			l.Table.Put(group.Observation{Report: report, Address: "x", At: time.Now()})
+			l.round(context.Background())
+			Expect(l.Views.Load().Status).To(HaveLen(1))
+			return l.Views.Load().Groups
+		}
+		Expect(serving(formedLog(), "b")).To(BeEmpty())
+		Expect(serving(formedLog().add(group.KindReady, ready), "b")).To(HaveLen(1))
+		Expect(serving(formedLog().add(group.KindReady, ready), "b2")).To(BeEmpty())
+		drain := group.Drain{Group: 1}
+		Expect(serving(formedLog().add(group.KindReady, ready).add(group.KindDrain, drain), "b")).To(BeEmpty())
+	})
 })
 
 // BenchmarkRound measures one round of a daemon in a data centre without groups
