--- a/internal/order/fold_test.go
+++ b/internal/order/fold_test.go
@@ -49,6 +49,16 @@
 		Expect(kept).To(BeTrue())
 	})
 
+	It("keeps a key at least until its claim can be doubted, however short its lifetime", func() {
+		f := newSlotFold()
+		short := claimOf(key)
+		short.LifetimeMillis = 1
+		Expect(f.apply("a/1", 0, order.KindClaim, short)).To(Succeed())
+		Expect(f.apply("b/1", 2*time.Minute, order.KindTick, order.Tick{})).To(Succeed())
+		Expect(f.apply("c/1", 2*time.Minute, order.KindTick, order.Tick{})).To(Succeed())
+		Expect(f.apply("b/1", 2*time.Minute, order.KindClaim, claimOf(key))).NotTo(Succeed())
+	})
+
 	It("drops the same keys at the same offset after a snapshot", func() {
 		f := newSlotFold()
 		Expect(f.apply("a/1", 0, order.KindClaim, claimOf(key))).To(Succeed())
@@ -58,6 +68,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		restored := &slotFold{Fold: order.NewFold(), next: f.next}
 		Expect(restored.Decode(data)).To(Succeed())
+		Expect(restored.Encode()).To(Equal(data))
 		for _, at := range []time.Duration{60 * time.Minute, 60*time.Minute + time.Second, 61 * time.Minute} {
 			for _, writer := range []string{"a/1", "b/1"} {
 				Expect(f.apply(writer, at, order.KindTick, order.Tick{})).To(Succeed())
@@ -92,4 +103,23 @@
 		Expect(record.Operator).To(Equal("ana"))
 		Expect(f.apply("a/1", 5*time.Minute, order.KindOutcome, order.Outcome{Key: key, Claim: 1, State: order.Ran})).To(Succeed())
 	})
+
+	It("takes no word on an earlier claim for one on the claim in force", func() {
+		f := newSlotFold()
+		Expect(f.apply("a/1", 0, order.KindClaim, claimOf(key))).To(Succeed())
+		Expect(f.apply("a/1", 0, order.KindWithdrawal, order.Withdrawal{Key: key, Attempt: 1})).To(Succeed())
+		again := claimOf(key)
+		again.Attempt = 2
+		Expect(f.apply("a/1", 0, order.KindClaim, again)).To(Succeed())
+		Expect(f.apply("a/1", 0, order.KindOutcome, order.Outcome{Key: key, Claim: 1, State: order.NotRan})).NotTo(Succeed())
+		Expect(f.apply("a/1", 0, order.KindWithdrawal, order.Withdrawal{Key: key, Attempt: 1})).NotTo(Succeed())
+		Expect(f.apply("a/1", 0, order.KindDirectRun, order.DirectRun{Claim: claimOf(key)})).NotTo(Succeed())
+		Expect(f.apply("b/1", 2*time.Minute, order.KindDoubt, order.Doubt{Key: key, Claim: 1})).NotTo(Succeed())
+		Expect(f.apply("b/1", 2*time.Minute, order.KindDoubt, order.Doubt{Key: key, Claim: 3})).To(Succeed())
+		Expect(f.apply("b/1", 2*time.Minute, order.KindSettlement, order.Settlement{Key: key, Claim: 1})).NotTo(Succeed())
+		Expect(f.apply("a/1", 2*time.Minute, order.KindOutcome, order.Outcome{Key: key, Claim: 3, State: order.Ran})).To(Succeed())
+		Expect(f.apply("a/1", 2*time.Minute, order.KindWithdrawal, order.Withdrawal{Key: key, Attempt: 2})).NotTo(Succeed())
+		record, _ := f.Find(key)
+		Expect(record.State).To(Equal(order.Ran))
+	})
 })
--- a/internal/order/service_faults_test.go
+++ b/internal/order/service_faults_test.go
@@ -1,6 +1,7 @@
 package order_test
 
 import (
+	"bytes"
 	"sync"
 	"time"
 
@@ -30,6 +31,19 @@
 		Expect(b.service.RunsOf(key)).To(Equal(1))
 	})
 
+	It("is not run again when its answer was too large to be read", func() {
+		b := newBed()
+		nodes := b.startNodes(2)
+		large := b.order(key)
+		large.Call.Body = bytes.Repeat([]byte("<"), 1<<20-1) // the stand-in's answer escapes each by six bytes
+		for _, n := range []*node{nodes[0], nodes[0], nodes[1]} {
+			got := n.place(large)
+			Expect(isUnknown(got)).To(BeTrue())
+			Expect(got.Refusal.Reason).To(Equal(refusal.AnswerNotKept))
+		}
+		Expect(b.service.RunsOf(key)).To(Equal(1))
+	})
+
 	It("gets the recorded answer while the service is down", func() {
 		b := newBed()
 		nodes := b.startNodes(2)
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -60,6 +60,13 @@
 		Expect(retry.Delay(60, 0.999)).To(BeNumerically("<", time.Second))
 	})
 
+	It("takes only what proves it for a proof that an attempt did not run", func() {
+		for _, reason := range retry.Reasons {
+			proof := reason == retry.Unreachable || reason == retry.NotRun
+			Expect(reason.MayHaveRun()).To(Equal(!proof), string(reason))
+		}
+	})
+
 	It("takes an unknown failure for one that may have run", func() {
 		Expect(retry.ReasonOf(&endpoint.BrokenError{}).MayHaveRun()).To(BeTrue())
 		Expect(retry.ReasonOf(&endpoint.BrokenError{Err: &endpoint.NotRunError{}}).MayHaveRun()).To(BeTrue())
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -38,6 +38,8 @@
 		table.Add(crash(1, false), now)
 		table.Add(crash(2, false), now)
 		Expect(table.Standing(7, now)).To(Equal(suspect.Isolated))
+		table.Acquit(7, now)
+		Expect(table.Standing(7, now)).To(Equal(suspect.Clear))
 	})
 
 	It("shares neither its group nor itself", func() {
