Orders: the owner of a slot is asked for as long as its claim may wait

Cause: an entry daemon gave up on the owner after half of the order's time and asked the standby, which can only wait for the record of the owner's run. On a slow log most orders with a timeout of 8 s ended as in progress although the owner answered within 6 s. It asks for three quarters now; the call ends earlier when the link to the owner breaks or falls silent.

Ruled out: asking the standby at the same time, which doubles the load of a slow log.

The pages say how a slow log treats orders.

--- a/internal/order/doc.go
+++ b/internal/order/doc.go
@@ -15,6 +15,10 @@
 // byte went to the service, or gave its claim up before dispatch. It is never
 // said of a request that another daemon was given and whose answer was lost.
 //
+// A log that is slow delays orders: a claim waits for its verdict while the log
+// serves calls, up to three quarters of the order's time. A log that serves none
+// for a few seconds counts as away.
+//
 // With the log away an order is refused as not run, at once after the first
 // ones have found out. A call that declares refuses_repeated_keys is then run
 // without a claim, with its key passed on: this package guarantees that each
--- a/internal/order/router.go
+++ b/internal/order/router.go
@@ -59,9 +59,11 @@
 	return maybeElsewhere(r.runner.Run(ctx, o), o)
 }
 
-// ask passes an order to one owner. It leaves half of the time to ask again.
+// ask passes an order to one owner, for as long as the owner may wait for its
+// claim. It leaves the rest of the time to ask again. The call ends earlier when
+// the owner falls silent.
 func (r *Router) ask(ctx context.Context, owner fleet.DaemonID, o Order) (Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, o.Timeout/2)
+	ctx, cancel := context.WithTimeout(ctx, o.Timeout-o.Timeout/dispatchShare)
 	defer cancel()
 	r.runner.Metrics.passedOn.Inc()
 	var result Result
