--- a/internal/order/schedule_test.go
+++ b/internal/order/schedule_test.go
@@ -205,10 +205,11 @@
 // patience ends.
 func (s *schedule) persist(key string, random *rand.Rand, told *history) {
 	for range 6 {
+		n := s.pick(random)
 		o := s.bed.order(key)
 		o.Timeout = 2 * time.Second
-		o.DeadlineMillis = time.Now().Add(o.Timeout).UnixMilli()
-		result := s.pick(random).place(o)
+		o.DeadlineMillis = n.now().Add(o.Timeout).UnixMilli()
+		result := n.place(o)
 		told.add(result)
 		if result.Refusal == nil || result.Refusal.Reason == refusal.OrderUnsettled {
 			return
