--- a/internal/group/planner_test.go
+++ b/internal/group/planner_test.go
@@ -1,6 +1,7 @@
 package group_test
 
 import (
+	"maps"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -75,6 +76,21 @@
 		Expect(w.Fold.Groups()).To(HaveKey(high))
 	})
 
+	It("takes no second group apart while the VMs of the first are about to be free", func() {
+		models := []config.Model{model("low", 4, 3, 0.5), model("high", 4, 1, 5)}
+		w := newWorld(models, map[fleet.FabricDomain]int{"a": 4, "b": 4, "c": 4, "d": 4})
+		w.settle()
+		before := maps.Clone(w.Fold.Groups())
+		w.silence(150*time.Second, w.groupOf("high").Members[1:]...)
+		kept := 0
+		for fencing, record := range before {
+			if _, ok := w.Fold.Groups()[fencing]; ok && record.Model == "low" {
+				kept++
+			}
+		}
+		Expect(kept).To(Equal(2))
+	})
+
 	It("weighs by the user's weights which group gets the last VMs", func() {
 		models := []config.Model{model("valued", 2, 1, 3), model("large", 4, 1, 1)}
 		for _, c := range []struct {
