--- a/internal/group/plan_repair.go
+++ b/internal/group/plan_repair.go
@@ -22,7 +22,7 @@
 // alone don't.
 func (p *planner) planRepairs() {
 	for _, n := range p.unmet {
-		if n.covered || p.soonMet(n) {
+		if n.covered {
 			continue
 		}
 		source, ok := p.cheapestSource(n)
@@ -37,21 +37,6 @@
 	}
 }
 
-// soonMet reports whether the VMs that a domain is about to free meet a need,
-// and reserves them. Only groups that end here count: a VM that holds on to
-// another group may never let go.
-func (p *planner) soonMet(n need) bool {
-	for _, domain := range p.domains() {
-		if p.freeing[domain] > 0 && len(p.free[domain])+p.freeing[domain] >= n.model.Members {
-			p.freeing[domain] = 0
-			p.free[domain] = nil
-			p.pending[domain] = 0
-			return true
-		}
-	}
-	return false
-}
-
 // repairSource is a domain whose free VMs and groups make up a missing group.
 type repairSource struct {
 	domain fleet.FabricDomain
