--- a/internal/order/service_faults_test.go
+++ b/internal/order/service_faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"sync"
 	"time"
 
@@ -31,6 +32,17 @@
 		Expect(b.service.RunsOf(key)).To(Equal(1))
 	})
 
+	It("is unknown to a caller whose time is over while it runs", func() {
+		b := newBed()
+		node := b.startNodes(1)[0]
+		b.service.Set(fakes.Faults{DelayMS: 1000})
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		Expect(isUnknown(node.runner.Run(ctx, b.order(key)))).To(BeTrue())
+		Expect(b.settled(node, key).Refusal).To(BeNil())
+		Expect(b.service.RunsOf(key)).To(Equal(1))
+	})
+
 	It("is not run again when its answer was too large to be read", func() {
 		b := newBed()
 		nodes := b.startNodes(2)
