--- a/internal/order/service_faults_test.go
+++ b/internal/order/service_faults_test.go
@@ -43,6 +43,23 @@
 		Expect(b.service.RunsOf(key)).To(Equal(1))
 	})
 
+	It("has its outcome recorded however long the log is away meanwhile", func() {
+		b := newBed()
+		node := b.startNodes(1)[0]
+		b.service.Set(fakes.Faults{Frozen: true})
+		placed := make(chan order.Result, 1)
+		go func() { placed <- node.place(b.order(key)) }()
+		Eventually(b.stateOf(node, key), waitLong, pollOften).Should(Equal(order.Claimed))
+		b.log.Set(fakes.Faults{Down: true})
+		b.service.Set(fakes.Faults{})
+		Expect((<-placed).Refusal).To(BeNil())
+		time.Sleep(time.Second) // longer than an answer waits for its record
+		b.log.Set(fakes.Faults{})
+		Eventually(b.stateOf(node, key), waitLong, pollOften).Should(Equal(order.Ran))
+		Expect(node.place(b.order(key)).Refusal).To(BeNil())
+		Expect(b.service.RunsOf(key)).To(Equal(1))
+	})
+
 	It("is not run again when its answer was too large to be read", func() {
 		b := newBed()
 		nodes := b.startNodes(2)
