--- a/internal/watch/duty.go
+++ b/internal/watch/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"reflect"
 	"slices"
 	"sync"
 	"time"
@@ -40,7 +41,8 @@
 	live, vms := d.live(), d.known()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if slices.Equal(live, d.lastLive) && maps.Equal(vms, d.lastVMs) {
+	if slices.Equal(live, d.lastLive) && (sameMap(vms, d.lastVMs) || maps.Equal(vms, d.lastVMs)) {
+		d.lastVMs = vms
 		return d.watched
 	}
 	d.lastLive, d.lastVMs = live, vms
@@ -53,6 +55,11 @@
 	return d.watched
 }
 
+// sameMap reports whether two maps are one. Neither is ever changed.
+func sameMap(a, b map[fleet.VMID]fleet.VM) bool {
+	return reflect.ValueOf(a).Pointer() == reflect.ValueOf(b).Pointer()
+}
+
 // Watches returns a VM if this daemon is a watcher of it.
 func (d *Duty) Watches(id fleet.VMID) (fleet.VM, bool) {
 	for _, vm := range d.Watched() {
--- a/internal/watch/entry.go
+++ b/internal/watch/entry.go
@@ -41,11 +41,11 @@
 // bound: this daemon may be the one that cannot reach the member.
 func merge(e *entry, self fleet.DaemonID, bound time.Duration) group.Observation {
 	newest, standing, failedAt := e.newest()
-	result := newest
+	result := *newest
 	if !failedAt.IsZero() {
 		result.Failed = true
-		if !standing.At.IsZero() && failedAt.Sub(standing.At) <= bound {
-			result = standing
+		if standing != nil && failedAt.Sub(standing.At) <= bound {
+			result = *standing
 		}
 	}
 	if e.requestFailing(self, result.At, bound) {
@@ -56,14 +56,14 @@
 
 // newest returns the newest success of all, the newest of the observers whose
 // last poll did not fail, and the newest failure.
-func (e *entry) newest() (all, standing group.Observation, failedAt time.Time) {
-	all = e.past
+func (e *entry) newest() (all, standing *group.Observation, failedAt time.Time) {
+	all = &e.past
 	for _, o := range e.opinions {
 		if o.seen.At.After(all.At) {
-			all = o.seen
+			all = &o.seen
 		}
-		if !o.failing() && o.seen.At.After(standing.At) {
-			standing = o.seen
+		if !o.failing() && o.known() && (standing == nil || o.seen.At.After(standing.At)) {
+			standing = &o.seen
 		}
 		if o.failedAt.After(failedAt) {
 			failedAt = o.failedAt
--- a/internal/watch/remote_list.go
+++ b/internal/watch/remote_list.go
@@ -77,11 +77,11 @@
 	r.set(merged)
 }
 
-// refresh takes in that the list is unchanged and returns the opinions as they
-// are now. It returns false when the list is not the one meant.
-func (r *remoteList) refresh(message alive, at func(peer.Stamp) time.Time) ([]ownItem, bool) {
+// refresh takes in that the list is unchanged and brings its opinions to now. It
+// returns false when the list is not the one meant.
+func (r *remoteList) refresh(message alive, at func(peer.Stamp) time.Time) bool {
 	if message.Digest != r.digest {
-		return nil, false
+		return false
 	}
 	ages := make([]peer.Stamp, len(r.items))
 	for place := range ages {
@@ -103,5 +103,5 @@
 	for place := range r.items {
 		r.items[place].opinion.polled(at(message.Stamp - ages[place]))
 	}
-	return slices.Clone(r.items), true
+	return true
 }
--- a/internal/watch/sharer.go
+++ b/internal/watch/sharer.go
@@ -60,25 +60,30 @@
 func (s *Sharer) tellChange() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.tellChanged()
+}
+
+// tellChanged does so and returns the list that the peers know then. The caller
+// holds mu.
+func (s *Sharer) tellChanged() ownList {
 	list := newOwnList(s.table.own(s.duty.Watched()))
-	if list.digest == s.told.digest {
-		return
+	if list.digest != s.told.digest {
+		change := list.changeFrom(s.told, s.mesh.StampAt(time.Now()), s.mesh.StampAt)
+		s.told = list
+		s.mesh.Publish(peer.TopicReports, peer.ScopeDataCentre, change)
 	}
-	change := list.changeFrom(s.told, s.mesh.StampAt(time.Now()), s.mesh.StampAt)
-	s.told = list
-	s.mesh.Publish(peer.TopicReports, peer.ScopeDataCentre, change)
+	return list
 }
 
 // tellAlive repeats that nothing has changed since the last change told.
 func (s *Sharer) tellAlive(round time.Time) {
-	s.tellChange()
 	now := time.Now()
 	s.table.Prune(now, s.isKnown)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.forgetGone()
-	list := newOwnList(s.table.own(s.duty.Watched()))
-	if list.digest != s.told.digest || len(list.items) == 0 {
+	list := s.tellChanged()
+	if len(list.items) == 0 {
 		return
 	}
 	s.mesh.Publish(peer.TopicAlive, peer.ScopeDataCentre, list.alive(round, s.mesh.StampAt(now), s.mesh.StampAt))
@@ -178,11 +183,13 @@
 	}
 	s.mu.Lock()
 	list := s.remote(from)
-	items, same := list.refresh(message, at)
+	same := list.refresh(message, at)
+	if same {
+		s.note(from, list.items, time.Now())
+	}
 	ask := !same && !list.asking
 	list.asking = list.asking || ask
 	s.mu.Unlock()
-	s.note(from, items, time.Now())
 	if ask {
 		go s.ask(from)
 	}
--- a/internal/watch/sharing_test.go
+++ b/internal/watch/sharing_test.go
@@ -233,7 +233,8 @@
 
 		later := newOwnList([]ownItem{seen("a", 210*time.Millisecond, 0), seen("b", 130*time.Millisecond, 0), seen("c", 205*time.Millisecond, 3)})
 		message := later.alive(start.Add(200*time.Millisecond), 250, stampAt)
-		items, same := remote.refresh(message, atOf)
+		same := remote.refresh(message, atOf)
+		items := remote.items
 		Expect(same).To(BeTrue())
 		Expect(items[0].opinion.seen.At).To(Equal(start.Add(205 * time.Millisecond)))
 		Expect(items[1].opinion.seen.At).To(Equal(start.Add(130 * time.Millisecond)))
@@ -241,7 +242,7 @@
 		Expect(items[2].opinion.seen.Report.Running).To(Equal(3))
 
 		later.items[0].opinion.seen.Report.Boot = "another"
-		_, same = remote.refresh(newOwnList(later.items).alive(start, 300, stampAt), atOf)
+		same = remote.refresh(newOwnList(later.items).alive(start, 300, stampAt), atOf)
 		Expect(same).To(BeFalse())
 	})
 })
