--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Measures what a daemon spends on control by the number of peers, watched VMs and configuration changes, at three
 # sizes or more each, and fits the slopes that docs/CAPACITY.md works with. Real processes on loopback; stops all it
-# started. Usage: capacity.sh [vms|daemons|centres|changes]...; all parts take about twelve minutes, on an idle machine.
+# started. Usage: capacity.sh [vms|daemons|growth|centres|changes]...; all parts take about fifteen minutes, on an idle machine.
 # With PLANTAINMUX_CAPACITY_PROFILES set to a directory, the first daemon's CPU profile of each size is kept there.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -124,8 +124,18 @@
   done
 }
 
+# A data centre that grows in daemons and VMs alike, up to the size of docs/CAPACITY.md.
+measure_growth() {
+  local size
+  for size in ${PLANTAINMUX_CAPACITY_GROWTH:-8:72 24:220 47:432}; do
+    fleet 1 "${size%:*}" "${size#*:}"
+    measure daemons_of_a_growing_data_centre "${size%:*}"
+    stop_all
+  done
+}
+
 measure_centres() {
-  for centres in 1 2 3; do
+  for centres in 1 2 3 5 7; do
     fleet "$centres" 3 16
     measure data_centres "$centres"
     stop_all
@@ -146,7 +156,7 @@
   stop_all
 }
 
-for part in "${@:-vms daemons centres changes}"; do
+for part in "${@:-vms daemons growth centres changes}"; do
   for name in $part; do "measure_$name"; done
 done
 
