Planner: no second group is taken apart while the VMs of the first are about to be free

Cause: a domain whose group still drains was passed over as free soon, so for one missing group planRepairs took a cheaper group apart in the next domain, and in the next, one a round.

Now a need that free VMs and those of ending groups of one domain will meet reserves just these and waits. Only groups that end count: a VM that holds on to another group may never let go.

--- a/internal/group/free_vms.go
+++ b/internal/group/free_vms.go
@@ -16,6 +16,7 @@
 	p.free = map[fleet.FabricDomain][]fleet.VMID{}
 	p.pending = map[fleet.FabricDomain]int{}
 	p.pendingSteady = map[fleet.FabricDomain]int{}
+	p.freeing = map[fleet.FabricDomain]int{}
 	for id, vm := range p.in.World.VMs {
 		switch {
 		case !p.usable(vm):
@@ -39,6 +40,7 @@
 	for _, g := range p.groups {
 		if g.ended || g.standing == going {
 			p.pending[g.FabricDomain] += p.survivors(g)
+			p.freeing[g.FabricDomain] += p.survivors(g)
 		}
 	}
 }
--- a/internal/group/plan_repair.go
+++ b/internal/group/plan_repair.go
@@ -22,7 +22,7 @@
 // alone don't.
 func (p *planner) planRepairs() {
 	for _, n := range p.unmet {
-		if n.covered {
+		if n.covered || p.soonMet(n) {
 			continue
 		}
 		source, ok := p.cheapestSource(n)
@@ -37,6 +37,24 @@
 	}
 }
 
+// soonMet reports whether a domain is about to free the VMs that a need lacks,
+// and reserves them, so that no second group is taken apart for it. Only groups
+// that end count: a VM that holds on to another group may never let go.
+func (p *planner) soonMet(n need) bool {
+	for _, domain := range p.domains() {
+		free := min(len(p.free[domain]), n.model.Members)
+		lacking := n.model.Members - free
+		if lacking == 0 || p.freeing[domain] < lacking {
+			continue
+		}
+		p.free[domain] = p.free[domain][free:]
+		p.freeing[domain] -= lacking
+		p.pending[domain] -= lacking
+		return true
+	}
+	return false
+}
+
 // repairSource is a domain whose free VMs and groups make up a missing group.
 type repairSource struct {
 	domain fleet.FabricDomain
--- a/internal/group/planner.go
+++ b/internal/group/planner.go
@@ -41,6 +41,7 @@
 	// pendingSteady counts those that let go of their former group now and do
 	// not keep failing.
 	pendingSteady map[fleet.FabricDomain]int
+	freeing       map[fleet.FabricDomain]int // pending VMs of groups that end
 	loadingVMs    int
 	unmet         []need
 }
