Orders: refused at once while the slot's log cannot be read

The slot's reader knows better: its reads fail, and it finds out when the log is back.

Now an order is refused at once, and proposes nothing, when every read of its slot has failed for the claim timeout. A log that hangs without failing is still found out by the waiting order and the breaker.

--- a/internal/order/log_faults_test.go
+++ b/internal/order/log_faults_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainmux/plantainmux/internal/fakes"
+	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/order"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 )
@@ -89,4 +90,30 @@
 		Expect(b.settled(node, "more").Refusal).To(BeNil())
 		Expect(b.service.RunsOf("more")).To(Equal(1))
 	})
+	It("that cannot be read are refused at once, whichever their slot, and propose nothing", func() {
+		b := newBed()
+		node := b.startNodes(1)[0]
+		key := func(i int) string { return fmt.Sprintf("slot-%d", i) }
+		const orders = 40
+		for i := range orders {
+			Expect(b.settled(node, key(i)).Refusal).To(BeNil())
+		}
+		b.log.Set(fakes.Faults{Down: true})
+		time.Sleep(logstream.DefaultPollWait + 3*testClaimTimeout) // reads in progress have ended, later ones fail
+		proposed := 0
+		node.onStep(func(at string) {
+			if at == beforeClaim {
+				proposed++
+			}
+		})
+		for i := range orders {
+			Expect(isNotRun(node.place(b.order("new-" + key(i))))).To(BeTrue())
+		}
+		node.onStep(nil)
+		Expect(proposed).To(BeZero())
+		b.log.Set(fakes.Faults{})
+		for i := range orders {
+			Expect(b.settled(node, "new-"+key(i)).Refusal).To(BeNil())
+		}
+	})
 })
--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -125,7 +125,7 @@
 		t.reply(r.withoutService(t, limit))
 		return
 	}
-	if !t.followed.breaker.enter() {
+	if r.logAway(t) || !t.followed.breaker.enter() {
 		r.unclaimed(t, false)
 		return
 	}
@@ -144,6 +144,12 @@
 	}
 }
 
+// logAway reports whether the slot's stream could not be read for so long that
+// no claim would be read back. The reader finds out when the log is back.
+func (r *Runner) logAway(t *task) bool {
+	return t.followed.stream.Failing(time.Now()) >= r.ClaimTimeout
+}
+
 // proposeClaim proposes the claim of an order. It waits for the verdict while
 // the log answers, however slowly, but no longer than a limit.
 func (r *Runner) proposeClaim(t *task, limit time.Duration) (logstream.Receipt, error) {
