--- a/test/request_bed_test.go
+++ b/test/request_bed_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -16,6 +18,9 @@
 	"github.com/plantainmux/plantainmux/internal/testbed"
 )
 
+// struckAfter is how long an engine works on an answer before it is struck.
+const struckAfter = 200 * time.Millisecond
+
 // requestBed is one daemon before groups of two engines each.
 type requestBed struct {
 	*testbed.Bed
@@ -73,6 +78,32 @@
 	return found
 }
 
+// askStruck asks for a streamed or whole answer and strikes the engine that runs
+// it in its midst.
+func (b *requestBed) askStruck(body string, strike func(*testbed.Engine)) reply {
+	answer := make(chan reply, 1)
+	go func() { answer <- ask(b.daemon, body) }()
+	engine := b.serving(body)
+	time.Sleep(struckAfter)
+	strike(engine)
+	return <-answer
+}
+
+// askAndLeave asks for a streamed answer and leaves once it has begun.
+func (b *requestBed) askAndLeave(body string) {
+	ctx, leave := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.daemon.CallerAddress()+"/v1/completions", strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("Authorization", "Bearer "+testbed.TeamKey)
+	response, err := http.DefaultClient.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	leave()
+	_ = response.Body.Close()
+	Eventually(func() int { return b.count(fakes.EventCancel, "") }, waitComplete, tick).Should(Equal(1))
+}
+
+func killServer(engine *testbed.Engine) { engine.Server.Kill() }
+
 // reply is what a caller got.
 type reply struct {
 	status  int
--- a/test/request_regions_test.go
+++ b/test/request_regions_test.go
@@ -1,10 +1,8 @@
 package test
 
 import (
-	"context"
 	"fmt"
 	"net"
-	"net/http"
 	"strings"
 	"time"
 
@@ -100,12 +98,7 @@
 		bed := twoCentres(0, 1, fakes.EngineOptions{TokenDelay: 30 * time.Millisecond}, "north", "south")
 		bed.answered()
 		body := completionBody("killed there", 40, true)
-		answer := make(chan reply, 1)
-		go func() { answer <- ask(bed.daemon, body) }()
-		engine := bed.serving(body)
-		time.Sleep(200 * time.Millisecond)
-		engine.Server.Kill()
-		got := <-answer
+		got := bed.askStruck(body, killServer)
 		Expect(got.whole).To(BeFalse())
 		Expect(got.reason).To(Equal(string(refusal.EndpointBroke)))
 		Expect(got.outcome).To(Equal(string(refusal.Unknown)))
@@ -114,15 +107,7 @@
 	It("is cancelled there when its caller leaves", func() {
 		bed := twoCentres(0, 1, fakes.EngineOptions{TokenDelay: 50 * time.Millisecond}, "north", "south")
 		bed.answered()
-		ctx, leave := context.WithCancel(context.Background())
-		request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+bed.daemon.CallerAddress()+"/v1/completions", strings.NewReader(completionBody("gone", 400, true)))
-		Expect(err).NotTo(HaveOccurred())
-		request.Header.Set("Authorization", "Bearer "+testbed.TeamKey)
-		response, err := http.DefaultClient.Do(request)
-		Expect(err).NotTo(HaveOccurred())
-		leave()
-		_ = response.Body.Close()
-		Eventually(func() int { return bed.count(fakes.EventCancel, "") }, waitComplete, tick).Should(Equal(1))
+		bed.askAndLeave(completionBody("gone", 400, true))
 	})
 
 	It("is refused as not run when no data centre serves it", func() {
--- a/test/request_stream_test.go
+++ b/test/request_stream_test.go
@@ -1,10 +1,7 @@
 package test
 
 import (
-	"context"
 	"fmt"
-	"net/http"
-	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -54,12 +51,7 @@
 	It("ends in an explicit error when its engine is killed and no other can continue it", func() {
 		bed := newRequestBed(2, fakes.EngineOptions{TokenDelay: 30 * time.Millisecond}, nil)
 		body := completionBody("killed", 40, true)
-		answer := make(chan reply, 1)
-		go func() { answer <- ask(bed.daemon, body) }()
-		engine := bed.serving(body)
-		time.Sleep(200 * time.Millisecond)
-		engine.Server.Kill()
-		got := <-answer
+		got := bed.askStruck(body, killServer)
 		Expect(got.broken).NotTo(HaveOccurred())
 		Expect(got.whole).To(BeFalse())
 		Expect(got.reason).To(Equal(string(refusal.EndpointBroke)))
@@ -69,24 +61,14 @@
 	It("goes on from another group where equal requests get equal answers", func() {
 		bed := newRequestBed(2, fakes.EngineOptions{TokenDelay: 30 * time.Millisecond}, deterministic)
 		body := completionBody("continued", 40, true)
-		answer := make(chan reply, 1)
-		go func() { answer <- ask(bed.daemon, body) }()
-		engine := bed.serving(body)
-		time.Sleep(200 * time.Millisecond)
-		engine.Server.Kill()
-		expectWhole(<-answer, body, 40)
+		expectWhole(bed.askStruck(body, killServer), body, 40)
 		Expect(bed.count(fakes.EventStart, body)).To(Equal(2))
 	})
 
 	It("begins anew when nothing of it reached the caller", func() {
 		bed := newRequestBed(2, fakes.EngineOptions{TokenDelay: 30 * time.Millisecond}, nil)
 		body := completionBody("buffered", 40, false)
-		answer := make(chan reply, 1)
-		go func() { answer <- ask(bed.daemon, body) }()
-		engine := bed.serving(body)
-		time.Sleep(200 * time.Millisecond)
-		engine.Server.Kill()
-		expectWhole(<-answer, body, 40)
+		expectWhole(bed.askStruck(body, killServer), body, 40)
 	})
 
 	It("moves away from a frozen engine", func() {
@@ -102,16 +84,7 @@
 
 	It("is cancelled on its engine when the caller leaves", func() {
 		bed := newRequestBed(1, fakes.EngineOptions{TokenDelay: 50 * time.Millisecond}, nil)
-		body := completionBody("gone", 400, true)
-		ctx, leave := context.WithCancel(context.Background())
-		request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+bed.daemon.CallerAddress()+"/v1/completions", strings.NewReader(body))
-		Expect(err).NotTo(HaveOccurred())
-		request.Header.Set("Authorization", "Bearer "+testbed.TeamKey)
-		response, err := http.DefaultClient.Do(request)
-		Expect(err).NotTo(HaveOccurred())
-		leave()
-		_ = response.Body.Close()
-		Eventually(func() int { return bed.count(fakes.EventCancel, "") }, waitComplete, tick).Should(Equal(1))
+		bed.askAndLeave(completionBody("gone", 400, true))
 		Expect(bed.count(fakes.EventFinish, "")).To(BeZero())
 	})
 })
