Orders: owners of slots are chosen again only when the candidates change

The choice is kept while the candidates are the same. ./internal/order passes by focus (kills, moving slots, parallel repeats, frozen owners).

--- a/internal/order/follower.go
+++ b/internal/order/follower.go
@@ -10,7 +10,6 @@
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/peer"
-	"github.com/plantainmux/plantainmux/internal/rendezvous"
 )
 
 const (
@@ -34,6 +33,7 @@
 	open Opener
 
 	started time.Time
+	owners  ownersCache
 
 	mu          sync.Mutex
 	followed    map[Slot]*followed
@@ -49,7 +49,7 @@
 // Owners returns the daemons that follow a slot, its owner first. One that
 // cannot read the log is none while others can.
 func (s *Follower) Owners(slot Slot) []fleet.DaemonID {
-	return rendezvous.Choose(StreamName(slot), s.mesh.WithLog(), ownersPerSlot)
+	return s.owners.of(slot, s.mesh.WithLog())
 }
 
 // Followed returns the number of slots that are followed.
