--- a/internal/admit/usage_update.go
+++ b/internal/admit/usage_update.go
@@ -18,7 +18,7 @@
 }
 
 // digestOf is a hash of a usage by names, so that it does not depend on the
-// configuration's version. No usage has the digest 0. It is short: after a loss
+// configuration's version. An empty usage has the digest 0. It is short: after a loss
 // each later update has another chance to show it.
 func digestOf(usage map[demandKey]TeamUsage) uint16 {
 	sum := uint64(0)
