--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
 # Failures of whole processes under load, with real signals: three daemons are stopped in turn (SIGTERM), one is killed
 # (SIGKILL), one is paused while a member is frozen (SIGSTOP), the log is paused, and all daemons are killed at once.
-# Callers behind a balancer ask for streams and place orders all the while. The verdict comes from the callers' answers and from what the stand-ins
-# recorded. Stops everything it started, by process id. Exit code 0 only if every check passed.
+# Callers behind a balancer ask for streams and place orders all the while. The verdict comes from the callers' answers
+# and from what the stand-ins recorded. Stops everything it started, by process id. Exit code 0 only if every check passed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
