--- a/cmd/plantainfake/check_command.go
+++ b/cmd/plantainfake/check_command.go
@@ -8,7 +8,7 @@
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/invariant"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // checkCommand checks the invariants of groups over what the stand-ins of a
@@ -22,7 +22,7 @@
 
 // Execute implements flags.Commander.
 func (c *checkCommand) Execute([]string) error {
-	sources := invariant.Sources{Log: platform.NewHTTPLog(c.Log), DataCentre: c.DataCentre, Engines: c.Engines}
+	sources := invariant.Sources{Log: infra.NewHTTPLog(c.Log), DataCentre: c.DataCentre, Engines: c.Engines}
 	check, err := sources.Gather(context.Background())
 	if err != nil {
 		return err
--- a/cmd/plantainmux/diff_command.go
+++ b/cmd/plantainmux/diff_command.go
@@ -5,7 +5,7 @@
 	"fmt"
 
 	"github.com/plantainmux/plantainmux/internal/config"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 type diffCommand struct {
@@ -17,7 +17,7 @@
 
 // difference is the JSON form of a comparison.
 type difference struct {
-	InForce platform.Offset `json:"in_force,omitempty"` // version that was compared with
+	InForce infra.Offset `json:"in_force,omitempty"` // version that was compared with
 	Changes []config.Change `json:"changes"`
 }
 
--- a/cmd/plantainmux/evidence_command.go
+++ b/cmd/plantainmux/evidence_command.go
@@ -8,7 +8,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/evidence"
 	"github.com/plantainmux/plantainmux/internal/fleet"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 const evidenceTimeout = 2 * time.Minute
@@ -31,7 +31,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), evidenceTimeout)
 	defer cancel()
-	records, err := evidence.Read(ctx, platform.NewHTTPLog(c.Log), c.DataCentres)
+	records, err := evidence.Read(ctx, infra.NewHTTPLog(c.Log), c.DataCentres)
 	if err != nil {
 		return err
 	}
--- a/cmd/plantainmux/log_options.go
+++ b/cmd/plantainmux/log_options.go
@@ -7,7 +7,7 @@
 	"github.com/google/uuid"
 
 	"github.com/plantainmux/plantainmux/internal/config"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // logOptions say where the log service is.
@@ -20,7 +20,7 @@
 func (o logOptions) withPublisher(f func(ctx context.Context, publisher *config.Publisher) error) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(o.Timeout)*time.Second)
 	defer cancel()
-	publisher := config.NewPublisher(platform.NewHTTPLog(o.Log), uuid.NewString())
+	publisher := config.NewPublisher(infra.NewHTTPLog(o.Log), uuid.NewString())
 	go publisher.Run(ctx)
 	return f(ctx, publisher)
 }
--- a/cmd/plantainmux/publish_command.go
+++ b/cmd/plantainmux/publish_command.go
@@ -5,7 +5,7 @@
 	"fmt"
 
 	"github.com/plantainmux/plantainmux/internal/config"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 type publishCommand struct {
@@ -17,7 +17,7 @@
 
 // published is the JSON form of a publication.
 type published struct {
-	Version platform.Offset `json:"version"`
+	Version infra.Offset `json:"version"`
 }
 
 // Execute implements flags.Commander.
@@ -27,7 +27,7 @@
 		return err
 	}
 	return c.withPublisher(func(ctx context.Context, publisher *config.Publisher) error {
-		inForce, err := publisher.Publish(ctx, platform.Offset(c.Base), whole)
+		inForce, err := publisher.Publish(ctx, infra.Offset(c.Base), whole)
 		if err != nil {
 			return err
 		}
--- a/internal/adminapi/order_status.go
+++ b/internal/adminapi/order_status.go
@@ -5,7 +5,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/order"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // OrderStatus is what operators see of one order. It holds no credential and
@@ -17,7 +17,7 @@
 	State        order.State     `json:"state"`
 	Method       string          `json:"method"`
 	Path         string          `json:"path"`
-	Claim        platform.Offset `json:"claim"` // offset of the claim in force
+	Claim        infra.Offset `json:"claim"` // offset of the claim in force
 	Claimant     string          `json:"claimant"`
 	ClaimedAt    time.Time       `json:"claimed_at"`
 	Deadline     time.Time       `json:"deadline"`
--- a/internal/admit/usage_numbers.go
+++ b/internal/admit/usage_numbers.go
@@ -2,13 +2,13 @@
 
 import (
 	"github.com/plantainmux/plantainmux/internal/config"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // usageNumbers numbers the pairs of a model and a team of one configuration.
 // Daemons with the same version in force agree on them.
 type usageNumbers struct {
-	version platform.Offset
+	version infra.Offset
 	keys    []demandKey
 	numbers map[demandKey]int
 }
--- a/internal/admit/usage_update.go
+++ b/internal/admit/usage_update.go
@@ -5,14 +5,14 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // usageUpdate tells the other daemons of the data centre what has changed in the
 // own usage. Its digest shows whether the changes before it were heard too.
 type usageUpdate struct {
 	_       struct{}        `cbor:",toarray"`
-	Version platform.Offset // of the configuration whose numbers are used
+	Version infra.Offset // of the configuration whose numbers are used
 	Digest  uint16          // of the whole usage told by now
 	Changes []byte
 }
--- a/internal/admit/usage_update_test.go
+++ b/internal/admit/usage_update_test.go
@@ -11,7 +11,7 @@
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/peer"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/view"
 )
 
@@ -46,7 +46,7 @@
 	return cbor.Unmarshal(data, reply)
 }
 
-func configured(version platform.Offset, teams ...fleet.TeamName) config.Versioned {
+func configured(version infra.Offset, teams ...fleet.TeamName) config.Versioned {
 	c := config.Versioned{Version: version}
 	c.Models = []config.Model{{Name: loadModel}}
 	for _, name := range teams {
--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/logstream"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // sizedConfiguration has a number of models, each with replicas in 7 data
@@ -48,13 +48,13 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	page, err := json.Marshal(platform.Page{Oldest: 1, Next: 2, Records: []platform.Record{{Offset: 1, Data: body}}})
+	page, err := json.Marshal(infra.Page{Oldest: 1, Next: 2, Records: []infra.Record{{Offset: 1, Data: body}}})
 	if err != nil {
 		b.Fatal(err)
 	}
 	for b.Loop() {
 		fold.current = Versioned{}
-		var read platform.Page
+		var read infra.Page
 		if err := json.Unmarshal(page, &read); err != nil {
 			b.Fatal(err)
 		}
--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -4,7 +4,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/plantainmux/plantainmux/internal/logstream"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // StreamName is the stream that holds the configurations.
@@ -14,11 +14,11 @@
 const KindPublish logstream.Kind = "publish"
 
 // writerWindow is the number of records after which a publisher is forgotten.
-const writerWindow platform.Offset = 1024
+const writerWindow infra.Offset = 1024
 
 // Publish is the body of a KindPublish record.
 type Publish struct {
-	Base          platform.Offset `json:"base"` // version in force that the change was made from
+	Base          infra.Offset `json:"base"` // version in force that the change was made from
 	Configuration Configuration   `json:"configuration"`
 }
 
@@ -60,7 +60,7 @@
 
 // WriterWindow implements logstream.Windowed. Every publication has a writer of
 // its own, so the writers are forgotten early.
-func (f *Fold) WriterWindow() platform.Offset { return writerWindow }
+func (f *Fold) WriterWindow() infra.Offset { return writerWindow }
 
 // Encode implements logstream.Fold.
 func (f *Fold) Encode() ([]byte, error) {
--- a/internal/config/fold_test.go
+++ b/internal/config/fold_test.go
@@ -4,11 +4,11 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/logstream"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // applyPublish applies an empty configuration to a fold.
-func applyPublish(fold *Fold, offset, base platform.Offset) error {
+func applyPublish(fold *Fold, offset, base infra.Offset) error {
 	body, err := logstream.Marshal(Publish{Base: base})
 	if err != nil {
 		return err
--- a/internal/config/lost_race_error.go
+++ b/internal/config/lost_race_error.go
@@ -3,14 +3,14 @@
 import (
 	"fmt"
 
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // LostRaceError says that a publication was based on a version that is no
 // longer in force. Nothing was changed.
 type LostRaceError struct {
-	Base    platform.Offset
-	InForce platform.Offset
+	Base    infra.Offset
+	InForce infra.Offset
 }
 
 // Error implements error.
--- a/internal/config/publisher.go
+++ b/internal/config/publisher.go
@@ -6,7 +6,7 @@
 	"log/slog"
 
 	"github.com/plantainmux/plantainmux/internal/logstream"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // Publisher puts configurations in force. It runs its own follower of the
@@ -16,7 +16,7 @@
 }
 
 // NewPublisher returns a publisher. writer is a new incarnation each time.
-func NewPublisher(log platform.Log, writer string) *Publisher {
+func NewPublisher(log infra.Log, writer string) *Publisher {
 	return &Publisher{stream: logstream.New(log, StreamName, NewFold(), logstream.Options{
 		Writer: writer,
 		Logger: slog.New(slog.DiscardHandler),
@@ -46,7 +46,7 @@
 // Publish puts next in force on top of the version base. A lost answer is
 // settled by reading back, as long as ctx allows. The version in force is
 // returned also when next was in force already, as after a repeated call.
-func (p *Publisher) Publish(ctx context.Context, base platform.Offset, next Configuration) (Versioned, error) {
+func (p *Publisher) Publish(ctx context.Context, base infra.Offset, next Configuration) (Versioned, error) {
 	before, err := p.InForce(ctx)
 	if err != nil {
 		return Versioned{}, err
@@ -69,7 +69,7 @@
 }
 
 // lost tells a lost race from a repeat of what was published.
-func (p *Publisher) lost(base platform.Offset, inForce Versioned, next Configuration) (Versioned, error) {
+func (p *Publisher) lost(base infra.Offset, inForce Versioned, next Configuration) (Versioned, error) {
 	changes := Diff(inForce.Configuration, next)
 	if len(changes) == 0 && inForce.Version != 0 {
 		return inForce, nil
--- a/internal/config/publisher_test.go
+++ b/internal/config/publisher_test.go
@@ -10,11 +10,11 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainmux/plantainmux/internal/fakes"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // publishThrough publishes on top of nothing with a publisher of its own.
-func publishThrough(log platform.Log, writer string, share int, timeout time.Duration) (Versioned, error) {
+func publishThrough(log infra.Log, writer string, share int, timeout time.Duration) (Versioned, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	publisher := NewPublisher(log, writer)
@@ -24,11 +24,11 @@
 
 // gatedLog holds every append until all racers have come to theirs.
 type gatedLog struct {
-	platform.Log
+	infra.Log
 	gate *sync.WaitGroup
 }
 
-func (l *gatedLog) Append(ctx context.Context, stream string, records [][]byte) (platform.Offset, error) {
+func (l *gatedLog) Append(ctx context.Context, stream string, records [][]byte) (infra.Offset, error) {
 	l.gate.Done()
 	l.gate.Wait()
 	return l.Log.Append(ctx, stream, records)
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 const (
@@ -23,7 +23,7 @@
 		stop := make(chan struct{})
 		for range 4 {
 			readers.Go(func() {
-				var last platform.Offset
+				var last infra.Offset
 				for {
 					select {
 					case <-stop:
@@ -42,7 +42,7 @@
 		for offerer := range storeOfferers {
 			offers.Go(func() {
 				for i := range storeOffers {
-					offered := Versioned{Version: platform.Offset(i*storeOfferers + offerer)}
+					offered := Versioned{Version: infra.Offset(i*storeOfferers + offerer)}
 					store.Offer(offered, FromPeer, time.Now())
 				}
 			})
@@ -58,7 +58,7 @@
 
 	It("accepts a publication only on top of the version in force, and none of another kind", func() {
 		fold := NewFold()
-		apply := func(offset, base platform.Offset) error {
+		apply := func(offset, base infra.Offset) error {
 			return applyPublish(fold, offset, base)
 		}
 		Expect(apply(3, 0)).To(Succeed())
--- a/internal/config/versioned.go
+++ b/internal/config/versioned.go
@@ -1,11 +1,11 @@
 package config
 
-import "github.com/plantainmux/plantainmux/internal/platform"
+import "github.com/plantainmux/plantainmux/internal/infra"
 
 // Versioned is a configuration with its version, the offset of the record that
 // put it in force. Version 0 means that there is none.
 type Versioned struct {
-	Version         platform.Offset `json:"version"`
+	Version         infra.Offset `json:"version"`
 	PublishedMillis int64           `json:"published_ms"` // publisher's clock, Unix milliseconds
 	Configuration
 }
--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -5,14 +5,14 @@
 	"net"
 
 	"github.com/plantainmux/plantainmux/internal/endpoint"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/settings"
 )
 
 // Adapters are the daemon's ways to the outside.
 type Adapters struct {
-	Log     platform.Log
-	VMs     platform.VMList
+	Log     infra.Log
+	VMs     infra.VMList
 	Engine  endpoint.Engine
 	Service endpoint.Service
 
@@ -26,8 +26,8 @@
 func NewAdapters(s settings.Settings) Adapters {
 	counted := &Traffic{}
 	return Adapters{
-		Log:      platform.NewHTTPLog(s.Platform.Log).CountOn(&counted.Log),
-		VMs:      platform.NewHTTPVMList(s.Platform.VMs, s.DataCentre).CountOn(&counted.VMs),
+		Log:      infra.NewHTTPLog(s.Platform.Log).CountOn(&counted.Log),
+		VMs:      infra.NewHTTPVMList(s.Platform.VMs, s.DataCentre).CountOn(&counted.VMs),
 		Engine:   endpoint.NewHTTPEngine().CountControlOn(&counted.Engines),
 		Service:  endpoint.NewHTTPService(),
 		Traffic:  counted,
--- a/internal/daemon/config_in_force_test.go
+++ b/internal/daemon/config_in_force_test.go
@@ -10,7 +10,7 @@
 	"github.com/onsi/gomega/gmeasure"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/testbed"
 )
 
@@ -21,7 +21,7 @@
 
 // timesInForce returns, for each daemon, the time from start until a version is
 // in force there.
-func timesInForce(version platform.Offset, start time.Time, daemons []*testbed.Daemon) []time.Duration {
+func timesInForce(version infra.Offset, start time.Time, daemons []*testbed.Daemon) []time.Duration {
 	times := make([]time.Duration, len(daemons))
 	var wait sync.WaitGroup
 	for i, d := range daemons {
@@ -50,7 +50,7 @@
 var _ = Describe("The time until a configuration is in force on 8 daemons of 2 data centres", func() {
 	var bed *testbed.Bed
 	var daemons []*testbed.Daemon
-	var version platform.Offset
+	var version infra.Offset
 
 	BeforeEach(func() {
 		bed = testbed.New()
--- a/internal/daemon/config_spread_test.go
+++ b/internal/daemon/config_spread_test.go
@@ -10,7 +10,7 @@
 	"github.com/plantainmux/plantainmux/internal/adminapi"
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/fakes"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/testbed"
 )
 
@@ -23,14 +23,14 @@
 // versionWatch samples the versions in force of daemons and notes a step back.
 type versionWatch struct {
 	mu       sync.Mutex
-	highest  map[*testbed.Daemon]platform.Offset
+	highest  map[*testbed.Daemon]infra.Offset
 	reverted bool
 	stop     chan struct{}
 	done     sync.WaitGroup
 }
 
 func watchVersions(daemons ...*testbed.Daemon) *versionWatch {
-	w := &versionWatch{highest: map[*testbed.Daemon]platform.Offset{}, stop: make(chan struct{})}
+	w := &versionWatch{highest: map[*testbed.Daemon]infra.Offset{}, stop: make(chan struct{})}
 	for _, d := range daemons {
 		w.done.Go(func() { w.follow(d) })
 	}
@@ -67,11 +67,11 @@
 	return status
 }
 
-func versionOf(d *testbed.Daemon) func() platform.Offset {
-	return func() platform.Offset { return statusOf(d).ConfigVersion }
+func versionOf(d *testbed.Daemon) func() infra.Offset {
+	return func() infra.Offset { return statusOf(d).ConfigVersion }
 }
 
-func expectVersion(version platform.Offset, daemons ...*testbed.Daemon) {
+func expectVersion(version infra.Offset, daemons ...*testbed.Daemon) {
 	for _, d := range daemons {
 		EventuallyWithOffset(1, versionOf(d), waitSpread, pollSpread).Should(Equal(version))
 	}
--- a/internal/daemon/group_start_test.go
+++ b/internal/daemon/group_start_test.go
@@ -10,14 +10,14 @@
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/group"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/rendezvous"
 	"github.com/plantainmux/plantainmux/internal/testbed"
 )
 
 const groupStream = 1 // index of the group stream in a status
 
-func groupsNext(d *testbed.Daemon) platform.Offset {
+func groupsNext(d *testbed.Daemon) infra.Offset {
 	streams := statusOf(d).Streams
 	if len(streams) <= groupStream {
 		return 0
--- a/internal/daemon/readiness_test.go
+++ b/internal/daemon/readiness_test.go
@@ -9,7 +9,7 @@
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/group"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/view"
 )
 
@@ -17,7 +17,7 @@
 	const grace = 2 * time.Second
 	start := time.Now()
 	silent := view.GroupStatus{Condition: group.MemberSilent, Missing: []fleet.VMID{"vm1"}}
-	viewOf := func(version platform.Offset, known bool, status view.GroupStatus) *view.View {
+	viewOf := func(version infra.Offset, known bool, status view.GroupStatus) *view.View {
 		return &view.View{Config: config.Versioned{Version: version}, GroupsKnown: known, Status: []view.GroupStatus{status}}
 	}
 
--- a/internal/evidence/check_config.go
+++ b/internal/evidence/check_config.go
@@ -7,7 +7,7 @@
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/logstream"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // checkConfigurationHolds compares when daemons put versions in force with when
@@ -15,7 +15,7 @@
 func checkConfigurationHolds(records Records, digests []digestItem, span Span, bounds Bounds) *Finding {
 	f := newFinding(ConfigurationHolds, "daemons that left no digest")
 	published, void := publications(records.Config)
-	c := &configCheck{finding: f, published: published, bounds: bounds, last: map[fleet.DaemonID]platform.Offset{}}
+	c := &configCheck{finding: f, published: published, bounds: bounds, last: map[fleet.DaemonID]infra.Offset{}}
 	for _, digest := range digests {
 		c.daemonSpan(digest)
 	}
@@ -32,8 +32,8 @@
 
 // publications returns the publication time of each accepted version, in Unix
 // milliseconds.
-func publications(h History) (published map[platform.Offset]int64, void uint64) {
-	published = map[platform.Offset]int64{}
+func publications(h History) (published map[infra.Offset]int64, void uint64) {
+	published = map[infra.Offset]int64{}
 	fold := config.NewFold()
 	for _, item := range h.Items {
 		if item.Entry.Kind == logstream.KindSnapshot {
@@ -62,7 +62,7 @@
 	}
 }
 
-func inSpan(published map[platform.Offset]int64, span Span) uint64 {
+func inSpan(published map[infra.Offset]int64, span Span) uint64 {
 	var count uint64
 	for _, at := range published {
 		if span.has(at) {
@@ -75,9 +75,9 @@
 // configCheck follows the versions of each daemon.
 type configCheck struct {
 	finding   *Finding
-	published map[platform.Offset]int64
+	published map[infra.Offset]int64
 	bounds    Bounds
-	last      map[fleet.DaemonID]platform.Offset
+	last      map[fleet.DaemonID]infra.Offset
 	changes   uint64
 	slowest   int64 // milliseconds
 }
--- a/internal/evidence/coverage.go
+++ b/internal/evidence/coverage.go
@@ -1,12 +1,12 @@
 package evidence
 
-import "github.com/plantainmux/plantainmux/internal/platform"
+import "github.com/plantainmux/plantainmux/internal/infra"
 
 // Coverage says which part of a stream a report is based on.
 type Coverage struct {
 	Stream  string          `json:"stream"`
-	Oldest  platform.Offset `json:"oldest"`
-	Next    platform.Offset `json:"next"`
+	Oldest  infra.Offset `json:"oldest"`
+	Next    infra.Offset `json:"next"`
 	Records int             `json:"records"`
 	Unread  int             `json:"unread"` // records that could not be decoded
 }
--- a/internal/evidence/doctor_test.go
+++ b/internal/evidence/doctor_test.go
@@ -13,7 +13,7 @@
 	"github.com/plantainmux/plantainmux/internal/group"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/order"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 const dataCentre fleet.DataCentre = "north"
@@ -36,7 +36,7 @@
 }
 
 // write appends a record at a number of milliseconds after the epoch.
-func (d *doctor) write(stream string, at int64, kind logstream.Kind, body any) platform.Offset {
+func (d *doctor) write(stream string, at int64, kind logstream.Kind, body any) infra.Offset {
 	encoded, err := logstream.Marshal(body)
 	Expect(err).NotTo(HaveOccurred())
 	d.seq++
@@ -81,7 +81,7 @@
 }
 
 func (d *doctor) report() evidence.Report {
-	records, err := evidence.Read(context.Background(), platform.NewHTTPLog(d.server.URL()), []fleet.DataCentre{dataCentre})
+	records, err := evidence.Read(context.Background(), infra.NewHTTPLog(d.server.URL()), []fleet.DataCentre{dataCentre})
 	Expect(err).NotTo(HaveOccurred())
 	start := time.UnixMilli(epoch)
 	span := evidence.Span{From: start, To: start.Add(time.Hour)}
--- a/internal/evidence/history.go
+++ b/internal/evidence/history.go
@@ -1,19 +1,19 @@
 package evidence
 
 import (
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // History is the retained part of one stream, without repeated records.
 type History struct {
 	Stream string
-	Oldest platform.Offset
-	Next   platform.Offset
+	Oldest infra.Offset
+	Next   infra.Offset
 	Unread int // records that could not be decoded
 	Items  []Item
 }
 
 // whole reports whether the stream is retained from its first record on.
 func (h History) whole() bool {
-	return h.Oldest == platform.FirstOffset
+	return h.Oldest == infra.FirstOffset
 }
--- a/internal/evidence/item.go
+++ b/internal/evidence/item.go
@@ -2,12 +2,12 @@
 
 import (
 	"github.com/plantainmux/plantainmux/internal/logstream"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // Item is one record of a stream.
 type Item struct {
-	Offset platform.Offset
+	Offset infra.Offset
 	Entry  logstream.Entry
 }
 
--- a/internal/evidence/order_book.go
+++ b/internal/evidence/order_book.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/order"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // orderClaim is one recorded claim of a key with what was said of it.
@@ -17,14 +17,14 @@
 // orderBook collects the claims of a slot.
 type orderBook struct {
 	byKey    map[order.Key][]*orderClaim
-	byOffset map[platform.Offset]*orderClaim
+	byOffset map[infra.Offset]*orderClaim
 	direct   uint64 // runs without a claim
 	byHand   uint64 // settlements by operators
 }
 
 // readOrders returns the claims of a slot by key, in order, void ones included.
 func readOrders(h History) *orderBook {
-	b := &orderBook{byKey: map[order.Key][]*orderClaim{}, byOffset: map[platform.Offset]*orderClaim{}}
+	b := &orderBook{byKey: map[order.Key][]*orderClaim{}, byOffset: map[infra.Offset]*orderClaim{}}
 	for _, item := range h.Items {
 		b.read(item)
 	}
--- a/internal/evidence/publisher.go
+++ b/internal/evidence/publisher.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/logstream"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 const (
@@ -18,7 +18,7 @@
 // Publisher appends a daemon's digests. It keeps the digests of an outage and
 // drops the oldest when there are too many.
 type Publisher struct {
-	log      platform.Log
+	log      infra.Log
 	recorder *Recorder
 	stream   string
 	writer   string
@@ -29,7 +29,7 @@
 }
 
 // NewPublisher returns a publisher. lost is called for each dropped digest.
-func NewPublisher(log platform.Log, recorder *Recorder, logger *slog.Logger, lost func()) *Publisher {
+func NewPublisher(log infra.Log, recorder *Recorder, logger *slog.Logger, lost func()) *Publisher {
 	return &Publisher{
 		log:      log,
 		recorder: recorder,
--- a/internal/evidence/read.go
+++ b/internal/evidence/read.go
@@ -9,13 +9,13 @@
 	"github.com/plantainmux/plantainmux/internal/group"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/order"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 const readPage = 1024 // records of one read
 
 // Read reads the retained records of every stream that a report needs.
-func Read(ctx context.Context, log platform.Log, dataCentres []fleet.DataCentre) (Records, error) {
+func Read(ctx context.Context, log infra.Log, dataCentres []fleet.DataCentre) (Records, error) {
 	r := reader{ctx: ctx, log: log}
 	records := Records{
 		Config:   r.history(config.StreamName),
@@ -35,20 +35,20 @@
 // reader reads streams until its first failure.
 type reader struct {
 	ctx context.Context
-	log platform.Log
+	log infra.Log
 	err error
 }
 
 func (r *reader) history(stream string) History {
-	h := History{Stream: stream, Oldest: platform.FirstOffset, Next: platform.FirstOffset}
+	h := History{Stream: stream, Oldest: infra.FirstOffset, Next: infra.FirstOffset}
 	if r.err != nil {
 		return h
 	}
 	seen := map[string]uint64{}
-	from := platform.FirstOffset
+	from := infra.FirstOffset
 	for {
 		page, err := r.log.Read(r.ctx, stream, from, readPage, 0)
-		var expired *platform.ExpiredError
+		var expired *infra.ExpiredError
 		if errors.As(err, &expired) {
 			from = expired.Oldest
 			h.Oldest = expired.Oldest
@@ -70,7 +70,7 @@
 }
 
 // add appends one record unless it repeats an earlier one of its writer.
-func (h *History) add(record platform.Record, seen map[string]uint64) {
+func (h *History) add(record infra.Record, seen map[string]uint64) {
 	var entry logstream.Entry
 	if err := logstream.Unmarshal(record.Data, &entry); err != nil {
 		h.Unread++
--- a/internal/evidence/recorder.go
+++ b/internal/evidence/recorder.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 )
 
@@ -28,7 +28,7 @@
 	groups   map[fleet.FencingNumber]GroupUse
 	versions []VersionInForce
 	refusals map[string]uint64
-	current  platform.Offset
+	current  infra.Offset
 }
 
 // NewRecorder returns a recorder that counts from now on.
@@ -89,7 +89,7 @@
 func (r *Recorder) RequestsCut(count int) { r.cutRequests.Add(uint64(count)) }
 
 // InForce notes the configuration in force.
-func (r *Recorder) InForce(version platform.Offset, now time.Time) {
+func (r *Recorder) InForce(version infra.Offset, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if version == r.current {
--- a/internal/fakes/faulty_log.go
+++ b/internal/fakes/faulty_log.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // FaultyLog is a client of a Log within the same process, with random faults
@@ -41,26 +41,26 @@
 // WaitLate waits for the delayed appends.
 func (f *FaultyLog) WaitLate() { f.late.Wait() }
 
-// Append implements platform.Log.
-func (f *FaultyLog) Append(_ context.Context, stream string, records [][]byte) (platform.Offset, error) {
+// Append implements infra.Log.
+func (f *FaultyLog) Append(_ context.Context, stream string, records [][]byte) (infra.Offset, error) {
 	fate, delay := f.draw()
 	faults := f.current()
 	switch {
 	case f.down.Load() || hit(&fate, faults.Unavailable):
-		return 0, &platform.UnavailableError{Operation: "append", Err: errInjected}
+		return 0, &infra.UnavailableError{Operation: "append", Err: errInjected}
 	case hit(&fate, faults.Limited):
-		return 0, &platform.RateLimitedError{}
+		return 0, &infra.RateLimitedError{}
 	case hit(&fate, faults.LoseRequest):
-		return 0, &platform.UnknownOutcomeError{Operation: "append", Err: errInjected}
+		return 0, &infra.UnknownOutcomeError{Operation: "append", Err: errInjected}
 	case hit(&fate, faults.Delay):
 		f.late.Go(func() {
 			time.Sleep(delay)
 			f.log.Append(stream, records)
 		})
-		return 0, &platform.UnknownOutcomeError{Operation: "append", Err: errInjected}
+		return 0, &infra.UnknownOutcomeError{Operation: "append", Err: errInjected}
 	case hit(&fate, faults.LoseAnswer):
 		f.log.Append(stream, records)
-		return 0, &platform.UnknownOutcomeError{Operation: "append", Err: errInjected}
+		return 0, &infra.UnknownOutcomeError{Operation: "append", Err: errInjected}
 	case hit(&fate, faults.Repeat):
 		f.log.Append(stream, records)
 	}
@@ -68,11 +68,11 @@
 	return first, nil
 }
 
-// Read implements platform.Log.
-func (f *FaultyLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Page, error) {
+// Read implements infra.Log.
+func (f *FaultyLog) Read(ctx context.Context, stream string, from infra.Offset, limit int, wait time.Duration) (infra.Page, error) {
 	fate, _ := f.draw()
 	if f.down.Load() || hit(&fate, f.current().Unavailable) {
-		return platform.Page{}, &platform.UnavailableError{Operation: "read", Err: errInjected}
+		return infra.Page{}, &infra.UnavailableError{Operation: "read", Err: errInjected}
 	}
 	return f.log.Read(ctx, stream, from, limit, wait)
 }
--- a/internal/fakes/log.go
+++ b/internal/fakes/log.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // Defaults of the log service.
@@ -33,12 +33,12 @@
 
 // logStream is one stream. Records below oldest have expired.
 type logStream struct {
-	oldest  platform.Offset
-	records []platform.Record
+	oldest  infra.Offset
+	records []infra.Record
 }
 
-func (s *logStream) next() platform.Offset {
-	return s.oldest + platform.Offset(len(s.records))
+func (s *logStream) next() infra.Offset {
+	return s.oldest + infra.Offset(len(s.records))
 }
 
 // NewLog returns an empty log that takes appendRate appends a second.
@@ -66,23 +66,23 @@
 		http.Error(w, "append rate exceeded", http.StatusTooManyRequests)
 		return
 	}
-	var request platform.AppendRequest
+	var request infra.AppendRequest
 	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	first, next := l.Append(r.PathValue("stream"), request.Records)
-	writeJSON(w, http.StatusOK, platform.AppendAnswer{First: first, Next: next})
+	writeJSON(w, http.StatusOK, infra.AppendAnswer{First: first, Next: next})
 }
 
 // Append adds records to a stream, whatever the faults.
-func (l *Log) Append(name string, records [][]byte) (first, next platform.Offset) {
+func (l *Log) Append(name string, records [][]byte) (first, next infra.Offset) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	stream := l.stream(name)
 	first = stream.next()
 	for _, data := range records {
-		stream.records = append(stream.records, platform.Record{Offset: stream.next(), Data: data})
+		stream.records = append(stream.records, infra.Record{Offset: stream.next(), Data: data})
 	}
 	l.appends++
 	close(l.changed)
@@ -93,7 +93,7 @@
 func (l *Log) stream(name string) *logStream {
 	stream, ok := l.streams[name]
 	if !ok {
-		stream = &logStream{oldest: platform.FirstOffset}
+		stream = &logStream{oldest: infra.FirstOffset}
 		l.streams[name] = stream
 	}
 	return stream
@@ -105,7 +105,7 @@
 	limit, _ := strconv.Atoi(query.Get("limit"))
 	waitMS, _ := strconv.Atoi(query.Get("wait_ms"))
 	wait := time.Duration(waitMS) * time.Millisecond
-	page, err := l.Read(r.Context(), r.PathValue("stream"), platform.Offset(from), limit, wait)
+	page, err := l.Read(r.Context(), r.PathValue("stream"), infra.Offset(from), limit, wait)
 	switch {
 	case r.Context().Err() != nil:
 		return
@@ -116,14 +116,14 @@
 	}
 }
 
-// Read returns records of a stream as platform.Log does, whatever the faults.
-func (l *Log) Read(ctx context.Context, name string, from platform.Offset, limit int, wait time.Duration) (platform.Page, error) {
+// Read returns records of a stream as infra.Log does, whatever the faults.
+func (l *Log) Read(ctx context.Context, name string, from infra.Offset, limit int, wait time.Duration) (infra.Page, error) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
 		page, expired, changed := l.read(name, from, limit)
 		if expired {
-			return page, &platform.ExpiredError{Stream: name, From: from, Oldest: page.Oldest}
+			return page, &infra.ExpiredError{Stream: name, From: from, Oldest: page.Oldest}
 		}
 		if len(page.Records) > 0 || wait <= 0 {
 			return page, nil
@@ -133,16 +133,16 @@
 		case <-timeout.C:
 			wait = 0
 		case <-ctx.Done():
-			return page, &platform.UnavailableError{Operation: "read", Err: ctx.Err()}
+			return page, &infra.UnavailableError{Operation: "read", Err: ctx.Err()}
 		}
 	}
 }
 
-func (l *Log) read(name string, from platform.Offset, limit int) (page platform.Page, expired bool, changed <-chan struct{}) {
+func (l *Log) read(name string, from infra.Offset, limit int) (page infra.Page, expired bool, changed <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	stream := l.stream(name)
-	page = platform.Page{Oldest: stream.oldest, Next: stream.next()}
+	page = infra.Page{Oldest: stream.oldest, Next: stream.next()}
 	if from < stream.oldest {
 		return page, true, l.changed
 	}
@@ -154,7 +154,7 @@
 }
 
 // Expire drops the records of a stream below an offset.
-func (l *Log) Expire(name string, below platform.Offset) {
+func (l *Log) Expire(name string, below infra.Offset) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	stream := l.stream(name)
@@ -166,7 +166,7 @@
 
 // Truncate drops the records of a stream from an offset on, as a log that lost
 // its end would.
-func (l *Log) Truncate(name string, from platform.Offset) {
+func (l *Log) Truncate(name string, from infra.Offset) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	stream := l.stream(name)
@@ -176,10 +176,10 @@
 }
 
 // Records returns the retained records of a stream.
-func (l *Log) Records(name string) []platform.Record {
+func (l *Log) Records(name string) []infra.Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]platform.Record(nil), l.stream(name).records...)
+	return append([]infra.Record(nil), l.stream(name).records...)
 }
 
 // Appends returns the number of appends taken.
--- a/internal/fakes/vm_list.go
+++ b/internal/fakes/vm_list.go
@@ -9,7 +9,7 @@
 	"sync"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // VMList is the stand-in of the platform's list of VMs. It lags when frozen by
@@ -58,7 +58,7 @@
 		return
 	}
 	slices.SortFunc(vms, func(a, b fleet.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	writeJSON(w, http.StatusOK, platform.VMListAnswer{VMs: vms})
+	writeJSON(w, http.StatusOK, infra.VMListAnswer{VMs: vms})
 }
 
 func (l *VMList) handlePut(w http.ResponseWriter, r *http.Request) {
--- a/internal/group/trace/replay.go
+++ b/internal/group/trace/replay.go
@@ -7,7 +7,7 @@
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/group"
 	"github.com/plantainmux/plantainmux/internal/logstream"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 const (
@@ -37,7 +37,7 @@
 	observations map[fleet.VMID]group.Observation
 	history      *group.History
 	fold         *group.Fold
-	next         platform.Offset
+	next         infra.Offset
 	now          time.Time
 	logAway      bool
 }
@@ -53,7 +53,7 @@
 		observations: map[fleet.VMID]group.Observation{},
 		history:      group.NewHistory(),
 		fold:         group.NewFold(),
-		next:         platform.FirstOffset,
+		next:         infra.FirstOffset,
 		now:          epoch,
 	}
 	for _, vm := range t.VMs {
--- a/internal/group/world_test.go
+++ b/internal/group/world_test.go
@@ -11,7 +11,7 @@
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/group"
 	"github.com/plantainmux/plantainmux/internal/logstream"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 const north = fleet.DataCentre("north")
@@ -21,11 +21,11 @@
 // world is a planner's input that a test changes by hand. All VMs obey at once.
 type world struct {
 	group.Input
-	next platform.Offset
+	next infra.Offset
 }
 
 func newWorld(models []config.Model, domains map[fleet.FabricDomain]int) *world {
-	w := &world{next: platform.FirstOffset}
+	w := &world{next: infra.FirstOffset}
 	w.Input = group.Input{
 		DataCentre: north,
 		Fold:       group.NewFold(),
--- a/internal/platform/append_request.go
+++ b/internal/infra/append_request.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 // AppendRequest is the body of an append.
 type AppendRequest struct {
--- a/internal/platform/doc.go
+++ b/internal/infra/doc.go
@@ -1,4 +1,4 @@
-// Package platform is the only place that knows the wire formats of the
+// Package infra is the only place that knows the wire formats of the
 // platform: the append-only log service and the list of VMs. Another
 // deployment's formats are a change of this package alone.
-package platform
+package infra
--- a/internal/platform/offset.go
+++ b/internal/infra/offset.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 // Offset is the position of a record in its stream. The first record of a
 // stream has offset 1.
--- a/internal/platform/page.go
+++ b/internal/infra/page.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 // Page is the answer to a read of a stream.
 type Page struct {
--- a/internal/platform/record.go
+++ b/internal/infra/record.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 // Record is one record of a stream.
 type Record struct {
--- a/internal/platform/transport.go
+++ b/internal/infra/transport.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"net/http"
--- a/internal/invariant/ledger.go
+++ b/internal/invariant/ledger.go
@@ -6,7 +6,7 @@
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/group"
 	"github.com/plantainmux/plantainmux/internal/logstream"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // Ledger is a plain reading of a group stream's records: which forms granted
@@ -20,7 +20,7 @@
 }
 
 // NewLedger reads the records of a stream from its first one on.
-func NewLedger(records []platform.Record) *Ledger {
+func NewLedger(records []infra.Record) *Ledger {
 	l := &Ledger{
 		grants:  map[fleet.FencingNumber]*grant{},
 		forms:   map[fleet.FencingNumber]group.Form{},
@@ -34,7 +34,7 @@
 	return l
 }
 
-func (l *Ledger) read(record platform.Record) {
+func (l *Ledger) read(record infra.Record) {
 	var entry logstream.Entry
 	if logstream.Unmarshal(record.Data, &entry) != nil || entry.Seq <= l.written[entry.Writer] {
 		return
--- a/internal/invariant/sources.go
+++ b/internal/invariant/sources.go
@@ -9,7 +9,7 @@
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/group"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 const (
@@ -20,7 +20,7 @@
 // Sources are the stand-ins of one data centre that run as processes of their
 // own.
 type Sources struct {
-	Log        platform.Log
+	Log        infra.Log
 	DataCentre fleet.DataCentre
 	Engines    []string // IP numbers and ports
 }
@@ -48,17 +48,17 @@
 	return check, nil
 }
 
-func (s Sources) groupStream(ctx context.Context) ([]platform.Record, error) {
+func (s Sources) groupStream(ctx context.Context) ([]infra.Record, error) {
 	name := group.StreamName(s.DataCentre)
-	var records []platform.Record
-	from := platform.FirstOffset
+	var records []infra.Record
+	from := infra.FirstOffset
 	for {
 		page, err := s.Log.Read(ctx, name, from, pageRecords, 0)
 		if err != nil {
 			return nil, &SourceError{Source: name, Err: err}
 		}
 		records = append(records, page.Records...)
-		from += platform.Offset(len(page.Records))
+		from += infra.Offset(len(page.Records))
 		if len(page.Records) == 0 || from >= page.Next {
 			return records, nil
 		}
--- a/internal/logging/logger_test.go
+++ b/internal/logging/logger_test.go
@@ -10,7 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainmux/plantainmux/internal/logging"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 var _ = Describe("The logger", func() {
@@ -23,12 +23,12 @@
 	}
 
 	It("names the source line of a failure from outside", func() {
-		err := &platform.UnavailableError{Operation: "read", Err: merry.Wrap(io.ErrUnexpectedEOF)}
+		err := &infra.UnavailableError{Operation: "read", Err: merry.Wrap(io.ErrUnexpectedEOF)}
 		Expect(logged(err)["error"]).To(HaveKeyWithValue("message", "platform unavailable: read: unexpected EOF"))
 		Expect(logged(err)["error"]).To(HaveKeyWithValue("source", ContainSubstring("logger_test.go")))
 	})
 
 	It("writes a failure of its own as text", func() {
-		Expect(logged(&platform.RateLimitedError{})["error"]).To(ContainSubstring("append rate"))
+		Expect(logged(&infra.RateLimitedError{})["error"]).To(ContainSubstring("append rate"))
 	})
 })
--- a/internal/logstream/adopt.go
+++ b/internal/logstream/adopt.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // Known reports whether the stream has a state: read from the log once, or
@@ -61,7 +61,7 @@
 
 // verifyAdopted checks that the log holds the last record of an adopted state,
 // unless that has expired.
-func (s *Stream[F]) verifyAdopted(ctx context.Context, next platform.Offset, last uint64) error {
+func (s *Stream[F]) verifyAdopted(ctx context.Context, next infra.Offset, last uint64) error {
 	if s.Booted() || s.adoptions.Load() == 0 {
 		return nil
 	}
--- a/internal/logstream/adopt_test.go
+++ b/internal/logstream/adopt_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainmux/plantainmux/internal/fakes"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 var _ = ginkgo.Describe("A stream that adopted a state while the log was away", func() {
@@ -25,9 +25,9 @@
 		}
 		away.Store(true)
 		client := newHooked(log)
-		client.hook(nil, func(platform.Offset, int) error {
+		client.hook(nil, func(infra.Offset, int) error {
 			if away.Load() {
-				return &platform.UnavailableError{Operation: "read"}
+				return &infra.UnavailableError{Operation: "read"}
 			}
 			return nil
 		})
@@ -69,7 +69,7 @@
 		Expect(starting.Adopt(ahead)).To(BeFalse())
 	})
 
-	ginkgo.DescribeTable("refuses a log that contradicts it", func(change func(end platform.Offset), kind any) {
+	ginkgo.DescribeTable("refuses a log that contradicts it", func(change func(end infra.Offset), kind any) {
 		end := starting.Next()
 		change(end)
 		away.Store(false)
@@ -77,8 +77,8 @@
 		Consistently(starting.Booted, 100*time.Millisecond, waitPoll).Should(BeFalse())
 		Expect(valuesOf(starting)).To(Equal([]int{1, 2, 3}))
 	},
-		ginkgo.Entry("by ending below it", func(end platform.Offset) { log.Truncate(testStream, end-1) }, &RegressedError{}),
-		ginkgo.Entry("by another record at its end", func(end platform.Offset) {
+		ginkgo.Entry("by ending below it", func(end infra.Offset) { log.Truncate(testStream, end-1) }, &RegressedError{}),
+		ginkgo.Entry("by another record at its end", func(end infra.Offset) {
 			log.Truncate(testStream, end-1)
 			log.Append(testStream, [][]byte{rawRecord("c", 1, end-2, 8)})
 		}, &RewrittenError{}),
--- a/internal/logstream/apart_test.go
+++ b/internal/logstream/apart_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainmux/plantainmux/internal/fakes"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 var _ = ginkgo.Describe("Snapshots in a stream of their own", func() {
@@ -17,7 +17,7 @@
 	options := testOptions("a")
 	options.SnapshotsApart = true
 
-	references := func() (offsets []platform.Offset) {
+	references := func() (offsets []infra.Offset) {
 		for _, record := range log.Records(testStream) {
 			if kindOf(record.Data) == KindReference {
 				offsets = append(offsets, record.Offset)
@@ -54,16 +54,16 @@
 	})
 
 	ginkgo.DescribeTable("are passed over for an older one",
-		func(spoil func(newest platform.Offset)) {
+		func(spoil func(newest infra.Offset)) {
 			snapshotNow()
-			spoil(platform.Offset(len(log.Records(snapshotStream))))
+			spoil(infra.Offset(len(log.Records(snapshotStream))))
 			log.Expire(testStream, references()[0])
 			follower := late()
 			Expect(follower.step(context.Background())).To(Succeed())
 			Expect(valuesOf(follower)).To(Equal([]int{1, 2, 3, 4, 5, 6}))
 		},
-		ginkgo.Entry("when the log lost them", func(newest platform.Offset) { log.Truncate(snapshotStream, newest) }),
-		ginkgo.Entry("when another record stands in their place", func(newest platform.Offset) {
+		ginkgo.Entry("when the log lost them", func(newest infra.Offset) { log.Truncate(snapshotStream, newest) }),
+		ginkgo.Entry("when another record stands in their place", func(newest infra.Offset) {
 			log.Truncate(snapshotStream, newest)
 			asOf := references()[1] - 1
 			state, _ := Marshal(newListFold())
--- a/internal/logstream/apply.go
+++ b/internal/logstream/apply.go
@@ -3,11 +3,11 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // applyAll applies the records that follow the state.
-func (s *Stream[F]) applyAll(records []platform.Record) error {
+func (s *Stream[F]) applyAll(records []infra.Record) error {
 	applied, err := s.applyLocked(records)
 	if applied > 0 {
 		s.options.OnApply()
@@ -16,7 +16,7 @@
 	return err
 }
 
-func (s *Stream[F]) applyLocked(records []platform.Record) (int, error) {
+func (s *Stream[F]) applyLocked(records []infra.Record) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	applied := 0
@@ -33,7 +33,7 @@
 	return applied, nil
 }
 
-func (s *Stream[F]) applyOne(record platform.Record) {
+func (s *Stream[F]) applyOne(record infra.Record) {
 	var entry Entry
 	readable := Unmarshal(record.Data, &entry) == nil
 	if readable && entry.Kind.internal() {
@@ -49,7 +49,7 @@
 	if ok && entry.Writer == s.options.Writer {
 		s.writer.settle(entry.Seq, Receipt{Offset: record.Offset, Void: verdict})
 	}
-	if record.Offset%platform.Offset(s.options.SnapshotEvery) == 0 {
+	if record.Offset%infra.Offset(s.options.SnapshotEvery) == 0 {
 		s.takeCheckpoint()
 		s.snapshots.own = ok && entry.Writer == s.options.Writer
 	}
--- a/internal/logstream/batch.go
+++ b/internal/logstream/batch.go
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
@@ -128,8 +128,8 @@
 // and no earlier append of the batch is in doubt.
 func (w *writer) noteFailure(batch []*proposal, err error) {
 	w.options.Logger.Warn("append failed", "stream", w.stream, "records", len(batch), "error", err)
-	var limited *platform.RateLimitedError
-	var unavailable *platform.UnavailableError
+	var limited *infra.RateLimitedError
+	var unavailable *infra.UnavailableError
 	proved := true
 	switch {
 	case errors.As(err, &limited):
@@ -150,7 +150,7 @@
 
 // delayAfter returns how long to wait after a failed append, with full jitter.
 func delayAfter(err error, backoff time.Duration) time.Duration {
-	var limited *platform.RateLimitedError
+	var limited *infra.RateLimitedError
 	if errors.As(err, &limited) {
 		return limited.RetryAfter + rand.N(backoff)
 	}
--- a/internal/logstream/bench_test.go
+++ b/internal/logstream/bench_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/fakes"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // countingListener counts the bytes of all its connections.
@@ -59,7 +59,7 @@
 func benchStream(b *testing.B, url, writer string, options Options) *Stream[*listFold] {
 	options.Writer = writer
 	ctx, cancel := context.WithCancel(context.Background())
-	s := New(platform.NewHTTPLog(url), testStream, newListFold(), options)
+	s := New(infra.NewHTTPLog(url), testStream, newListFold(), options)
 	done := make(chan struct{})
 	go func() { defer close(done); s.Run(ctx) }()
 	b.Cleanup(func() { cancel(); <-done })
@@ -123,7 +123,7 @@
 	url, counting := serveLog(b, log)
 	options := testOptions("")
 	options.PollWait = time.Millisecond
-	s := New(platform.NewHTTPLog(url), testStream, newListFold(), options.withDefaults())
+	s := New(infra.NewHTTPLog(url), testStream, newListFold(), options.withDefaults())
 	if err := s.step(context.Background()); err != nil {
 		b.Fatal(err)
 	}
@@ -146,7 +146,7 @@
 		b.Run(fmt.Sprintf("page=%d", page), func(b *testing.B) {
 			log := fakes.NewLog(fakes.DefaultAppendRate)
 			url, counting := serveLog(b, log)
-			s := New(platform.NewHTTPLog(url), testStream, newListFold(), testOptions("a"))
+			s := New(infra.NewHTTPLog(url), testStream, newListFold(), testOptions("a"))
 			if err := s.step(context.Background()); err != nil {
 				b.Fatal(err)
 			}
@@ -173,7 +173,7 @@
 
 func benchRecord(seq uint64) []byte {
 	body, _ := Marshal(1)
-	data, _ := Marshal(Entry{Writer: "0f8fad5b-d9cb-469f-a165-70867728950e", Seq: seq, Kind: kindAdd, Body: body, Since: platform.Offset(seq)})
+	data, _ := Marshal(Entry{Writer: "0f8fad5b-d9cb-469f-a165-70867728950e", Seq: seq, Kind: kindAdd, Body: body, Since: infra.Offset(seq)})
 	return data
 }
 
--- a/internal/logstream/decode_snapshot.go
+++ b/internal/logstream/decode_snapshot.go
@@ -1,10 +1,10 @@
 package logstream
 
-import "github.com/plantainmux/plantainmux/internal/platform"
+import "github.com/plantainmux/plantainmux/internal/infra"
 
 // DecodeSnapshot returns the offset that a KindSnapshot record covers and the
 // encoded state of the fold after it.
-func DecodeSnapshot(body []byte) (asOf platform.Offset, state []byte, err error) {
+func DecodeSnapshot(body []byte) (asOf infra.Offset, state []byte, err error) {
 	var decoded snapshot
 	if err := Unmarshal(body, &decoded); err != nil {
 		return 0, nil, err
--- a/internal/logstream/failures_test.go
+++ b/internal/logstream/failures_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/metric"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // inBackground proposes and returns the failure when ctx ends.
@@ -26,7 +26,7 @@
 	return failed
 }
 
-var lostAnswer = &platform.UnknownOutcomeError{Operation: "append", Err: oddValueError{}}
+var lostAnswer = &infra.UnknownOutcomeError{Operation: "append", Err: oddValueError{}}
 
 var _ = ginkgo.Describe("A writer", func() {
 	var log *fakes.Log
@@ -43,7 +43,7 @@
 	ginkgo.It("fences an abandoned record, so that its late append takes no effect", func() {
 		var mu sync.Mutex
 		var late [][]byte
-		client.hook(func(_ string, records [][]byte) (platform.Offset, error) {
+		client.hook(func(_ string, records [][]byte) (infra.Offset, error) {
 			mu.Lock()
 			defer mu.Unlock()
 			late = records
@@ -69,9 +69,9 @@
 
 	ginkgo.It("never sends a proposal that it reported as not sent", func() {
 		tries := atomic.Int64{}
-		client.hook(func(string, [][]byte) (platform.Offset, error) {
+		client.hook(func(string, [][]byte) (infra.Offset, error) {
 			tries.Add(1)
-			return 0, &platform.UnavailableError{Operation: "append", Err: oddValueError{}}
+			return 0, &infra.UnavailableError{Operation: "append", Err: oddValueError{}}
 		}, nil)
 		ctx, cancel := context.WithCancel(context.Background())
 		stays := inBackground(context.Background(), stream, 2)
@@ -97,8 +97,8 @@
 
 	ginkgo.It("drops a withdrawn proposal from a batch that it repeats", func() {
 		w := stream.writer
-		client.hook(func(string, [][]byte) (platform.Offset, error) {
-			return 0, &platform.UnavailableError{Operation: "append", Err: oddValueError{}}
+		client.hook(func(string, [][]byte) (infra.Offset, error) {
+			return 0, &infra.UnavailableError{Operation: "append", Err: oddValueError{}}
 		}, nil)
 		body, _ := Marshal(2)
 		other, _ := Marshal(3)
@@ -130,7 +130,7 @@
 
 	ginkgo.It("takes no own record for accepted that a later one overtook", func() {
 		w := newWriter(nil, testStream, testOptions("a").withDefaults(), newCounters(metric.NewSet(), testStream))
-		w.applied = func() platform.Offset { return 0 }
+		w.applied = func() infra.Offset { return 0 }
 		overtaken, later := w.enqueue(kindAdd, nil), w.enqueue(kindAdd, nil)
 		_, err := w.takeBatch()
 		Expect(err).NotTo(HaveOccurred())
@@ -143,7 +143,7 @@
 	ginkgo.It("carries all that waits in one append", func() {
 		const waiting = 100
 		var appends atomic.Int64
-		client.hook(func(name string, records [][]byte) (platform.Offset, error) {
+		client.hook(func(name string, records [][]byte) (infra.Offset, error) {
 			if kindOf(records[0]) != kindAdd {
 				first, _ := log.Append(name, records)
 				return first, nil
@@ -175,14 +175,14 @@
 	})
 
 	ginkgo.It("ends a proposal whose verdict expired unread, and stops appending it", func() {
-		client.hook(func(name string, records [][]byte) (platform.Offset, error) {
+		client.hook(func(name string, records [][]byte) (infra.Offset, error) {
 			log.Append(name, records)
 			return 0, lostAnswer
-		}, func(platform.Offset, int) error {
-			return &platform.UnavailableError{Operation: "read", Err: oddValueError{}}
+		}, func(infra.Offset, int) error {
+			return &infra.UnavailableError{Operation: "read", Err: oddValueError{}}
 		})
 		failed := inBackground(context.Background(), stream, 2)
-		Eventually(func() platform.Offset { return logEnd(log) }, waitLong, waitPoll).Should(BeNumerically(">", 2))
+		Eventually(func() infra.Offset { return logEnd(log) }, waitLong, waitPoll).Should(BeNumerically(">", 2))
 		other := runStream(newHooked(log), newListFold(), testOptions("b"))
 		for value := 100; value < 200; value++ {
 			propose(other, value)
@@ -203,7 +203,7 @@
 	})
 })
 
-func (s *snapshots) newestSeen(stream *Stream[*listFold]) platform.Offset {
+func (s *snapshots) newestSeen(stream *Stream[*listFold]) infra.Offset {
 	stream.mu.RLock()
 	defer stream.mu.RUnlock()
 	return s.newest
@@ -239,7 +239,7 @@
 		log := fakes.NewLog(fakes.DefaultAppendRate)
 		client := newHooked(log)
 		now := time.Unix(0, 0)
-		client.hook(nil, func(platform.Offset, int) error { now = now.Add(time.Hour); return nil })
+		client.hook(nil, func(infra.Offset, int) error { now = now.Add(time.Hour); return nil })
 		options := testOptions("a")
 		options.Now = func() time.Time { return now }
 		stream := New(client, testStream, newListFold(), options)
@@ -274,10 +274,10 @@
 		}
 		Eventually(stream.Next, waitLong, waitPoll).Should(BeNumerically(">", 1000))
 		stream.ProposeSnapshot()
-		Eventually(func() platform.Offset { return stream.snapshots.newestSeen(stream) }, waitLong, waitPoll).Should(BeNumerically(">=", 1000))
+		Eventually(func() infra.Offset { return stream.snapshots.newestSeen(stream) }, waitLong, waitPoll).Should(BeNumerically(">=", 1000))
 		client := newHooked(log)
 		asked := atomic.Int64{}
-		client.hook(nil, func(_ platform.Offset, limit int) error { asked.Add(int64(limit)); return nil })
+		client.hook(nil, func(_ infra.Offset, limit int) error { asked.Add(int64(limit)); return nil })
 		late := New(client, testStream, newListFold(), testOptions("late"))
 		Expect(late.step(context.Background())).To(Succeed())
 		Expect(valuesOf(late)).To(Equal(valuesOf(stream)))
@@ -345,7 +345,7 @@
 		options.SnapshotAge = 20 * time.Millisecond
 		stream := runStream(newHooked(log), newListFold(), options)
 		propose(stream, 1)
-		Eventually(func() platform.Offset { return stream.snapshots.newestSeen(stream) }, waitLong, waitPoll).Should(BeNumerically(">", 2))
+		Eventually(func() infra.Offset { return stream.snapshots.newestSeen(stream) }, waitLong, waitPoll).Should(BeNumerically(">", 2))
 		log.Expire(testStream, logEnd(log)-2)
 		late := runStream(newHooked(log), newListFold(), testOptions("late"))
 		Eventually(func() []int { return valuesOf(late) }, waitLong, waitPoll).Should(Equal([]int{1}))
@@ -375,7 +375,7 @@
 			log.Append(testStream, [][]byte{rawRecord(fmt.Sprint("w", value), 1, logEnd(log)-1, 1000+value)})
 		}
 		log.Append(testStream, [][]byte{late})
-		Eventually(func() platform.Offset { return stream.Next() }, waitLong, waitPoll).Should(BeNumerically(">", 202))
+		Eventually(func() infra.Offset { return stream.Next() }, waitLong, waitPoll).Should(BeNumerically(">", 202))
 		stream.Read(func(f *listFold) { Expect(f.count(1)).To(Equal(1)) })
 		stream.ProposeSnapshot()
 		stream.mu.RLock()
--- a/internal/logstream/follow.go
+++ b/internal/logstream/follow.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
@@ -60,7 +60,7 @@
 }
 
 // end returns the next offset and the digest of the last applied record.
-func (s *Stream[F]) end() (platform.Offset, uint64) {
+func (s *Stream[F]) end() (infra.Offset, uint64) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	return s.state.next, s.state.last
@@ -68,8 +68,8 @@
 
 // verify checks that the log still holds the last applied record. A record that
 // expired meanwhile cannot be checked and passes.
-func (s *Stream[F]) verify(ctx context.Context, next platform.Offset, last uint64) error {
-	if next == platform.FirstOffset {
+func (s *Stream[F]) verify(ctx context.Context, next infra.Offset, last uint64) error {
+	if next == infra.FirstOffset {
 		return nil
 	}
 	page, err := s.log.Read(ctx, s.name, next-1, 1, 0)
@@ -119,8 +119,8 @@
 
 // readLinked reads from the last applied record on, so that applying the page
 // checks that record too.
-func (s *Stream[F]) readLinked(ctx context.Context, next platform.Offset) (platform.Page, error) {
-	if next == platform.FirstOffset {
+func (s *Stream[F]) readLinked(ctx context.Context, next infra.Offset) (infra.Page, error) {
+	if next == infra.FirstOffset {
 		return s.log.Read(ctx, s.name, next, readLimit, 0)
 	}
 	page, err := s.log.Read(ctx, s.name, next-1, readLimit, 0)
@@ -132,7 +132,7 @@
 
 // noteConfirmed moves the time of confirmation forward, never back. A reading
 // confirms nothing of a state that was adopted during it.
-func (s *Stream[F]) noteConfirmed(next platform.Offset, at time.Time, adoptions uint64) {
+func (s *Stream[F]) noteConfirmed(next infra.Offset, at time.Time, adoptions uint64) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	if s.state.next < next || !s.unchanged(adoptions) {
--- a/internal/logstream/frozen.go
+++ b/internal/logstream/frozen.go
@@ -6,13 +6,13 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // frozen is a state as of an offset, which is encoded when needed. It keeps the
 // digest of the encoded form, not the form itself, which may be large.
 type frozen struct {
-	asOf platform.Offset
+	asOf infra.Offset
 	fold func() ([]byte, error) // encodes the fold
 	rest snapshot               // without the fold
 
--- a/internal/logstream/helpers_test.go
+++ b/internal/logstream/helpers_test.go
@@ -13,7 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainmux/plantainmux/internal/fakes"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 const (
@@ -32,15 +32,15 @@
 type listFold struct {
 	Values []int  `cbor:"1,keyasint"`
 	Chain  uint64 `cbor:"2,keyasint"` // digest of the history of accepted records
-	window platform.Offset
-	trace  map[platform.Offset]uint64 // chain after each accepted offset
+	window infra.Offset
+	trace  map[infra.Offset]uint64 // chain after each accepted offset
 }
 
 func newListFold() *listFold {
-	return &listFold{window: defaultWriterWindow, trace: map[platform.Offset]uint64{}}
+	return &listFold{window: defaultWriterWindow, trace: map[infra.Offset]uint64{}}
 }
 
-func (f *listFold) WriterWindow() platform.Offset { return f.window }
+func (f *listFold) WriterWindow() infra.Offset { return f.window }
 
 func (f *listFold) Apply(at Position, _ Kind, body cbor.RawMessage) error {
 	var value int
@@ -75,19 +75,19 @@
 
 // hookedLog lets a spec put itself before the calls of one client.
 type hookedLog struct {
-	platform.Log
+	infra.Log
 	mu     sync.Mutex
-	append func(stream string, records [][]byte) (platform.Offset, error)
-	read   func(from platform.Offset, limit int) error
+	append func(stream string, records [][]byte) (infra.Offset, error)
+	read   func(from infra.Offset, limit int) error
 }
 
-func (l *hookedLog) hook(append func(string, [][]byte) (platform.Offset, error), read func(platform.Offset, int) error) {
+func (l *hookedLog) hook(append func(string, [][]byte) (infra.Offset, error), read func(infra.Offset, int) error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.append, l.read = append, read
 }
 
-func (l *hookedLog) Append(ctx context.Context, stream string, records [][]byte) (platform.Offset, error) {
+func (l *hookedLog) Append(ctx context.Context, stream string, records [][]byte) (infra.Offset, error) {
 	l.mu.Lock()
 	hook := l.append
 	l.mu.Unlock()
@@ -97,13 +97,13 @@
 	return l.Log.Append(ctx, stream, records)
 }
 
-func (l *hookedLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Page, error) {
+func (l *hookedLog) Read(ctx context.Context, stream string, from infra.Offset, limit int, wait time.Duration) (infra.Page, error) {
 	l.mu.Lock()
 	hook := l.read
 	l.mu.Unlock()
 	if hook != nil {
 		if err := hook(from, limit); err != nil {
-			return platform.Page{}, err
+			return infra.Page{}, err
 		}
 	}
 	return l.Log.Read(ctx, stream, from, limit, wait)
@@ -120,7 +120,7 @@
 }
 
 // runStream runs a stream until the end of the spec.
-func runStream(log platform.Log, fold *listFold, options Options) *Stream[*listFold] {
+func runStream(log infra.Log, fold *listFold, options Options) *Stream[*listFold] {
 	s := New(log, testStream, fold, options)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -150,13 +150,13 @@
 	return values
 }
 
-func logEnd(log *fakes.Log) platform.Offset {
+func logEnd(log *fakes.Log) infra.Offset {
 	page, _ := log.Read(context.Background(), testStream, beyondEnd, 1, 0)
 	return page.Next
 }
 
 // rawRecord encodes a record as a writer would.
-func rawRecord(writer string, seq uint64, since platform.Offset, value int) []byte {
+func rawRecord(writer string, seq uint64, since infra.Offset, value int) []byte {
 	body, err := Marshal(value)
 	Expect(err).NotTo(HaveOccurred())
 	data, err := Marshal(Entry{Writer: writer, Seq: seq, Kind: kindAdd, Body: body, Since: since})
--- a/internal/logstream/no_snapshot_error.go
+++ b/internal/logstream/no_snapshot_error.go
@@ -3,14 +3,14 @@
 import (
 	"fmt"
 
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // NoSnapshotError says that records expired and no retained snapshot covers
 // them.
 type NoSnapshotError struct {
 	Stream string
-	Oldest platform.Offset
+	Oldest infra.Offset
 }
 
 // Error implements error.
--- a/internal/logstream/property_test.go
+++ b/internal/logstream/property_test.go
@@ -12,7 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainmux/plantainmux/internal/fakes"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
@@ -124,7 +124,7 @@
 	for seed := uint64(1); seed <= 6; seed++ {
 		ginkgo.It(fmt.Sprintf("agree, apply accepted proposals once and unsent ones never, seed %d", seed), func() {
 			run := startPropertyRun(seed)
-			last := make([]platform.Offset, propertyDaemons)
+			last := make([]infra.Offset, propertyDaemons)
 			run.play(seed)
 			settled := func() bool {
 				for i, s := range run.streams {
@@ -144,7 +144,7 @@
 })
 
 func (r *propertyRun) checkAgreement() {
-	chains := map[platform.Offset]uint64{}
+	chains := map[infra.Offset]uint64{}
 	compared := uint64(0)
 	for i, s := range r.streams {
 		s.Read(func(f *listFold) {
--- a/internal/logstream/regressed_error.go
+++ b/internal/logstream/regressed_error.go
@@ -3,14 +3,14 @@
 import (
 	"fmt"
 
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // RegressedError says that the log ends below what was already applied.
 type RegressedError struct {
 	Stream  string
-	Applied platform.Offset
-	Next    platform.Offset
+	Applied infra.Offset
+	Next    infra.Offset
 }
 
 // Error implements error.
@@ -22,7 +22,7 @@
 // one that was applied.
 type RewrittenError struct {
 	Stream string
-	Offset platform.Offset
+	Offset infra.Offset
 }
 
 // Error implements error.
--- a/internal/logstream/send_snapshots.go
+++ b/internal/logstream/send_snapshots.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // wakeOwnCheckpoint wakes the writer of snapshots at once when the newest
@@ -72,7 +72,7 @@
 func (s *Stream[F]) dueSnapshot() (*frozen, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.state.next == platform.FirstOffset || s.Refused() != nil || s.writer.isPending(s.snapshots.underway) {
+	if s.state.next == infra.FirstOffset || s.Refused() != nil || s.writer.isPending(s.snapshots.underway) {
 		return nil, false
 	}
 	if n := len(s.snapshots.checkpoints); n > 0 && s.snapshots.checkpoints[n-1].asOf > s.snapshots.newest && s.outgrown() {
--- a/internal/logstream/snapshot.go
+++ b/internal/logstream/snapshot.go
@@ -1,11 +1,11 @@
 package logstream
 
-import "github.com/plantainmux/plantainmux/internal/platform"
+import "github.com/plantainmux/plantainmux/internal/infra"
 
 // snapshot is the body of a KindSnapshot record: the state after all records
 // up to and with AsOf.
 type snapshot struct {
-	AsOf    platform.Offset        `cbor:"1,keyasint"`
+	AsOf    infra.Offset        `cbor:"1,keyasint"`
 	Writers map[string]writerState `cbor:"2,keyasint"` // without the idle ones
 	State   []byte                 `cbor:"3,keyasint"`
 	Last    uint64                 `cbor:"4,keyasint"` // digest of the record at AsOf
@@ -13,7 +13,7 @@
 
 // checkpoint is an encoded snapshot that was taken at a round offset.
 type checkpoint struct {
-	asOf   platform.Offset
+	asOf   infra.Offset
 	digest uint64
 	body   []byte
 }
--- a/internal/logstream/snapshots.go
+++ b/internal/logstream/snapshots.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // keptCheckpoints is the number of checkpoints that arriving snapshots are
@@ -15,7 +15,7 @@
 type snapshots struct {
 	checkpoints []*frozen
 	arrivals    []arrival
-	newest      platform.Offset // highest state that a snapshot in the log covers
+	newest      infra.Offset // highest state that a snapshot in the log covers
 	newestAt    time.Time
 	bytes       int // of the newest
 	since       int // bytes of the records after the newest
@@ -32,7 +32,7 @@
 
 // noteArrival remembers a snapshot that was read, and that it is to be compared
 // with the own state at the same offset.
-func (s *Stream[F]) noteArrival(at platform.Offset, entry Entry) {
+func (s *Stream[F]) noteArrival(at infra.Offset, entry Entry) {
 	arrived, ok := coverageOf(entry, at)
 	if !ok {
 		return
@@ -61,7 +61,7 @@
 }
 
 // frozenAt returns the own state at an offset, when it is known.
-func (s *Stream[F]) frozenAt(asOf platform.Offset) (*frozen, bool) {
+func (s *Stream[F]) frozenAt(asOf infra.Offset) (*frozen, bool) {
 	for _, kept := range s.snapshots.checkpoints {
 		if kept.asOf == asOf {
 			return kept, true
--- a/internal/logstream/stale_error.go
+++ b/internal/logstream/stale_error.go
@@ -3,15 +3,15 @@
 import (
 	"fmt"
 
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // StaleError says that a record arrived so late that its writer's sequence
 // numbers may be forgotten. It has no effect.
 type StaleError struct {
-	Offset platform.Offset
-	Since  platform.Offset
-	Window platform.Offset
+	Offset infra.Offset
+	Since  infra.Offset
+	Window infra.Offset
 }
 
 // Error implements error.
--- a/internal/logstream/state.go
+++ b/internal/logstream/state.go
@@ -3,23 +3,23 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // state is a fold with the bookkeeping that every stream needs: the next
 // offset, the digest of the last record and what is known of each writer.
 type state[F Fold] struct {
 	fold    F
-	next    platform.Offset
+	next    infra.Offset
 	last    uint64 // digest of the record at next-1; 0 when there is none
 	writers map[string]writerState
-	window  platform.Offset
+	window  infra.Offset
 }
 
 func newState[F Fold](empty F) state[F] {
 	return state[F]{
 		fold:    empty,
-		next:    platform.FirstOffset,
+		next:    infra.FirstOffset,
 		writers: map[string]writerState{},
 		window:  writerWindow(empty),
 	}
@@ -27,7 +27,7 @@
 
 // apply folds one record of the log and returns the verdict on its entry. A
 // repeated or unreadable record returns ok false.
-func (s *state[F]) apply(record platform.Record, entry Entry, readable bool) (verdict error, ok bool) {
+func (s *state[F]) apply(record infra.Record, entry Entry, readable bool) (verdict error, ok bool) {
 	s.next = record.Offset + 1
 	s.last = xxhash.Sum64(record.Data)
 	if !readable {
@@ -49,7 +49,7 @@
 
 // seqOf returns the highest sequence number of a writer, 0 when it is
 // forgotten.
-func (s *state[F]) seqOf(writer string, at platform.Offset) uint64 {
+func (s *state[F]) seqOf(writer string, at infra.Offset) uint64 {
 	known := s.writers[writer]
 	if known.idle(at, s.window) {
 		return 0
--- a/internal/logstream/stream.go
+++ b/internal/logstream/stream.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 const (
@@ -18,7 +18,7 @@
 
 // Stream follows one stream of the log and proposes records to it.
 type Stream[F Fold] struct {
-	log      platform.Log
+	log      infra.Log
 	name     string
 	options  Options
 	counters counters
@@ -41,7 +41,7 @@
 }
 
 // New returns a stream that starts from the empty fold.
-func New[F Fold](log platform.Log, name string, empty F, options Options) *Stream[F] {
+func New[F Fold](log infra.Log, name string, empty F, options Options) *Stream[F] {
 	s := &Stream[F]{
 		log:     log,
 		name:    name,
@@ -54,7 +54,7 @@
 	s.counters = newCounters(s.options.Metrics, name)
 	s.options.Metrics.Gauge(gaugeRefused(name), s.refusedGauge)
 	s.writer = newWriter(log, name, s.options, s.counters)
-	s.writer.applied = func() platform.Offset { return s.Next() - 1 }
+	s.writer.applied = func() infra.Offset { return s.Next() - 1 }
 	s.writer.refused = s.Refused
 	s.writer.answered = func() { s.answers.Add(1) }
 	return s
@@ -99,11 +99,11 @@
 }
 
 // Next returns the offset after the last applied record.
-func (s *Stream[F]) Next() platform.Offset {
+func (s *Stream[F]) Next() infra.Offset {
 	if next := s.next.Load(); next != 0 {
-		return platform.Offset(next)
+		return infra.Offset(next)
 	}
-	return platform.FirstOffset
+	return infra.FirstOffset
 }
 
 // ConfirmedAt returns the latest time at which the state was known to be the
@@ -126,8 +126,8 @@
 	s.options.Logger.Warn("log stream not read", "stream", s.name, "error", err)
 }
 
-func asExpired(err error) (*platform.ExpiredError, bool) {
-	var expired *platform.ExpiredError
+func asExpired(err error) (*infra.ExpiredError, bool) {
+	var expired *infra.ExpiredError
 	ok := errors.As(err, &expired)
 	return expired, ok
 }
--- a/internal/logstream/tail.go
+++ b/internal/logstream/tail.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 const (
@@ -14,21 +14,21 @@
 // tail is the end of a stream: the newest usable snapshot and the records after
 // it.
 type tail struct {
-	oldest   platform.Offset
-	next     platform.Offset
+	oldest   infra.Offset
+	next     infra.Offset
 	snapshot *snapshot // nil when none is needed or retained
-	records  []platform.Record
+	records  []infra.Record
 }
 
 // tailReader reads a stream backwards until it finds a snapshot.
 type tailReader struct {
-	log    platform.Log
+	log    infra.Log
 	stream string
 }
 
 // read returns the end of the stream from a snapshot on, or from the offset
 // needed on when the records reach that far back.
-func (r tailReader) read(ctx context.Context, needed platform.Offset) (tail, error) {
+func (r tailReader) read(ctx context.Context, needed infra.Offset) (tail, error) {
 	end, err := r.log.Read(ctx, r.stream, beyondEnd, 1, 0)
 	if err != nil {
 		return tail{}, err
@@ -36,7 +36,7 @@
 	found := tail{oldest: end.Oldest, next: end.Next}
 	stop := max(end.Oldest, min(needed, end.Next))
 	low := end.Next
-	for span := platform.Offset(firstTailSpan); low > stop; span *= 2 {
+	for span := infra.Offset(firstTailSpan); low > stop; span *= 2 {
 		from := stop
 		if low > stop+span {
 			from = low - span
@@ -53,8 +53,8 @@
 }
 
 // extend puts the records of [from, to) before those that were read.
-func (r tailReader) extend(ctx context.Context, found *tail, from, to platform.Offset) error {
-	var records []platform.Record
+func (r tailReader) extend(ctx context.Context, found *tail, from, to infra.Offset) error {
+	var records []infra.Record
 	for from < to {
 		page, err := r.log.Read(ctx, r.stream, from, min(readLimit, int(to-from)), 0)
 		if err != nil {
@@ -72,7 +72,7 @@
 
 // useSnapshot looks for a snapshot that the retained records continue, and
 // reads the records between its state and the record that carries or names it.
-func (r tailReader) useSnapshot(ctx context.Context, found *tail, low platform.Offset) (bool, error) {
+func (r tailReader) useSnapshot(ctx context.Context, found *tail, low infra.Offset) (bool, error) {
 	for i := len(found.records) - 1; i >= 0; i-- {
 		candidate, err := r.load(ctx, found.records[i], found.oldest)
 		if err != nil {
@@ -94,7 +94,7 @@
 
 // load returns the snapshot that a record carries or names. It is nil when there
 // is none, or none that the records from oldest on continue.
-func (r tailReader) load(ctx context.Context, record platform.Record, oldest platform.Offset) (*snapshot, error) {
+func (r tailReader) load(ctx context.Context, record infra.Record, oldest infra.Offset) (*snapshot, error) {
 	var entry Entry
 	if Unmarshal(record.Data, &entry) != nil {
 		return nil, nil
--- a/internal/logstream/writer.go
+++ b/internal/logstream/writer.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 const (
@@ -15,12 +15,12 @@
 // writer appends proposals in batches, one append at a time. It repeats a
 // batch under the same sequence numbers until it was read back.
 type writer struct {
-	log      platform.Log
+	log      infra.Log
 	stream   string
 	options  Options
 	counters counters
 	wake     chan struct{}
-	applied  func() platform.Offset // last offset that was applied
+	applied  func() infra.Offset // last offset that was applied
 	answered func()                 // notes that the log took an append
 	refused  func() error           // why nothing may be appended; nil when it may
 
@@ -32,7 +32,7 @@
 	pending  []*proposal // by sequence number
 }
 
-func newWriter(log platform.Log, stream string, options Options, counters counters) *writer {
+func newWriter(log infra.Log, stream string, options Options, counters counters) *writer {
 	return &writer{
 		log:      log,
 		stream:   stream,
--- a/internal/order/bed_test.go
+++ b/internal/order/bed_test.go
@@ -12,7 +12,7 @@
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/order"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 )
 
@@ -132,7 +132,7 @@
 	for seq := 0; seq < count; seq += page {
 		records := make([][]byte, page)
 		for i := range records {
-			entry := logstream.Entry{Writer: "filler/1", Seq: uint64(seq + i + 1), Kind: logstream.KindFence, Since: platform.Offset(seq)}
+			entry := logstream.Entry{Writer: "filler/1", Seq: uint64(seq + i + 1), Kind: logstream.KindFence, Since: infra.Offset(seq)}
 			data, err := logstream.Marshal(entry)
 			Expect(err).NotTo(HaveOccurred())
 			records[i] = data
--- a/internal/order/fold_test.go
+++ b/internal/order/fold_test.go
@@ -12,13 +12,13 @@
 
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/order"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // slotFold applies records to a fold, one offset after the other.
 type slotFold struct {
 	*order.Fold
-	next platform.Offset
+	next infra.Offset
 }
 
 func newSlotFold() *slotFold { return &slotFold{Fold: order.NewFold(), next: 1} }
@@ -142,7 +142,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		encode := f.Freeze()
 		for i := range 2000 {
-			Expect(f.apply("a/1", 0, order.KindOutcome, order.Outcome{Key: order.Key(fmt.Sprint(i)), Claim: platform.Offset(i + 1), State: order.Ran})).To(Succeed())
+			Expect(f.apply("a/1", 0, order.KindOutcome, order.Outcome{Key: order.Key(fmt.Sprint(i)), Claim: infra.Offset(i + 1), State: order.Ran})).To(Succeed())
 		}
 		f.tick(time.Minute, "b/1")
 		frozen, err := encode()
--- a/internal/order/moving_test.go
+++ b/internal/order/moving_test.go
@@ -12,7 +12,7 @@
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/order"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 var _ = Describe("Slots", func() {
@@ -54,7 +54,7 @@
 		expired := 0
 		for slot := range order.Slot(order.Slots) {
 			below := b.lastSnapshot(slot) - 6 // a snapshot lies a few records after the one it is as of
-			if below > platform.FirstOffset && below < 1<<32 {
+			if below > infra.FirstOffset && below < 1<<32 {
 				b.log.Expire(order.StreamName(slot), below)
 				expired += int(below)
 			}
@@ -84,8 +84,8 @@
 
 // lastSnapshot returns the offset of a slot's last reference to a snapshot, or
 // zero.
-func (b *bed) lastSnapshot(slot order.Slot) platform.Offset {
-	var last platform.Offset
+func (b *bed) lastSnapshot(slot order.Slot) infra.Offset {
+	var last infra.Offset
 	for _, record := range b.log.Records(order.StreamName(slot)) {
 		if kindOf([][]byte{record.Data}) == string(logstream.KindReference) {
 			last = record.Offset
--- a/internal/order/node_test.go
+++ b/internal/order/node_test.go
@@ -13,7 +13,7 @@
 	"github.com/plantainmux/plantainmux/internal/metric"
 	"github.com/plantainmux/plantainmux/internal/order"
 	"github.com/plantainmux/plantainmux/internal/peer"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 )
 
@@ -51,7 +51,7 @@
 	n := &node{id: id}
 	n.ctx, n.kill = context.WithCancel(context.Background())
 	n.mesh = &hubMesh{Solo: peer.NewSolo(id), hub: b.hub, node: n}
-	log := &struckLog{Log: platform.NewHTTPLog(b.logServer.URL()), node: n}
+	log := &struckLog{Log: infra.NewHTTPLog(b.logServer.URL()), node: n}
 	n.slots = order.NewFollower(n.ctx, n.mesh, func(slot order.Slot, writer string, onApply func()) *logstream.Stream[*order.Fold] {
 		return logstream.New[*order.Fold](log, order.StreamName(slot), order.NewFold(), logstream.Options{
 			Writer: writer, OnApply: onApply, Now: n.now, SnapshotEvery: b.snapshotEvery, SnapshotCheck: pollOften, SnapshotsApart: true, Logger: slog.New(slog.DiscardHandler),
@@ -111,31 +111,31 @@
 
 // struckLog is the log as a node sees it.
 type struckLog struct {
-	platform.Log
+	infra.Log
 	node *node
 }
 
-func (l *struckLog) Append(ctx context.Context, stream string, records [][]byte) (platform.Offset, error) {
+func (l *struckLog) Append(ctx context.Context, stream string, records [][]byte) (infra.Offset, error) {
 	kind := kindOf(records)
 	l.node.at("before " + kind)
 	if l.node.isDead() || l.node.appendsCut.Load() {
-		return 0, &platform.UnavailableError{Operation: "append", Err: context.Canceled}
+		return 0, &infra.UnavailableError{Operation: "append", Err: context.Canceled}
 	}
 	offset, err := l.Log.Append(context.WithoutCancel(ctx), stream, records)
 	l.node.at("after " + kind)
 	if l.node.isDead() {
-		return 0, &platform.UnknownOutcomeError{Operation: "append", Err: context.Canceled}
+		return 0, &infra.UnknownOutcomeError{Operation: "append", Err: context.Canceled}
 	}
 	return offset, err
 }
 
-func (l *struckLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Page, error) {
+func (l *struckLog) Read(ctx context.Context, stream string, from infra.Offset, limit int, wait time.Duration) (infra.Page, error) {
 	page, err := l.Log.Read(ctx, stream, from, limit, wait)
 	if len(page.Records) > 0 {
 		l.node.at("read " + kindOf([][]byte{page.Records[0].Data}))
 	}
 	if l.node.isDead() || l.node.readsCut.Load() {
-		return platform.Page{}, &platform.UnavailableError{Operation: "read", Err: context.Canceled}
+		return infra.Page{}, &infra.UnavailableError{Operation: "read", Err: context.Canceled}
 	}
 	return page, err
 }
--- a/internal/order/outcome.go
+++ b/internal/order/outcome.go
@@ -2,13 +2,13 @@
 
 import (
 	"github.com/plantainmux/plantainmux/internal/endpoint"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // Outcome settles a claim. Only the writer of the claim may write it.
 type Outcome struct {
 	Key        Key                    `cbor:"1,keyasint"`
-	Claim      platform.Offset        `cbor:"2,keyasint"` // offset of the claim it settles
+	Claim      infra.Offset        `cbor:"2,keyasint"` // offset of the claim it settles
 	State      State                  `cbor:"3,keyasint"` // Ran, NotRan or Unclear
 	AnswerKept bool                   `cbor:"4,keyasint"`
 	Answer     endpoint.ServiceAnswer `cbor:"5,keyasint"`
--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/logstream"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 	"github.com/plantainmux/plantainmux/internal/wait"
 )
@@ -213,7 +213,7 @@
 }
 
 // claimed runs an order that holds the claim of its key.
-func (r *Runner) claimed(t *task, claim platform.Offset) {
+func (r *Runner) claimed(t *task, claim infra.Offset) {
 	state, result := r.dispatch(t)
 	outcome := t.outcome(claim, state)
 	keepAnswer(&outcome, result)
--- a/internal/order/serve_test.go
+++ b/internal/order/serve_test.go
@@ -5,7 +5,7 @@
 	"net/http"
 
 	"github.com/plantainmux/plantainmux/internal/fakes"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 type standIn interface{ Handler() http.Handler }
@@ -22,4 +22,4 @@
 	return context.WithTimeout(context.Background(), placeTimeout)
 }
 
-func logOffset(n int) platform.Offset { return platform.Offset(n) }
+func logOffset(n int) infra.Offset { return infra.Offset(n) }
--- a/internal/order/settlement.go
+++ b/internal/order/settlement.go
@@ -1,11 +1,11 @@
 package order
 
-import "github.com/plantainmux/plantainmux/internal/platform"
+import "github.com/plantainmux/plantainmux/internal/infra"
 
 // Settlement is an operator's word on an unclear order.
 type Settlement struct {
 	Key      Key             `cbor:"1,keyasint"`
-	Claim    platform.Offset `cbor:"2,keyasint"`
+	Claim    infra.Offset `cbor:"2,keyasint"`
 	Ran      bool            `cbor:"3,keyasint"`
 	Operator string          `cbor:"4,keyasint"`
 }
--- a/internal/order/snapshot_bench_test.go
+++ b/internal/order/snapshot_bench_test.go
@@ -11,7 +11,7 @@
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/order"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/traffic"
 )
 
@@ -94,7 +94,7 @@
 		for n := range keys {
 			applyOrder(fold, n)
 		}
-		client := platform.NewHTTPLog(server.URL()).CountOn(&counters[i])
+		client := infra.NewHTTPLog(server.URL()).CountOn(&counters[i])
 		options := logstream.Options{Writer: fmt.Sprint("w", i), SnapshotEvery: 1 << 30, SnapshotsApart: true, Logger: slog.New(slog.DiscardHandler)}
 		streams[i] = logstream.New(client, order.StreamName(0), fold, options)
 		go streams[i].Run(ctx)
--- a/internal/order/task.go
+++ b/internal/order/task.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // task is one request of an order on its way.
@@ -34,6 +34,6 @@
 	}
 }
 
-func (t *task) outcome(claim platform.Offset, state State) Outcome {
+func (t *task) outcome(claim infra.Offset, state State) Outcome {
 	return Outcome{Key: t.order.Key, Claim: claim, State: state}
 }
--- a/internal/reconcile/loop_test.go
+++ b/internal/reconcile/loop_test.go
@@ -18,7 +18,7 @@
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/metric"
 	"github.com/plantainmux/plantainmux/internal/peer"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/view"
 	"github.com/plantainmux/plantainmux/internal/watch"
 )
@@ -26,18 +26,18 @@
 // awayLog is a log that cannot be reached.
 type awayLog struct{}
 
-func (awayLog) Append(context.Context, string, [][]byte) (platform.Offset, error) {
-	return 0, &platform.UnavailableError{Operation: "append"}
+func (awayLog) Append(context.Context, string, [][]byte) (infra.Offset, error) {
+	return 0, &infra.UnavailableError{Operation: "append"}
 }
 
-func (awayLog) Read(context.Context, string, platform.Offset, int, time.Duration) (platform.Page, error) {
-	return platform.Page{}, &platform.UnavailableError{Operation: "read"}
+func (awayLog) Read(context.Context, string, infra.Offset, int, time.Duration) (infra.Page, error) {
+	return infra.Page{}, &infra.UnavailableError{Operation: "read"}
 }
 
 // recordedLog holds some records of another writer.
 type recordedLog struct {
 	awayLog
-	records []platform.Record
+	records []infra.Record
 }
 
 func (l *recordedLog) add(kind logstream.Kind, body any) *recordedLog {
@@ -46,13 +46,13 @@
 	seq := uint64(len(l.records) + 1)
 	data, err := logstream.Marshal(logstream.Entry{Writer: "other", Seq: seq, Kind: kind, Body: encoded})
 	Expect(err).NotTo(HaveOccurred())
-	l.records = append(l.records, platform.Record{Offset: platform.Offset(seq), Data: data})
+	l.records = append(l.records, infra.Record{Offset: infra.Offset(seq), Data: data})
 	return l
 }
 
-func (l *recordedLog) Read(_ context.Context, _ string, from platform.Offset, _ int, _ time.Duration) (platform.Page, error) {
-	next := platform.FirstOffset + platform.Offset(len(l.records))
-	return platform.Page{Records: l.records[from-platform.FirstOffset:], Oldest: platform.FirstOffset, Next: next}, nil
+func (l *recordedLog) Read(_ context.Context, _ string, from infra.Offset, _ int, _ time.Duration) (infra.Page, error) {
+	next := infra.FirstOffset + infra.Offset(len(l.records))
+	return infra.Page{Records: l.records[from-infra.FirstOffset:], Oldest: infra.FirstOffset, Next: next}, nil
 }
 
 // formedLog returns a log whose first record grants one VM.
@@ -84,7 +84,7 @@
 
 func (l fixedList) VMs(context.Context) ([]fleet.VM, error) { return l, nil }
 
-func newTestLoop(log platform.Log, vms fixedList) *Loop {
+func newTestLoop(log infra.Log, vms fixedList) *Loop {
 	logger := slog.New(slog.DiscardHandler)
 	groups := logstream.New(log, "groups.north", group.NewFold(), logstream.Options{Writer: "w", Logger: logger})
 	followed := watch.NewVMs(vms, peer.NewSolo("d"), "north", time.Hour, logger, func() {})
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -15,7 +15,7 @@
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/logstream"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // Loopback is the address that every part of a bed listens on.
@@ -80,10 +80,10 @@
 
 // Publish puts a configuration in force on top of the version base and returns
 // its version.
-func (b *Bed) Publish(base platform.Offset, configuration config.Configuration) platform.Offset {
+func (b *Bed) Publish(base infra.Offset, configuration config.Configuration) infra.Offset {
 	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
 	defer cancel()
-	stream := logstream.New(platform.NewHTTPLog(b.logServer.URL()), config.StreamName, config.NewFold(), logstream.Options{
+	stream := logstream.New(infra.NewHTTPLog(b.logServer.URL()), config.StreamName, config.NewFold(), logstream.Options{
 		Writer: fmt.Sprintf("publisher-%d", time.Now().UnixNano()),
 		Logger: b.logger,
 	})
--- a/internal/watch/vms.go
+++ b/internal/watch/vms.go
@@ -12,7 +12,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/peer"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 const (
@@ -27,7 +27,7 @@
 // platform is away. Daemons tell each other which VMs their lists give as
 // leaving, so that the first list that says so counts for all.
 type VMs struct {
-	list       platform.VMList
+	list       infra.VMList
 	mesh       peer.Mesh
 	dataCentre fleet.DataCentre
 	period     time.Duration
@@ -43,7 +43,7 @@
 }
 
 // NewVMs returns a follower of the VMs of one data centre.
-func NewVMs(list platform.VMList, mesh peer.Mesh, dataCentre fleet.DataCentre, period time.Duration, logger *slog.Logger, onChange func()) *VMs {
+func NewVMs(list infra.VMList, mesh peer.Mesh, dataCentre fleet.DataCentre, period time.Duration, logger *slog.Logger, onChange func()) *VMs {
 	v := &VMs{
 		list:       list,
 		mesh:       mesh,
--- a/test/group_outage_test.go
+++ b/test/group_outage_test.go
@@ -10,7 +10,7 @@
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/group"
 	"github.com/plantainmux/plantainmux/internal/logstream"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/settings"
 	"github.com/plantainmux/plantainmux/internal/testbed"
 )
@@ -86,7 +86,7 @@
 		bed.Log.Set(fakes.Faults{Down: true})
 		orders := countEvents(bed, fakes.EventControl)
 		b := bed.Replace(daemons[1])
-		Eventually(func() platform.Offset { status, _ := b.Status(); return status.ConfigVersion }, waitMesh, tick).Should(Equal(version))
+		Eventually(func() infra.Offset { status, _ := b.Status(); return status.ConfigVersion }, waitMesh, tick).Should(Equal(version))
 		Consistently(func() int { return countEvents(bed, fakes.EventControl) }, detection, tick).Should(Equal(orders))
 		bed.Log.Set(fakes.Faults{})
 		Expect(eventuallyComplete(b, 1)[0].Fencing).To(Equal(first.Fencing))
@@ -121,7 +121,7 @@
 		bed.Publish(0, testbed.SampleConfig(1, north))
 		eventuallyComplete(a, 1)
 		a.Kill()
-		bed.Log.Truncate(config.StreamName, platform.FirstOffset)
+		bed.Log.Truncate(config.StreamName, infra.FirstOffset)
 		bed.StartDaemon(north, nil)
 		Consistently(func() []logstream.Kind { return kinds(bed) }, detection, tick).Should(Equal([]logstream.Kind{group.KindForm, group.KindReady}))
 	})
@@ -141,7 +141,7 @@
 		Eventually(func() []logstream.Kind { return afterReady(kinds(bed)) }, waitRepair, tick).Should(ContainElement(logstream.KindSnapshot))
 		all := kinds(bed)
 		expired := len(all) - len(afterReady(all))
-		bed.Log.Expire(group.StreamName(north), platform.FirstOffset+platform.Offset(expired))
+		bed.Log.Expire(group.StreamName(north), infra.FirstOffset+infra.Offset(expired))
 		a.Latch.Mend(testbed.SideLog)
 		c := bed.StartDaemon(north, often)
 		for _, d := range []*testbed.Daemon{a, b, c} {
--- a/test/longcut/long_cut_test.go
+++ b/test/longcut/long_cut_test.go
@@ -15,7 +15,7 @@
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/group"
 	"github.com/plantainmux/plantainmux/internal/invariant"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 	"github.com/plantainmux/plantainmux/internal/settings"
 	"github.com/plantainmux/plantainmux/internal/testbed"
@@ -49,7 +49,7 @@
 type bed struct {
 	*testbed.Bed
 	config   config.Configuration
-	version  platform.Offset
+	version  infra.Offset
 	services []*fakes.Service
 	centres  map[fleet.DataCentre][]*testbed.Daemon
 }
@@ -204,7 +204,7 @@
 		b.setCut(false)
 		mendedAt := time.Now()
 		for _, d := range b.Daemons {
-			Eventually(func() platform.Offset { status, _ := d.Status(); return status.ConfigVersion }, time.Until(mendedAt.Add(changeBound)), tick).Should(Equal(version))
+			Eventually(func() infra.Offset { status, _ := d.Status(); return status.ConfigVersion }, time.Until(mendedAt.Add(changeBound)), tick).Should(Equal(version))
 			Expect(ask(d, secondKey, "of the second team")).To(BeEmpty())
 		}
 		GinkgoWriter.Printf("in force everywhere %s after the cut\n", time.Since(mendedAt))
--- a/test/longcut/watcher_test.go
+++ b/test/longcut/watcher_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/testbed"
 )
 
@@ -63,7 +63,7 @@
 // neverBack checks that a daemon's configuration never reverts and that its
 // view holds no VM in two groups.
 func neverBack(d *testbed.Daemon) func(int) string {
-	highest := platform.Offset(0)
+	highest := infra.Offset(0)
 	return func(int) string {
 		status, err := d.Status()
 		if err != nil {
--- a/test/partition_test.go
+++ b/test/partition_test.go
@@ -12,7 +12,7 @@
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/logstream"
-	"github.com/plantainmux/plantainmux/internal/platform"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 	"github.com/plantainmux/plantainmux/internal/testbed"
 )
@@ -34,8 +34,8 @@
 }
 
 // versionIn returns the version in force at a daemon.
-func versionIn(d *testbed.Daemon) func() platform.Offset {
-	return func() platform.Offset {
+func versionIn(d *testbed.Daemon) func() infra.Offset {
+	return func() infra.Offset {
 		status, _ := d.Status()
 		return status.ConfigVersion
 	}
