--- a/cmd/plantainmuxd/main.go
+++ b/cmd/plantainmuxd/main.go
@@ -22,7 +22,8 @@
 )
 
 type options struct {
-	Settings string `long:"settings" short:"s" required:"true" description:"YAML file with the settings of this daemon"`
+	Settings string `long:"settings" short:"s" required:"true" env:"PLANTAINMUX_CONFIG" description:"YAML file with the settings of this daemon"`
+	Platform bool   `long:"platform" description:"run on a platform that has a store of its own; the settings are those of that platform"`
 }
 
 func main() {
@@ -33,18 +34,27 @@
 		}
 		os.Exit(exitUsage)
 	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if opts.Platform {
+		os.Exit(runOnPlatform(ctx, opts.Settings))
+	}
+	os.Exit(runAlone(ctx, opts.Settings))
+}
+
+// runAlone runs the daemon with the project's own interfaces.
+func runAlone(ctx context.Context, path string) int {
 	logger := logging.New(os.Stderr)
-	loaded, err := settings.Load(opts.Settings)
+	loaded, err := settings.Load(path)
 	if err != nil {
 		logger.Error("settings refused", "error", err)
-		os.Exit(exitSettings)
+		return exitSettings
 	}
 	d, err := daemon.New(loaded, daemon.NewAdapters(loaded), logger)
 	if err != nil {
 		logger.Error("daemon not started", "error", err)
-		os.Exit(exitListen)
+		return exitListen
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	d.Run(ctx)
+	return 0
 }
--- a/internal/adminapi/order_status.go
+++ b/internal/adminapi/order_status.go
@@ -4,31 +4,31 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
-	"github.com/plantainmux/plantainmux/internal/order"
 	"github.com/plantainmux/plantainmux/internal/infra"
+	"github.com/plantainmux/plantainmux/internal/order"
 )
 
 // OrderStatus is what operators see of one order. It holds no credential and
 // no body of the call.
 type OrderStatus struct {
-	Team         fleet.TeamName  `json:"team"`
-	Service      string          `json:"service"`
-	Key          string          `json:"key"` // the caller's idempotency key
-	State        order.State     `json:"state"`
-	Method       string          `json:"method"`
-	Path         string          `json:"path"`
-	Claim        infra.Offset `json:"claim"` // offset of the claim in force
-	Claimant     string          `json:"claimant"`
-	ClaimedAt    time.Time       `json:"claimed_at"`
-	Deadline     time.Time       `json:"deadline"`
-	ExpiresAt    time.Time       `json:"expires_at"`
-	AnswerStatus int             `json:"answer_status,omitempty"`
-	AnswerBytes  int             `json:"answer_bytes,omitempty"`
-	WithoutClaim bool            `json:"without_claim,omitempty"`
-	DoubtedBy    fleet.DaemonID  `json:"doubted_by,omitempty"`
-	DoubtedAt    *time.Time      `json:"doubted_at,omitempty"`
-	SettledBy    string          `json:"settled_by,omitempty"`
-	SettledAt    *time.Time      `json:"settled_at,omitempty"`
+	Team         fleet.TeamName `json:"team"`
+	Service      string         `json:"service"`
+	Key          string         `json:"key"` // the caller's idempotency key
+	State        order.State    `json:"state"`
+	Method       string         `json:"method"`
+	Path         string         `json:"path"`
+	Claim        infra.Offset   `json:"claim"` // offset of the claim in force
+	Claimant     string         `json:"claimant"`
+	ClaimedAt    time.Time      `json:"claimed_at"`
+	Deadline     time.Time      `json:"deadline"`
+	ExpiresAt    time.Time      `json:"expires_at"`
+	AnswerStatus int            `json:"answer_status,omitempty"`
+	AnswerBytes  int            `json:"answer_bytes,omitempty"`
+	WithoutClaim bool           `json:"without_claim,omitempty"`
+	DoubtedBy    fleet.DaemonID `json:"doubted_by,omitempty"`
+	DoubtedAt    *time.Time     `json:"doubted_at,omitempty"`
+	SettledBy    string         `json:"settled_by,omitempty"`
+	SettledAt    *time.Time     `json:"settled_at,omitempty"`
 }
 
 func newOrderStatus(record order.Record) OrderStatus {
--- a/internal/adminapi/status.go
+++ b/internal/adminapi/status.go
@@ -2,8 +2,8 @@
 
 import (
 	"github.com/plantainmux/plantainmux/internal/fleet"
-	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/infra"
+	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/view"
 )
 
@@ -13,7 +13,7 @@
 	DataCentre     fleet.DataCentre   `json:"data_centre"`
 	Ready          bool               `json:"ready"`
 	Draining       bool               `json:"draining"`
-	ConfigVersion  infra.Offset    `json:"config_version"`
+	ConfigVersion  infra.Offset       `json:"config_version"`
 	ConfigSource   string             `json:"config_source"`             // log or peer
 	ConfigTookMS   int64              `json:"config_took_ms"`            // from its publication until it was in force here, by both clocks
 	RefusedStreams []string           `json:"refused_streams,omitempty"` // log streams that contradict what was applied
--- a/internal/admit/usage_update.go
+++ b/internal/admit/usage_update.go
@@ -11,9 +11,9 @@
 // usageUpdate tells the other daemons of the data centre what has changed in the
 // own usage. Its digest shows whether the changes before it were heard too.
 type usageUpdate struct {
-	_       struct{}        `cbor:",toarray"`
+	_       struct{}     `cbor:",toarray"`
 	Version infra.Offset // of the configuration whose numbers are used
-	Digest  uint16          // of the whole usage told by now
+	Digest  uint16       // of the whole usage told by now
 	Changes []byte
 }
 
--- a/internal/admit/usage_update_test.go
+++ b/internal/admit/usage_update_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/fleet"
-	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/infra"
+	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/view"
 )
 
--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
-	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/infra"
+	"github.com/plantainmux/plantainmux/internal/logstream"
 )
 
 // sizedConfiguration has a number of models, each with replicas in 7 data
--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -3,8 +3,8 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/infra"
+	"github.com/plantainmux/plantainmux/internal/logstream"
 )
 
 // StreamName is the stream that holds the configurations.
@@ -18,8 +18,8 @@
 
 // Publish is the body of a KindPublish record.
 type Publish struct {
-	Base          infra.Offset `json:"base"` // version in force that the change was made from
-	Configuration Configuration   `json:"configuration"`
+	Base          infra.Offset  `json:"base"` // version in force that the change was made from
+	Configuration Configuration `json:"configuration"`
 }
 
 // Fold is the configuration in force.
--- a/internal/config/fold_test.go
+++ b/internal/config/fold_test.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/infra"
+	"github.com/plantainmux/plantainmux/internal/logstream"
 )
 
 // applyPublish applies an empty configuration to a fold.
--- a/internal/config/publisher.go
+++ b/internal/config/publisher.go
@@ -5,8 +5,8 @@
 	"errors"
 	"log/slog"
 
-	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/infra"
+	"github.com/plantainmux/plantainmux/internal/logstream"
 )
 
 // Publisher puts configurations in force. It runs its own follower of the
--- a/internal/config/version_notice.go
+++ b/internal/config/version_notice.go
@@ -7,7 +7,7 @@
 
 // VersionNotice tells peers which version is in force on a daemon.
 type VersionNotice struct {
-	Version    infra.Offset  `cbor:"1,keyasint"`
+	Version    infra.Offset     `cbor:"1,keyasint"`
 	DataCentre fleet.DataCentre `cbor:"2,keyasint"` // of the daemon
 	Digest     uint64           `cbor:"3,keyasint"` // of the configuration
 }
--- a/internal/config/versioned.go
+++ b/internal/config/versioned.go
@@ -6,6 +6,6 @@
 // put it in force. Version 0 means that there is none.
 type Versioned struct {
 	Version         infra.Offset `json:"version"`
-	PublishedMillis int64           `json:"published_ms"` // publisher's clock, Unix milliseconds
+	PublishedMillis int64        `json:"published_ms"` // publisher's clock, Unix milliseconds
 	Configuration
 }
--- a/internal/evidence/breach.go
+++ b/internal/evidence/breach.go
@@ -8,8 +8,8 @@
 
 // Breach is one violation of a condition.
 type Breach struct {
-	At     time.Time       `json:"at"`
-	Stream string          `json:"stream"`
+	At     time.Time    `json:"at"`
+	Stream string       `json:"stream"`
 	Offset infra.Offset `json:"offset"`
-	Text   string          `json:"text"`
+	Text   string       `json:"text"`
 }
--- a/internal/evidence/coverage.go
+++ b/internal/evidence/coverage.go
@@ -4,11 +4,11 @@
 
 // Coverage says which part of a stream a report is based on.
 type Coverage struct {
-	Stream  string          `json:"stream"`
+	Stream  string       `json:"stream"`
 	Oldest  infra.Offset `json:"oldest"`
 	Next    infra.Offset `json:"next"`
-	Records int             `json:"records"`
-	Unread  int             `json:"unread"` // records that could not be decoded
+	Records int          `json:"records"`
+	Unread  int          `json:"unread"` // records that could not be decoded
 }
 
 func coverageOf(h History) Coverage {
--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -10,14 +10,14 @@
 	"github.com/plantainmux/plantainmux/internal/evidence"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/group"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/order"
-	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // snapshotRecord has the fields of a snapshot record.
 type snapshotRecord struct {
-	AsOf    infra.Offset   `cbor:"1,keyasint"`
+	AsOf    infra.Offset      `cbor:"1,keyasint"`
 	Writers map[string]uint64 `cbor:"2,keyasint"`
 	State   []byte            `cbor:"3,keyasint"`
 }
--- a/internal/evidence/item.go
+++ b/internal/evidence/item.go
@@ -1,8 +1,8 @@
 package evidence
 
 import (
-	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/infra"
+	"github.com/plantainmux/plantainmux/internal/logstream"
 )
 
 // Item is one record of a stream.
--- a/internal/evidence/order_book.go
+++ b/internal/evidence/order_book.go
@@ -1,9 +1,9 @@
 package evidence
 
 import (
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/order"
-	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // orderClaim is one recorded claim of a key with what was said of it.
--- a/internal/evidence/publisher.go
+++ b/internal/evidence/publisher.go
@@ -5,8 +5,8 @@
 	"log/slog"
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/infra"
+	"github.com/plantainmux/plantainmux/internal/logstream"
 )
 
 const (
--- a/internal/evidence/read.go
+++ b/internal/evidence/read.go
@@ -7,9 +7,9 @@
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/group"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/order"
-	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 const readPage = 1024 // records of one read
--- /dev/null
+++ b/internal/exchange/dependencies.go
@@ -0,0 +1,31 @@
+package exchange
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/placement"
+)
+
+// Dependencies are what an exchanger works with.
+type Dependencies struct {
+	View      func() *placement.View
+	Transport Transport
+	Zone      string     // data centre of the daemon
+	Daemons   func() int // live ones, this one included
+	Killers   *Killers   // requests that crashed what ran them
+	Metrics   *Metrics
+	Logger    *slog.Logger
+	Retries   RetryBounds
+	BodyLimit int64 // bytes of an answer that is passed on as a whole
+	// Doubt is told of a group that has fallen silent or said that a member is
+	// missing; fault names the member, empty if unknown.
+	Doubt func(target *placement.Target, fault string)
+}
+
+// RetryBounds bound the arrivals at a service beyond the first of each request.
+type RetryBounds struct {
+	Share  float64 // of the requests of a window
+	Slack  float64 // arrivals of a window, over all daemons
+	Window time.Duration
+}
--- /dev/null
+++ b/internal/exchange/exchanger.go
@@ -0,0 +1,64 @@
+package exchange
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Exchanger runs requests.
+type Exchanger struct {
+	Dependencies
+	budgets  sync.Map // *Budget by service
+	patience lateness
+}
+
+// New returns an exchanger.
+func New(dependencies Dependencies) *Exchanger {
+	return &Exchanger{Dependencies: dependencies}
+}
+
+// Run passes a request on until sink has its whole answer. A nil result means
+// that it has.
+func (x *Exchanger) Run(ctx context.Context, req *Request, sink Sink) *Failure {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	x.budget(req.Service.Name).Earn(req.Arrived, x.Daemons())
+	req.Late = x.patience.isLate(req)
+	r := &run{Exchanger: x, req: req, sink: sink, excluded: map[string]bool{}}
+	r.events.last = req.LastEvent
+	failure := r.untilWhole(ctx)
+	x.report(r, failure)
+	return failure
+}
+
+func (x *Exchanger) budget(service string) *Budget {
+	if known, ok := x.budgets.Load(service); ok {
+		return known.(*Budget)
+	}
+	made, _ := x.budgets.LoadOrStore(service, NewBudget(x.Retries.Share, x.Retries.Slack, x.Retries.Window))
+	return made.(*Budget)
+}
+
+// report counts the outcome and logs it: each failure and what needed more than
+// one attempt, and a sample of the rest.
+func (x *Exchanger) report(r *run, failure *Failure) {
+	took := time.Since(r.req.Arrived)
+	x.Metrics.finished(r, failure, took)
+	if failure == nil && r.attempts <= 1 && !x.Metrics.sampled() {
+		return
+	}
+	outcome := "done"
+	reason := Reason("")
+	if failure != nil {
+		outcome = "failed"
+		reason = failure.Reason
+		if failure.NotRun {
+			outcome = "not_run"
+		}
+	}
+	x.Logger.Info("request finished", "request", r.req.ID, "route", r.req.Route.Name, "kind", r.req.Route.Kind.String(),
+		"outcome", outcome, "reason", reason, "attempts", r.attempts, "took_ms", took.Milliseconds(),
+		"first_ms", r.firstAfter().Milliseconds(), "longest_gap_ms", r.longestGap.Milliseconds(), "late_retry", r.req.Late,
+		"left_ms", time.Until(r.req.Deadline).Milliseconds())
+}
--- /dev/null
+++ b/internal/exchange/metrics.go
@@ -0,0 +1,59 @@
+package exchange
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/plantainmux/plantainmux/internal/catalog"
+)
+
+const sampleEvery = 64 // ordinary successes, of which one is logged
+
+// Metrics counts requests and attempts.
+type Metrics struct {
+	set       *metrics.Set
+	successes atomic.Uint64
+	first     map[catalog.Kind]*metrics.Histogram
+	gaps      *metrics.Histogram
+}
+
+// NewMetrics registers a counter for each reason, so that each shows from the
+// start.
+func NewMetrics(set *metrics.Set) *Metrics {
+	for _, reason := range Reasons {
+		set.GetOrCreateCounter(failureName(reason))
+	}
+	m := &Metrics{set: set, first: map[catalog.Kind]*metrics.Histogram{}}
+	for _, kind := range []catalog.Kind{catalog.Safe, catalog.Unsafe, catalog.Streaming} {
+		m.first[kind] = set.GetOrCreateHistogram(fmt.Sprintf(`plantainmux_exchange_first_seconds{kind=%q}`, kind))
+	}
+	m.gaps = set.GetOrCreateHistogram("plantainmux_exchange_longest_gap_seconds")
+	return m
+}
+
+func failureName(reason Reason) string {
+	return fmt.Sprintf(`plantainmux_exchange_failures_total{reason=%q}`, reason)
+}
+
+func (m *Metrics) finished(r *run, failure *Failure, _ time.Duration) {
+	if failure != nil {
+		m.set.GetOrCreateCounter(failureName(failure.Reason)).Inc()
+		return
+	}
+	m.successes.Add(1)
+	m.set.GetOrCreateCounter(fmt.Sprintf(`plantainmux_exchange_done_total{kind=%q}`, r.req.Route.Kind)).Inc()
+	m.first[r.req.Route.Kind].Update(r.firstAfter().Seconds())
+	if r.longestGap > 0 {
+		m.gaps.Update(r.longestGap.Seconds())
+	}
+}
+
+func (m *Metrics) retried(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`plantainmux_exchange_retries_total{reason=%q}`, reason)).Inc()
+}
+
+// sampled reports whether an ordinary success is logged.
+func (m *Metrics) sampled() bool { return m.successes.Load()%sampleEvery == 1 }
--- /dev/null
+++ b/internal/exchange/watch.go
@@ -0,0 +1,79 @@
+package exchange
+
+import (
+	"context"
+	"maps"
+	"sync/atomic"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/catalog"
+	"github.com/plantainmux/plantainmux/internal/placement"
+)
+
+const (
+	watchEvery  = 60 * time.Millisecond   // between two looks at a stream's group: about one event
+	stuckStream = 1500 * time.Millisecond // of one stream's own silence; callers give up after two seconds
+	slowFactor  = 2                       // objectives after which an idempotent request is tried elsewhere
+)
+
+// watch ends an attempt at a target that shows signs of failure, if the request
+// may go on elsewhere.
+type watch struct {
+	run    *run
+	target *placement.Target
+	cancel context.CancelCauseFunc
+	timer  *time.Timer
+	failed map[string]bool // keys of this target and of those that failed before
+	last   atomic.Int64    // Unix nanoseconds of the last event, or of the attempt's start
+}
+
+func (r *run) newWatch(target *placement.Target, cancel context.CancelCauseFunc) *watch {
+	w := &watch{run: r, target: target, cancel: cancel, failed: map[string]bool{target.Key: true}}
+	maps.Copy(w.failed, r.excluded)
+	w.last.Store(time.Now().UnixNano())
+	if !r.req.Route.Repeatable() || r.ran+1 >= r.req.Route.MaxAttempts {
+		return w
+	}
+	if r.req.Route.Kind == catalog.Streaming {
+		w.timer = time.AfterFunc(watchEvery, w.lookAtStream)
+		return w
+	}
+	if r.req.Route.Objective > 0 {
+		after := slowFactor * r.req.Route.Objective
+		w.timer = time.AfterFunc(after, func() { cancel(&SlowError{After: after}) })
+	}
+	return w
+}
+
+// progress notes an event.
+func (w *watch) progress(now time.Time) { w.last.Store(now.UnixNano()) }
+
+func (w *watch) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+// lookAtStream ends the attempt when the whole group has brought nothing for
+// too long, which a lost member explains and a busy group does not, or when
+// the caller would soon give up.
+func (w *watch) lookAtStream() {
+	now := time.Now()
+	own := now.Sub(time.Unix(0, w.last.Load()))
+	length, silent := w.target.Meter.Silence(now)
+	switch {
+	case silent && own > w.target.Meter.Patience() && w.hasOther(now):
+		w.cancel(&SilentError{For: length})
+	case own > stuckStream && w.hasOther(now):
+		w.cancel(&SlowError{After: own})
+	default:
+		w.timer.Reset(watchEvery)
+	}
+}
+
+// hasOther reports whether another target could take the request.
+func (w *watch) hasOther(now time.Time) bool {
+	targets := w.run.View().Targets(w.run.req.Service.Name, w.run.req.Model)
+	other, _ := placement.Pick(targets, placement.Demand{Grouped: w.run.req.Service.Grouped(), Resumed: true, Excluded: w.failed, Now: now})
+	return other != nil
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,223 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/plantainmux/plantainmux/internal/catalog"
+	"github.com/plantainmux/plantainmux/internal/exchange"
+	"github.com/plantainmux/plantainmux/internal/formation"
+	"github.com/plantainmux/plantainmux/internal/gossip"
+	"github.com/plantainmux/plantainmux/internal/keyed"
+	"github.com/plantainmux/plantainmux/internal/ledger"
+	"github.com/plantainmux/plantainmux/internal/peerlog"
+	"github.com/plantainmux/plantainmux/internal/placement"
+	"github.com/plantainmux/plantainmux/internal/registry"
+	"github.com/plantainmux/plantainmux/internal/rhythm"
+)
+
+const (
+	seldomWait   = 4 * time.Second         // long polls of topics that change seldom
+	callLimit    = 1500 * time.Millisecond // of a store call, beside its wait
+	steadyPause  = 500 * time.Millisecond  // between two reads of the entries
+	pendingPause = 100 * time.Millisecond  // the same, while some group is on its way
+	lapseGrace   = 2200 * time.Millisecond // in which entries that lapsed in an outage come back
+	bodyLimit    = 8 << 20                 // bytes of an answer that is passed on as a whole
+)
+
+// Gateway is a daemon on a platform with a store of its own.
+type Gateway struct {
+	settings Settings
+	adapters Adapters
+	logger   *slog.Logger
+	metrics  *metrics.Set
+	started  time.Time
+
+	catalogs  catalog.Store
+	registry  *registry.Registry
+	ledger    *ledger.Ledger
+	meters    *rhythm.Meters
+	view      atomic.Pointer[placement.View]
+	keeper    *formation.Keeper
+	gossip    *gossip.Gossip
+	exchanger *exchange.Exchanger
+	killers   *exchange.Killers
+	doubts    doubts
+
+	configs   *keyed.Follower
+	entries   *keyed.Follower
+	groups    *keyed.Follower
+	daemons   *keyed.Follower
+	peers     *peerlog.Client
+	writers   atomic.Pointer[[]string] // live daemons that reach the store
+	live      atomic.Int32             // live daemons
+	unsettled atomic.Bool
+	behind    atomic.Int64 // Unix nanoseconds since which another daemon has a newer configuration
+	traffic   atomic.Bool  // requests have come, here or elsewhere
+
+	inFlight atomic.Int64
+	stopping atomic.Bool
+	tasks    sync.WaitGroup
+}
+
+// New returns a gateway that has not started. It fails if an address cannot be
+// had.
+func New(s Settings, adapters Adapters, logger *slog.Logger) (*Gateway, error) {
+	g := &Gateway{
+		settings: s,
+		adapters: adapters,
+		logger:   logger.With("node", s.Node),
+		metrics:  metrics.NewSet(),
+		started:  time.Now(),
+		meters:   rhythm.NewMeters(),
+		killers:  exchange.NewKillers(),
+		peers:    peerlog.NewClient(),
+	}
+	g.live.Store(1)
+	g.writers.Store(&[]string{s.Node})
+	g.view.Store(&placement.View{})
+	g.traffic.Store(!s.First)
+	if err := g.buildGossip(); err != nil {
+		return nil, err
+	}
+	g.buildFollowers()
+	g.buildKeeper()
+	g.buildRequestPath()
+	return g, nil
+}
+
+func (g *Gateway) buildFollowers() {
+	log := &keyed.Fallback{Log: g.adapters.Store, Peer: g.reader}
+	g.registry = registry.New(g.adapters.DecodeEntry, lapseGrace, g.logger, g.changed)
+	g.ledger = ledger.New(g.adapters.Store, g.logger, g.changed)
+	seldom := keyed.LongPoll(seldomWait, callLimit)
+	often := keyed.Pacing{Timeout: callLimit, Pause: g.entriesPause}
+	g.configs = keyed.NewFollower(log, g.adapters.Topics.Operators, seldom, g.applyConfig, g.logger)
+	g.entries = keyed.NewFollower(log, g.adapters.Topics.Endpoints, often, g.registry.Apply, g.logger)
+	g.groups = keyed.NewFollower(log, ledger.Topic, seldom, g.ledger.Apply, g.logger)
+	g.daemons = keyed.NewFollower(log, gossip.Topic, seldom, g.gossip.Apply, g.logger)
+}
+
+func (g *Gateway) buildKeeper() {
+	g.keeper = formation.NewKeeper(formation.Dependencies{
+		Catalog:   g.catalogs.Load,
+		Endpoints: g.registry.Load,
+		Ledger:    g.ledger,
+		Engines:   g.adapters.Engines,
+		Owns:      g.owns,
+		Quiet:     func() bool { return !g.traffic.Load() },
+		Daemons:   g.liveDaemons,
+		CanWrite:  g.storeReached,
+		Refresh:   func() { g.entries.Poke(false) },
+		Logger:    g.logger,
+	})
+}
+
+func (g *Gateway) buildRequestPath() {
+	g.exchanger = exchange.New(exchange.Dependencies{
+		View:      g.view.Load,
+		Transport: g.adapters.Transport,
+		Zone:      g.settings.DataCentre,
+		Daemons:   g.liveDaemons,
+		Killers:   g.killers,
+		Metrics:   exchange.NewMetrics(g.metrics),
+		Logger:    g.logger,
+		Retries: exchange.RetryBounds{
+			Share:  g.settings.Bounds.RetryShare,
+			Slack:  g.settings.Bounds.RetrySlack,
+			Window: time.Duration(g.settings.Bounds.RetryWindowS * float64(time.Second)),
+		},
+		BodyLimit: bodyLimit,
+		Doubt:     g.doubt,
+	})
+}
+
+// Run runs the gateway until ctx ends, then stops it gracefully.
+func (g *Gateway) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	servers, err := g.listen()
+	if err != nil {
+		return err
+	}
+	for _, run := range []func(context.Context){
+		g.configs.Run, g.entries.Run, g.groups.Run, g.daemons.Run, g.gossip.Run, g.register, g.plan, g.housekeep,
+	} {
+		g.tasks.Go(func() { run(background) })
+	}
+	g.logger.Info("daemon started", "callers", g.settings.Listen.Callers, "first", g.settings.First)
+	<-ctx.Done()
+	g.stop()
+	for _, server := range servers {
+		_ = server.Close()
+	}
+	cancel()
+	g.tasks.Wait()
+	g.logger.Info("daemon stopped", "ran_s", time.Since(g.started).Seconds())
+	return nil
+}
+
+func (g *Gateway) listen() ([]*http.Server, error) {
+	own := http.NewServeMux()
+	own.Handle(peerlog.Path, peerlog.Handler(g.adapters.Store))
+	own.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { g.writeMetrics(w) })
+	var servers []*http.Server
+	for address, handler := range map[string]http.Handler{
+		g.settings.Listen.Callers:   g.adapters.Callers(g),
+		g.settings.Listen.Readiness: g.adapters.Readiness(g),
+		g.peerAddress():             own,
+	} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, &ListenError{Address: address, Err: err}
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug)}
+		servers = append(servers, server)
+		g.tasks.Go(func() { _ = server.Serve(listener) }) // it ends when the server is closed
+	}
+	return servers, nil
+}
+
+func (g *Gateway) peerAddress() string {
+	return net.JoinHostPort(g.settings.Listen.Host, strconv.Itoa(g.settings.Listen.FirstPort))
+}
+
+func (g *Gateway) liveDaemons() int { return int(g.live.Load()) }
+
+// changed rebuilds what the path of a request reads.
+func (g *Gateway) changed() {
+	current := g.catalogs.Load()
+	if current == nil {
+		return
+	}
+	g.view.Store(placement.Build(current, g.registry.Load(), g.ledger.Load(), g.meters))
+	if g.keeper != nil {
+		g.keeper.Wake()
+	}
+}
+
+func (g *Gateway) applyConfig(batch keyed.Batch) {
+	for _, record := range batch.Records {
+		if record.Key != g.adapters.Topics.ConfigKey || record.Value == nil {
+			continue
+		}
+		next, err := g.adapters.DecodeConfig(record.Value)
+		if err != nil {
+			g.logger.Error("configuration refused", "offset", record.Offset, "error", err)
+			continue
+		}
+		if g.catalogs.Put(next) {
+			g.behind.Store(0)
+			g.logger.Info("configuration in force", "version", next.Version, "routes", next.Routes(), "offset", record.Offset)
+		}
+	}
+	g.changed()
+}
--- /dev/null
+++ b/internal/gateway/housekeeping.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/gossip"
+	"github.com/plantainmux/plantainmux/internal/rhythm"
+	"github.com/plantainmux/plantainmux/internal/wait"
+)
+
+const (
+	houseEvery = 100 * time.Millisecond
+	sweepEvery = 10 // rounds of housekeeping between two sweeps of idle connections
+)
+
+type meter = *rhythm.Meter
+
+// housekeep takes in what the other daemons tell and lets go of what is old.
+func (g *Gateway) housekeep(ctx context.Context) {
+	for round := 0; wait.For(ctx, houseEvery); round++ {
+		now := time.Now()
+		g.takePeers(now)
+		g.registry.Expire(now)
+		if round%sweepEvery == 0 {
+			g.adapters.Sweep(now)
+			g.dropMeters()
+		}
+	}
+}
+
+func (g *Gateway) takePeers(now time.Time) {
+	live := g.gossip.Live(now)
+	g.live.Store(int32(len(live)))
+	writers := g.gossip.Writers(now, g.storeReached() && !g.stopping.Load())
+	g.writers.Store(&writers)
+	loads := g.gossip.Loads(now)
+	g.meters.Each(func(key string, meter meter) { meter.SetElsewhere(loads[gossip.HashKey(key)]) })
+	g.killers.SetOther(g.gossip.Crashes(now), now)
+}
+
+// dropMeters forgets the targets that no view names any more.
+func (g *Gateway) dropMeters() {
+	kept := map[string]bool{}
+	view := g.view.Load()
+	for _, targets := range view.Plain {
+		for _, target := range targets {
+			kept[target.Key] = true
+		}
+	}
+	for _, models := range view.Groups {
+		for _, targets := range models {
+			for _, target := range targets {
+				kept[target.Key] = true
+			}
+		}
+	}
+	g.meters.Keep(kept)
+}
+
+// plan keeps the groups once the daemons have heard of each other.
+func (g *Gateway) plan(ctx context.Context) {
+	for !g.booted() || time.Since(g.started) < firstPlanAfter {
+		if !wait.For(ctx, houseEvery/2) {
+			return
+		}
+	}
+	g.tasks.Go(func() { g.watchUnsettled(ctx) })
+	g.keeper.Run(ctx)
+}
+
+// watchUnsettled notes whether some group is on its way, whoever plans it.
+func (g *Gateway) watchUnsettled(ctx context.Context) {
+	for wait.For(ctx, houseEvery) {
+		g.unsettled.Store(g.keeper.Unsettled())
+	}
+}
+
+func (g *Gateway) entriesPause() time.Duration {
+	if g.unsettled.Load() || !g.traffic.Load() {
+		return pendingPause
+	}
+	return steadyPause
+}
+
+// booted reports whether everything that a request needs has been read once.
+func (g *Gateway) booted() bool {
+	return g.catalogs.Load() != nil && g.entries.Booted() && g.groups.Booted()
+}
--- /dev/null
+++ b/internal/gateway/listen_error.go
@@ -0,0 +1,15 @@
+package gateway
+
+import "fmt"
+
+// ListenError says that an address cannot be listened on.
+type ListenError struct {
+	Address string
+	Err     error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string { return fmt.Sprintf("cannot listen on %s: %v", e.Address, e.Err) }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/gossip"
+	"github.com/plantainmux/plantainmux/internal/keyed"
+	"github.com/plantainmux/plantainmux/internal/placement"
+	"github.com/plantainmux/plantainmux/internal/rendezvous"
+	"github.com/plantainmux/plantainmux/internal/wait"
+)
+
+const (
+	storeLost      = 1500 * time.Millisecond // without a successful call, after which this daemon does not plan
+	behindFor      = 200 * time.Millisecond  // for which another daemon may have a newer configuration before it is fetched
+	peerSuspicion  = time.Second             // for which a group that another daemon doubts is passed over
+	registerPause  = 300 * time.Millisecond
+	firstPlanAfter = 500 * time.Millisecond // for the daemons to have heard of each other
+)
+
+func (g *Gateway) buildGossip() error {
+	var err error
+	g.gossip, err = gossip.New(gossip.Dependencies{
+		Node: g.settings.Node, Zone: g.settings.DataCentre, Address: g.peerAddress(), Incarnation: g.started.UnixMilli(),
+		Tell: g.tell, OnMessage: g.hear, Logger: g.logger,
+	})
+	if err != nil {
+		return &ListenError{Address: g.peerAddress(), Err: err}
+	}
+	return nil
+}
+
+// tell returns what the other daemons are told.
+func (g *Gateway) tell() gossip.Message {
+	now := time.Now()
+	message := gossip.Message{
+		Draining: g.stopping.Load(), Traffic: g.traffic.Load(), Store: g.storeReached(),
+		Doubts: g.doubts.list(now), Crashes: g.killers.Own(now),
+	}
+	if current := g.catalogs.Load(); current != nil {
+		message.Config = current.Version
+	}
+	g.meters.Each(func(key string, meter meter) {
+		if count := meter.InFlight(); count > 0 {
+			if message.Loads == nil {
+				message.Loads = map[uint32]int{}
+			}
+			message.Loads[gossip.HashKey(key)] = count
+		}
+	})
+	return message
+}
+
+// hear takes what another daemon tells.
+func (g *Gateway) hear(_ *gossip.Peer, message gossip.Message) {
+	now := time.Now()
+	if message.Traffic {
+		g.traffic.Store(true)
+	}
+	for _, doubt := range message.Doubts {
+		if meter := g.meters.Find(placement.GroupKey(doubt.Group, doubt.Epoch)); meter != nil {
+			meter.Suspect(now.Add(peerSuspicion))
+		}
+		g.keeper.Doubt(context.Background(), doubt.Group, doubt.Epoch, doubt.Fault)
+	}
+	g.noteVersion(message.Config, now)
+}
+
+// noteVersion reads the configuration anew when another daemon has had a newer
+// one for a while: the long poll may be on a connection that has gone silent.
+func (g *Gateway) noteVersion(version int64, now time.Time) {
+	current := g.catalogs.Load()
+	if current == nil || version <= current.Version {
+		return
+	}
+	g.behind.CompareAndSwap(0, now.UnixNano())
+	if now.Sub(time.Unix(0, g.behind.Load())) > behindFor {
+		g.behind.Store(now.UnixNano())
+		g.configs.Poke(true)
+	}
+}
+
+// doubt tells all daemons of a group that has fallen silent or named a missing
+// member.
+func (g *Gateway) doubt(target *placement.Target, fault string) {
+	if target.Group == "" {
+		return
+	}
+	g.doubts.add(gossip.Doubt{Group: target.Group, Epoch: target.Epoch, Fault: fault}, time.Now())
+	g.keeper.Doubt(context.Background(), target.Group, target.Epoch, fault)
+}
+
+// reader returns a daemon that reaches the store, nil if none is heard.
+func (g *Gateway) reader() keyed.Log {
+	address := g.gossip.AnyWriter(time.Now(), rand.Float64())
+	if address == "" {
+		return nil
+	}
+	return g.peers.Through(address)
+}
+
+// register writes this daemon's address to the store, for the others.
+func (g *Gateway) register(ctx context.Context) {
+	own, err := g.gossip.Own()
+	if err != nil {
+		g.logger.Error("registration not encoded", "error", err)
+		return
+	}
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, callLimit)
+		err := g.adapters.Store.Put(call, gossip.Topic, own)
+		cancel()
+		if err == nil {
+			return
+		}
+		g.logger.Warn("registration not written", "error", err)
+		wait.For(ctx, registerPause)
+	}
+}
+
+// owns reports whether this daemon plans the groups of a domain. The choice may
+// be doubled for a moment: that costs orders, never a wrong grant.
+func (g *Gateway) owns(domain string) bool {
+	return rendezvous.Chosen(domain, *g.writers.Load(), 1, g.settings.Node)
+}
+
+// storeReached reports whether this daemon itself reads the store.
+func (g *Gateway) storeReached() bool {
+	return g.entries.Booted() && g.entries.Failing(time.Now()) < storeLost
+}
--- /dev/null
+++ b/internal/gateway/random.go
@@ -0,0 +1,6 @@
+package gateway
+
+import "math/rand/v2"
+
+// random returns a number of [0, 1).
+func random() float64 { return rand.Float64() }
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/strictyaml"
+)
+
+// Settings are the settings of one daemon on a platform.
+type Settings struct {
+	Node       string `yaml:"node"`
+	DataCentre string `yaml:"data_centre"`
+	Listen     Listen `yaml:"listen"`
+	Store      string `yaml:"store"` // address of the platform's store
+	First      bool   `yaml:"first"` // the whole fleet starts for the first time
+	Limits     Limits `yaml:"limits"`
+	Bounds     Bounds `yaml:"bounds"`
+}
+
+// Listen are the addresses of a daemon, IP and port.
+type Listen struct {
+	Callers   string `yaml:"callers"`
+	Readiness string `yaml:"readiness"`
+	Host      string `yaml:"host"`       // IP for the other daemons and for metrics
+	FirstPort int    `yaml:"first_port"` // of the ports that the daemons may use among themselves
+	LastPort  int    `yaml:"last_port"`
+}
+
+// Limits are the limits of the process.
+type Limits struct {
+	MemoryMB int     `yaml:"memory_mb"`
+	CPUShare float64 `yaml:"cpu_share"` // of one core
+}
+
+// Bounds are the platform's bounds.
+type Bounds struct {
+	GraceS          float64 `yaml:"grace_s"`             // from the signal to stop to the end
+	StabilityMS     int     `yaml:"stability_window_ms"` // for which calm must have lasted
+	ConfigurationMS int     `yaml:"configuration_ms"`    // in which a version must be in force
+	RetryShare      float64 `yaml:"retry_share"`         // arrivals beyond the first, of the requests
+	RetrySlack      float64 `yaml:"retry_slack"`         // arrivals beyond those, of a window
+	RetryWindowS    float64 `yaml:"retry_window_s"`
+}
+
+// Load reads a settings file. It fails with a list of problems that names each
+// field.
+func Load(path string) (Settings, error) {
+	var s Settings
+	document, err := strictyaml.ReadFile(path, &s)
+	if err != nil {
+		return Settings{}, err
+	}
+	if problems := s.check(document); len(problems) > 0 {
+		return Settings{}, problems
+	}
+	return s, nil
+}
+
+func (s *Settings) check(document *strictyaml.Document) strictyaml.Problems {
+	var problems strictyaml.Problems
+	require := func(ok bool, field string) {
+		if !ok {
+			problems = append(problems, document.Problem(field, strictyaml.Missing, "a value is needed"))
+		}
+	}
+	require(s.Node != "", "node")
+	require(s.DataCentre != "", "data_centre")
+	require(s.Store != "", "store")
+	require(s.Listen.Callers != "", "listen.callers")
+	require(s.Listen.Readiness != "", "listen.readiness")
+	require(s.Listen.Host != "", "listen.host")
+	require(s.Listen.FirstPort > 0, "listen.first_port")
+	require(s.Bounds.GraceS > 0, "bounds.grace_s")
+	require(s.Bounds.RetryWindowS > 0, "bounds.retry_window_s")
+	return problems
+}
+
+func (b Bounds) grace() time.Duration {
+	return time.Duration(b.GraceS * float64(time.Second))
+}
--- /dev/null
+++ b/internal/gossip/doubt.go
@@ -0,0 +1,8 @@
+package gossip
+
+// Doubt is a group that has fallen silent.
+type Doubt struct {
+	Group string `cbor:"1,keyasint"`
+	Epoch uint64 `cbor:"2,keyasint"`
+	Fault string `cbor:"3,keyasint,omitempty"` // the member that the head named
+}
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,276 @@
+package gossip
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/plantainmux/plantainmux/internal/keyed"
+)
+
+// Topic is the topic of the registrations.
+const Topic = "keyed.daemons"
+
+const (
+	minInterval  = 100 * time.Millisecond // between two datagrams to one peer
+	sendsPerS    = 80                     // datagrams of one daemon, however many peers there are
+	liveInterval = 6                      // intervals of silence after which a peer counts as gone
+	lostAfter    = 5 * time.Second        // of silence, after which a peer is told less often
+	lostInterval = time.Second            // between two datagrams to such a peer
+	maxDatagram  = 8192                   // bytes
+	minLive      = 700 * time.Millisecond
+)
+
+// Dependencies are what the gossip of a daemon works with.
+type Dependencies struct {
+	Node        string
+	Zone        string
+	Address     string // own IP and port
+	Incarnation int64
+	Tell        func() Message // what to tell; the sender's fields are filled in
+	OnMessage   func(from *Peer, message Message)
+	Logger      *slog.Logger
+}
+
+// Gossip exchanges datagrams with the other daemons.
+type Gossip struct {
+	Dependencies
+	conn *net.UDPConn
+
+	mu       sync.Mutex
+	peers    map[string]*Peer
+	sequence uint64
+}
+
+// New listens for datagrams. It fails if the address cannot be had.
+func New(dependencies Dependencies) (*Gossip, error) {
+	address, err := net.ResolveUDPAddr("udp4", dependencies.Address)
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	conn, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	return &Gossip{Dependencies: dependencies, conn: conn, peers: map[string]*Peer{}}, nil
+}
+
+// Own returns the record that registers this daemon.
+func (g *Gossip) Own() (keyed.Record, error) {
+	value, err := cbor.Marshal(Registration{Address: g.Address, Zone: g.Zone, Incarnation: g.Incarnation})
+	return keyed.Record{Key: g.Node, Value: value}, merry.Wrap(err)
+}
+
+// Apply takes the registrations of daemons.
+func (g *Gossip) Apply(batch keyed.Batch) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, record := range batch.Records {
+		g.register(record)
+	}
+}
+
+func (g *Gossip) register(record keyed.Record) {
+	if record.Key == g.Node {
+		return
+	}
+	if record.Value == nil {
+		delete(g.peers, record.Key)
+		return
+	}
+	var registration Registration
+	if err := cbor.Unmarshal(record.Value, &registration); err != nil {
+		g.Logger.Warn("registration refused", "node", record.Key, "error", merry.Wrap(err))
+		return
+	}
+	known := g.peers[record.Key]
+	if known != nil && known.Incarnation >= registration.Incarnation {
+		return
+	}
+	g.peers[record.Key] = &Peer{Node: record.Key, Address: registration.Address, Zone: registration.Zone, Incarnation: registration.Incarnation}
+}
+
+// Run sends and receives until ctx ends.
+func (g *Gossip) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = g.conn.Close() })
+	defer stop()
+	var wait sync.WaitGroup
+	wait.Go(g.receive)
+	ticker := time.NewTicker(minInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		g.send(time.Now())
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+	wait.Wait()
+}
+
+func (g *Gossip) receive() {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := g.conn.ReadFromUDP(buffer)
+		if err != nil {
+			return
+		}
+		var message Message
+		if err := cbor.Unmarshal(buffer[:n], &message); err != nil {
+			continue // a datagram of nobody we know
+		}
+		if from := g.take(message); from != nil {
+			g.OnMessage(from, message)
+		}
+	}
+}
+
+// take notes a datagram, and returns its sender unless it is unknown or the
+// datagram is older than one that came before.
+func (g *Gossip) take(message Message) *Peer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	peer := g.peers[message.Node]
+	if peer == nil || message.Incarnation < peer.Incarnation {
+		return nil
+	}
+	if message.Incarnation == peer.Incarnation && message.Sequence <= peer.sequence {
+		return nil
+	}
+	peer.Incarnation = message.Incarnation
+	peer.sequence = message.Sequence
+	peer.heard = time.Now()
+	peer.message = message
+	return peer
+}
+
+func (g *Gossip) send(now time.Time) {
+	due := g.due(now)
+	if len(due) == 0 {
+		return
+	}
+	message := g.Tell()
+	message.Node = g.Node
+	message.Incarnation = g.Incarnation
+	g.sequence++
+	message.Sequence = g.sequence
+	data, err := cbor.Marshal(message)
+	if err != nil {
+		g.Logger.Error("gossip not encoded", "error", merry.Wrap(err))
+		return
+	}
+	for _, address := range due {
+		to, err := net.ResolveUDPAddr("udp4", address)
+		if err == nil {
+			_, _ = g.conn.WriteToUDP(data, to) // a lost datagram is made good by the next
+		}
+	}
+}
+
+// due returns the addresses of the peers that are to be told now.
+func (g *Gossip) due(now time.Time) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	interval := g.interval()
+	var due []string
+	for _, peer := range g.peers {
+		wanted := interval
+		if now.Sub(peer.heard) > lostAfter {
+			wanted = max(interval, lostInterval)
+		}
+		if now.Sub(peer.sent) >= wanted-minInterval/4 {
+			peer.sent = now
+			due = append(due, peer.Address)
+		}
+	}
+	return due
+}
+
+// interval grows with the peers, so that what a daemon sends does not.
+func (g *Gossip) interval() time.Duration {
+	return max(minInterval, time.Duration(len(g.peers))*time.Second/sendsPerS)
+}
+
+// Live returns the names of the daemons that are heard, this one included, in
+// order.
+func (g *Gossip) Live(now time.Time) []string {
+	live := []string{g.Node}
+	g.each(now, func(peer *Peer) { live = append(live, peer.Node) })
+	slices.Sort(live)
+	return live
+}
+
+// Writers returns the names of the daemons that are heard and reach the store.
+// reach tells whether this one does.
+func (g *Gossip) Writers(now time.Time, reach bool) []string {
+	var writers []string
+	if reach {
+		writers = append(writers, g.Node)
+	}
+	g.each(now, func(peer *Peer) {
+		if peer.message.Store && !peer.message.Draining {
+			writers = append(writers, peer.Node)
+		}
+	})
+	slices.Sort(writers)
+	return writers
+}
+
+// AnyWriter returns the address of one of the other daemons that reach the store,
+// by a random number of [0, 1). It is empty if none is heard.
+func (g *Gossip) AnyWriter(now time.Time, random float64) string {
+	var addresses []string
+	g.each(now, func(peer *Peer) {
+		if peer.message.Store {
+			addresses = append(addresses, peer.Address)
+		}
+	})
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[int(random*float64(len(addresses)))]
+}
+
+// Loads returns the requests in progress through the other daemons.
+func (g *Gossip) Loads(now time.Time) map[uint32]int {
+	loads := map[uint32]int{}
+	g.each(now, func(peer *Peer) {
+		for key, count := range peer.message.Loads {
+			loads[key] += count
+		}
+	})
+	return loads
+}
+
+// Crashes returns what the other daemons saw requests crash.
+func (g *Gossip) Crashes(now time.Time) map[uint64]int {
+	crashes := map[uint64]int{}
+	g.each(now, func(peer *Peer) {
+		for fingerprint, count := range peer.message.Crashes {
+			crashes[fingerprint] += count
+		}
+	})
+	return crashes
+}
+
+// each calls f with each peer that is heard.
+func (g *Gossip) each(now time.Time, f func(peer *Peer)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	limit := max(minLive, liveInterval*g.interval())
+	for _, peer := range g.peers {
+		if now.Sub(peer.heard) < limit {
+			f(peer)
+		}
+	}
+}
+
+// HashKey returns the short form of a target's key.
+func HashKey(key string) uint32 { return uint32(xxhash.Sum64String(key)) }
--- a/internal/group/trace/replay.go
+++ b/internal/group/trace/replay.go
@@ -6,8 +6,8 @@
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/group"
-	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/infra"
+	"github.com/plantainmux/plantainmux/internal/logstream"
 )
 
 const (
--- a/internal/invariant/ledger.go
+++ b/internal/invariant/ledger.go
@@ -5,8 +5,8 @@
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/group"
-	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/infra"
+	"github.com/plantainmux/plantainmux/internal/logstream"
 )
 
 // Ledger is a plain reading of a group stream's records: which forms granted
--- /dev/null
+++ b/internal/keyed/expired_error.go
@@ -0,0 +1,14 @@
+package keyed
+
+import "fmt"
+
+// ExpiredError says that records were deleted before they were read.
+type ExpiredError struct {
+	Topic string
+	First uint64 // the oldest offset that is retained
+}
+
+// Error implements error.
+func (e *ExpiredError) Error() string {
+	return fmt.Sprintf("topic %s: records before offset %d have expired", e.Topic, e.First)
+}
--- /dev/null
+++ b/internal/keyed/record.go
@@ -0,0 +1,8 @@
+package keyed
+
+// Record is one record of a topic. A record without a value drops its key.
+type Record struct {
+	Key    string
+	Value  []byte
+	Offset uint64
+}
--- /dev/null
+++ b/internal/ledger/state.go
@@ -0,0 +1,17 @@
+package ledger
+
+// State is the ledger up to an offset. It is immutable.
+type State struct {
+	Groups map[string]*Record // by name
+	End    uint64             // offset after the last record
+}
+
+// Holder returns the group that an endpoint is granted to, nil for none.
+func (s *State) Holder(id string) *Record {
+	for _, record := range s.Groups {
+		if record.Has(id) {
+			return record
+		}
+	}
+	return nil
+}
--- a/internal/logging/logger_test.go
+++ b/internal/logging/logger_test.go
@@ -9,8 +9,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/plantainmux/plantainmux/internal/logging"
 	"github.com/plantainmux/plantainmux/internal/infra"
+	"github.com/plantainmux/plantainmux/internal/logging"
 )
 
 var _ = Describe("The logger", func() {
--- a/internal/logstream/entry.go
+++ b/internal/logstream/entry.go
@@ -15,7 +15,7 @@
 	Millis int64           `cbor:"3,keyasint"` // writer's clock, Unix milliseconds
 	Kind   Kind            `cbor:"4,keyasint"`
 	Body   cbor.RawMessage `cbor:"5,keyasint"`
-	Since  infra.Offset `cbor:"6,keyasint"` // last offset that the writer had applied when it first wrote the record
+	Since  infra.Offset    `cbor:"6,keyasint"` // last offset that the writer had applied when it first wrote the record
 }
 
 // Time returns the writer's clock at the time of writing.
--- a/internal/logstream/failures_test.go
+++ b/internal/logstream/failures_test.go
@@ -12,8 +12,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainmux/plantainmux/internal/fakes"
-	"github.com/plantainmux/plantainmux/internal/metric"
 	"github.com/plantainmux/plantainmux/internal/infra"
+	"github.com/plantainmux/plantainmux/internal/metric"
 )
 
 // inBackground proposes and returns the failure when ctx ends.
--- a/internal/logstream/reference.go
+++ b/internal/logstream/reference.go
@@ -7,8 +7,8 @@
 type reference struct {
 	AsOf   infra.Offset `cbor:"1,keyasint"` // as that of the snapshot
 	At     infra.Offset `cbor:"2,keyasint"` // offset in the stream of snapshots
-	Digest uint64          `cbor:"3,keyasint"` // of the snapshot before its compression
-	Bytes  int             `cbor:"4,keyasint"` // of the record that carries it
+	Digest uint64       `cbor:"3,keyasint"` // of the snapshot before its compression
+	Bytes  int          `cbor:"4,keyasint"` // of the record that carries it
 }
 
 // asReference returns the reference of a record that stands at an offset.
--- a/internal/logstream/writer.go
+++ b/internal/logstream/writer.go
@@ -21,8 +21,8 @@
 	counters counters
 	wake     chan struct{}
 	applied  func() infra.Offset // last offset that was applied
-	answered func()                 // notes that the log took an append
-	refused  func() error           // why nothing may be appended; nil when it may
+	answered func()              // notes that the log took an append
+	refused  func() error        // why nothing may be appended; nil when it may
 
 	mu       sync.Mutex
 	seq      uint64
--- a/internal/order/bed_test.go
+++ b/internal/order/bed_test.go
@@ -10,9 +10,9 @@
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/order"
-	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 )
 
--- a/internal/order/fold_test.go
+++ b/internal/order/fold_test.go
@@ -10,9 +10,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/order"
-	"github.com/plantainmux/plantainmux/internal/infra"
 )
 
 // slotFold applies records to a fold, one offset after the other.
--- a/internal/order/node_test.go
+++ b/internal/order/node_test.go
@@ -9,11 +9,11 @@
 
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/metric"
 	"github.com/plantainmux/plantainmux/internal/order"
 	"github.com/plantainmux/plantainmux/internal/peer"
-	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 )
 
--- a/internal/order/record.go
+++ b/internal/order/record.go
@@ -11,7 +11,7 @@
 // Record is what the fold knows of one key.
 type Record struct {
 	Claim         Claim                  `cbor:"1,keyasint"`
-	Offset        infra.Offset        `cbor:"2,keyasint"` // of the claim in force
+	Offset        infra.Offset           `cbor:"2,keyasint"` // of the claim in force
 	Writer        string                 `cbor:"3,keyasint"`
 	ClaimedMillis int64                  `cbor:"4,keyasint"` // writer's clock, Unix milliseconds
 	ExpiresMillis int64                  `cbor:"5,keyasint"` // stream time at which the key is dropped
--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/infra"
+	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 	"github.com/plantainmux/plantainmux/internal/wait"
 )
--- a/internal/order/settlement.go
+++ b/internal/order/settlement.go
@@ -4,8 +4,8 @@
 
 // Settlement is an operator's word on an unclear order.
 type Settlement struct {
-	Key      Key             `cbor:"1,keyasint"`
+	Key      Key          `cbor:"1,keyasint"`
 	Claim    infra.Offset `cbor:"2,keyasint"`
-	Ran      bool            `cbor:"3,keyasint"`
-	Operator string          `cbor:"4,keyasint"`
+	Ran      bool         `cbor:"3,keyasint"`
+	Operator string       `cbor:"4,keyasint"`
 }
--- a/internal/order/snapshot_bench_test.go
+++ b/internal/order/snapshot_bench_test.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/fakes"
+	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/order"
-	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/traffic"
 )
 
--- /dev/null
+++ b/internal/peerlog/server.go
@@ -0,0 +1,60 @@
+package peerlog
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/plantainmux/plantainmux/internal/keyed"
+)
+
+// Path is where a daemon lets others read.
+const Path = "/store"
+
+const (
+	paramTopic = "topic"
+	paramAfter = "after"
+	paramFrom  = "from" // absent: the newest records
+	paramWait  = "wait_ms"
+	maxWait    = 5 * time.Second
+)
+
+// Handler serves the reads of other daemons from a log.
+func Handler(log keyed.Log) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		page, err := read(log, r)
+		a := newAnswer(page)
+		var expired *keyed.ExpiredError
+		if errors.As(err, &expired) {
+			a = answer{Expired: true, First: expired.First}
+		} else if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		data, err := cbor.Marshal(a)
+		if err != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		_, _ = w.Write(data) // a reader that has gone asks again
+	})
+}
+
+func read(log keyed.Log, r *http.Request) (keyed.Page, error) {
+	query := r.URL.Query()
+	if !query.Has(paramFrom) {
+		return log.Newest(r.Context(), query.Get(paramTopic), query.Get(paramAfter))
+	}
+	from, err := strconv.ParseUint(query.Get(paramFrom), 10, 64)
+	if err != nil {
+		return keyed.Page{}, err
+	}
+	millis, err := strconv.ParseInt(query.Get(paramWait), 10, 64)
+	if err != nil {
+		return keyed.Page{}, err
+	}
+	return log.Read(r.Context(), query.Get(paramTopic), from, min(time.Duration(millis)*time.Millisecond, maxWait))
+}
--- /dev/null
+++ b/internal/placement/demand.go
@@ -0,0 +1,14 @@
+package placement
+
+import "time"
+
+// Demand is what a request asks of the target that takes it.
+type Demand struct {
+	Zone     string // of the daemon
+	Grouped  bool
+	Late     bool            // its objective has passed already, so that it is worth little
+	Resumed  bool            // a part of its answer has reached the caller
+	Urgency  int             // 0 is the most urgent
+	Excluded map[string]bool // keys of targets that failed this request
+	Now      time.Time
+}
--- /dev/null
+++ b/internal/rhythm/meter.go
@@ -0,0 +1,135 @@
+package rhythm
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	usualGap     = 70 * time.Millisecond  // between two events, before any was measured
+	gapWeight    = 0.1                    // of a new gap in the mean
+	silentGaps   = 3.0                    // usual gaps without any event after which a group is silent
+	minSilence   = 180 * time.Millisecond // above one pass that reads a full chunk for each of its steps
+	maxSilence   = 450 * time.Millisecond // below the pause after which callers give up
+	firstSilence = 420 * time.Millisecond // for a group that has brought no event since it was idle
+	failureBase  = 400 * time.Millisecond // for which a target is passed over after a failure
+	failureMax   = 3 * time.Second
+)
+
+// Meter is the rhythm of one target. All methods are safe for concurrent use
+// and take no lock.
+type Meter struct {
+	inFlight  atomic.Int32
+	elsewhere atomic.Int32 // in flight through other daemons, as they told last
+	busySince atomic.Int64 // Unix nanoseconds at which the target stopped being idle
+	lastEvent atomic.Int64 // Unix nanoseconds
+	gap       atomic.Uint64
+	failures  atomic.Int32 // without a success since
+	failedAt  atomic.Int64 // Unix nanoseconds
+	suspected atomic.Int64 // Unix nanoseconds until which a daemon holds the target for silent
+}
+
+// NewMeter returns a meter of a target that was never used.
+func NewMeter() *Meter {
+	m := &Meter{}
+	m.gap.Store(math.Float64bits(float64(usualGap)))
+	return m
+}
+
+// Begin notes that a request is sent to the target.
+func (m *Meter) Begin(now time.Time) {
+	if m.inFlight.Add(1) == 1 {
+		m.busySince.Store(now.UnixNano())
+	}
+}
+
+// End notes that the request is over.
+func (m *Meter) End() { m.inFlight.Add(-1) }
+
+// InFlight returns the requests in progress through this daemon.
+func (m *Meter) InFlight() int { return int(m.inFlight.Load()) }
+
+// Load returns the requests in progress through all daemons.
+func (m *Meter) Load() int { return int(m.inFlight.Load() + m.elsewhere.Load()) }
+
+// SetElsewhere notes the requests in progress through other daemons.
+func (m *Meter) SetElsewhere(count int) { m.elsewhere.Store(int32(count)) }
+
+// Event notes that the target brought an event now, length after the one before
+// of the same stream; 0 for the first.
+func (m *Meter) Event(now time.Time, length time.Duration) {
+	m.lastEvent.Store(now.UnixNano())
+	if m.failures.Load() != 0 {
+		m.failures.Store(0)
+	}
+	if length <= 0 {
+		return
+	}
+	old := m.Gap()
+	m.gap.Store(math.Float64bits(float64(old) + gapWeight*float64(length-old)))
+}
+
+// Gap returns the mean time between two events of a stream.
+func (m *Meter) Gap() time.Duration {
+	return time.Duration(math.Float64frombits(m.gap.Load()))
+}
+
+// Patience returns for how long a group may bring nothing before it is silent.
+func (m *Meter) Patience() time.Duration {
+	return min(max(time.Duration(silentGaps*float64(m.Gap())), minSilence), maxSilence)
+}
+
+// Silence returns for how long the target has brought nothing on any stream
+// though requests are in progress there, and whether that is too long.
+func (m *Meter) Silence(now time.Time) (time.Duration, bool) {
+	if m.inFlight.Load() == 0 {
+		return 0, false
+	}
+	event, busy := m.lastEvent.Load(), m.busySince.Load()
+	if event >= busy {
+		length := now.Sub(time.Unix(0, event))
+		return length, length > m.Patience()
+	}
+	length := now.Sub(time.Unix(0, busy))
+	return length, length > firstSilence
+}
+
+// Fail notes a failure of the target itself.
+func (m *Meter) Fail(now time.Time) {
+	m.failures.Add(1)
+	m.failedAt.Store(now.UnixNano())
+}
+
+// Succeed notes a whole answer.
+func (m *Meter) Succeed(now time.Time) {
+	m.lastEvent.Store(now.UnixNano())
+	if m.failures.Load() != 0 {
+		m.failures.Store(0)
+	}
+}
+
+// Suspect makes the target be passed over until a time.
+func (m *Meter) Suspect(until time.Time) {
+	if m.suspected.Load() < until.UnixNano() {
+		m.suspected.Store(until.UnixNano())
+	}
+}
+
+// Suspected reports whether the target is held for silent, by this daemon or
+// another one. An event of the target ends the suspicion.
+func (m *Meter) Suspected(now time.Time) bool {
+	until := m.suspected.Load()
+	return until > now.UnixNano()
+}
+
+// Avoid reports whether the target should be passed over while there are
+// others: it failed lately, the longer the more often in a row.
+func (m *Meter) Avoid(now time.Time) bool {
+	failures := m.failures.Load()
+	if failures == 0 {
+		return false
+	}
+	pause := min(failureBase<<min(failures-1, 4), failureMax)
+	return now.Sub(time.Unix(0, m.failedAt.Load())) < pause
+}
--- /dev/null
+++ b/internal/rhythm/meters.go
@@ -0,0 +1,51 @@
+package rhythm
+
+import "sync"
+
+// Meters keeps the meter of each target over the snapshots that name it.
+type Meters struct {
+	mu    sync.Mutex
+	byKey map[string]*Meter
+}
+
+// NewMeters returns no meters.
+func NewMeters() *Meters { return &Meters{byKey: map[string]*Meter{}} }
+
+// Of returns the meter of a key, a new one if there is none.
+func (m *Meters) Of(key string) *Meter {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	meter := m.byKey[key]
+	if meter == nil {
+		meter = NewMeter()
+		m.byKey[key] = meter
+	}
+	return meter
+}
+
+// Find returns the meter of a key, nil if there is none.
+func (m *Meters) Find(key string) *Meter {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.byKey[key]
+}
+
+// Each calls f with each key and its meter.
+func (m *Meters) Each(f func(key string, meter *Meter)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for key, meter := range m.byKey {
+		f(key, meter)
+	}
+}
+
+// Keep drops the idle meters whose keys are not kept.
+func (m *Meters) Keep(kept map[string]bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for key, meter := range m.byKey {
+		if !kept[key] && meter.InFlight() == 0 {
+			delete(m.byKey, key)
+		}
+	}
+}
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -14,8 +14,8 @@
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/fleet"
-	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/infra"
+	"github.com/plantainmux/plantainmux/internal/logstream"
 )
 
 // Loopback is the address that every part of a bed listens on.
--- a/internal/watch/vms.go
+++ b/internal/watch/vms.go
@@ -11,8 +11,8 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
-	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/infra"
+	"github.com/plantainmux/plantainmux/internal/peer"
 )
 
 const (
