Silence of a group is judged by its published pace

Cause: a fixed 180 to 450 ms without an event counted as silence; a pass that reads long prompts takes up to 300 ms, so 1,096 attempts were broken off at sound groups.

--- a/internal/placement/build.go
+++ b/internal/placement/build.go
@@ -58,9 +58,13 @@
 		slots = service.Pace.Slots
 	}
 	key := GroupKey(record.Group, record.Epoch)
+	meter := meters.Of(key)
+	if model := service.Model(record.Model); model != nil && service.Pace != nil {
+		meter.SetPass(service.Pace.LongestPass(model))
+	}
 	return &Target{
 		Key: key, ID: head.ID, Address: head.Address, Zone: head.Zone, Slots: max(slots, 1),
-		Group: record.Group, Epoch: record.Epoch, Meter: meters.Of(key),
+		Group: record.Group, Epoch: record.Epoch, Meter: meter,
 	}
 }
 
--- a/internal/rhythm/meter.go
+++ b/internal/rhythm/meter.go
@@ -7,14 +7,13 @@
 )
 
 const (
-	usualGap     = 70 * time.Millisecond  // between two events, before any was measured
-	gapWeight    = 0.1                    // of a new gap in the mean
-	silentGaps   = 3.0                    // usual gaps without any event after which a group is silent
-	minSilence   = 180 * time.Millisecond // above one pass that reads a full chunk for each of its steps
-	maxSilence   = 450 * time.Millisecond // below the pause after which callers give up
-	firstSilence = 420 * time.Millisecond // for a group that has brought no event since it was idle
-	failureBase  = 400 * time.Millisecond // for which a target is passed over after a failure
-	failureMax   = 3 * time.Second
+	usualGap    = 70 * time.Millisecond  // between two events, before any was measured
+	gapWeight   = 0.1                    // of a new gap in the mean
+	longestPass = 250 * time.Millisecond // of a group whose pace is not published
+	passMargin  = 1.3                    // on the longest pass: members of unequal speed, and the way of the event
+	waitMargin  = 40 * time.Millisecond  // the way of a request and of this daemon's turn on its processor
+	failureBase = 400 * time.Millisecond // for which a target is passed over after a failure
+	failureMax  = 3 * time.Second
 )
 
 // Meter is the rhythm of one target. All methods are safe for concurrent use
@@ -25,6 +24,7 @@
 	busySince atomic.Int64 // Unix nanoseconds at which the target stopped being idle
 	lastEvent atomic.Int64 // Unix nanoseconds
 	gap       atomic.Uint64
+	pass      atomic.Int64 // nanoseconds
 	failures  atomic.Int32 // without a success since
 	failedAt  atomic.Int64 // Unix nanoseconds
 	suspected atomic.Int64 // Unix nanoseconds until which a daemon holds the target for silent
@@ -75,13 +75,23 @@
 	return time.Duration(math.Float64frombits(m.gap.Load()))
 }
 
-// Patience returns for how long a group may bring nothing before it is silent.
+// SetPass notes the longest pass of the target, by its published pace.
+func (m *Meter) SetPass(longest time.Duration) { m.pass.Store(int64(longest)) }
+
+// Patience returns for how long a group may bring nothing before it is silent:
+// each pass brings an event to every request that writes.
 func (m *Meter) Patience() time.Duration {
-	return min(max(time.Duration(silentGaps*float64(m.Gap())), minSilence), maxSilence)
+	pass := time.Duration(m.pass.Load())
+	if pass == 0 {
+		pass = longestPass
+	}
+	return time.Duration(passMargin*float64(pass)) + waitMargin
 }
 
 // Silence returns for how long the target has brought nothing on any stream
-// though requests are in progress there, and whether that is too long.
+// though requests are in progress there, and whether that is too long. A group
+// that this daemon has just begun to use may be amid a pass for others, so that
+// it has two.
 func (m *Meter) Silence(now time.Time) (time.Duration, bool) {
 	if m.inFlight.Load() == 0 {
 		return 0, false
@@ -92,7 +102,7 @@
 		return length, length > m.Patience()
 	}
 	length := now.Sub(time.Unix(0, busy))
-	return length, length > firstSilence
+	return length, length > 2*m.Patience()
 }
 
 // Fail notes a failure of the target itself.
