--- a/internal/exchange/dependencies.go
+++ b/internal/exchange/dependencies.go
@@ -19,8 +19,9 @@
 	Retries   RetryBounds
 	BodyLimit int64 // bytes of an answer that is passed on as a whole
 	// Doubt is told of a group that has fallen silent or said that a member is
-	// missing; fault names the member, empty if unknown.
-	Doubt func(target *placement.Target, fault string)
+	// missing; fault names the member, empty if unknown. An early doubt is no
+	// more than a reason to ask the members.
+	Doubt func(target *placement.Target, fault string, early bool)
 }
 
 // RetryBounds bound the arrivals at a service beyond the first of each request.
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -108,7 +108,7 @@
 	case errors.As(err, &notRun):
 		if notRun.Elsewhere || notRun.Fault != "" {
 			target.Meter.Fail(now)
-			r.Doubt(target, notRun.Fault)
+			r.Doubt(target, notRun.Fault, false)
 		}
 	case errors.As(err, &broken):
 		r.ran++
@@ -116,7 +116,7 @@
 	default:
 		target.Meter.Fail(now)
 		if r.req.Service.Grouped() {
-			r.Doubt(target, target.ID)
+			r.Doubt(target, target.ID, false)
 		}
 	}
 }
@@ -125,7 +125,7 @@
 	switch broken.Reason {
 	case Silent:
 		target.Meter.Suspect(now.Add(suspicion))
-		r.Doubt(target, "")
+		r.Doubt(target, "", false)
 	case Cut:
 		r.Killers.Blame(r.req.Fingerprint, now)
 		target.Meter.Fail(now)
--- a/internal/exchange/watch.go
+++ b/internal/exchange/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 const (
 	watchEvery  = 60 * time.Millisecond   // between two looks at a stream's group: about one event
 	stuckStream = 1500 * time.Millisecond // of one stream's own silence; callers give up after two seconds
+	earlyDoubt  = 0.6                     // of a group's patience, after which its members are asked whether they live
 	slowFactor  = 2                       // objectives after which an idempotent request is tried elsewhere
 )
 
@@ -61,7 +63,12 @@
 	now := time.Now()
 	own := now.Sub(time.Unix(0, w.last.Load()))
 	length, silent := w.target.Meter.Silence(now)
+	if float64(length) > earlyDoubt*float64(w.target.Meter.Patience()) {
+		w.run.Doubt(w.target, "", true)
+	}
 	switch {
+	case own > w.target.Meter.Patience()/2 && w.superseded() && w.hasOther(now):
+		w.cancel(&SilentError{For: own})
 	case silent && own > w.target.Meter.Patience() && w.hasOther(now):
 		w.cancel(&SilentError{For: length})
 	case own > stuckStream && w.hasOther(now):
@@ -77,3 +84,10 @@
 	other, _ := placement.Pick(targets, placement.Demand{Grouped: w.run.req.Service.Grouped(), Resumed: true, Excluded: w.failed, Now: now})
 	return other != nil
 }
+
+// superseded reports whether the target is in use no more, because its group was
+// granted anew.
+func (w *watch) superseded() bool {
+	targets := w.run.View().Targets(w.run.req.Service.Name, w.run.req.Model)
+	return !slices.ContainsFunc(targets, func(t *placement.Target) bool { return t.Key == w.target.Key })
+}
--- a/internal/formation/keeper.go
+++ b/internal/formation/keeper.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -21,7 +24,8 @@
 	proposeLimit = 1500 * time.Millisecond
 	orderLimit   = 800 * time.Millisecond // for the answer to one order
 	orderAgain   = 1200 * time.Millisecond
-	probeLimit   = 200 * time.Millisecond // above a round trip between zones and the time of a busy endpoint's report
+	probeLimit   = 130 * time.Millisecond // above a round trip between zones and the time of a busy endpoint's report
+	loadBurst    = 3                      // loads that may start at once: below what the ceiling leaves beside its rate
 	probeTries   = 2
 	probeAgain   = 500 * time.Millisecond
 	workers      = 96
@@ -34,10 +38,10 @@
 	Ledger    *ledger.Ledger
 	Engines   Engines
 	Owns      func(domain string) bool
-	Quiet     func() bool // no request has come yet
-	Daemons   func() int
-	CanWrite  func() bool // the store was reached lately
-	Refresh   func()      // asks for the entries and the ledger to be read now
+	Quiet     func() bool                // no request has come yet
+	Owners    func(domains []string) int // daemons that plan any of the domains
+	CanWrite  func() bool                // the store was reached lately
+	Refresh   func()                     // asks for the entries and the ledger to be read now
 	Logger    *slog.Logger
 }
 
@@ -48,6 +52,8 @@
 	pool   pond.Pool
 	loads  *rate.Limiter
 	wake   chan struct{}
+
+	unsettled atomic.Bool
 }
 
 // NewKeeper returns a keeper that has not started.
@@ -56,7 +62,7 @@
 		Dependencies: dependencies,
 		memory:       newMemory(),
 		pool:         pond.NewPool(workers),
-		loads:        rate.NewLimiter(1, 1),
+		loads:        rate.NewLimiter(1, loadBurst),
 		wake:         make(chan struct{}, 1),
 	}
 }
@@ -86,16 +92,9 @@
 	}
 }
 
-// Unsettled reports whether some group is not yet as its record says, by any
-// daemon's plan.
-func (k *Keeper) Unsettled() bool {
-	in, ok := k.input()
-	if !ok {
-		return false
-	}
-	in.Owns = func(string) bool { return true }
-	return MakePlan(in).Unsettled
-}
+// Unsettled reports whether some group that this daemon plans is not yet as its
+// record says.
+func (k *Keeper) Unsettled() bool { return k.unsettled.Load() }
 
 func (k *Keeper) input() (Input, bool) {
 	current := k.Catalog()
@@ -116,10 +115,11 @@
 	k.memory.forget(in.Now, func(id string) bool { return in.Endpoints.ByID[id] != nil })
 	k.probeMarked(ctx, in)
 	plan := MakePlan(in)
+	k.unsettled.Store(plan.Unsettled)
 	if len(plan.Grants)+len(plan.Drops) > 0 && k.CanWrite() {
 		k.propose(ctx, in.Groups, plan)
 	}
-	k.setLoadRate(in.Catalog)
+	k.setLoadRate(in)
 	for _, order := range plan.Orders {
 		k.give(ctx, order, in)
 	}
@@ -141,13 +141,19 @@
 	}
 }
 
-// setLoadRate divides the loads that may start among the daemons.
-func (k *Keeper) setLoadRate(current *catalog.Catalog) {
-	for _, service := range current.Services {
-		if service.Grouped() && service.Pace != nil && service.Pace.LoadsPerS > 0 {
-			k.loads.SetLimit(rate.Limit(service.Pace.LoadsPerS / float64(max(k.Daemons(), 1))))
-			return
+// setLoadRate divides the loads that may start among the daemons that plan.
+func (k *Keeper) setLoadRate(in Input) {
+	for _, service := range in.Catalog.Services {
+		if !service.Grouped() || service.Pace == nil || service.Pace.LoadsPerS <= 0 {
+			continue
 		}
+		domains := map[string]bool{}
+		for _, e := range in.Endpoints.ByService[service.Name] {
+			domains[e.Domain] = true
+		}
+		owners := k.Owners(slices.Collect(maps.Keys(domains)))
+		k.loads.SetLimit(rate.Limit(service.Pace.LoadsPerS / float64(max(owners, 1))))
+		return
 	}
 }
 
--- a/internal/formation/repair.go
+++ b/internal/formation/repair.go
@@ -20,15 +20,16 @@
 )
 
 // repair replaces the members that are lost, leaving or slow, and reports
-// whether it proposed anything. Without spare endpoints a group that lost a
-// member is taken apart, so that the others can serve elsewhere.
+// whether it proposed anything. Only endpoints that are ready soon take a place:
+// a group that lost a member and finds none is taken apart, so that the others
+// can serve in another group at once.
 func (p *planner) repair(record *ledger.Record) bool {
 	kept, worst := p.survivors(record)
 	if worst == sound {
 		return false
 	}
 	missing := len(record.Members) - len(kept)
-	spares := p.spares(record.Domain, record.Model)
+	spares := p.warm(p.spares(record.Domain, record.Model), record.Model)
 	if worst == slow {
 		spares = p.notSlow(spares)
 	}
--- a/internal/formation/settle.go
+++ b/internal/formation/settle.go
@@ -15,6 +15,7 @@
 // settle orders what brings the members of a record into its group.
 func (p *planner) settle(record *ledger.Record) {
 	if p.serves(record) {
+		p.stageMembers(record)
 		return
 	}
 	p.plan.Unsettled = true
--- a/internal/formation/spares.go
+++ b/internal/formation/spares.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
+	"github.com/plantainmux/plantainmux/internal/ledger"
 	"github.com/plantainmux/plantainmux/internal/registry"
 )
 
@@ -22,21 +23,41 @@
 	return spares
 }
 
+// Ranks of what it takes to make an endpoint ready for a model.
+const (
+	effortHot     = iota // it has the model at hand
+	effortStaged         // the model lies on its host
+	effortLoading        // it is loading the model already
+	effortCold           // the model must come from the shared store of weights
+	effortSlow           // the endpoint is slow, whatever it holds
+)
+
 // effort ranks how long an endpoint takes to be ready for a model.
 func (p *planner) effort(e *registry.Endpoint, model string) int {
-	rank := 2
 	switch {
+	case p.in.Health.Slow[e.ID] >= tooSlow:
+		return effortSlow
 	case e.Model == model:
-		rank = 0
-	case e.Model == "" && p.atHand(e) == model:
-		rank = 1
+		return effortHot
 	case e.Holds(model):
-		rank = 1
+		return effortStaged
+	case e.Model == "" && p.atHand(e) == model:
+		return effortLoading
+	default:
+		return effortCold
 	}
-	if p.in.Health.Slow[e.ID] >= tooSlow {
-		rank += 3
+}
+
+// warm returns the endpoints that are ready for a model without a load. Before
+// the first request loads are short, so that all are.
+func (p *planner) warm(endpoints []*registry.Endpoint, model string) []*registry.Endpoint {
+	var warm []*registry.Endpoint
+	for _, e := range endpoints {
+		if effort := p.effort(e, model); p.in.Quiet || effort <= effortStaged || effort == effortSlow {
+			warm = append(warm, e)
+		}
 	}
-	return rank
+	return warm
 }
 
 // take removes an endpoint from the free ones.
@@ -50,16 +71,44 @@
 func (p *planner) prepareSpares(domain string) {
 	for _, e := range p.free[domain] {
 		switch {
+		case e.Group.State == registry.Joining:
 		case p.atHand(e) == "":
 			p.orderSpare(e, p.missedFirst(domain))
 		case e.Model == "":
 			p.orderSpare(e, p.service.Model(p.atHand(e)))
-		case e.Group.State != registry.Joining:
+		default:
 			p.stageOther(e)
 		}
 	}
 }
 
+// stageMembers puts the model with the greatest share on the hosts of the members
+// of other groups, so that these can serve it soon when more of its groups fail
+// than there are spares. It is worth its loads only while they are short.
+func (p *planner) stageMembers(record *ledger.Record) {
+	wanted := p.greatest()
+	if !p.in.Quiet || wanted.Name == record.Model {
+		return
+	}
+	for _, member := range record.Members {
+		if e := p.in.Endpoints.ByID[member.ID]; e != nil && !e.Holds(wanted.Name) {
+			p.plan.Orders = append(p.plan.Orders, Order{To: member, Operation: Stage, Model: wanted.Name, Loads: true})
+		}
+	}
+}
+
+// greatest returns the model with the greatest share of the service's work for
+// each group.
+func (p *planner) greatest() *catalog.Model {
+	best := &p.service.Models[0]
+	for i := range p.service.Models {
+		if model := &p.service.Models[i]; model.Share > best.Share || model.Share == best.Share && model.Size > best.Size {
+			best = model
+		}
+	}
+	return best
+}
+
 // atHand returns the model that an endpoint has loaded, or was told to load.
 func (p *planner) atHand(e *registry.Endpoint) string {
 	if e.Model != "" {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,7 +27,7 @@
 const (
 	seldomWait   = 4 * time.Second         // long polls of topics that change seldom
 	callLimit    = 1500 * time.Millisecond // of a store call, beside its wait
-	steadyPause  = 500 * time.Millisecond  // between two reads of the entries
+	steadyPause  = 700 * time.Millisecond  // between two reads of the entries
 	pendingPause = 100 * time.Millisecond  // the same, while some group is on its way
 	lapseGrace   = 2200 * time.Millisecond // in which entries that lapsed in an outage come back
 	bodyLimit    = 8 << 20                 // bytes of an answer that is passed on as a whole
@@ -59,9 +59,10 @@
 	peers     *peerlog.Client
 	writers   atomic.Pointer[[]string] // live daemons that reach the store
 	live      atomic.Int32             // live daemons
-	unsettled atomic.Bool
-	behind    atomic.Int64 // Unix nanoseconds since which another daemon has a newer configuration
-	traffic   atomic.Bool  // requests have come, here or elsewhere
+	behind    atomic.Int64             // Unix nanoseconds since which another daemon has a newer configuration
+	polledFor atomic.Uint64            // epoch of the group for which the entries were read last
+	openedAt  sync.Map                 // when a group was seen open first, by name and epoch
+	traffic   atomic.Bool              // requests have come, here or elsewhere
 
 	inFlight atomic.Int64
 	stopping atomic.Bool
@@ -114,7 +115,7 @@
 		Engines:   g.adapters.Engines,
 		Owns:      g.owns,
 		Quiet:     func() bool { return !g.traffic.Load() },
-		Daemons:   g.liveDaemons,
+		Owners:    g.owners,
 		CanWrite:  g.storeReached,
 		Refresh:   func() { g.entries.Poke(false) },
 		Logger:    g.logger,
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -65,19 +65,11 @@
 			return
 		}
 	}
-	g.tasks.Go(func() { g.watchUnsettled(ctx) })
 	g.keeper.Run(ctx)
 }
 
-// watchUnsettled notes whether some group is on its way, whoever plans it.
-func (g *Gateway) watchUnsettled(ctx context.Context) {
-	for wait.For(ctx, houseEvery) {
-		g.unsettled.Store(g.keeper.Unsettled())
-	}
-}
-
 func (g *Gateway) entriesPause() time.Duration {
-	if g.unsettled.Load() || !g.traffic.Load() {
+	if g.keeper.Unsettled() {
 		return pendingPause
 	}
 	return steadyPause
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -16,6 +16,7 @@
 	storeLost      = 1500 * time.Millisecond // without a successful call, after which this daemon does not plan
 	behindFor      = 200 * time.Millisecond  // for which another daemon may have a newer configuration before it is fetched
 	peerSuspicion  = time.Second             // for which a group that another daemon doubts is passed over
+	openedLife     = 400 * time.Millisecond  // for which the other daemons are told that a group has opened: several datagrams
 	registerPause  = 300 * time.Millisecond
 	firstPlanAfter = 500 * time.Millisecond // for the daemons to have heard of each other
 )
@@ -37,7 +38,7 @@
 	now := time.Now()
 	message := gossip.Message{
 		Draining: g.stopping.Load(), Traffic: g.traffic.Load(), Store: g.storeReached(),
-		Doubts: g.doubts.list(now), Crashes: g.killers.Own(now),
+		Doubts: g.doubts.list(now), Opened: g.opened(now), Crashes: g.killers.Own(now),
 	}
 	if current := g.catalogs.Load(); current != nil {
 		message.Config = current.Version
@@ -60,11 +61,14 @@
 		g.traffic.Store(true)
 	}
 	for _, doubt := range message.Doubts {
-		if meter := g.meters.Find(placement.GroupKey(doubt.Group, doubt.Epoch)); meter != nil {
+		if meter := g.meters.Find(placement.GroupKey(doubt.Group, doubt.Epoch)); meter != nil && !doubt.Early {
 			meter.Suspect(now.Add(peerSuspicion))
 		}
 		g.keeper.Doubt(context.Background(), doubt.Group, doubt.Epoch, doubt.Fault)
 	}
+	for _, opened := range message.Opened {
+		g.noteOpened(opened)
+	}
 	g.noteVersion(message.Config, now)
 }
 
@@ -82,13 +86,51 @@
 	}
 }
 
+// noteOpened reads the entries anew when a group has opened elsewhere that this
+// daemon does not use yet.
+func (g *Gateway) noteOpened(opened gossip.Doubt) {
+	if !g.uses(opened.Group, opened.Epoch) && g.polledFor.Swap(opened.Epoch) != opened.Epoch {
+		g.entries.Poke(false)
+	}
+}
+
+// uses reports whether requests may go to a group.
+func (g *Gateway) uses(group string, epoch uint64) bool {
+	for _, models := range g.view.Load().Groups {
+		for _, targets := range models {
+			for _, target := range targets {
+				if target.Group == group && target.Epoch == epoch {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// opened returns the groups of the own domains that opened lately.
+func (g *Gateway) opened(now time.Time) []gossip.Doubt {
+	var opened []gossip.Doubt
+	for _, record := range g.ledger.Load().Groups {
+		if !g.owns(record.Domain) || !g.uses(record.Group, record.Epoch) {
+			continue
+		}
+		key := gossip.Doubt{Group: record.Group, Epoch: record.Epoch}
+		since, _ := g.openedAt.LoadOrStore(key, now)
+		if now.Sub(since.(time.Time)) < openedLife {
+			opened = append(opened, key)
+		}
+	}
+	return opened
+}
+
 // doubt tells all daemons of a group that has fallen silent or named a missing
 // member.
-func (g *Gateway) doubt(target *placement.Target, fault string) {
+func (g *Gateway) doubt(target *placement.Target, fault string, early bool) {
 	if target.Group == "" {
 		return
 	}
-	g.doubts.add(gossip.Doubt{Group: target.Group, Epoch: target.Epoch, Fault: fault}, time.Now())
+	g.doubts.add(gossip.Doubt{Group: target.Group, Epoch: target.Epoch, Fault: fault, Early: early}, time.Now())
 	g.keeper.Doubt(context.Background(), target.Group, target.Epoch, fault)
 }
 
@@ -130,3 +172,14 @@
 func (g *Gateway) storeReached() bool {
 	return g.entries.Booted() && g.entries.Failing(time.Now()) < storeLost
 }
+
+// owners returns how many daemons plan any of the domains.
+func (g *Gateway) owners(domains []string) int {
+	owners := map[string]bool{}
+	for _, domain := range domains {
+		for _, owner := range rendezvous.Choose(domain, *g.writers.Load(), 1) {
+			owners[owner] = true
+		}
+	}
+	return len(owners)
+}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -11,5 +11,6 @@
 	Config      int64          `cbor:"7,keyasint,omitempty"` // version in force
 	Loads       map[uint32]int `cbor:"8,keyasint,omitempty"` // requests in progress by HashKey of the target
 	Doubts      []Doubt        `cbor:"9,keyasint,omitempty"`
+	Opened      []Doubt        `cbor:"11,keyasint,omitempty"` // groups that have just begun to serve
 	Crashes     map[uint64]int `cbor:"10,keyasint,omitempty"` // by fingerprint of a request
 }
