--- a/internal/formation/keeper.go
+++ b/internal/formation/keeper.go
@@ -176,7 +176,7 @@
 	err := k.Engines.Order(call, order)
 	cancel()
 	k.memory.finish(order)
-	k.noteOutcome(order, err)
+	k.noteOutcome(ctx, order, err)
 	k.Logger.Info("order given", "endpoint", order.To.ID, "operation", order.Operation, "group", order.Group, "epoch", order.Epoch,
 		"model", order.Model, "loads", order.Loads, "took_ms", time.Since(started).Milliseconds(), "error", err)
 	k.Refresh()
@@ -184,7 +184,7 @@
 }
 
 // noteOutcome learns what a former head can still do.
-func (k *Keeper) noteOutcome(order Order, err error) {
+func (k *Keeper) noteOutcome(ctx context.Context, order Order, err error) {
 	former := ledger.Former{Group: order.Group, Epoch: order.Epoch, Head: order.To}
 	var gone *GoneError
 	var refused *RefusedError
@@ -195,8 +195,28 @@
 		switch {
 		case err == nil, errors.As(err, &gone), errors.As(err, &refused):
 			k.memory.noteLetGo(former)
-		case k.Endpoints().ByID[order.To.ID] == nil && k.memory.noteUnanswered(former):
+		default:
+			k.noteUnanswered(ctx, former)
+		}
+	}
+}
+
+// noteUnanswered counts a former head as gone if its entry is missing, it did not
+// answer several times, and a companion of its group does answer: otherwise the
+// whole group may be cut off from here and serve on.
+func (k *Keeper) noteUnanswered(ctx context.Context, former ledger.Former) {
+	endpoints := k.Endpoints()
+	if endpoints.ByID[former.Head.ID] != nil {
+		return
+	}
+	for _, companion := range companions(former, endpoints) {
+		if alive, _ := k.ask(ctx, companion); !alive {
+			continue
+		}
+		if k.memory.noteUnanswered(former) {
 			k.memory.noteLetGo(former)
+			k.Logger.Info("former head given up", "endpoint", former.Head.ID, "group", former.Group, "epoch", former.Epoch, "companion", companion.ID)
 		}
+		return
 	}
 }
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -72,7 +72,7 @@
 	}
 	p.free = map[string][]*registry.Endpoint{}
 	for _, e := range p.in.Endpoints.ByService[p.service.Name] {
-		if !held[e.ID] && p.sound(e) && e.Domain != "" {
+		if !held[e.ID] && p.sound(e) && e.Domain != "" && !p.orphaned(e) {
 			p.free[e.Domain] = append(p.free[e.Domain], e)
 		}
 	}
@@ -91,7 +91,7 @@
 func (p *planner) countGroups() {
 	p.counts = map[string]int{}
 	for _, record := range p.records() {
-		if !record.Ending {
+		if !record.Ending && !p.allAbsent(record) {
 			p.counts[record.Model]++
 		}
 	}
--- a/internal/formation/repair.go
+++ b/internal/formation/repair.go
@@ -28,6 +28,9 @@
 	if worst == sound {
 		return false
 	}
+	if p.allAbsent(record) {
+		return true // nothing could be gained, and a group that is cut off may serve on
+	}
 	missing := len(record.Members) - len(kept)
 	spares := p.warm(p.spares(record.Domain, record.Model), record.Model)
 	if worst == slow {
@@ -130,3 +133,13 @@
 	}
 	return false
 }
+
+// allAbsent reports whether no member of a record is known any more.
+func (p *planner) allAbsent(record *ledger.Record) bool {
+	for _, member := range record.Members {
+		if p.in.Endpoints.ByID[member.ID] != nil {
+			return false
+		}
+	}
+	return true
+}
