--- a/internal/gateway/denied.go
+++ b/internal/gateway/denied.go
@@ -10,6 +10,7 @@
 	NoConfiguration DenyReason = "no_configuration" // none is known yet
 	NoRoute         DenyReason = "no_route"
 	NoKey           DenyReason = "no_key"     // the key is of no team
+	LeavingSoon     DenyReason = "stopping"   // this daemon is about to end
 	NoService       DenyReason = "no_service" // the route's service is not configured
 )
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,9 +64,10 @@
 	openedAt  sync.Map                 // when a group was seen open first, by name and epoch
 	traffic   atomic.Bool              // requests have come, here or elsewhere
 
-	inFlight atomic.Int64
-	stopping atomic.Bool
-	tasks    sync.WaitGroup
+	inFlight  atomic.Int64
+	stopping  atomic.Bool
+	stopBegun atomic.Int64 // Unix nanoseconds; 0: not stopping
+	tasks     sync.WaitGroup
 }
 
 // New returns a gateway that has not started. It fails if an address cannot be
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -9,13 +9,17 @@
 )
 
 const (
-	headerTimeout   = 10 * time.Second        // to send the header of a request
-	idleTimeout     = 60 * time.Second        // between two requests of a connection
-	noticeTime      = 2600 * time.Millisecond // for the balancer to notice that this daemon is not ready
-	stopMargin      = 600 * time.Millisecond  // before the platform kills the process
-	stopLook        = 20 * time.Millisecond
-	comeBackSoon    = 500 * time.Millisecond // for a daemon that is still starting
-	defaultBodySize = 4 << 20                // bytes
+	headerTimeout = 10 * time.Second        // to send the header of a request
+	idleTimeout   = 60 * time.Second        // between two requests of a connection
+	noticeTime    = 2600 * time.Millisecond // for the balancer to notice that this daemon is not ready
+	// lastCall is the time after the signal to stop from which on requests are
+	// refused: what is taken until then has time to end within the grace.
+	lastCall          = 2900 * time.Millisecond
+	comeBackElsewhere = 50 * time.Millisecond  // for another daemon
+	stopMargin        = 600 * time.Millisecond // before the platform kills the process
+	stopLook          = 20 * time.Millisecond
+	comeBackSoon      = 500 * time.Millisecond // for a daemon that is still starting
+	defaultBodySize   = 4 << 20                // bytes
 )
 
 // Begin notes a request, until the returned function is called.
@@ -30,6 +34,9 @@
 	if current == nil {
 		return nil, g.denied(in, NoConfiguration, comeBackSoon)
 	}
+	if g.stoppingFor(in.Arrived) > lastCall {
+		return nil, g.denied(in, LeavingSoon, comeBackElsewhere)
+	}
 	route := current.Route(in.Host, in.Path)
 	if route == nil {
 		return nil, g.denied(in, NoRoute, 0)
@@ -74,10 +81,20 @@
 // Stopping reports whether the gateway is about to end.
 func (g *Gateway) Stopping() bool { return g.stopping.Load() }
 
+// stoppingFor returns for how long the gateway has been stopping.
+func (g *Gateway) stoppingFor(now time.Time) time.Duration {
+	begun := g.stopBegun.Load()
+	if begun == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, begun))
+}
+
 // stop lets the balancer notice and the requests in progress end, within the
 // grace that the platform gives.
 func (g *Gateway) stop() {
 	begun := time.Now()
+	g.stopBegun.Store(begun.UnixNano())
 	g.stopping.Store(true)
 	g.logger.Info("daemon stopping", "in_flight", g.inFlight.Load())
 	latest := begun.Add(g.settings.Bounds.grace() - stopMargin)
