--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,7 @@
 	groups    *keyed.Follower
 	daemons   *keyed.Follower
 	peers     *peerlog.Client
+	mirror    *keyed.Mirror            // what this daemon has read, for the others
 	writers   atomic.Pointer[[]string] // live daemons that reach the store
 	live      atomic.Int32             // live daemons
 	behind    atomic.Int64             // Unix nanoseconds since which another daemon has a newer configuration
@@ -82,6 +83,7 @@
 		meters:   rhythm.NewMeters(),
 		killers:  exchange.NewKillers(),
 		peers:    peerlog.NewClient(),
+		mirror:   keyed.NewMirror(),
 	}
 	g.live.Store(1)
 	g.writers.Store(&[]string{s.Node})
@@ -97,15 +99,18 @@
 }
 
 func (g *Gateway) buildFollowers() {
-	log := &keyed.Fallback{Log: g.adapters.Store, Peer: g.reader}
+	log := &keyed.Fallback{Log: g.adapters.Store, Reader: g.reader, Peer: g.anyWriter}
 	g.registry = registry.New(g.adapters.DecodeEntry, lapseGrace, g.logger, g.changed)
 	g.ledger = ledger.New(g.adapters.Store, g.logger, g.changed)
 	seldom := keyed.LongPoll(seldomWait, callLimit)
-	often := keyed.Pacing{Timeout: callLimit, Pause: g.entriesPause}
-	g.configs = keyed.NewFollower(log, g.adapters.Topics.Operators, seldom, g.applyConfig, g.logger)
-	g.entries = keyed.NewFollower(log, g.adapters.Topics.Endpoints, often, g.registry.Apply, g.logger)
-	g.groups = keyed.NewFollower(log, ledger.Topic, seldom, g.ledger.Apply, g.logger)
-	g.daemons = keyed.NewFollower(log, gossip.Topic, seldom, g.gossip.Apply, g.logger)
+	often := keyed.Pacing{Wait: 0, Timeout: callLimit, Pause: g.entriesPause}
+	follow := func(topic string, pacing keyed.Pacing, apply func(keyed.Batch)) *keyed.Follower {
+		return keyed.NewFollower(log, topic, pacing, g.mirror.Follow(topic, apply), g.logger)
+	}
+	g.configs = follow(g.adapters.Topics.Operators, seldom, g.applyConfig)
+	g.entries = follow(g.adapters.Topics.Endpoints, often, g.registry.Apply)
+	g.groups = follow(ledger.Topic, seldom, g.ledger.Apply)
+	g.daemons = follow(gossip.Topic, seldom, g.gossip.Apply)
 }
 
 func (g *Gateway) buildKeeper() {
@@ -169,7 +174,7 @@
 
 func (g *Gateway) listen() ([]*http.Server, error) {
 	own := http.NewServeMux()
-	own.Handle(peerlog.Path, peerlog.Handler(g.adapters.Store))
+	own.Handle(peerlog.Path, peerlog.Handler(g.mirror))
 	own.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { g.writeMetrics(w) })
 	var servers []*http.Server
 	for address, handler := range map[string]http.Handler{
@@ -207,6 +212,9 @@
 }
 
 func (g *Gateway) applyConfig(batch keyed.Batch) {
+	if batch.Empty() {
+		return
+	}
 	for _, record := range batch.Records {
 		if record.Key != g.adapters.Topics.ConfigKey || record.Value == nil {
 			continue
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -134,8 +134,18 @@
 	g.keeper.Doubt(context.Background(), target.Group, target.Epoch, fault)
 }
 
-// reader returns a daemon that reaches the store, nil if none is heard.
+// reader returns the daemon that reads the store for this data centre: any daemon
+// of it would do, and all of them choose alike. It is nil if that is this one.
 func (g *Gateway) reader() keyed.Log {
+	name, address := g.gossip.Reader(time.Now(), g.storeReached())
+	if name == "" || name == g.settings.Node {
+		return nil
+	}
+	return g.peers.Through(address)
+}
+
+// anyWriter returns a daemon that reaches the store, nil if none is heard.
+func (g *Gateway) anyWriter() keyed.Log {
 	address := g.gossip.AnyWriter(time.Now(), rand.Float64())
 	if address == "" {
 		return nil
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -13,11 +14,15 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/plantainmux/plantainmux/internal/keyed"
+	"github.com/plantainmux/plantainmux/internal/rendezvous"
 )
 
 // Topic is the topic of the registrations.
 const Topic = "keyed.daemons"
 
+// readerKey is the key by which the reader of a data centre is chosen.
+const readerKey = "reader"
+
 const (
 	minInterval  = 100 * time.Millisecond // between two datagrams to one peer
 	sendsPerS    = 80                     // datagrams of one daemon, however many peers there are
@@ -223,6 +228,26 @@
 	return writers
 }
 
+// Reader returns the name and the address of the daemon of the own data centre
+// that reads the store for the others. The name is this daemon's own if it is the
+// one, and empty if none reaches the store.
+func (g *Gossip) Reader(now time.Time, reach bool) (name, address string) {
+	addresses := map[string]string{}
+	g.each(now, func(peer *Peer) {
+		if peer.Zone == g.Zone && peer.message.Store && !peer.message.Draining {
+			addresses[peer.Node] = peer.Address
+		}
+	})
+	if reach {
+		addresses[g.Node] = g.Address
+	}
+	chosen := rendezvous.Choose(readerKey, slices.Sorted(maps.Keys(addresses)), 1)
+	if len(chosen) == 0 {
+		return "", ""
+	}
+	return chosen[0], addresses[chosen[0]]
+}
+
 // AnyWriter returns the address of one of the other daemons that reach the store,
 // by a random number of [0, 1). It is empty if none is heard.
 func (g *Gossip) AnyWriter(now time.Time, random float64) string {
--- a/internal/keyed/batch.go
+++ b/internal/keyed/batch.go
@@ -13,3 +13,8 @@
 	// Regained is for how long the store could not be read before this call.
 	Regained time.Duration
 }
+
+// Empty reports whether the call told no more than that nothing has changed.
+func (b *Batch) Empty() bool {
+	return len(b.Records) == 0 && !b.Whole && b.Regained == 0
+}
--- a/internal/keyed/fallback.go
+++ b/internal/keyed/fallback.go
@@ -6,14 +6,19 @@
 	"time"
 )
 
-// fallbackShare is the part of a call's time that the store itself has, before a
-// peer is asked.
-const fallbackShare = 0.6
+const (
+	directShare = 0.5 // of a call's time that the store has, before another daemon is asked
+	readerShare = 0.4 // of a call's time that the data centre's reader has, before the store is asked
+)
 
-// Fallback reads through another daemon what the store does not tell this one.
-// It writes only directly.
+// Fallback reads through the data centre's reader where there is one, else from
+// the store, else through any daemon that reaches the store. It writes only
+// directly.
 type Fallback struct {
 	Log
+	// Reader returns the daemon that reads for this one's data centre, nil if that
+	// is this one itself or none is known.
+	Reader func() Log
 	// Peer returns a daemon that reaches the store, nil if none is known.
 	Peer func() Log
 }
@@ -28,29 +33,42 @@
 	return f.read(ctx, wait, func(ctx context.Context, log Log) (Page, error) { return log.Read(ctx, topic, from, wait) })
 }
 
-func (f *Fallback) read(ctx context.Context, wait time.Duration, call func(context.Context, Log) (Page, error)) (Page, error) {
-	page, err := f.direct(ctx, wait, call)
-	var expired *ExpiredError
-	if err == nil || errors.As(err, &expired) || ctx.Err() != nil {
+type readCall func(ctx context.Context, log Log) (Page, error)
+
+func (f *Fallback) read(ctx context.Context, wait time.Duration, call readCall) (Page, error) {
+	if reader := f.Reader(); reader != nil {
+		if page, err := within(ctx, readerShare, wait, call, reader); answered(err) {
+			return page, err
+		}
+	}
+	page, err := within(ctx, directShare, wait, call, f.Log)
+	if answered(err) || ctx.Err() != nil {
 		return page, err
 	}
 	peer := f.Peer()
 	if peer == nil {
 		return page, err
 	}
-	if relayed, peerErr := call(ctx, peer); peerErr == nil || errors.As(peerErr, &expired) {
+	if relayed, peerErr := call(ctx, peer); answered(peerErr) {
 		return relayed, peerErr
 	}
 	return page, err
 }
 
-func (f *Fallback) direct(ctx context.Context, wait time.Duration, call func(context.Context, Log) (Page, error)) (Page, error) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return call(ctx, f.Log)
+// answered reports whether a log told what it holds.
+func answered(err error) bool {
+	var expired *ExpiredError
+	return err == nil || errors.As(err, &expired)
+}
+
+// within makes a call that may take a share of the time that is left beside its
+// wait.
+func within(ctx context.Context, share float64, wait time.Duration, call readCall, log Log) (Page, error) {
+	if deadline, ok := ctx.Deadline(); ok {
+		beside := time.Until(deadline) - wait
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, wait+time.Duration(share*float64(beside)))
+		defer cancel()
 	}
-	beside := time.Until(deadline) - wait
-	ctx, cancel := context.WithTimeout(ctx, wait+time.Duration(fallbackShare*float64(beside)))
-	defer cancel()
-	return call(ctx, f.Log)
+	return call(ctx, log)
 }
--- a/internal/keyed/follower.go
+++ b/internal/keyed/follower.go
@@ -126,9 +126,7 @@
 		f.next = page.Records[n-1].Offset + 1
 	}
 	batch := Batch{Records: page.Records, End: f.next, At: started, Regained: f.noteSuccess(started)}
-	if len(batch.Records) > 0 || batch.Regained > 0 {
-		f.apply(batch)
-	}
+	f.apply(batch)
 	return nil
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -38,6 +38,9 @@
 
 // Apply takes what a follower read.
 func (l *Ledger) Apply(batch keyed.Batch) {
+	if batch.Empty() && batch.End <= l.current.Load().End {
+		return
+	}
 	l.mu.Lock()
 	old := l.current.Load()
 	next := &State{Groups: maps.Clone(old.Groups), End: old.End}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -41,6 +41,9 @@
 
 // Apply takes what a follower read.
 func (r *Registry) Apply(batch keyed.Batch) {
+	if batch.Empty() {
+		return
+	}
 	r.mu.Lock()
 	if batch.Regained > 0 {
 		r.graceUntil = time.Now().Add(r.grace)
