--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -66,6 +66,8 @@
 		Late:     r.req.Late && r.attempts == 0,
 		Resumed:  r.begun,
 		Urgency:  r.req.Urgency,
+		Daemons:  r.Daemons(),
+		Random:   rand.Float64(),
 		Excluded: r.excluded,
 		Now:      now,
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,13 +57,14 @@
 	groups    *keyed.Follower
 	daemons   *keyed.Follower
 	peers     *peerlog.Client
-	mirror    *keyed.Mirror            // what this daemon has read, for the others
-	writers   atomic.Pointer[[]string] // live daemons that reach the store
-	live      atomic.Int32             // live daemons
-	behind    atomic.Int64             // Unix nanoseconds since which another daemon has a newer configuration
-	polledFor atomic.Uint64            // epoch of the group for which the entries were read last
-	openedAt  sync.Map                 // when a group was seen open first, by name and epoch
-	traffic   atomic.Bool              // requests have come, here or elsewhere
+	mirror    *keyed.Mirror                    // what this daemon has read, for the others
+	byHash    atomic.Pointer[map[uint32]meter] // the meters by the short form of their keys
+	writers   atomic.Pointer[[]string]         // live daemons that reach the store
+	live      atomic.Int32                     // live daemons
+	behind    atomic.Int64                     // Unix nanoseconds since which another daemon has a newer configuration
+	polledFor atomic.Uint64                    // epoch of the group for which the entries were read last
+	openedAt  sync.Map                         // when a group was seen open first, by name and epoch
+	traffic   atomic.Bool                      // requests have come, here or elsewhere
 
 	inFlight  atomic.Int64
 	stopping  atomic.Bool
@@ -86,6 +87,7 @@
 		mirror:   keyed.NewMirror(),
 	}
 	g.live.Store(1)
+	g.byHash.Store(&map[uint32]meter{})
 	g.writers.Store(&[]string{s.Node})
 	g.view.Store(&placement.View{})
 	g.traffic.Store(!s.First)
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -35,7 +35,13 @@
 	writers := g.gossip.Writers(now, g.storeReached() && !g.stopping.Load())
 	g.writers.Store(&writers)
 	loads := g.gossip.Loads(now)
-	g.meters.Each(func(key string, meter meter) { meter.SetElsewhere(loads[gossip.HashKey(key)]) })
+	byHash := map[uint32]meter{}
+	g.meters.Each(func(key string, meter meter) {
+		hash := gossip.HashKey(key)
+		meter.SetElsewhere(loads[hash])
+		byHash[hash] = meter
+	})
+	g.byHash.Store(&byHash)
 	g.killers.SetOther(g.gossip.Crashes(now), now)
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -46,9 +46,9 @@
 	g.meters.Each(func(key string, meter meter) {
 		if count := meter.InFlight(); count > 0 {
 			if message.Loads == nil {
-				message.Loads = map[uint32]int{}
+				message.Loads = map[uint32]gossip.Load{}
 			}
-			message.Loads[gossip.HashKey(key)] = count
+			message.Loads[gossip.HashKey(key)] = gossip.Load{Count: count, AgeMS: meter.EventAge(now)}
 		}
 	})
 	return message
@@ -60,6 +60,7 @@
 	if message.Traffic {
 		g.traffic.Store(true)
 	}
+	g.noteEvents(message.Loads, now)
 	for _, doubt := range message.Doubts {
 		if meter := g.meters.Find(placement.GroupKey(doubt.Group, doubt.Epoch)); meter != nil && !doubt.Early {
 			meter.Suspect(now.Add(peerSuspicion))
@@ -72,6 +73,16 @@
 	g.noteVersion(message.Config, now)
 }
 
+// noteEvents learns from another daemon which targets bring events.
+func (g *Gateway) noteEvents(loads map[uint32]gossip.Load, now time.Time) {
+	meters := *g.byHash.Load()
+	for key, load := range loads {
+		if meter := meters[key]; meter != nil && load.AgeMS >= 0 {
+			meter.EventElsewhere(now.Add(-time.Duration(load.AgeMS) * time.Millisecond))
+		}
+	}
+}
+
 // noteVersion reads the configuration anew when another daemon has had a newer
 // one for a while: the long poll may be on a connection that has gone silent.
 func (g *Gateway) noteVersion(version int64, now time.Time) {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -267,8 +267,8 @@
 func (g *Gossip) Loads(now time.Time) map[uint32]int {
 	loads := map[uint32]int{}
 	g.each(now, func(peer *Peer) {
-		for key, count := range peer.message.Loads {
-			loads[key] += count
+		for key, load := range peer.message.Loads {
+			loads[key] += load.Count
 		}
 	})
 	return loads
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -2,15 +2,15 @@
 
 // Message is one datagram.
 type Message struct {
-	Node        string         `cbor:"1,keyasint"`
-	Incarnation int64          `cbor:"2,keyasint"` // Unix milliseconds of the daemon's start
-	Sequence    uint64         `cbor:"3,keyasint"`
-	Draining    bool           `cbor:"4,keyasint,omitempty"`
-	Traffic     bool           `cbor:"5,keyasint,omitempty"` // requests have come
-	Store       bool           `cbor:"6,keyasint,omitempty"` // it reaches the store
-	Config      int64          `cbor:"7,keyasint,omitempty"` // version in force
-	Loads       map[uint32]int `cbor:"8,keyasint,omitempty"` // requests in progress by HashKey of the target
-	Doubts      []Doubt        `cbor:"9,keyasint,omitempty"`
-	Opened      []Doubt        `cbor:"11,keyasint,omitempty"` // groups that have just begun to serve
-	Crashes     map[uint64]int `cbor:"10,keyasint,omitempty"` // by fingerprint of a request
+	Node        string          `cbor:"1,keyasint"`
+	Incarnation int64           `cbor:"2,keyasint"` // Unix milliseconds of the daemon's start
+	Sequence    uint64          `cbor:"3,keyasint"`
+	Draining    bool            `cbor:"4,keyasint,omitempty"`
+	Traffic     bool            `cbor:"5,keyasint,omitempty"` // requests have come
+	Store       bool            `cbor:"6,keyasint,omitempty"` // it reaches the store
+	Config      int64           `cbor:"7,keyasint,omitempty"` // version in force
+	Loads       map[uint32]Load `cbor:"8,keyasint,omitempty"` // by HashKey of the target
+	Doubts      []Doubt         `cbor:"9,keyasint,omitempty"`
+	Opened      []Doubt         `cbor:"11,keyasint,omitempty"` // groups that have just begun to serve
+	Crashes     map[uint64]int  `cbor:"10,keyasint,omitempty"` // by fingerprint of a request
 }
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -9,6 +9,8 @@
 	Late     bool            // its objective has passed already, so that it is worth little
 	Resumed  bool            // a part of its answer has reached the caller
 	Urgency  int             // 0 is the most urgent
+	Daemons  int             // live ones
+	Random   float64         // of [0, 1)
 	Excluded map[string]bool // keys of targets that failed this request
 	Now      time.Time
 }
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -1,5 +1,12 @@
 package placement
 
+// manyDaemons is the number of daemons from which on each hears of the others'
+// requests so late that all would choose the same target at once.
+const manyDaemons = 16
+
+// minRoom is the room that a full target still counts with.
+const minRoom = 0.02
+
 // Pick returns the target for a request. It is nil, with the reason, when no
 // target can take it.
 func Pick(targets []*Target, demand Demand) (*Target, Reason) {
@@ -7,19 +14,56 @@
 	if len(candidates) == 0 {
 		return nil, NoTarget
 	}
-	gap := leastGap(candidates)
-	var best *Target
-	least := 0.0
-	for _, target := range candidates {
-		if !hasRoom(target, demand) {
-			continue
+	roomy := withRoom(candidates, demand)
+	if len(roomy) == 0 {
+		return nil, NoRoom
+	}
+	if demand.Daemons >= manyDaemons {
+		return spread(roomy, demand), Placed
+	}
+	return least(roomy, demand), Placed
+}
+
+func withRoom(targets []*Target, demand Demand) []*Target {
+	roomy := make([]*Target, 0, len(targets))
+	for _, target := range targets {
+		if hasRoom(target, demand) {
+			roomy = append(roomy, target)
 		}
-		if s := score(target, demand, gap); best == nil || s < least {
-			best, least = target, s
+	}
+	return roomy
+}
+
+// least returns the target with the least expected load.
+func least(targets []*Target, demand Demand) *Target {
+	gap := leastGap(targets)
+	best := targets[0]
+	lowest := score(best, demand, gap)
+	for _, target := range targets[1:] {
+		if s := score(target, demand, gap); s < lowest {
+			best, lowest = target, s
 		}
 	}
-	if best == nil {
-		return nil, NoRoom
+	return best
+}
+
+// spread returns a target at random, the more likely the more room it has. Load
+// answered: many daemons that know of each other's requests late.
+func spread(targets []*Target, demand Demand) *Target {
+	gap := leastGap(targets)
+	total := 0.0
+	weights := make([]float64, len(targets))
+	for i, target := range targets {
+		room := max(1-score(target, demand, gap), minRoom)
+		weights[i] = room * room
+		total += weights[i]
+	}
+	left := demand.Random * total
+	for i, target := range targets {
+		left -= weights[i]
+		if left < 0 {
+			return target
+		}
 	}
-	return best, Placed
+	return targets[len(targets)-1]
 }
--- a/internal/rhythm/meter.go
+++ b/internal/rhythm/meter.go
@@ -19,15 +19,16 @@
 // Meter is the rhythm of one target. All methods are safe for concurrent use
 // and take no lock.
 type Meter struct {
-	inFlight  atomic.Int32
-	elsewhere atomic.Int32 // in flight through other daemons, as they told last
-	busySince atomic.Int64 // Unix nanoseconds at which the target stopped being idle
-	lastEvent atomic.Int64 // Unix nanoseconds
-	gap       atomic.Uint64
-	pass      atomic.Int64 // nanoseconds
-	failures  atomic.Int32 // without a success since
-	failedAt  atomic.Int64 // Unix nanoseconds
-	suspected atomic.Int64 // Unix nanoseconds until which a daemon holds the target for silent
+	inFlight   atomic.Int32
+	elsewhere  atomic.Int32 // in flight through other daemons, as they told last
+	busySince  atomic.Int64 // Unix nanoseconds at which the target stopped being idle
+	lastEvent  atomic.Int64 // Unix nanoseconds
+	heardEvent atomic.Int64 // Unix nanoseconds of the last event that another daemon told of
+	gap        atomic.Uint64
+	pass       atomic.Int64 // nanoseconds
+	failures   atomic.Int32 // without a success since
+	failedAt   atomic.Int64 // Unix nanoseconds
+	suspected  atomic.Int64 // Unix nanoseconds until which a daemon holds the target for silent
 }
 
 // NewMeter returns a meter of a target that was never used.
@@ -70,6 +71,26 @@
 	m.gap.Store(math.Float64bits(float64(old) + gapWeight*float64(length-old)))
 }
 
+// EventElsewhere notes when the target brought an event to another daemon.
+func (m *Meter) EventElsewhere(at time.Time) {
+	for {
+		old := m.heardEvent.Load()
+		if at.UnixNano() <= old || m.heardEvent.CompareAndSwap(old, at.UnixNano()) {
+			return
+		}
+	}
+}
+
+// EventAge returns the milliseconds since the last event, negative if there was
+// none.
+func (m *Meter) EventAge(now time.Time) int {
+	last := m.lastEvent.Load()
+	if last == 0 {
+		return -1
+	}
+	return int(now.Sub(time.Unix(0, last)).Milliseconds())
+}
+
 // Gap returns the mean time between two events of a stream.
 func (m *Meter) Gap() time.Duration {
 	return time.Duration(math.Float64frombits(m.gap.Load()))
@@ -96,7 +117,7 @@
 	if m.inFlight.Load() == 0 {
 		return 0, false
 	}
-	event, busy := m.lastEvent.Load(), m.busySince.Load()
+	event, busy := max(m.lastEvent.Load(), m.heardEvent.Load()), m.busySince.Load()
 	if event >= busy {
 		length := now.Sub(time.Unix(0, event))
 		return length, length > m.Patience()
