Specs of the packages on the platform's path; free endpoints are kept for the model that a group is taken apart for

Cause: a spec found that the planner gave the survivors of a lost group to another group of the lesser model in the same plan that took that model's group apart.

--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,72 @@
+package catalog_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/catalog"
+)
+
+var _ = Describe("A catalog", func() {
+	routes := []catalog.Route{
+		{Name: "short", Host: "A.example", Prefix: "/x/", Targets: []catalog.Weighted{{Service: "s", Weight: 1}}},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/", Public: true},
+		{Name: "other", Host: "b.example", Prefix: "/x/"},
+	}
+	team := &catalog.Team{Name: "merchants", Priority: 3, HasPriority: true}
+	c := catalog.New(7, routes, nil, map[string]*catalog.Team{"key": team}, catalog.Limits{})
+
+	It("selects the longest prefix of the host", func() {
+		Expect(c.Route("a.example", "/x/y/z").Name).To(Equal("long"))
+		Expect(c.Route("a.EXAMPLE", "/x/z").Name).To(Equal("short"))
+		Expect(c.Route("b.example", "/x/y/z").Name).To(Equal("other"))
+		Expect(c.Route("a.example", "/x")).To(BeNil())
+		Expect(c.Route("c.example", "/x/")).To(BeNil())
+	})
+
+	It("asks for a key but on public routes", func() {
+		_, allowed := c.Authorize(c.Route("a.example", "/x/"), "wrong")
+		Expect(allowed).To(BeFalse())
+		_, allowed = c.Authorize(c.Route("a.example", "/x/y/"), "wrong")
+		Expect(allowed).To(BeTrue())
+		found, allowed := c.Authorize(c.Route("a.example", "/x/"), "key")
+		Expect(allowed).To(BeTrue())
+		Expect(found).To(Equal(team))
+		Expect(catalog.Urgency(&routes[0], found)).To(Equal(3))
+	})
+
+	It("refuses every key once all are taken away, and none where none is configured", func() {
+		none := catalog.New(8, routes, nil, map[string]*catalog.Team{}, catalog.Limits{})
+		_, allowed := none.Authorize(&routes[0], "key")
+		Expect(allowed).To(BeFalse())
+		open := catalog.New(8, routes, nil, nil, catalog.Limits{})
+		_, allowed = open.Authorize(&routes[0], "")
+		Expect(allowed).To(BeTrue())
+	})
+
+	It("splits a route by its weights", func() {
+		route := catalog.Route{Targets: []catalog.Weighted{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+		Expect(route.Pick(0.0)).To(Equal("a"))
+		Expect(route.Pick(0.89)).To(Equal("a"))
+		Expect(route.Pick(0.91)).To(Equal("b"))
+		Expect(route.Pick(0.9999)).To(Equal("b"))
+	})
+
+	It("never goes back within a process", func() {
+		var store catalog.Store
+		Expect(store.Put(c)).To(BeTrue())
+		Expect(store.Put(catalog.New(6, nil, nil, nil, catalog.Limits{}))).To(BeFalse())
+		Expect(store.Put(catalog.New(7, nil, nil, nil, catalog.Limits{}))).To(BeFalse())
+		Expect(store.Load()).To(BeIdenticalTo(c))
+	})
+})
+
+var _ = Describe("The published pace", func() {
+	It("gives the longest pass of a full group that reads a full chunk in each step", func() {
+		pace := &catalog.Pace{Slots: 10, Stride: 4, Chunk: 1000, Step: 5 * time.Millisecond, PerRequest: 100 * time.Microsecond, ReadPerSecond: 50000}
+		Expect(pace.LongestPass(&catalog.Model{Pace: 1})).To(Equal(4 * 26 * time.Millisecond))
+		Expect(pace.LongestPass(&catalog.Model{Pace: 0.5})).To(Equal(2 * 26 * time.Millisecond))
+	})
+})
--- a/internal/formation/fill.go
+++ b/internal/formation/fill.go
@@ -48,7 +48,9 @@
 		ready := p.formable(domain, model)
 		switch {
 		case len(ready) < model.Size:
-			p.takeForth(domain, model, len(ready))
+			if p.awaits(domain, model, len(ready)) || p.takeForth(domain, model, len(ready)) {
+				return false // the free endpoints are kept for this model
+			}
 		case !p.leavesReserve(domain, model):
 		default:
 			p.form(domain, model, ready[:model.Size])
@@ -114,11 +116,23 @@
 	})
 }
 
+// awaits reports whether a group of the domain is being taken apart whose members
+// make up the number for a group of a model.
+func (p *planner) awaits(domain string, model *catalog.Model, ready int) bool {
+	for _, record := range p.records() {
+		if record.Domain == domain && record.Ending && record.Model != model.Name && ready+p.warmMembers(record, model.Name) >= model.Size {
+			return true
+		}
+	}
+	return false
+}
+
 // takeForth takes a group of the domain apart that is worth less than one of a
-// model, if its members are ready for that model soon and make up the number.
-func (p *planner) takeForth(domain string, model *catalog.Model, ready int) {
+// model, if its members are ready for that model soon and make up the number. It
+// reports whether it did.
+func (p *planner) takeForth(domain string, model *catalog.Model, ready int) bool {
 	if p.ends(domain) {
-		return
+		return false
 	}
 	for _, record := range p.records() {
 		if record.Domain != domain || record.Model == model.Name || p.grants(record.Group) {
@@ -130,9 +144,10 @@
 		}
 		if ready+p.warmMembers(record, model.Name) >= model.Size {
 			p.takeApart(record)
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // ends reports whether a group of a domain is being taken apart already.
--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,87 @@
+package gossip_test
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/gossip"
+	"github.com/plantainmux/plantainmux/internal/keyed"
+)
+
+func freeAddress() string {
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	return conn.LocalAddr().String()
+}
+
+var _ = Describe("Gossip", func() {
+	var heard atomic.Int64
+	start := func(node, zone string, incarnation int64) (*gossip.Gossip, func()) {
+		g, err := gossip.New(gossip.Dependencies{
+			Node: node, Zone: zone, Address: freeAddress(), Incarnation: incarnation, Logger: slog.New(slog.DiscardHandler),
+			Tell: func() gossip.Message {
+				return gossip.Message{Store: true, Config: 9, Loads: map[uint32]gossip.Load{1: {Count: 2, AgeMS: 5}}, Crashes: map[uint64]int{3: 1}}
+			},
+			OnMessage: func(_ *gossip.Peer, message gossip.Message) { heard.Store(message.Config) },
+		})
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			g.Run(ctx)
+		}()
+		stop := func() {
+			cancel()
+			<-done
+		}
+		return g, stop
+	}
+	introduce := func(to, other *gossip.Gossip) {
+		own, err := other.Own()
+		Expect(err).NotTo(HaveOccurred())
+		to.Apply(keyed.Batch{Records: []keyed.Record{own}})
+	}
+
+	It("tells who lives, what is in progress, and forgets who falls silent", func() {
+		a, stopA := start("a", "z", 1)
+		b, stopB := start("b", "z", 1)
+		defer stopA()
+		introduce(a, b)
+		introduce(b, a)
+		Eventually(func() []string { return a.Live(time.Now()) }, "3s").Should(Equal([]string{"a", "b"}))
+		Expect(a.Loads(time.Now())).To(HaveKeyWithValue(uint32(1), 2))
+		Expect(a.Crashes(time.Now())).To(HaveKeyWithValue(uint64(3), 1))
+		Expect(a.Writers(time.Now(), false)).To(Equal([]string{"b"}))
+		Expect(heard.Load()).To(Equal(int64(9)))
+		name, _ := a.Reader(time.Now(), true)
+		other, _ := b.Reader(time.Now(), true)
+		Expect(name).To(Equal(other), "both choose the same reader")
+		stopB()
+		Eventually(func() []string { return a.Live(time.Now()) }, "3s").Should(Equal([]string{"a"}))
+	})
+
+	It("hears nobody who has not registered, and takes a restart for a new daemon", func() {
+		a, stopA := start("a", "z", 1)
+		defer stopA()
+		b, stopB := start("b", "z", 5)
+		introduce(b, a)
+		Consistently(func() []string { return a.Live(time.Now()) }, "400ms").Should(Equal([]string{"a"}))
+		introduce(a, b)
+		Eventually(func() []string { return a.Live(time.Now()) }, "3s").Should(HaveLen(2))
+		stopB()
+		again, stopAgain := start("b", "z", 6)
+		defer stopAgain()
+		introduce(again, a)
+		Eventually(func() []string { return a.Live(time.Now()) }, "3s").Should(HaveLen(1))
+		introduce(a, again)
+		Eventually(func() []string { return a.Live(time.Now()) }, "3s").Should(HaveLen(2))
+	})
+})
--- /dev/null
+++ b/internal/keyed/follower_test.go
@@ -0,0 +1,87 @@
+package keyed_test
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/fakes"
+	"github.com/plantainmux/plantainmux/internal/keyed"
+)
+
+// notes collects what a follower applied.
+type notes struct {
+	mu      sync.Mutex
+	batches []keyed.Batch
+}
+
+func (n *notes) apply(batch keyed.Batch) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.batches = append(n.batches, batch)
+}
+
+func (n *notes) last() keyed.Batch {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i := len(n.batches) - 1; i >= 0; i-- {
+		if !n.batches[i].Empty() {
+			return n.batches[i]
+		}
+	}
+	return keyed.Batch{}
+}
+
+var _ = Describe("A follower", func() {
+	var log *fakes.KeyedLog
+	var seen *notes
+	var follower *keyed.Follower
+	put := func(key, value string) {
+		Expect(log.Put(context.Background(), "keyed.t", keyed.Record{Key: key, Value: []byte(value)})).To(Succeed())
+	}
+	BeforeEach(func() {
+		log = fakes.NewKeyedLog()
+		seen = &notes{}
+		put("a", "1")
+		ctx, cancel := context.WithCancel(context.Background())
+		follower = keyed.NewFollower(log, "keyed.t", keyed.LongPoll(200*time.Millisecond, time.Second), seen.apply, slog.New(slog.DiscardHandler))
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			follower.Run(ctx)
+		}()
+		DeferCleanup(func() {
+			cancel()
+			<-done
+		})
+		Eventually(follower.Booted).Should(BeTrue())
+	})
+
+	It("starts with the newest of each key and goes on with what is added", func() {
+		Expect(seen.last().Whole).To(BeTrue())
+		put("b", "2")
+		Eventually(func() []keyed.Record { return seen.last().Records }).Should(HaveLen(1))
+		Eventually(func() string { return seen.last().Records[0].Key }).Should(Equal("b"))
+	})
+
+	It("rebuilds itself when the history that it missed has expired", func() {
+		log.SetDown(true)
+		Eventually(func() time.Duration { return follower.Failing(time.Now()) }, "2s").Should(BeNumerically(">", 0))
+		log.SetDown(false)
+		put("c", "3")
+		log.Compact("keyed.t")
+		Eventually(func() bool { return seen.last().Whole && len(seen.last().Records) == 2 }, "3s").Should(BeTrue())
+	})
+
+	It("tells how long the store was away", func() {
+		log.SetDown(true)
+		Eventually(func() time.Duration { return follower.Failing(time.Now()) }, "3s").Should(BeNumerically(">", 800*time.Millisecond))
+		log.SetDown(false)
+		Eventually(func() time.Duration { return seen.last().Regained }, "3s").Should(BeNumerically(">", 700*time.Millisecond))
+		Expect(follower.Failing(time.Now())).To(BeZero())
+	})
+})
--- /dev/null
+++ b/internal/keyed/mirror_test.go
@@ -0,0 +1,85 @@
+package keyed_test
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/fakes"
+	"github.com/plantainmux/plantainmux/internal/keyed"
+)
+
+var _ = Describe("A mirror", func() {
+	ctx := context.Background()
+	var mirror *keyed.Mirror
+	var take func(keyed.Batch)
+	BeforeEach(func() {
+		mirror = keyed.NewMirror()
+		take = mirror.Follow("keyed.t", func(keyed.Batch) {})
+		take(keyed.Batch{Whole: true, End: 5, At: time.Now(), Records: []keyed.Record{{Key: "a", Value: []byte("1"), Offset: 3}}})
+		take(keyed.Batch{End: 7, At: time.Now(), Records: []keyed.Record{{Key: "b", Value: []byte("2"), Offset: 5}, {Key: "a", Offset: 6}}})
+	})
+
+	It("holds the newest of each key", func() {
+		page, err := mirror.Newest(ctx, "keyed.t", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.End).To(Equal(uint64(7)))
+		Expect(page.Records).To(ConsistOf(keyed.Record{Key: "b", Value: []byte("2"), Offset: 5}))
+	})
+
+	It("returns what follows an offset, and says when that is not held", func() {
+		page, err := mirror.Read(ctx, "keyed.t", 6, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.Records).To(ConsistOf(keyed.Record{Key: "a", Offset: 6}))
+		_, err = mirror.Read(ctx, "keyed.t", 4, 0)
+		var expired *keyed.ExpiredError
+		Expect(errors.As(err, &expired)).To(BeTrue())
+	})
+
+	It("wakes a reader that waits", func() {
+		go func() {
+			time.Sleep(20 * time.Millisecond)
+			take(keyed.Batch{End: 8, At: time.Now(), Records: []keyed.Record{{Key: "c", Value: []byte("3"), Offset: 7}}})
+		}()
+		page, err := mirror.Read(ctx, "keyed.t", 7, 5*time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.Records).To(HaveLen(1))
+	})
+
+	It("tells nothing that it has not confirmed lately", func() {
+		take(keyed.Batch{End: 7, At: time.Now().Add(-time.Minute)})
+		_, err := mirror.Read(ctx, "keyed.t", 7, 0)
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+var _ = Describe("Reading with a fallback", func() {
+	ctx := context.Background()
+	It("asks the reader, then the store, then any daemon that reaches the store", func() {
+		reader, store, peer := fakes.NewKeyedLog(), fakes.NewKeyedLog(), fakes.NewKeyedLog()
+		log := &keyed.Fallback{Log: store, Reader: func() keyed.Log { return reader }, Peer: func() keyed.Log { return peer }}
+		_, err := log.Newest(ctx, "keyed.t", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect([]int{reader.Calls(), store.Calls(), peer.Calls()}).To(Equal([]int{1, 0, 0}))
+		reader.SetDown(true)
+		_, err = log.Newest(ctx, "keyed.t", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect([]int{reader.Calls(), store.Calls(), peer.Calls()}).To(Equal([]int{2, 1, 0}))
+		store.SetDown(true)
+		_, err = log.Newest(ctx, "keyed.t", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(peer.Calls()).To(Equal(1))
+	})
+
+	It("returns the store's failure when nobody can help", func() {
+		store := fakes.NewKeyedLog()
+		store.SetDown(true)
+		log := &keyed.Fallback{Log: store, Reader: func() keyed.Log { return nil }, Peer: func() keyed.Log { return nil }}
+		_, err := log.Newest(ctx, "keyed.t", "")
+		var refused *keyed.RefusedError
+		Expect(errors.As(err, &refused)).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,120 @@
+package placement_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/catalog"
+	"github.com/plantainmux/plantainmux/internal/ledger"
+	"github.com/plantainmux/plantainmux/internal/placement"
+	"github.com/plantainmux/plantainmux/internal/registry"
+	"github.com/plantainmux/plantainmux/internal/rhythm"
+)
+
+func target(key string, load int) *placement.Target {
+	meter := rhythm.NewMeter()
+	meter.SetElsewhere(load)
+	return &placement.Target{Key: key, ID: key, Zone: "z", Slots: 10, Meter: meter}
+}
+
+var _ = Describe("Placing", func() {
+	now := time.Now()
+	demand := func(change func(*placement.Demand)) placement.Demand {
+		d := placement.Demand{Zone: "z", Grouped: true, Now: now, Daemons: 8}
+		if change != nil {
+			change(&d)
+		}
+		return d
+	}
+
+	It("takes the least loaded, the own zone's first among equals", func() {
+		far := target("far", 3)
+		far.Zone = "y"
+		picked, reason := placement.Pick([]*placement.Target{target("full", 9), far, target("near", 3)}, demand(nil))
+		Expect(reason).To(Equal(placement.Placed))
+		Expect(picked.Key).To(Equal("near"))
+	})
+
+	It("passes over what failed the request, failed lately, or is silent", func() {
+		failed, suspected := target("failed", 0), target("suspected", 0)
+		failed.Meter.Fail(now)
+		suspected.Meter.Suspect(now.Add(time.Second))
+		targets := []*placement.Target{target("excluded", 0), failed, suspected, target("left", 8)}
+		picked, _ := placement.Pick(targets, demand(func(d *placement.Demand) { d.Excluded = map[string]bool{"excluded": true} }))
+		Expect(picked.Key).To(Equal("left"))
+	})
+
+	It("takes a doubtful target when there is no other", func() {
+		failed := target("failed", 0)
+		failed.Meter.Fail(now)
+		picked, _ := placement.Pick([]*placement.Target{failed}, demand(nil))
+		Expect(picked).To(Equal(failed))
+	})
+
+	It("refuses when all are full, and what is late sooner than what can be in time", func() {
+		_, reason := placement.Pick([]*placement.Target{target("full", 12)}, demand(nil))
+		Expect(reason).To(Equal(placement.NoRoom))
+		busy := []*placement.Target{target("busy", 8)}
+		_, reason = placement.Pick(busy, demand(func(d *placement.Demand) { d.Late = true }))
+		Expect(reason).To(Equal(placement.NoRoom))
+		_, reason = placement.Pick(busy, demand(nil))
+		Expect(reason).To(Equal(placement.Placed))
+		_, reason = placement.Pick(nil, demand(nil))
+		Expect(reason).To(Equal(placement.NoTarget))
+	})
+
+	It("gives a stream that broke elsewhere a place beyond the usual", func() {
+		picked, _ := placement.Pick([]*placement.Target{target("full", 14)}, demand(func(d *placement.Demand) { d.Resumed = true }))
+		Expect(picked).NotTo(BeNil())
+	})
+
+	// Load answered: 64 daemons that each hear of the others' requests a second
+	// late. Each sends one request by the same stale view.
+	It("spreads the requests of many daemons that share one stale view", func() {
+		random := rand.New(rand.NewPCG(1, 2))
+		targets := []*placement.Target{target("a", 2), target("b", 3), target("c", 4), target("d", 3)}
+		taken := map[string]int{}
+		for range 64 {
+			picked, _ := placement.Pick(targets, demand(func(d *placement.Demand) {
+				d.Daemons = 64
+				d.Random = random.Float64()
+			}))
+			taken[picked.Key]++
+		}
+		for _, target := range targets {
+			Expect(taken[target.Key]).To(BeNumerically("<", 32), "half of all requests at one target")
+			Expect(taken[target.Key]).To(BeNumerically(">", 4))
+		}
+	})
+})
+
+var _ = Describe("Building the view", func() {
+	service := catalog.Service{Name: "s", Models: []catalog.Model{{Name: "m", Size: 2}}, Pace: &catalog.Pace{Slots: 4}}
+	current := catalog.New(1, nil, []catalog.Service{service, {Name: "plain"}}, nil, catalog.Limits{})
+	record := &ledger.Record{Group: "g", Epoch: 9, Service: "s", Model: "m", Members: []ledger.Member{{ID: "h"}, {ID: "w"}}}
+	head := func(change func(*registry.Endpoint)) *registry.Snapshot {
+		e := &registry.Endpoint{ID: "h", Service: "s", Slots: 4, Group: registry.Membership{Group: "g", Epoch: 9, State: registry.Open}}
+		change(e)
+		return &registry.Snapshot{ByID: map[string]*registry.Endpoint{"h": e}, ByService: map[string][]*registry.Endpoint{"s": {e}}}
+	}
+	build := func(record *ledger.Record, change func(*registry.Endpoint)) []*placement.Target {
+		groups := &ledger.State{Groups: map[string]*ledger.Record{"g": record}}
+		return placement.Build(current, head(change), groups, rhythm.NewMeters()).Targets("s", "m")
+	}
+
+	It("names the head of a group that is open under its newest record", func() {
+		Expect(build(record, func(*registry.Endpoint) {})).To(HaveLen(1))
+	})
+
+	It("names no group that is closed, of another epoch, ending, or whose head leaves", func() {
+		Expect(build(record, func(e *registry.Endpoint) { e.Group.State = registry.Ready })).To(BeEmpty())
+		Expect(build(record, func(e *registry.Endpoint) { e.Group.Epoch = 8 })).To(BeEmpty())
+		Expect(build(record, func(e *registry.Endpoint) { e.Draining = true })).To(BeEmpty())
+		ending := *record
+		ending.Ending = true
+		Expect(build(&ending, func(*registry.Endpoint) {})).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/internal/rhythm/meter_test.go
@@ -0,0 +1,63 @@
+package rhythm_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/rhythm"
+)
+
+var _ = Describe("A meter", func() {
+	const pass = 100 * time.Millisecond
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	var m *rhythm.Meter
+	BeforeEach(func() {
+		m = rhythm.NewMeter()
+		m.SetPass(pass)
+		m.Begin(start)
+	})
+	silent := func(now time.Time) bool {
+		_, silent := m.Silence(now)
+		return silent
+	}
+
+	It("holds a group for silent once it missed more than its longest pass", func() {
+		m.Event(at(50), 0)
+		Expect(silent(at(50 + 150))).To(BeFalse())
+		Expect(silent(at(50 + 200))).To(BeTrue())
+		m.Event(at(250), 0)
+		Expect(silent(at(300))).To(BeFalse())
+	})
+
+	It("gives a group that it has just begun to use two passes", func() {
+		Expect(silent(at(300))).To(BeFalse())
+		Expect(silent(at(400))).To(BeTrue())
+	})
+
+	It("holds no group for silent that is idle, or brings events to another daemon", func() {
+		m.EventElsewhere(at(390))
+		Expect(silent(at(400))).To(BeFalse())
+		Expect(silent(at(600))).To(BeTrue())
+		m.End()
+		Expect(silent(at(600))).To(BeFalse())
+	})
+
+	It("passes a target over the longer the more often it failed in a row", func() {
+		m.Fail(at(0))
+		Expect(m.Avoid(at(300))).To(BeTrue())
+		Expect(m.Avoid(at(500))).To(BeFalse())
+		m.Fail(at(500))
+		Expect(m.Avoid(at(1200))).To(BeTrue())
+		m.Succeed(at(1201))
+		Expect(m.Avoid(at(1202))).To(BeFalse())
+	})
+
+	It("counts the requests of all daemons", func() {
+		m.SetElsewhere(4)
+		Expect(m.Load()).To(Equal(5))
+		Expect(m.InFlight()).To(Equal(1))
+	})
+})
