--- /dev/null
+++ b/internal/fakes/wire_store.go
@@ -0,0 +1,132 @@
+package fakes
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/keyed"
+)
+
+// WireStore serves a KeyedLog as the users' platform does, with its refusals.
+type WireStore struct {
+	Log    *KeyedLog
+	refuse atomic.Int32 // status that every call gets; 0: none
+	mute   atomic.Bool  // appends are carried out, and the connection ends without an answer
+}
+
+// NewWireStore returns an empty store.
+func NewWireStore() *WireStore { return &WireStore{Log: NewKeyedLog()} }
+
+// Refuse makes every call get a status; 0 serves again.
+func (s *WireStore) Refuse(status int) { s.refuse.Store(int32(status)) }
+
+// Mute makes appends take effect without an answer.
+func (s *WireStore) Mute(mute bool) { s.mute.Store(mute) }
+
+// ServeHTTP implements http.Handler.
+func (s *WireStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if status := s.refuse.Load(); status != 0 {
+		w.WriteHeader(int(status))
+		return
+	}
+	switch r.Method + " " + r.URL.Path {
+	case "POST /api/log-append":
+		s.append(w, r)
+	case "GET /api/log-read":
+		s.read(w, r)
+	case "GET /api/log-newest":
+		s.newest(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *WireStore) append(w http.ResponseWriter, r *http.Request) {
+	topic := r.URL.Query().Get("topic")
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	records := decodeFrames(data)
+	at, err := strconv.ParseUint(r.URL.Query().Get("at"), 10, 64)
+	if err != nil {
+		page, _ := s.Log.Newest(r.Context(), topic, "")
+		at = page.End
+	}
+	offset, err := s.Log.Append(r.Context(), topic, at, records)
+	var conflict *keyed.ConflictError
+	if errors.As(err, &conflict) {
+		answer(w, http.StatusPreconditionFailed, map[string]any{"end": conflict.End})
+		return
+	}
+	if s.mute.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, http.StatusOK, map[string]any{"offset": offset, "end": offset + uint64(len(records))})
+}
+
+func (s *WireStore) read(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, _ := strconv.ParseUint(query.Get("from"), 10, 64)
+	wait, _ := strconv.Atoi(query.Get("wait_ms"))
+	page, err := s.Log.Read(r.Context(), query.Get("topic"), from, time.Duration(wait)*time.Millisecond)
+	var expired *keyed.ExpiredError
+	if errors.As(err, &expired) {
+		answer(w, http.StatusGone, map[string]any{"first": expired.First})
+		return
+	}
+	data := binary.BigEndian.AppendUint64(nil, page.End)
+	data = binary.BigEndian.AppendUint64(data, 0)
+	for _, record := range page.Records {
+		data = binary.BigEndian.AppendUint32(data, uint32(1+len(record.Key)+len(record.Value)))
+		data = append(append(append(data, byte(len(record.Key))), record.Key...), record.Value...)
+	}
+	_, _ = w.Write(data)
+}
+
+// newest answers with pages of two records, so that paging is always needed.
+func (s *WireStore) newest(w http.ResponseWriter, r *http.Request) {
+	page, _ := s.Log.Newest(r.Context(), r.URL.Query().Get("topic"), "")
+	sortByKey(page.Records)
+	items := []map[string]any{}
+	more := false
+	for _, record := range page.Records {
+		if record.Key <= r.URL.Query().Get("after") {
+			continue
+		}
+		if len(items) == 2 {
+			more = true
+			break
+		}
+		items = append(items, map[string]any{"key": record.Key, "value": base64.StdEncoding.EncodeToString(record.Value), "offset": record.Offset})
+	}
+	answer(w, http.StatusOK, map[string]any{"items": items, "has_more": more, "end": page.End})
+}
+
+func decodeFrames(data []byte) []keyed.Record {
+	var records []keyed.Record
+	for len(data) >= 4 {
+		length := int(binary.BigEndian.Uint32(data))
+		content := data[4 : 4+length]
+		record := keyed.Record{Key: string(content[1 : 1+int(content[0])])}
+		if value := content[1+int(content[0]):]; len(value) > 0 {
+			record.Value = append([]byte(nil), value...)
+		}
+		records = append(records, record)
+		data = data[4+length:]
+	}
+	return records
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // a reader that has gone is of no interest
+}
--- a/internal/formation/fill.go
+++ b/internal/formation/fill.go
@@ -15,9 +15,11 @@
 	// appearGap is the time without a new endpoint after which a domain counts as
 	// complete: several times the gap between two that appear at a first start.
 	appearGap = 700 * time.Millisecond
-	// reserve is how many free endpoints a domain keeps while its models have
-	// their share: they repair a group in a fraction of a second.
-	reserve = 2
+	// A domain keeps one free endpoint of so many, and no more than maxReserve,
+	// while its models have their share: they repair a group in a fraction of a
+	// second.
+	endpointsPerSpare = 8
+	maxReserve        = 2
 	// muchMissed is the part of the best supplied model's endpoints for its share
 	// below which a model gets a group even at the cost of the reserve.
 	muchMissed = 0.8
@@ -63,7 +65,7 @@
 // leavesReserve reports whether a group of a model leaves the domain its reserve, or
 // is worth more than that.
 func (p *planner) leavesReserve(domain string, model *catalog.Model) bool {
-	if len(p.free[domain])-model.Size >= reserve {
+	if len(p.free[domain])-model.Size >= p.reserve(domain) {
 		return true
 	}
 	most := 0.0
@@ -73,6 +75,14 @@
 	return p.supply(model) < muchMissed*most || most == 0
 }
 
+func (p *planner) reserve(domain string) int {
+	endpoints := 0
+	for _, count := range p.handy[domain] {
+		endpoints += count
+	}
+	return min((endpoints+endpointsPerSpare-1)/endpointsPerSpare, maxReserve)
+}
+
 // formable returns the free endpoints of a domain that may form a group of a
 // model: those that are ready soon, and those whose own model can form none there.
 func (p *planner) formable(domain string, model *catalog.Model) []*registry.Endpoint {
--- a/internal/logging/async_writer.go
+++ b/internal/logging/async_writer.go
@@ -11,6 +11,7 @@
 const (
 	queuedLines = 4096
 	gatherFor   = 50 * time.Millisecond // lines that are written at once
+	gatherBytes = 32 << 10              // of such lines, at most
 )
 
 // AsyncWriter writes lines from a goroutine of its own, so that a log that is not
@@ -66,7 +67,7 @@
 func (w *AsyncWriter) gather(batch []byte) []byte {
 	timer := time.NewTimer(gatherFor)
 	defer timer.Stop()
-	for {
+	for len(batch) < gatherBytes {
 		select {
 		case line, ok := <-w.lines:
 			if !ok {
@@ -77,4 +78,5 @@
 			return batch
 		}
 	}
+	return batch
 }
--- a/internal/logging/async_writer_test.go
+++ b/internal/logging/async_writer_test.go
@@ -48,7 +48,7 @@
 	It("blocks nobody when its lines are not taken, and tells how many it dropped", func() {
 		out := &gate{opened: make(chan struct{})}
 		w := logging.NewAsyncWriter(out)
-		for range 10000 {
+		for range 20000 {
 			_, err := w.Write([]byte("line\n"))
 			Expect(err).NotTo(HaveOccurred())
 		}
@@ -56,6 +56,6 @@
 		close(out.opened)
 		Eventually(out.String, 2*time.Second).Should(ContainSubstring("log lines dropped"))
 		w.Close()
-		Expect(strings.Count(out.String(), "line\n") + int(w.Dropped())).To(Equal(10000))
+		Expect(strings.Count(out.String(), "line\n") + int(w.Dropped())).To(Equal(20000))
 	})
 })
