--- a/internal/exchange/watch.go
+++ b/internal/exchange/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,7 +25,9 @@
 	run    *run
 	target *placement.Target
 	cancel context.CancelCauseFunc
-	timer  *time.Timer
+	mu     sync.Mutex
+	timer  *time.Timer // nil: the attempt is not watched
+	ended  bool
 	failed map[string]bool // keys of this target and of those that failed before
 	last   atomic.Int64    // Unix nanoseconds of the last event, or of the attempt's start
 }
@@ -36,6 +39,8 @@
 	if !r.req.Route.Repeatable() || r.ran+1 >= r.req.Route.MaxAttempts {
 		return w
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if r.req.Route.Kind == catalog.Streaming {
 		w.timer = time.AfterFunc(watchEvery, w.lookAtStream)
 		return w
@@ -51,11 +56,23 @@
 func (w *watch) progress(now time.Time) { w.last.Store(now.UnixNano()) }
 
 func (w *watch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
 }
 
+// lookAgain sets the next look, unless the attempt has ended meanwhile.
+func (w *watch) lookAgain() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.ended {
+		w.timer.Reset(watchEvery)
+	}
+}
+
 // lookAtStream ends the attempt when the whole group has brought nothing for
 // too long, which a lost member explains and a busy group does not, or when
 // the caller would soon give up.
@@ -74,7 +91,7 @@
 	case own > stuckStream && w.hasOther(now):
 		w.cancel(&SlowError{After: own})
 	default:
-		w.timer.Reset(watchEvery)
+		w.lookAgain()
 	}
 }
 
