A member that lost only its way to the store keeps its place in its group; a staging is not ordered again while it may be under way

Cause: with engines cut off from the store for 10 s their entries lapsed, and most groups were formed anew or taken apart though every member worked.

--- a/internal/formation/keeper.go
+++ b/internal/formation/keeper.go
@@ -24,6 +24,7 @@
 	proposeLimit = 1500 * time.Millisecond
 	orderLimit   = 800 * time.Millisecond // for the answer to one order
 	orderAgain   = 1200 * time.Millisecond
+	stageAgain   = 20 * time.Second // above the time of a load from the shared store
 	probeLimit   = 130 * time.Millisecond // above a round trip between zones and the time of a busy endpoint's report
 	loadBurst    = 3                      // loads that may start at once: below what the ceiling leaves beside its rate
 	probeTries   = 2
@@ -114,6 +115,8 @@
 	}
 	k.memory.forget(in.Now, func(id string) bool { return in.Endpoints.ByID[id] != nil })
 	k.probeMarked(ctx, in)
+	k.probeAbsent(ctx, in)
+	in.Health = k.memory.health()
 	plan := MakePlan(in)
 	k.unsettled.Store(plan.Unsettled)
 	if len(plan.Grants)+len(plan.Drops) > 0 && k.CanWrite() {
@@ -160,7 +163,7 @@
 // give gives an order unless it was given just now or the store of weights has
 // no room.
 func (k *Keeper) give(ctx context.Context, order Order, in Input) {
-	if !k.memory.begin(order, in.Now, orderAgain) {
+	if !k.memory.begin(order, in.Now, again(order)) {
 		return
 	}
 	if order.Loads && !in.Quiet && !k.loads.Allow() {
@@ -220,3 +223,11 @@
 		return
 	}
 }
+
+// again returns the time after which an order that shows no effect is repeated.
+func again(order Order) time.Duration {
+	if order.Operation == Stage {
+		return stageAgain
+	}
+	return orderAgain
+}
--- a/internal/formation/memory.go
+++ b/internal/formation/memory.go
@@ -17,6 +17,7 @@
 type memory struct {
 	mu         sync.Mutex
 	dead       map[string]int64
+	absent     map[string]Absence
 	slow       map[string]float64
 	promised   map[string]Promise
 	letGo      map[string]bool
@@ -29,7 +30,7 @@
 
 func newMemory() *memory {
 	return &memory{
-		dead: map[string]int64{}, slow: map[string]float64{}, promised: map[string]Promise{}, letGo: map[string]bool{}, closing: map[string]int64{},
+		dead: map[string]int64{}, absent: map[string]Absence{}, slow: map[string]float64{}, promised: map[string]Promise{}, letGo: map[string]bool{}, closing: map[string]int64{},
 		unanswered: map[string]int{}, sent: map[string]time.Time{}, underway: map[string]bool{}, lastProbed: map[string]time.Time{},
 	}
 }
@@ -38,7 +39,7 @@
 func (m *memory) health() Health {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return Health{Dead: maps.Clone(m.dead), Slow: maps.Clone(m.slow), Promised: maps.Clone(m.promised), LetGo: maps.Clone(m.letGo), Closing: maps.Clone(m.closing)}
+	return Health{Dead: maps.Clone(m.dead), Absent: maps.Clone(m.absent), Slow: maps.Clone(m.slow), Promised: maps.Clone(m.promised), LetGo: maps.Clone(m.letGo), Closing: maps.Clone(m.closing)}
 }
 
 // mayProbe reports whether a group was not probed within a time, and notes that
@@ -83,6 +84,17 @@
 	delete(m.underway, order.key())
 }
 
+// setAbsent notes what is known of a member whose entry is missing. A question
+// changes nothing that is known of the same life.
+func (m *memory) setAbsent(member ledger.Member, state AbsenceState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if known, ok := m.absent[member.ID]; ok && known.Born == member.Born && state == Asked {
+		return
+	}
+	m.absent[member.ID] = Absence{Born: member.Born, State: state}
+}
+
 // setProbed notes what a probe of an endpoint showed.
 func (m *memory) setProbed(member ledger.Member, alive bool, slowBy float64) {
 	m.mu.Lock()
@@ -130,6 +142,7 @@
 	defer m.mu.Unlock()
 	maps.DeleteFunc(m.sent, func(_ string, at time.Time) bool { return now.Sub(at) > rememberOrders })
 	maps.DeleteFunc(m.dead, func(id string, _ int64) bool { return !known(id) })
+	maps.DeleteFunc(m.absent, func(id string, _ Absence) bool { return known(id) })
 	maps.DeleteFunc(m.promised, func(id string, _ Promise) bool { return !known(id) })
 	maps.DeleteFunc(m.slow, func(id string, _ float64) bool { return !known(id) })
 }
--- a/internal/formation/planner_test.go
+++ b/internal/formation/planner_test.go
@@ -86,6 +86,23 @@
 		Expect(w.plan().Grants).To(HaveLen(1))
 	})
 
+	It("keeps a group whose member only lost its way to the store, but not its head", func() {
+		w := newWorld(7)
+		w.settle()
+		record := w.recordOf("big")
+		member := record.Members[1]
+		cut := w.endpoints[member.ID]
+		delete(w.endpoints, member.ID)
+		w.in.Health.Absent = map[string]formation.Absence{member.ID: {Born: 1, State: formation.Alive}}
+		Expect(w.plan().Grants).To(BeEmpty())
+		w.in.Health.Absent[member.ID] = formation.Absence{Born: 1, State: formation.Silent}
+		Expect(w.plan().Grants).To(HaveLen(1))
+		w.endpoints[member.ID] = cut
+		delete(w.endpoints, record.Head().ID)
+		w.in.Health.Absent[record.Head().ID] = formation.Absence{Born: 1, State: formation.Alive}
+		Expect(w.plan().Grants).To(HaveLen(1))
+	})
+
 	It("takes a member that started anew for lost", func() {
 		w := newWorld(7)
 		w.settle()
--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -86,3 +86,30 @@
 		})
 	}
 }
+
+// probeAbsent asks the members whose entries are missing whether they still work:
+// the group of one that does serves on.
+func (k *Keeper) probeAbsent(ctx context.Context, in Input) {
+	for _, record := range in.Groups.Groups {
+		if record.Ending || !k.Owns(record.Domain) {
+			continue
+		}
+		for _, member := range record.Members {
+			if in.Endpoints.ByID[member.ID] != nil || !k.memory.mayProbe("absent/"+member.ID, in.Now, probeAgain) {
+				continue
+			}
+			k.memory.setAbsent(member, Asked)
+			k.pool.Submit(func() { k.askAbsent(ctx, record, member) })
+		}
+	}
+}
+
+func (k *Keeper) askAbsent(ctx context.Context, record *ledger.Record, member ledger.Member) {
+	state := Silent
+	if alive, _ := k.ask(ctx, member); alive {
+		state = Alive
+	}
+	k.memory.setAbsent(member, state)
+	k.Logger.Info("absent member asked", "endpoint", member.ID, "group", record.Group, "epoch", record.Epoch, "works", state == Alive)
+	k.Wake()
+}
--- a/internal/formation/repair.go
+++ b/internal/formation/repair.go
@@ -82,6 +82,8 @@
 func (p *planner) conditionOf(record *ledger.Record, member ledger.Member) condition {
 	e := p.in.Endpoints.ByID[member.ID]
 	switch {
+	case e == nil && p.worksUnseen(record, member):
+		return sound
 	case e == nil || e.Born != member.Born || p.dead(e):
 		return lost
 	case p.leftGroup(record, e):
@@ -143,3 +145,11 @@
 	}
 	return true
 }
+
+// worksUnseen reports whether a member whose entry is missing still works for its
+// group: its way to the store may be cut alone. A head's entry must be there, since
+// requests go by it.
+func (p *planner) worksUnseen(record *ledger.Record, member ledger.Member) bool {
+	absence, known := p.in.Health.Absent[member.ID]
+	return known && absence.Born == member.Born && absence.State != Silent && member.ID != record.Head().ID && p.begun(record)
+}
--- a/internal/formation/settle.go
+++ b/internal/formation/settle.go
@@ -92,6 +92,9 @@
 	ready := true
 	for _, member := range record.Members {
 		e := p.in.Endpoints.ByID[member.ID]
+		if e == nil {
+			return false // it works unseen, and cannot be seen to be ready
+		}
 		if e.Group.In(record.Group, record.Epoch) {
 			ready = ready && e.Group.State == registry.Ready
 			continue
