What is down is not waited for; a group of which nobody is reached is left alone

Cause: in a data centre that is cut off, requests were sent to heads that could not be reached, 300 to 400 ms each and up to three times; from outside, its groups were taken apart while their entries lapsed one after the other. Kept for what callers get.

--- a/internal/formation/absence.go
+++ b/internal/formation/absence.go
@@ -11,7 +11,12 @@
 
 // States of an absence.
 const (
-	Asked  AbsenceState = iota // it has not answered yet, nor failed to
+	Asked  AbsenceState = iota // nothing is known: no member of its group has answered
 	Alive                      // it answers, so that only its way to the store is cut
-	Silent                     // it does not answer, or lives another life
+	Silent                     // it does not answer though another member of its group does
 )
+
+// String returns the name of the state in logs.
+func (s AbsenceState) String() string {
+	return [...]string{"asked", "alive", "silent"}[s]
+}
--- a/internal/formation/keeper.go
+++ b/internal/formation/keeper.go
@@ -24,7 +24,7 @@
 	proposeLimit = 1500 * time.Millisecond
 	orderLimit   = 800 * time.Millisecond // for the answer to one order
 	orderAgain   = 1200 * time.Millisecond
-	stageAgain   = 20 * time.Second // above the time of a load from the shared store
+	stageAgain   = 20 * time.Second       // above the time of a load from the shared store
 	probeLimit   = 130 * time.Millisecond // above a round trip between zones and the time of a busy endpoint's report
 	loadBurst    = 3                      // loads that may start at once: below what the ceiling leaves beside its rate
 	probeTries   = 2
--- a/internal/formation/planner_test.go
+++ b/internal/formation/planner_test.go
@@ -95,6 +95,8 @@
 		delete(w.endpoints, member.ID)
 		w.in.Health.Absent = map[string]formation.Absence{member.ID: {Born: 1, State: formation.Alive}}
 		Expect(w.plan().Grants).To(BeEmpty())
+		w.in.Health.Absent[member.ID] = formation.Absence{Born: 1, State: formation.Asked}
+		Expect(w.plan().Grants).To(BeEmpty(), "nobody of the group answers")
 		w.in.Health.Absent[member.ID] = formation.Absence{Born: 1, State: formation.Silent}
 		Expect(w.plan().Grants).To(HaveLen(1))
 		w.endpoints[member.ID] = cut
--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/ledger"
@@ -105,11 +106,32 @@
 }
 
 func (k *Keeper) askAbsent(ctx context.Context, record *ledger.Record, member ledger.Member) {
-	state := Silent
+	state := Asked
 	if alive, _ := k.ask(ctx, member); alive {
 		state = Alive
+	} else if k.anyAnswers(ctx, record, member) {
+		state = Silent
 	}
 	k.memory.setAbsent(member, state)
-	k.Logger.Info("absent member asked", "endpoint", member.ID, "group", record.Group, "epoch", record.Epoch, "works", state == Alive)
+	k.Logger.Info("absent member asked", "endpoint", member.ID, "group", record.Group, "epoch", record.Epoch, "state", state)
 	k.Wake()
 }
+
+// anyAnswers reports whether any other member of a group answers: without, its
+// whole domain may be cut off from here, and serve on.
+func (k *Keeper) anyAnswers(ctx context.Context, record *ledger.Record, but ledger.Member) bool {
+	var wait sync.WaitGroup
+	var answered atomic.Bool
+	for _, member := range record.Members {
+		if member.ID == but.ID {
+			continue
+		}
+		wait.Go(func() {
+			if alive, _ := k.ask(ctx, member); alive {
+				answered.Store(true)
+			}
+		})
+	}
+	wait.Wait()
+	return answered.Load()
+}
--- a/internal/formation/repair.go
+++ b/internal/formation/repair.go
@@ -146,10 +146,13 @@
 	return true
 }
 
-// worksUnseen reports whether a member whose entry is missing still works for its
-// group: its way to the store may be cut alone. A head's entry must be there, since
-// requests go by it.
+// worksUnseen reports whether a member whose entry is missing may still work for
+// its group: its way to the store may be cut alone, or the whole group may be cut
+// off from here. A head that answers must have its entry, since requests go by it.
 func (p *planner) worksUnseen(record *ledger.Record, member ledger.Member) bool {
 	absence, known := p.in.Health.Absent[member.ID]
-	return known && absence.Born == member.Born && absence.State != Silent && member.ID != record.Head().ID && p.begun(record)
+	if !known || absence.Born != member.Born || !p.begun(record) {
+		return false
+	}
+	return absence.State == Asked || absence.State == Alive && member.ID != record.Head().ID
 }
--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -1,13 +1,14 @@
 package placement
 
-// filter returns the targets that have not failed the request, those first
-// that nothing speaks against.
+// filter returns the targets that have not failed the request and are not down,
+// those first that nothing speaks against. Load answered: a data centre that is
+// cut off from the groups of the others; what cannot be reached is not waited for.
 func filter(targets []*Target, demand Demand) []*Target {
 	sound := make([]*Target, 0, len(targets))
 	var doubtful []*Target
 	for _, target := range targets {
 		switch {
-		case demand.Excluded[target.Key]:
+		case demand.Excluded[target.Key] || target.Meter.Down(demand.Now):
 		case isDoubtful(target, demand):
 			doubtful = append(doubtful, target)
 		default:
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -54,6 +54,21 @@
 		Expect(picked).To(Equal(failed))
 	})
 
+	It("does not wait for what failed several times in a row, but tries it again, once at a time", func() {
+		down := target("down", 0)
+		for range 3 {
+			down.Meter.Fail(now)
+		}
+		_, reason := placement.Pick([]*placement.Target{down}, demand(nil))
+		Expect(reason).To(Equal(placement.NoTarget))
+		later := demand(func(d *placement.Demand) { d.Now = now.Add(5 * time.Second) })
+		_, reason = placement.Pick([]*placement.Target{down}, later)
+		Expect(reason).To(Equal(placement.Placed))
+		down.Meter.Begin(later.Now)
+		_, reason = placement.Pick([]*placement.Target{down}, later)
+		Expect(reason).To(Equal(placement.NoTarget))
+	})
+
 	It("refuses when all are full, and what is late sooner than what can be in time", func() {
 		_, reason := placement.Pick([]*placement.Target{target("full", 12)}, demand(nil))
 		Expect(reason).To(Equal(placement.NoRoom))
--- a/internal/rhythm/meter.go
+++ b/internal/rhythm/meter.go
@@ -14,6 +14,8 @@
 	waitMargin  = 40 * time.Millisecond  // the way of a request and of this daemon's turn on its processor
 	failureBase = 400 * time.Millisecond // for which a target is passed over after a failure
 	failureMax  = 3 * time.Second
+
+	downFailures = 3 // in a row
 )
 
 // Meter is the rhythm of one target. All methods are safe for concurrent use
@@ -154,6 +156,13 @@
 	return until > now.UnixNano()
 }
 
+// Down reports whether the target failed several times in a row, so that it is not
+// to be used until the pause after the last failure is over, and then by one
+// request at a time.
+func (m *Meter) Down(now time.Time) bool {
+	return m.failures.Load() >= downFailures && (m.Avoid(now) || m.inFlight.Load() > 0)
+}
+
 // Avoid reports whether the target should be passed over while there are
 // others: it failed lately, the longer the more often in a row.
 func (m *Meter) Avoid(now time.Time) bool {
