--- a/internal/formation/planner_test.go
+++ b/internal/formation/planner_test.go
@@ -220,6 +220,21 @@
 	})
 })
 
+var _ = Describe("The planner, with a slow member and no spare", func() {
+	It("keeps a group that is somewhat slow, and takes one apart that is of no use", func() {
+		w := newWorld(5)
+		w.settle()
+		record := w.recordOf("big")
+		w.in.Health.Slow[record.Members[1].ID] = 2
+		Expect(w.plan().Grants).To(BeEmpty())
+		w.in.Health.Slow[record.Members[1].ID] = 8
+		w.settle()
+		for _, current := range w.in.Groups.Groups {
+			Expect(current.Has(record.Members[1].ID)).To(BeFalse())
+		}
+	})
+})
+
 func operations(plan formation.Plan) []formation.Operation {
 	var found []formation.Operation
 	for _, order := range plan.Orders {
--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -70,10 +72,12 @@
 	return false, 0
 }
 
-// probeMarked asks the endpoints again that answered no probe: one that does,
-// may be used.
+// probeMarked asks the endpoints again that answered no probe, or were slow: one
+// that is sound may be used.
 func (k *Keeper) probeMarked(ctx context.Context, in Input) {
-	for id := range in.Health.Dead {
+	marked := slices.Collect(maps.Keys(in.Health.Dead))
+	marked = slices.AppendSeq(marked, maps.Keys(in.Health.Slow))
+	for _, id := range marked {
 		e := in.Endpoints.ByID[id]
 		if e == nil || !k.Owns(e.Domain) || !k.memory.mayProbe("endpoint/"+id, in.Now, 2*probeAgain) {
 			continue
@@ -82,7 +86,7 @@
 		k.pool.Submit(func() {
 			if alive, slowBy := k.ask(ctx, member); alive {
 				k.memory.setProbed(member, true, slowBy)
-				k.Logger.Info("endpoint answers again", "endpoint", member.ID)
+				k.Logger.Info("endpoint answers", "endpoint", member.ID, "slow_by", slowBy)
 			}
 		})
 	}
--- a/internal/formation/repair.go
+++ b/internal/formation/repair.go
@@ -9,6 +9,10 @@
 // group runs at the pace of its slowest member.
 const tooSlow = 1.8
 
+// uselessAt is the factor on a member's times from which on its group is better
+// taken apart, if no spare endpoint can take its place: hardly an answer is in time.
+const uselessAt = 4.0
+
 // condition is what is known of a member.
 type condition int
 
@@ -37,7 +41,7 @@
 		spares = p.notSlow(spares)
 	}
 	if len(spares) < missing {
-		if worst != lost {
+		if worst != lost && !p.uselesslySlow(record) {
 			return false
 		}
 		p.takeApart(record)
@@ -90,7 +94,7 @@
 		return lost
 	case e.Draining:
 		return leaving
-	case p.in.Health.Slow[e.ID] >= tooSlow:
+	case p.slowness(e) >= tooSlow:
 		return slow
 	default:
 		return sound
@@ -106,7 +110,7 @@
 func (p *planner) notSlow(spares []*registry.Endpoint) []*registry.Endpoint {
 	var kept []*registry.Endpoint
 	for _, e := range spares {
-		if p.in.Health.Slow[e.ID] < tooSlow {
+		if p.slowness(e) < tooSlow {
 			kept = append(kept, e)
 		}
 	}
@@ -156,3 +160,18 @@
 	}
 	return absence.State == Asked || absence.State == Alive && member.ID != record.Head().ID
 }
+
+// slowness returns the factor on an endpoint's times, by its entry or a probe.
+func (p *planner) slowness(e *registry.Endpoint) float64 {
+	return max(e.SlowBy, p.in.Health.Slow[e.ID])
+}
+
+// uselesslySlow reports whether a member makes its group too slow to be of use.
+func (p *planner) uselesslySlow(record *ledger.Record) bool {
+	for _, member := range record.Members {
+		if e := p.in.Endpoints.ByID[member.ID]; e != nil && p.slowness(e) >= uselessAt {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/formation/spares.go
+++ b/internal/formation/spares.go
@@ -35,7 +35,7 @@
 // effort ranks how long an endpoint takes to be ready for a model.
 func (p *planner) effort(e *registry.Endpoint, model string) int {
 	switch {
-	case p.in.Health.Slow[e.ID] >= tooSlow:
+	case p.slowness(e) >= tooSlow:
 		return effortSlow
 	case e.Model == model:
 		return effortHot
@@ -53,7 +53,7 @@
 func (p *planner) warm(endpoints []*registry.Endpoint, model string) []*registry.Endpoint {
 	var warm []*registry.Endpoint
 	for _, e := range endpoints {
-		if effort := p.effort(e, model); p.in.Quiet || effort <= effortStaged || effort == effortSlow {
+		if effort := p.effort(e, model); effort <= effortStaged || p.in.Quiet && effort != effortSlow {
 			warm = append(warm, e)
 		}
 	}
