--- a/cmd/plantainmux/main.go
+++ b/cmd/plantainmux/main.go
@@ -27,6 +27,7 @@
 	addCommand(parser, "status", "show what daemons say of themselves", &statusCommand{global: global})
 	addOrderCommands(parser, global)
 	addCommand(parser, "evidence", "report whether the conditions of operation held", &evidenceCommand{global: global})
+	addCommand(parser, "story", "tell from logs what became of a request", &storyCommand{global: global})
 	addCommand(parser, "reference", "list the fields of configuration and settings", &referenceCommand{global: global})
 	addCommand(parser, "hash-key", "hash a team key for the configuration", &hashKeyCommand{global: global})
 	addCommand(parser, "completion", "print the shell completion for bash", &completionCommand{})
--- a/internal/exchange/exchanger.go
+++ b/internal/exchange/exchanger.go
@@ -45,7 +45,8 @@
 func (x *Exchanger) report(r *run, failure *Failure) {
 	took := time.Since(r.req.Arrived)
 	x.Metrics.finished(r, failure, took)
-	if failure == nil && r.attempts <= 1 && !x.Metrics.sampled() {
+	late := failure == nil && r.late()
+	if failure == nil && r.attempts <= 1 && !late && !x.Metrics.sampled() {
 		return
 	}
 	outcome := "done"
@@ -59,6 +60,7 @@
 	}
 	x.Logger.Info("request finished", "request", r.req.ID, "route", r.req.Route.Name, "kind", r.req.Route.Kind.String(),
 		"outcome", outcome, "reason", reason, "attempts", r.attempts, "took_ms", took.Milliseconds(),
-		"first_ms", r.firstAfter().Milliseconds(), "longest_gap_ms", r.longestGap.Milliseconds(), "late_retry", r.req.Late,
+		"first_ms", r.firstAfter().Milliseconds(), "longest_gap_ms", r.longestGap.Milliseconds(), "late", late, "late_retry", r.req.Late,
+		"targets", r.placed.Targets, "targets_down", r.placed.Down, "least_load", r.placed.LeastLoad, "slots", r.placed.Slots,
 		"left_ms", time.Until(r.req.Deadline).Milliseconds())
 }
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -27,8 +27,9 @@
 	ran        int // attempts that may have run
 	begun      bool
 	events     events
-	kept       *keptAnswer // failure of an endpoint to pass on if nothing better comes
-	firstAt    time.Time   // when the first event or the whole answer came
+	kept       *keptAnswer         // failure of an endpoint to pass on if nothing better comes
+	placed     placement.Situation // at the last choice of a target
+	firstAt    time.Time           // when the first event or the whole answer came
 	longestGap time.Duration
 }
 
@@ -71,6 +72,7 @@
 		Excluded: r.excluded,
 		Now:      now,
 	})
+	r.placed = placement.Survey(targets, now)
 	switch reason {
 	case placement.NoTarget:
 		return nil, r.fail(NoTarget, nil)
@@ -205,3 +207,9 @@
 		return "other"
 	}
 }
+
+// late reports whether the answer missed its objective, or paused for too long.
+func (r *run) late() bool {
+	route := r.req.Route
+	return route.Objective > 0 && r.firstAfter() > route.Objective || route.GapLimit > 0 && r.longestGap > route.GapLimit
+}
