--- a/cmd/plantainfake/check_command.go
+++ b/cmd/plantainfake/check_command.go
@@ -7,8 +7,8 @@
 
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/fleet"
-	"github.com/plantainmux/plantainmux/internal/invariant"
 	"github.com/plantainmux/plantainmux/internal/infra"
+	"github.com/plantainmux/plantainmux/internal/invariant"
 )
 
 // checkCommand checks the invariants of groups over what the stand-ins of a
--- a/cmd/plantainmux/diff_command.go
+++ b/cmd/plantainmux/diff_command.go
@@ -17,7 +17,7 @@
 
 // difference is the JSON form of a comparison.
 type difference struct {
-	InForce infra.Offset `json:"in_force,omitempty"` // version that was compared with
+	InForce infra.Offset    `json:"in_force,omitempty"` // version that was compared with
 	Changes []config.Change `json:"changes"`
 }
 
--- a/cmd/plantainmux/failure.go
+++ b/cmd/plantainmux/failure.go
@@ -13,7 +13,7 @@
 	ExitCode int                 `json:"exit_code"`
 	Message  string              `json:"message"`
 	Problems strictyaml.Problems `json:"problems,omitempty"`
-	InForce  infra.Offset     `json:"in_force,omitempty"` // version that won the race
+	InForce  infra.Offset        `json:"in_force,omitempty"` // version that won the race
 	Changes  []config.Change     `json:"changes,omitempty"`  // from the version in force to what was to be published
 }
 
--- a/cmd/plantainmux/help.go
+++ b/cmd/plantainmux/help.go
@@ -14,6 +14,7 @@
 	"status":     "Asks each daemon for its version in force, the time that it took, and each group's members and condition. Tells first what is wrong, then each data centre. A daemon that cannot be reached does not hide the others.",
 	"order":      "Shows the orders that the log keeps, asked of any daemon, and settles unclear ones by hand. A settlement is recorded with its operator and time. A key settled as not run is closed: it never runs, and the caller is told to use a new one.",
 	"reference":  "Lists every field with its unit, default and bounds.",
+	"story":      "Reads log files of daemons, as many as there are, and prints the lines of a request and what the daemons learnt meanwhile of the groups and endpoints that it was sent to, in order of time.",
 	"hash-key":   "Prints the SHA-256 of a team key. Without KEY the key is read from standard input, so that it stays out of the shell's history.",
 	"completion": "Prints a script for bash: source <(plantainmux completion).",
 	"man":        "Prints the manual page: plantainmux man | man -l -",
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -57,7 +57,7 @@
 }
 
 func (l *Ledger) applyRecord(next *State, record keyed.Record) {
-	if known := next.Groups[record.Key]; known != nil && known.Epoch > record.Offset {
+	if known := next.Groups[record.Key]; known != nil && known.Epoch >= record.Offset {
 		return
 	}
 	if record.Value == nil {
--- a/test/group_outage_test.go
+++ b/test/group_outage_test.go
@@ -9,8 +9,8 @@
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/group"
-	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/infra"
+	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/settings"
 	"github.com/plantainmux/plantainmux/internal/testbed"
 )
--- a/test/partition_test.go
+++ b/test/partition_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/fleet"
-	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/infra"
+	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 	"github.com/plantainmux/plantainmux/internal/testbed"
 )
