--- a/internal/formation/planner_test.go
+++ b/internal/formation/planner_test.go
@@ -105,6 +105,19 @@
 		Expect(w.plan().Grants).To(HaveLen(1))
 	})
 
+	It("waits for the entries of a whole group that comes back after a cut, also for its head's", func() {
+		w := newWorld(7)
+		w.settle()
+		record := w.recordOf("big")
+		head := w.endpoints[record.Head().ID]
+		delete(w.endpoints, head.ID)
+		w.endpoints[record.Members[1].ID].Appeared = w.in.Now
+		w.in.Health.Absent = map[string]formation.Absence{head.ID: {Born: 1, State: formation.Alive}}
+		Expect(w.plan().Grants).To(BeEmpty())
+		w.in.Now = w.in.Now.Add(3 * time.Second)
+		Expect(w.plan().Grants).To(HaveLen(1))
+	})
+
 	It("takes a member that started anew for lost", func() {
 		w := newWorld(7)
 		w.settle()
--- a/internal/formation/repair.go
+++ b/internal/formation/repair.go
@@ -158,7 +158,21 @@
 	if !known || absence.Born != member.Born || !p.begun(record) {
 		return false
 	}
-	return absence.State == Asked || absence.State == Alive && member.ID != record.Head().ID
+	if absence.State == Asked || p.comesBack(record) {
+		return true
+	}
+	return absence.State == Alive && member.ID != record.Head().ID
+}
+
+// comesBack reports whether a member's entry came back just now: those of the
+// others follow within a heartbeat when a cut has ended.
+func (p *planner) comesBack(record *ledger.Record) bool {
+	for _, member := range record.Members {
+		if e := p.in.Endpoints.ByID[member.ID]; e != nil && p.in.Now.Sub(e.Appeared) < orphanWait {
+			return true
+		}
+	}
+	return false
 }
 
 // slowness returns the factor on an endpoint's times, by its entry or a probe.
