Late requests are taken up to 0.85 of the slots; a mirror stays fresh while a long poll is in progress

Cause: returning requests were refused, for which they lose more than a late answer, while a fifth of the places was free; other daemons asked the store itself whenever their reader's long poll was older than 1.5 s.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,7 +107,7 @@
 	seldom := keyed.LongPoll(seldomWait, callLimit)
 	often := keyed.Pacing{Wait: 0, Timeout: callLimit, Pause: g.entriesPause}
 	follow := func(topic string, pacing keyed.Pacing, apply func(keyed.Batch)) *keyed.Follower {
-		return keyed.NewFollower(log, topic, pacing, g.mirror.Follow(topic, apply), g.logger)
+		return keyed.NewFollower(log, topic, pacing, g.mirror.Follow(topic, pacing, apply), g.logger)
 	}
 	g.configs = follow(g.adapters.Topics.Operators, seldom, g.applyConfig)
 	g.entries = follow(g.adapters.Topics.Endpoints, often, g.registry.Apply)
--- a/internal/keyed/follower.go
+++ b/internal/keyed/follower.go
@@ -106,6 +106,7 @@
 	longest := f.pacing.Wait
 	if f.poked.Swap(false) {
 		longest = 0
+		ctx = directly(ctx)
 	}
 	call, cancel := context.WithTimeout(ctx, longest+f.pacing.Timeout)
 	defer cancel()
--- a/internal/keyed/follower_test.go
+++ b/internal/keyed/follower_test.go
@@ -77,6 +77,20 @@
 		Eventually(func() bool { return seen.last().Whole && len(seen.last().Records) == 2 }, "3s").Should(BeTrue())
 	})
 
+	It("asks the store itself when it is told that another daemon knows more than its reader", func() {
+		stale := fakes.NewKeyedLog()
+		through := &keyed.Fallback{Log: log, Reader: func() keyed.Log { return stale }, Peer: func() keyed.Log { return nil }}
+		other := &notes{}
+		f := keyed.NewFollower(through, "keyed.t", keyed.LongPoll(5*time.Second, time.Second), other.apply, slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go f.Run(ctx)
+		Eventually(f.Booted).Should(BeTrue())
+		put("b", "2")
+		f.Poke(true)
+		Eventually(func() int { return len(other.last().Records) }, "2s").Should(BeNumerically(">", 0))
+	})
+
 	It("tells how long the store was away", func() {
 		log.SetDown(true)
 		Eventually(func() time.Duration { return follower.Failing(time.Now()) }, "3s").Should(BeNumerically(">", 800*time.Millisecond))
--- a/internal/keyed/mirror.go
+++ b/internal/keyed/mirror.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	mirrorRecent = 4096 // records of a topic that are kept for readers that are a little behind
-	mirrorStale  = 1500 * time.Millisecond
+	mirrorRecent = 4096                    // records of a topic that are kept for readers that are a little behind
+	mirrorStale  = 1500 * time.Millisecond // beside the wait of a long poll that may be in progress
 )
 
 // Mirror holds what this daemon has read of some topics, so that the other
@@ -27,6 +27,7 @@
 	first   uint64   // the oldest offset from which recent is whole
 	end     uint64
 	at      time.Time     // when the store was asked last, with success
+	stale   time.Duration // after which that proves nothing
 	changed chan struct{} // closed at the next change
 }
 
@@ -34,19 +35,20 @@
 func NewMirror() *Mirror { return &Mirror{topics: map[string]*mirrored{}} }
 
 // Follow returns an apply function that fills the mirror before it calls apply.
-func (m *Mirror) Follow(topic string, apply func(Batch)) func(Batch) {
+// The follower reads with the pacing.
+func (m *Mirror) Follow(topic string, pacing Pacing, apply func(Batch)) func(Batch) {
 	return func(batch Batch) {
-		m.take(topic, batch)
+		m.take(topic, pacing.Wait+mirrorStale, batch)
 		apply(batch)
 	}
 }
 
-func (m *Mirror) take(topic string, batch Batch) {
+func (m *Mirror) take(topic string, stale time.Duration, batch Batch) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t := m.topics[topic]
 	if t == nil || batch.Whole {
-		next := &mirrored{newest: map[string]Record{}, first: batch.End, changed: make(chan struct{})}
+		next := &mirrored{newest: map[string]Record{}, first: batch.End, stale: stale, changed: make(chan struct{})}
 		if t != nil {
 			close(t.changed)
 		}
@@ -140,7 +142,7 @@
 // fresh returns a topic unless this daemon itself has not read it lately.
 func (m *Mirror) fresh(topic string) (*mirrored, error) {
 	t := m.topics[topic]
-	if t == nil || time.Since(t.at) > mirrorStale {
+	if t == nil || time.Since(t.at) > t.stale {
 		return nil, &RefusedError{Call: "mirror of " + topic, Err: errors.ErrUnsupported}
 	}
 	return t, nil
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -1,10 +1,10 @@
 package placement
 
 const (
-	queueGrouped = 2   // requests that may wait at a group beyond its slots: each waits about one answer's time over the slots
-	queuePlain   = 2.0 // requests in progress at a plain endpoint, as a multiple of its slots
-	resumedExtra = 8   // requests beyond those that may wait, for streams that broke elsewhere
-	lateShare    = 0.7 // of the slots, up to which requests that are late already are taken
+	queueGrouped = 2    // requests that may wait at a group beyond its slots: each waits about one answer's time over the slots
+	queuePlain   = 2.0  // requests in progress at a plain endpoint, as a multiple of its slots
+	resumedExtra = 8    // requests beyond those that may wait, for streams that broke elsewhere
+	lateShare    = 0.85 // of the slots, up to which requests that are late already are taken
 )
 
 // hasRoom reports whether a target can take a request so that it is likely to be
