--- a/internal/exchange/dependencies.go
+++ b/internal/exchange/dependencies.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"time"
 
 	"github.com/plantainmux/plantainmux/internal/placement"
 )
@@ -23,10 +22,3 @@
 	// more than a reason to ask the members.
 	Doubt func(target *placement.Target, fault string, early bool)
 }
-
-// RetryBounds bound the arrivals at a service beyond the first of each request.
-type RetryBounds struct {
-	Share  float64 // of the requests of a window
-	Slack  float64 // arrivals of a window, over all daemons
-	Window time.Duration
-}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"time"
-
 	"github.com/plantainmux/plantainmux/internal/strictyaml"
 )
 
@@ -17,31 +15,6 @@
 	Bounds     Bounds `yaml:"bounds"`
 }
 
-// Listen are the addresses of a daemon, IP and port.
-type Listen struct {
-	Callers   string `yaml:"callers"`
-	Readiness string `yaml:"readiness"`
-	Host      string `yaml:"host"`       // IP for the other daemons and for metrics
-	FirstPort int    `yaml:"first_port"` // of the ports that the daemons may use among themselves
-	LastPort  int    `yaml:"last_port"`
-}
-
-// Limits are the limits of the process.
-type Limits struct {
-	MemoryMB int     `yaml:"memory_mb"`
-	CPUShare float64 `yaml:"cpu_share"` // of one core
-}
-
-// Bounds are the platform's bounds.
-type Bounds struct {
-	GraceS          float64 `yaml:"grace_s"`             // from the signal to stop to the end
-	StabilityMS     int     `yaml:"stability_window_ms"` // for which calm must have lasted
-	ConfigurationMS int     `yaml:"configuration_ms"`    // in which a version must be in force
-	RetryShare      float64 `yaml:"retry_share"`         // arrivals beyond the first, of the requests
-	RetrySlack      float64 `yaml:"retry_slack"`         // arrivals beyond those, of a window
-	RetryWindowS    float64 `yaml:"retry_window_s"`
-}
-
 // Load reads a settings file. It fails with a list of problems that names each
 // field.
 func Load(path string) (Settings, error) {
@@ -74,7 +47,3 @@
 	require(s.Bounds.RetryWindowS > 0, "bounds.retry_window_s")
 	return problems
 }
-
-func (b Bounds) grace() time.Duration {
-	return time.Duration(b.GraceS * float64(time.Second))
-}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -14,7 +12,6 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/plantainmux/plantainmux/internal/keyed"
-	"github.com/plantainmux/plantainmux/internal/rendezvous"
 )
 
 // Topic is the topic of the registrations.
@@ -203,99 +200,5 @@
 	return max(minInterval, time.Duration(len(g.peers))*time.Second/sendsPerS)
 }
 
-// Live returns the names of the daemons that are heard, this one included, in
-// order.
-func (g *Gossip) Live(now time.Time) []string {
-	live := []string{g.Node}
-	g.each(now, func(peer *Peer) { live = append(live, peer.Node) })
-	slices.Sort(live)
-	return live
-}
-
-// Writers returns the names of the daemons that are heard and reach the store.
-// reach tells whether this one does.
-func (g *Gossip) Writers(now time.Time, reach bool) []string {
-	var writers []string
-	if reach {
-		writers = append(writers, g.Node)
-	}
-	g.each(now, func(peer *Peer) {
-		if peer.message.Store && !peer.message.Draining {
-			writers = append(writers, peer.Node)
-		}
-	})
-	slices.Sort(writers)
-	return writers
-}
-
-// Reader returns the name and the address of the daemon of the own data centre
-// that reads the store for the others. The name is this daemon's own if it is the
-// one, and empty if none reaches the store.
-func (g *Gossip) Reader(now time.Time, reach bool) (name, address string) {
-	addresses := map[string]string{}
-	g.each(now, func(peer *Peer) {
-		if peer.Zone == g.Zone && peer.message.Store && !peer.message.Draining {
-			addresses[peer.Node] = peer.Address
-		}
-	})
-	if reach {
-		addresses[g.Node] = g.Address
-	}
-	chosen := rendezvous.Choose(readerKey, slices.Sorted(maps.Keys(addresses)), 1)
-	if len(chosen) == 0 {
-		return "", ""
-	}
-	return chosen[0], addresses[chosen[0]]
-}
-
-// AnyWriter returns the address of one of the other daemons that reach the store,
-// by a random number of [0, 1). It is empty if none is heard.
-func (g *Gossip) AnyWriter(now time.Time, random float64) string {
-	var addresses []string
-	g.each(now, func(peer *Peer) {
-		if peer.message.Store {
-			addresses = append(addresses, peer.Address)
-		}
-	})
-	if len(addresses) == 0 {
-		return ""
-	}
-	return addresses[int(random*float64(len(addresses)))]
-}
-
-// Loads returns the requests in progress through the other daemons.
-func (g *Gossip) Loads(now time.Time) map[uint32]int {
-	loads := map[uint32]int{}
-	g.each(now, func(peer *Peer) {
-		for key, load := range peer.message.Loads {
-			loads[key] += load.Count
-		}
-	})
-	return loads
-}
-
-// Crashes returns what the other daemons saw requests crash.
-func (g *Gossip) Crashes(now time.Time) map[uint64]int {
-	crashes := map[uint64]int{}
-	g.each(now, func(peer *Peer) {
-		for fingerprint, count := range peer.message.Crashes {
-			crashes[fingerprint] += count
-		}
-	})
-	return crashes
-}
-
-// each calls f with each peer that is heard.
-func (g *Gossip) each(now time.Time, f func(peer *Peer)) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	limit := max(minLive, liveInterval*g.interval())
-	for _, peer := range g.peers {
-		if now.Sub(peer.heard) < limit {
-			f(peer)
-		}
-	}
-}
-
 // HashKey returns the short form of a target's key.
 func HashKey(key string) uint32 { return uint32(xxhash.Sum64String(key)) }
--- a/internal/keyed/fallback.go
+++ b/internal/keyed/fallback.go
@@ -33,16 +33,6 @@
 	return f.read(ctx, wait, func(ctx context.Context, log Log) (Page, error) { return log.Read(ctx, topic, from, wait) })
 }
 
-// directly marks a read that is to ask the store itself, since another daemon
-// is known to have newer records than the reader told.
-func directly(ctx context.Context) context.Context {
-	return context.WithValue(ctx, directKey{}, true)
-}
-
-func isDirect(ctx context.Context) bool { return ctx.Value(directKey{}) != nil }
-
-type directKey struct{}
-
 type readCall func(ctx context.Context, log Log) (Page, error)
 
 func (f *Fallback) read(ctx context.Context, wait time.Duration, call readCall) (Page, error) {
