--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -178,12 +178,16 @@
 	own := http.NewServeMux()
 	own.Handle(peerlog.Path, peerlog.Handler(g.mirror))
 	own.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { g.writeMetrics(w) })
-	var servers []*http.Server
-	for address, handler := range map[string]http.Handler{
+	handlers := map[string]http.Handler{
 		g.settings.Listen.Callers:   g.adapters.Callers(g),
 		g.settings.Listen.Readiness: g.adapters.Readiness(g),
 		g.peerAddress():             own,
-	} {
+	}
+	if address := g.settings.Listen.Metrics; address != "" {
+		handlers[address] = own
+	}
+	var servers []*http.Server
+	for address, handler := range handlers {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return nil, &ListenError{Address: address, Err: err}
