--- a/internal/fakes/keyed_log.go
+++ b/internal/fakes/keyed_log.go
@@ -16,6 +16,7 @@
 	topics  map[string]*keyedTopic
 	down    bool
 	lost    bool // appends are carried out and not answered
+	deaf    bool // long polls are not woken by what is added
 	calls   int
 	changed chan struct{}
 }
@@ -40,6 +41,14 @@
 	l.wake()
 }
 
+// SetDeaf makes long polls last their whole time whatever is added, as when the
+// history is dropped under them.
+func (l *KeyedLog) SetDeaf(deaf bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.deaf = deaf
+}
+
 // SetLost makes appends take effect without an answer.
 func (l *KeyedLog) SetLost(lost bool) {
 	l.mu.Lock()
@@ -175,6 +184,9 @@
 }
 
 func (l *KeyedLog) wake() {
+	if l.deaf {
+		return
+	}
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
--- a/internal/gateway/bounds.go
+++ b/internal/gateway/bounds.go
@@ -17,3 +17,14 @@
 func (b Bounds) grace() time.Duration {
 	return time.Duration(b.GraceS * float64(time.Second))
 }
+
+// configWait returns the longest long poll for what must be known within a bound.
+// A poll is not woken when the history is dropped under it, so that its own end
+// has to come in time.
+func (b Bounds) configWait() time.Duration {
+	wait := time.Duration(configShare * float64(b.ConfigurationMS) * float64(time.Millisecond))
+	if wait <= 0 {
+		return seldomWait
+	}
+	return min(wait, seldomWait)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,7 +25,8 @@
 )
 
 const (
-	seldomWait   = 4 * time.Second         // long polls of topics that change seldom
+	seldomWait   = 4 * time.Second         // long polls of topics that change seldom, at most
+	configShare  = 0.5                     // of the time in which a version must be in force, for a long poll that is not woken
 	callLimit    = 1500 * time.Millisecond // of a store call, beside its wait
 	steadyPause  = 700 * time.Millisecond  // between two reads of the entries
 	pendingPause = 100 * time.Millisecond  // the same, while some group is on its way
@@ -105,13 +106,14 @@
 	g.registry = registry.New(g.adapters.DecodeEntry, lapseGrace, g.logger, g.changed)
 	g.ledger = ledger.New(g.adapters.Store, g.logger, g.changed)
 	seldom := keyed.LongPoll(seldomWait, callLimit)
+	config := keyed.LongPoll(g.settings.Bounds.configWait(), callLimit)
 	often := keyed.Pacing{Wait: 0, Timeout: callLimit, Pause: g.entriesPause}
 	follow := func(topic string, pacing keyed.Pacing, apply func(keyed.Batch)) *keyed.Follower {
 		return keyed.NewFollower(log, topic, pacing, g.mirror.Follow(topic, pacing, apply), g.logger)
 	}
-	g.configs = follow(g.adapters.Topics.Operators, seldom, g.applyConfig)
+	g.configs = follow(g.adapters.Topics.Operators, config, g.applyConfig)
 	g.entries = follow(g.adapters.Topics.Endpoints, often, g.registry.Apply)
-	g.groups = follow(ledger.Topic, seldom, g.ledger.Apply)
+	g.groups = follow(ledger.Topic, config, g.ledger.Apply)
 	g.daemons = follow(gossip.Topic, seldom, g.gossip.Apply)
 }
 
