--- a/internal/logstream/failures_test.go
+++ b/internal/logstream/failures_test.go
@@ -56,8 +56,11 @@
 		var err *ProposalError
 		Expect(errors.As(<-failed, &err)).To(BeTrue())
 		Expect(err.Sent).To(BeTrue())
-		abandoned := late
 		client.hook(nil, nil)
+		// An append that began before may still be running.
+		mu.Lock()
+		abandoned := late
+		mu.Unlock()
 		before := logEnd(log)
 		Eventually(func() uint64 { return stream.counters.fences.Get() }, waitLong, waitPoll).Should(Equal(uint64(1)))
 		Eventually(stream.Next, waitLong, waitPoll).Should(BeNumerically(">", before))
