--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -251,6 +251,15 @@
 			route.Resumable = true
 		})
 
+		It("breaks off when it breaks after an endpoint's own failure, and ends with no other answer", func() {
+			add("a", 0, answers(500, io.EOF, "no"))
+			add("b", 1, answers(200, io.ErrUnexpectedEOF, event(1)))
+			failure := run()
+			Expect(failure).NotTo(BeNil())
+			Expect([]any{failure.Reason, failure.Begun}).To(Equal([]any{exchange.Broken, true}))
+			Expect([]any{out.status, out.body}).To(Equal([]any{200, event(1)}))
+		})
+
 		It("goes on elsewhere after the last whole event, with the head of the first answer", func() {
 			add("a", 0, answers(200, io.ErrUnexpectedEOF, event(1), event(2)+"id: 3\nda"))
 			add("b", 1, func(ctx context.Context, call exchange.Call) (*exchange.Answer, error) {
