Hubs tell a large fleet what is in progress; silence allows for what is told late

With 89 daemons each told the others once in 1.1 s, so that a daemon with two streams of its own knew neither load nor events of the groups. Ruled out: lost groups (groups stood still for 13 s in all), engine refusals (584). Change: from 17 peers on, daemons tell two hubs of their data centre every 100 ms; the hubs add up loads, latest events, doubts and crashes, the receiver's part aside, and exchange the sums with the other data centres. Directly they tell each other half as often as before. A group is silent only after the time in which an event elsewhere may not have been told yet, unless the own streams are as late. The load at placing joins the line of a finished request, to see what made it late.

--- a/internal/exchange/exchanger.go
+++ b/internal/exchange/exchanger.go
@@ -61,6 +61,6 @@
 	x.Logger.Info("request finished", "request", r.req.ID, "route", r.req.Route.Name, "kind", r.req.Route.Kind.String(),
 		"outcome", outcome, "reason", reason, "attempts", r.attempts, "took_ms", took.Milliseconds(),
 		"first_ms", r.firstAfter().Milliseconds(), "longest_gap_ms", r.longestGap.Milliseconds(), "late", late, "late_retry", r.req.Late,
-		"targets", r.placed.Targets, "targets_down", r.placed.Down, "least_load", r.placed.LeastLoad, "slots", r.placed.Slots,
+		"targets", r.placed.Targets, "targets_down", r.placed.Down, "least_load", r.placed.LeastLoad, "load", r.loadBefore, "slots", r.placed.Slots,
 		"left_ms", time.Until(r.req.Deadline).Milliseconds())
 }
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -29,6 +29,7 @@
 	events     events
 	kept       *keptAnswer         // failure of an endpoint to pass on if nothing better comes
 	placed     placement.Situation // at the last choice of a target
+	loadBefore int                 // of the target, when the last attempt began
 	firstAt    time.Time           // when the first event or the whole answer came
 	longestGap time.Duration
 }
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -35,10 +35,12 @@
 	writers := g.gossip.Writers(now, g.storeReached() && !g.stopping.Load())
 	g.writers.Store(&writers)
 	loads := g.gossip.Loads(now)
+	delay := g.gossip.Delay()
 	byHash := map[uint32]meter{}
 	g.meters.Each(func(key string, meter meter) {
 		hash := gossip.HashKey(key)
 		meter.SetElsewhere(loads[hash])
+		meter.SetDelay(delay)
 		byHash[hash] = meter
 	})
 	g.byHash.Store(&byHash)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -50,8 +50,8 @@
 	return message
 }
 
-// hear takes what another daemon tells.
-func (g *Gateway) hear(_ *gossip.Peer, message gossip.Message) {
+// hear takes what other daemons tell.
+func (g *Gateway) hear(message gossip.Message) {
 	now := time.Now()
 	if message.Traffic {
 		g.traffic.Store(true)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -21,13 +21,14 @@
 const readerKey = "reader"
 
 const (
-	minInterval  = 100 * time.Millisecond // between two datagrams to one peer
-	sendsPerS    = 80                     // datagrams of one daemon, however many peers there are
-	liveInterval = 6                      // intervals of silence after which a peer counts as gone
-	lostAfter    = 5 * time.Second        // of silence, after which a peer is told less often
-	lostInterval = time.Second            // between two datagrams to such a peer
-	maxDatagram  = 8192                   // bytes
-	minLive      = 700 * time.Millisecond
+	minInterval   = 100 * time.Millisecond // between two datagrams to one peer
+	sendsPerS     = 80                     // datagrams of one daemon, however many peers there are
+	starSendsPerS = 40                     // of those that go to peers directly where hubs tell the most
+	liveInterval  = 6                      // intervals of silence after which a peer counts as gone
+	lostAfter     = 5 * time.Second        // of silence, after which a peer is told less often
+	lostInterval  = time.Second            // between two datagrams to such a peer
+	maxDatagram   = 16 << 10               // bytes
+	minLive       = 700 * time.Millisecond
 )
 
 // Dependencies are what the gossip of a daemon works with.
@@ -36,8 +37,8 @@
 	Zone        string
 	Address     string // own IP and port
 	Incarnation int64
-	Tell        func() Message // what to tell; the sender's fields are filled in
-	OnMessage   func(from *Peer, message Message)
+	Tell        func() Message        // what to tell; the sender's fields are filled in
+	OnMessage   func(message Message) // of one daemon, or of all that a digest counts
 	Logger      *slog.Logger
 }
 
@@ -48,7 +49,15 @@
 
 	mu       sync.Mutex
 	peers    map[string]*Peer
+	byHash   map[uint32]*Peer
+	zones    map[string]*heardDigest
 	sequence uint64
+
+	unit     time.Duration // interval of the star
+	starSent time.Time
+	hub      bool      // this daemon acts as a hub
+	hubSince time.Time // zero: it is not chosen
+	lastHubs []string  // of the own data centre, when their digest was fresh last
 }
 
 // New listens for datagrams. It fails if the address cannot be had.
@@ -61,7 +70,7 @@
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
-	return &Gossip{Dependencies: dependencies, conn: conn, peers: map[string]*Peer{}}, nil
+	return &Gossip{Dependencies: dependencies, conn: conn, peers: map[string]*Peer{}, byHash: map[uint32]*Peer{}, zones: map[string]*heardDigest{}, unit: minInterval}, nil
 }
 
 // Own returns the record that registers this daemon.
@@ -85,6 +94,7 @@
 	}
 	if record.Value == nil {
 		delete(g.peers, record.Key)
+		delete(g.byHash, HashKey(record.Key))
 		return
 	}
 	var registration Registration
@@ -96,7 +106,9 @@
 	if known != nil && known.Incarnation >= registration.Incarnation {
 		return
 	}
-	g.peers[record.Key] = &Peer{Node: record.Key, Address: registration.Address, Zone: registration.Zone, Incarnation: registration.Incarnation}
+	peer := &Peer{Node: record.Key, Address: registration.Address, Zone: registration.Zone, Incarnation: registration.Incarnation}
+	g.peers[record.Key] = peer
+	g.byHash[HashKey(record.Key)] = peer
 }
 
 // Run sends and receives until ctx ends.
@@ -128,8 +140,13 @@
 		if err := cbor.Unmarshal(buffer[:n], &message); err != nil {
 			continue // a datagram of nobody we know
 		}
-		if from := g.take(message); from != nil {
-			g.OnMessage(from, message)
+		from := g.take(message)
+		if from == nil {
+			continue
+		}
+		g.OnMessage(message)
+		for _, digest := range g.takeZones(message.Zones, time.Now()) {
+			g.OnMessage(digest)
 		}
 	}
 }
@@ -148,40 +165,55 @@
 	}
 	peer.Incarnation = message.Incarnation
 	peer.sequence = message.Sequence
-	peer.heard = time.Now()
+	now := time.Now()
+	peer.heard, peer.told = now, now
+	peer.store, peer.draining = message.Store, message.Draining
 	peer.message = message
 	return peer
 }
 
 func (g *Gossip) send(now time.Time) {
-	due := g.due(now)
-	if len(due) == 0 {
-		return
-	}
 	message := g.Tell()
 	message.Node = g.Node
 	message.Incarnation = g.Incarnation
 	g.sequence++
 	message.Sequence = g.sequence
-	data, err := cbor.Marshal(message)
-	if err != nil {
-		g.Logger.Error("gossip not encoded", "error", merry.Wrap(err))
-		return
-	}
-	for _, address := range due {
-		to, err := net.ResolveUDPAddr("udp4", address)
+	for _, parcel := range g.parcels(message, now) {
+		message.Zones = parcel.zones
+		data, err := cbor.Marshal(message)
+		if err != nil {
+			g.Logger.Error("gossip not encoded", "error", merry.Wrap(err))
+			return
+		}
+		to, err := net.ResolveUDPAddr("udp4", parcel.to.Address)
 		if err == nil {
 			_, _ = g.conn.WriteToUDP(data, to) // a lost datagram is made good by the next
 		}
 	}
 }
 
-// due returns the addresses of the peers that are to be told now.
-func (g *Gossip) due(now time.Time) []string {
+// parcels returns what goes to whom now. A peer gets one datagram at most: the
+// second one would pass for a repeated one.
+func (g *Gossip) parcels(own Message, now time.Time) []parcel {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	var parcels []parcel
+	if g.star() {
+		parcels = g.starParcels(own, now)
+	}
+	for _, sent := range parcels {
+		sent.to.sent = now
+	}
+	for _, peer := range g.due(now) {
+		parcels = append(parcels, parcel{to: peer})
+	}
+	return parcels
+}
+
+// due returns the peers that are to be told directly now.
+func (g *Gossip) due(now time.Time) []*Peer {
 	interval := g.interval()
-	var due []string
+	var due []*Peer
 	for _, peer := range g.peers {
 		wanted := interval
 		if now.Sub(peer.heard) > lostAfter {
@@ -189,15 +221,20 @@
 		}
 		if now.Sub(peer.sent) >= wanted-minInterval/4 {
 			peer.sent = now
-			due = append(due, peer.Address)
+			due = append(due, peer)
 		}
 	}
 	return due
 }
 
-// interval grows with the peers, so that what a daemon sends does not.
+// interval is the time between two direct datagrams to a peer. It grows with the
+// peers, so that what a daemon sends does not.
 func (g *Gossip) interval() time.Duration {
-	return max(minInterval, time.Duration(len(g.peers))*time.Second/sendsPerS)
+	rate := time.Duration(sendsPerS)
+	if g.star() {
+		rate = starSendsPerS
+	}
+	return max(minInterval, time.Duration(len(g.peers))*time.Second/rate)
 }
 
 // HashKey returns the short form of a target's key.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -29,7 +29,7 @@
 			Tell: func() gossip.Message {
 				return gossip.Message{Store: true, Config: 9, Loads: map[uint32]gossip.Load{1: {Count: 2, AgeMS: 5}}, Crashes: map[uint64]int{3: 1}}
 			},
-			OnMessage: func(_ *gossip.Peer, message gossip.Message) { heard.Store(message.Config) },
+			OnMessage: func(message gossip.Message) { heard.Store(message.Config) },
 		})
 		Expect(err).NotTo(HaveOccurred())
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gossip/heard.go
+++ b/internal/gossip/heard.go
@@ -25,7 +25,7 @@
 		writers = append(writers, g.Node)
 	}
 	g.each(now, func(peer *Peer) {
-		if peer.message.Store && !peer.message.Draining {
+		if peer.store && !peer.draining {
 			writers = append(writers, peer.Node)
 		}
 	})
@@ -39,7 +39,7 @@
 func (g *Gossip) Reader(now time.Time, reach bool) (name, address string) {
 	addresses := map[string]string{}
 	g.each(now, func(peer *Peer) {
-		if peer.Zone == g.Zone && peer.message.Store && !peer.message.Draining {
+		if peer.Zone == g.Zone && peer.store && !peer.draining {
 			addresses[peer.Node] = peer.Address
 		}
 	})
@@ -53,12 +53,20 @@
 	return chosen[0], addresses[chosen[0]]
 }
 
+// Hubs returns the names of the daemons that tell the others of a data centre what
+// all have in progress.
+func (g *Gossip) Hubs(zone string, now time.Time) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.hubs(zone, now)
+}
+
 // AnyWriter returns the address of one of the other daemons that reach the store,
 // by a random number of [0, 1). It is empty if none is heard.
 func (g *Gossip) AnyWriter(now time.Time, random float64) string {
 	var addresses []string
 	g.each(now, func(peer *Peer) {
-		if peer.message.Store {
+		if peer.store {
 			addresses = append(addresses, peer.Address)
 		}
 	})
@@ -71,8 +79,8 @@
 // Loads returns the requests in progress through the other daemons.
 func (g *Gossip) Loads(now time.Time) map[uint32]int {
 	loads := map[uint32]int{}
-	g.each(now, func(peer *Peer) {
-		for key, load := range peer.message.Loads {
+	g.eachTold(now, func(digest *Digest) {
+		for key, load := range digest.Loads {
 			loads[key] += load.Count
 		}
 	})
@@ -82,21 +90,43 @@
 // Crashes returns what the other daemons saw requests crash.
 func (g *Gossip) Crashes(now time.Time) map[uint64]int {
 	crashes := map[uint64]int{}
-	g.each(now, func(peer *Peer) {
-		for fingerprint, count := range peer.message.Crashes {
+	g.eachTold(now, func(digest *Digest) {
+		for fingerprint, count := range digest.Crashes {
 			crashes[fingerprint] += count
 		}
 	})
 	return crashes
 }
 
+// eachTold calls f with what is told of the other daemons: the digest of each
+// data centre that has a fresh one, and what the daemons of the others told
+// directly. A hub has heard those of its own data centre itself.
+func (g *Gossip) eachTold(now time.Time, f func(told *Digest)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	byDigest := map[string]bool{}
+	for zone, heard := range g.zones {
+		if g.star() && g.fresh(zone, now) && (zone != g.Zone || !g.hub) {
+			byDigest[zone] = true
+			f(&heard.Digest)
+		}
+	}
+	for _, peer := range g.peers {
+		if byDigest[peer.Zone] || !g.lives(peer, now) {
+			continue
+		}
+		var direct Digest
+		direct.add(peer.message, 0)
+		f(&direct)
+	}
+}
+
 // each calls f with each peer that is heard.
 func (g *Gossip) each(now time.Time, f func(peer *Peer)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	limit := max(minLive, liveInterval*g.interval())
 	for _, peer := range g.peers {
-		if now.Sub(peer.heard) < limit {
+		if g.lives(peer, now) {
 			f(peer)
 		}
 	}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -1,5 +1,7 @@
 package gossip
 
+import "github.com/fxamacker/cbor/v2"
+
 // Message is one datagram.
 type Message struct {
 	Node        string          `cbor:"1,keyasint"`
@@ -13,4 +15,6 @@
 	Doubts      []Doubt         `cbor:"9,keyasint,omitempty"`
 	Opened      []Doubt         `cbor:"11,keyasint,omitempty"` // groups that have just begun to serve
 	Crashes     map[uint64]int  `cbor:"10,keyasint,omitempty"` // by fingerprint of a request
+
+	Zones []cbor.RawMessage `cbor:"12,keyasint,omitempty"` // Digest of each data centre, from a hub
 }
--- a/internal/gossip/peer.go
+++ b/internal/gossip/peer.go
@@ -9,8 +9,11 @@
 	Zone        string
 	Incarnation int64
 
-	heard    time.Time // of the last datagram
+	heard    time.Time // when it last lived, by its own datagrams and by digests
+	told     time.Time // of its own last datagram
+	store    bool      // it reaches the store
+	draining bool
 	sequence uint64
 	message  Message
-	sent     time.Time
+	sent     time.Time // of the last datagram to it, digests aside
 }
--- a/internal/rhythm/meter.go
+++ b/internal/rhythm/meter.go
@@ -16,6 +16,8 @@
 	failureMax  = 3 * time.Second
 
 	downFailures = 3 // in a row
+
+	usualDelay = 100 * time.Millisecond // of events at other daemons, which the margins cover
 )
 
 // Meter is the rhythm of one target. All methods are safe for concurrent use
@@ -28,6 +30,7 @@
 	heardEvent atomic.Int64 // Unix nanoseconds of the last event that another daemon told of
 	gap        atomic.Uint64
 	pass       atomic.Int64 // nanoseconds
+	delay      atomic.Int64 // nanoseconds by which events of other daemons are told late
 	failures   atomic.Int32 // without a success since
 	failedAt   atomic.Int64 // Unix nanoseconds
 	suspected  atomic.Int64 // Unix nanoseconds until which a daemon holds the target for silent
@@ -111,6 +114,21 @@
 	return time.Duration(passMargin*float64(pass)) + waitMargin
 }
 
+// SetDelay notes how late events at other daemons are told of.
+func (m *Meter) SetDelay(delay time.Duration) { m.delay.Store(int64(delay)) }
+
+// untold returns for how long the target may have brought events to other daemons
+// that this one has not been told of yet, beyond what the margins cover.
+func (m *Meter) untold() time.Duration {
+	return max(0, time.Duration(m.delay.Load())-usualDelay)
+}
+
+// keepsUp reports whether the events of this daemon's own streams are as late as
+// those told of, so that they are proof enough.
+func (m *Meter) keepsUp() bool {
+	return time.Duration(m.heardEvent.Load()-m.lastEvent.Load()) < m.Patience()
+}
+
 // Silence returns for how long the target has brought nothing on any stream
 // though requests are in progress there, and whether that is too long. A group
 // that this daemon has just begun to use may be amid a pass for others, so that
@@ -122,10 +140,14 @@
 	event, busy := max(m.lastEvent.Load(), m.heardEvent.Load()), m.busySince.Load()
 	if event >= busy {
 		length := now.Sub(time.Unix(0, event))
-		return length, length > m.Patience()
+		limit := m.Patience()
+		if !m.keepsUp() {
+			limit += m.untold()
+		}
+		return length, length > limit
 	}
 	length := now.Sub(time.Unix(0, busy))
-	return length, length > 2*m.Patience()
+	return length, length > 2*m.Patience()+m.untold()
 }
 
 // Fail notes a failure of the target itself.
--- a/internal/rhythm/meter_test.go
+++ b/internal/rhythm/meter_test.go
@@ -45,6 +45,16 @@
 		Expect(silent(at(600))).To(BeFalse())
 	})
 
+	It("waits for what other daemons tell late, unless its own streams are as late", func() {
+		m.SetDelay(400 * time.Millisecond)
+		m.EventElsewhere(at(10))
+		Expect(silent(at(10 + 400))).To(BeFalse())
+		Expect(silent(at(10 + 500))).To(BeTrue())
+		m.Event(at(600), 0)
+		m.EventElsewhere(at(610))
+		Expect(silent(at(610 + 200))).To(BeTrue())
+	})
+
 	It("passes a target over the longer the more often it failed in a row", func() {
 		m.Fail(at(0))
 		Expect(m.Avoid(at(300))).To(BeTrue())
