A read that was begun because of newer news elsewhere is not given up for the next news

A version of 920 more routes takes a slow daemon more than 200 ms to read; every 200 ms it heard again that others had a newer one, and gave the read up to begin anew. Hubs spread the news sooner, so that it showed. Ruled out: the store (no call of theirs failed), a reader with a stale mirror (they asked the store itself), the applied configuration (next offset right). Change: news ends a long poll, never the direct read that news began. Test: a follower poked every 50 ms reads a record that takes 300 ms; timed out before.

--- a/internal/keyed/follower.go
+++ b/internal/keyed/follower.go
@@ -31,6 +31,7 @@
 	poke      chan struct{} // ends a pause
 	calling   atomic.Pointer[context.CancelFunc]
 	poked     atomic.Bool // the call in progress was given up to read anew at once
+	direct    atomic.Bool // the call in progress asks the store itself, at once
 }
 
 // NewFollower returns a follower that calls apply with each batch, from one
@@ -72,9 +73,10 @@
 }
 
 // Poke makes the follower read now. A long poll in progress, whose connection may
-// have gone silent, is given up if stale is set.
+// have gone silent, is given up if stale is set. A read that was begun so goes on:
+// were it given up again and again, a large record would never arrive.
 func (f *Follower) Poke(stale bool) {
-	if cancel := f.calling.Load(); stale && cancel != nil && f.booted.Load() {
+	if cancel := f.calling.Load(); stale && cancel != nil && f.booted.Load() && !f.direct.Load() {
 		f.poked.Store(true)
 		(*cancel)()
 	}
@@ -107,6 +109,8 @@
 	if f.poked.Swap(false) {
 		longest = 0
 		ctx = directly(ctx)
+		f.direct.Store(true)
+		defer f.direct.Store(false)
 	}
 	call, cancel := context.WithTimeout(ctx, longest+f.pacing.Timeout)
 	defer cancel()
--- a/internal/keyed/follower_test.go
+++ b/internal/keyed/follower_test.go
@@ -91,6 +91,22 @@
 		Eventually(func() int { return len(other.last().Records) }, "2s").Should(BeNumerically(">", 0))
 	})
 
+	It("reads a record that takes longer than the pause between two pokes", func() {
+		slow := &slowLog{Log: log, takes: 300 * time.Millisecond}
+		other := &notes{}
+		f := keyed.NewFollower(slow, "keyed.t", keyed.LongPoll(5*time.Second, 2*time.Second), other.apply, slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go f.Run(ctx)
+		Eventually(f.Booted, "3s").Should(BeTrue())
+		put("b", "2")
+		read := func() string {
+			f.Poke(true)
+			return other.last().Records[0].Key
+		}
+		Eventually(read, "3s", "50ms").Should(Equal("b"))
+	})
+
 	It("tells how long the store was away", func() {
 		log.SetDown(true)
 		Eventually(func() time.Duration { return follower.Failing(time.Now()) }, "3s").Should(BeNumerically(">", 800*time.Millisecond))
@@ -99,3 +115,19 @@
 		Expect(follower.Failing(time.Now())).To(BeZero())
 	})
 })
+
+// slowLog takes its time for each answer, as for a large record on a slow link.
+type slowLog struct {
+	keyed.Log
+	takes time.Duration
+}
+
+func (l *slowLog) Read(ctx context.Context, topic string, from uint64, wait time.Duration) (keyed.Page, error) {
+	page, err := l.Log.Read(ctx, topic, from, wait)
+	select {
+	case <-time.After(l.takes):
+		return page, err
+	case <-ctx.Done():
+		return keyed.Page{}, ctx.Err()
+	}
+}
