What is read through another daemon is as old as when the store itself was asked

Two daemons that read through each other, as when the chosen reader itself has lost the store, would tell each other the same old state as fresh. Change: pages carry how long ago the store was asked; a mirror goes by that. Test: two mirrors that read through each other alone ask the store once what they tell is too old; with the age left out, the spec times out.

--- a/internal/keyed/batch.go
+++ b/internal/keyed/batch.go
@@ -10,6 +10,7 @@
 	Whole bool
 	End   uint64    // offset up to which the follower has read
 	At    time.Time // when the call began
+	Asked time.Time // when the store itself was asked, by this daemon or by the one that told
 	// Regained is for how long the store could not be read before this call.
 	Regained time.Duration
 }
--- a/internal/keyed/follower.go
+++ b/internal/keyed/follower.go
@@ -130,7 +130,8 @@
 	if n := len(page.Records); n > 0 {
 		f.next = page.Records[n-1].Offset + 1
 	}
-	batch := Batch{Records: page.Records, End: f.next, At: started, Regained: f.noteSuccess(started)}
+	asked := started.Add(-page.Age)
+	batch := Batch{Records: page.Records, End: f.next, At: started, Asked: asked, Regained: f.noteSuccess(asked)}
 	f.apply(batch)
 	return nil
 }
@@ -140,6 +141,7 @@
 func (f *Follower) boot(ctx context.Context, started time.Time) error {
 	var all []Record
 	var end uint64
+	var age time.Duration
 	after := ""
 	for {
 		call, cancel := context.WithTimeout(ctx, f.pacing.Timeout)
@@ -151,6 +153,7 @@
 		if after == "" {
 			end = page.End
 		}
+		age = max(age, page.Age)
 		all = append(all, page.Records...)
 		if !page.More || len(page.Records) == 0 {
 			break
@@ -158,16 +161,17 @@
 		after = page.Records[len(page.Records)-1].Key
 	}
 	f.next = end
-	regained := f.noteSuccess(started)
-	f.apply(Batch{Records: all, Whole: true, End: end, At: started, Regained: regained})
+	asked := started.Add(-age)
+	regained := f.noteSuccess(asked)
+	f.apply(Batch{Records: all, Whole: true, End: end, At: started, Asked: asked, Regained: regained})
 	f.booted.Store(true)
 	return nil
 }
 
 // noteSuccess returns the length of the outage that the call ended, 0 if none.
-func (f *Follower) noteSuccess(started time.Time) time.Duration {
+func (f *Follower) noteSuccess(asked time.Time) time.Duration {
 	now := time.Now()
-	f.confirmed.Store(started.UnixNano())
+	f.confirmed.Store(asked.UnixNano())
 	outage := f.Failing(now)
 	f.failing.Store(0)
 	if outage < outageAfter {
--- a/internal/keyed/mirror.go
+++ b/internal/keyed/mirror.go
@@ -26,7 +26,7 @@
 	recent  []Record // in order of their offsets
 	first   uint64   // the oldest offset from which recent is whole
 	end     uint64
-	at      time.Time     // when the store was asked last, with success
+	at      time.Time     // when the store itself was asked last, with success
 	stale   time.Duration // after which that proves nothing
 	changed chan struct{} // closed at the next change
 }
@@ -63,7 +63,7 @@
 		t.newest[record.Key] = record
 	}
 	t.end = max(t.end, batch.End)
-	t.at = batch.At
+	t.at = batch.Asked
 	if batch.Empty() {
 		return
 	}
@@ -90,7 +90,7 @@
 	if err != nil {
 		return Page{}, err
 	}
-	page := Page{End: t.end}
+	page := Page{End: t.end, Age: time.Since(t.at)}
 	for _, record := range t.newest {
 		page.Records = append(page.Records, record)
 	}
@@ -109,7 +109,8 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			return page, nil
+			page, _, err = m.readNow(topic, from)
+			return page, err
 		case <-ctx.Done():
 			return page, ctx.Err()
 		}
@@ -136,7 +137,7 @@
 			return 0
 		}
 	})
-	return Page{Records: slices.Clone(t.recent[begin:]), End: t.end}, t.changed, nil
+	return Page{Records: slices.Clone(t.recent[begin:]), End: t.end, Age: time.Since(t.at)}, t.changed, nil
 }
 
 // fresh returns a topic unless this daemon itself has not read it lately.
--- a/internal/keyed/mirror_test.go
+++ b/internal/keyed/mirror_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -19,8 +21,8 @@
 	BeforeEach(func() {
 		mirror = keyed.NewMirror()
 		take = mirror.Follow("keyed.t", keyed.LongPoll(time.Second, time.Second), func(keyed.Batch) {})
-		take(keyed.Batch{Whole: true, End: 5, At: time.Now(), Records: []keyed.Record{{Key: "a", Value: []byte("1"), Offset: 3}}})
-		take(keyed.Batch{End: 7, At: time.Now(), Records: []keyed.Record{{Key: "b", Value: []byte("2"), Offset: 5}, {Key: "a", Offset: 6}}})
+		take(keyed.Batch{Whole: true, End: 5, Asked: time.Now(), Records: []keyed.Record{{Key: "a", Value: []byte("1"), Offset: 3}}})
+		take(keyed.Batch{End: 7, Asked: time.Now(), Records: []keyed.Record{{Key: "b", Value: []byte("2"), Offset: 5}, {Key: "a", Offset: 6}}})
 	})
 
 	It("holds the newest of each key", func() {
@@ -42,7 +44,7 @@
 	It("wakes a reader that waits", func() {
 		go func() {
 			time.Sleep(20 * time.Millisecond)
-			take(keyed.Batch{End: 8, At: time.Now(), Records: []keyed.Record{{Key: "c", Value: []byte("3"), Offset: 7}}})
+			take(keyed.Batch{End: 8, Asked: time.Now(), Records: []keyed.Record{{Key: "c", Value: []byte("3"), Offset: 7}}})
 		}()
 		page, err := mirror.Read(ctx, "keyed.t", 7, 5*time.Second)
 		Expect(err).NotTo(HaveOccurred())
@@ -50,13 +52,44 @@
 	})
 
 	It("still tells what a long poll in progress would have changed", func() {
-		take(keyed.Batch{End: 7, At: time.Now().Add(-2 * time.Second)})
+		take(keyed.Batch{End: 7, Asked: time.Now().Add(-2 * time.Second)})
 		_, err := mirror.Read(ctx, "keyed.t", 7, 0)
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	It("tells nothing that daemons tell each other while none asks the store", func() {
+		log := fakes.NewKeyedLog()
+		Expect(log.Put(ctx, "keyed.t", keyed.Record{Key: "a", Value: []byte("1")})).To(Succeed())
+		mirrors := []*keyed.Mirror{keyed.NewMirror(), keyed.NewMirror()}
+		pacing := keyed.Pacing{Timeout: time.Second, Pause: func() time.Duration { return 20 * time.Millisecond }}
+		var cut atomic.Bool // from then on, each reads through the other alone
+		for i, own := range mirrors {
+			other := mirrors[1-i]
+			reader := func() keyed.Log {
+				if cut.Load() {
+					return other
+				}
+				return nil
+			}
+			through := &keyed.Fallback{Log: log, Reader: reader, Peer: func() keyed.Log { return nil }}
+			f := keyed.NewFollower(through, "keyed.t", pacing, own.Follow("keyed.t", pacing, func(keyed.Batch) {}), slog.New(slog.DiscardHandler))
+			run, cancel := context.WithCancel(ctx)
+			DeferCleanup(cancel)
+			go f.Run(run)
+			Eventually(f.Booted).Should(BeTrue())
+		}
+		cut.Store(true)
+		time.Sleep(50 * time.Millisecond)
+		Expect(log.Put(ctx, "keyed.t", keyed.Record{Key: "b", Value: []byte("2")})).To(Succeed())
+		told := func() int {
+			page, _ := mirrors[0].Newest(ctx, "keyed.t", "")
+			return len(page.Records)
+		}
+		Eventually(told, "4s", "20ms").Should(Equal(2), "once what they tell is too old, the store is asked")
+	})
+
 	It("tells nothing that it has not confirmed lately", func() {
-		take(keyed.Batch{End: 7, At: time.Now().Add(-time.Minute)})
+		take(keyed.Batch{End: 7, Asked: time.Now().Add(-time.Minute)})
 		_, err := mirror.Read(ctx, "keyed.t", 7, 0)
 		Expect(err).To(HaveOccurred())
 	})
--- a/internal/peerlog/answer.go
+++ b/internal/peerlog/answer.go
@@ -1,6 +1,10 @@
 package peerlog
 
-import "github.com/plantainmux/plantainmux/internal/keyed"
+import (
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/keyed"
+)
 
 // answer is what the other daemon read.
 type answer struct {
@@ -9,6 +13,7 @@
 	More    bool     `cbor:"3,keyasint"`
 	Expired bool     `cbor:"4,keyasint"` // the records asked for were deleted
 	First   uint64   `cbor:"5,keyasint"` // if so, the oldest that is retained
+	AgeMS   int64    `cbor:"6,keyasint"` // since the store itself was asked
 }
 
 type record struct {
@@ -18,7 +23,7 @@
 }
 
 func newAnswer(page keyed.Page) answer {
-	a := answer{End: page.End, More: page.More}
+	a := answer{End: page.End, More: page.More, AgeMS: page.Age.Milliseconds()}
 	for _, r := range page.Records {
 		a.Records = append(a.Records, record(r))
 	}
@@ -26,7 +31,7 @@
 }
 
 func (a *answer) page() keyed.Page {
-	page := keyed.Page{End: a.End, More: a.More}
+	page := keyed.Page{End: a.End, More: a.More, Age: time.Duration(a.AgeMS) * time.Millisecond}
 	for _, r := range a.Records {
 		page.Records = append(page.Records, keyed.Record(r))
 	}
