--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,6 +96,7 @@
 		return nil, err
 	}
 	g.buildFollowers()
+	g.registerBeliefs()
 	g.buildKeeper()
 	g.buildRequestPath()
 	return g, nil
