What is removed after an outage of the store is kept for a shorter time than what lapsed in it

Ruled out: late reading (the other zones dropped it within 0.5 s), draining entries (they were dropped at once already). Change: the grace of 2.2 s is for entries that are missing in the first reading after an outage; one that is removed later has 0.9 s, which with the time to read of it is within the bound. Test: fails first (the endpoint stayed), passes after.

--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -80,7 +80,7 @@
 
 // sound reports whether an endpoint may become a member.
 func (p *planner) sound(e *registry.Endpoint) bool {
-	return e.Usable() && !e.Lapsed && !p.dead(e)
+	return e.Usable() && !e.Lapsed() && !p.dead(e)
 }
 
 func (p *planner) dead(e *registry.Endpoint) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	steadyPause  = 700 * time.Millisecond  // between two reads of the entries
 	pendingPause = 100 * time.Millisecond  // the same, while some group is on its way
 	lapseGrace   = 2200 * time.Millisecond // in which entries that lapsed in an outage come back
+	removalGrace = 900 * time.Millisecond  // for an entry removed right after an outage: within the time to drain (2 s), beside that to read of it
 	bodyLimit    = 8 << 20                 // bytes of an answer that is passed on as a whole
 )
 
@@ -104,7 +105,7 @@
 
 func (g *Gateway) buildFollowers() {
 	log := &keyed.Fallback{Log: g.adapters.Store, Reader: g.reader, Peer: g.anyWriter}
-	g.registry = registry.New(g.adapters.DecodeEntry, lapseGrace, g.logger, g.changed)
+	g.registry = registry.New(g.adapters.DecodeEntry, registry.Grace{Lapsed: lapseGrace, Removed: removalGrace}, g.logger, g.changed)
 	g.ledger = ledger.New(g.adapters.Store, g.logger, g.changed)
 	seldom := keyed.LongPoll(seldomWait, callLimit)
 	config := keyed.LongPoll(g.settings.Bounds.configWait(), callLimit)
--- a/internal/registry/endpoint.go
+++ b/internal/registry/endpoint.go
@@ -22,9 +22,14 @@
 
 	Appeared time.Time // when the first entry of this life was read
 	Seen     time.Time // when the entry was read
-	Lapsed   bool      // the entry is missing, maybe only because the store was away
+	// LapsedUntil is when the endpoint is taken as gone whose entry is missing,
+	// maybe only because the store was away. It is zero while there is an entry.
+	LapsedUntil time.Time
 }
 
+// Lapsed reports whether the entry is missing.
+func (e *Endpoint) Lapsed() bool { return !e.LapsedUntil.IsZero() }
+
 // Usable reports whether new work may be given to the endpoint.
 func (e *Endpoint) Usable() bool { return !e.Draining }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -18,7 +18,7 @@
 // Registry follows the entries of the endpoints.
 type Registry struct {
 	decode   Decoder
-	grace    time.Duration
+	grace    Grace
 	logger   *slog.Logger
 	onChange func()
 
@@ -28,9 +28,8 @@
 	current    atomic.Pointer[Snapshot]
 }
 
-// New returns an empty registry. An entry that is missing after an outage of
-// the store is taken as gone only once grace has passed.
-func New(decode Decoder, grace time.Duration, logger *slog.Logger, onChange func()) *Registry {
+// New returns an empty registry.
+func New(decode Decoder, grace Grace, logger *slog.Logger, onChange func()) *Registry {
 	r := &Registry{decode: decode, grace: grace, logger: logger, onChange: onChange, refused: map[string]bool{}}
 	r.current.Store(emptySnapshot())
 	return r
@@ -46,14 +45,14 @@
 	}
 	r.mu.Lock()
 	if batch.Regained > 0 {
-		r.graceUntil = time.Now().Add(r.grace)
+		r.graceUntil = time.Now().Add(r.grace.Lapsed)
 	}
 	next := maps.Clone(r.current.Load().ByID)
 	if batch.Whole {
 		r.dropMissing(next, batch)
 	}
 	for _, record := range batch.Records {
-		r.applyRecord(next, record, batch.At)
+		r.applyRecord(next, record, batch)
 	}
 	r.current.Store(index(next))
 	r.mu.Unlock()
@@ -64,25 +63,23 @@
 func (r *Registry) Expire(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now.Before(r.graceUntil) {
-		return
-	}
 	old := r.current.Load().ByID
 	next := maps.Clone(old)
 	maps.DeleteFunc(next, func(id string, e *Endpoint) bool {
-		if e.Lapsed {
+		over := e.Lapsed() && !now.Before(e.LapsedUntil)
+		if over {
 			r.logGone(e, "entry missing after an outage of the store")
 		}
-		return e.Lapsed
+		return over
 	})
 	if len(next) != len(old) {
 		r.current.Store(index(next))
 	}
 }
 
-func (r *Registry) applyRecord(next map[string]*Endpoint, record keyed.Record, at time.Time) {
+func (r *Registry) applyRecord(next map[string]*Endpoint, record keyed.Record, batch keyed.Batch) {
 	if record.Value == nil {
-		r.drop(next, record.Key)
+		r.drop(next, record.Key, batch)
 		return
 	}
 	endpoint, err := r.decode(record.Key, record.Value)
@@ -91,9 +88,9 @@
 		return
 	}
 	delete(r.refused, record.Key)
-	endpoint.Seen = at
+	endpoint.Seen = batch.At
 	old := next[endpoint.ID]
-	endpoint.Appeared = at
+	endpoint.Appeared = batch.At
 	if old != nil && old.Born == endpoint.Born {
 		endpoint.Appeared = old.Appeared
 	}
@@ -102,19 +99,25 @@
 }
 
 // drop removes an endpoint, or only marks it when the store was away lately:
-// the entry may be back in a moment.
-func (r *Registry) drop(next map[string]*Endpoint, id string) {
+// the entry may be back in a moment. What is missing when the store is back has
+// lapsed meanwhile; what is removed later may be leaving on purpose, and is given
+// no request for long.
+func (r *Registry) drop(next map[string]*Endpoint, id string, batch keyed.Batch) {
 	known := next[id]
 	if known == nil {
 		return
 	}
-	if known.Draining || !time.Now().Before(r.graceUntil) {
+	now := time.Now()
+	if known.Draining || !now.Before(r.graceUntil) {
 		r.logGone(known, "entry removed")
 		delete(next, id)
 		return
 	}
 	lapsed := *known
-	lapsed.Lapsed = true
+	lapsed.LapsedUntil = r.graceUntil
+	if late := now.Add(r.grace.Removed); batch.Regained == 0 && late.Before(r.graceUntil) {
+		lapsed.LapsedUntil = late
+	}
 	next[id] = &lapsed
 }
 
@@ -125,7 +128,7 @@
 	}
 	for id := range next {
 		if !present[id] {
-			r.drop(next, id)
+			r.drop(next, id, batch)
 		}
 	}
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -23,7 +23,8 @@
 }
 
 var _ = Describe("The registry", func() {
-	const grace = 150 * time.Millisecond
+	const grace = 400 * time.Millisecond
+	const lateGrace = 100 * time.Millisecond
 	var r *registry.Registry
 	apply := func(batch keyed.Batch, entries ...string) {
 		for i := 0; i < len(entries); i += 2 {
@@ -43,7 +44,7 @@
 		return found
 	}
 	BeforeEach(func() {
-		r = registry.New(decode, grace, slog.New(slog.DiscardHandler), func() {})
+		r = registry.New(decode, registry.Grace{Lapsed: grace, Removed: lateGrace}, slog.New(slog.DiscardHandler), func() {})
 		apply(keyed.Batch{Whole: true}, "a", "s", "b", "s")
 	})
 
@@ -60,12 +61,21 @@
 	It("keeps what lapsed in an outage until the grace is over", func() {
 		apply(keyed.Batch{Regained: time.Second}, "a", "")
 		Expect(ids()).To(Equal([]string{"a", "b"}))
-		Expect(r.Load().ByID["a"].Lapsed).To(BeTrue())
+		Expect(r.Load().ByID["a"].Lapsed()).To(BeTrue())
 		time.Sleep(grace + 20*time.Millisecond)
 		r.Expire(time.Now())
 		Expect(ids()).To(Equal([]string{"b"}))
 	})
 
+	It("keeps what is removed after the outage for a shorter time, as it may be on purpose", func() {
+		apply(keyed.Batch{Regained: time.Second}, "b", "s")
+		apply(keyed.Batch{}, "a", "")
+		Expect(ids()).To(Equal([]string{"a", "b"}))
+		time.Sleep(lateGrace + 20*time.Millisecond)
+		r.Expire(time.Now())
+		Expect(ids()).To(Equal([]string{"b"}))
+	})
+
 	It("forgets the lapse of an endpoint that is back in time", func() {
 		apply(keyed.Batch{Regained: time.Second}, "a", "")
 		apply(keyed.Batch{}, "a", "s")
