The end of a lapsed entry's grace takes effect at once

Change: dropping by grace is a change as any other; the grace of what is removed after an outage is 0.7 s (with the time to read of it, 0.8 s, and the 0.1 s between two looks at it). Test: fails first (no change told), passes after.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,7 +31,7 @@
 	steadyPause  = 700 * time.Millisecond  // between two reads of the entries
 	pendingPause = 100 * time.Millisecond  // the same, while some group is on its way
 	lapseGrace   = 2200 * time.Millisecond // in which entries that lapsed in an outage come back
-	removalGrace = 900 * time.Millisecond  // for an entry removed right after an outage: within the time to drain (2 s), beside that to read of it
+	removalGrace = 700 * time.Millisecond  // for an entry removed right after an outage: within the time to drain (2 s), beside that to read of it
 	bodyLimit    = 8 << 20                 // bytes of an answer that is passed on as a whole
 )
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -61,6 +61,13 @@
 
 // Expire drops the endpoints whose entries did not come back in time.
 func (r *Registry) Expire(now time.Time) {
+	if r.expire(now) {
+		r.onChange()
+	}
+}
+
+// expire reports whether an endpoint was dropped.
+func (r *Registry) expire(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.current.Load().ByID
@@ -72,9 +79,11 @@
 		}
 		return over
 	})
-	if len(next) != len(old) {
-		r.current.Store(index(next))
+	if len(next) == len(old) {
+		return false
 	}
+	r.current.Store(index(next))
+	return true
 }
 
 func (r *Registry) applyRecord(next map[string]*Endpoint, record keyed.Record, batch keyed.Batch) {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -26,6 +26,7 @@
 	const grace = 400 * time.Millisecond
 	const lateGrace = 100 * time.Millisecond
 	var r *registry.Registry
+	var changes int
 	apply := func(batch keyed.Batch, entries ...string) {
 		for i := 0; i < len(entries); i += 2 {
 			record := keyed.Record{Key: entries[i]}
@@ -44,7 +45,7 @@
 		return found
 	}
 	BeforeEach(func() {
-		r = registry.New(decode, registry.Grace{Lapsed: grace, Removed: lateGrace}, slog.New(slog.DiscardHandler), func() {})
+		r = registry.New(decode, registry.Grace{Lapsed: grace, Removed: lateGrace}, slog.New(slog.DiscardHandler), func() { changes++ })
 		apply(keyed.Batch{Whole: true}, "a", "s", "b", "s")
 	})
 
@@ -76,6 +77,16 @@
 		Expect(ids()).To(Equal([]string{"b"}))
 	})
 
+	It("tells of a change when the grace is over, and of none otherwise", func() {
+		apply(keyed.Batch{Regained: time.Second}, "a", "")
+		before := changes
+		r.Expire(time.Now())
+		Expect(changes).To(Equal(before))
+		time.Sleep(grace + 20*time.Millisecond)
+		r.Expire(time.Now())
+		Expect(changes).To(Equal(before + 1))
+	})
+
 	It("forgets the lapse of an endpoint that is back in time", func() {
 		apply(keyed.Batch{Regained: time.Second}, "a", "")
 		apply(keyed.Batch{}, "a", "s")
