The readers plan, by whether the store answers them; long polls prove what they told at their end

Besides, what a reader has read counted from the start of its last long poll, so that it was too old just before the next one ended: each daemon of the data centre then asked the store itself, with a long poll for which no time was left, 86 calls about every 4 s. Ruled out: engines that do not answer orders (none was given); lost grants (none was written). Change: the way to the store notes its own failures; the daemons that read for their data centres plan; a long poll that ends empty counts from its end; a call whose time was used up by another daemon waits for what is left.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,7 @@
 	killers   *exchange.Killers
 	doubts    doubts
 
+	store     *keyed.Reach
 	configs   *keyed.Follower
 	entries   *keyed.Follower
 	groups    *keyed.Follower
@@ -61,7 +62,7 @@
 	peers     *peerlog.Client
 	mirror    *keyed.Mirror                    // what this daemon has read, for the others
 	byHash    atomic.Pointer[map[uint32]meter] // the meters by the short form of their keys
-	writers   atomic.Pointer[[]string]         // live daemons that reach the store
+	planners  atomic.Pointer[[]string]         // live daemons that plan groups
 	live      atomic.Int32                     // live daemons
 	behind    atomic.Int64                     // Unix nanoseconds since which another daemon has a newer configuration
 	polledFor atomic.Uint64                    // epoch of the group for which the entries were read last
@@ -87,10 +88,11 @@
 		killers:  exchange.NewKillers(),
 		peers:    peerlog.NewClient(),
 		mirror:   keyed.NewMirror(),
+		store:    keyed.NewReach(adapters.Store),
 	}
 	g.live.Store(1)
 	g.byHash.Store(&map[uint32]meter{})
-	g.writers.Store(&[]string{s.Node})
+	g.planners.Store(&[]string{s.Node})
 	g.view.Store(&placement.View{})
 	g.traffic.Store(!s.First)
 	if err := g.buildGossip(); err != nil {
@@ -104,9 +106,9 @@
 }
 
 func (g *Gateway) buildFollowers() {
-	log := &keyed.Fallback{Log: g.adapters.Store, Reader: g.reader, Peer: g.anyWriter}
+	log := &keyed.Fallback{Log: g.store, Reader: g.reader, Peer: g.anyWriter, Lost: g.storeLost}
 	g.registry = registry.New(g.adapters.DecodeEntry, registry.Grace{Lapsed: lapseGrace, Removed: removalGrace}, g.logger, g.changed)
-	g.ledger = ledger.New(g.adapters.Store, g.logger, g.changed)
+	g.ledger = ledger.New(g.store, g.logger, g.changed)
 	seldom := keyed.LongPoll(seldomWait, callLimit)
 	config := keyed.LongPoll(g.settings.Bounds.configWait(), callLimit)
 	often := keyed.Pacing{Wait: 0, Timeout: callLimit, Pause: g.entriesPause}
@@ -163,7 +165,7 @@
 		return err
 	}
 	for _, run := range []func(context.Context){
-		g.configs.Run, g.entries.Run, g.groups.Run, g.daemons.Run, g.gossip.Run, g.register, g.plan, g.housekeep,
+		g.configs.Run, g.entries.Run, g.groups.Run, g.daemons.Run, g.gossip.Run, g.register, g.plan, g.housekeep, g.askLostStore,
 	} {
 		g.tasks.Go(func() { run(background) })
 	}
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -32,8 +32,8 @@
 func (g *Gateway) takePeers(now time.Time) {
 	live := g.gossip.Live(now)
 	g.live.Store(int32(len(live)))
-	writers := g.gossip.Writers(now, g.storeReached() && !g.stopping.Load())
-	g.writers.Store(&writers)
+	planners := g.gossip.Readers(now, g.mayRead())
+	g.planners.Store(&planners)
 	loads := g.gossip.Loads(now)
 	delay := g.gossip.Delay()
 	byHash := map[uint32]meter{}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -9,10 +9,9 @@
 )
 
 const (
-	storeLost      = 1500 * time.Millisecond // without a successful call, after which this daemon does not plan
-	behindFor      = 200 * time.Millisecond  // for which another daemon may have a newer configuration before it is fetched
-	peerSuspicion  = time.Second             // for which a group that another daemon doubts is passed over
-	openedLife     = 400 * time.Millisecond  // for which the other daemons are told that a group has opened: several datagrams
+	behindFor      = 200 * time.Millisecond // for which another daemon may have a newer configuration before it is fetched
+	peerSuspicion  = time.Second            // for which a group that another daemon doubts is passed over
+	openedLife     = 400 * time.Millisecond // for which the other daemons are told that a group has opened: several datagrams
 	registerPause  = 300 * time.Millisecond
 	firstPlanAfter = 500 * time.Millisecond // for the daemons to have heard of each other
 )
--- a/internal/gateway/readers.go
+++ b/internal/gateway/readers.go
@@ -7,14 +7,20 @@
 
 	"github.com/plantainmux/plantainmux/internal/gossip"
 	"github.com/plantainmux/plantainmux/internal/keyed"
+	"github.com/plantainmux/plantainmux/internal/ledger"
 	"github.com/plantainmux/plantainmux/internal/rendezvous"
 	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
+const (
+	askAgain = 700 * time.Millisecond // between two questions to a store that is lost
+	askLimit = 700 * time.Millisecond // of one: above an answer of a slow store
+)
+
 // reader returns the daemon that reads the store for this data centre: any daemon
 // of it would do, and all of them choose alike. It is nil if that is this one.
 func (g *Gateway) reader() keyed.Log {
-	name, address := g.gossip.Reader(time.Now(), g.storeReached())
+	name, address := g.gossip.Reader(time.Now(), g.mayRead())
 	if name == "" || name == g.settings.Node {
 		return nil
 	}
@@ -39,7 +45,7 @@
 	}
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, callLimit)
-		err := g.adapters.Store.Put(call, gossip.Topic, own)
+		err := g.store.Put(call, gossip.Topic, own)
 		cancel()
 		if err == nil {
 			return
@@ -50,23 +56,46 @@
 }
 
 // owns reports whether this daemon plans the groups of a domain. The choice may
-// be doubled for a moment: that costs orders, never a wrong grant.
+// be doubled for a moment: that costs orders, never a wrong grant. The readers
+// plan: they know what the store holds first, and whether it answers.
 func (g *Gateway) owns(domain string) bool {
-	return rendezvous.Chosen(domain, *g.writers.Load(), 1, g.settings.Node)
+	return rendezvous.Chosen(domain, *g.planners.Load(), 1, g.settings.Node)
 }
 
 // owners returns how many daemons plan any of the domains.
 func (g *Gateway) owners(domains []string) int {
 	owners := map[string]bool{}
 	for _, domain := range domains {
-		for _, owner := range rendezvous.Choose(domain, *g.writers.Load(), 1) {
+		for _, owner := range rendezvous.Choose(domain, *g.planners.Load(), 1) {
 			owners[owner] = true
 		}
 	}
 	return len(owners)
 }
 
-// storeReached reports whether this daemon itself reads the store.
+// mayRead reports whether this daemon may read the store for others, and plan.
+func (g *Gateway) mayRead() bool { return g.storeReached() && !g.stopping.Load() }
+
+// storeReached reports whether the store answers this daemon itself, as far as it
+// has asked.
 func (g *Gateway) storeReached() bool {
-	return g.entries.Booted() && g.entries.Failing(time.Now()) < storeLost
+	return g.entries.Booted() && !g.storeLost()
+}
+
+func (g *Gateway) storeLost() bool { return g.store.Lost(time.Now()) }
+
+// askLostStore asks a store that gave no answer again and again: what is read
+// through other daemons does not show that it is back.
+func (g *Gateway) askLostStore(ctx context.Context) {
+	for wait.For(ctx, askAgain) {
+		if !g.storeLost() {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, askLimit)
+		_, err := g.store.Read(call, ledger.Topic, g.ledger.Load().End, 0)
+		cancel()
+		if err == nil {
+			g.logger.Info("store reached again", "address", g.settings.Store)
+		}
+	}
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -59,7 +59,7 @@
 		Eventually(func() []string { return a.Live(time.Now()) }, "3s").Should(Equal([]string{"a", "b"}))
 		Expect(a.Loads(time.Now())).To(HaveKeyWithValue(uint32(1), 2))
 		Expect(a.Crashes(time.Now())).To(HaveKeyWithValue(uint64(3), 1))
-		Expect(a.Writers(time.Now(), false)).To(Equal([]string{"b"}))
+		Expect(a.Readers(time.Now(), false)).To(Equal([]string{"b"}))
 		Expect(heard.Load()).To(Equal(int64(9)))
 		name, _ := a.Reader(time.Now(), true)
 		other, _ := b.Reader(time.Now(), true)
--- a/internal/gossip/heard.go
+++ b/internal/gossip/heard.go
@@ -17,40 +17,49 @@
 	return live
 }
 
-// Writers returns the names of the daemons that are heard and reach the store.
-// reach tells whether this one does.
-func (g *Gossip) Writers(now time.Time, reach bool) []string {
-	var writers []string
-	if reach {
-		writers = append(writers, g.Node)
+// Reader returns the name and the address of the daemon of the own data centre
+// that reads the store for the others. reach tells whether this one can. The name
+// is this daemon's own if it is the one, and empty if none reaches the store.
+func (g *Gossip) Reader(now time.Time, reach bool) (name, address string) {
+	reader := g.readers(now, reach)[g.Zone]
+	return reader.Node, reader.Address
+}
+
+// Readers returns the names of the daemons that read the store for their data
+// centres, in order.
+func (g *Gossip) Readers(now time.Time, reach bool) []string {
+	var names []string
+	for _, reader := range g.readers(now, reach) {
+		names = append(names, reader.Node)
 	}
-	g.each(now, func(peer *Peer) {
-		if peer.store && !peer.draining {
-			writers = append(writers, peer.Node)
-		}
-	})
-	slices.Sort(writers)
-	return writers
+	slices.Sort(names)
+	return names
 }
 
-// Reader returns the name and the address of the daemon of the own data centre
-// that reads the store for the others. The name is this daemon's own if it is the
-// one, and empty if none reaches the store.
-func (g *Gossip) Reader(now time.Time, reach bool) (name, address string) {
-	addresses := map[string]string{}
+// readers returns the reader of each data centre of which a daemon is heard that
+// reaches the store.
+func (g *Gossip) readers(now time.Time, reach bool) map[string]Peer {
+	able := map[string]map[string]Peer{}
+	add := func(peer Peer) {
+		if able[peer.Zone] == nil {
+			able[peer.Zone] = map[string]Peer{}
+		}
+		able[peer.Zone][peer.Node] = peer
+	}
 	g.each(now, func(peer *Peer) {
-		if peer.Zone == g.Zone && peer.store && !peer.draining {
-			addresses[peer.Node] = peer.Address
+		if peer.store && !peer.draining {
+			add(*peer)
 		}
 	})
 	if reach {
-		addresses[g.Node] = g.Address
+		add(Peer{Node: g.Node, Address: g.Address, Zone: g.Zone})
 	}
-	chosen := rendezvous.Choose(readerKey, slices.Sorted(maps.Keys(addresses)), 1)
-	if len(chosen) == 0 {
-		return "", ""
+	chosen := map[string]Peer{}
+	for zone, peers := range able {
+		name := rendezvous.Choose(readerKey, slices.Sorted(maps.Keys(peers)), 1)[0]
+		chosen[zone] = peers[name]
 	}
-	return chosen[0], addresses[chosen[0]]
+	return chosen
 }
 
 // Hubs returns the names of the daemons that tell the others of a data centre what
--- a/internal/keyed/fallback.go
+++ b/internal/keyed/fallback.go
@@ -21,38 +21,65 @@
 	Reader func() Log
 	// Peer returns a daemon that reaches the store, nil if none is known.
 	Peer func() Log
+	// Lost reports whether this daemon itself does not reach the store; nil: never.
+	Lost func() bool
 }
 
 // Newest implements Log.
 func (f *Fallback) Newest(ctx context.Context, topic, after string) (Page, error) {
-	return f.read(ctx, 0, func(ctx context.Context, log Log) (Page, error) { return log.Newest(ctx, topic, after) })
+	return f.read(ctx, 0, func(ctx context.Context, log Log, _ time.Duration) (Page, error) {
+		return log.Newest(ctx, topic, after)
+	})
 }
 
 // Read implements Log.
 func (f *Fallback) Read(ctx context.Context, topic string, from uint64, wait time.Duration) (Page, error) {
-	return f.read(ctx, wait, func(ctx context.Context, log Log) (Page, error) { return log.Read(ctx, topic, from, wait) })
+	return f.read(ctx, wait, func(ctx context.Context, log Log, wait time.Duration) (Page, error) {
+		return log.Read(ctx, topic, from, wait)
+	})
 }
 
-type readCall func(ctx context.Context, log Log) (Page, error)
+// readCall reads from a log, waiting up to wait for a record.
+type readCall func(ctx context.Context, log Log, wait time.Duration) (Page, error)
 
 func (f *Fallback) read(ctx context.Context, wait time.Duration, call readCall) (Page, error) {
-	if reader := f.Reader(); reader != nil && !isDirect(ctx) {
-		if page, err := within(ctx, readerShare, wait, call, reader); answered(err) {
+	beside := besideWait(ctx, wait)
+	var failure error
+	for _, source := range f.sources(isDirect(ctx)) {
+		page, err := within(ctx, source.share*beside, fitting(ctx, wait, beside), call, source.log)
+		if answered(err) || ctx.Err() != nil {
 			return page, err
 		}
+		if source.log == f.Log {
+			failure = err
+		}
 	}
-	page, err := within(ctx, directShare, wait, call, f.Log)
-	if answered(err) || ctx.Err() != nil {
-		return page, err
+	return Page{}, failure
+}
+
+// source is a log that a read may ask.
+type source struct {
+	log   Log
+	share float64 // of the time that a call has beside its wait
+}
+
+// sources returns the logs to ask, in order: the reader unless the read is to be
+// direct, then the store before another daemon, or after it if the store is lost.
+func (f *Fallback) sources(direct bool) []source {
+	var sources []source
+	if reader := f.Reader(); reader != nil && !direct {
+		sources = append(sources, source{log: reader, share: readerShare})
 	}
+	store := source{log: f.Log, share: directShare}
 	peer := f.Peer()
-	if peer == nil {
-		return page, err
-	}
-	if relayed, peerErr := call(ctx, peer); answered(peerErr) {
-		return relayed, peerErr
+	switch {
+	case peer == nil:
+		return append(sources, store)
+	case f.Lost != nil && f.Lost():
+		return append(sources, source{log: peer, share: directShare}, store)
+	default:
+		return append(sources, store, source{log: peer, share: directShare})
 	}
-	return page, err
 }
 
 // answered reports whether a log told what it holds.
@@ -61,14 +88,35 @@
 	return err == nil || errors.As(err, &expired)
 }
 
-// within makes a call that may take a share of the time that is left beside its
-// wait.
-func within(ctx context.Context, share float64, wait time.Duration, call readCall, log Log) (Page, error) {
-	if deadline, ok := ctx.Deadline(); ok {
-		beside := time.Until(deadline) - wait
+// besideWait returns the seconds that a call has beside its wait, 0 if it has no
+// deadline.
+func besideWait(ctx context.Context, wait time.Duration) float64 {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return max(0, time.Until(deadline)-wait).Seconds()
+}
+
+// fitting returns the part of a wait for which time is left once another log has
+// taken its share of a call in vain: a long poll that cannot end in time fails
+// however sound the log is.
+func fitting(ctx context.Context, wait time.Duration, beside float64) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return wait
+	}
+	return max(0, min(wait, time.Until(deadline)-seconds(directShare*beside)))
+}
+
+// within makes a call that may take some seconds beside its wait.
+func within(ctx context.Context, beside float64, wait time.Duration, call readCall, log Log) (Page, error) {
+	if beside > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, wait+time.Duration(share*float64(beside)))
+		ctx, cancel = context.WithTimeout(ctx, wait+seconds(beside))
 		defer cancel()
 	}
-	return call(ctx, log)
+	return call(ctx, log, wait)
 }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/keyed/follower.go
+++ b/internal/keyed/follower.go
@@ -130,12 +130,21 @@
 	if n := len(page.Records); n > 0 {
 		f.next = page.Records[n-1].Offset + 1
 	}
-	asked := started.Add(-page.Age)
+	asked := askedAt(started, longest, page)
 	batch := Batch{Records: page.Records, End: f.next, At: started, Asked: asked, Regained: f.noteSuccess(asked)}
 	f.apply(batch)
 	return nil
 }
 
+// askedAt returns when the store, at the earliest, held no more than a page tells.
+// A long poll that ends without a record was answered when its wait was over.
+func askedAt(started time.Time, longest time.Duration, page Page) time.Time {
+	if len(page.Records) == 0 && time.Since(started) >= longest {
+		started = started.Add(longest)
+	}
+	return started.Add(-page.Age)
+}
+
 // boot reads the newest record of each key. The pages are no snapshot, so it
 // goes on from the end that the first page told.
 func (f *Follower) boot(ctx context.Context, started time.Time) error {
--- a/internal/keyed/mirror_test.go
+++ b/internal/keyed/mirror_test.go
@@ -88,6 +88,31 @@
 		Eventually(told, "4s", "20ms").Should(Equal(2), "once what they tell is too old, the store is asked")
 	})
 
+	It("spares the store the others' long polls while this daemon's own are in progress", func() {
+		log := fakes.NewKeyedLog()
+		Expect(log.Put(ctx, "keyed.t", keyed.Record{Key: "a", Value: []byte("1")})).To(Succeed())
+		const wait = 1700 * time.Millisecond // longer than what is allowed beside it
+		pacing := keyed.LongPoll(wait, time.Second)
+		follow := func(from keyed.Log, own *keyed.Mirror) {
+			f := keyed.NewFollower(from, "keyed.t", pacing, own.Follow("keyed.t", pacing, func(keyed.Batch) {}), slog.New(slog.DiscardHandler))
+			run, cancel := context.WithCancel(ctx)
+			DeferCleanup(cancel)
+			go f.Run(run)
+			Eventually(f.Booted).Should(BeTrue())
+		}
+		own := keyed.NewMirror()
+		follow(&lateLog{Log: log, by: 30 * time.Millisecond}, own)
+		asked := fakes.NewKeyedLog()
+		Expect(asked.Put(ctx, "keyed.t", keyed.Record{Key: "a", Value: []byte("1")})).To(Succeed())
+		before := asked.Calls()
+		for range 9 { // at all times of its poll
+			time.Sleep(200 * time.Millisecond)
+			follow(&keyed.Fallback{Log: asked, Reader: func() keyed.Log { return own }, Peer: func() keyed.Log { return nil }}, keyed.NewMirror())
+		}
+		time.Sleep(3 * wait)
+		Expect(asked.Calls()).To(Equal(before))
+	})
+
 	It("tells nothing that it has not confirmed lately", func() {
 		take(keyed.Batch{End: 7, Asked: time.Now().Add(-time.Minute)})
 		_, err := mirror.Read(ctx, "keyed.t", 7, 0)
@@ -113,6 +138,16 @@
 		Expect(peer.Calls()).To(Equal(1))
 	})
 
+	It("asks the store for no longer than the time that the reader has left", func() {
+		reader, store := &hungLog{Log: fakes.NewKeyedLog()}, fakes.NewKeyedLog()
+		log := &keyed.Fallback{Log: store, Reader: func() keyed.Log { return reader }, Peer: func() keyed.Log { return nil }}
+		const wait = time.Second
+		call, cancel := context.WithTimeout(ctx, wait+600*time.Millisecond)
+		defer cancel()
+		_, err := log.Read(call, "keyed.t", 0, wait)
+		Expect(err).NotTo(HaveOccurred(), "the store is sound")
+	})
+
 	It("returns the store's failure when nobody can help", func() {
 		store := fakes.NewKeyedLog()
 		store.SetDown(true)
@@ -122,3 +157,23 @@
 		Expect(errors.As(err, &refused)).To(BeTrue())
 	})
 })
+
+// lateLog answers a while after the store did.
+type lateLog struct {
+	keyed.Log
+	by time.Duration
+}
+
+func (l *lateLog) Read(ctx context.Context, topic string, from uint64, wait time.Duration) (keyed.Page, error) {
+	page, err := l.Log.Read(ctx, topic, from, wait)
+	time.Sleep(l.by)
+	return page, err
+}
+
+// hungLog gives no answer.
+type hungLog struct{ keyed.Log }
+
+func (l *hungLog) Read(ctx context.Context, _ string, _ uint64, _ time.Duration) (keyed.Page, error) {
+	<-ctx.Done()
+	return keyed.Page{}, ctx.Err()
+}
--- /dev/null
+++ b/internal/keyed/reach_test.go
@@ -0,0 +1,85 @@
+package keyed_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/fakes"
+	"github.com/plantainmux/plantainmux/internal/keyed"
+)
+
+var _ = Describe("The reach of the store", func() {
+	ctx := context.Background()
+	var log *fakes.KeyedLog
+	var reach *keyed.Reach
+	read := func() { _, _ = reach.Read(ctx, "keyed.t", 0, 0) }
+	lost := func() bool { return reach.Lost(time.Now()) }
+	BeforeEach(func() {
+		log = fakes.NewKeyedLog()
+		reach = keyed.NewReach(log)
+	})
+
+	It("is lost when calls have failed for a while, and back with the first answer", func() {
+		log.SetDown(true)
+		read()
+		read()
+		Expect(lost()).To(BeFalse(), "so soon")
+		Eventually(lost, "1s").Should(BeTrue())
+		log.SetDown(false)
+		Expect(lost()).To(BeTrue(), "nobody has asked")
+		read()
+		Expect(lost()).To(BeFalse())
+	})
+
+	It("is not lost soon after a single failure", func() {
+		log.SetDown(true)
+		read()
+		Consistently(lost, "700ms").Should(BeFalse())
+		Eventually(lost, "1s").Should(BeTrue())
+	})
+
+	It("is lost by refused appends, not by those whose answer is lost, nor by a conflict", func() {
+		add := func() { _, _ = reach.Append(ctx, "keyed.t", 0, []keyed.Record{{Key: "a"}}) }
+		log.SetLost(true)
+		add() // appended
+		log.SetLost(false)
+		add() // in conflict with that
+		Consistently(lost, "1200ms").Should(BeFalse())
+		log.SetDown(true)
+		add()
+		add()
+		Eventually(lost, "1s").Should(BeTrue())
+	})
+
+	It("is not lost by a read that this daemon gave up, and is by a long poll that overran", func() {
+		given, giveUp := context.WithCancel(ctx)
+		giveUp()
+		_, err := reach.Read(given, "keyed.t", 0, time.Second)
+		Expect(err).To(HaveOccurred())
+		Consistently(lost, "1200ms").Should(BeFalse())
+		short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		_, err = reach.Read(short, "keyed.t", 0, time.Second)
+		Expect(err).To(HaveOccurred())
+		Eventually(lost, "2s").Should(BeTrue())
+	})
+
+	It("is not mended by what is read through another daemon, which is then asked first", func() {
+		peer := fakes.NewKeyedLog()
+		through := &keyed.Fallback{Log: reach, Reader: func() keyed.Log { return nil }, Peer: func() keyed.Log { return peer }, Lost: lost}
+		log.SetDown(true)
+		for !lost() {
+			_, err := through.Read(ctx, "keyed.t", 0, 0)
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(50 * time.Millisecond)
+		}
+		before := log.Calls()
+		_, err := through.Read(ctx, "keyed.t", 0, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(log.Calls()).To(Equal(before))
+		Expect(lost()).To(BeTrue())
+	})
+})
