Polls that bring records prove what they told too; registrations are read together

At a first start each registration ended the polls of all that had started: 548 reads in the first second. Change: such an answer counts as no older than a call may take; registrations are read with a pause of 0.4 s between.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	seldomWait   = 4 * time.Second         // long polls of topics that change seldom, at most
 	configShare  = 0.5                     // of the time in which a version must be in force, for a long poll that is not woken
 	callLimit    = 1500 * time.Millisecond // of a store call, beside its wait
+	daemonsPause = 400 * time.Millisecond  // between two reads of the registrations: many daemons start at once
 	steadyPause  = 700 * time.Millisecond  // between two reads of the entries
 	pendingPause = 100 * time.Millisecond  // the same, while some group is on its way
 	lapseGrace   = 2200 * time.Millisecond // in which entries that lapsed in an outage come back
@@ -111,6 +112,7 @@
 	g.ledger = ledger.New(g.store, g.logger, g.changed)
 	seldom := keyed.LongPoll(seldomWait, callLimit)
 	config := keyed.LongPoll(g.settings.Bounds.configWait(), callLimit)
+	together := keyed.Pacing{Wait: seldom.Wait, Timeout: seldom.Timeout, Pause: func() time.Duration { return daemonsPause }}
 	often := keyed.Pacing{Wait: 0, Timeout: callLimit, Pause: g.entriesPause}
 	follow := func(topic string, pacing keyed.Pacing, apply func(keyed.Batch)) *keyed.Follower {
 		return keyed.NewFollower(log, topic, pacing, g.mirror.Follow(topic, pacing, apply), g.logger)
@@ -118,7 +120,7 @@
 	g.configs = follow(g.adapters.Topics.Operators, config, g.applyConfig)
 	g.entries = follow(g.adapters.Topics.Endpoints, often, g.registry.Apply)
 	g.groups = follow(ledger.Topic, config, g.ledger.Apply)
-	g.daemons = follow(gossip.Topic, seldom, g.gossip.Apply)
+	g.daemons = follow(gossip.Topic, together, g.gossip.Apply)
 }
 
 func (g *Gateway) buildKeeper() {
--- a/internal/keyed/follower.go
+++ b/internal/keyed/follower.go
@@ -130,19 +130,25 @@
 	if n := len(page.Records); n > 0 {
 		f.next = page.Records[n-1].Offset + 1
 	}
-	asked := askedAt(started, longest, page)
+	asked := f.askedAt(started, longest, page)
 	batch := Batch{Records: page.Records, End: f.next, At: started, Asked: asked, Regained: f.noteSuccess(asked)}
 	f.apply(batch)
 	return nil
 }
 
-// askedAt returns when the store, at the earliest, held no more than a page tells.
-// A long poll that ends without a record was answered when its wait was over.
-func askedAt(started time.Time, longest time.Duration, page Page) time.Time {
-	if len(page.Records) == 0 && time.Since(started) >= longest {
-		started = started.Add(longest)
+// askedAt returns when the store, at the earliest, held no more than a page tells. A
+// long poll that ends without a record was answered when its wait was over, one that
+// brings a record no longer ago than a call may take.
+func (f *Follower) askedAt(started time.Time, longest time.Duration, page Page) time.Time {
+	now := time.Now()
+	answered := now.Add(-f.pacing.Timeout)
+	if len(page.Records) == 0 && now.Sub(started) >= longest {
+		answered = started.Add(longest)
+	}
+	if answered.Before(started) {
+		answered = started
 	}
-	return started.Add(-page.Age)
+	return answered.Add(-page.Age)
 }
 
 // boot reads the newest record of each key. The pages are no snapshot, so it
--- a/internal/keyed/mirror_test.go
+++ b/internal/keyed/mirror_test.go
@@ -109,6 +109,8 @@
 			time.Sleep(200 * time.Millisecond)
 			follow(&keyed.Fallback{Log: asked, Reader: func() keyed.Log { return own }, Peer: func() keyed.Log { return nil }}, keyed.NewMirror())
 		}
+		time.Sleep(wait)
+		Expect(log.Put(ctx, "keyed.t", keyed.Record{Key: "b", Value: []byte("2")})).To(Succeed(), "which ends all polls")
 		time.Sleep(3 * wait)
 		Expect(asked.Calls()).To(Equal(before))
 	})
