Connections reset in great number do not put groups out of use; an event ends a suspicion

Cause: each broken stream counted as a failure of its group, so that a daemon whose connections were reset at once held group after group for down, for up to 3 s; and when one group was left and full, requests were refused though others had room. Besides, a suspicion lasted its second whatever events came. Change: a broken connection makes a group the second choice for 0.4 s, until any daemon tells of an event of it; failures to connect count as before. A suspicion ends with the next event.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -123,7 +123,7 @@
 		t.scripts[key] = scripts
 		return target
 	}
-	run := func() *exchange.Failure {
+	runUntil := func(ctx context.Context) *exchange.Failure {
 		service := &catalog.Service{Name: "s"}
 		view := &placement.View{Plain: map[string][]*placement.Target{"s": targets}}
 		if route.Kind == catalog.Streaming {
@@ -140,10 +140,11 @@
 			},
 		})
 		now := time.Now()
-		return x.Run(context.Background(), &exchange.Request{
+		return x.Run(ctx, &exchange.Request{
 			ID: "r", Route: &route, Service: service, Model: "m", Fingerprint: 7, Arrived: now, Deadline: now.Add(2 * time.Second),
 		}, out)
 	}
+	run := func() *exchange.Failure { return runUntil(context.Background()) }
 	BeforeEach(func() {
 		t = &transport{scripts: map[string][]script{}}
 		targets, doubted = nil, nil
@@ -251,6 +252,18 @@
 			route.Resumable = true
 		})
 
+		It("uses a group again whose streams were all reset at once, when the others are full", func() {
+			cut := fails(&exchange.BrokenError{Reason: exchange.Cut, Err: io.ErrUnexpectedEOF})
+			add("a", 0, cut, cut, cut, answers(200, io.EOF, event(1)))
+			add("b", 12)
+			for range 3 {
+				Expect(run().Reason).To(Equal(exchange.NoRoom))
+				killers = exchange.NewKillers() // they are different requests
+			}
+			Expect(run()).To(BeNil())
+			Expect(out.body).To(Equal(event(1)))
+		})
+
 		It("breaks off when it breaks after an endpoint's own failure, and ends with no other answer", func() {
 			add("a", 0, answers(500, io.EOF, "no"))
 			add("b", 1, answers(200, io.ErrUnexpectedEOF, event(1)))
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -133,17 +133,26 @@
 func (r *run) noteBreak(target *placement.Target, broken *BrokenError, now time.Time) {
 	switch broken.Reason {
 	case Silent:
-		target.Meter.Suspect(now.Add(suspicion))
+		target.Meter.Suspect(now, suspicion)
 		r.Doubt(target, "", false)
 	case Cut:
 		r.Killers.Blame(r.req.Fingerprint, now)
-		target.Meter.Fail(now)
+		r.noteCut(target, now)
 	case Slow, Faulty:
 		target.Meter.Fail(now)
 	default:
 	}
 }
 
+// noteCut learns from a connection that broke.
+func (r *run) noteCut(target *placement.Target, now time.Time) {
+	if r.req.Service.Grouped() {
+		target.Meter.Broke(now)
+		return
+	}
+	target.Meter.Fail(now)
+}
+
 // mayRepeat returns why no other attempt may be made, nil if one may.
 func (r *run) mayRepeat(err error) *Failure {
 	var notSent *NotSentError
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -58,7 +58,7 @@
 	g.noteEvents(message.Loads, now)
 	for _, doubt := range message.Doubts {
 		if meter := g.meters.Find(placement.GroupKey(doubt.Group, doubt.Epoch)); meter != nil && !doubt.Early {
-			meter.Suspect(now.Add(peerSuspicion))
+			meter.Suspect(now, peerSuspicion)
 		}
 		g.keeper.Doubt(context.Background(), doubt.Group, doubt.Epoch, doubt.Fault)
 	}
--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -1,24 +1,30 @@
 package placement
 
-// filter returns the targets that have not failed the request and are not down,
-// those first that nothing speaks against. Load answered: a data centre that is
-// cut off from the groups of the others; what cannot be reached is not waited for.
-func filter(targets []*Target, demand Demand) []*Target {
-	sound := make([]*Target, 0, len(targets))
-	var doubtful []*Target
+// tiers are the targets that have not failed a request and are not down, by what
+// speaks against them.
+type tiers struct {
+	sound    []*Target // nothing
+	shaken   []*Target // a connection broke: they may have ended
+	doubtful []*Target // they failed lately, or have fallen silent
+}
+
+// filter sorts the targets that may take a request. Load answered: a data centre
+// that is cut off from the groups of the others; what cannot be reached is not
+// waited for.
+func filter(targets []*Target, demand Demand) tiers {
+	t := tiers{sound: make([]*Target, 0, len(targets))}
 	for _, target := range targets {
 		switch {
 		case demand.Excluded[target.Key] || target.Meter.Down(demand.Now):
 		case isDoubtful(target, demand):
-			doubtful = append(doubtful, target)
+			t.doubtful = append(t.doubtful, target)
+		case target.Meter.Shaken(demand.Now):
+			t.shaken = append(t.shaken, target)
 		default:
-			sound = append(sound, target)
+			t.sound = append(t.sound, target)
 		}
 	}
-	if len(sound) > 0 {
-		return sound
-	}
-	return doubtful
+	return t
 }
 
 // isDoubtful reports whether a target failed lately or has fallen silent.
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -12,9 +12,21 @@
 const fullShare = 0.9
 
 // Pick returns the target for a request. It is nil, with the reason, when no
-// target can take it.
+// target can take it. Load answered: connections that are reset in great number;
+// were the targets behind them left alone, the few others would be full at once and
+// refuse what all together have room for.
 func Pick(targets []*Target, demand Demand) (*Target, Reason) {
-	candidates := filter(targets, demand)
+	t := filter(targets, demand)
+	if len(t.sound)+len(t.shaken) == 0 {
+		return pickOf(t.doubtful, demand)
+	}
+	if target, reason := pickOf(t.sound, demand); target != nil || len(t.shaken) == 0 {
+		return target, reason
+	}
+	return pickOf(t.shaken, demand)
+}
+
+func pickOf(candidates []*Target, demand Demand) (*Target, Reason) {
 	if len(candidates) == 0 {
 		return nil, NoTarget
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -41,7 +41,7 @@
 	It("passes over what failed the request, failed lately, or is silent", func() {
 		failed, suspected := target("failed", 0), target("suspected", 0)
 		failed.Meter.Fail(now)
-		suspected.Meter.Suspect(now.Add(time.Second))
+		suspected.Meter.Suspect(now, time.Second)
 		targets := []*placement.Target{target("excluded", 0), failed, suspected, target("left", 8)}
 		picked, _ := placement.Pick(targets, demand(func(d *placement.Demand) { d.Excluded = map[string]bool{"excluded": true} }))
 		Expect(picked.Key).To(Equal("left"))
@@ -54,6 +54,28 @@
 		Expect(picked).To(Equal(failed))
 	})
 
+	It("passes over targets whose connections broke while others have room, and takes them when those are full", func() {
+		reset := []*placement.Target{target("a", 2), target("b", 3), target("c", 4)}
+		for _, t := range reset {
+			for range 4 { // streams of one daemon, reset at once
+				t.Meter.Broke(now)
+			}
+		}
+		picked, _ := placement.Pick(append(reset, target("left", 9)), demand(nil))
+		Expect(picked.Key).To(Equal("left"))
+		picked, reason := placement.Pick(append(reset, target("left", 12)), demand(nil))
+		Expect(reason).To(Equal(placement.Placed))
+		Expect(picked.Key).To(Equal("a"))
+	})
+
+	It("uses a target again at once whose connections broke, when another daemon tells of its events", func() {
+		reset := target("reset", 2)
+		reset.Meter.Broke(now)
+		reset.Meter.EventElsewhere(now.Add(10 * time.Millisecond))
+		picked, _ := placement.Pick([]*placement.Target{reset, target("other", 9)}, demand(func(d *placement.Demand) { d.Now = now.Add(20 * time.Millisecond) }))
+		Expect(picked.Key).To(Equal("reset"))
+	})
+
 	It("does not wait for what failed several times in a row, but tries it again, once at a time", func() {
 		down := target("down", 0)
 		for range 3 {
--- a/internal/placement/survey.go
+++ b/internal/placement/survey.go
@@ -14,7 +14,7 @@
 func Survey(targets []*Target, now time.Time) Situation {
 	situation := Situation{Targets: len(targets)}
 	for _, target := range targets {
-		if target.Meter.Down(now) || target.Meter.Avoid(now) || target.Meter.Suspected(now) {
+		if target.Meter.Shaken(now) || target.Meter.Down(now) || target.Meter.Avoid(now) || target.Meter.Suspected(now) {
 			situation.Down++
 			continue
 		}
--- a/internal/rhythm/meter.go
+++ b/internal/rhythm/meter.go
@@ -36,7 +36,9 @@
 	delay      atomic.Int64 // nanoseconds by which events of other daemons are told late
 	failures   atomic.Int32 // without a success since
 	failedAt   atomic.Int64 // Unix nanoseconds
-	suspected  atomic.Int64 // Unix nanoseconds until which a daemon holds the target for silent
+	brokeAt    atomic.Int64 // Unix nanoseconds at which a stream broke last
+	suspectAt  atomic.Int64 // Unix nanoseconds at which a daemon held the target for silent last
+	suspected  atomic.Int64 // Unix nanoseconds until which that counts
 }
 
 // NewMeter returns a meter of a target that was never used.
@@ -154,7 +156,7 @@
 	if m.inFlight.Load() == 0 {
 		return 0, false
 	}
-	event, busy := max(m.lastEvent.Load(), m.heardEvent.Load()), m.busySince.Load()
+	event, busy := m.newestEvent(), m.busySince.Load()
 	if event >= busy {
 		length := now.Sub(time.Unix(0, event))
 		limit := m.Patience()
@@ -173,6 +175,20 @@
 	m.failedAt.Store(now.UnixNano())
 }
 
+// Broke notes that a stream's connection broke. Alone it does not tell the target's
+// end from that of the connection: those of many streams may be reset at once.
+func (m *Meter) Broke(now time.Time) { m.brokeAt.Store(now.UnixNano()) }
+
+// Shaken reports whether a stream broke just now and no daemon has told of an event
+// since, so that the target may have ended.
+func (m *Meter) Shaken(now time.Time) bool {
+	broke := m.brokeAt.Load()
+	if broke == 0 || now.Sub(time.Unix(0, broke)) >= failureBase {
+		return false
+	}
+	return m.newestEvent() <= broke
+}
+
 // Succeed notes a whole answer.
 func (m *Meter) Succeed(now time.Time) {
 	m.lastEvent.Store(now.UnixNano())
@@ -181,20 +197,25 @@
 	}
 }
 
-// Suspect makes the target be passed over until a time.
-func (m *Meter) Suspect(until time.Time) {
-	if m.suspected.Load() < until.UnixNano() {
-		m.suspected.Store(until.UnixNano())
+// Suspect makes the target be passed over for a time from now on, unless it brings an
+// event meanwhile.
+func (m *Meter) Suspect(now time.Time, length time.Duration) {
+	until := now.Add(length).UnixNano()
+	if m.suspected.Load() < until {
+		m.suspectAt.Store(now.UnixNano())
+		m.suspected.Store(until)
 	}
 }
 
 // Suspected reports whether the target is held for silent, by this daemon or
 // another one. An event of the target ends the suspicion.
 func (m *Meter) Suspected(now time.Time) bool {
-	until := m.suspected.Load()
-	return until > now.UnixNano()
+	return m.suspected.Load() > now.UnixNano() && m.newestEvent() <= m.suspectAt.Load()
 }
 
+// newestEvent returns the Unix nanoseconds of the last event that is known.
+func (m *Meter) newestEvent() int64 { return max(m.lastEvent.Load(), m.heardEvent.Load()) }
+
 // Down reports whether the target failed several times in a row, so that it is not
 // to be used until the pause after the last failure is over, and then by one
 // request at a time.
--- a/internal/rhythm/meter_test.go
+++ b/internal/rhythm/meter_test.go
@@ -65,6 +65,19 @@
 		Expect(m.Avoid(at(1202))).To(BeFalse())
 	})
 
+	It("ends a suspicion with the target's next event, at whichever daemon", func() {
+		m.Suspect(at(0), time.Second)
+		m.EventElsewhere(at(-10)) // told late
+		Expect(m.Suspected(at(100))).To(BeTrue())
+		m.EventElsewhere(at(50))
+		Expect(m.Suspected(at(100))).To(BeFalse())
+		m.Suspect(at(200), time.Second)
+		Expect(m.Suspected(at(300))).To(BeTrue())
+		Expect(m.Suspected(at(1300))).To(BeFalse())
+		m.Event(at(400), 0)
+		Expect(m.Suspected(at(500))).To(BeFalse())
+	})
+
 	It("counts the requests of all daemons", func() {
 		m.SetElsewhere(4)
 		Expect(m.Load()).To(Equal(5))
