A caller that leaves tells nothing of a target

Cause: an attempt that its caller broke off while it was being sent was taken for a failure of the group to connect: all daemons then passed the group over for a second, and a broken read was counted towards the requests that crash what runs them. Ruled out: groups fallen silent (no attempt ended so before 9.2 s), failed connections (none logged). Change: when the caller has left, nothing is learnt. The spec fails without the change.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -154,6 +154,23 @@
 		route = catalog.Route{Name: "r", Kind: catalog.Unsafe, MaxAttempts: 2}
 	})
 
+	It("learns nothing of a target from a caller that leaves", func() {
+		route.Kind = catalog.Streaming
+		for _, broken := range []error{&exchange.NotSentError{Err: io.EOF}, &exchange.BrokenError{Reason: exchange.Cut, Err: io.EOF}} {
+			ctx, leave := context.WithCancel(context.Background())
+			left := add("left", 0, func(context.Context, exchange.Call) (*exchange.Answer, error) {
+				leave()
+				return nil, broken
+			})
+			Expect(runUntil(ctx).Reason).To(Equal(exchange.CallerGone))
+			now := time.Now()
+			Expect([]bool{left.Meter.Avoid(now), left.Meter.Shaken(now)}).To(Equal([]bool{false, false}))
+			targets = nil
+		}
+		Expect(doubted).To(BeEmpty())
+		Expect(killers.Own(time.Now())).To(BeEmpty())
+	})
+
 	Describe("that may run once", func() {
 		It("is never sent again once it may have run", func() {
 			add("a", 0, fails(&exchange.BrokenError{Reason: exchange.Cut, Err: io.ErrUnexpectedEOF}))
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -96,6 +96,9 @@
 	if errors.As(err, &gone) {
 		return &Failure{Reason: CallerGone, Begun: r.begun, Cause: err}
 	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return r.timeOver(ctx) // the caller broke the attempt off: that tells nothing of the target
+	}
 	r.note(target, err)
 	if ctx.Err() != nil {
 		return r.timeOver(ctx)
--- a/internal/formation/planner_test.go
+++ b/internal/formation/planner_test.go
@@ -25,6 +25,25 @@
 		Expect(loaded).To(Equal(7))
 	})
 
+	It("puts before the first request the other model on the hosts of each group, so that the rest of a broken one serves", func() {
+		w := newWorld(5)
+		for _, e := range w.endpoints {
+			e.Staged = nil
+		}
+		w.in.Quiet = true
+		w.settle()
+		Expect(w.serving()).To(ConsistOf("big", "small"))
+		w.in.Quiet = false
+		for _, id := range []string{w.recordOf("big").Members[2].ID, w.recordOf("small").Members[1].ID} {
+			delete(w.endpoints, id)
+		}
+		w.in.Health.Dead[w.recordOf("small").Members[0].ID] = 1
+		w.given = nil
+		w.settle()
+		Expect(w.serving()).To(ConsistOf("small"), "of two that had the big model at hand")
+		Expect(w.given).NotTo(ContainElement(HaveField("Loads", true)))
+	})
+
 	It("waits at a first start until a domain's endpoints have appeared", func() {
 		w := newWorld(7)
 		w.in.Quiet = true
