The other model is staged on all members before the first request

Members of the greatest model had only that model, which they run anyway, on their hosts. Change: before the first request, when loads are short and not counted, each member's host gets the model with the greatest share other than its own.

--- a/internal/formation/spares.go
+++ b/internal/formation/spares.go
@@ -82,12 +82,13 @@
 	}
 }
 
-// stageMembers puts the model with the greatest share on the hosts of the members
-// of other groups, so that these can serve it soon when more of its groups fail
-// than there are spares. It is worth its loads only while they are short.
+// stageMembers puts another model on the hosts of a group's members, the one with
+// the greatest share: when more groups of that model fail than there are spares, or
+// this group is taken apart, they serve it soon. Their own model they have at hand.
+// It is worth its loads only while they are short.
 func (p *planner) stageMembers(record *ledger.Record) {
-	wanted := p.greatest()
-	if !p.in.Quiet || wanted.Name == record.Model {
+	wanted := p.greatestBut(record.Model)
+	if !p.in.Quiet || wanted == nil {
 		return
 	}
 	for _, member := range record.Members {
@@ -97,12 +98,16 @@
 	}
 }
 
-// greatest returns the model with the greatest share of the service's work for
-// each group.
-func (p *planner) greatest() *catalog.Model {
-	best := &p.service.Models[0]
+// greatestBut returns the model with the greatest share of the service's work, one
+// aside. It is nil if there is no other.
+func (p *planner) greatestBut(but string) *catalog.Model {
+	var best *catalog.Model
 	for i := range p.service.Models {
-		if model := &p.service.Models[i]; model.Share > best.Share || model.Share == best.Share && model.Size > best.Size {
+		model := &p.service.Models[i]
+		if model.Name == but {
+			continue
+		}
+		if best == nil || model.Share > best.Share || model.Share == best.Share && model.Size > best.Size {
 			best = model
 		}
 	}
