--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -53,6 +54,7 @@
 	zones    map[string]*heardDigest
 	sequence uint64
 
+	delay    atomic.Int64  // nanoseconds, as Delay returns it
 	unit     time.Duration // interval of the star
 	starSent time.Time
 	hub      bool      // this daemon acts as a hub
@@ -197,6 +199,7 @@
 func (g *Gossip) parcels(own Message, now time.Time) []parcel {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.noteDelay()
 	var parcels []parcel
 	if g.star() {
 		parcels = g.starParcels(own, now)
--- a/internal/gossip/star.go
+++ b/internal/gossip/star.go
@@ -44,14 +44,17 @@
 	return max(minInterval, time.Duration(members)*perMember)
 }
 
-// Delay returns how old what is told of other daemons may be.
-func (g *Gossip) Delay() time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+// Delay returns how old what is told of other daemons may be. It takes no lock: each
+// request asks.
+func (g *Gossip) Delay() time.Duration { return time.Duration(g.delay.Load()) }
+
+// noteDelay keeps what Delay returns.
+func (g *Gossip) noteDelay() {
+	delay := g.interval()
 	if g.star() {
-		return starHops * g.unit
+		delay = starHops * g.unit
 	}
-	return g.interval()
+	g.delay.Store(int64(delay))
 }
 
 // starParcels returns what goes to and from the hubs. own is what this daemon
