A lost store is asked by few

Change: a daemon that the store does not answer reads through others alone; four of the daemons that are heard ask every 0.7 s whether it is back, the others every 5 s.

--- a/internal/gateway/readers.go
+++ b/internal/gateway/readers.go
@@ -13,8 +13,11 @@
 )
 
 const (
-	askAgain = 700 * time.Millisecond // between two questions to a store that is lost
-	askLimit = 700 * time.Millisecond // of one: above an answer of a slow store
+	askAgain  = 700 * time.Millisecond // between two questions to a store that is lost
+	askSeldom = 5 * time.Second        // the same, of daemons that read through others until then
+	askLimit  = 700 * time.Millisecond // of one: above an answer of a slow store
+	askers    = 4                      // daemons that ask often: one may be cut off, or end
+	askKey    = "ask"                  // by which they are chosen
 )
 
 // reader returns the daemon that reads the store for this data centre: any daemon
@@ -84,13 +87,17 @@
 
 func (g *Gateway) storeLost() bool { return g.store.Lost(time.Now()) }
 
-// askLostStore asks a store that gave no answer again and again: what is read
-// through other daemons does not show that it is back.
+// askLostStore asks a store that gave no answer until it does: what is read through
+// other daemons does not show that it is back. A few daemons ask often, so that one
+// soon reads for all.
 func (g *Gateway) askLostStore(ctx context.Context) {
+	asked := time.Now()
 	for wait.For(ctx, askAgain) {
-		if !g.storeLost() {
+		now := time.Now()
+		if !g.storeLost() || now.Sub(asked) < askSeldom && !g.asksOften(now) {
 			continue
 		}
+		asked = now
 		call, cancel := context.WithTimeout(ctx, askLimit)
 		_, err := g.store.Read(call, ledger.Topic, g.ledger.Load().End, 0)
 		cancel()
@@ -99,3 +106,7 @@
 		}
 	}
 }
+
+func (g *Gateway) asksOften(now time.Time) bool {
+	return rendezvous.Chosen(askKey, g.gossip.Live(now), askers, g.settings.Node)
+}
--- a/internal/keyed/fallback.go
+++ b/internal/keyed/fallback.go
@@ -21,7 +21,8 @@
 	Reader func() Log
 	// Peer returns a daemon that reaches the store, nil if none is known.
 	Peer func() Log
-	// Lost reports whether this daemon itself does not reach the store; nil: never.
+	// Lost reports whether this daemon itself does not reach the store, which is then
+	// not asked: whoever finds out that it is back does so by itself. nil: never.
 	Lost func() bool
 }
 
@@ -44,7 +45,7 @@
 
 func (f *Fallback) read(ctx context.Context, wait time.Duration, call readCall) (Page, error) {
 	beside := besideWait(ctx, wait)
-	var failure error
+	var failure error = &RefusedError{Call: "read", Err: &UnreachedError{}}
 	for _, source := range f.sources(isDirect(ctx)) {
 		page, err := within(ctx, source.share*beside, fitting(ctx, wait, beside), call, source.log)
 		if answered(err) || ctx.Err() != nil {
@@ -64,22 +65,19 @@
 }
 
 // sources returns the logs to ask, in order: the reader unless the read is to be
-// direct, then the store before another daemon, or after it if the store is lost.
+// direct, the store unless it is lost, and another daemon.
 func (f *Fallback) sources(direct bool) []source {
 	var sources []source
 	if reader := f.Reader(); reader != nil && !direct {
 		sources = append(sources, source{log: reader, share: readerShare})
 	}
-	store := source{log: f.Log, share: directShare}
-	peer := f.Peer()
-	switch {
-	case peer == nil:
-		return append(sources, store)
-	case f.Lost != nil && f.Lost():
-		return append(sources, source{log: peer, share: directShare}, store)
-	default:
-		return append(sources, store, source{log: peer, share: directShare})
+	if f.Lost == nil || !f.Lost() {
+		sources = append(sources, source{log: f.Log, share: directShare})
 	}
+	if peer := f.Peer(); peer != nil {
+		sources = append(sources, source{log: peer, share: directShare})
+	}
+	return sources
 }
 
 // answered reports whether a log told what it holds.
--- a/internal/keyed/reach_test.go
+++ b/internal/keyed/reach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -67,8 +68,8 @@
 		Eventually(lost, "2s").Should(BeTrue())
 	})
 
-	It("is not mended by what is read through another daemon, which is then asked first", func() {
-		peer := fakes.NewKeyedLog()
+	It("is not mended by what is read through another daemon, and the store is not asked while it is lost", func() {
+		var peer keyed.Log = fakes.NewKeyedLog()
 		through := &keyed.Fallback{Log: reach, Reader: func() keyed.Log { return nil }, Peer: func() keyed.Log { return peer }, Lost: lost}
 		log.SetDown(true)
 		for !lost() {
@@ -79,6 +80,10 @@
 		before := log.Calls()
 		_, err := through.Read(ctx, "keyed.t", 0, 0)
 		Expect(err).NotTo(HaveOccurred())
+		peer = nil
+		_, err = through.Read(ctx, "keyed.t", 0, 0)
+		var unreached *keyed.UnreachedError
+		Expect(errors.As(err, &unreached)).To(BeTrue())
 		Expect(log.Calls()).To(Equal(before))
 		Expect(lost()).To(BeTrue())
 	})
