Callers that come back are known by their requests

Cause: a caller counted as one that comes back, whose answer is late anyway, if it brought less time than callers of its route usually do. Change: the daemons tell each other which requests ended without an answer, by the short form of the fingerprint that requests that crash endpoints are known by already; a request that comes again is late.

--- a/internal/exchange/dependencies.go
+++ b/internal/exchange/dependencies.go
@@ -15,6 +15,7 @@
 	Daemons   func() int           // live ones, this one included
 	Delay     func() time.Duration // by which this daemon hears of the others' requests
 	Killers   *Killers             // requests that crashed what ran them
+	Returns   *Returns             // requests whose callers come back
 	Metrics   *Metrics
 	Logger    *slog.Logger
 	Retries   RetryBounds
--- a/internal/exchange/exchanger.go
+++ b/internal/exchange/exchanger.go
@@ -9,8 +9,7 @@
 // Exchanger runs requests.
 type Exchanger struct {
 	Dependencies
-	budgets  sync.Map // *Budget by service
-	patience lateness
+	budgets sync.Map // *Budget by service
 }
 
 // New returns an exchanger.
@@ -24,10 +23,13 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	x.budget(req.Service.Name).Earn(req.Arrived, x.Daemons())
-	req.Late = x.patience.isLate(req)
+	req.Late = x.Returns.Has(req.Fingerprint, req.Arrived)
 	r := &run{Exchanger: x, req: req, sink: sink, excluded: map[string]bool{}}
 	r.events.last = req.LastEvent
 	failure := r.untilWhole(ctx)
+	if failure != nil && failure.Reason != CallerGone {
+		x.Returns.Note(req.Fingerprint, time.Now())
+	}
 	x.report(r, failure)
 	return failure
 }
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -24,5 +24,5 @@
 	Fingerprint uint64 // of path, team and body: equal requests have equal ones
 	Arrived     time.Time
 	Deadline    time.Time
-	Late        bool // its objective cannot be met any more
+	Late        bool // it ended without an answer before, so that its objective cannot be met any more
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,7 @@
 	gossip    *gossip.Gossip
 	exchanger *exchange.Exchanger
 	killers   *exchange.Killers
+	returns   *exchange.Returns
 	doubts    doubts
 
 	store     *keyed.Reach
@@ -87,6 +88,7 @@
 		started:  time.Now(),
 		meters:   rhythm.NewMeters(),
 		killers:  exchange.NewKillers(),
+		returns:  exchange.NewReturns(),
 		peers:    peerlog.NewClient(),
 		mirror:   keyed.NewMirror(),
 		store:    keyed.NewReach(adapters.Store),
@@ -146,6 +148,7 @@
 		Daemons:   g.liveDaemons,
 		Delay:     g.gossip.Delay,
 		Killers:   g.killers,
+		Returns:   g.returns,
 		Metrics:   exchange.NewMetrics(g.metrics),
 		Logger:    g.logger,
 		Retries: exchange.RetryBounds{
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -25,6 +25,7 @@
 		if round%sweepEvery == 0 {
 			g.adapters.Sweep(now)
 			g.dropMeters()
+			g.returns.Forget(now)
 		}
 	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -34,6 +34,7 @@
 	message := gossip.Message{
 		Draining: g.stopping.Load(), Traffic: g.traffic.Load(), Store: g.storeReached(),
 		Doubts: g.doubts.list(now), Opened: g.opened(now), Crashes: g.killers.Own(now),
+		Returning: g.returns.Told(now),
 	}
 	if current := g.catalogs.Load(); current != nil {
 		message.Config = current.Version
@@ -55,6 +56,7 @@
 	if message.Traffic {
 		g.traffic.Store(true)
 	}
+	g.returns.Hear(message.Returning, now)
 	g.noteEvents(message.Loads, now)
 	for _, doubt := range message.Doubts {
 		if meter := g.meters.Find(placement.GroupKey(doubt.Group, doubt.Epoch)); meter != nil && !doubt.Early {
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -17,6 +17,8 @@
 	Doubts  []Doubt         `cbor:"9,keyasint,omitempty"`
 	Opened  []Doubt         `cbor:"11,keyasint,omitempty"`
 	Crashes map[uint64]int  `cbor:"10,keyasint,omitempty"` // sums
+
+	Returning []uint32 `cbor:"13,keyasint,omitempty"`
 }
 
 // add counts what one daemon told age ago.
@@ -25,6 +27,7 @@
 	d.Config = max(d.Config, message.Config)
 	d.Doubts = append(d.Doubts, message.Doubts...)
 	d.Opened = append(d.Opened, message.Opened...)
+	d.Returning = append(d.Returning, message.Returning...)
 	for key, load := range message.Loads {
 		d.addLoad(key, load.later(age))
 	}
@@ -54,7 +57,7 @@
 	for key, load := range d.Loads {
 		loads[key] = load.later(age)
 	}
-	return Message{Traffic: d.Traffic, Config: d.Config, Loads: loads, Doubts: d.Doubts, Opened: d.Opened}
+	return Message{Traffic: d.Traffic, Config: d.Config, Loads: loads, Doubts: d.Doubts, Opened: d.Opened, Returning: d.Returning}
 }
 
 // encode returns the digest as of now. It is nil if it cannot be encoded.
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -16,5 +16,7 @@
 	Opened      []Doubt         `cbor:"11,keyasint,omitempty"` // groups that have just begun to serve
 	Crashes     map[uint64]int  `cbor:"10,keyasint,omitempty"` // by fingerprint of a request
 
+	Returning []uint32 `cbor:"13,keyasint,omitempty"` // requests that ended without an answer lately, by the short form of their fingerprints
+
 	Zones []cbor.RawMessage `cbor:"12,keyasint,omitempty"` // Digest of each data centre, from a hub
 }
