Prompts that wait to be read count when a request is placed

Change: daemons know the tokens of their own requests that have brought no event yet, and tell each other. Groups with less than half of a pass to read are preferred; one with more than a pass takes no first request, which could not be in time. Streams that broke elsewhere are always taken.

--- a/internal/catalog/longest_pass.go
+++ b/internal/catalog/longest_pass.go
@@ -13,6 +13,9 @@
 	return time.Duration(float64(max(p.Stride, 1)) * (step + read) * model.factor())
 }
 
+// PassTokens returns the prompt tokens that one pass reads at most.
+func (p *Pace) PassTokens() int { return max(p.Stride, 1) * p.Chunk }
+
 // thousands returns the thousands of tokens of a usual request's context.
 func (p *Pace) thousands() float64 { return (p.UsualPrompt + p.UsualAnswer) / 1000 }
 
--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -22,6 +22,9 @@
 	r.sentAt, r.loadBefore = now, target.Meter.Load()
 	target.Meter.Begin(now)
 	defer target.Meter.End()
+	target.Meter.BeginReading(r.req.Prompt)
+	r.reading = r.req.Prompt
+	defer func() { r.endReading(target) }()
 	watch := r.newWatch(target, cancel)
 	defer watch.stop()
 	answer, err := r.Transport.Send(ctx, target, Call{Request: r.req, Remaining: r.req.Deadline.Sub(now), After: r.events.last})
@@ -86,12 +89,19 @@
 		length = now.Sub(last)
 	}
 	target.Meter.Event(now, length)
+	r.endReading(target)
 	if r.firstAt.IsZero() {
 		r.firstAt = now
 	}
 	r.longestGap = max(r.longestGap, length)
 }
 
+// endReading notes that the target has read the prompt, or that the attempt is over.
+func (r *run) endReading(target *placement.Target) {
+	target.Meter.EndReading(r.reading)
+	r.reading = 0
+}
+
 // pass passes the whole events on that the bytes complete.
 func (r *run) pass(answer *Answer, data []byte) error {
 	whole, err := r.events.add(data)
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -20,6 +20,7 @@
 	Team        string // empty: no team
 	Urgency     int    // 0 is the most urgent
 	Model       string // empty for a plain service
+	Prompt      int    // tokens; 0 for a plain service, or if the caller did not say
 	LastEvent   string // the event after which a stream goes on; empty: from its beginning
 	Fingerprint uint64 // of path, team and body: equal requests have equal ones
 	Arrived     time.Time
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -29,6 +29,7 @@
 	events     events
 	kept       *keptAnswer         // failure of an endpoint to pass on if nothing better comes
 	placed     placement.Situation // at the last choice of a target
+	reading    int                 // prompt tokens that the attempt in progress waits for
 	loadBefore int                 // of the target, when the last attempt began
 	sentAt     time.Time           // when the last attempt began
 	firstAt    time.Time           // when the first event or the whole answer came
@@ -70,6 +71,7 @@
 		Grouped:  r.req.Service.Grouped(),
 		Late:     r.req.Late && r.attempts == 0,
 		Resumed:  r.begun,
+		Prompt:   r.req.Prompt,
 		Urgency:  r.req.Urgency,
 		Daemons:  r.Daemons(),
 		Delay:    r.Delay(),
--- a/internal/gateway/admitted.go
+++ b/internal/gateway/admitted.go
@@ -33,6 +33,7 @@
 	}
 	if a.service.Grouped() {
 		req.Model = in.Model
+		req.Prompt = in.Prompt
 	}
 	req.Fingerprint = fingerprint(in, body)
 	return req
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -40,7 +40,8 @@
 	byHash := map[uint32]meter{}
 	g.meters.Each(func(key string, meter meter) {
 		hash := gossip.HashKey(key)
-		meter.SetElsewhere(loads[hash])
+		meter.SetElsewhere(loads[hash].Count)
+		meter.SetReadingElsewhere(loads[hash].Reading)
 		meter.SetDelay(delay)
 		byHash[hash] = meter
 	})
--- a/internal/gateway/incoming.go
+++ b/internal/gateway/incoming.go
@@ -16,6 +16,7 @@
 	Key       string        // of the caller's team; empty: none
 	Patience  time.Duration // for which the caller waits; 0: not told
 	Model     string
+	Prompt    int // tokens; 0: not told
 	LastEvent string
 	Arrived   time.Time
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -44,7 +44,7 @@
 			if message.Loads == nil {
 				message.Loads = map[uint32]gossip.Load{}
 			}
-			message.Loads[gossip.HashKey(key)] = gossip.Load{Count: count, AgeMS: meter.EventAge(now)}
+			message.Loads[gossip.HashKey(key)] = gossip.Load{Count: count, AgeMS: meter.EventAge(now), Reading: meter.OwnReading()}
 		}
 	})
 	return message
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -48,7 +48,7 @@
 		d.Loads[key] = load
 		return
 	}
-	d.Loads[key] = Load{Count: sum.Count + load.Count, AgeMS: latest(sum.AgeMS, load.AgeMS)}
+	d.Loads[key] = sum.plus(load)
 }
 
 // message returns the digest, made age ago, as if one daemon told it.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -57,7 +57,7 @@
 		introduce(a, b)
 		introduce(b, a)
 		Eventually(func() []string { return a.Live(time.Now()) }, "3s").Should(Equal([]string{"a", "b"}))
-		Expect(a.Loads(time.Now())).To(HaveKeyWithValue(uint32(1), 2))
+		Expect(a.Loads(time.Now())).To(HaveKeyWithValue(uint32(1), HaveField("Count", 2)))
 		Expect(a.Crashes(time.Now())).To(HaveKeyWithValue(uint64(3), 1))
 		Expect(a.Readers(time.Now(), false)).To(Equal([]string{"b"}))
 		Expect(heard.Load()).To(Equal(int64(9)))
--- a/internal/gossip/heard.go
+++ b/internal/gossip/heard.go
@@ -85,15 +85,15 @@
 	return addresses[int(random*float64(len(addresses)))]
 }
 
-// Loads returns the requests in progress through the other daemons.
-func (g *Gossip) Loads(now time.Time) map[uint32]int {
-	loads := map[uint32]int{}
+// Loads returns what is in progress through the other daemons.
+func (g *Gossip) Loads(now time.Time) map[uint32]Load {
+	var sum Digest
 	g.eachTold(now, func(digest *Digest) {
 		for key, load := range digest.Loads {
-			loads[key] += load.Count
+			sum.addLoad(key, load)
 		}
 	})
-	return loads
+	return sum.Loads
 }
 
 // Crashes returns what the other daemons saw requests crash.
--- a/internal/gossip/load.go
+++ b/internal/gossip/load.go
@@ -7,6 +7,8 @@
 	_     struct{} `cbor:",toarray"`
 	Count int      // requests in progress
 	AgeMS int      // since the target's last event; negative: there was none yet
+
+	Reading int // prompt tokens that requests wait for
 }
 
 // later returns the load as it is to be told after a time.
@@ -17,6 +19,11 @@
 	return l
 }
 
+// plus returns the sum of two loads of one target.
+func (l Load) plus(other Load) Load {
+	return Load{Count: l.Count + other.Count, AgeMS: latest(l.AgeMS, other.AgeMS), Reading: l.Reading + other.Reading}
+}
+
 // latest returns the age of the later one of two events, of which either may be
 // none.
 func latest(a, b int) int {
--- a/internal/gossip/star_test.go
+++ b/internal/gossip/star_test.go
@@ -62,7 +62,7 @@
 var _ = Describe("A fleet too large for all to tell all", func() {
 	const perZone = 9
 	var fleet []*teller
-	load := func(t *teller) int { return t.Loads(time.Now())[1] }
+	load := func(t *teller) int { return t.Loads(time.Now())[1].Count }
 	loads := func() []int {
 		var seen []int
 		for _, t := range fleet {
--- a/internal/placement/build.go
+++ b/internal/placement/build.go
@@ -53,9 +53,9 @@
 	case head.Group.State != registry.Open || !head.Group.In(record.Group, record.Epoch):
 		return nil
 	}
-	slots := head.Slots
+	slots, pass := head.Slots, 0
 	if service.Pace != nil {
-		slots = service.Pace.Slots
+		slots, pass = service.Pace.Slots, service.Pace.PassTokens()
 	}
 	key := GroupKey(record.Group, record.Epoch)
 	meter := meters.Of(key)
@@ -63,7 +63,7 @@
 		meter.SetPass(service.Pace.LongestPass(model))
 	}
 	return &Target{
-		Key: key, ID: head.ID, Address: head.Address, Zone: head.Zone, Slots: max(slots, 1),
+		Key: key, ID: head.ID, Address: head.Address, Zone: head.Zone, Slots: max(slots, 1), Pass: pass,
 		Group: record.Group, Epoch: record.Epoch, Meter: meter,
 	}
 }
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -7,6 +7,7 @@
 	Zone     string // of the daemon
 	Grouped  bool
 	Late     bool            // its objective has passed already, so that it is worth little
+	Prompt   int             // tokens
 	Resumed  bool            // a part of its answer has reached the caller
 	Urgency  int             // 0 is the most urgent
 	Daemons  int             // live ones
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -33,7 +33,7 @@
 	if demand.Grouped && !demand.Resumed && nearlyFull(candidates) {
 		return pickOfFull(candidates, demand)
 	}
-	roomy := withRoom(candidates, demand)
+	roomy := soonRead(withRoom(candidates, demand), demand)
 	if len(roomy) == 0 {
 		return nil, NoRoom
 	}
@@ -50,7 +50,7 @@
 // late.
 func pickOfFull(candidates []*Target, demand Demand) (*Target, Reason) {
 	chosen := spread(candidates, demand)
-	if !hasRoom(chosen, demand) {
+	if !hasRoom(chosen, demand) || waitsToBeRead(chosen, demand) {
 		return nil, NoRoom
 	}
 	return chosen, Placed
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -10,6 +10,7 @@
 	Address string
 	Zone    string
 	Slots   int // requests that run at once
+	Pass    int // prompt tokens that one pass reads at most; 0: not known
 	Group   string
 	Epoch   uint64
 	Meter   *rhythm.Meter
--- a/internal/rhythm/meter.go
+++ b/internal/rhythm/meter.go
@@ -27,6 +27,8 @@
 type Meter struct {
 	inFlight   atomic.Int32
 	elsewhere  atomic.Int32 // in flight through other daemons, as they told last
+	reading    atomic.Int64 // prompt tokens of this daemon's requests that have brought no event
+	readElse   atomic.Int64 // the same of other daemons, as they told last
 	busySince  atomic.Int64 // Unix nanoseconds at which the target stopped being idle
 	lastEvent  atomic.Int64 // Unix nanoseconds
 	heardEvent atomic.Int64 // Unix nanoseconds of the last event that another daemon told of
@@ -68,6 +70,21 @@
 // SetElsewhere notes the requests in progress through other daemons.
 func (m *Meter) SetElsewhere(count int) { m.elsewhere.Store(int32(count)) }
 
+// BeginReading notes that a prompt of some tokens was sent to the target.
+func (m *Meter) BeginReading(tokens int) { m.reading.Add(int64(tokens)) }
+
+// EndReading notes that such a prompt was read, or its request is over.
+func (m *Meter) EndReading(tokens int) { m.reading.Add(-int64(tokens)) }
+
+// OwnReading returns the prompt tokens that this daemon's requests wait for.
+func (m *Meter) OwnReading() int { return int(m.reading.Load()) }
+
+// Reading returns the prompt tokens that the requests of all daemons wait for.
+func (m *Meter) Reading() int { return int(m.reading.Load() + m.readElse.Load()) }
+
+// SetReadingElsewhere notes the prompt tokens that requests of other daemons wait for.
+func (m *Meter) SetReadingElsewhere(tokens int) { m.readElse.Store(int64(tokens)) }
+
 // Event notes that the target brought an event now, length after the one before
 // of the same stream; 0 for the first.
 func (m *Meter) Event(now time.Time, length time.Duration) {
