--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -114,6 +114,7 @@
 	var retries exchange.RetryBounds
 	var out *sink
 	route := catalog.Route{}
+	prompt := 0
 	add := func(key string, load int, scripts ...script) *placement.Target {
 		meter := rhythm.NewMeter()
 		meter.SetElsewhere(load)
@@ -141,13 +142,13 @@
 		})
 		now := time.Now()
 		return x.Run(ctx, &exchange.Request{
-			ID: "r", Route: &route, Service: service, Model: "m", Fingerprint: 7, Arrived: now, Deadline: now.Add(2 * time.Second),
+			ID: "r", Route: &route, Service: service, Model: "m", Prompt: prompt, Fingerprint: 7, Arrived: now, Deadline: now.Add(2 * time.Second),
 		}, out)
 	}
 	run := func() *exchange.Failure { return runUntil(context.Background()) }
 	BeforeEach(func() {
 		t = &transport{scripts: map[string][]script{}}
-		targets, doubted = nil, nil
+		targets, doubted, prompt = nil, nil, 0
 		killers = exchange.NewKillers()
 		retries = exchange.RetryBounds{Share: 0.2, Slack: 100, Window: 10 * time.Second}
 		out = &sink{}
@@ -171,6 +172,25 @@
 		Expect(killers.Own(time.Now())).To(BeEmpty())
 	})
 
+	It("counts a prompt as waiting until its first event, or the attempt's end", func() {
+		route.Kind = catalog.Streaming
+		route.Resumable = true
+		prompt = 700
+		var during []int
+		look := func(target **placement.Target, then script) script {
+			return func(ctx context.Context, call exchange.Call) (*exchange.Answer, error) {
+				during = append(during, (*target).Meter.OwnReading())
+				return then(ctx, call)
+			}
+		}
+		var a, b *placement.Target
+		a = add("a", 0, look(&a, fails(&exchange.NotRunError{Status: 503})))
+		b = add("b", 1, look(&b, answers(200, io.EOF, event(1), event(2))))
+		Expect(run()).To(BeNil())
+		Expect(during).To(Equal([]int{700, 700}))
+		Expect([]int{a.Meter.Reading(), b.Meter.Reading()}).To(Equal([]int{0, 0}))
+	})
+
 	Describe("that may run once", func() {
 		It("is never sent again once it may have run", func() {
 			add("a", 0, fails(&exchange.BrokenError{Reason: exchange.Cut, Err: io.ErrUnexpectedEOF}))
--- a/internal/gossip/star_test.go
+++ b/internal/gossip/star_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,7 @@
 	count      atomic.Int64
 	doubted    atomic.Bool
 	heard      atomic.Bool // a doubt of another one
+	returning  atomic.Bool // it heard of a request whose caller comes back
 	stop       func()
 }
 
@@ -35,6 +37,9 @@
 			if len(message.Doubts) > 0 {
 				t.heard.Store(true)
 			}
+			if slices.Contains(message.Returning, 17) {
+				t.returning.Store(true)
+			}
 		},
 	})
 	Expect(err).NotTo(HaveOccurred())
@@ -52,9 +57,10 @@
 }
 
 func (t *teller) tell() gossip.Message {
-	message := gossip.Message{Store: true, Loads: map[uint32]gossip.Load{1: {Count: int(t.count.Load()), AgeMS: 5}}, Crashes: map[uint64]int{3: 1}}
+	message := gossip.Message{Store: true, Loads: map[uint32]gossip.Load{1: {Count: int(t.count.Load()), AgeMS: 5, Reading: 100}}, Crashes: map[uint64]int{3: 1}}
 	if t.doubted.Load() {
 		message.Doubts = []gossip.Doubt{{Group: "g", Epoch: 1}}
+		message.Returning = []uint32{17}
 	}
 	return message
 }
@@ -103,9 +109,11 @@
 		}
 		Eventually(loads, "5s", "20ms").Should(Equal(each(2 * (3*perZone - 1))))
 		Expect(fleet[0].Crashes(time.Now())[3]).To(Equal(3*perZone - 1))
+		Expect(fleet[0].Loads(time.Now())[1].Reading).To(Equal(100 * (3*perZone - 1)))
 		Expect(fleet[0].Live(time.Now())).To(HaveLen(3 * perZone))
 		fleet[3].doubted.Store(true)
 		Eventually(func() bool { return fleet[3*perZone-1].heard.Load() }, "5s", "20ms").Should(BeTrue())
+		Eventually(func() bool { return fleet[3*perZone-1].returning.Load() }, "5s", "20ms").Should(BeTrue())
 		Expect(fleet[0].Delay()).To(BeNumerically("<=", 400*time.Millisecond))
 	})
 
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -27,19 +27,38 @@
 	byWorth bool          // what is worth more goes first at a group, in place of what came first
 	polled  time.Duration // age of a report of the group that is used in place of what is told; 0: none
 	length  time.Duration // of the day
+	reads   bool          // prompts that wait to be read are known
+	pace    float64       // factor on the groups' times; 0: playedPace
+	aim     time.Duration // for the first event; 0: playedObjective
+	pause   time.Duration // between two events that is in time; 0: any
+	lost    []int         // groups that take nothing for the second half of each period, and are empty after it
+	period  time.Duration // of losses; 0: none
+	returns comeBack      // of refused callers, once; nil: they do not come back
 	choose  chooser
 	random  *rand.Rand
 	now     time.Duration
 	running []*playedGroup
 	own     [][]int   // by daemon and group, in progress
 	told    [][][]int // own by tick
+	unread  [][]int   // by daemon and group, tokens that wait to be read
+	toldRun [][][]int // unread by tick
 	views   [][]*placement.Target
+	away    []returning
 	result  outcome
 }
 
 // chooser picks a target for a request of a daemon.
 type chooser func(targets []*placement.Target, demand placement.Demand) *placement.Target
 
+// comeBack returns when a refused caller comes back, by the time that it has left.
+type comeBack func(left time.Duration, random float64) time.Duration
+
+// returning is a caller that was refused.
+type returning struct {
+	asked, back time.Duration
+	worth       float64
+}
+
 // outcome counts what callers got.
 type outcome struct {
 	asked, inTime, late, refused int
@@ -61,6 +80,7 @@
 	playedPace      = 0.6  // of the model that is asked for most
 	playedLateShare = 0.25 // of the worth
 	playedObjective = 300 * time.Millisecond
+	playedPatience  = 6 * time.Second
 	playedTick      = 10 * time.Millisecond
 )
 
@@ -69,7 +89,8 @@
 	index   int
 	waiting []*playedRequest
 	batch   []*playedRequest
-	ends    time.Duration // of the pass under way; 0: idle
+	begins  time.Duration // of the pass under way
+	ends    time.Duration // the same; 0: idle
 }
 
 type playedRequest struct {
@@ -77,7 +98,9 @@
 	asked         time.Duration
 	unread, left  float64 // tokens
 	worth         float64
+	prompt        int // tokens
 	begun         bool
+	late          bool
 }
 
 func (f *fleet) play() outcome {
@@ -85,6 +108,7 @@
 	next := f.gapToNext()
 	for tick := time.Duration(0); tick < f.length; tick += playedTick {
 		f.count()
+		f.takeBack(tick)
 		for {
 			group := f.nextPass()
 			switch {
@@ -113,13 +137,18 @@
 	}
 	for range f.daemons {
 		f.own = append(f.own, make([]int, f.groups))
+		f.unread = append(f.unread, make([]int, f.groups))
 		var view []*placement.Target
 		for g := range f.groups {
 			slots := f.slots
 			if f.keep > 0 {
 				slots = f.keep
 			}
-			view = append(view, &placement.Target{Key: string(rune('a' + g)), Zone: "z", Slots: slots, Meter: rhythm.NewMeter()})
+			target := &placement.Target{Key: string(rune('a' + g)), Zone: "z", Slots: slots, Meter: rhythm.NewMeter()}
+			if f.reads {
+				target.Pass = playedStride * playedChunk
+			}
+			view = append(view, target)
 		}
 		f.views = append(f.views, view)
 	}
@@ -131,11 +160,16 @@
 
 // count notes what each daemon has in progress, for the tellings to come.
 func (f *fleet) count() {
-	snapshot := make([][]int, f.daemons)
-	for d := range f.own {
-		snapshot[d] = append([]int(nil), f.own[d]...)
+	f.told = append(f.told, copied(f.own))
+	f.toldRun = append(f.toldRun, copied(f.unread))
+}
+
+func copied(rows [][]int) [][]int {
+	snapshot := make([][]int, len(rows))
+	for i, row := range rows {
+		snapshot[i] = slices.Clone(row)
 	}
-	f.told = append(f.told, snapshot)
+	return snapshot
 }
 
 // look sets what a daemon believes of the others' requests.
@@ -149,13 +183,15 @@
 	}
 	tick := min(max(int(at/playedTick), 0), len(f.told)-1)
 	for g, target := range f.views[daemon] {
-		others := 0
+		others, unread := 0, 0
 		for d := range f.told[tick] {
 			if d != daemon {
 				others += f.told[tick][d][g]
+				unread += f.toldRun[tick][d][g]
 			}
 		}
 		target.Meter.SetElsewhere(others)
+		target.Meter.SetReadingElsewhere(unread)
 	}
 }
 
@@ -163,28 +199,69 @@
 	f.result.asked++
 	worth := 1 + float64(f.random.IntN(2))
 	f.result.offered += worth
+	if f.place(f.now, worth, false) {
+		return
+	}
+	if f.returns == nil {
+		f.result.refused++
+		return
+	}
+	f.away = append(f.away, returning{asked: f.now, back: f.now + f.returns(playedPatience, f.random.Float64()), worth: worth})
+}
+
+// takeBack places the requests of the callers that have come back.
+func (f *fleet) takeBack(tick time.Duration) {
+	f.away = slices.DeleteFunc(f.away, func(r returning) bool {
+		if r.back > tick {
+			return false
+		}
+		f.now = max(f.now, tick)
+		if !f.place(r.asked, r.worth, true) {
+			f.result.refused++
+		}
+		return true
+	})
+}
+
+// place reports whether a group took a request.
+func (f *fleet) place(asked time.Duration, worth float64, late bool) bool {
 	daemon := f.random.IntN(f.daemons)
 	f.look(daemon)
-	target := f.choose(f.views[daemon], placement.Demand{
-		Zone: "z", Grouped: true, Daemons: f.daemons, Delay: f.every + f.lag, Random: f.random.Float64(), Now: time.Unix(0, 0).Add(f.now),
+	prompt := f.prompt * (0.5 + f.random.Float64())
+	target := f.choose(f.open(daemon), placement.Demand{
+		Zone: "z", Grouped: true, Late: late, Prompt: int(prompt), Daemons: f.daemons, Delay: f.every + f.lag, Random: f.random.Float64(),
+		Now: time.Unix(0, 0).Add(f.now),
 	})
 	if target == nil {
-		f.result.refused++
-		return
+		return false
+	}
+	r := &playedRequest{
+		daemon: daemon, group: int(target.Key[0] - 'a'), asked: asked, prompt: int(prompt),
+		unread: prompt, left: f.answer * (0.5 + f.random.Float64()), worth: worth,
 	}
-	group := int(target.Key[0] - 'a')
 	target.Meter.Begin(time.Unix(0, 0).Add(f.now))
-	f.own[daemon][group]++
-	f.running[group].waiting = append(f.running[group].waiting, &playedRequest{
-		daemon: daemon, group: group, asked: f.now,
-		unread: f.prompt * (0.5 + f.random.Float64()), left: f.answer * (0.5 + f.random.Float64()), worth: worth,
-	})
+	target.Meter.BeginReading(r.prompt)
+	f.own[daemon][r.group]++
+	f.unread[daemon][r.group] += r.prompt
+	group := f.running[r.group]
+	group.waiting = append(group.waiting, r)
 	if f.byWorth {
-		slices.SortStableFunc(f.running[group].waiting, func(a, b *playedRequest) int { return cmp.Compare(b.worth, a.worth) })
+		slices.SortStableFunc(group.waiting, func(a, b *playedRequest) int { return cmp.Compare(b.worth, a.worth) })
 	}
-	if f.running[group].ends == 0 {
-		f.beginPass(f.running[group])
+	if group.ends == 0 {
+		f.beginPass(group)
 	}
+	return true
+}
+
+// open returns the targets of a daemon that are not lost now.
+func (f *fleet) open(daemon int) []*placement.Target {
+	if f.period == 0 || f.now%f.period < f.period/2 {
+		return f.views[daemon]
+	}
+	return slices.DeleteFunc(slices.Clone(f.views[daemon]), func(t *placement.Target) bool {
+		return slices.Contains(f.lost, int(t.Key[0]-'a'))
+	})
 }
 
 func (f *fleet) nextPass() *playedGroup {
@@ -219,12 +296,15 @@
 	}
 	step := float64(playedStep) + float64(writers)*float64(playedPerWriter)
 	reading := read / playedReadPerMS * float64(time.Millisecond)
-	g.ends = f.now + time.Duration(playedPace*(playedStride*step+reading))
+	g.begins = f.now
+	g.ends = f.now + time.Duration(cmp.Or(f.pace, playedPace)*(playedStride*step+reading))
 }
 
 func (f *fleet) endPass(g *playedGroup) {
+	paused := f.pause > 0 && g.ends-g.begins > f.pause
 	kept := g.batch[:0]
 	for _, r := range g.batch {
+		r.late = r.late || r.begun && paused
 		if r.unread == 0 {
 			f.event(r)
 		}
@@ -244,16 +324,30 @@
 		return
 	}
 	r.begun = true
-	if f.now-r.asked <= playedObjective {
-		f.result.inTime++
-		f.result.earned += r.worth
-	} else {
-		f.result.late++
-		f.result.earned += playedLateShare * r.worth
+	r.late = f.now-r.asked > cmp.Or(f.aim, playedObjective)
+	f.views[r.daemon][r.group].Meter.EndReading(r.prompt)
+	f.unread[r.daemon][r.group] -= r.prompt
+	if f.pause == 0 {
+		f.account(r)
 	}
 }
 
 func (f *fleet) finish(r *playedRequest) {
 	f.own[r.daemon][r.group]--
 	f.views[r.daemon][r.group].Meter.End()
+	if f.pause > 0 {
+		f.account(r)
+	}
+}
+
+// account counts what a caller got: by the first event, where a pause may be of any
+// length.
+func (f *fleet) account(r *playedRequest) {
+	if r.late {
+		f.result.late++
+		f.result.earned += playedLateShare * r.worth
+		return
+	}
+	f.result.inTime++
+	f.result.earned += r.worth
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -76,6 +76,33 @@
 		Expect(picked.Key).To(Equal("reset"))
 	})
 
+	Describe("prompts that wait to be read", func() {
+		reading := func(key string, load, tokens int) *placement.Target {
+			t := target(key, load)
+			t.Pass = 10000
+			t.Meter.SetReadingElsewhere(tokens)
+			return t
+		}
+		long := func(d *placement.Demand) { d.Prompt = 1500 }
+
+		It("makes a group that reads soon the first choice, however many run there", func() {
+			picked, _ := placement.Pick([]*placement.Target{reading("opened", 0, 6000), reading("busy", 8, 2000)}, demand(long))
+			Expect(picked.Key).To(Equal("busy"))
+			picked, _ = placement.Pick([]*placement.Target{reading("opened", 0, 6000), reading("busy", 8, 4000)}, demand(long))
+			Expect(picked.Key).To(Equal("opened"), "neither reads soon")
+		})
+
+		It("refuses what would wait for more than a pass, but no stream that broke and no prompt alone", func() {
+			targets := []*placement.Target{reading("opened", 0, 9000)}
+			_, reason := placement.Pick(targets, demand(long))
+			Expect(reason).To(Equal(placement.NoRoom))
+			_, reason = placement.Pick(targets, demand(func(d *placement.Demand) { d.Prompt, d.Resumed = 1500, true }))
+			Expect(reason).To(Equal(placement.Placed))
+			_, reason = placement.Pick([]*placement.Target{reading("idle", 0, 0)}, demand(func(d *placement.Demand) { d.Prompt = 50000 }))
+			Expect(reason).To(Equal(placement.Placed))
+		})
+	})
+
 	It("does not wait for what failed several times in a row, but tries it again, once at a time", func() {
 		down := target("down", 0)
 		for range 3 {
--- a/internal/placement/told_late_test.go
+++ b/internal/placement/told_late_test.go
@@ -119,6 +119,44 @@
 		Entry("210 a second", 210.0),
 	)
 
+	DescribeTable("gains nothing by callers that come back over all of their time, in place of soon, while groups are lost by turns", func(perS float64) {
+		lossy := func(returns comeBack) func(*fleet) {
+			return func(f *fleet) {
+				f.groups, f.perS, f.length = 12, perS, 40*time.Second
+				f.lost, f.period, f.returns = []int{0, 1, 2, 3}, 4*time.Second, returns
+			}
+		}
+		const soonest, span = 300 * time.Millisecond, 500 * time.Millisecond // as refused callers are told
+		soon := func(_ time.Duration, random float64) time.Duration {
+			return soonest + time.Duration(random*float64(span))
+		}
+		whole := func(left time.Duration, random float64) time.Duration {
+			return soonest + time.Duration(random*(0.3*float64(left)-float64(soonest)))
+		}
+		Expect(day(picked, lossy(soon)).worth()).To(BeNumerically(">", day(picked, lossy(whole)).worth()-0.02))
+	},
+		Entry("330 a second", 330.0),
+		Entry("350 a second", 350.0),
+		Entry("380 a second", 380.0),
+	)
+
+	DescribeTable("makes fewer streams of few daemons late by sending no group more prompts than it soon reads", func(perS float64) {
+		opening := func(reads bool) func(*fleet) {
+			return func(f *fleet) {
+				f.daemons, f.groups, f.slots, f.lag, f.perS, f.length = 8, 6, 26, 50*time.Millisecond, perS, 40*time.Second
+				f.prompt, f.answer, f.pace, f.aim, f.pause = 1665, 120, 1, 400*time.Millisecond, 200*time.Millisecond
+				f.lost, f.period, f.reads = []int{0, 1}, 6*time.Second, reads
+			}
+		}
+		known, unknown := day(picked, opening(true)), day(picked, opening(false))
+		Expect(known.worth()).To(BeNumerically(">", unknown.worth()))
+		Expect(known.late).To(BeNumerically("<", unknown.late))
+	},
+		Entry("45 a second", 45.0),
+		Entry("60 a second", 60.0),
+		Entry("75 a second", 75.0),
+	)
+
 	DescribeTable("gains nothing by what groups do with their queues, which are short", func(perS float64) {
 		now := day(picked, func(f *fleet) { f.perS = perS }).worth()
 		byWorth := day(picked, func(f *fleet) { f.perS, f.byWorth = perS, true }).worth()
