Many daemons take no notice of prompts that wait to be read

What is told there is up to 0.3 s old, longer than a prompt waits. Change: with 16 daemons or more the rule is left out. The sites with 7 and 8 daemons are as they were.

--- a/internal/placement/read.go
+++ b/internal/placement/read.go
@@ -10,9 +10,10 @@
 // either. Load answered: a group that has just opened, or
 // the others when one was lost. Were all to send it their prompts at once, it would
 // read them for several of its longest passes, in which every stream of the group
-// pauses for too long, and what came last would be late before its first token.
+// pauses for too long, and what came last would be late before its first token. Among
+// many daemons what is told is older than it takes to read a prompt, and says nothing.
 func soonRead(targets []*Target, demand Demand) []*Target {
-	if !demand.Grouped {
+	if !demand.Grouped || demand.Daemons >= manyDaemons {
 		return targets
 	}
 	var soon, next []*Target
@@ -36,7 +37,9 @@
 
 // waitsToBeRead reports whether a prompt would wait for more than a pass until it is
 // read.
-func waitsToBeRead(target *Target, demand Demand) bool { return waitsFor(target, demand, 1) }
+func waitsToBeRead(target *Target, demand Demand) bool {
+	return demand.Daemons < manyDaemons && waitsFor(target, demand, 1)
+}
 
 // waitsFor reports whether a prompt and those that are to be read before it are more
 // than a share of what a pass reads. A prompt alone never is.
--- a/internal/placement/told_late_test.go
+++ b/internal/placement/told_late_test.go
@@ -157,6 +157,17 @@
 		Entry("75 a second", 75.0),
 	)
 
+	It("takes no notice among many daemons of what waits to be read, which they would know too late", func() {
+		opening := func(reads bool) func(*fleet) {
+			return func(f *fleet) {
+				f.groups, f.perS, f.prompt, f.answer = 6, 75, 1665, 100
+				f.pace, f.aim, f.pause = 1, 400*time.Millisecond, 220*time.Millisecond
+				f.lost, f.period, f.reads = []int{0, 1}, 6*time.Second, reads
+			}
+		}
+		Expect(day(picked, opening(true))).To(Equal(day(picked, opening(false))))
+	})
+
 	DescribeTable("gains nothing by what groups do with their queues, which are short", func(perS float64) {
 		now := day(picked, func(f *fleet) { f.perS = perS }).worth()
 		byWorth := day(picked, func(f *fleet) { f.perS, f.byWorth = perS, true }).worth()
