--- a/internal/gateway/readers.go
+++ b/internal/gateway/readers.go
@@ -92,19 +92,31 @@
 // soon reads for all.
 func (g *Gateway) askLostStore(ctx context.Context) {
 	asked := time.Now()
+	lost := false
 	for wait.For(ctx, askAgain) {
 		now := time.Now()
-		if !g.storeLost() || now.Sub(asked) < askSeldom && !g.asksOften(now) {
+		lost = g.noteReach(lost)
+		if !lost || now.Sub(asked) < askSeldom && !g.asksOften(now) {
 			continue
 		}
 		asked = now
 		call, cancel := context.WithTimeout(ctx, askLimit)
-		_, err := g.store.Read(call, ledger.Topic, g.ledger.Load().End, 0)
+		_, _ = g.store.Read(call, ledger.Topic, g.ledger.Load().End, 0) // the store's reach notes the outcome
 		cancel()
-		if err == nil {
-			g.logger.Info("store reached again", "address", g.settings.Store)
-		}
+		lost = g.noteReach(lost)
+	}
+}
+
+// noteReach logs a change of whether the store is lost, and returns whether it is.
+func (g *Gateway) noteReach(before bool) bool {
+	lost := g.storeLost()
+	switch {
+	case lost && !before:
+		g.logger.Warn("store lost", "address", g.settings.Store, "entries_age_ms", g.entries.Age(time.Now()).Milliseconds())
+	case before && !lost:
+		g.logger.Info("store reached again", "address", g.settings.Store)
 	}
+	return lost
 }
 
 func (g *Gateway) asksOften(now time.Time) bool {
