Streams: only complete events are a sign of progress

Cause: any bytes of an endpoint counted as progress of its stream and of its group, so that one that sent a byte now and then was left at the deadline only. Change: events are counted when they are complete.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -67,11 +67,17 @@
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
 			now := time.Now()
-			r.recordEvent(target, now, last)
-			watch.recordEvent(now)
-			last = now
-			if err := r.forwardEvents(answer, buffer[:n]); err != nil {
-				return err
+			complete, err := r.events.add(buffer[:n])
+			if err != nil {
+				return &BrokenError{Reason: Disorder, Err: err}
+			}
+			if len(complete) > 0 { // parts of an event are no sign of progress
+				r.recordEvent(target, now, last)
+				watch.recordEvent(now)
+				last = now
+				if err := r.forwardEvents(answer, complete); err != nil {
+					return err
+				}
 			}
 		}
 		if err == io.EOF {
@@ -102,15 +108,8 @@
 	r.unprefilledTokens = 0
 }
 
-// forwardEvents appends data and forwards the events that are now complete.
-func (r *run) forwardEvents(answer *Answer, data []byte) error {
-	complete, err := r.events.add(data)
-	if err != nil {
-		return &BrokenError{Reason: Disorder, Err: err}
-	}
-	if len(complete) == 0 {
-		return nil
-	}
+// forwardEvents forwards complete events.
+func (r *run) forwardEvents(answer *Answer, complete []byte) error {
 	if err := r.sendHead(answer); err != nil {
 		return err
 	}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -79,6 +79,9 @@
 }
 
 func (p *chunkedBody) Read(into []byte) (int, error) {
+	if p.ctx != nil && p.ctx.Err() != nil {
+		return 0, p.ctx.Err()
+	}
 	if len(p.chunks) > 0 {
 		time.Sleep(p.interval)
 		n := copy(into, p.chunks[0])
@@ -353,6 +356,22 @@
 			Expect(suspected).To(Equal([]string{"a"}))
 		})
 
+		It("leaves a group that sends bytes now and then but completes no event", func() {
+			trickle := []string{event(1)}
+			for range 80 {
+				trickle = append(trickle, "x")
+			}
+			add("a", 0, func(ctx context.Context, _ exchange.Call) (*exchange.Answer, error) {
+				return &exchange.Answer{Status: 200, Header: http.Header{}, Body: &chunkedBody{ctx: ctx, chunks: trickle, interval: 20 * time.Millisecond}}, nil
+			})
+			add("b", 1, answers(200, io.EOF, event(2), event(3)))
+			started := time.Now()
+			Expect(run()).To(BeNil())
+			Expect(time.Since(started)).To(BeNumerically("<", time.Second))
+			Expect(out.body).To(Equal(event(1) + event(2) + event(3)))
+			Expect(t.calls).To(Equal([]string{"a", "b 1"}))
+		})
+
 		It("stays at a slow group if there is no other", func() {
 			add("a", 0, func(ctx context.Context, _ exchange.Call) (*exchange.Answer, error) {
 				return &exchange.Answer{Status: 200, Body: &chunkedBody{ctx: ctx, chunks: []string{event(1), event(2)}, end: io.EOF, interval: 250 * time.Millisecond}}, nil
