--- a/internal/exchange/reason.go
+++ b/internal/exchange/reason.go
@@ -7,6 +7,7 @@
 const (
 	NoTarget         Reason = "no_target"   // no endpoint serves the request
 	NoCapacity       Reason = "no_room"     // all endpoints that serve the request are full
+	HeldBack         Reason = "held_back"   // all endpoints that serve the request want none for a time
 	DeadlineExceeded Reason = "time_over"   // the deadline has passed
 	CallerGone       Reason = "caller_gone" // the caller closed the connection
 	Refused          Reason = "refused"     // the endpoints refused the request
@@ -16,4 +17,4 @@
 )
 
 // Reasons lists all reasons, so that each counter is registered at start-up.
-var Reasons = []Reason{NoTarget, NoCapacity, DeadlineExceeded, CallerGone, Refused, Broken, NoBudget, CrashSuspect}
+var Reasons = []Reason{NoTarget, NoCapacity, HeldBack, DeadlineExceeded, CallerGone, Refused, Broken, NoBudget, CrashSuspect}
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -85,6 +85,10 @@
 		return nil, r.fail(NoTarget, nil)
 	case placement.NoCapacity:
 		return nil, r.fail(NoCapacity, nil)
+	case placement.HeldBack:
+		failure := r.fail(HeldBack, nil)
+		failure.RetryAfter = max(failure.RetryAfter, placement.HeldFor(targets, now)+retryJitter())
+		return nil, failure
 	default:
 		return target, nil
 	}
@@ -198,9 +202,11 @@
 // retryAfter returns a delay with jitter, which spreads the retries of callers that
 // were refused together.
 func retryAfter() time.Duration {
-	return retryAfterBase + time.Duration(rand.Int64N(int64(retryAfterJitter)))
+	return retryAfterBase + retryJitter()
 }
 
+func retryJitter() time.Duration { return time.Duration(rand.Int64N(int64(retryAfterJitter))) }
+
 func (r *run) timeToFirst() time.Duration {
 	if r.firstAt.IsZero() {
 		return 0
--- a/internal/fakes/keyed_log.go
+++ b/internal/fakes/keyed_log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,12 +18,14 @@
 	down         bool          // every call is refused
 	dropAnswers  bool          // appends take effect but return an error
 	suppressWake bool          // appends do not wake long polls
+	era          uint64        // number of restores
 	calls        int           // calls so far, with the refused ones
 	changed      chan struct{} // closed and replaced by notify
 }
 
 // keyedTopic is one topic. Records below first are compacted.
 type keyedTopic struct {
+	history []keyed.Record          // all records, from offset 0 on
 	records []keyed.Record          // retained records, from offset first on
 	first   uint64                  // offset of the first retained record
 	end     uint64                  // offset of the next record
@@ -67,6 +70,39 @@
 	t.first = t.end
 }
 
+// Restore makes the store come back from a copy that lacks the last records of the named
+// topics, or of all topics if none is named.
+func (l *KeyedLog) Restore(lost int, topics ...string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.era++
+	for name, t := range l.topics {
+		if len(topics) == 0 || slices.Contains(topics, name) {
+			l.topics[name] = t.withoutLast(lost)
+		}
+	}
+	l.notify()
+}
+
+// withoutLast returns the topic as it was before its last records were appended.
+func (t *keyedTopic) withoutLast(lost int) *keyedTopic {
+	kept := t.history[:max(0, len(t.history)-lost)]
+	older := &keyedTopic{newest: map[string]keyed.Record{}}
+	for _, record := range kept {
+		older.add(record)
+	}
+	older.first = min(t.first, older.end)
+	older.records = slices.Clone(older.records[older.first:])
+	return older
+}
+
+// Era returns the number of restores so far.
+func (l *KeyedLog) Era() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.era
+}
+
 // Calls returns the number of calls so far, with the refused ones.
 func (l *KeyedLog) Calls() int {
 	l.mu.Lock()
@@ -82,7 +118,7 @@
 		return keyed.Page{}, err
 	}
 	t := l.topic(topic)
-	page := keyed.Page{End: t.end}
+	page := keyed.Page{End: t.end, Era: l.era}
 	for _, record := range t.newest {
 		page.Records = append(page.Records, record)
 	}
@@ -117,10 +153,10 @@
 		return keyed.Page{}, nil, err
 	}
 	t := l.topic(topic)
-	if from < t.first {
+	if from < t.first || from > t.end {
 		return keyed.Page{}, nil, &keyed.ExpiredError{Topic: topic, First: t.first}
 	}
-	page := keyed.Page{End: t.end}
+	page := keyed.Page{End: t.end, Era: l.era}
 	if from < t.end {
 		page.Records = append(page.Records, t.records[from-t.first:]...)
 	}
@@ -128,21 +164,21 @@
 }
 
 // Append implements keyed.Log.
-func (l *KeyedLog) Append(_ context.Context, topic string, at uint64, records []keyed.Record) (uint64, error) {
+func (l *KeyedLog) Append(_ context.Context, topic string, at uint64, records []keyed.Record) (keyed.Position, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err := l.startCall("append"); err != nil {
-		return 0, err
+		return keyed.Position{}, err
 	}
 	t := l.topic(topic)
 	if t.end != at {
-		return 0, &keyed.ConflictError{Topic: topic, End: t.end}
+		return keyed.Position{}, &keyed.ConflictError{Topic: topic, End: t.end}
 	}
 	l.appendRecords(t, records)
 	if l.dropAnswers {
-		return 0, &keyed.UnknownOutcomeError{Call: "append", Err: errors.ErrUnsupported}
+		return keyed.Position{}, &keyed.UnknownOutcomeError{Call: "append", Err: errors.ErrUnsupported}
 	}
-	return at, nil
+	return keyed.Position{Era: l.era, Offset: at}, nil
 }
 
 // Put implements keyed.Log.
@@ -160,18 +196,23 @@
 // newest records. The caller holds mu.
 func (l *KeyedLog) appendRecords(t *keyedTopic, records []keyed.Record) {
 	for _, record := range records {
-		record.Offset = t.end
-		t.end++
-		t.records = append(t.records, record)
-		if record.Value == nil {
-			delete(t.newest, record.Key)
-			continue
-		}
-		t.newest[record.Key] = record
+		t.add(record)
 	}
 	l.notify()
 }
 
+func (t *keyedTopic) add(record keyed.Record) {
+	record.Offset = t.end
+	t.end++
+	t.history = append(t.history, record)
+	t.records = append(t.records, record)
+	if record.Value == nil {
+		delete(t.newest, record.Key)
+		return
+	}
+	t.newest[record.Key] = record
+}
+
 // startCall counts a call and fails it if the store is down. The caller holds mu.
 func (l *KeyedLog) startCall(call string) error {
 	l.calls++
--- a/internal/fakes/wire_engine.go
+++ b/internal/fakes/wire_engine.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,6 +36,9 @@
 	sequence int
 	runs     map[string]int // number of runs by request ID
 	stalled  bool           // streams send no more events, as after the loss of a member
+	leaving  bool           // all answers announce that the engine is leaving
+	hold     string         // Retry-After of a 503 that answers every request; empty: serve normally
+	arrivals int            // requests that arrived
 	killed   bool
 }
 
@@ -57,6 +62,13 @@
 	return e.runs[id]
 }
 
+// RequestsRun returns the IDs of the requests that have run.
+func (e *WireEngine) RequestsRun() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Collect(maps.Keys(e.runs))
+}
+
 // Stall stops the events of all streams; their connections stay open.
 func (e *WireEngine) Stall() {
 	e.mu.Lock()
@@ -64,6 +76,37 @@
 	e.stalled = true
 }
 
+// Announce makes all answers announce that the engine is leaving. Its entry stays as it is.
+func (e *WireEngine) Announce() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
+// HoldOff answers every request with a 503 that names a Retry-After; empty ends this.
+func (e *WireEngine) HoldOff(retryAfter string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.hold = retryAfter
+}
+
+// Arrivals returns the number of requests that have arrived, rejected ones included.
+func (e *WireEngine) Arrivals() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.arrivals
+}
+
+// Epoch returns the epoch of the engine's group, 0 if it is in none.
+func (e *WireEngine) Epoch() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.group == nil {
+		return 0
+	}
+	return e.group["epoch"].(uint64)
+}
+
 // Kill closes the engine's connections at once and removes its entry from the
 // store.
 func (e *WireEngine) Kill() {
@@ -117,6 +160,12 @@
 
 // ServeHTTP implements http.Handler.
 func (e *WireEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	leaving := e.leaving
+	e.mu.Unlock()
+	if leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if wanted := r.Header.Get("Expected-Instance"); wanted != "" && wanted != e.ID {
 		w.Header().Set("Instance-Id", e.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -190,6 +239,15 @@
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	e.mu.Lock()
+	e.arrivals++
+	hold := e.hold
+	if hold != "" {
+		e.mu.Unlock()
+		w.Header().Set("Retry-After", hold)
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	open := e.Domain == "" || e.group != nil && e.group["state"] == "open"
 	if open {
 		e.runs[id]++
--- a/internal/fakes/wire_store.go
+++ b/internal/fakes/wire_store.go
@@ -37,6 +37,7 @@
 		w.WriteHeader(int(status))
 		return
 	}
+	setEra(w, s.Log.Era())
 	switch r.Method + " " + r.URL.Path {
 	case "POST /api/log-append":
 		s.append(w, r)
@@ -61,7 +62,8 @@
 		page, _ := s.Log.Newest(r.Context(), topic, "")
 		at = page.End
 	}
-	offset, err := s.Log.Append(r.Context(), topic, at, records)
+	first, err := s.Log.Append(r.Context(), topic, at, records)
+	setEra(w, s.Log.Era())
 	var conflict *keyed.ConflictError
 	if errors.As(err, &conflict) {
 		writeAnswer(w, http.StatusPreconditionFailed, map[string]any{"end": conflict.End})
@@ -70,7 +72,7 @@
 	if s.dropAnswers.Load() {
 		panic(http.ErrAbortHandler)
 	}
-	writeAnswer(w, http.StatusOK, map[string]any{"offset": offset, "end": offset + uint64(len(records))})
+	writeAnswer(w, http.StatusOK, map[string]any{"offset": first.Offset, "end": first.Offset + uint64(len(records))})
 }
 
 func (s *WireStore) read(w http.ResponseWriter, r *http.Request) {
@@ -78,11 +80,13 @@
 	from, _ := strconv.ParseUint(query.Get("from"), 10, 64)
 	wait, _ := strconv.Atoi(query.Get("wait_ms"))
 	page, err := s.Log.Read(r.Context(), query.Get("topic"), from, time.Duration(wait)*time.Millisecond)
+	setEra(w, s.Log.Era())
 	var expired *keyed.ExpiredError
 	if errors.As(err, &expired) {
 		writeAnswer(w, http.StatusGone, map[string]any{"first": expired.First})
 		return
 	}
+	setEra(w, page.Era)
 	data := binary.BigEndian.AppendUint64(nil, page.End)
 	data = binary.BigEndian.AppendUint64(data, 0)
 	for _, record := range page.Records {
@@ -95,6 +99,7 @@
 // newest returns pages of only two records, so that clients always need paging.
 func (s *WireStore) newest(w http.ResponseWriter, r *http.Request) {
 	page, _ := s.Log.Newest(r.Context(), r.URL.Query().Get("topic"), "")
+	setEra(w, page.Era)
 	sortByKey(page.Records)
 	items := []map[string]any{}
 	more := false
@@ -111,6 +116,10 @@
 	writeAnswer(w, http.StatusOK, map[string]any{"items": items, "has_more": more, "end": page.End})
 }
 
+func setEra(w http.ResponseWriter, era uint64) {
+	w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+}
+
 // decodeFrames decodes the length-prefixed records of an append.
 func decodeFrames(data []byte) []keyed.Record {
 	var records []keyed.Record
--- a/internal/formation/convergence.go
+++ b/internal/formation/convergence.go
@@ -20,6 +20,10 @@
 		return
 	}
 	p.plan.Converging = true
+	if p.grantedInEarlierEra(record) {
+		p.grantAnew(record)
+		return
+	}
 	if !p.releaseFormer(record) {
 		return
 	}
--- a/internal/formation/deployment_test.go
+++ b/internal/formation/deployment_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/formation"
+	"github.com/plantainmux/plantainmux/internal/keyed"
 	"github.com/plantainmux/plantainmux/internal/ledger"
 	"github.com/plantainmux/plantainmux/internal/registry"
 )
@@ -76,7 +78,7 @@
 }
 
 func (d *deployment) applyToLedger(plan formation.Plan) {
-	next := &ledger.State{Groups: map[string]*ledger.Record{}, End: d.in.Groups.End}
+	next := &ledger.State{Groups: map[string]*ledger.Record{}, End: d.in.Groups.End, Era: d.in.Groups.Era, Forgotten: maps.Clone(d.in.Groups.Forgotten)}
 	for name, record := range d.in.Groups.Groups {
 		next.Groups[name] = record
 	}
@@ -86,7 +88,12 @@
 	}
 	for _, grant := range plan.Grants {
 		granted := *grant
-		granted.Epoch = next.End
+		granted.Epoch = keyed.Position{Era: next.Era, Offset: next.End}.Ordinal()
+		if grant.RestoredEpoch != nil {
+			granted.Epoch = *grant.RestoredEpoch
+		}
+		granted.RestoredEpoch = nil
+		delete(next.Forgotten, grant.Group)
 		next.Groups[grant.Group] = &granted
 		next.End++
 	}
@@ -153,6 +160,20 @@
 	return models
 }
 
+// restoreStore makes the store come back from a copy that lacks the records of some groups.
+func (d *deployment) restoreStore(forgotten ...string) {
+	next := *d.in.Groups
+	next.Groups = maps.Clone(next.Groups)
+	next.Era++
+	next.End = 0
+	next.Forgotten = map[string]bool{}
+	for _, name := range forgotten {
+		next.Forgotten[name] = true
+	}
+	d.in.Groups = &next
+	d.in.EraAge = 0
+}
+
 func (d *deployment) recordOf(model string) *ledger.Record {
 	for _, record := range d.in.Groups.Groups {
 		if record.Model == model && !record.Dissolving {
--- a/internal/formation/input.go
+++ b/internal/formation/input.go
@@ -16,5 +16,7 @@
 	Health        Health
 	Owns          func(domain string) bool // whether this daemon plans a domain
 	BeforeTraffic bool                     // no request has arrived yet, so model loads disturb no traffic
-	Now           time.Time
+	// EraAge is for how long the ledger has been read in the store's current era.
+	EraAge time.Duration
+	Now    time.Time
 }
--- a/internal/formation/orphans.go
+++ b/internal/formation/orphans.go
@@ -27,6 +27,9 @@
 	if !head.Group.CanServe() {
 		return false
 	}
+	if p.in.EraAge < eraSettlingPeriod && p.in.Groups.Era > 0 {
+		return true // the store may have lost the record, and a daemon that knows it writes it again
+	}
 	if head == e && p.in.Owns(e.Domain) {
 		p.plan.Converging = true
 		p.plan.Orders = append(p.plan.Orders, Order{To: memberOf(e), Operation: Leave, Group: e.Group.Group, Epoch: e.Group.Epoch})
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -43,6 +43,7 @@
 			p.reconcileGroup(record)
 		}
 	}
+	p.dropResurrected()
 	for _, domain := range slices.Sorted(maps.Keys(p.free)) {
 		if p.in.Owns(domain) {
 			p.createGroups(domain)
@@ -100,6 +101,9 @@
 // reconcileGroup orders the next step that a group needs to match its record, or
 // plans a new record for it.
 func (p *planner) reconcileGroup(record *ledger.Record) {
+	if p.rewriteForgotten(record) {
+		return
+	}
 	if record.Dissolving {
 		p.finishDissolution(record)
 		return
--- a/internal/formation/reconciler.go
+++ b/internal/formation/reconciler.go
@@ -104,9 +104,10 @@
 	if current == nil {
 		return Input{}, false
 	}
+	now := time.Now()
 	return Input{
 		Catalog: current, Endpoints: r.Endpoints(), Groups: r.Ledger.Load(), Health: r.observations.health(),
-		Owns: r.Owns, BeforeTraffic: r.BeforeTraffic(), Now: time.Now(),
+		Owns: r.Owns, BeforeTraffic: r.BeforeTraffic(), EraAge: r.Ledger.EraAge(now), Now: now,
 	}, true
 }
 
@@ -135,9 +136,13 @@
 	defer cancel()
 	err := r.Ledger.Propose(ctx, state, plan.Grants, plan.Drops)
 	var conflict *keyed.ConflictError
+	var eraChanged *ledger.EraChangedError
 	switch {
 	case err == nil:
 		r.Wake()
+	case errors.As(err, &eraChanged):
+		r.Logger.Warn("group records are void: the store has come back from an older copy", "planned_era", eraChanged.Planned, "era", eraChanged.Era)
+		r.Refresh()
 	case errors.As(err, &conflict):
 		r.Logger.Info("group records not written: ledger has newer records", "end", state.End, "now", conflict.End)
 		r.Refresh()
--- a/internal/formation/spares.go
+++ b/internal/formation/spares.go
@@ -174,10 +174,11 @@
 // spareEpoch returns an epoch below that of any group that is granted later, so
 // that a delayed order cannot remove an endpoint from such a group.
 func (p *planner) spareEpoch() uint64 {
-	if p.in.Groups.End == 0 {
+	end := p.in.Groups.EndEpoch()
+	if end == 0 {
 		return 0
 	}
-	return p.in.Groups.End - 1
+	return end - 1
 }
 
 // stageOther stages another model of the service on the host of an endpoint that
--- a/internal/gateway/adapters.go
+++ b/internal/gateway/adapters.go
@@ -8,6 +8,7 @@
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/formation"
 	"github.com/plantainmux/plantainmux/internal/keyed"
+	"github.com/plantainmux/plantainmux/internal/notice"
 	"github.com/plantainmux/plantainmux/internal/registry"
 )
 
@@ -16,6 +17,7 @@
 	Store        keyed.Log
 	Transport    exchange.Transport
 	Engines      formation.Engines
+	Notices      *notice.Publisher // what endpoints announce in answers to Transport and Engines
 	DecodeConfig func(data []byte) (*catalog.Catalog, error)
 	DecodeEntry  registry.Decoder
 	Topics       Topics
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,6 +48,7 @@
 	registry       *registry.Registry
 	ledger         *ledger.Ledger
 	meters         *targetstats.Meters
+	holds          *targetstats.Holds
 	view           atomic.Pointer[placement.View]
 	reconciler     *formation.Reconciler
 	gossip         *gossip.Gossip
@@ -57,6 +58,7 @@
 	suspicions     suspicions
 
 	store              *keyed.ReachabilityTracker
+	storeCalls         *storeCalls
 	configs            *keyed.Follower
 	entries            *keyed.Follower
 	groups             *keyed.Follower
@@ -67,10 +69,14 @@
 	planners           atomic.Pointer[[]string]         // live daemons that plan groups
 	live               atomic.Int32                     // live daemons
 	configBehindSince  atomic.Int64                     // Unix nanoseconds since which a peer has reported a newer configuration; 0: none
+	newestConfig       atomic.Pointer[toldConfig]       // nil: none
+	configReadAt       atomic.Int64                     // Unix nanoseconds at which the store was last read for the configuration
 	entriesPolledEpoch atomic.Uint64                    // epoch of the opened group for which the entries were last read early
 	groupOpenedAt      sync.Map                         // time when a group was first seen open, by name and epoch
 	trafficSeen        atomic.Bool                      // a request has arrived, at this daemon or a peer
 
+	registrationLost chan struct{} // the store has lost this daemon's registration
+
 	inFlight      atomic.Int64
 	stopping      atomic.Bool
 	stopStartedAt atomic.Int64 // Unix nanoseconds; 0: not stopping
@@ -87,12 +93,16 @@
 		metrics:        metrics.NewSet(),
 		started:        time.Now(),
 		meters:         targetstats.NewMeters(),
+		holds:          targetstats.NewHolds(),
 		crashSuspects:  exchange.NewCrashSuspects(),
 		failedRequests: exchange.NewFailedRequests(),
 		peers:          peerlog.NewClient(),
 		mirror:         keyed.NewMirror(),
-		store:          keyed.NewReachabilityTracker(adapters.Store),
+
+		registrationLost: make(chan struct{}, 1),
 	}
+	g.storeCalls = newStoreCalls(g.metrics)
+	g.store = keyed.NewReachabilityTracker(keyed.NewEraObserver(keyed.NewCountedLog(adapters.Store, g.storeCalls.count), g.refreshAll))
 	g.live.Store(1)
 	g.metersByHash.Store(&map[uint32]meter{})
 	g.planners.Store(&[]string{s.Node})
@@ -105,6 +115,7 @@
 	g.registerAgeGauges()
 	g.buildReconciler()
 	g.buildRequestPath()
+	adapters.Notices.Subscribe(g.applyNotice)
 	return g, nil
 }
 
@@ -122,7 +133,7 @@
 	g.configs = follow(g.adapters.Topics.Operators, configPacing, g.applyConfig)
 	g.entries = follow(g.adapters.Topics.Endpoints, entriesPacing, g.registry.Apply)
 	g.groups = follow(ledger.Topic, configPacing, g.ledger.Apply)
-	g.daemons = follow(gossip.Topic, registrationsPacing, g.gossip.Apply)
+	g.daemons = follow(gossip.Topic, registrationsPacing, g.applyRegistrations)
 }
 
 func (g *Gateway) buildReconciler() {
@@ -171,16 +182,13 @@
 		return err
 	}
 	for _, run := range []func(context.Context){
-		g.configs.Run, g.entries.Run, g.groups.Run, g.daemons.Run, g.gossip.Run, g.register, g.plan, g.housekeep, g.probeUnreachableStore,
+		g.configs.Run, g.entries.Run, g.groups.Run, g.daemons.Run, g.gossip.Run, g.register, g.plan, g.housekeep, g.probeUnreachableStore, g.logStoreCalls,
 	} {
 		g.tasks.Go(func() { run(background) })
 	}
 	g.logger.Info("daemon started", "callers", g.settings.Listen.Callers, "first", g.settings.First)
 	<-ctx.Done()
-	g.stop()
-	for _, server := range servers {
-		_ = server.Close()
-	}
+	g.shutDown(servers, g.stop())
 	cancel()
 	g.tasks.Wait()
 	g.logger.Info("daemon stopped", "ran_s", time.Since(g.started).Seconds())
@@ -224,13 +232,14 @@
 	if current == nil {
 		return
 	}
-	g.view.Store(placement.Build(current, g.registry.Load(), g.ledger.Load(), g.meters))
+	g.view.Store(placement.Build(current, g.registry.Load(), g.ledger.Load(), g.meters, g.holds))
 	if g.reconciler != nil {
 		g.reconciler.Wake()
 	}
 }
 
 func (g *Gateway) applyConfig(batch keyed.Batch) {
+	g.configReadAt.Store(batch.StoreReadAt.UnixNano())
 	if batch.Empty() {
 		return
 	}
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	configLagTolerance    = 200 * time.Millisecond // how long a peer may report a newer configuration before it is read again
+	configLagTolerance    = 200 * time.Millisecond // how long a peer may report a newer configuration before the reader of a data centre reads it again
+	listenerLagTolerance  = 900 * time.Millisecond // the same for the other daemons, which the reader tells at once; less than half of the time within which a version must be in force
 	suspicionTTL          = time.Second            // how long a group that a peer suspects gets no requests
 	openedNoticeTTL       = 400 * time.Millisecond // how long an opened group is sent to the other daemons: several datagrams
 	registerRetryInterval = 300 * time.Millisecond
@@ -85,17 +86,34 @@
 // a newer one for longer than configLagTolerance: the long poll may be on a dead
 // connection.
 func (g *Gateway) checkRemoteVersion(version int64, now time.Time) {
+	newest := g.newestConfig.Load()
+	news := newest == nil || version > newest.version
+	if news {
+		g.newestConfig.Store(&toldConfig{version: version, heardAt: now}) // by the goroutine that receives gossip alone
+	}
 	current := g.catalogs.Load()
 	if current == nil || version <= current.Version {
 		return
 	}
+	if news && now.Sub(g.started) < startupCatchUp {
+		g.configs.Refresh(true)
+	}
 	g.configBehindSince.CompareAndSwap(0, now.UnixNano())
-	if now.Sub(time.Unix(0, g.configBehindSince.Load())) > configLagTolerance {
+	if now.Sub(time.Unix(0, g.configBehindSince.Load())) > g.configLagTolerance() {
 		g.configBehindSince.Store(now.UnixNano())
 		g.configs.Refresh(true)
 	}
 }
 
+// configLagTolerance returns how long another daemon may report a newer configuration before this
+// one asks the store. If all daemons did so at once, each version would cost a call of each.
+func (g *Gateway) configLagTolerance() time.Duration {
+	if g.reader() == nil {
+		return configLagTolerance
+	}
+	return listenerLagTolerance
+}
+
 // refreshForOpened reads the entries again, once per epoch, when a peer reports an
 // open group that this daemon does not route to yet.
 func (g *Gateway) refreshForOpened(opened gossip.Suspicion) {
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/gossip"
+	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/targetstats"
 	"github.com/plantainmux/plantainmux/internal/wait"
 )
@@ -50,23 +51,27 @@
 	g.crashSuspects.SetRemote(g.gossip.Crashes(now), now)
 }
 
-// pruneMeters removes the meters of targets that are no longer in the view.
+// pruneMeters removes the meters and holds of targets that are no longer in the view.
 func (g *Gateway) pruneMeters() {
 	inUse := map[string]bool{}
-	view := g.view.Load()
-	for _, targets := range view.Plain {
+	held := map[*targetstats.Hold]bool{}
+	retain := func(targets []*placement.Target) {
 		for _, target := range targets {
 			inUse[target.Key] = true
+			held[target.Hold] = true
 		}
 	}
+	view := g.view.Load()
+	for _, targets := range view.Plain {
+		retain(targets)
+	}
 	for _, models := range view.Groups {
 		for _, targets := range models {
-			for _, target := range targets {
-				inUse[target.Key] = true
-			}
+			retain(targets)
 		}
 	}
 	g.meters.Retain(inUse)
+	g.holds.Retain(held, time.Now())
 }
 
 // plan runs the reconciler. It starts after boot and firstPlanDelay, by when the
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/exchange"
@@ -18,8 +19,10 @@
 	retryAfterStopping = 50 * time.Millisecond  // Retry-After, as another daemon answers
 	stopMargin         = 600 * time.Millisecond // before the platform kills the process
 	stopPollInterval   = 20 * time.Millisecond
+	closingPeriod      = 80 * time.Millisecond  // for requests that were accepted before the listeners closed
 	retryAfterStarting = 500 * time.Millisecond // Retry-After while the daemon is starting
 	defaultBodyLimit   = 4 << 20                // bytes
+	startupCatchUp     = 5 * time.Second        // after the start, for the operators to write a lost configuration again
 )
 
 // Begin counts a request as in progress until the returned function is called.
@@ -32,7 +35,7 @@
 // is nil.
 func (g *Gateway) Admit(in Incoming) (*Admitted, *Denied) {
 	current := g.catalogs.Load()
-	if current == nil {
+	if current == nil || g.startsBehind(in.Arrived) {
 		return nil, g.deny(in, NoConfiguration, retryAfterStarting)
 	}
 	if g.stoppingFor(in.Arrived) > admissionPeriod {
@@ -77,7 +80,21 @@
 }
 
 // Ready reports whether the load balancer may send new connections.
-func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.synced() }
+func (g *Gateway) Ready() bool {
+	return !g.stopping.Load() && g.synced() && !g.startsBehind(time.Now())
+}
+
+// startsBehind reports whether this daemon has just started and the store has not given it a
+// configuration that another daemon has told of. The store may have come back from an older copy,
+// in which keys and routes are still there that have been withdrawn.
+func (g *Gateway) startsBehind(now time.Time) bool {
+	if now.Sub(g.started) > startupCatchUp {
+		return false
+	}
+	current := g.catalogs.Load()
+	newer := g.newestConfig.Load()
+	return current != nil && newer != nil && current.Version < newer.version && g.configReadAt.Load() > newer.heardAt.UnixNano()
+}
 
 // Stopping reports whether the gateway is shutting down.
 func (g *Gateway) Stopping() bool { return g.stopping.Load() }
@@ -92,8 +109,9 @@
 }
 
 // stop waits until the load balancer has noticed and the requests in progress have
-// finished, at most for the platform's grace period less stopMargin.
-func (g *Gateway) stop() {
+// finished, at most for the platform's grace period less stopMargin. It returns the end of that
+// period.
+func (g *Gateway) stop() time.Time {
 	startedAt := time.Now()
 	g.stopStartedAt.Store(startedAt.UnixNano())
 	g.stopping.Store(true)
@@ -101,11 +119,31 @@
 	latest := startedAt.Add(g.settings.Bounds.grace() - stopMargin)
 	for time.Now().Before(latest) {
 		if time.Since(startedAt) > readinessNoticePeriod && g.inFlight.Load() == 0 {
-			return
+			return latest
 		}
 		time.Sleep(stopPollInterval)
 	}
 	g.logger.Warn("daemon stops with requests in progress", "in_flight", g.inFlight.Load())
+	return latest
+}
+
+// shutDown closes the servers. Their listeners close first; requests that were accepted just
+// before are answered, at most until a deadline.
+func (g *Gateway) shutDown(servers []*http.Server, deadline time.Time) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, server := range servers {
+		go func() { _ = server.Shutdown(ctx) }() // ended by Close at the latest
+	}
+	for idleSince := time.Now(); time.Since(idleSince) < closingPeriod && time.Now().Before(deadline); {
+		if g.inFlight.Load() > 0 {
+			idleSince = time.Now()
+		}
+		time.Sleep(stopPollInterval)
+	}
+	for _, server := range servers {
+		_ = server.Close()
+	}
 }
 
 func (g *Gateway) writeMetrics(w io.Writer) { g.metrics.WritePrometheus(w) }
--- a/internal/gateway/store_access.go
+++ b/internal/gateway/store_access.go
@@ -41,13 +41,26 @@
 	return g.peers.LogVia(address)
 }
 
-// register writes this daemon's address to the store, retrying until it succeeds.
+// register writes this daemon's address to the store, and again each time that the store has
+// lost it.
 func (g *Gateway) register(ctx context.Context) {
 	own, err := g.gossip.Registration()
 	if err != nil {
 		g.logger.Error("encoding the registration failed", "error", err)
 		return
 	}
+	for ctx.Err() == nil {
+		g.putRegistration(ctx, own)
+		select {
+		case <-ctx.Done():
+		case <-g.registrationLost:
+			g.logger.Warn("the store has lost this daemon's registration; writing it again")
+		}
+	}
+}
+
+// putRegistration retries until the store has accepted the registration.
+func (g *Gateway) putRegistration(ctx context.Context, own keyed.Record) {
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, storeCallTimeout)
 		err := g.store.Put(call, gossip.Topic, own)
--- a/internal/keyed/fallback.go
+++ b/internal/keyed/fallback.go
@@ -12,7 +12,8 @@
 )
 
 // Fallback is a Log that reads from the data centre's reader if there is one, then from
-// the store, then from any daemon that reaches the store. Writes go to the store only.
+// the store, then from any daemon that reaches the store. A daemon whose answer belongs to an
+// earlier era of the store than the caller knows is passed over. Writes go to the store only.
 type Fallback struct {
 	Log
 	// Reader returns the daemon that reads the store for this data centre. It returns nil
@@ -28,23 +29,26 @@
 
 // Newest implements Log.
 func (f *Fallback) Newest(ctx context.Context, topic, after string) (Page, error) {
-	return f.read(ctx, 0, func(ctx context.Context, log Log, _ time.Duration) (Page, error) {
+	return f.read(ctx, topic, 0, func(ctx context.Context, log Log, _ time.Duration) (Page, error) {
 		return log.Newest(ctx, topic, after)
 	})
 }
 
 // Read implements Log.
 func (f *Fallback) Read(ctx context.Context, topic string, from uint64, wait time.Duration) (Page, error) {
-	return f.read(ctx, wait, func(ctx context.Context, log Log, wait time.Duration) (Page, error) {
+	return f.read(ctx, topic, wait, func(ctx context.Context, log Log, wait time.Duration) (Page, error) {
 		return log.Read(ctx, topic, from, wait)
 	})
 }
 
-func (f *Fallback) read(ctx context.Context, wait time.Duration, call readCall) (Page, error) {
+func (f *Fallback) read(ctx context.Context, topic string, wait time.Duration, call readCall) (Page, error) {
 	callTime := timeBeyondWait(ctx, wait)
 	var failure error = &RefusedError{Call: "read", Err: &StoreUnreachableError{}}
 	for _, source := range f.sources(isDirect(ctx)) {
 		page, err := readWithin(ctx, source.share*callTime, waitThatFits(ctx, wait, callTime), call, source.log)
+		if err == nil {
+			err = checkEra(ctx, topic, page)
+		}
 		if answered(err) || ctx.Err() != nil {
 			return page, err
 		}
--- a/internal/keyed/follower.go
+++ b/internal/keyed/follower.go
@@ -25,6 +25,7 @@
 	logger *slog.Logger
 
 	nextOffset    uint64
+	era           uint64 // of the store, at the last read
 	synced        atomic.Bool
 	confirmedAt   atomic.Int64  // Unix nanoseconds of the time up to which the topic is known to be read
 	failingSince  atomic.Int64  // Unix nanoseconds of the first failed call since the last success; 0 if there is none
@@ -115,8 +116,14 @@
 	callCtx, cancel := context.WithTimeout(ctx, maxWait+f.pacing.Timeout)
 	defer cancel()
 	f.cancelRead.Store(&cancel)
-	page, err := f.log.Read(callCtx, f.topic, f.nextOffset, maxWait)
+	page, err := f.log.Read(withKnownEra(callCtx, f.era), f.topic, f.nextOffset, maxWait)
 	f.cancelRead.Store(nil)
+	if err == nil {
+		err = checkEra(withKnownEra(ctx, f.era), f.topic, page)
+	}
+	if err == nil && page.Era > f.era {
+		return f.loadNewest(ctx, started) // the offsets that this follower knows are void
+	}
 	var expired *ExpiredError
 	if errors.As(err, &expired) {
 		return f.loadNewest(ctx, started)
@@ -131,7 +138,7 @@
 		f.nextOffset = page.Records[n-1].Offset + 1
 	}
 	readAt := f.storeReadAt(started, maxWait, page)
-	batch := Batch{Records: page.Records, End: f.nextOffset, StartedAt: started, StoreReadAt: readAt, OutageDuration: f.recordSuccess(readAt)}
+	batch := Batch{Records: page.Records, End: f.nextOffset, Era: f.era, StartedAt: started, StoreReadAt: readAt, OutageDuration: f.recordSuccess(readAt)}
 	f.apply(batch)
 	return nil
 }
@@ -157,16 +164,23 @@
 	var records []Record
 	var end uint64
 	var age time.Duration
+	era := f.era
 	after := ""
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, f.pacing.Timeout)
+		callCtx, cancel := context.WithTimeout(withKnownEra(ctx, era), f.pacing.Timeout)
 		page, err := f.log.Newest(callCtx, f.topic, after)
+		if err == nil {
+			err = checkEra(callCtx, f.topic, page)
+		}
 		cancel()
 		if err != nil {
 			return err
 		}
 		if after == "" {
-			end = page.End
+			end, era = page.End, page.Era
+		}
+		if page.Era != era {
+			return &StaleEraError{Topic: f.topic, Era: era, Known: page.Era}
 		}
 		age = max(age, page.Age)
 		records = append(records, page.Records...)
@@ -175,10 +189,14 @@
 		}
 		after = page.Records[len(page.Records)-1].Key
 	}
-	f.nextOffset = end
+	restored := f.synced.Load() && era > f.era
+	if restored {
+		f.logger.Warn("store came back from an older copy", "topic", f.topic, "era", era, "previous_era", f.era, "end", end, "previous_end", f.nextOffset)
+	}
+	f.nextOffset, f.era = end, era
 	readAt := started.Add(-age)
 	regained := f.recordSuccess(readAt)
-	f.apply(Batch{Records: records, Complete: true, End: end, StartedAt: started, StoreReadAt: readAt, OutageDuration: regained})
+	f.apply(Batch{Records: records, Complete: true, End: end, Era: era, Restored: restored, StartedAt: started, StoreReadAt: readAt, OutageDuration: regained})
 	f.synced.Store(true)
 	return nil
 }
--- a/internal/keyed/follower_test.go
+++ b/internal/keyed/follower_test.go
@@ -78,7 +78,8 @@
 	})
 
 	It("reads from the store when refreshed because another daemon has newer records than its reader", func() {
-		stale := fakes.NewKeyedLog()
+		stale := keyed.NewMirror()
+		stale.Follow("keyed.t", keyed.LongPoll(5*time.Second, time.Second), func(keyed.Batch) {})(keyed.Batch{Complete: true, StoreReadAt: time.Now()})
 		through := &keyed.Fallback{Log: log, Reader: func() keyed.Log { return stale }, Peer: func() keyed.Log { return nil }}
 		other := &batchRecorder{}
 		f := keyed.NewFollower(through, "keyed.t", keyed.LongPoll(5*time.Second, time.Second), other.apply, slog.New(slog.DiscardHandler))
--- a/internal/keyed/log.go
+++ b/internal/keyed/log.go
@@ -14,8 +14,8 @@
 	// record.
 	Read(ctx context.Context, topic string, from uint64, wait time.Duration) (Page, error)
 	// Append adds records atomically if the topic ends at offset at. It returns the
-	// offset of the first record.
-	Append(ctx context.Context, topic string, at uint64, records []Record) (uint64, error)
+	// position of the first record, whose era may be later than the caller expects.
+	Append(ctx context.Context, topic string, at uint64, records []Record) (Position, error)
 	// Put adds a record unconditionally.
 	Put(ctx context.Context, topic string, record Record) error
 }
--- a/internal/keyed/mirror.go
+++ b/internal/keyed/mirror.go
@@ -26,6 +26,7 @@
 	recent      []Record // ordered by offset
 	first       uint64   // offset from which on recent is complete
 	end         uint64
+	era         uint64        // of the store
 	confirmedAt time.Time     // last time at which the store itself was read successfully
 	maxAge      time.Duration // time after confirmedAt for which the topic may be served
 	changed     chan struct{} // closed at the next change
@@ -48,7 +49,7 @@
 	defer m.mu.Unlock()
 	t := m.topics[topic]
 	if t == nil || batch.Complete {
-		replacement := &mirroredTopic{newest: map[string]Record{}, first: batch.End, maxAge: maxAge, changed: make(chan struct{})}
+		replacement := &mirroredTopic{newest: map[string]Record{}, first: batch.End, era: batch.Era, maxAge: maxAge, changed: make(chan struct{})}
 		if t != nil {
 			close(t.changed)
 		}
@@ -90,20 +91,22 @@
 	if err != nil {
 		return Page{}, err
 	}
-	page := Page{End: t.end, Age: time.Since(t.confirmedAt)}
+	page := Page{End: t.end, Era: t.era, Age: time.Since(t.confirmedAt)}
 	for _, record := range t.newest {
 		page.Records = append(page.Records, record)
 	}
 	return page, nil
 }
 
-// Read implements Log.
+// Read implements Log. It also returns, without records, when the store has come back from a
+// copy: the records that the caller waits for may never come.
 func (m *Mirror) Read(ctx context.Context, topic string, from uint64, wait time.Duration) (Page, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	first, _, _ := m.readNow(topic, from) // a failure recurs in the loop
 	for {
 		page, changed, err := m.readNow(topic, from)
-		if err != nil || len(page.Records) > 0 {
+		if err != nil || len(page.Records) > 0 || page.Era != first.Era {
 			return page, err
 		}
 		select {
@@ -137,7 +140,7 @@
 			return 0
 		}
 	})
-	return Page{Records: slices.Clone(t.recent[begin:]), End: t.end, Age: time.Since(t.confirmedAt)}, t.changed, nil
+	return Page{Records: slices.Clone(t.recent[begin:]), End: t.end, Era: t.era, Age: time.Since(t.confirmedAt)}, t.changed, nil
 }
 
 // freshTopic returns a topic. It returns a RefusedError if the topic was not read within
@@ -151,8 +154,8 @@
 }
 
 // Append implements Log. It always fails.
-func (m *Mirror) Append(context.Context, string, uint64, []Record) (uint64, error) {
-	return 0, &RefusedError{Call: "mirror", Err: errors.ErrUnsupported}
+func (m *Mirror) Append(context.Context, string, uint64, []Record) (Position, error) {
+	return Position{}, &RefusedError{Call: "mirror", Err: errors.ErrUnsupported}
 }
 
 // Put implements Log. It always fails.
--- a/internal/keyed/page.go
+++ b/internal/keyed/page.go
@@ -6,6 +6,7 @@
 type Page struct {
 	Records []Record
 	End     uint64 // offset after the topic's last record
+	Era     uint64 // era of the store, see Position
 	More    bool   // for Newest: further keys follow the last record
 	// Age is the time since the store itself was read, if the page comes from another
 	// daemon's mirror.
--- a/internal/keyed/reachability_tracker.go
+++ b/internal/keyed/reachability_tracker.go
@@ -52,7 +52,7 @@
 }
 
 // Append implements Log.
-func (r *ReachabilityTracker) Append(ctx context.Context, topic string, at uint64, records []Record) (uint64, error) {
+func (r *ReachabilityTracker) Append(ctx context.Context, topic string, at uint64, records []Record) (Position, error) {
 	due := time.Now()
 	first, err := r.Log.Append(ctx, topic, at, records)
 	r.recordWrite(due, err)
--- /dev/null
+++ b/internal/notice/notice.go
@@ -0,0 +1,14 @@
+package notice
+
+// Notice is what one answer of an endpoint announces.
+type Notice struct {
+	Endpoint    string // ID
+	Incarnation int64  // start time of the incarnation that was addressed, Unix milliseconds
+	Leaving     bool   // the endpoint is leaving and must get no new work
+	// RetryAfter is how long the endpoint wants no request of this daemon, as a decimal number of
+	// seconds that has not been checked; empty if the answer is no rejection or names no time.
+	RetryAfter string
+}
+
+// Empty reports whether the answer announces nothing.
+func (n Notice) Empty() bool { return !n.Leaving && n.RetryAfter == "" }
--- a/internal/peerlog/client.go
+++ b/internal/peerlog/client.go
@@ -47,8 +47,8 @@
 }
 
 // Append implements keyed.Log. It always fails.
-func (l *remoteLog) Append(context.Context, string, uint64, []keyed.Record) (uint64, error) {
-	return 0, &keyed.RefusedError{Call: Path, Err: errors.ErrUnsupported}
+func (l *remoteLog) Append(context.Context, string, uint64, []keyed.Record) (keyed.Position, error) {
+	return keyed.Position{}, &keyed.RefusedError{Call: Path, Err: errors.ErrUnsupported}
 }
 
 // Put implements keyed.Log. It always fails.
--- a/internal/placement/build.go
+++ b/internal/placement/build.go
@@ -12,40 +12,43 @@
 // Build returns the targets given by the registry and the ledger. A group is a
 // target while it is not being dissolved and its head reports that it is open under
 // its newest record: a head is opened only after every member was ready.
-func Build(current *catalog.Catalog, endpoints *registry.Snapshot, groups *ledger.State, meters *targetstats.Meters) *View {
+func Build(current *catalog.Catalog, endpoints *registry.Snapshot, groups *ledger.State, meters *targetstats.Meters, holds *targetstats.Holds) *View {
 	view := &View{Plain: map[string][]*Target{}, Groups: map[string]map[string][]*Target{}}
 	for name, service := range current.Services {
 		if service.Grouped() {
 			view.Groups[name] = map[string][]*Target{}
 			continue
 		}
-		view.Plain[name] = plainTargets(endpoints.ByService[name], meters)
+		view.Plain[name] = plainTargets(endpoints.ByService[name], meters, holds)
 	}
 	for _, record := range groups.Groups {
 		models, ok := view.Groups[record.Service]
 		if !ok {
 			continue
 		}
-		if target := groupTarget(current.Services[record.Service], record, endpoints, meters); target != nil {
+		if target := groupTarget(current.Services[record.Service], record, endpoints, meters, holds); target != nil {
 			models[record.Model] = append(models[record.Model], target)
 		}
 	}
 	return view
 }
 
-func plainTargets(endpoints []*registry.Endpoint, meters *targetstats.Meters) []*Target {
+func plainTargets(endpoints []*registry.Endpoint, meters *targetstats.Meters, holds *targetstats.Holds) []*Target {
 	var targets []*Target
 	for _, e := range endpoints {
 		if !e.Usable() {
 			continue
 		}
 		key := "endpoint/" + e.ID + "/" + strconv.FormatInt(e.Incarnation, 10)
-		targets = append(targets, &Target{Key: key, ID: e.ID, Address: e.Address, DataCentre: e.DataCentre, Slots: max(e.Slots, 1), Meter: meters.GetOrCreate(key)})
+		targets = append(targets, &Target{
+			Key: key, ID: e.ID, Incarnation: e.Incarnation, Address: e.Address, DataCentre: e.DataCentre, Slots: max(e.Slots, 1),
+			Meter: meters.GetOrCreate(key), Hold: holds.GetOrCreate(e.ID, e.Incarnation),
+		})
 	}
 	return targets
 }
 
-func groupTarget(service *catalog.Service, record *ledger.Record, endpoints *registry.Snapshot, meters *targetstats.Meters) *Target {
+func groupTarget(service *catalog.Service, record *ledger.Record, endpoints *registry.Snapshot, meters *targetstats.Meters, holds *targetstats.Holds) *Target {
 	head := endpoints.ByID[record.Head().ID]
 	switch {
 	case record.Dissolving || head == nil || !head.Usable():
@@ -63,8 +66,8 @@
 		meter.SetMaxPass(service.Performance.MaxPassDuration(model))
 	}
 	return &Target{
-		Key: key, ID: head.ID, Address: head.Address, DataCentre: head.DataCentre, Slots: max(slots, 1), MaxPrefillTokensPerPass: pass,
-		Group: record.Group, Epoch: record.Epoch, Meter: meter,
+		Key: key, ID: head.ID, Incarnation: head.Incarnation, Address: head.Address, DataCentre: head.DataCentre, Slots: max(slots, 1), MaxPrefillTokensPerPass: pass,
+		Group: record.Group, Epoch: record.Epoch, Meter: meter, Hold: holds.GetOrCreate(head.ID, head.Incarnation),
 	}
 }
 
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -18,6 +18,9 @@
 // refuse requests for which all targets together have capacity.
 func Pick(targets []*Target, requirements Requirements) (*Target, Reason) {
 	t := filter(targets, requirements)
+	if len(t.healthy)+len(t.interrupted)+len(t.suspect) == 0 && t.held > 0 {
+		return nil, HeldBack
+	}
 	if len(t.healthy)+len(t.interrupted) == 0 {
 		return pickFrom(t.suspect, requirements)
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -103,6 +103,23 @@
 		})
 	})
 
+	It("passes over targets that want no requests for a time, and tells when the first of them takes requests again", func() {
+		held := func(key string, hold time.Duration) *placement.Target {
+			t := target(key, 1)
+			t.Hold = &targetstats.Hold{}
+			t.Hold.Extend(now, hold)
+			return t
+		}
+		targets := []*placement.Target{held("a", 3*time.Second), held("b", 2*time.Second), target("c", 9)}
+		picked, _ := placement.Pick(targets, requirements(nil))
+		Expect(picked.Key).To(Equal("c"))
+		_, reason := placement.Pick(targets[:2], requirements(nil))
+		Expect(reason).To(Equal(placement.HeldBack))
+		Expect(placement.HeldFor(targets, now)).To(Equal(2 * time.Second))
+		_, reason = placement.Pick([]*placement.Target{targets[0], target("full", 12)}, requirements(nil))
+		Expect(reason).To(Equal(placement.NoCapacity))
+	})
+
 	It("excludes a target that failed several times in a row, then retries it with one request at a time", func() {
 		down := target("down", 0)
 		for range 3 {
@@ -166,7 +183,7 @@
 	}
 	build := func(record *ledger.Record, change func(*registry.Endpoint)) []*placement.Target {
 		groups := &ledger.State{Groups: map[string]*ledger.Record{"g": record}}
-		return placement.Build(current, head(change), groups, targetstats.NewMeters()).Targets("s", "m")
+		return placement.Build(current, head(change), groups, targetstats.NewMeters(), targetstats.NewHolds()).Targets("s", "m")
 	}
 
 	It("includes the head of a group that is open under its newest record", func() {
--- a/internal/placement/reason.go
+++ b/internal/placement/reason.go
@@ -8,4 +8,5 @@
 	Placed     Reason = "placed"
 	NoTarget   Reason = "no_target" // no target serves, or all failed this request
 	NoCapacity Reason = "no_room"   // all serving targets are full
+	HeldBack   Reason = "held_back" // all serving targets have asked this daemon to wait
 )
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -7,6 +7,7 @@
 type Target struct {
 	Key                     string // key of its meter
 	ID                      string
+	Incarnation             int64 // start time of the endpoint, Unix milliseconds
 	Address                 string
 	DataCentre              string
 	Slots                   int // requests that it runs concurrently
@@ -14,4 +15,5 @@
 	Group                   string
 	Epoch                   uint64
 	Meter                   *targetstats.Meter
+	Hold                    *targetstats.Hold // of the endpoint; nil: never held back
 }
--- a/internal/registry/endpoint.go
+++ b/internal/registry/endpoint.go
@@ -15,6 +15,7 @@
 	Slots       int    // maximum number of concurrent requests
 	Draining    bool
 	Incarnation int64      // start time of the incarnation, Unix milliseconds
+	Sequence    int64      // rises with the entries that an incarnation writes
 	Group       Membership // zero value if the endpoint is in no group
 	Model       string     // model of its last group in this incarnation
 	Staged      []string   // models stored on its host
@@ -30,6 +31,11 @@
 // Lapsed reports whether the entry is missing.
 func (e *Endpoint) Lapsed() bool { return !e.LapsedUntil.IsZero() }
 
+// olderThan reports whether the entry is an earlier one of the same incarnation.
+func (e *Endpoint) olderThan(other *Endpoint) bool {
+	return e.Incarnation == other.Incarnation && e.Sequence < other.Sequence
+}
+
 // Usable reports whether the endpoint accepts new work.
 func (e *Endpoint) Usable() bool { return !e.Draining }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -12,6 +12,10 @@
 	"github.com/plantainmux/plantainmux/internal/keyed"
 )
 
+// departedRetention is how long it is known that an endpoint has departed: much longer than the
+// age of a copy that the store may come back from, and than an endpoint takes to leave.
+const departedRetention = 10 * time.Minute
+
 // Decoder decodes an entry. An entry for which it returns an error is ignored.
 type Decoder func(id string, value []byte) (Endpoint, error)
 
@@ -24,13 +28,15 @@
 
 	mu         sync.Mutex
 	graceUntil time.Time
-	invalid    map[string]bool // IDs whose current entry is invalid; each is logged once
+	invalid    map[string]bool        // IDs whose current entry is invalid; each is logged once
+	removed    map[string]*Endpoint   // last entries of removed endpoints, by ID
+	leaving    map[string]leavingMark // by ID
 	current    atomic.Pointer[Snapshot]
 }
 
 // New returns an empty registry. onChange is called after each change.
 func New(decode Decoder, gracePeriods GracePeriods, logger *slog.Logger, onChange func()) *Registry {
-	r := &Registry{decode: decode, gracePeriods: gracePeriods, logger: logger, onChange: onChange, invalid: map[string]bool{}}
+	r := &Registry{decode: decode, gracePeriods: gracePeriods, logger: logger, onChange: onChange, invalid: map[string]bool{}, removed: map[string]*Endpoint{}, leaving: map[string]leavingMark{}}
 	r.current.Store(emptySnapshot())
 	return r
 }
@@ -44,7 +50,7 @@
 		return
 	}
 	r.mu.Lock()
-	if batch.OutageDuration > 0 {
+	if batch.OutageDuration > 0 || batch.Restored {
 		r.graceUntil = time.Now().Add(r.gracePeriods.Lapsed)
 	}
 	next := maps.Clone(r.current.Load().ByID)
@@ -70,22 +76,34 @@
 func (r *Registry) expire(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.forgetDeparted(now)
+	expired := func(_ string, e *Endpoint) bool { return e.Lapsed() && !now.Before(e.LapsedUntil) }
 	old := r.current.Load().ByID
-	next := maps.Clone(old)
-	maps.DeleteFunc(next, func(id string, e *Endpoint) bool {
-		expired := e.Lapsed() && !now.Before(e.LapsedUntil)
-		if expired {
+	found := false
+	for id, e := range old {
+		if expired(id, e) {
 			r.logGone(e, "entry still missing after a store outage")
+			r.removed[id] = e
+			found = true
 		}
-		return expired
-	})
-	if len(next) == len(old) {
+	}
+	if !found {
 		return false
 	}
+	next := maps.Clone(old)
+	maps.DeleteFunc(next, expired)
 	r.current.Store(index(next))
 	return true
 }
 
+// forgetDeparted drops what is known of endpoints that departed long ago.
+func (r *Registry) forgetDeparted(now time.Time) {
+	maps.DeleteFunc(r.removed, func(_ string, e *Endpoint) bool { return now.Sub(e.LastSeen) > departedRetention })
+	maps.DeleteFunc(r.leaving, func(id string, mark leavingMark) bool {
+		return now.Sub(mark.at) > departedRetention && r.current.Load().ByID[id] == nil
+	})
+}
+
 func (r *Registry) applyRecord(next map[string]*Endpoint, record keyed.Record, batch keyed.Batch) {
 	if record.Value == nil {
 		r.drop(next, record.Key, batch)
@@ -97,8 +115,16 @@
 		return
 	}
 	delete(r.invalid, record.Key)
-	endpoint.LastSeen = batch.StartedAt
 	old := next[endpoint.ID]
+	if old != nil && endpoint.olderThan(old) || batch.Restored && r.isRemoved(&endpoint) {
+		r.logger.Info("older endpoint entry ignored", "endpoint", endpoint.ID, "sequence", endpoint.Sequence, "offset", record.Offset, "era", batch.Era)
+		return
+	}
+	delete(r.removed, endpoint.ID)
+	if r.isLeaving(&endpoint) {
+		endpoint.Draining = true
+	}
+	endpoint.LastSeen = batch.StartedAt
 	endpoint.FirstSeen = batch.StartedAt
 	if old != nil && old.Incarnation == endpoint.Incarnation {
 		endpoint.FirstSeen = old.FirstSeen
@@ -120,17 +146,26 @@
 	now := time.Now()
 	if known.Draining || !now.Before(r.graceUntil) {
 		r.logGone(known, "entry removed")
+		r.removed[id] = known
 		delete(next, id)
 		return
 	}
 	lapsed := *known
 	lapsed.LapsedUntil = r.graceUntil
-	if removedUntil := now.Add(r.gracePeriods.Removed); batch.OutageDuration == 0 && removedUntil.Before(r.graceUntil) {
+	if removedUntil := now.Add(r.gracePeriods.Removed); batch.OutageDuration == 0 && !batch.Restored && removedUntil.Before(r.graceUntil) {
 		lapsed.LapsedUntil = removedUntil
 	}
 	next[id] = &lapsed
 }
 
+// isRemoved reports whether an entry is not newer than the last one of an endpoint that has been
+// removed: a store that comes back from an older copy still holds the entries of endpoints that
+// have left since.
+func (r *Registry) isRemoved(e *Endpoint) bool {
+	last := r.removed[e.ID]
+	return last != nil && last.Incarnation == e.Incarnation && e.Sequence <= last.Sequence
+}
+
 func (r *Registry) dropMissing(next map[string]*Endpoint, batch keyed.Batch) {
 	present := make(map[string]bool, len(batch.Records))
 	for _, record := range batch.Records {
@@ -143,6 +178,42 @@
 	}
 }
 
+func (r *Registry) isLeaving(e *Endpoint) bool {
+	mark, marked := r.leaving[e.ID]
+	return marked && mark.incarnation == e.Incarnation
+}
+
+// MarkLeaving records that an incarnation of an endpoint has announced that it is leaving. It
+// gets no new work from now on, whatever its entry says. It reports whether this was news.
+func (r *Registry) MarkLeaving(id string, incarnation int64) bool {
+	if !r.markLeaving(id, incarnation) {
+		return false
+	}
+	r.onChange()
+	return true
+}
+
+// markLeaving marks an endpoint and reports whether it was not marked yet.
+func (r *Registry) markLeaving(id string, incarnation int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.current.Load().ByID[id]
+	if mark, marked := r.leaving[id]; marked && mark.incarnation == incarnation || known != nil && known.Incarnation > incarnation {
+		return false
+	}
+	r.leaving[id] = leavingMark{incarnation: incarnation, at: time.Now()}
+	r.logger.Info("endpoint announced that it is leaving", "endpoint", id, "incarnation", incarnation)
+	if known == nil || known.Incarnation != incarnation {
+		return true
+	}
+	leaving := *known
+	leaving.Draining = true
+	next := maps.Clone(r.current.Load().ByID)
+	next[id] = &leaving
+	r.current.Store(index(next))
+	return true
+}
+
 func (r *Registry) logInvalid(record keyed.Record, err error) {
 	if r.invalid[record.Key] {
 		return
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"strconv"
 	"strings"
 	"time"
 
@@ -13,13 +14,15 @@
 	"github.com/plantainmux/plantainmux/internal/registry"
 )
 
-// decode accepts "service" and "service draining", and fails on "bad".
+// decode accepts "service", "service draining" and "service ready 3" with the entry's sequence, and fails on "bad".
 func decode(id string, value []byte) (registry.Endpoint, error) {
 	service, state, _ := strings.Cut(string(value), " ")
 	if service == "bad" {
 		return registry.Endpoint{}, errors.ErrUnsupported
 	}
-	return registry.Endpoint{ID: id, Service: service, Draining: state == "draining"}, nil
+	state, sequence, _ := strings.Cut(state, " ")
+	number, _ := strconv.ParseInt(sequence, 10, 64)
+	return registry.Endpoint{ID: id, Service: service, Draining: state == "draining", Sequence: number}, nil
 }
 
 var _ = Describe("The registry", func() {
@@ -101,6 +104,65 @@
 		Expect(ids()).To(Equal([]string{"b"}))
 	})
 
+	Describe("when the store comes back from an older copy", func() {
+		restored := keyed.Batch{Complete: true, Restored: true, Era: 1}
+
+		It("does not use an endpoint again that has left since", func() {
+			apply(keyed.Batch{}, "a", "s ready 7")
+			apply(keyed.Batch{}, "a", "")
+			apply(restored, "a", "s ready 6", "b", "s")
+			Expect(ids()).To(Equal([]string{"b"}))
+		})
+
+		It("uses an endpoint again that was removed and writes a new entry", func() {
+			apply(keyed.Batch{}, "a", "s ready 7")
+			apply(keyed.Batch{}, "a", "")
+			apply(restored, "a", "s ready 6", "b", "s")
+			apply(keyed.Batch{Era: 1}, "a", "s ready 8")
+			Expect(ids()).To(Equal([]string{"a", "b"}))
+		})
+
+		It("keeps the later entry of an endpoint that is draining by now", func() {
+			apply(keyed.Batch{}, "a", "s draining 7")
+			apply(restored, "a", "s ready 6", "b", "s")
+			Expect(r.Load().ByID["a"].Draining).To(BeTrue())
+		})
+
+		It("waits for the entries of endpoints that the copy lacks", func() {
+			apply(restored, "b", "s")
+			Expect(ids()).To(Equal([]string{"a", "b"}))
+			Expect(r.Load().ByID["a"].Lapsed()).To(BeTrue())
+			time.Sleep(lapsedGrace + 20*time.Millisecond)
+			r.Expire(time.Now())
+			Expect(ids()).To(Equal([]string{"b"}))
+		})
+	})
+
+	Describe("when an endpoint announces that it is leaving", func() {
+		It("gives it no new work, whatever its entry says, before and after the entry arrives", func() {
+			Expect(r.MarkLeaving("a", 0)).To(BeTrue())
+			Expect(r.MarkLeaving("a", 0)).To(BeFalse(), "known already")
+			Expect(r.Load().ByID["a"].Usable()).To(BeFalse())
+			apply(keyed.Batch{}, "a", "s ready 9")
+			Expect(r.Load().ByID["a"].Usable()).To(BeFalse())
+			Expect(r.MarkLeaving("c", 0)).To(BeTrue())
+			apply(keyed.Batch{}, "c", "s")
+			Expect(r.Load().ByID["c"].Usable()).To(BeFalse())
+		})
+
+		It("takes another incarnation for a new endpoint", func() {
+			r.MarkLeaving("a", -1)
+			Expect(r.Load().ByID["a"].Usable()).To(BeTrue())
+		})
+
+		It("keeps the announcement through a removal and a return of the entry", func() {
+			r.MarkLeaving("a", 0)
+			apply(keyed.Batch{}, "a", "")
+			apply(keyed.Batch{}, "a", "s")
+			Expect(r.Load().ByID["a"].Usable()).To(BeFalse())
+		})
+	})
+
 	It("removes endpoints that are missing from a full read", func() {
 		apply(keyed.Batch{Complete: true}, "b", "s")
 		Expect(ids()).To(Equal([]string{"b"}))
