Calls to the store: entries read when an order is due, heartbeats kept from listeners, one reader from the first start on

By the new count of calls: each daemon read all topics for itself until it had heard of a reader; planners read the entries each 100 ms while a group did not match its record, and after each order; each heartbeat of 875 endpoints went to all listeners. Change: at the first start the reader is chosen from the registrations and waited for; entries are read when an order is due to take effect and then at growing intervals; a reader passes on entries that say something new. The refresh on a conflict went, as it read the entries and not the ledger.

--- a/internal/formation/convergence.go
+++ b/internal/formation/convergence.go
@@ -95,6 +95,7 @@
 	for _, member := range record.Members {
 		ids = append(ids, member.ID)
 	}
+	model := p.service.Model(record.Model)
 	ready := true
 	for _, member := range record.Members {
 		e := p.in.Endpoints.ByID[member.ID]
@@ -108,12 +109,12 @@
 		ready = false
 		p.plan.Orders = append(p.plan.Orders, Order{
 			To: member, Operation: Join, Group: record.Group, Epoch: record.Epoch, Model: record.Model, Members: ids,
-			NeedsLoad: e.Model != record.Model && !e.HasStaged(record.Model),
+			NeedsLoad: e.Model != record.Model && !e.HasStaged(record.Model), EffectAfter: p.joinDuration(e, model),
 		})
 	}
 	return ready
 }
 
 func (p *planner) orderOpen(record *ledger.Record) {
-	p.plan.Orders = append(p.plan.Orders, Order{To: record.Head(), Operation: Open, Group: record.Group, Epoch: record.Epoch})
+	p.plan.Orders = append(p.plan.Orders, Order{To: record.Head(), Operation: Open, Group: record.Group, Epoch: record.Epoch, EffectAfter: p.openDuration()})
 }
--- a/internal/formation/order.go
+++ b/internal/formation/order.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/plantainmux/plantainmux/internal/ledger"
 )
@@ -16,6 +17,8 @@
 	Model     string   // for Join and Stage
 	Members   []string // endpoint IDs, for Join; the first is the head
 	NeedsLoad bool     // requires a load from the shared weight store
+	// EffectAfter is how long the order takes to take effect, as far as is known.
+	EffectAfter time.Duration
 }
 
 // key returns a string that is equal for two orders exactly if they request the
--- a/internal/formation/reconciler.go
+++ b/internal/formation/reconciler.go
@@ -44,8 +44,9 @@
 	BeforeTraffic func() bool                // reports whether no request has arrived yet
 	Owners        func(domains []string) int // number of daemons that plan any of the domains
 	CanWrite      func() bool                // reports whether the store was reachable recently
-	Refresh       func()                     // triggers an immediate read of the registry entries and the ledger
-	Logger        *slog.Logger
+	// ExpectChange announces that the registry entries are expected to change after a duration.
+	ExpectChange func(after time.Duration)
+	Logger       *slog.Logger
 }
 
 // Reconciler periodically computes a plan and executes it.
@@ -142,10 +143,8 @@
 		r.Wake()
 	case errors.As(err, &eraChanged):
 		r.Logger.Warn("group records are void: the store has come back from an older copy", "planned_era", eraChanged.Planned, "era", eraChanged.Era)
-		r.Refresh()
 	case errors.As(err, &conflict):
 		r.Logger.Info("group records not written: ledger has newer records", "end", state.End, "now", conflict.End)
-		r.Refresh()
 	default:
 		r.Logger.Warn("failed to write group records", "end", state.End, "error", err)
 	}
@@ -190,7 +189,9 @@
 	r.recordOutcome(ctx, order, err)
 	r.Logger.Info("order sent to endpoint", "endpoint", order.To.ID, "operation", order.Operation, "group", order.Group, "epoch", order.Epoch,
 		"model", order.Model, "loads", order.NeedsLoad, "took_ms", time.Since(started).Milliseconds(), "error", err)
-	r.Refresh()
+	if err == nil && order.Operation != Leave && order.Operation != Stage {
+		r.ExpectChange(order.EffectAfter)
+	}
 	r.Wake()
 }
 
--- a/internal/formation/spares.go
+++ b/internal/formation/spares.go
@@ -161,13 +161,14 @@
 		p.assigned[e.Domain][model.Name]++
 	}
 	p.plan.Orders = append(p.plan.Orders, Order{
-		To:        memberOf(e),
-		Operation: Join,
-		Group:     sparePrefix + e.ID,
-		Epoch:     p.spareEpoch(),
-		Model:     model.Name,
-		Members:   []string{e.ID},
-		NeedsLoad: !e.HasStaged(model.Name),
+		To:          memberOf(e),
+		Operation:   Join,
+		Group:       sparePrefix + e.ID,
+		Epoch:       p.spareEpoch(),
+		Model:       model.Name,
+		Members:     []string{e.ID},
+		NeedsLoad:   !e.HasStaged(model.Name),
+		EffectAfter: p.joinDuration(e, model),
 	})
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,15 +25,13 @@
 )
 
 const (
-	longPollWait                  = 4 * time.Second         // maximum wait of long polls on topics that change rarely
-	configPollShare               = 0.5                     // share of Bounds.ConfigurationMS that a long poll may wait, as it may not be woken
-	storeCallTimeout              = 1500 * time.Millisecond // of a store call, in addition to its long-poll wait
-	registrationsPollInterval     = 400 * time.Millisecond  // between reads of the daemons' registrations: many daemons start at once
-	entriesPollInterval           = 700 * time.Millisecond  // between reads of the endpoint entries
-	entriesPollIntervalConverging = 100 * time.Millisecond  // the same, while a group that this daemon plans does not match its record yet
-	lapsedEntryGrace              = 2200 * time.Millisecond // for entries that expired during a store outage to be written again
-	removedEntryGrace             = 700 * time.Millisecond  // for an entry removed right after an outage; with the time to read the removal it is within the drain time (2 s)
-	answerBodyLimit               = 8 << 20                 // bytes of an answer that is not streamed
+	longPollWait              = 4 * time.Second         // maximum wait of long polls on topics that change rarely
+	configPollShare           = 0.5                     // share of Bounds.ConfigurationMS that a long poll may wait, as it may not be woken
+	storeCallTimeout          = 1500 * time.Millisecond // of a store call, in addition to its long-poll wait
+	registrationsPollInterval = 400 * time.Millisecond  // between reads of the daemons' registrations: many daemons start at once
+	lapsedEntryGrace          = 2200 * time.Millisecond // for entries that expired during a store outage to be written again
+	removedEntryGrace         = 700 * time.Millisecond  // for an entry removed right after an outage; with the time to read the removal it is within the drain time (2 s)
+	answerBodyLimit           = 8 << 20                 // bytes of an answer that is not streamed
 )
 
 // Gateway is a daemon on a platform with a metadata store.
@@ -59,6 +57,7 @@
 
 	store              *keyed.ReachabilityTracker
 	storeCalls         *storeCalls
+	entrySchedule      entrySchedule
 	configs            *keyed.Follower
 	entries            *keyed.Follower
 	groups             *keyed.Follower
@@ -103,6 +102,7 @@
 	}
 	g.storeCalls = newStoreCalls(g.metrics)
 	g.store = keyed.NewReachabilityTracker(keyed.NewEraObserver(keyed.NewCountedLog(adapters.Store, g.storeCalls.count), g.refreshAll))
+	g.entrySchedule.converging = func() bool { return g.reconciler.Converging() }
 	g.live.Store(1)
 	g.metersByHash.Store(&map[uint32]meter{})
 	g.planners.Store(&[]string{s.Node})
@@ -120,20 +120,26 @@
 }
 
 func (g *Gateway) buildFollowers() {
-	log := &keyed.Fallback{Log: g.store, Reader: g.reader, Peer: g.randomStorePeer, StoreUnreachable: g.storeUnreachable}
+	log := &keyed.Fallback{
+		Log: g.store, Reader: g.reader, Peer: g.randomStorePeer,
+		StoreUnreachable: func() bool { return g.storeUnreachable() || g.awaitsReader() },
+	}
+	registrations := &keyed.Fallback{Log: g.store, Reader: g.readerOfRegistrations, Peer: g.randomStorePeer, StoreUnreachable: g.storeUnreachable}
 	g.registry = registry.New(g.adapters.DecodeEntry, registry.GracePeriods{Lapsed: lapsedEntryGrace, Removed: removedEntryGrace}, g.logger, g.changed)
 	g.ledger = ledger.New(g.store, g.logger, g.changed)
 	longPollPacing := keyed.LongPoll(longPollWait, storeCallTimeout)
 	configPacing := keyed.LongPoll(g.settings.Bounds.configWait(), storeCallTimeout)
-	registrationsPacing := keyed.Pacing{Wait: longPollPacing.Wait, Timeout: longPollPacing.Timeout, Pause: func() time.Duration { return registrationsPollInterval }}
-	entriesPacing := keyed.Pacing{Wait: 0, Timeout: storeCallTimeout, Pause: g.currentEntriesInterval}
+	registrationsPacing := keyed.Pacing{Wait: longPollPacing.Wait, Timeout: longPollPacing.Timeout, Next: func(previous time.Time) time.Time { return previous.Add(registrationsPollInterval) }}
+	entriesPacing := keyed.Pacing{Wait: 0, Timeout: storeCallTimeout, Next: g.entrySchedule.next}
 	follow := func(topic string, pacing keyed.Pacing, apply func(keyed.Batch)) *keyed.Follower {
-		return keyed.NewFollower(log, topic, pacing, g.mirror.Follow(topic, pacing, apply), g.logger)
+		return keyed.NewFollower(log, topic, pacing, g.mirror.Follow(topic, pacing, nil, apply), g.logger)
 	}
 	g.configs = follow(g.adapters.Topics.Operators, configPacing, g.applyConfig)
-	g.entries = follow(g.adapters.Topics.Endpoints, entriesPacing, g.registry.Apply)
+	applyEntries := g.mirror.Follow(g.adapters.Topics.Endpoints, entriesPacing, registry.NewEntryFilter(g.adapters.DecodeEntry), g.registry.Apply)
+	g.entries = keyed.NewFollower(log, g.adapters.Topics.Endpoints, entriesPacing, applyEntries, g.logger)
 	g.groups = follow(ledger.Topic, configPacing, g.ledger.Apply)
-	g.daemons = follow(gossip.Topic, registrationsPacing, g.applyRegistrations)
+	applyRegistrations := g.mirror.Follow(gossip.Topic, registrationsPacing, nil, g.applyRegistrations)
+	g.daemons = keyed.NewFollower(registrations, gossip.Topic, registrationsPacing, applyRegistrations, g.logger)
 }
 
 func (g *Gateway) buildReconciler() {
@@ -146,7 +152,7 @@
 		BeforeTraffic: func() bool { return !g.trafficSeen.Load() },
 		Owners:        g.owners,
 		CanWrite:      g.storeReached,
-		Refresh:       func() { g.entries.Refresh(false) },
+		ExpectChange:  g.expectEntries,
 		Logger:        g.logger,
 	})
 }
@@ -182,7 +188,7 @@
 		return err
 	}
 	for _, run := range []func(context.Context){
-		g.configs.Run, g.entries.Run, g.groups.Run, g.daemons.Run, g.gossip.Run, g.register, g.plan, g.housekeep, g.probeUnreachableStore, g.logStoreCalls,
+		g.configs.Run, g.entries.Run, g.groups.Run, g.followDaemons, g.gossip.Run, g.register, g.plan, g.housekeep, g.probeUnreachableStore, g.logStoreCalls,
 	} {
 		g.tasks.Go(func() { run(background) })
 	}
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -35,7 +35,7 @@
 func (g *Gateway) applyGossip(now time.Time) {
 	live := g.gossip.Live(now)
 	g.live.Store(int32(len(live)))
-	planners := g.gossip.Readers(now, g.canReadForPeers())
+	planners := g.currentPlanners(now)
 	g.planners.Store(&planners)
 	loads := g.gossip.Loads(now)
 	delay := g.gossip.Delay()
@@ -85,11 +85,11 @@
 	g.reconciler.Run(ctx)
 }
 
-func (g *Gateway) currentEntriesInterval() time.Duration {
-	if g.reconciler.Converging() {
-		return entriesPollIntervalConverging
+// expectEntries has the entries read when an order takes effect after a duration.
+func (g *Gateway) expectEntries(after time.Duration) {
+	if g.entrySchedule.expect(time.Now().Add(after)) {
+		g.entries.Reschedule()
 	}
-	return entriesPollInterval
 }
 
 // synced reports whether configuration, entries and groups have been read once.
--- a/internal/gateway/store_access.go
+++ b/internal/gateway/store_access.go
@@ -24,13 +24,22 @@
 // Any daemon of it would do; all of them choose the same one. It returns nil if
 // that is this daemon, or if there is none.
 func (g *Gateway) reader() keyed.Log {
-	name, address := g.gossip.Reader(time.Now(), g.canReadForPeers())
+	name, address := g.currentReader(time.Now())
 	if name == "" || name == g.settings.Node {
 		return nil
 	}
 	return g.peers.LogVia(address)
 }
 
+// readerOfRegistrations returns the same, and nil until the registrations have been read once:
+// the reader is chosen from them.
+func (g *Gateway) readerOfRegistrations() keyed.Log {
+	if !g.daemons.Synced() {
+		return nil
+	}
+	return g.reader()
+}
+
 // randomStorePeer returns the log of a random peer that reaches the store, or nil if
 // none is known.
 func (g *Gateway) randomStorePeer() keyed.Log {
--- a/internal/gossip/queries.go
+++ b/internal/gossip/queries.go
@@ -1,11 +1,8 @@
 package gossip
 
 import (
-	"maps"
 	"slices"
 	"time"
-
-	"github.com/plantainmux/plantainmux/internal/rendezvous"
 )
 
 // Live returns the names of the daemons that are alive, including this one, sorted.
@@ -24,6 +21,36 @@
 	return reader.Node, reader.Address
 }
 
+// ExpectedReader returns the name and the address of the daemon that reads the store for this data
+// centre if all registered daemons are alive and reach it. It needs no message of any of them, so
+// that daemons that start together agree at once.
+func (g *Gossip) ExpectedReader() (name, address string) {
+	reader := g.expectedReaders()[g.DataCentre]
+	return reader.Node, reader.Address
+}
+
+// ExpectedReaders returns the names of the daemons that read the store for their data centres
+// under the same assumption, sorted.
+func (g *Gossip) ExpectedReaders() []string {
+	var names []string
+	for _, reader := range g.expectedReaders() {
+		names = append(names, reader.Node)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (g *Gossip) expectedReaders() map[string]Peer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	candidates := candidatesByDataCentre{}
+	for _, peer := range g.peers {
+		candidates.add(*peer)
+	}
+	candidates.add(Peer{Node: g.Node, Address: g.Address, DataCentre: g.DataCentre})
+	return candidates.choose()
+}
+
 // Readers returns the names of the daemons that read the store for their data
 // centres, sorted.
 func (g *Gossip) Readers(now time.Time, reachesStore bool) []string {
@@ -38,27 +65,16 @@
 // readers returns the reader of each data centre that has a live daemon with access
 // to the store.
 func (g *Gossip) readers(now time.Time, reachesStore bool) map[string]Peer {
-	candidates := map[string]map[string]Peer{}
-	add := func(peer Peer) {
-		if candidates[peer.DataCentre] == nil {
-			candidates[peer.DataCentre] = map[string]Peer{}
-		}
-		candidates[peer.DataCentre][peer.Node] = peer
-	}
+	candidates := candidatesByDataCentre{}
 	g.eachLive(now, func(peer *Peer) {
 		if peer.reachesStore && !peer.draining {
-			add(*peer)
+			candidates.add(*peer)
 		}
 	})
 	if reachesStore {
-		add(Peer{Node: g.Node, Address: g.Address, DataCentre: g.DataCentre})
-	}
-	chosen := map[string]Peer{}
-	for dataCentre, peers := range candidates {
-		name := rendezvous.Choose(readerKey, slices.Sorted(maps.Keys(peers)), 1)[0]
-		chosen[dataCentre] = peers[name]
+		candidates.add(Peer{Node: g.Node, Address: g.Address, DataCentre: g.DataCentre})
 	}
-	return chosen
+	return candidates.choose()
 }
 
 // Hubs returns the names of the daemons that aggregate and distribute the state of a
--- a/internal/keyed/follower.go
+++ b/internal/keyed/follower.go
@@ -30,6 +30,7 @@
 	confirmedAt   atomic.Int64  // Unix nanoseconds of the time up to which the topic is known to be read
 	failingSince  atomic.Int64  // Unix nanoseconds of the first failed call since the last success; 0 if there is none
 	wake          chan struct{} // ends a pause early
+	reschedule    chan struct{} // ends a pause in order to determine its end again
 	cancelRead    atomic.Pointer[context.CancelFunc]
 	rereadPending atomic.Bool // the call in progress was cancelled in order to read again immediately
 	directRead    atomic.Bool // the call in progress reads from the store without waiting
@@ -38,13 +39,14 @@
 // NewFollower returns a follower that calls apply with each batch. All calls come from
 // the goroutine that calls Run.
 func NewFollower(log Log, topic string, pacing Pacing, apply func(Batch), logger *slog.Logger) *Follower {
-	return &Follower{log: log, topic: topic, pacing: pacing, apply: apply, logger: logger, wake: make(chan struct{}, 1)}
+	return &Follower{log: log, topic: topic, pacing: pacing, apply: apply, logger: logger, wake: make(chan struct{}, 1), reschedule: make(chan struct{}, 1)}
 }
 
 // Run follows the topic until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		started := time.Now()
 		if err := f.readOnce(ctx); err != nil {
 			f.recordFailure(ctx, err)
 			wait.For(ctx, backoff)
@@ -52,7 +54,7 @@
 			continue
 		}
 		backoff = minBackoff
-		f.pause(ctx)
+		f.pause(ctx, started)
 	}
 }
 
@@ -87,17 +89,33 @@
 	}
 }
 
-func (f *Follower) pause(ctx context.Context) {
-	interval := f.pacing.Pause()
-	if interval <= 0 {
-		return
-	}
-	timer := time.NewTimer(interval)
-	defer timer.Stop()
+// Reschedule determines the time of the next read again, as what Pacing.Next depends on has
+// changed.
+func (f *Follower) Reschedule() {
 	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-f.wake:
+	case f.reschedule <- struct{}{}:
+	default:
+	}
+}
+
+// pause waits until the next read after one that started at previous.
+func (f *Follower) pause(ctx context.Context, previous time.Time) {
+	for {
+		interval := time.Until(f.pacing.Next(previous))
+		if interval <= 0 {
+			return
+		}
+		timer := time.NewTimer(interval)
+		select {
+		case <-f.reschedule:
+			timer.Stop()
+			continue
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-f.wake:
+		}
+		timer.Stop()
+		return
 	}
 }
 
@@ -137,6 +155,7 @@
 	if n := len(page.Records); n > 0 {
 		f.nextOffset = page.Records[n-1].Offset + 1
 	}
+	f.nextOffset = max(f.nextOffset, page.Next)
 	readAt := f.storeReadAt(started, maxWait, page)
 	batch := Batch{Records: page.Records, End: f.nextOffset, Era: f.era, StartedAt: started, StoreReadAt: readAt, OutageDuration: f.recordSuccess(readAt)}
 	f.apply(batch)
--- a/internal/keyed/follower_test.go
+++ b/internal/keyed/follower_test.go
@@ -36,6 +36,16 @@
 	return keyed.Batch{}
 }
 
+// end returns the offset up to which the follower has read.
+func (r *batchRecorder) end() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.batches) == 0 {
+		return 0
+	}
+	return r.batches[len(r.batches)-1].End
+}
+
 var _ = Describe("A follower", func() {
 	var log *fakes.KeyedLog
 	var recorder *batchRecorder
@@ -79,7 +89,7 @@
 
 	It("reads from the store when refreshed because another daemon has newer records than its reader", func() {
 		stale := keyed.NewMirror()
-		stale.Follow("keyed.t", keyed.LongPoll(5*time.Second, time.Second), func(keyed.Batch) {})(keyed.Batch{Complete: true, StoreReadAt: time.Now()})
+		stale.Follow("keyed.t", keyed.LongPoll(5*time.Second, time.Second), nil, func(keyed.Batch) {})(keyed.Batch{Complete: true, StoreReadAt: time.Now()})
 		through := &keyed.Fallback{Log: log, Reader: func() keyed.Log { return stale }, Peer: func() keyed.Log { return nil }}
 		other := &batchRecorder{}
 		f := keyed.NewFollower(through, "keyed.t", keyed.LongPoll(5*time.Second, time.Second), other.apply, slog.New(slog.DiscardHandler))
--- a/internal/keyed/mirror.go
+++ b/internal/keyed/mirror.go
@@ -36,15 +36,33 @@
 func NewMirror() *Mirror { return &Mirror{topics: map[string]*mirroredTopic{}} }
 
 // Follow returns an apply function for a Follower that updates the mirror before it calls
-// apply. pacing is the follower's pacing.
-func (m *Mirror) Follow(topic string, pacing Pacing, apply func(Batch)) func(Batch) {
+// apply. pacing is the follower's pacing. Records that are not significant by filter are served
+// by Newest only; a nil filter passes all.
+func (m *Mirror) Follow(topic string, pacing Pacing, filter RecordFilter, apply func(Batch)) func(Batch) {
 	return func(batch Batch) {
-		m.store(topic, pacing.Wait+mirrorMaxAge, batch)
+		m.store(topic, pacing.Wait+mirrorMaxAge, significantRecords(filter, batch), batch)
 		apply(batch)
 	}
 }
 
-func (m *Mirror) store(topic string, maxAge time.Duration, batch Batch) {
+// significantRecords returns the records of a batch that are passed on to waiting readers.
+func significantRecords(filter RecordFilter, batch Batch) []Record {
+	if filter == nil {
+		return batch.Records
+	}
+	if batch.Complete {
+		filter.Reset()
+	}
+	var significant []Record
+	for _, record := range batch.Records {
+		if filter.Significant(record) {
+			significant = append(significant, record)
+		}
+	}
+	return significant
+}
+
+func (m *Mirror) store(topic string, maxAge time.Duration, news []Record, batch Batch) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t := m.topics[topic]
@@ -65,11 +83,11 @@
 	}
 	t.end = max(t.end, batch.End)
 	t.confirmedAt = batch.StoreReadAt
-	if batch.Empty() {
+	if len(news) == 0 && !batch.Complete {
 		return
 	}
 	if !batch.Complete {
-		t.recent = append(t.recent, batch.Records...)
+		t.recent = append(t.recent, news...)
 		t.trim()
 	}
 	close(t.changed)
@@ -140,7 +158,7 @@
 			return 0
 		}
 	})
-	return Page{Records: slices.Clone(t.recent[begin:]), End: t.end, Era: t.era, Age: time.Since(t.confirmedAt)}, t.changed, nil
+	return Page{Records: slices.Clone(t.recent[begin:]), End: t.end, Next: t.end, Era: t.era, Age: time.Since(t.confirmedAt)}, t.changed, nil
 }
 
 // freshTopic returns a topic. It returns a RefusedError if the topic was not read within
--- a/internal/keyed/mirror_test.go
+++ b/internal/keyed/mirror_test.go
@@ -20,7 +20,7 @@
 	var apply func(keyed.Batch)
 	BeforeEach(func() {
 		mirror = keyed.NewMirror()
-		apply = mirror.Follow("keyed.t", keyed.LongPoll(time.Second, time.Second), func(keyed.Batch) {})
+		apply = mirror.Follow("keyed.t", keyed.LongPoll(time.Second, time.Second), nil, func(keyed.Batch) {})
 		apply(keyed.Batch{Complete: true, End: 5, StoreReadAt: time.Now(), Records: []keyed.Record{{Key: "a", Value: []byte("1"), Offset: 3}}})
 		apply(keyed.Batch{End: 7, StoreReadAt: time.Now(), Records: []keyed.Record{{Key: "b", Value: []byte("2"), Offset: 5}, {Key: "a", Offset: 6}}})
 	})
@@ -61,7 +61,7 @@
 		log := fakes.NewKeyedLog()
 		Expect(log.Put(ctx, "keyed.t", keyed.Record{Key: "a", Value: []byte("1")})).To(Succeed())
 		mirrors := []*keyed.Mirror{keyed.NewMirror(), keyed.NewMirror()}
-		pacing := keyed.Pacing{Timeout: time.Second, Pause: func() time.Duration { return 20 * time.Millisecond }}
+		pacing := keyed.Interval(20*time.Millisecond, time.Second)
 		var storeCut atomic.Bool // once set, each daemon reads only through the other
 		for i, own := range mirrors {
 			other := mirrors[1-i]
@@ -72,7 +72,7 @@
 				return nil
 			}
 			through := &keyed.Fallback{Log: log, Reader: reader, Peer: func() keyed.Log { return nil }}
-			f := keyed.NewFollower(through, "keyed.t", pacing, own.Follow("keyed.t", pacing, func(keyed.Batch) {}), slog.New(slog.DiscardHandler))
+			f := keyed.NewFollower(through, "keyed.t", pacing, own.Follow("keyed.t", pacing, nil, func(keyed.Batch) {}), slog.New(slog.DiscardHandler))
 			run, cancel := context.WithCancel(ctx)
 			DeferCleanup(cancel)
 			go f.Run(run)
@@ -94,7 +94,7 @@
 		const wait = 1700 * time.Millisecond // longer than the maximum age that is added to it
 		pacing := keyed.LongPoll(wait, time.Second)
 		follow := func(from keyed.Log, own *keyed.Mirror) {
-			f := keyed.NewFollower(from, "keyed.t", pacing, own.Follow("keyed.t", pacing, func(keyed.Batch) {}), slog.New(slog.DiscardHandler))
+			f := keyed.NewFollower(from, "keyed.t", pacing, own.Follow("keyed.t", pacing, nil, func(keyed.Batch) {}), slog.New(slog.DiscardHandler))
 			run, cancel := context.WithCancel(ctx)
 			DeferCleanup(cancel)
 			go f.Run(run)
@@ -115,6 +115,35 @@
 		Expect(fallbackStore.Calls()).To(Equal(before))
 	})
 
+	It("passes on only the records that its filter finds significant, and lets readers continue behind the others", func() {
+		filtered := keyed.NewMirror()
+		pacing := keyed.LongPoll(time.Second, time.Second)
+		applyFiltered := filtered.Follow("keyed.t", pacing, newsOnly{}, func(keyed.Batch) {})
+		applyFiltered(keyed.Batch{Complete: true, End: 1, Records: []keyed.Record{{Key: "a", Value: []byte("1")}}, StoreReadAt: time.Now()})
+		applyFiltered(keyed.Batch{End: 3, StoreReadAt: time.Now(), Records: []keyed.Record{{Key: "a", Value: []byte("same"), Offset: 1}, {Key: "b", Value: []byte("2"), Offset: 2}}})
+		page, err := filtered.Read(ctx, "keyed.t", 1, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.Records).To(Equal([]keyed.Record{{Key: "b", Value: []byte("2"), Offset: 2}}))
+		applyFiltered(keyed.Batch{End: 9, StoreReadAt: time.Now(), Records: []keyed.Record{{Key: "a", Value: []byte("same"), Offset: 8}}})
+		started := time.Now()
+		page, err = filtered.Read(ctx, "keyed.t", 3, 50*time.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.Records).To(BeEmpty())
+		Expect(page.Next).To(Equal(uint64(9)))
+		Expect(time.Since(started)).To(BeNumerically(">=", 50*time.Millisecond), "a heartbeat wakes no reader")
+		page, err = filtered.Newest(ctx, "keyed.t", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.Records).To(ContainElement(HaveField("Value", []byte("same"))))
+		recorder := &batchRecorder{}
+		f := keyed.NewFollower(filtered, "keyed.t", keyed.Interval(10*time.Millisecond, time.Second), recorder.apply, slog.New(slog.DiscardHandler))
+		run, cancel := context.WithCancel(ctx)
+		DeferCleanup(cancel)
+		go f.Run(run)
+		Eventually(f.Synced).Should(BeTrue())
+		applyFiltered(keyed.Batch{End: 12, StoreReadAt: time.Now(), Records: []keyed.Record{{Key: "a", Value: []byte("same"), Offset: 11}}})
+		Eventually(recorder.end).Should(Equal(uint64(12)), "it would otherwise read the heartbeats again when it reads from the store")
+	})
+
 	It("refuses reads of a topic that was not confirmed recently", func() {
 		apply(keyed.Batch{End: 7, StoreReadAt: time.Now().Add(-time.Minute)})
 		_, err := mirror.Read(ctx, "keyed.t", 7, 0)
@@ -179,3 +208,10 @@
 	<-ctx.Done()
 	return keyed.Page{}, ctx.Err()
 }
+
+// newsOnly takes all records for significant but those with the value "same".
+type newsOnly struct{}
+
+func (newsOnly) Reset() {}
+
+func (newsOnly) Significant(record keyed.Record) bool { return string(record.Value) != "same" }
--- a/internal/keyed/restored_store_test.go
+++ b/internal/keyed/restored_store_test.go
@@ -157,7 +157,7 @@
 	It("is told to the daemons that read through a mirror, whose waiting reads end", func() {
 		mirror := keyed.NewMirror()
 		pacing := keyed.LongPoll(5*time.Second, time.Second)
-		follow(log, 5*time.Second, mirror.Follow(topic, pacing, func(keyed.Batch) {}))
+		follow(log, 5*time.Second, mirror.Follow(topic, pacing, nil, func(keyed.Batch) {}))
 		put("c", "1")
 		Eventually(func() uint64 {
 			page, _ := mirror.Newest(ctx, topic, "")
--- a/internal/peerlog/page_response.go
+++ b/internal/peerlog/page_response.go
@@ -16,6 +16,7 @@
 	First   uint64   `cbor:"5,keyasint"` // if Expired, the oldest retained offset
 	AgeMS   int64    `cbor:"6,keyasint"` // milliseconds since the store itself was read
 	Era     uint64   `cbor:"7,keyasint,omitempty"`
+	Next    uint64   `cbor:"8,keyasint,omitempty"`
 }
 
 type record struct {
@@ -25,7 +26,7 @@
 }
 
 func newPageResponse(page keyed.Page) pageResponse {
-	response := pageResponse{End: page.End, Era: page.Era, More: page.More, AgeMS: page.Age.Milliseconds()}
+	response := pageResponse{End: page.End, Era: page.Era, Next: page.Next, More: page.More, AgeMS: page.Age.Milliseconds()}
 	for _, r := range page.Records {
 		response.Records = append(response.Records, record(r))
 	}
@@ -33,7 +34,7 @@
 }
 
 func (r *pageResponse) page() keyed.Page {
-	page := keyed.Page{End: r.End, Era: r.Era, More: r.More, Age: time.Duration(r.AgeMS) * time.Millisecond}
+	page := keyed.Page{End: r.End, Era: r.Era, Next: r.Next, More: r.More, Age: time.Duration(r.AgeMS) * time.Millisecond}
 	for _, entry := range r.Records {
 		page.Records = append(page.Records, keyed.Record(entry))
 	}
--- a/internal/registry/endpoint.go
+++ b/internal/registry/endpoint.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -31,6 +32,20 @@
 // Lapsed reports whether the entry is missing.
 func (e *Endpoint) Lapsed() bool { return !e.LapsedUntil.IsZero() }
 
+// slowdownTolerance is the change of the slowdown factor that is no news.
+const slowdownTolerance = 0.1
+
+// Same reports whether two entries of an endpoint say the same, but for the count of entries and
+// the times at which they were read.
+func (e *Endpoint) Same(other *Endpoint) bool {
+	a, b := *e, *other
+	if math.Abs(a.Slowdown-b.Slowdown) > slowdownTolerance || !slices.Equal(a.Staged, b.Staged) {
+		return false
+	}
+	return a.ID == b.ID && a.Service == b.Service && a.Address == b.Address && a.DataCentre == b.DataCentre && a.Domain == b.Domain &&
+		a.Slots == b.Slots && a.Draining == b.Draining && a.Incarnation == b.Incarnation && a.Group == b.Group && a.Model == b.Model
+}
+
 // olderThan reports whether the entry is an earlier one of the same incarnation.
 func (e *Endpoint) olderThan(other *Endpoint) bool {
 	return e.Incarnation == other.Incarnation && e.Sequence < other.Sequence
