Readers, planners and hubs are the strong daemons of a data centre

Cause: reader, planner and hub of a data centre of 59 daemons ran on a VM with 0.192 of a core and 20 Mbit/s beside others with 0.8 and 200; at the first start daemons that had heard of some others only chose each other as readers, and what was passed on twice was older than may be used, so that all read the store. Change: registrations carry the share of a core; duties go to daemons with half or more of the largest of their data centre. While the fleet starts, the reader is the one that the registrations give, whatever has been heard.

--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -20,7 +20,7 @@
 func (g *Gateway) buildGossip() error {
 	var err error
 	g.gossip, err = gossip.New(gossip.Dependencies{
-		Node: g.settings.Node, DataCentre: g.settings.DataCentre, Address: g.peerAddress(), Incarnation: g.started.UnixMilli(),
+		Node: g.settings.Node, DataCentre: g.settings.DataCentre, Address: g.peerAddress(), Incarnation: g.started.UnixMilli(), CPUShare: g.settings.Limits.CPUShare,
 		LocalMessage: g.gossipMessage, OnMessage: g.receiveGossip, Logger: g.logger,
 	})
 	if err != nil {
--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -16,8 +16,8 @@
 	// of the fleet before it reads the store itself.
 	readerPatience = 4 * time.Second
 	// startupSettling is the time after that start in which the reader is chosen from the
-	// registrations if no other daemon is known to reach the store: a few times the delay of
-	// gossip in a large fleet longer.
+	// registrations: a few times the delay of gossip in a large fleet longer. Daemons that have
+	// heard of some others only would choose each other, and pass on what is too old to be used.
 	startupSettling = readerPatience + 2*time.Second
 	// registrationPeriod is how long a daemon waits until the others have registered: they start
 	// within 0.3 s.
@@ -33,21 +33,18 @@
 // currentReader returns the name and address of the daemon that reads the store for this data
 // centre, which may be this one.
 func (g *Gateway) currentReader(now time.Time) (name, address string) {
-	name, address = g.gossip.Reader(now, g.canReadForPeers())
-	if (name == "" || name == g.settings.Node) && g.settling(now) && g.daemons.Synced() {
+	if g.settling(now) && g.daemons.Synced() {
 		return g.gossip.ExpectedReader()
 	}
-	return name, address
+	return g.gossip.Reader(now, g.canReadForPeers())
 }
 
 // currentPlanners returns the daemons that plan groups.
 func (g *Gateway) currentPlanners(now time.Time) []string {
-	planners := g.gossip.Readers(now, g.canReadForPeers())
-	alone := len(planners) == 0 || len(planners) == 1 && planners[0] == g.settings.Node
-	if alone && g.settling(now) {
+	if g.settling(now) {
 		return g.gossip.ExpectedReaders()
 	}
-	return planners
+	return g.gossip.Readers(now, g.canReadForPeers())
 }
 
 // awaitsReader reports whether the fleet has just started and this daemon waits for what another
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -38,6 +38,7 @@
 	DataCentre   string
 	Address      string // IP and port of this daemon
 	Incarnation  int64
+	CPUShare     float64               // of a core, that this daemon may use; 0 if not known
 	LocalMessage func() Message        // returns the state to send; Gossip fills in Node, Incarnation and Sequence
 	OnMessage    func(message Message) // receives the message of one daemon, or a digest converted to a message
 	Logger       *slog.Logger
@@ -77,7 +78,7 @@
 
 // Registration returns the store record that registers this daemon with the others.
 func (g *Gossip) Registration() (keyed.Record, error) {
-	value, err := cbor.Marshal(Registration{Address: g.Address, DataCentre: g.DataCentre, Incarnation: g.Incarnation})
+	value, err := cbor.Marshal(Registration{Address: g.Address, DataCentre: g.DataCentre, Incarnation: g.Incarnation, CPUShare: g.CPUShare})
 	return keyed.Record{Key: g.Node, Value: value}, merry.Wrap(err)
 }
 
@@ -108,7 +109,7 @@
 	if existing != nil && existing.Incarnation >= registration.Incarnation {
 		return
 	}
-	peer := &Peer{Node: record.Key, Address: registration.Address, DataCentre: registration.DataCentre, Incarnation: registration.Incarnation}
+	peer := &Peer{Node: record.Key, Address: registration.Address, DataCentre: registration.DataCentre, Incarnation: registration.Incarnation, CPUShare: registration.CPUShare}
 	g.peers[record.Key] = peer
 	g.byHash[HashKey(record.Key)] = peer
 }
--- a/internal/gossip/hubs.go
+++ b/internal/gossip/hubs.go
@@ -114,19 +114,19 @@
 // peers choose the same hubs. When all hubs of this data centre have stopped sending
 // digests, other daemons replace them.
 func (g *Gossip) hubs(dataCentre string, now time.Time) []string {
-	var names []string
+	var candidates []Peer
 	own := dataCentre == g.DataCentre
 	if own {
-		names = append(names, g.Node)
+		candidates = append(candidates, g.self())
 	}
 	hubsLost := own && !g.isHub && !g.hasFreshDigest(dataCentre, now)
 	for _, peer := range g.peers {
 		if peer.DataCentre != dataCentre || peer.draining || !g.isLive(peer, now) || hubsLost && slices.Contains(g.lastHubs, peer.Node) {
 			continue
 		}
-		names = append(names, peer.Node)
+		candidates = append(candidates, *peer)
 	}
-	return rendezvous.Choose(hubKey, names, hubsPerDataCentre)
+	return rendezvous.Choose(hubKey, names(strongest(candidates)), hubsPerDataCentre)
 }
 
 func (g *Gossip) peersByName(names []string) []*Peer {
--- a/internal/gossip/peer.go
+++ b/internal/gossip/peer.go
@@ -8,6 +8,7 @@
 	Address     string // IP and port of both UDP datagrams and HTTP
 	DataCentre  string
 	Incarnation int64
+	CPUShare    float64 // of a core; 0 if not known
 
 	lastSeen     time.Time // last sign of life, from its own datagrams or from digests
 	lastReceived time.Time // last datagram received from the peer itself
--- a/internal/gossip/queries.go
+++ b/internal/gossip/queries.go
@@ -47,7 +47,7 @@
 	for _, peer := range g.peers {
 		candidates.add(*peer)
 	}
-	candidates.add(Peer{Node: g.Node, Address: g.Address, DataCentre: g.DataCentre})
+	candidates.add(g.self())
 	return candidates.choose()
 }
 
@@ -72,7 +72,7 @@
 		}
 	})
 	if reachesStore {
-		candidates.add(Peer{Node: g.Node, Address: g.Address, DataCentre: g.DataCentre})
+		candidates.add(g.self())
 	}
 	return candidates.choose()
 }
--- a/internal/gossip/reader_candidates.go
+++ b/internal/gossip/reader_candidates.go
@@ -21,7 +21,7 @@
 func (c candidatesByDataCentre) choose() map[string]Peer {
 	chosen := map[string]Peer{}
 	for dataCentre, peers := range c {
-		name := rendezvous.Choose(readerKey, slices.Sorted(maps.Keys(peers)), 1)[0]
+		name := rendezvous.Choose(readerKey, names(strongest(slices.Collect(maps.Values(peers)))), 1)[0]
 		chosen[dataCentre] = peers[name]
 	}
 	return chosen
