--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -42,10 +42,10 @@
 		return
 	}
 	now := time.Now()
-	target := g.holds.GetOrCreate(n.Endpoint, n.Incarnation)
-	if target.Remaining(now) == 0 {
+	current := g.holds.GetOrCreate(n.Endpoint, n.Incarnation)
+	if current.Remaining(now) == 0 {
 		g.logger.Info("endpoint wants no requests for a time", "endpoint", n.Endpoint, "hold_ms", hold.Milliseconds())
 	}
-	target.Extend(now, hold)
+	current.Extend(now, hold)
 	g.metrics.GetOrCreateCounter(`plantainmux_endpoint_notices_total{kind="hold"}`).Inc()
 }
