Log the parts of a prompt and how far a stream had got when an attempt fails

The lines could not tell whether requests that crash engines have something in common, nor which of the requests of a broken connection had begun to write. Both are in 'attempt failed' now.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -20,6 +20,7 @@
 	defer cancel(nil)
 	now := time.Now()
 	r.sentAt, r.loadBefore = now, target.Meter.Load()
+	r.attemptEvents, r.attemptFirstAt = 0, time.Time{}
 	target.Meter.Begin(now)
 	defer target.Meter.End()
 	target.Meter.BeginPrefill(r.req.PromptTokens)
@@ -96,6 +97,10 @@
 	}
 	target.Meter.ObserveEvent(now, gap)
 	r.endPrefill(target)
+	r.attemptEvents++
+	if r.attemptFirstAt.IsZero() {
+		r.attemptFirstAt = now
+	}
 	if r.firstAt.IsZero() {
 		r.firstAt = now
 	}
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -17,12 +17,13 @@
 	Body         []byte
 	Route        *catalog.Route
 	Service      *catalog.Service
-	Team         string // empty: no team
-	Priority     int    // 0 is the most urgent
-	Model        string // empty for a plain service
-	PromptTokens int    // 0 for a plain service, or if the caller did not state it
-	LastEvent    string // ID of the event after which the stream resumes; empty: from the start
-	Fingerprint  uint64 // hash of path, team and body
+	Team         string   // empty: no team
+	Priority     int      // 0 is the most urgent
+	Model        string   // empty for a plain service
+	PromptTokens int      // 0 for a plain service, or if the caller did not state it
+	PromptParts  []uint64 // IDs of the parts of the prompt that other requests may share, in order
+	LastEvent    string   // ID of the event after which the stream resumes; empty: from the start
+	Fingerprint  uint64   // hash of path, team and body
 	Arrived      time.Time
 	Deadline     time.Time
 	Late         bool // an earlier run ended without an answer, so the latency target is already missed
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/placement"
@@ -32,6 +34,8 @@
 	unprefilledTokens int               // prompt tokens that the current attempt's target has not prefilled yet
 	loadBefore        int               // load of the target when the last attempt began
 	sentAt            time.Time         // when the last attempt began
+	attemptEvents     int               // reads of the last attempt that completed events
+	attemptFirstAt    time.Time         // when the last attempt brought its first event; zero: none yet
 	firstAt           time.Time         // when the first event or the complete answer arrived
 	longestGap        time.Duration
 }
@@ -217,7 +221,26 @@
 func (r *run) logFailedAttempt(target *placement.Target, err error) {
 	r.Logger.Info("attempt failed", "request", r.req.ID, "route", r.req.Route.Name, "attempt", r.attempts, "endpoint", target.ID,
 		"group", target.Group, "epoch", target.Epoch, "load", target.Meter.Load(), "reason", retryReason(err), "error", err,
-		"begun", r.started, "after", r.events.lastID, "elapsed_ms", time.Since(r.req.Arrived).Milliseconds())
+		"begun", r.started, "after", r.events.lastID, "elapsed_ms", time.Since(r.req.Arrived).Milliseconds(),
+		"attempt_ms", time.Since(r.sentAt).Milliseconds(), "attempt_events", r.attemptEvents, "writing_ms", r.writingFor(time.Now()).Milliseconds(),
+		"prompt_parts", hexParts(r.req.PromptParts))
+}
+
+// writingFor returns the time since the first event of the current attempt, 0 if there was none.
+func (r *run) writingFor(now time.Time) time.Duration {
+	if r.attemptFirstAt.IsZero() {
+		return 0
+	}
+	return now.Sub(r.attemptFirstAt)
+}
+
+// hexParts returns the IDs of prompt parts as callers write them.
+func hexParts(parts []uint64) string {
+	written := make([]string, 0, len(parts))
+	for _, part := range parts {
+		written = append(written, strconv.FormatUint(part, 16))
+	}
+	return strings.Join(written, ",")
 }
 
 // retryReason returns the reason of a failed attempt for logs and metrics.
--- a/internal/gateway/incoming.go
+++ b/internal/gateway/incoming.go
@@ -16,7 +16,8 @@
 	APIKey       string        // identifies the caller's team; empty: none
 	Timeout      time.Duration // how long the caller waits; 0: not given
 	Model        string
-	PromptTokens int // 0: not given
+	PromptTokens int      // 0: not given
+	PromptParts  []uint64 // IDs of the parts of the prompt that other requests may share, in order
 	LastEvent    string
 	Arrived      time.Time
 }
