--- a/internal/fakes/wire_engine.go
+++ b/internal/fakes/wire_engine.go
@@ -17,6 +17,9 @@
 	"github.com/plantainmux/plantainmux/internal/keyed"
 )
 
+// crashDelay is how long an engine reads a prompt before it crashes on it.
+const crashDelay = 50 * time.Millisecond
+
 // WireEngine is a fake of an endpoint on the users' platform: it registers itself in
 // the store, executes group orders, and serves streams while it is the head of an
 // open group. Without a fabric domain it is a plain service.
@@ -40,6 +43,9 @@
 	hold     string         // Retry-After of a 503 that answers every request; empty: serve normally
 	arrivals int            // requests that arrived
 	killed   bool
+	crashOn  string                // ID of a prompt part on which the engine crashes as it begins to write; empty: none
+	crashes  []time.Time           // when it has crashed on that part
+	conns    map[net.Conn]struct{} // open connections
 }
 
 // StartWireEngine starts an engine on loopback and registers it in a store.
@@ -48,8 +54,8 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &WireEngine{ID: id, Service: service, Domain: domain, Born: time.Now().UnixMilli(), listener: listener, log: log, runs: map[string]int{}}
-	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Second}
+	e := &WireEngine{ID: id, Service: service, Domain: domain, Born: time.Now().UnixMilli(), listener: listener, log: log, runs: map[string]int{}, conns: map[net.Conn]struct{}{}}
+	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Second, ConnState: e.trackConn}
 	go func() { _ = e.server.Serve(listener) }()
 	e.register()
 	return e, nil
@@ -97,6 +103,61 @@
 	return e.arrivals
 }
 
+// CrashOn makes the engine crash whenever it begins to write an answer to a request whose prompt
+// has a part. It starts again at once, as a new incarnation without a group.
+func (e *WireEngine) CrashOn(part string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashOn = part
+}
+
+// Crashes returns when the engine has crashed on a prompt part.
+func (e *WireEngine) Crashes() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.crashes)
+}
+
+func (e *WireEngine) trackConn(conn net.Conn, state http.ConnState) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		e.conns[conn] = struct{}{}
+	case http.StateClosed, http.StateHijacked:
+		delete(e.conns, conn)
+	}
+}
+
+// crash closes all connections and starts the engine again as a new incarnation.
+func (e *WireEngine) crash() {
+	e.mu.Lock()
+	e.crashes = append(e.crashes, time.Now())
+	e.group, e.models = nil, nil
+	e.Born = max(time.Now().UnixMilli(), e.Born+1)
+	e.sequence = 0
+	for conn := range e.conns {
+		_ = conn.Close()
+	}
+	e.mu.Unlock()
+	e.register()
+}
+
+// crashesOn reports whether a request's prompt has the part on which the engine crashes.
+func (e *WireEngine) crashesOn(r *http.Request) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.crashOn == "" {
+		return false
+	}
+	for entry := range strings.SplitSeq(r.Header.Get("Prompt-Prefix"), ",") {
+		if id, _, _ := strings.Cut(entry, ":"); id == e.crashOn {
+			return true
+		}
+	}
+	return false
+}
+
 // Epoch returns the epoch of the engine's group, 0 if it is in none.
 func (e *WireEngine) Epoch() uint64 {
 	e.mu.Lock()
@@ -268,6 +329,11 @@
 }
 
 func (e *WireEngine) stream(w http.ResponseWriter, r *http.Request) {
+	if e.crashesOn(r) {
+		time.Sleep(crashDelay)
+		e.crash()
+		return
+	}
 	last, _ := strconv.Atoi(strings.TrimSpace(r.Header.Get("Last-Event-Id")))
 	for number := last + 1; number <= 6; number++ {
 		e.mu.Lock()
