Refuse prompt parts that crash endpoints, at every daemon

Cause: a crash was held against the request as a whole (path, caller and body). No two of these requests were alike, so that no count reached its limit. What they had in common, a prompt part, was not read. The class of fault: evidence kept under an identity that callers can vary.

Now a crash counts against the traits of the requests that were at their beginning on the group: the whole request and the shared parts of its prompt (internal/suspect, one table for both interfaces). An answer clears its parts. A part is refused after three groups (five if requests with it were answered before) of which no other refused part explains the crash. A crash counts after half a second, unless its group sends events. Each daemon passes on what it has learnt for 1.5 s, and refused traits all the while; what is told may come twice, late or in any order. Requests without output that are refused meanwhile are withdrawn. A refused part is tried again by one daemon, after a minute and then ever later.

The gossip spec counted crashes for each daemon, a form that is gone; it is replaced by one that has each crash reach each daemon of 27 once, and a clearance as well.

--- a/internal/callerapi/completion_request.go
+++ b/internal/callerapi/completion_request.go
@@ -64,6 +64,7 @@
 		Fingerprint: request.Fingerprint(fleet.ModelName(name), adapter, body),
 		PrefixHash:  request.PrefixHash(fleet.ModelName(name), adapter, body),
 		BlockHashes: parsed.BlockHashes(fleet.ModelName(name), adapter),
+		PartHashes:  parsed.PartHashes(fleet.ModelName(name), adapter),
 		Deadline:    deadline,
 	}
 	return req, parsed, nil
--- a/internal/callerapi/completions.go
+++ b/internal/callerapi/completions.go
@@ -31,7 +31,7 @@
 		s.refuse(w, refused)
 		return
 	}
-	if s.Relay.Suspects.Standing(req.Fingerprint) == suspect.Refused {
+	if subject := suspect.Of(req); s.Relay.Suspects.Standing(subject) == suspect.Refused && !s.Relay.Suspects.TrialDue(subject) {
 		s.refuse(w, refusal.New(refusal.CrashSuspect, 0, "the request crashed endpoints"))
 		return
 	}
--- a/internal/callerapi/suspect_test.go
+++ b/internal/callerapi/suspect_test.go
@@ -12,6 +12,7 @@
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 	"github.com/plantainmux/plantainmux/internal/request"
+	"github.com/plantainmux/plantainmux/internal/suspect"
 )
 
 var _ = Describe("Copies of a suspect", func() {
@@ -27,7 +28,7 @@
 			return response
 		}
 		suspectBody := `{"model":"rig","prompt":"suspect","max_tokens":200}`
-		r.suspects.RecordCrash(request.Fingerprint(rigModel, "", []byte(suspectBody)), 99, false)
+		r.suspects.RecordCrash(suspect.Subject{Fingerprint: request.Fingerprint(rigModel, "", []byte(suspectBody))}, 99, false)
 		var all sync.WaitGroup
 		outcomes := make([]string, 2*rigRequests)
 		for i := range outcomes {
--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/placement"
+	"github.com/plantainmux/plantainmux/internal/suspect"
 )
 
 const readBufferBytes = 4096
@@ -20,7 +21,7 @@
 	defer cancel(nil)
 	now := time.Now()
 	r.sentAt, r.loadBefore = now, target.Meter.Load()
-	r.attemptEvents, r.attemptFirstAt = 0, time.Time{}
+	r.attemptEvents, r.attemptFirstAt, r.pastBeginning = 0, time.Time{}, false
 	target.Meter.Begin(now)
 	defer target.Meter.End()
 	target.Meter.BeginPrefill(r.req.PromptTokens)
@@ -49,7 +50,10 @@
 	cause := context.Cause(ctx)
 	var silent *SilentError
 	var slow *SlowError
+	var withdrawn *WithdrawnError
 	switch {
+	case errors.As(cause, &withdrawn):
+		return &BrokenError{Reason: Withdrawn, Err: cause}
 	case errors.As(cause, &silent):
 		return &BrokenError{Reason: Silent, Err: cause}
 	case errors.As(cause, &slow):
@@ -101,6 +105,10 @@
 	if r.attemptFirstAt.IsZero() {
 		r.attemptFirstAt = now
 	}
+	if !r.pastBeginning && !suspect.Beginning(r.attemptFirstAt, now) {
+		r.pastBeginning = true
+		r.Suspects.Clear(r.subject, now)
+	}
 	if r.firstAt.IsZero() {
 		r.firstAt = now
 	}
--- a/internal/exchange/dependencies.go
+++ b/internal/exchange/dependencies.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/placement"
+	"github.com/plantainmux/plantainmux/internal/suspect"
 )
 
 // Dependencies are the collaborators and settings of an Exchanger.
@@ -14,12 +15,13 @@
 	DataCentre     string               // of the daemon
 	Daemons        func() int           // number of live daemons, including this one
 	GossipDelay    func() time.Duration // delay with which this daemon learns of the others' requests
-	CrashSuspects  *CrashSuspects       // requests that crashed endpoints
+	Suspects       *suspect.Table       // requests and prompt parts that crashed endpoints
 	FailedRequests *FailedRequests      // requests that ended without an answer and may be retried by their callers
 	Metrics        *Metrics
 	Logger         *slog.Logger
 	Retries        RetryBounds
-	BodyLimit      int64 // maximum size in bytes of an answer that is buffered
+	BodyLimit      int64                          // maximum size in bytes of an answer that is buffered
+	OwnsTrial      func(trait suspect.Trait) bool // whether this daemon may let a refused request through as a trial
 	// ReportSuspect is called for a group that stopped responding or reported that a
 	// member is missing; missingMember is the ID of the member, empty if unknown. If
 	// tentative is true, the only consequence is a health check of the members.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -18,6 +18,7 @@
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/placement"
+	"github.com/plantainmux/plantainmux/internal/suspect"
 	"github.com/plantainmux/plantainmux/internal/targetstats"
 )
 
@@ -113,7 +114,9 @@
 	var t *transport
 	var targets []*placement.Target
 	var suspected []string
-	var suspects *exchange.CrashSuspects
+	var suspects *suspect.Table
+	var ownsTrial bool
+	var parts []uint64
 	var retries exchange.RetryBounds
 	var out *sink
 	route := catalog.Route{}
@@ -135,7 +138,7 @@
 			view.Groups = map[string]map[string][]*placement.Target{"s": {"m": targets}}
 		}
 		x := exchange.New(exchange.Dependencies{
-			View: func() *placement.View { return view }, Transport: t, Daemons: func() int { return 1 }, GossipDelay: func() time.Duration { return 0 }, CrashSuspects: suspects, FailedRequests: exchange.NewFailedRequests(),
+			View: func() *placement.View { return view }, Transport: t, Daemons: func() int { return 1 }, GossipDelay: func() time.Duration { return 0 }, Suspects: suspects, OwnsTrial: func(suspect.Trait) bool { return ownsTrial }, FailedRequests: exchange.NewFailedRequests(),
 			Metrics: exchange.NewMetrics(metrics.NewSet()), Logger: slog.New(slog.DiscardHandler), Retries: retries, BodyLimit: 100,
 			ReportSuspect: func(target *placement.Target, _ string, tentative bool) {
 				if !tentative {
@@ -145,14 +148,15 @@
 		})
 		now := time.Now()
 		return x.Run(ctx, &exchange.Request{
-			ID: "r", Route: &route, Service: service, Model: "m", PromptTokens: prompt, Fingerprint: 7, Arrived: now, Deadline: now.Add(2 * time.Second),
+			ID: "r", Route: &route, Service: service, Model: "m", PromptTokens: prompt, Fingerprint: 7, PromptParts: parts, Arrived: now, Deadline: now.Add(2 * time.Second),
 		}, out)
 	}
 	run := func() *exchange.Failure { return runUntil(context.Background()) }
 	BeforeEach(func() {
 		t = &transport{scripts: map[string][]script{}}
 		targets, suspected, prompt = nil, nil, 0
-		suspects = exchange.NewCrashSuspects()
+		suspects = suspect.NewTable(suspect.Policy{})
+		ownsTrial, parts = true, nil
 		retries = exchange.RetryBounds{Share: 0.2, Slack: 100, Window: 10 * time.Second}
 		out = &sink{}
 		route = catalog.Route{Name: "r", Kind: catalog.Unsafe, MaxAttempts: 2}
@@ -172,7 +176,7 @@
 			targets = nil
 		}
 		Expect(suspected).To(BeEmpty())
-		Expect(suspects.Local(time.Now())).To(BeEmpty())
+		Expect(suspects.Reports(time.Now())).To(BeEmpty())
 	})
 
 	It("is counted as a waiting prompt until the first event or the end of the attempt", func() {
@@ -298,7 +302,7 @@
 			add("b", 12)
 			for range 3 {
 				Expect(run().Reason).To(Equal(exchange.NoCapacity))
-				suspects = exchange.NewCrashSuspects() // treat the next run as a different request
+				suspects = suspect.NewTable(suspect.Policy{}) // treat the next run as a different request
 			}
 			Expect(run()).To(BeNil())
 			Expect(out.body).To(Equal(event(1)))
@@ -397,8 +401,8 @@
 
 	It("is refused after three endpoint crashes, counted over all daemons", func() {
 		now := time.Now()
-		suspects.RecordCrash(7, now)
-		suspects.SetRemote(map[uint64]int{7: 2}, now)
+		suspects.Add(suspect.Crash{Subject: suspect.Subject{Fingerprint: 7}, Group: 1, At: now}, now)
+		suspects.Merge([]suspect.Report{{Hash: 7, Crashes: []suspect.ReportedCrash{{Group: 2}, {Group: 3}}}}, now)
 		add("a", 0, answers(200, io.EOF, "ok"))
 		failure := run()
 		Expect(failure.Reason).To(Equal(exchange.CrashSuspect))
@@ -407,10 +411,10 @@
 	})
 
 	It("is no longer counted as a crash suspect once it was served", func() {
-		suspects.RecordCrash(7, time.Now())
+		suspects.Add(suspect.Crash{Subject: suspect.Subject{Fingerprint: 7}, Group: 1, At: time.Now()}, time.Now())
 		add("a", 0, answers(200, io.EOF, "ok"))
 		Expect(run()).To(BeNil())
-		Expect(suspects.Local(time.Now())).To(BeEmpty())
+		Expect(suspects.Len()).To(BeZero())
 	})
 })
 
--- a/internal/exchange/exchanger.go
+++ b/internal/exchange/exchanger.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/plantainmux/plantainmux/internal/suspect"
 )
 
 // Exchanger forwards requests to endpoints.
@@ -24,10 +26,10 @@
 	defer cancel()
 	x.budget(req.Service.Name).Earn(req.Arrived, x.Daemons())
 	req.Late = x.FailedRequests.Contains(req.Fingerprint, req.Arrived)
-	r := &run{Exchanger: x, req: req, sink: sink, excluded: map[string]bool{}}
+	r := &run{Exchanger: x, req: req, subject: suspect.Subject{Fingerprint: req.Fingerprint, Parts: req.PromptParts}, sink: sink, excluded: map[string]bool{}}
 	r.events.lastID = req.LastEvent
 	failure := r.runToCompletion(ctx)
-	if failure != nil && failure.Reason != CallerGone {
+	if failure != nil && failure.Reason != CallerGone && failure.Reason != CrashSuspect {
 		x.FailedRequests.Record(req.Fingerprint, time.Now())
 	}
 	x.report(r, failure)
--- a/internal/exchange/failed_requests_test.go
+++ b/internal/exchange/failed_requests_test.go
@@ -12,6 +12,7 @@
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/placement"
+	"github.com/plantainmux/plantainmux/internal/suspect"
 )
 
 var _ = Describe("Recognition of requests that their callers retry", func() {
@@ -19,7 +20,7 @@
 	isLate := func(request uint64, timeout, left time.Duration) bool {
 		x := exchange.New(exchange.Dependencies{
 			View: func() *placement.View { return &placement.View{} }, Daemons: func() int { return 1 }, GossipDelay: func() time.Duration { return 0 },
-			CrashSuspects: exchange.NewCrashSuspects(), FailedRequests: failedRequests, Metrics: exchange.NewMetrics(metrics.NewSet()), Logger: slog.New(slog.DiscardHandler),
+			Suspects: suspect.NewTable(suspect.Policy{}), FailedRequests: failedRequests, Metrics: exchange.NewMetrics(metrics.NewSet()), Logger: slog.New(slog.DiscardHandler),
 			Retries: exchange.RetryBounds{Window: time.Second},
 		})
 		route := &catalog.Route{Name: "r", Timeout: timeout, LatencyTarget: 400 * time.Millisecond}
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -6,9 +6,11 @@
 	"math/rand/v2"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/placement"
+	"github.com/plantainmux/plantainmux/internal/suspect"
 )
 
 const (
@@ -23,6 +25,7 @@
 type run struct {
 	*Exchanger
 	req               *Request
+	subject           suspect.Subject
 	sink              Sink
 	excluded          map[string]bool // keys of targets that failed this request
 	attempts          int
@@ -36,6 +39,8 @@
 	sentAt            time.Time         // when the last attempt began
 	attemptEvents     int               // reads of the last attempt that completed events
 	attemptFirstAt    time.Time         // when the last attempt brought its first event; zero: none yet
+	trial             atomic.Bool       // the request runs although it is refused
+	pastBeginning     bool              // the last attempt has been writing for a while
 	firstAt           time.Time         // when the first event or the complete answer arrived
 	longestGap        time.Duration
 }
@@ -51,7 +56,7 @@
 			now := time.Now()
 			target.Meter.ObserveSuccess(now)
 			target.Meter.ObserveLatency(now.Sub(r.sentAt))
-			r.CrashSuspects.Clear(r.req.Fingerprint)
+			r.Suspects.Clear(r.subject, now)
 			return nil
 		}
 		if failure := r.handleFailure(ctx, target, err); failure != nil {
@@ -63,8 +68,10 @@
 // pickTarget returns the target of the next attempt, or the failure if there is none.
 func (r *run) pickTarget(ctx context.Context) (*placement.Target, *Failure) {
 	now := time.Now()
-	if r.CrashSuspects.Blocked(r.req.Fingerprint, now) {
-		return nil, r.fail(CrashSuspect, nil)
+	if r.refused(now) {
+		failure := r.fail(CrashSuspect, nil)
+		failure.RetryAfter = r.Suspects.RetryAfter(r.subject, now)
+		return nil, failure
 	}
 	if ctx.Err() != nil {
 		return nil, r.contextFailure(ctx)
@@ -98,6 +105,17 @@
 	}
 }
 
+// refused reports whether the request must not run because it, or a part of its prompt, crashed
+// endpoints.
+func (r *run) refused(now time.Time) bool {
+	if r.Suspects.Standing(r.subject, now) != suspect.Refused {
+		return false
+	}
+	r.Suspects.Extend(r.subject, now)
+	r.trial.Store(r.attempts == 0 && r.Suspects.TakeTrial(r.subject, now, r.OwnsTrial))
+	return !r.trial.Load()
+}
+
 // handleFailure returns nil if another attempt may be made, otherwise the failure
 // of the request.
 func (r *run) handleFailure(ctx context.Context, target *placement.Target, err error) *Failure {
@@ -149,7 +167,9 @@
 		target.Meter.Suspect(now, suspectPeriod)
 		r.ReportSuspect(target, "", false)
 	case Cut:
-		r.CrashSuspects.RecordCrash(r.req.Fingerprint, now)
+		if suspect.Beginning(r.attemptFirstAt, now) {
+			r.Suspects.Add(suspect.Crash{Subject: r.subject, Group: target.CrashKey(), At: now}, now)
+		}
 		r.recordCut(target, now)
 	case Slow, ErrorStatus:
 		target.Meter.ObserveFailure(now)
@@ -173,6 +193,8 @@
 	var broken *BrokenError
 	isBroken := errors.As(err, &broken)
 	switch {
+	case isBroken && broken.Reason == Withdrawn:
+		return r.fail(CrashSuspect, err)
 	case isBroken && !r.req.Route.Repeatable():
 		return r.fail(Broken, err)
 	case r.possiblyRan >= max(r.req.Route.MaxAttempts, 1):
--- a/internal/exchange/watchdog.go
+++ b/internal/exchange/watchdog.go
@@ -10,6 +10,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/placement"
+	"github.com/plantainmux/plantainmux/internal/suspect"
 )
 
 const (
@@ -20,7 +21,7 @@
 )
 
 // watchdog cancels an attempt whose target appears to have failed, if the request can
-// be retried elsewhere.
+// be retried elsewhere, and one without output whose request is refused meanwhile.
 type watchdog struct {
 	run       *run
 	target    *placement.Target
@@ -30,22 +31,22 @@
 	stopped   bool
 	failed    map[string]bool // keys of this target and of those that failed earlier
 	lastEvent atomic.Int64    // time of the last event or of the attempt's start, in Unix nanoseconds
+	begun     atomic.Bool     // an event has arrived
+	movable   bool            // the request can be retried elsewhere
 }
 
 func (r *run) newWatchdog(target *placement.Target, cancel context.CancelCauseFunc) *watchdog {
 	w := &watchdog{run: r, target: target, cancel: cancel, failed: map[string]bool{target.Key: true}}
 	maps.Copy(w.failed, r.excluded)
 	w.lastEvent.Store(time.Now().UnixNano())
-	if !r.req.Route.Repeatable() || r.possiblyRan+1 >= r.req.Route.MaxAttempts {
-		return w
-	}
+	w.movable = r.req.Route.Repeatable() && r.possiblyRan+1 < r.req.Route.MaxAttempts
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if r.req.Route.Kind == catalog.Streaming {
 		w.timer = time.AfterFunc(streamCheckInterval, w.checkStream)
 		return w
 	}
-	if r.req.Route.LatencyTarget > 0 {
+	if w.movable && r.req.Route.LatencyTarget > 0 {
 		after := slowLatencyTargets * r.req.Route.LatencyTarget
 		w.timer = time.AfterFunc(after, func() { cancel(&SlowError{After: after}) })
 	}
@@ -53,7 +54,10 @@
 }
 
 // recordEvent records the arrival of an event.
-func (w *watchdog) recordEvent(now time.Time) { w.lastEvent.Store(now.UnixNano()) }
+func (w *watchdog) recordEvent(now time.Time) {
+	w.lastEvent.Store(now.UnixNano())
+	w.begun.Store(true)
+}
 
 func (w *watchdog) stop() {
 	w.mu.Lock()
@@ -73,11 +77,24 @@
 	}
 }
 
+// withdrawn reports whether the request would be refused now. A trial runs on.
+func (r *run) withdrawn(now time.Time) bool {
+	return !r.trial.Load() && r.Suspects.Standing(r.subject, now) == suspect.Refused
+}
+
 // checkStream cancels the attempt if no stream of the group has made progress for too
 // long, which indicates a lost member rather than load, or if the caller would soon
 // time out.
 func (w *watchdog) checkStream() {
 	now := time.Now()
+	if !w.begun.Load() && w.run.withdrawn(now) {
+		w.cancel(&WithdrawnError{})
+		return
+	}
+	if !w.movable {
+		w.rearm()
+		return
+	}
 	streamSilence := now.Sub(time.Unix(0, w.lastEvent.Load()))
 	groupSilence, silent := w.target.Meter.Silence(now)
 	if float64(groupSilence) > tentativeSuspicionShare*float64(w.target.Meter.SilenceTimeout()) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/plantainmux/plantainmux/internal/peerlog"
 	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/registry"
+	"github.com/plantainmux/plantainmux/internal/suspect"
 	"github.com/plantainmux/plantainmux/internal/targetstats"
 )
 
@@ -51,7 +52,8 @@
 	reconciler     *formation.Reconciler
 	gossip         *gossip.Gossip
 	exchanger      *exchange.Exchanger
-	crashSuspects  *exchange.CrashSuspects
+	suspects       *suspect.Table
+	refusedParts   map[uint64]int // as last logged; by the housekeeping alone
 	failedRequests *exchange.FailedRequests
 	suspicions     suspicions
 
@@ -93,13 +95,13 @@
 		started:        time.Now(),
 		meters:         targetstats.NewMeters(),
 		holds:          targetstats.NewHolds(),
-		crashSuspects:  exchange.NewCrashSuspects(),
 		failedRequests: exchange.NewFailedRequests(),
 		peers:          peerlog.NewClient(),
 		mirror:         keyed.NewMirror(),
 
 		registrationLost: make(chan struct{}, 1),
 	}
+	g.suspects = suspect.NewTable(suspect.Policy{ConfirmAfter: g.crashConfirmation})
 	g.storeCalls = newStoreCalls(g.metrics)
 	g.store = keyed.NewReachabilityTracker(keyed.NewEraObserver(keyed.NewCountedLog(adapters.Store, g.storeCalls.count), g.refreshAll))
 	g.entrySchedule.converging = func() bool { return g.reconciler.Converging() }
@@ -164,7 +166,8 @@
 		DataCentre:     g.settings.DataCentre,
 		Daemons:        g.liveDaemons,
 		GossipDelay:    g.gossip.Delay,
-		CrashSuspects:  g.crashSuspects,
+		Suspects:       g.suspects,
+		OwnsTrial:      g.ownsTrial,
 		FailedRequests: g.failedRequests,
 		Metrics:        exchange.NewMetrics(g.metrics),
 		Logger:         g.logger,
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -28,6 +28,7 @@
 			g.adapters.Sweep(now)
 			g.pruneMeters()
 			g.failedRequests.Prune(now)
+			g.suspects.Prune(now)
 		}
 	}
 }
@@ -48,7 +49,7 @@
 		metersByHash[hash] = meter
 	})
 	g.metersByHash.Store(&metersByHash)
-	g.crashSuspects.SetRemote(g.gossip.Crashes(now), now)
+	g.reviewCrashes(now)
 }
 
 // pruneMeters removes the meters and holds of targets that are no longer in the view.
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -16,7 +16,6 @@
 	Loads      map[uint32]Load `cbor:"8,keyasint,omitempty"` // by HashKey of the target: summed counts and the age of the latest event
 	Suspicions []Suspicion     `cbor:"9,keyasint,omitempty"`
 	NewGroups  []Suspicion     `cbor:"11,keyasint,omitempty"`
-	Crashes    map[uint64]int  `cbor:"10,keyasint,omitempty"` // by fingerprint of a request: summed counts
 
 	FailedRequests []uint32 `cbor:"13,keyasint,omitempty"`
 }
@@ -31,12 +30,6 @@
 	for key, load := range message.Loads {
 		d.addLoad(key, load.aged(age))
 	}
-	for fingerprint, count := range message.Crashes {
-		if d.Crashes == nil {
-			d.Crashes = map[uint64]int{}
-		}
-		d.Crashes[fingerprint] += count
-	}
 }
 
 func (d *Digest) addLoad(key uint32, load Load) {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/gossip"
 	"github.com/plantainmux/plantainmux/internal/keyed"
+	"github.com/plantainmux/plantainmux/internal/suspect"
 )
 
 func freeAddress() string {
@@ -23,13 +24,17 @@
 
 var _ = Describe("Gossip", func() {
 	var receivedConfig atomic.Int64
+	var receivedReports atomic.Pointer[[]suspect.Report]
 	start := func(node, dataCentre string, incarnation int64) (*gossip.Gossip, func()) {
 		g, err := gossip.New(gossip.Dependencies{
 			Node: node, DataCentre: dataCentre, Address: freeAddress(), Incarnation: incarnation, Logger: slog.New(slog.DiscardHandler),
 			LocalMessage: func() gossip.Message {
-				return gossip.Message{Store: true, Config: 9, Loads: map[uint32]gossip.Load{1: {Count: 2, AgeMS: 5}}, Crashes: map[uint64]int{3: 1}}
+				return gossip.Message{Store: true, Config: 9, Loads: map[uint32]gossip.Load{1: {Count: 2, AgeMS: 5}}, Suspects: []suspect.Report{{Hash: 3, Crashes: []suspect.ReportedCrash{{Group: 1}}}}}
+			},
+			OnMessage: func(message gossip.Message) {
+				receivedConfig.Store(message.Config)
+				receivedReports.Store(&message.Suspects)
 			},
-			OnMessage: func(message gossip.Message) { receivedConfig.Store(message.Config) },
 		})
 		Expect(err).NotTo(HaveOccurred())
 		ctx, cancel := context.WithCancel(context.Background())
@@ -58,7 +63,7 @@
 		register(b, a)
 		Eventually(func() []string { return a.Live(time.Now()) }, "3s").Should(Equal([]string{"a", "b"}))
 		Expect(a.Loads(time.Now())).To(HaveKeyWithValue(uint32(1), HaveField("Count", 2)))
-		Expect(a.Crashes(time.Now())).To(HaveKeyWithValue(uint64(3), 1))
+		Expect(*receivedReports.Load()).To(Equal([]suspect.Report{{Hash: 3, Crashes: []suspect.ReportedCrash{{Group: 1}}}}))
 		Expect(a.Readers(time.Now(), false)).To(Equal([]string{"b"}))
 		Expect(receivedConfig.Load()).To(Equal(int64(9)))
 		name, _ := a.Reader(time.Now(), true)
--- a/internal/gossip/hubs_test.go
+++ b/internal/gossip/hubs_test.go
@@ -11,8 +11,10 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	gofleet "github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/gossip"
 	"github.com/plantainmux/plantainmux/internal/keyed"
+	"github.com/plantainmux/plantainmux/internal/suspect"
 )
 
 // testDaemon is one daemon of a fleet. It starts with one request in progress at target 1.
@@ -23,17 +25,19 @@
 	sendsSuspicion        atomic.Bool
 	suspicionReceived     atomic.Bool // a suspicion from another daemon
 	failedRequestReceived atomic.Bool // a failed request from another daemon
+	suspects              *suspect.Table
 	stop                  func()
 }
 
 func startDaemon(name, dataCentre string) *testDaemon {
-	t := &testDaemon{name: name, dataCentre: dataCentre}
+	t := &testDaemon{name: name, dataCentre: dataCentre, suspects: suspect.NewTable(suspect.Policy{})}
 	t.count.Store(1)
 	var err error
 	t.Gossip, err = gossip.New(gossip.Dependencies{
 		Node: name, DataCentre: dataCentre, Address: freeAddress(), Incarnation: 1, Logger: slog.New(slog.DiscardHandler),
 		LocalMessage: t.message,
 		OnMessage: func(message gossip.Message) {
+			t.suspects.Merge(message.Suspects, time.Now())
 			if len(message.Suspicions) > 0 {
 				t.suspicionReceived.Store(true)
 			}
@@ -57,7 +61,7 @@
 }
 
 func (t *testDaemon) message() gossip.Message {
-	message := gossip.Message{Store: true, Loads: map[uint32]gossip.Load{1: {Count: int(t.count.Load()), AgeMS: 5, PrefillTokens: 100}}, Crashes: map[uint64]int{3: 1}}
+	message := gossip.Message{Store: true, Loads: map[uint32]gossip.Load{1: {Count: int(t.count.Load()), AgeMS: 5, PrefillTokens: 100}}, Suspects: t.suspects.Reports(time.Now())}
 	if t.sendsSuspicion.Load() {
 		message.Suspicions = []gossip.Suspicion{{Group: "g", Epoch: 1}}
 		message.FailedRequests = []uint32{17}
@@ -108,7 +112,6 @@
 			t.count.Store(2)
 		}
 		Eventually(loads, "5s", "20ms").Should(Equal(each(2 * (3*perDataCentre - 1))))
-		Expect(fleet[0].Crashes(time.Now())[3]).To(Equal(3*perDataCentre - 1))
 		Expect(fleet[0].Loads(time.Now())[1].PrefillTokens).To(Equal(100 * (3*perDataCentre - 1)))
 		Expect(fleet[0].Live(time.Now())).To(HaveLen(3 * perDataCentre))
 		fleet[3].sendsSuspicion.Store(true)
@@ -117,6 +120,27 @@
 		Expect(fleet[0].Delay()).To(BeNumerically("<=", 400*time.Millisecond))
 	})
 
+	It("tells each daemon of the crashes that the others saw, once each", func() {
+		part := suspect.Subject{Parts: []uint64{3}}
+		at := time.Now()
+		for i, t := range []*testDaemon{fleet[0], fleet[perDataCentre+1], fleet[2*perDataCentre+2], fleet[1]} {
+			t.suspects.Add(suspect.Crash{Subject: part, Group: gofleet.FencingNumber(1 + i%3), At: at}, at)
+		}
+		refused := func() []suspect.Standing {
+			var all []suspect.Standing
+			for _, t := range fleet {
+				all = append(all, t.suspects.Standing(part, time.Now()))
+			}
+			return all
+		}
+		Eventually(refused, "2s", "20ms").Should(HaveEach(suspect.Refused))
+		for _, t := range fleet {
+			Expect(t.suspects.Review(time.Now())).To(Equal(map[uint64]int{3: 3}))
+		}
+		fleet[5].suspects.Clear(part, time.Now())
+		Eventually(refused, "2s", "20ms").Should(HaveEach(suspect.Clear))
+	})
+
 	It("replaces the hubs of a data centre that fail together, and drops the failed daemons", func() {
 		hubs := fleet[0].Hubs("x", time.Now())
 		Expect(hubs).To(HaveLen(2))
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -1,6 +1,10 @@
 package gossip
 
-import "github.com/fxamacker/cbor/v2"
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/plantainmux/plantainmux/internal/suspect"
+)
 
 // Message is the state that a daemon sends in one datagram.
 type Message struct {
@@ -14,7 +18,9 @@
 	Loads       map[uint32]Load `cbor:"8,keyasint,omitempty"` // by HashKey of the target
 	Suspicions  []Suspicion     `cbor:"9,keyasint,omitempty"`
 	NewGroups   []Suspicion     `cbor:"11,keyasint,omitempty"` // groups that have just started to serve; only Group and Epoch are set
-	Crashes     map[uint64]int  `cbor:"10,keyasint,omitempty"` // by fingerprint of a request
+	// Suspects is what the daemon knows of requests and prompt parts that crash endpoints, own and
+	// learnt. A hub has learnt it from the daemons of its data centre, so that digests carry none.
+	Suspects []suspect.Report `cbor:"14,keyasint,omitempty"`
 
 	FailedRequests []uint32 `cbor:"13,keyasint,omitempty"` // shortened fingerprints of requests that recently ended without an answer
 
--- a/internal/gossip/queries.go
+++ b/internal/gossip/queries.go
@@ -112,18 +112,6 @@
 	return sum.Loads
 }
 
-// Crashes returns the number of crashes that the other daemons attribute to each request,
-// by fingerprint.
-func (g *Gossip) Crashes(now time.Time) map[uint64]int {
-	crashes := map[uint64]int{}
-	g.eachDigest(now, func(digest *Digest) {
-		for fingerprint, count := range digest.Crashes {
-			crashes[fingerprint] += count
-		}
-	})
-	return crashes
-}
-
 // eachDigest calls f with the state of the other daemons: the digest of each data
 // centre that has a fresh one, and the direct messages of the daemons in all other
 // data centres. A hub uses the direct messages of its own data centre, not the digest.
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -1,6 +1,11 @@
 package placement
 
-import "github.com/plantainmux/plantainmux/internal/targetstats"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/targetstats"
+)
 
 // Target is an endpoint that can take requests: an endpoint of a plain service, or
 // the head of a serving group.
@@ -17,3 +22,9 @@
 	Meter                   *targetstats.Meter
 	Hold                    *targetstats.Hold // of the endpoint; nil: never held back
 }
+
+// CrashKey returns the number by which daemons tell each other which target crashed. It
+// differs between the incarnations of an endpoint, and between the epochs of a group.
+func (t *Target) CrashKey() fleet.FencingNumber {
+	return fleet.FencingNumber(uint32(xxhash.Sum64String(t.Key)))
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/metric"
+	"github.com/plantainmux/plantainmux/internal/suspect"
 )
 
 const (
@@ -44,8 +45,9 @@
 	defer a.watchdog.stop()
 	a.recall = &recall{attempt: a.frames.attempt, cancel: cancel}
 	if !a.target.isolated && a.target.remote == "" {
-		a.recalls.add(a.req.Fingerprint, a.recall)
-		defer a.recalls.remove(a.req.Fingerprint, a.recall)
+		traits := suspect.Of(a.req).Traits()
+		a.recalls.add(traits, a.recall)
+		defer a.recalls.remove(traits, a.recall)
 	}
 	err := a.streamWithResumes(ctx)
 	if err != nil {
@@ -217,17 +219,29 @@
 			return a.recall.failure()
 		}
 		a.firstAt = time.Now()
+		a.firstFrameAt = a.firstAt
 		a.target.serving.Load.RecordFirstToken(a.firstAt.Sub(a.started))
 		a.updatePromptIndex(frame.Cache)
 	}
 	frame.Cache = nil
 	a.frames.next++
+	if !a.pastBeginning && !suspect.Beginning(a.firstFrameAt, time.Now()) {
+		a.pastBeginning = true
+		a.clearParts()
+	}
 	if a.frames.next > a.delivered {
 		return a.deliver(frame)
 	}
 	return a.skipDelivered(frame)
 }
 
+// clearParts records that the prompt's parts let the group write.
+func (a *attempt) clearParts() {
+	if a.target.remote == "" {
+		a.Suspects.Clear(suspect.Subject{Parts: a.req.PartHashes})
+	}
+}
+
 // updatePromptIndex applies the cache events of the first frame to the index of the
 // engine's prefix cache.
 func (a *attempt) updatePromptIndex(events *endpoint.CacheEvents) {
--- a/internal/relay/recalls.go
+++ b/internal/relay/recalls.go
@@ -1,41 +1,49 @@
 package relay
 
-import "sync"
+import (
+	"sync"
 
-// recalls holds, by fingerprint, this daemon's local attempts that do not run isolated
+	"github.com/plantainmux/plantainmux/internal/suspect"
+)
+
+// recalls holds, by trait, this daemon's local attempts that do not run isolated
 // and can be recalled until their first frame.
 type recalls struct {
 	mu       sync.Mutex // held only for a look-up
-	attempts map[uint64]map[*recall]struct{}
+	attempts map[suspect.Trait]map[*recall]struct{}
 }
 
 func newRecalls() *recalls {
-	return &recalls{attempts: map[uint64]map[*recall]struct{}{}}
+	return &recalls{attempts: map[suspect.Trait]map[*recall]struct{}{}}
 }
 
-func (r *recalls) add(fingerprint uint64, attempt *recall) {
+func (r *recalls) add(traits []suspect.Trait, attempt *recall) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.attempts[fingerprint] == nil {
-		r.attempts[fingerprint] = map[*recall]struct{}{}
+	for _, trait := range traits {
+		if r.attempts[trait] == nil {
+			r.attempts[trait] = map[*recall]struct{}{}
+		}
+		r.attempts[trait][attempt] = struct{}{}
 	}
-	r.attempts[fingerprint][attempt] = struct{}{}
 }
 
-func (r *recalls) remove(fingerprint uint64, attempt *recall) {
+func (r *recalls) remove(traits []suspect.Trait, attempt *recall) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.attempts[fingerprint], attempt)
-	if len(r.attempts[fingerprint]) == 0 {
-		delete(r.attempts, fingerprint)
+	for _, trait := range traits {
+		delete(r.attempts[trait], attempt)
+		if len(r.attempts[trait]) == 0 {
+			delete(r.attempts, trait)
+		}
 	}
 }
 
-// trigger recalls the attempts of a fingerprint.
-func (r *recalls) trigger(fingerprint uint64) {
+// trigger recalls the attempts of requests with a trait.
+func (r *recalls) trigger(trait suspect.Trait) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for attempt := range r.attempts[fingerprint] {
+	for attempt := range r.attempts[trait] {
 		attempt.trigger()
 	}
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -14,6 +14,7 @@
 	"github.com/plantainmux/plantainmux/internal/refusal"
 	"github.com/plantainmux/plantainmux/internal/request"
 	"github.com/plantainmux/plantainmux/internal/retry"
+	"github.com/plantainmux/plantainmux/internal/suspect"
 )
 
 // run is the state of one request until its answer is complete.
@@ -30,7 +31,9 @@
 	delivered        int            // frames that the sink received
 	digest           *xxhash.Digest // of the delivered frames; nil if there are none or the model is not deterministic
 	mayHaveRun       bool
-	ended            bool // the sink received the end marker
+	firstFrameAt     time.Time // of the current attempt; zero: none yet
+	pastBeginning    bool      // the current attempt has been writing for a while
+	ended            bool      // the sink received the end marker
 	lastFailure      retry.Reason
 }
 
@@ -67,9 +70,17 @@
 func (r *run) recordSuccess(t *target) {
 	r.budget.Earn()
 	r.Metrics.Frames(r.delivered)
+	r.clearSuspicion(t)
+}
+
+// clearSuspicion records that the request was answered, or has been writing for a while. Only if it
+// ran isolated does that show that the request as a whole crashes no group.
+func (r *run) clearSuspicion(t *target) {
+	answered := suspect.Subject{Parts: r.req.PartHashes}
 	if t.isolated {
-		r.Suspects.Acquit(r.req.Fingerprint)
+		answered.Fingerprint = r.req.Fingerprint
 	}
+	r.Suspects.Clear(answered)
 }
 
 // runAttempt makes one attempt.
@@ -79,6 +90,7 @@
 	t.serving.Load.Begin()
 	defer t.serving.Load.End()
 	started := time.Now()
+	r.firstFrameAt, r.pastBeginning = time.Time{}, false
 	if t.remote == "" {
 		r.Observer.AttemptStarted(t.serving, started)
 	}
@@ -106,7 +118,11 @@
 	}
 	if reason == retry.ProcessExited || reason == retry.Stalled && groupLostMember(r.Views.Load(), t.serving.Fencing) {
 		r.Metrics.Crashed()
-		r.Suspects.RecordCrash(r.req.Fingerprint, t.serving.Fencing, t.isolated)
+		crashed := suspect.Of(r.req)
+		if !suspect.Beginning(r.firstFrameAt, now) {
+			crashed.Parts = nil
+		}
+		r.Suspects.RecordCrash(crashed, t.serving.Fencing, t.isolated)
 	}
 	if !hasStatus(err) {
 		r.MemberFailed(t.serving.Leader(), now)
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -24,7 +24,11 @@
 
 // pick chooses the group of the next attempt.
 func (r *run) pick(ctx context.Context) (*target, *refusal.Refusal) {
-	standing := r.Suspects.Standing(r.req.Fingerprint)
+	subject := suspect.Of(r.req)
+	standing := r.Suspects.Standing(subject)
+	if standing == suspect.Refused && r.attempts == 0 && r.Suspects.TakeTrial(subject) {
+		standing = suspect.Clear
+	}
 	if standing != suspect.Refused && r.remoteOnly {
 		return r.pickRemote()
 	}
@@ -78,7 +82,7 @@
 		return nil, refused
 	}
 	switch {
-	case !ok && r.Suspects.Standing(r.req.Fingerprint) == suspect.Isolated:
+	case !ok && r.Suspects.Standing(suspect.Of(r.req)) == suspect.Isolated:
 		return r.pickRemote()
 	case !ok:
 		return r.pick(ctx)
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -21,6 +21,7 @@
 	Fingerprint uint64   // hash of model, adapter and body
 	PrefixHash  uint64   // hash of the start of the body; 0 if the body is too short
 	BlockHashes []uint64 // hashes of the blocks of the prompt
+	PartHashes  []uint64 // hashes of the parts of the prompt that other requests may share
 	Deadline    time.Time
 	Forwarded   bool // received from a daemon in another data centre
 }
--- a/internal/spill/request.go
+++ b/internal/spill/request.go
@@ -51,6 +51,7 @@
 		Fingerprint: request.Fingerprint(r.Model, r.Adapter, r.Body),
 		PrefixHash:  request.PrefixHash(r.Model, r.Adapter, r.Body),
 		BlockHashes: request.BlockHashes(r.Model, r.Adapter, r.Body),
+		PartHashes:  request.PartHashes(r.Model, r.Adapter, r.Body),
 		Deadline:    now.Add(time.Duration(r.RemainingMillis) * time.Millisecond),
 		Forwarded:   true,
 	}
--- a/internal/suspect/crash.go
+++ b/internal/suspect/crash.go
@@ -6,17 +6,14 @@
 	"github.com/plantainmux/plantainmux/internal/fleet"
 )
 
-// Crash is the crash of one group while a request was in progress on it.
+// Crash is the crash of one group while a request was in progress on it. Its parts are left out
+// if the request had been writing its answer for a while: they are no cause then.
 type Crash struct {
-	Fingerprint uint64              `json:"fingerprint"`
-	DataCentre  fleet.DataCentre    `json:"data_centre"`
-	Group       fleet.FencingNumber `json:"group"`
-	Alone       bool                `json:"alone"` // no other suspect ran on the group
-	At          time.Time           `json:"at"`
+	Subject
+	DataCentre fleet.DataCentre    `json:"data_centre"`
+	Group      fleet.FencingNumber `json:"group"`
+	Alone      bool                `json:"alone"` // no other suspect ran on the group
+	At         time.Time           `json:"at"`
 }
 
-// groupKey identifies a group across data centres.
-type groupKey struct {
-	dataCentre fleet.DataCentre
-	group      fleet.FencingNumber
-}
+func (c Crash) key() GroupKey { return GroupKey{DataCentre: c.DataCentre, Group: c.Group} }
--- a/internal/suspect/message.go
+++ b/internal/suspect/message.go
@@ -9,8 +9,9 @@
 	Acquittal *Acquittal `json:"acquittal,omitempty"`
 }
 
-// Acquittal reports that a suspect completed while it ran alone on its group.
+// Acquittal reports that a request was answered. Its fingerprint is set if it ran alone on its
+// group.
 type Acquittal struct {
-	Fingerprint uint64    `json:"fingerprint"`
-	At          time.Time `json:"at"`
+	Subject
+	At time.Time `json:"at"`
 }
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -5,45 +5,110 @@
 	"time"
 )
 
-// refuseThreshold is the number of crashed groups from which on a request is refused.
-const refuseThreshold = 2
+const (
+	// refuseIsolated is the number of crashed groups from which on a request is refused that ran
+	// isolated at one of them.
+	refuseIsolated = 2
+	// refuseShared is the number of crashed groups from which on a trait is refused without
+	// isolation. Two may be chance: what was in progress on a crashed group moves to the next.
+	refuseShared = 3
+	// refuseSound is the same for a part with which requests were answered before the crashes.
+	refuseSound = 5
+)
 
-// record holds the crashes of one fingerprint. It is immutable.
+// record holds the crashes of one trait. It is immutable.
 type record struct {
-	crashes map[groupKey]bool // the value is whether the request ran alone
-	last    time.Time
+	crashes   map[GroupKey]observation
+	last      time.Time // newest crash, refusal or trial
+	changedAt time.Time // newest change that the other daemons have to learn
+	sound     bool      // requests with the part were answered before the crashes
+	trials    int       // requests that this daemon let through although the trait is refused
+	trialAt   time.Time // newest of them
 }
 
-// with returns a copy of the record with the crash added. Several reports of the same
-// crash count once.
-func (r record) with(crash Crash) record {
+// with returns a copy of the record with the crash added. Several reports of the same crash count
+// once, and one that was cleared stays so.
+func (r record) with(key GroupKey, crash observation, now time.Time) record {
+	known, ok := r.crashes[key]
+	if ok {
+		crash = observation{at: known.at, alone: known.alone || crash.alone, cleared: known.cleared || crash.cleared}
+	}
+	if ok && crash == known {
+		return r
+	}
 	crashes := maps.Clone(r.crashes)
 	if crashes == nil {
-		crashes = map[groupKey]bool{}
+		crashes = map[GroupKey]observation{}
+	}
+	crashes[key] = crash
+	r.crashes, r.changedAt = crashes, now
+	if crash.at.After(r.last) {
+		r.last = crash.at
+	}
+	return r
+}
+
+// cleared returns a copy of the record in which the crashes that match are cleared.
+func (r record) cleared(match func(GroupKey) bool, now time.Time) record {
+	for key, crash := range r.crashes {
+		if !crash.cleared && match(key) {
+			crash.cleared = true
+			r = r.with(key, crash, now)
+		}
+	}
+	return r
+}
+
+// accused reports whether the record has a crash that was not cleared.
+func (r record) accused() bool {
+	for _, crash := range r.crashes {
+		if !crash.cleared {
+			return true
+		}
+	}
+	return false
+}
+
+// counted returns the groups whose crashes count.
+func (r record) counted(policy Policy, now time.Time) map[GroupKey]bool {
+	groups := map[GroupKey]bool{}
+	for key, crash := range r.crashes {
+		if !crash.cleared && now.Sub(crash.at) >= policy.confirmAfter() {
+			groups[key] = true
+		}
 	}
-	key := groupKey{dataCentre: crash.DataCentre, group: crash.Group}
-	crashes[key] = crashes[key] || crash.Alone
-	last := r.last
-	if crash.At.After(last) {
-		last = crash.At
+	return groups
+}
+
+// refusesRequest reports whether a whole request is refused. Under a policy that isolates it is not
+// unless it ran alone at one of the crashes: otherwise another suspect may have caused them.
+func (r record) refusesRequest(policy Policy, now time.Time) bool {
+	groups := r.counted(policy, now)
+	if !policy.Isolates {
+		return len(groups) >= refuseShared
+	}
+	for key := range groups {
+		if r.crashes[key].alone {
+			return len(groups) >= refuseIsolated
+		}
 	}
-	return record{crashes: crashes, last: last}
+	return false
 }
 
-// standing returns the treatment that follows from the record. A request is not
-// refused unless it ran alone at one of the crashes: otherwise another suspect may have
-// caused them.
-func (r record) standing() Standing {
-	if len(r.crashes) == 0 {
-		return Clear
+// trialDue returns when a request may be let through although the trait is refused.
+func (r record) trialDue() time.Time {
+	delay := firstTrialAfter
+	if r.sound {
+		delay = firstTrialOfSound
 	}
-	if len(r.crashes) < refuseThreshold {
-		return Isolated
+	for range min(r.trials, maxTrialSteps) {
+		delay *= trialFactor
 	}
-	for _, alone := range r.crashes {
-		if alone {
-			return Refused
+	newest := r.trialAt
+	for _, crash := range r.crashes {
+		if !crash.cleared && crash.at.After(newest) {
+			newest = crash.at
 		}
 	}
-	return Isolated
+	return newest.Add(delay)
 }
--- a/internal/suspect/standing.go
+++ b/internal/suspect/standing.go
@@ -7,5 +7,5 @@
 const (
 	Clear    Standing = iota // no crash is known
 	Isolated                 // it runs, but not on a group with other suspects
-	Refused                  // it crashed groups at least twice, at least once while it ran alone
+	Refused                  // it does not run
 )
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -9,6 +9,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/peer"
+	"github.com/plantainmux/plantainmux/internal/rendezvous"
 	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
@@ -25,46 +26,74 @@
 	waiters    *waiters
 	mesh       peer.Mesh
 	dataCentre fleet.DataCentre
-	onCrash    atomic.Pointer[func(fingerprint uint64)]
+	onCrash    atomic.Pointer[func(trait Trait)]
 }
 
 // NewTracker returns a tracker that is subscribed to the mesh.
 func NewTracker(mesh peer.Mesh, dataCentre fleet.DataCentre) *Tracker {
-	t := &Tracker{Table: NewTable(), claims: NewClaims(mesh.Self()), waiters: newWaiters(), mesh: mesh, dataCentre: dataCentre}
+	t := &Tracker{Table: NewTable(Policy{Isolates: true}), claims: NewClaims(mesh.Self()), waiters: newWaiters(), mesh: mesh, dataCentre: dataCentre}
 	mesh.Subscribe(peer.TopicSuspects, t.receive)
 	return t
 }
 
-// OnCrash sets the callback for each request that becomes a suspect or crashes a group
-// again. The callback must not block.
-func (t *Tracker) OnCrash(callback func(fingerprint uint64)) { t.onCrash.Store(&callback) }
+// OnCrash sets the callback for the traits of each crash whose requests are isolated or refused
+// from now on. The callback must not block.
+func (t *Tracker) OnCrash(callback func(trait Trait)) { t.onCrash.Store(&callback) }
 
 func (t *Tracker) record(crash Crash, now time.Time) {
 	t.Table.Add(crash, now)
-	if callback := t.onCrash.Load(); callback != nil {
-		(*callback)(crash.Fingerprint)
+	callback := t.onCrash.Load()
+	if callback == nil {
+		return
+	}
+	for _, trait := range crash.Traits() {
+		if t.Table.standingOf(trait, now) != Clear {
+			(*callback)(trait)
+		}
 	}
 }
 
 // Standing returns the treatment of a request at the current time.
-func (t *Tracker) Standing(fingerprint uint64) Standing {
-	return t.Table.Standing(fingerprint, time.Now())
+func (t *Tracker) Standing(s Subject) Standing {
+	now := time.Now()
+	standing := t.Table.Standing(s, now)
+	if standing == Refused {
+		t.Table.Extend(s, now)
+	}
+	return standing
+}
+
+// TrialDue reports whether TakeTrial would let a request through.
+func (t *Tracker) TrialDue(s Subject) bool {
+	_, due := t.Table.trialDue(s, time.Now(), t.ownsTrial)
+	return due
+}
+
+// TakeTrial reports whether a request that is refused for one part of its prompt may run as a
+// trial of it.
+func (t *Tracker) TakeTrial(s Subject) bool { return t.Table.TakeTrial(s, time.Now(), t.ownsTrial) }
+
+// ownsTrial reports whether this daemon owns the trials of a part in its data centre.
+func (t *Tracker) ownsTrial(trait Trait) bool {
+	return rendezvous.Chosen(trait.String(), t.mesh.Live(), 1, t.mesh.Self())
 }
 
 // RecordCrash records the crash of a group for a request and publishes it to the other
 // daemons.
-func (t *Tracker) RecordCrash(fingerprint uint64, group fleet.FencingNumber, alone bool) {
+func (t *Tracker) RecordCrash(s Subject, group fleet.FencingNumber, alone bool) {
 	now := time.Now()
-	crash := Crash{Fingerprint: fingerprint, DataCentre: t.dataCentre, Group: group, Alone: alone, At: now}
+	crash := Crash{Subject: s, DataCentre: t.dataCentre, Group: group, Alone: alone, At: now}
 	t.record(crash, now)
 	t.mesh.Publish(peer.TopicSuspects, peer.ScopeFleet, Message{Crash: &crash})
 }
 
-// Acquit removes a suspect that completed while it ran alone, at all daemons.
-func (t *Tracker) Acquit(fingerprint uint64) {
+// Clear clears the crashes of the traits of a request that was answered, at all daemons. The
+// subject has a fingerprint only if the request ran alone on its group.
+func (t *Tracker) Clear(s Subject) {
 	now := time.Now()
-	t.Table.Acquit(fingerprint, now)
-	t.mesh.Publish(peer.TopicSuspects, peer.ScopeFleet, Message{Acquittal: &Acquittal{Fingerprint: fingerprint, At: now}})
+	if t.Table.Clear(s, now) {
+		t.mesh.Publish(peer.TopicSuspects, peer.ScopeFleet, Message{Acquittal: &Acquittal{Subject: s, At: now}})
+	}
 }
 
 // BeginWait registers a request that waits to run isolated. It returns false if too
@@ -82,7 +111,7 @@
 	if deadline, limited := ctx.Deadline(); limited {
 		until = deadline
 	}
-	for t.Standing(fingerprint) == Isolated {
+	for t.Standing(Subject{Fingerprint: fingerprint}) == Isolated {
 		groups := candidates()
 		if len(groups) == 0 {
 			return fleet.NoGroup, nil, false
@@ -130,6 +159,6 @@
 	case message.Claim != nil:
 		t.claims.Apply(*message.Claim, now)
 	case message.Acquittal != nil:
-		t.Table.Acquit(message.Acquittal.Fingerprint, now)
+		t.Table.Clear(message.Acquittal.Subject, now)
 	}
 }
--- a/internal/targetstats/meter.go
+++ b/internal/targetstats/meter.go
@@ -191,3 +191,6 @@
 
 // newestEvent returns the Unix nanoseconds of the last event at any daemon.
 func (m *Meter) newestEvent() int64 { return max(m.lastEvent.Load(), m.lastRemoteEvent.Load()) }
+
+// EventSince reports whether any daemon has had an event of the target later than a time.
+func (m *Meter) EventSince(at time.Time) bool { return m.newestEvent() > at.UnixNano() }
