--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/exchange"
+	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 	"github.com/plantainmux/plantainmux/internal/targetstats"
@@ -410,6 +411,70 @@
 		Expect(t.calls).To(BeEmpty())
 	})
 
+	accused := func(part uint64) bool {
+		for _, report := range suspects.Reports(time.Now()) {
+			for _, crash := range report.Crashes {
+				if report.Part && report.Hash == part && !crash.Cleared {
+					return true
+				}
+			}
+		}
+		return false
+	}
+
+	It("accuses its prompt parts of a crash at the beginning of the answer, and clears them once it has been writing for a while", func() {
+		route.Kind, parts = catalog.Streaming, []uint64{5}
+		add("a", 0, answers(200, io.ErrUnexpectedEOF))
+		Expect(run()).NotTo(BeNil())
+		Expect(accused(5)).To(BeTrue())
+		targets = nil
+		add("b", 0, answers(200, io.ErrUnexpectedEOF, event(1)))
+		parts = []uint64{6}
+		Expect(run()).NotTo(BeNil())
+		Expect(accused(6)).To(BeTrue(), "the group may have ended with its first output")
+		targets = nil
+		parts = []uint64{5, 7}
+		add("c", 0, func(ctx context.Context, _ exchange.Call) (*exchange.Answer, error) {
+			chunks := []string{event(1), event(2), event(3), event(4)}
+			return &exchange.Answer{Status: 200, Body: &chunkedBody{ctx: ctx, chunks: chunks, end: io.ErrUnexpectedEOF, interval: 100 * time.Millisecond}}, nil
+		})
+		Expect(run()).NotTo(BeNil())
+		Expect([]bool{accused(5), accused(7)}).To(Equal([]bool{false, false}))
+	})
+
+	It("is withdrawn without output when one of its prompt parts is refused meanwhile", func() {
+		route.Kind, parts = catalog.Streaming, []uint64{5, 6}
+		add("a", 0, answers(200, nil))
+		add("b", 5, answers(200, nil))
+		time.AfterFunc(100*time.Millisecond, func() {
+			crashes := []suspect.ReportedCrash{{Group: 1}, {Group: 2}, {Group: 3}}
+			suspects.Merge([]suspect.Report{{Part: true, Hash: 6, Crashes: crashes}}, time.Now())
+		})
+		started := time.Now()
+		failure := run()
+		Expect(failure.Reason).To(Equal(exchange.CrashSuspect))
+		Expect(failure.NotRun).To(BeFalse(), "the endpoint may have begun")
+		Expect(time.Since(started)).To(BeNumerically("<", time.Second))
+		Expect(t.calls).To(Equal([]string{"a"}))
+	})
+
+	It("is refused for a prompt part with the time until it may be tried again, and runs as a trial if this daemon owns it", func() {
+		crashedAt := time.Now().Add(-time.Minute)
+		parts = []uint64{6}
+		for group := range 3 {
+			suspects.Add(suspect.Crash{Subject: suspect.Subject{Parts: parts}, Group: fleet.FencingNumber(group), At: crashedAt}, time.Now())
+		}
+		add("a", 0, answers(200, io.EOF, "ok"))
+		ownsTrial = false
+		failure := run()
+		Expect(failure.Reason).To(Equal(exchange.CrashSuspect))
+		Expect(failure.NotRun).To(BeTrue())
+		Expect(failure.RetryAfter).To(BeNumerically(">=", time.Second))
+		ownsTrial = true
+		Expect(run()).To(BeNil())
+		Expect(accused(6)).To(BeFalse())
+	})
+
 	It("is no longer counted as a crash suspect once it was served", func() {
 		suspects.Add(suspect.Crash{Subject: suspect.Subject{Fingerprint: 7}, Group: 1, At: time.Now()}, time.Now())
 		add("a", 0, answers(200, io.EOF, "ok"))
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -69,6 +69,17 @@
 	return false
 }
 
+// count returns the number of crashes that count.
+func (r record) count(policy Policy, now time.Time) int {
+	confirmAfter, count := policy.confirmAfter(), 0
+	for _, crash := range r.crashes {
+		if !crash.cleared && now.Sub(crash.at) >= confirmAfter {
+			count++
+		}
+	}
+	return count
+}
+
 // counted returns the groups whose crashes count.
 func (r record) counted(policy Policy, now time.Time) map[GroupKey]bool {
 	groups := map[GroupKey]bool{}
@@ -83,32 +94,16 @@
 // refusesRequest reports whether a whole request is refused. Under a policy that isolates it is not
 // unless it ran alone at one of the crashes: otherwise another suspect may have caused them.
 func (r record) refusesRequest(policy Policy, now time.Time) bool {
-	groups := r.counted(policy, now)
 	if !policy.Isolates {
-		return len(groups) >= refuseShared
+		return r.count(policy, now) >= refuseShared
+	}
+	if r.count(policy, now) < refuseIsolated {
+		return false
 	}
-	for key := range groups {
+	for key := range r.counted(policy, now) {
 		if r.crashes[key].alone {
-			return len(groups) >= refuseIsolated
+			return true
 		}
 	}
 	return false
 }
-
-// trialDue returns when a request may be let through although the trait is refused.
-func (r record) trialDue() time.Time {
-	delay := firstTrialAfter
-	if r.sound {
-		delay = firstTrialOfSound
-	}
-	for range min(r.trials, maxTrialSteps) {
-		delay *= trialFactor
-	}
-	newest := r.trialAt
-	for _, crash := range r.crashes {
-		if !crash.cleared && crash.at.After(newest) {
-			newest = crash.at
-		}
-	}
-	return newest.Add(delay)
-}
--- a/internal/suspect/reports.go
+++ b/internal/suspect/reports.go
@@ -72,6 +72,7 @@
 		for _, report := range reports {
 			trait := Trait{Part: report.Part, Hash: report.Hash}
 			if entry, changed := next[trait].merged(report, now); changed {
+				entry.sound = entry.sound || trait.Part && t.sound.contains(trait.Hash, now)
 				next[trait] = entry
 			}
 		}
--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -24,7 +24,7 @@
 // state is what a table holds. It is immutable.
 type state struct {
 	records
-	refused map[Trait]bool
+	refused map[Trait]verdict
 }
 
 // Table holds the suspects that a daemon knows. Reads are lock-free.
@@ -59,12 +59,13 @@
 func (t *Table) standingOf(trait Trait, now time.Time) Standing {
 	current := t.current.Load()
 	entry, ok := current.records[trait]
+	_, refused := current.refused[trait]
 	switch {
 	case !ok || now.Sub(entry.last) > CrashTTL:
 		return Clear
-	case current.refused[trait]:
+	case refused:
 		return Refused
-	case t.policy.Isolates && !trait.Part && len(entry.counted(t.policy, now)) > 0:
+	case t.policy.Isolates && !trait.Part && entry.count(t.policy, now) > 0:
 		return Isolated
 	default:
 		return Clear
@@ -74,10 +75,11 @@
 // Review judges again: crashes count only after a time. It returns the prompt parts that are
 // refused, with the number of crashes of each.
 func (t *Table) Review(now time.Time) map[uint64]int {
-	if len(t.current.Load().records) > 0 {
-		t.update(now, func(records) {})
-	}
 	current := t.current.Load()
+	if len(current.records) == 0 {
+		return nil
+	}
+	current = t.judgeAgain(now)
 	var parts map[uint64]int
 	for trait := range current.refused {
 		if !trait.Part {
@@ -86,7 +88,7 @@
 		if parts == nil {
 			parts = map[uint64]int{}
 		}
-		parts[trait.Hash] = len(current.records[trait].counted(t.policy, now))
+		parts[trait.Hash] = current.records[trait].count(t.policy, now)
 	}
 	return parts
 }
@@ -197,6 +199,15 @@
 // Prune forgets parts of which no request was answered lately.
 func (t *Table) Prune(now time.Time) { t.sound.prune(now) }
 
+func (t *Table) judgeAgain(now time.Time) *state {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	current := t.current.Load()
+	next := &state{records: current.records, refused: judge(current.records, t.policy, now)}
+	t.current.Store(next)
+	return next
+}
+
 func (t *Table) update(now time.Time, change func(records)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/suspect/trial.go
+++ b/internal/suspect/trial.go
@@ -5,10 +5,10 @@
 // A refused part is tried again from time to time, since a verdict may be wrong and without
 // requests nothing would show it. Each trial may crash a group, so that the delays grow.
 const (
-	firstTrialAfter   = time.Minute     // after the newest crash
-	firstTrialOfSound = 2 * time.Second // the same for a part with which requests were answered before
-	trialFactor       = 4               // between one delay and the next
-	maxTrialSteps     = 6               // after which the delay stays as it is
+	firstTrialAfter    = time.Minute     // after the newest crash
+	firstDoubtfulTrial = 2 * time.Second // the same if requests with the part were answered before, or others may be the cause
+	trialFactor        = 4               // between one delay and the next
+	maxTrialSteps      = 6               // after which the delay stays as it is
 )
 
 // TakeTrial reports whether a request that is refused for one part may run as a trial of it. Only
@@ -21,7 +21,7 @@
 	taken := false
 	t.update(now, func(next records) {
 		entry := next[trait]
-		if now.Before(entry.trialDue()) {
+		if entry.trialAt == now || now.Before(t.current.Load().trialDue(trait)) {
 			return
 		}
 		entry.trials++
@@ -41,7 +41,7 @@
 			refused = append(refused, trait)
 		}
 	}
-	if len(refused) != 1 || !refused[0].Part || now.Before(t.current.Load().records[refused[0]].trialDue()) {
+	if len(refused) != 1 || !refused[0].Part || now.Before(t.current.Load().trialDue(refused[0])) {
 		return Trait{}, false
 	}
 	return refused[0], owns(refused[0])
@@ -52,8 +52,27 @@
 	wait := time.Duration(0)
 	for _, trait := range s.Traits() {
 		if t.standingOf(trait, now) == Refused {
-			wait = max(wait, t.current.Load().records[trait].trialDue().Sub(now))
+			wait = max(wait, t.current.Load().trialDue(trait).Sub(now))
 		}
 	}
 	return max(wait, time.Second)
 }
+
+// trialDue returns when a request may be let through although the trait is refused.
+func (s *state) trialDue(trait Trait) time.Time {
+	entry := s.records[trait]
+	delay := firstTrialAfter
+	if entry.sound || s.refused[trait].doubtful {
+		delay = firstDoubtfulTrial
+	}
+	for range min(entry.trials, maxTrialSteps) {
+		delay *= trialFactor
+	}
+	newest := entry.trialAt
+	for _, crash := range entry.crashes {
+		if !crash.cleared && crash.at.After(newest) {
+			newest = crash.at
+		}
+	}
+	return newest.Add(delay)
+}
--- a/internal/suspect/verdict.go
+++ b/internal/suspect/verdict.go
@@ -13,22 +13,26 @@
 	groups map[GroupKey]bool
 }
 
-// judge returns the traits that are refused.
+// verdict is the refusal of a trait.
+type verdict struct {
+	doubtful bool // other parts could be the cause of each of the crashes as well
+}
+
+// judge returns the verdicts on the traits that are refused.
 //
 // What runs beside the cause of a crash is accused with it, above all the other parts of the same
 // prompt. So a part is judged by the crashes that no other refused part explains, the likelier one
 // first: one with which no request was answered, then the one with the most crashes.
-func judge(all records, policy Policy, now time.Time) map[Trait]bool {
-	refused := map[Trait]bool{}
+func judge(all records, policy Policy, now time.Time) map[Trait]verdict {
+	refused := map[Trait]verdict{}
 	var requests, parts []candidate
 	for trait, entry := range all {
-		c := candidate{trait: trait, sound: entry.sound, groups: entry.counted(policy, now)}
 		switch {
-		case trait.Part && len(c.groups) >= refuseShared:
-			parts = append(parts, c)
+		case trait.Part && entry.count(policy, now) >= refuseShared:
+			parts = append(parts, candidate{trait, entry.sound, entry.counted(policy, now)})
 		case !trait.Part && entry.refusesRequest(policy, now):
-			requests = append(requests, c)
-			refused[trait] = true
+			requests = append(requests, candidate{trait, false, entry.counted(policy, now)})
+			refused[trait] = verdict{}
 		}
 	}
 	slices.SortFunc(parts, func(a, b candidate) int {
@@ -45,7 +49,7 @@
 		if explainedByRequest(part, requests) || part.unexplained(explaining) < part.threshold() {
 			continue
 		}
-		refused[part.trait] = true
+		refused[part.trait] = verdict{doubtful: part.unexplainedBy(others(parts, part)) == 0}
 		explaining = append(explaining, part)
 	}
 	return refused
@@ -58,20 +62,29 @@
 	return refuseShared
 }
 
-// unexplained returns the number of crashes that none of the others was in. Parts that were in
-// the same crashes explain each other only if one is likelier: they may always come together.
+// unexplained returns the number of crashes that no likelier part was in. Parts that are as likely
+// do not explain each other: they may always come together.
 func (c candidate) unexplained(others []candidate) int {
+	return c.unexplainedBy(slices.DeleteFunc(slices.Clone(others), func(o candidate) bool {
+		return o.sound == c.sound && len(o.groups) <= len(c.groups)
+	}))
+}
+
+// unexplainedBy returns the number of crashes that none of the others was in.
+func (c candidate) unexplainedBy(others []candidate) int {
 	count := 0
 	for group := range c.groups {
-		if !slices.ContainsFunc(others, func(o candidate) bool {
-			return o.groups[group] && (o.sound != c.sound || len(o.groups) > len(c.groups))
-		}) {
+		if !slices.ContainsFunc(others, func(o candidate) bool { return o.groups[group] }) {
 			count++
 		}
 	}
 	return count
 }
 
+func others(all []candidate, one candidate) []candidate {
+	return slices.DeleteFunc(slices.Clone(all), func(c candidate) bool { return c.trait == one.trait })
+}
+
 // explainedByRequest reports whether one request, repeated, was in all crashes of a part.
 func explainedByRequest(part candidate, requests []candidate) bool {
 	return slices.ContainsFunc(requests, func(request candidate) bool {
