Log and count the limits that endpoints name

An endpoint in need names in its answers how many requests a second it takes from all daemons together. The header was not read, and no line told whether a daemon had been told. 'endpoint named a limit' now does, once for each value and endpoint of a daemon, with a counter. No change of behaviour.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,7 @@
 	refusedParts   map[uint64]int // as last logged; by the housekeeping alone
 	failedRequests *exchange.FailedRequests
 	suspicions     suspicions
+	namedLimits    sync.Map // requests a second, by registry.IncarnationKey
 
 	store              *keyed.ReachabilityTracker
 	storeCalls         *storeCalls
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -8,6 +8,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/gossip"
 	"github.com/plantainmux/plantainmux/internal/notice"
+	"github.com/plantainmux/plantainmux/internal/registry"
 )
 
 // applyNotice applies what an endpoint announced in an answer, before the answer is passed on.
@@ -19,6 +20,26 @@
 	if n.RetryAfter != "" {
 		g.holdOff(n)
 	}
+	if n.Limit != "" {
+		g.noteLimit(n)
+	}
+}
+
+// noteLimit logs each limit that an endpoint names, and each change of it.
+func (g *Gateway) noteLimit(n notice.Notice) {
+	limit, err := notice.ParseLimit(n.Limit)
+	var invalid *notice.InvalidLimitError
+	if errors.As(err, &invalid) {
+		g.metrics.GetOrCreateCounter(fmt.Sprintf(`plantainmux_endpoint_limits_ignored_total{reason=%q}`, invalid.Reason)).Inc()
+		g.logger.Warn("endpoint named an unusable limit", "endpoint", n.Endpoint, "error", err)
+		return
+	}
+	key := registry.IncarnationKey(n.Endpoint, n.Incarnation)
+	if previous, known := g.namedLimits.Swap(key, limit); known && previous.(float64) == limit {
+		return
+	}
+	g.metrics.GetOrCreateCounter(`plantainmux_endpoint_notices_total{kind="limit"}`).Inc()
+	g.logger.Info("endpoint named a limit", "endpoint", n.Endpoint, "requests_per_s", limit)
 }
 
 // tellPlanner has the group of an endpoint probed by the daemon that plans it, which learns from
--- a/internal/notice/hold_test.go
+++ b/internal/notice/hold_test.go
@@ -36,3 +36,22 @@
 		Entry("infinite", "+Inf", notice.TooLong),
 	)
 })
+
+var _ = Describe("The limit that an endpoint names", func() {
+	It("is a decimal number of requests a second", func() {
+		Expect(notice.ParseLimit("2.5")).To(Equal(2.5))
+		Expect(notice.ParseLimit("0")).To(Equal(0.0))
+	})
+
+	DescribeTable("is ignored with a reason if it is unusable", func(value string, reason notice.LimitReason) {
+		_, err := notice.ParseLimit(value)
+		var invalid *notice.InvalidLimitError
+		Expect(errors.As(err, &invalid)).To(BeTrue())
+		Expect(invalid.Reason).To(Equal(reason))
+	},
+		Entry("a word", "many", notice.LimitNotANumber),
+		Entry("no number", "NaN", notice.LimitNotANumber),
+		Entry("negative", "-1", notice.Negative),
+		Entry("infinite", "+Inf", notice.TooLarge),
+	)
+})
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -8,7 +8,10 @@
 	// RetryAfter is how long the endpoint wants no request of this daemon, as a decimal number of
 	// seconds that has not been checked; empty if the answer is no rejection or names no time.
 	RetryAfter string
+	// Limit is how many requests a second the endpoint takes from all daemons together, as a decimal
+	// number that has not been checked; empty if the answer names none.
+	Limit string
 }
 
 // Empty reports whether the answer announces nothing.
-func (n Notice) Empty() bool { return !n.Leaving && n.RetryAfter == "" }
+func (n Notice) Empty() bool { return !n.Leaving && n.RetryAfter == "" && n.Limit == "" }
--- a/internal/targetstats/holds.go
+++ b/internal/targetstats/holds.go
@@ -1,9 +1,10 @@
 package targetstats
 
 import (
-	"strconv"
 	"sync"
 	"time"
+
+	"github.com/plantainmux/plantainmux/internal/registry"
 )
 
 // Holds has the hold of each incarnation of an endpoint, across the groups that it heads.
@@ -19,7 +20,7 @@
 func (h *Holds) GetOrCreate(id string, incarnation int64) *Hold {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	key := id + "/" + strconv.FormatInt(incarnation, 10)
+	key := registry.IncarnationKey(id, incarnation)
 	hold := h.byKey[key]
 	if hold == nil {
 		hold = &Hold{}
