--- a/internal/fakes/wire_engine.go
+++ b/internal/fakes/wire_engine.go
@@ -41,7 +41,8 @@
 	stalled  bool           // streams send no more events, as after the loss of a member
 	leaving  bool           // all answers announce that the engine is leaving
 	hold     string         // Retry-After of a 503 that answers every request; empty: serve normally
-	arrivals int            // requests that arrived
+	arrivals []time.Time    // of requests
+	limit    string         // named as its limit in all answers; empty: none
 	killed   bool
 	crashOn  string                // ID of a prompt part on which the engine crashes as it begins to write; empty: none
 	crashes  []time.Time           // when it has crashed on that part
@@ -96,11 +97,21 @@
 	e.hold = retryAfter
 }
 
+// NameLimit makes all answers name a limit of requests a second; empty ends this.
+func (e *WireEngine) NameLimit(limit string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = limit
+}
+
 // Arrivals returns the number of requests that have arrived, rejected ones included.
-func (e *WireEngine) Arrivals() int {
+func (e *WireEngine) Arrivals() int { return len(e.ArrivalTimes()) }
+
+// ArrivalTimes returns when these requests arrived.
+func (e *WireEngine) ArrivalTimes() []time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.arrivals
+	return slices.Clone(e.arrivals)
 }
 
 // CrashOn makes the engine crash whenever it begins to write an answer to a request whose prompt
@@ -222,11 +233,14 @@
 // ServeHTTP implements http.Handler.
 func (e *WireEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
-	leaving := e.leaving
+	leaving, limit := e.leaving, e.limit
 	e.mu.Unlock()
 	if leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	if limit != "" {
+		w.Header().Set("Server-Limit", limit)
+	}
 	if wanted := r.Header.Get("Expected-Instance"); wanted != "" && wanted != e.ID {
 		w.Header().Set("Instance-Id", e.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -300,7 +314,7 @@
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	e.mu.Lock()
-	e.arrivals++
+	e.arrivals = append(e.arrivals, time.Now())
 	hold := e.hold
 	if hold != "" {
 		e.mu.Unlock()
