Keep to the limits that endpoints name, all daemons together

The header was not read: placing knew an endpoint as full, failing or on hold, but had no notion of a rate. The class of fault: what an endpoint says of itself is taken from its entry and a few headers, and the rest is passed on unread.

Now a named limit L (requests a second) belongs to the endpoint's incarnation. 2 L + 3 of the live daemons, the same for all by rendezvous, share it, each with a token bucket of one; the others send nothing. In any 4 s that is at most 6 L + 3, whether or not they hear of each other, where 6 L + 5 are allowed. First attempts, second ones and resumed streams take a token each. If no other endpoint serves the request it is refused at once (held_back), with the time of the next token. An answer without the header to a request that was sent after the limit was known ends it. Value and end go with the gossip under a version that rises with each change, learnt ones too, so that no clock is compared and a daemon that starts knows.

--- a/internal/exchange/answer.go
+++ b/internal/exchange/answer.go
@@ -11,6 +11,8 @@
 	Status int
 	Header http.Header // forwarded to the caller
 	Body   io.ReadCloser
+	// NamesLimit states that the answer names a limit of the endpoint.
+	NamesLimit bool
 }
 
 // Succeeded reports whether the endpoint answered with a 2xx status.
--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -34,6 +34,9 @@
 		return withCause(ctx, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
+	if answer.Succeeded() && !answer.NamesLimit && target.Limit.ObserveNone(r.sentAt, time.Now()) {
+		r.Logger.Info("endpoint no longer names a limit", "endpoint", target.ID)
+	}
 	if r.req.Route.Kind == catalog.Streaming && answer.Succeeded() {
 		return withCause(ctx, r.streamAnswer(answer, target, watch))
 	}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -475,6 +475,55 @@
 		Expect(accused(6)).To(BeFalse())
 	})
 
+	Describe("at endpoints that name a limit", func() {
+		// limited gives a target a limit of which this daemon may send some requests at once, none or one.
+		limited := func(target *placement.Target, now int) {
+			limits := targetstats.NewLimits()
+			target.Limit = limits.GetOrCreate(target.ID, 1)
+			learntAt := time.Now().Add(-time.Hour)
+			target.Limit.Observe(1, learntAt)
+			if now > 0 {
+				limits.Share([]string{"n"}, "n", learntAt)
+			}
+		}
+		named := func(status int, end error, chunks ...string) script {
+			return func(ctx context.Context, call exchange.Call) (*exchange.Answer, error) {
+				answer, err := answers(status, end, chunks...)(ctx, call)
+				answer.NamesLimit = true
+				return answer, err
+			}
+		}
+
+		It("goes elsewhere once this daemon's share is used, and is refused with a time if there is no other", func() {
+			limited(add("a", 0, named(200, io.EOF, "ok"), named(200, io.EOF, "ok")), 1)
+			add("b", 5, answers(200, io.EOF, "ok"))
+			Expect(run()).To(BeNil())
+			Expect(run()).To(BeNil())
+			Expect(t.calls).To(Equal([]string{"a", "b"}))
+			targets = targets[:1]
+			failure := run()
+			Expect(failure.Reason).To(Equal(exchange.HeldBack))
+			Expect(failure.NotRun).To(BeTrue())
+			Expect(failure.RetryAfter).To(BeNumerically(">", 500*time.Millisecond), "one request a second, the last one just now")
+		})
+
+		It("counts second attempts and resumed streams", func() {
+			route.Kind, route.Resumable = catalog.Streaming, true
+			add("a", 0, answers(200, io.ErrUnexpectedEOF, event(1)))
+			limited(add("b", 1, named(200, io.EOF, event(2))), 0)
+			add("c", 5, answers(200, io.EOF, event(2)))
+			Expect(run()).To(BeNil())
+			Expect(t.calls).To(Equal([]string{"a", "c 1"}))
+		})
+
+		It("sends as before after an answer that names none", func() {
+			limited(add("a", 0, answers(200, io.EOF, "ok"), answers(200, io.EOF, "ok")), 1)
+			Expect(run()).To(BeNil())
+			Expect(run()).To(BeNil())
+			Expect(t.calls).To(Equal([]string{"a", "a"}))
+		})
+	})
+
 	It("is no longer counted as a crash suspect once it was served", func() {
 		suspects.Add(suspect.Crash{Subject: suspect.Subject{Fingerprint: 7}, Group: 1, At: time.Now()}, time.Now())
 		add("a", 0, answers(200, io.EOF, "ok"))
--- a/internal/exchange/reason.go
+++ b/internal/exchange/reason.go
@@ -7,7 +7,7 @@
 const (
 	NoTarget         Reason = "no_target"   // no endpoint serves the request
 	NoCapacity       Reason = "no_room"     // all endpoints that serve the request are full
-	HeldBack         Reason = "held_back"   // all endpoints that serve the request want none for a time
+	HeldBack         Reason = "held_back"   // no endpoint that serves the request wants one now
 	DeadlineExceeded Reason = "time_over"   // the deadline has passed
 	CallerGone       Reason = "caller_gone" // the caller closed the connection
 	Refused          Reason = "refused"     // the endpoints refused the request
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -77,19 +77,7 @@
 		return nil, r.contextFailure(ctx)
 	}
 	targets := r.View().Targets(r.req.Service.Name, r.req.Model)
-	target, reason := placement.Pick(targets, placement.Requirements{
-		DataCentre:   r.DataCentre,
-		Grouped:      r.req.Service.Grouped(),
-		Late:         r.req.Late && r.attempts == 0,
-		Resumed:      r.started,
-		PromptTokens: r.req.PromptTokens,
-		Priority:     r.req.Priority,
-		Daemons:      r.Daemons(),
-		GossipDelay:  r.GossipDelay(),
-		Random:       rand.Float64(),
-		Excluded:     r.excluded,
-		Now:          now,
-	})
+	target, reason := r.place(targets, now)
 	r.summary = placement.Summarize(targets, now)
 	switch reason {
 	case placement.NoTarget:
@@ -105,6 +93,28 @@
 	}
 }
 
+// place chooses a target and counts the request against its limit.
+func (r *run) place(targets []*placement.Target, now time.Time) (*placement.Target, placement.Reason) {
+	for {
+		target, reason := placement.Pick(targets, placement.Requirements{
+			DataCentre:   r.DataCentre,
+			Grouped:      r.req.Service.Grouped(),
+			Late:         r.req.Late && r.attempts == 0,
+			Resumed:      r.started,
+			PromptTokens: r.req.PromptTokens,
+			Priority:     r.req.Priority,
+			Daemons:      r.Daemons(),
+			GossipDelay:  r.GossipDelay(),
+			Random:       rand.Float64(),
+			Excluded:     r.excluded,
+			Now:          now,
+		})
+		if target == nil || target.Limit.Take(now) {
+			return target, reason
+		} // another request has taken the last one, so that Pick passes the target over
+	}
+}
+
 // refused reports whether the request must not run because it, or a part of its prompt, crashed
 // endpoints.
 func (r *run) refused(now time.Time) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,7 +56,7 @@
 	refusedParts   map[uint64]int // as last logged; by the housekeeping alone
 	failedRequests *exchange.FailedRequests
 	suspicions     suspicions
-	namedLimits    sync.Map // requests a second, by registry.IncarnationKey
+	limits         *targetstats.Limits
 
 	store              *keyed.ReachabilityTracker
 	storeCalls         *storeCalls
@@ -96,6 +96,7 @@
 		started:        time.Now(),
 		meters:         targetstats.NewMeters(),
 		holds:          targetstats.NewHolds(),
+		limits:         targetstats.NewLimits(),
 		failedRequests: exchange.NewFailedRequests(),
 		peers:          peerlog.NewClient(),
 		mirror:         keyed.NewMirror(),
@@ -242,7 +243,7 @@
 	if current == nil {
 		return
 	}
-	g.view.Store(placement.Build(current, g.registry.Load(), g.ledger.Load(), g.meters, g.holds))
+	g.view.Store(placement.Build(current, g.registry.Load(), g.ledger.Load(), g.meters, placement.Announced{Holds: g.holds, Limits: g.limits}))
 	if g.reconciler != nil {
 		g.reconciler.Wake()
 	}
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -34,7 +34,7 @@
 	now := time.Now()
 	message := gossip.Message{
 		Draining: g.stopping.Load(), Traffic: g.trafficSeen.Load(), Store: g.storeReached(),
-		Suspicions: g.suspicions.list(now), NewGroups: g.recentlyOpened(now), Suspects: g.suspects.Reports(now),
+		Suspicions: g.suspicions.list(now), NewGroups: g.recentlyOpened(now), Suspects: g.suspects.Reports(now), Limits: g.limits.Reports(now),
 		FailedRequests: g.failedRequests.Recent(now),
 	}
 	if current := g.catalogs.Load(); current != nil {
@@ -59,6 +59,7 @@
 	}
 	g.failedRequests.RecordRemote(message.FailedRequests, now)
 	g.suspects.Merge(message.Suspects, now)
+	g.limits.Merge(message.Limits, now)
 	g.recordRemoteEvents(message.Loads, now)
 	for _, suspicion := range message.Suspicions {
 		if meter := g.meters.Find(placement.GroupKey(suspicion.Group, suspicion.Epoch)); meter != nil && !suspicion.Tentative {
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -50,16 +50,21 @@
 	})
 	g.metersByHash.Store(&metersByHash)
 	g.reviewCrashes(now)
+	if g.limits.Any() {
+		g.limits.Share(live, g.settings.Node, now)
+	}
 }
 
-// pruneMeters removes the meters and holds of targets that are no longer in the view.
+// pruneMeters removes the meters, holds and limits of targets that are no longer in the view.
 func (g *Gateway) pruneMeters() {
 	inUse := map[string]bool{}
 	held := map[*targetstats.Hold]bool{}
+	limited := map[*targetstats.Limit]bool{}
 	retain := func(targets []*placement.Target) {
 		for _, target := range targets {
 			inUse[target.Key] = true
 			held[target.Hold] = true
+			limited[target.Limit] = true
 		}
 	}
 	view := g.view.Load()
@@ -73,6 +78,7 @@
 	}
 	g.meters.Retain(inUse)
 	g.holds.Retain(held, time.Now())
+	g.limits.Retain(limited, time.Now())
 }
 
 // plan runs the reconciler. It starts after boot and firstPlanDelay, by when the
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -8,7 +8,6 @@
 
 	"github.com/plantainmux/plantainmux/internal/gossip"
 	"github.com/plantainmux/plantainmux/internal/notice"
-	"github.com/plantainmux/plantainmux/internal/registry"
 )
 
 // applyNotice applies what an endpoint announced in an answer, before the answer is passed on.
@@ -25,7 +24,7 @@
 	}
 }
 
-// noteLimit logs each limit that an endpoint names, and each change of it.
+// noteLimit bounds the requests to an endpoint by the limit that it named.
 func (g *Gateway) noteLimit(n notice.Notice) {
 	limit, err := notice.ParseLimit(n.Limit)
 	var invalid *notice.InvalidLimitError
@@ -34,10 +33,11 @@
 		g.logger.Warn("endpoint named an unusable limit", "endpoint", n.Endpoint, "error", err)
 		return
 	}
-	key := registry.IncarnationKey(n.Endpoint, n.Incarnation)
-	if previous, known := g.namedLimits.Swap(key, limit); known && previous.(float64) == limit {
+	now := time.Now()
+	if !g.limits.GetOrCreate(n.Endpoint, n.Incarnation).Observe(limit, now) {
 		return
 	}
+	g.limits.Share(g.gossip.Live(now), g.settings.Node, now)
 	g.metrics.GetOrCreateCounter(`plantainmux_endpoint_notices_total{kind="limit"}`).Inc()
 	g.logger.Info("endpoint named a limit", "endpoint", n.Endpoint, "requests_per_s", limit)
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -4,6 +4,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/plantainmux/plantainmux/internal/suspect"
+	"github.com/plantainmux/plantainmux/internal/targetstats"
 )
 
 // Message is the state that a daemon sends in one datagram.
@@ -22,6 +23,9 @@
 	// learnt. A hub has learnt it from the daemons of its data centre, so that digests carry none.
 	Suspects []suspect.Report `cbor:"14,keyasint,omitempty"`
 
+	// Limits is what the daemon knows of limits that endpoints name, own and learnt, as Suspects.
+	Limits []targetstats.LimitReport `cbor:"15,keyasint,omitempty"`
+
 	FailedRequests []uint32 `cbor:"13,keyasint,omitempty"` // shortened fingerprints of requests that recently ended without an answer
 
 	Digests []cbor.RawMessage `cbor:"12,keyasint,omitempty"` // encoded Digest of each data centre; set by hubs
--- a/internal/placement/build.go
+++ b/internal/placement/build.go
@@ -12,28 +12,28 @@
 // Build returns the targets given by the registry and the ledger. A group is a
 // target while it is not being dissolved and its head reports that it is open under
 // its newest record: a head is opened only after every member was ready.
-func Build(current *catalog.Catalog, endpoints *registry.Snapshot, groups *ledger.State, meters *targetstats.Meters, holds *targetstats.Holds) *View {
+func Build(current *catalog.Catalog, endpoints *registry.Snapshot, groups *ledger.State, meters *targetstats.Meters, announced Announced) *View {
 	view := &View{Plain: map[string][]*Target{}, Groups: map[string]map[string][]*Target{}}
 	for name, service := range current.Services {
 		if service.Grouped() {
 			view.Groups[name] = map[string][]*Target{}
 			continue
 		}
-		view.Plain[name] = plainTargets(endpoints.ByService[name], meters, holds)
+		view.Plain[name] = plainTargets(endpoints.ByService[name], meters, announced)
 	}
 	for _, record := range groups.Groups {
 		models, ok := view.Groups[record.Service]
 		if !ok {
 			continue
 		}
-		if target := groupTarget(current.Services[record.Service], record, endpoints, meters, holds); target != nil {
+		if target := groupTarget(current.Services[record.Service], record, endpoints, meters, announced); target != nil {
 			models[record.Model] = append(models[record.Model], target)
 		}
 	}
 	return view
 }
 
-func plainTargets(endpoints []*registry.Endpoint, meters *targetstats.Meters, holds *targetstats.Holds) []*Target {
+func plainTargets(endpoints []*registry.Endpoint, meters *targetstats.Meters, announced Announced) []*Target {
 	var targets []*Target
 	for _, e := range endpoints {
 		if !e.Usable() {
@@ -42,13 +42,13 @@
 		key := "endpoint/" + e.ID + "/" + strconv.FormatInt(e.Incarnation, 10)
 		targets = append(targets, &Target{
 			Key: key, ID: e.ID, Incarnation: e.Incarnation, Address: e.Address, DataCentre: e.DataCentre, Slots: max(e.Slots, 1),
-			Meter: meters.GetOrCreate(key), Hold: holds.GetOrCreate(e.ID, e.Incarnation),
+			Meter: meters.GetOrCreate(key), Hold: announced.Holds.GetOrCreate(e.ID, e.Incarnation), Limit: announced.Limits.GetOrCreate(e.ID, e.Incarnation),
 		})
 	}
 	return targets
 }
 
-func groupTarget(service *catalog.Service, record *ledger.Record, endpoints *registry.Snapshot, meters *targetstats.Meters, holds *targetstats.Holds) *Target {
+func groupTarget(service *catalog.Service, record *ledger.Record, endpoints *registry.Snapshot, meters *targetstats.Meters, announced Announced) *Target {
 	head := endpoints.ByID[record.Head().ID]
 	switch {
 	case record.Dissolving || head == nil || !head.Usable():
@@ -67,7 +67,7 @@
 	}
 	return &Target{
 		Key: key, ID: head.ID, Incarnation: head.Incarnation, Address: head.Address, DataCentre: head.DataCentre, Slots: max(slots, 1), MaxPrefillTokensPerPass: pass,
-		Group: record.Group, Epoch: record.Epoch, Meter: meter, Hold: holds.GetOrCreate(head.ID, head.Incarnation),
+		Group: record.Group, Epoch: record.Epoch, Meter: meter, Hold: announced.Holds.GetOrCreate(head.ID, head.Incarnation), Limit: announced.Limits.GetOrCreate(head.ID, head.Incarnation),
 	}
 }
 
--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -6,7 +6,7 @@
 	healthy     []*Target // no known problem
 	interrupted []*Target // a connection broke recently: they may have terminated
 	suspect     []*Target // they failed recently or are silent
-	held        int       // targets that were left out because they want no requests for a time
+	held        int       // targets that were left out because they want no requests now
 }
 
 // filter sorts the targets that may take a request into tiers. Unreachable targets
@@ -16,7 +16,7 @@
 	t := candidateTiers{healthy: make([]*Target, 0, len(targets))}
 	for _, target := range targets {
 		switch {
-		case target.Hold.Remaining(requirements.Now) > 0:
+		case target.Hold.Remaining(requirements.Now) > 0 || !target.Limit.Admits(requirements.Now):
 			t.held++
 		case requirements.Excluded[target.Key] || target.Meter.Down(requirements.Now):
 		case isSuspect(target, requirements):
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -183,7 +183,7 @@
 	}
 	build := func(record *ledger.Record, change func(*registry.Endpoint)) []*placement.Target {
 		groups := &ledger.State{Groups: map[string]*ledger.Record{"g": record}}
-		return placement.Build(current, head(change), groups, targetstats.NewMeters(), targetstats.NewHolds()).Targets("s", "m")
+		return placement.Build(current, head(change), groups, targetstats.NewMeters(), placement.Announced{Holds: targetstats.NewHolds(), Limits: targetstats.NewLimits()}).Targets("s", "m")
 	}
 
 	It("includes the head of a group that is open under its newest record", func() {
--- a/internal/placement/reason.go
+++ b/internal/placement/reason.go
@@ -8,5 +8,5 @@
 	Placed     Reason = "placed"
 	NoTarget   Reason = "no_target" // no target serves, or all failed this request
 	NoCapacity Reason = "no_room"   // all serving targets are full
-	HeldBack   Reason = "held_back" // all serving targets have asked this daemon to wait
+	HeldBack   Reason = "held_back" // no serving target wants a request of this daemon now
 )
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -20,7 +20,8 @@
 	Group                   string
 	Epoch                   uint64
 	Meter                   *targetstats.Meter
-	Hold                    *targetstats.Hold // of the endpoint; nil: never held back
+	Hold                    *targetstats.Hold  // of the endpoint; nil: never held back
+	Limit                   *targetstats.Limit // of the endpoint; nil: none
 }
 
 // CrashKey returns the number by which daemons tell each other which target crashed. It
