Give up answers that never end

An engine in trouble may send bytes without end, in a head or in a body, until the caller closes. A head was read and kept until the deadline; an event of a stream as well; bodies of up to 8 MiB each were kept for as many requests as came. A small VM has 184 MB.

A head is given up after 64 KiB, an event after 256 KiB, and bodies together after 24 MiB (those below 64 KiB always fit). The connection is closed and the attempt counts as broken. Reports and control answers of the own interface are bounded too.

Two more specs pin what held already: an answer without length or chunks is complete when its connection ends and broken when it is reset.

--- a/internal/endpoint/http_engine.go
+++ b/internal/endpoint/http_engine.go
@@ -31,7 +31,9 @@
 	idleConnsPerEngine = 64
 	idleConnTimeout    = 90 * time.Second
 	userAgent          = "plantainmux"
-	errorBodyLimit     = 4 << 10 // bytes
+	errorBodyLimit     = 4 << 10  // bytes
+	controlAnswerLimit = 1 << 20  // bytes of the answer to a report or an order
+	maxHeadBytes       = 64 << 10 // of any response
 )
 
 // HTTPEngine implements Engine over HTTP.
@@ -58,7 +60,7 @@
 // newControlClient returns a client for reports and orders. Its user agent is short
 // because every poll sends it.
 func newControlClient(transport *http.Transport) *resty.Client {
-	return resty.NewWithClient(&http.Client{Transport: transport}).SetHeader("User-Agent", userAgent)
+	return resty.NewWithClient(&http.Client{Transport: transport}).SetHeader("User-Agent", userAgent).SetResponseBodyLimit(controlAnswerLimit)
 }
 
 func newTransport() *http.Transport {
@@ -67,6 +69,8 @@
 		MaxIdleConnsPerHost: idleConnsPerEngine,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
@@ -86,7 +90,7 @@
 		return report, transportError(address, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.LimitReader(response.Body, controlAnswerLimit))
 	if err != nil {
 		return report, transportError(address, err)
 	}
--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -77,7 +77,7 @@
 			now := time.Now()
 			complete, err := r.events.add(buffer[:n])
 			if err != nil {
-				return &BrokenError{Reason: Disorder, Err: err}
+				return brokenStream(err)
 			}
 			if len(complete) > 0 { // parts of an event are no sign of progress
 				r.recordEvent(target, now, last)
@@ -97,6 +97,15 @@
 	}
 }
 
+// brokenStream returns the failure of a stream whose events cannot be used.
+func brokenStream(err error) error {
+	var tooLarge *EventTooLargeError
+	if errors.As(err, &tooLarge) {
+		return &BrokenError{Reason: Oversize, Err: err}
+	}
+	return &BrokenError{Reason: Disorder, Err: err}
+}
+
 func (r *run) recordEvent(target *placement.Target, now, last time.Time) {
 	gap := time.Duration(0)
 	if !last.IsZero() {
@@ -157,13 +166,15 @@
 // bufferAnswer reads the complete body before any of it is forwarded, so that
 // a broken answer can still be retried.
 func (r *run) bufferAnswer(answer *Answer) error {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, r.BodyLimit+1))
+	body, release, err := r.buffered.readAll(answer.Body, r.BodyLimit)
+	defer release()
+	var tooLarge *BodyTooLargeError
+	if errors.As(err, &tooLarge) {
+		return &BrokenError{Reason: Oversize, Err: err}
+	}
 	if err != nil {
 		return &BrokenError{Reason: Cut, Err: err}
 	}
-	if int64(len(body)) > r.BodyLimit {
-		return &BrokenError{Reason: Oversize, Err: &BodyTooLargeError{Limit: r.BodyLimit}}
-	}
 	if r.started {
 		return &BrokenError{Reason: ErrorStatus, Err: &StatusError{Status: answer.Status}}
 	}
--- a/internal/exchange/event_buffer.go
+++ b/internal/exchange/event_buffer.go
@@ -10,6 +10,9 @@
 	idField  = []byte("id:")
 )
 
+// maxEventBytes is the maximum size of one event: thousands of tokens.
+const maxEventBytes = 256 << 10
+
 // eventBuffer splits the bytes of a stream into complete events. The partial event
 // that a broken stream leaves behind is never forwarded.
 type eventBuffer struct {
@@ -22,6 +25,9 @@
 func (e *eventBuffer) add(data []byte) ([]byte, error) {
 	e.buffer = append(e.buffer, data...)
 	end := bytes.LastIndex(e.buffer, eventEnd)
+	if end < 0 && len(e.buffer) > maxEventBytes {
+		return nil, &EventTooLargeError{Limit: maxEventBytes}
+	}
 	if end < 0 {
 		return nil, nil
 	}
--- a/internal/exchange/exchanger.go
+++ b/internal/exchange/exchanger.go
@@ -11,7 +11,8 @@
 // Exchanger forwards requests to endpoints.
 type Exchanger struct {
 	Dependencies
-	budgets sync.Map // *Budget by service name
+	budgets  sync.Map // *Budget by service name
+	buffered bufferedBytes
 }
 
 // New returns an Exchanger.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,6 +15,7 @@
 	defaultKeepAlive = 4 * time.Second        // of a server that sends no Keep-Alive timeout
 	keepAliveMargin  = 700 * time.Millisecond // subtracted from the server's Keep-Alive timeout, which it counts from an earlier time
 	readBufferBytes  = 4096
+	maxHeadBytes     = 64 << 10 // of a response; four times what the platform allows callers
 )
 
 // conn is one connection to an endpoint.
@@ -20,12 +23,25 @@
 	net.Conn
 	address   string
 	reader    *bufio.Reader
+	limited   *io.LimitedReader // between the connection and reader
 	reused    bool
 	expiresAt time.Time // an idle connection is not reused from then on
 }
 
 func newConn(raw net.Conn, address string) *conn {
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	limited := &io.LimitedReader{R: raw}
+	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(limited, readBufferBytes), limited: limited}
+}
+
+// readHead reads the head of a response. Its body is not limited.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.limited.N = maxHeadBytes
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil && c.limited.N <= 0 {
+		return nil, &HeadTooLargeError{Limit: maxHeadBytes}
+	}
+	c.limited.N = math.MaxInt64
+	return response, err
 }
 
 // send writes a request in a single write.
--- /dev/null
+++ b/internal/upstream/head_too_large_error.go
@@ -0,0 +1,11 @@
+package upstream
+
+import "fmt"
+
+// HeadTooLargeError reports that the head of a response exceeds a limit.
+type HeadTooLargeError struct{ Limit int64 } // bytes
+
+// Error implements error.
+func (e *HeadTooLargeError) Error() string {
+	return fmt.Sprintf("the head of the response exceeds %d bytes", e.Limit)
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -36,7 +36,7 @@
 	err = c.send(head, body)
 	var response *http.Response
 	if err == nil {
-		response, err = http.ReadResponse(c.reader, &http.Request{Method: head.Method})
+		response, err = c.readHead(head.Method)
 	}
 	if err != nil {
 		stopWatch()
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,9 @@
 	conns            atomic.Int32
 	ended            chan struct{} // receives a value for each connection that the client closed
 	closeAfterAnswer bool          // close each connection after one answer
+	reset            bool          // by a reset
+	endless          string        // repeated after an answer until the client closes
+	written          atomic.Int64  // bytes of that
 }
 
 func newRawServer(answers ...string) *rawServer {
@@ -64,6 +68,16 @@
 			return
 		}
 		_, _ = io.WriteString(conn, answer)
+		for r.endless != "" {
+			n, err := io.WriteString(conn, strings.Repeat(r.endless, 1024))
+			r.written.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+		if r.reset {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
 		if r.closeAfterAnswer {
 			return
 		}
@@ -142,6 +156,39 @@
 		}
 	})
 
+	It("takes the end of the connection for the end of an answer without length or chunks, and never reuses it", func() {
+		r, p := newRawServer("HTTP/1.1 200 OK\r\n\r\nall of it", complete), pool()
+		r.closeAfterAnswer = true
+		body, err := get(p, r, false)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("all of it"))
+		_, err = get(p, r, false)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.conns.Load()).To(Equal(int32(2)))
+	})
+
+	It("returns an error for an answer without length or chunks whose connection is reset", func() {
+		r := newRawServer("HTTP/1.1 200 OK\r\n\r\na part")
+		r.closeAfterAnswer, r.reset = true, true
+		_, err := get(pool(), r, false)
+		Expect(err).To(HaveOccurred())
+	})
+
+	DescribeTable("gives up a head that does not end, without keeping it", func(begin, repeat string) {
+		r := newRawServer(begin)
+		r.endless = repeat
+		started := time.Now()
+		_, err := get(pool(), r, false)
+		var tooLarge *upstream.HeadTooLargeError
+		Expect(errors.As(err, &tooLarge)).To(BeTrue())
+		Expect(time.Since(started)).To(BeNumerically("<", time.Second))
+		Expect(r.written.Load()).To(BeNumerically("<", 16<<20), "what fits into the buffers of a connection")
+	},
+		Entry("one header without end", "HTTP/1.1 200 OK\r\nX: ", "xxxxxxxxxxxxxxxx"),
+		Entry("headers without end", "HTTP/1.1 200 OK\r\n", "X: y\r\n"),
+		Entry("no answer at all", "xxxxxxxx", "xxxxxxxxxxxxxxxx"),
+	)
+
 	It("closes the connection when the context ends while the body is read", func() {
 		r := newRawServer("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok")
 		limited, cancel := context.WithCancel(ctx)
