Refused parts outlive the age of their crashes in what daemons tell

A daemon that started more than five minutes after the crashes did not take over the verdict, though requests with the part went on coming and were refused elsewhere: a report was accepted by the age of each crash. It is accepted by the age of the newest crash or refusal now. Refused parts are told before refused requests, of which there may be more than a datagram holds.

Specs: a daemon that starts 31 minutes after the crashes (failed before), and one that is told beside 200 refused requests.

--- a/internal/exchange/buffered_bytes.go
+++ b/internal/exchange/buffered_bytes.go
@@ -24,9 +24,12 @@
 	release = func() { b.count.Add(-counted) }
 	for {
 		if len(data) == cap(data) {
-			data = append(data, make([]byte, max(len(data), bodyChunkBytes))...)[:len(data)]
-			b.count.Add(int64(cap(data)) - counted)
-			counted = int64(cap(data))
+			growth := int64(max(len(data), bodyChunkBytes))
+			counted += growth
+			if b.count.Add(growth) > maxBufferedBytes && len(data) >= smallBodyBytes {
+				return nil, release, &BodyTooLargeError{Limit: maxBufferedBytes}
+			}
+			data = append(make([]byte, 0, int64(len(data))+growth), data...)
 		}
 		n, err := body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
@@ -37,8 +40,6 @@
 			return data, release, nil
 		case err != nil:
 			return nil, release, err
-		case counted > smallBodyBytes && b.count.Load() > maxBufferedBytes:
-			return nil, release, &BodyTooLargeError{Limit: maxBufferedBytes}
 		}
 	}
 }
--- a/internal/suspect/report.go
+++ b/internal/suspect/report.go
@@ -9,6 +9,7 @@
 	Part    bool     // the trait is a part of a prompt; false: a whole request
 	Hash    uint64
 	Sound   bool // requests with the part were answered before the crashes
+	AgeMS   int  // milliseconds since the newest crash, refusal or trial
 	Crashes []ReportedCrash
 }
 
--- a/internal/suspect/reports.go
+++ b/internal/suspect/reports.go
@@ -12,7 +12,7 @@
 	reportPeriod = 1500 * time.Millisecond // for which a change is reported: many datagrams, so that lost ones do not matter
 	maxReports   = 64                      // which bounds a datagram
 	maxReported  = 8                       // crashes of one trait in a report, more than any verdict needs
-	// acceptAge is the age up to which a reported crash is accepted. Much below CrashTTL, so that daemons
+	// acceptAge is the age up to which a report is accepted. Much below CrashTTL, so that daemons
 	// cannot give each other back what has expired.
 	acceptAge = CrashTTL / 2
 )
@@ -34,13 +34,7 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b ranked) int {
-		if a.refused != b.refused {
-			if a.refused {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(b.changedAt.Compare(a.changedAt), cmp.Compare(a.Hash, b.Hash))
+		return cmp.Or(first(a.refused, b.refused), first(a.Part, b.Part), b.changedAt.Compare(a.changedAt), cmp.Compare(a.Hash, b.Hash))
 	})
 	var reports []Report
 	for _, r := range all[:min(len(all), maxReports)] {
@@ -49,9 +43,21 @@
 	return reports
 }
 
+// first orders what has a property before what has not.
+func first(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // newReport returns the report of a record, with its newest crashes.
 func newReport(trait Trait, entry record, now time.Time) Report {
-	report := Report{Part: trait.Part, Hash: trait.Hash, Sound: entry.sound}
+	report := Report{Part: trait.Part, Hash: trait.Hash, Sound: entry.sound, AgeMS: int(now.Sub(entry.last).Milliseconds())}
 	for key, crash := range entry.crashes {
 		report.Crashes = append(report.Crashes, ReportedCrash{Group: uint64(key.Group), AgeMS: int(now.Sub(crash.at).Milliseconds()), Cleared: crash.cleared})
 	}
@@ -87,15 +93,22 @@
 
 // merged returns the record with a report added, and whether it changed.
 func (r record) merged(report Report, now time.Time) (record, bool) {
-	changed := false
+	age := time.Duration(report.AgeMS) * time.Millisecond
+	if age >= acceptAge {
+		return r, false
+	}
+	changed, unknown := false, len(r.crashes) == 0
 	for _, crash := range report.Crashes {
 		key := GroupKey{Group: fleet.FencingNumber(crash.Group)}
 		known, ok := r.crashes[key]
-		if at := crash.at(now); now.Sub(at) < acceptAge && (!ok || crash.Cleared && !known.cleared) {
-			r = r.with(key, observation{at: at, cleared: crash.Cleared}, now)
+		if !ok || crash.Cleared && !known.cleared {
+			r = r.with(key, observation{at: crash.at(now), cleared: crash.Cleared}, now)
 			changed = true
 		}
 	}
+	if unknown {
+		r.last = now.Add(-age) // requests with the trait may have been refused long after the crashes
+	}
 	if report.Sound && !r.sound && len(r.crashes) > 0 {
 		r.sound, r.changedAt = true, now
 		changed = true
--- a/internal/suspect/verdict.go
+++ b/internal/suspect/verdict.go
@@ -36,13 +36,7 @@
 		}
 	}
 	slices.SortFunc(parts, func(a, b candidate) int {
-		if a.sound != b.sound {
-			if b.sound {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(len(b.groups), len(a.groups)), cmp.Compare(a.trait.Hash, b.trait.Hash))
+		return cmp.Or(first(!a.sound, !b.sound), cmp.Compare(len(b.groups), len(a.groups)), cmp.Compare(a.trait.Hash, b.trait.Hash))
 	})
 	var explaining []candidate
 	for _, part := range parts {
--- a/internal/suspect/verdict_test.go
+++ b/internal/suspect/verdict_test.go
@@ -163,4 +163,35 @@
 		Expect(standings(2*ttl-2000, cause)).To(Equal([]suspect.Standing{suspect.Refused}))
 		Expect(standings(2*ttl, cause)).To(Equal([]suspect.Standing{suspect.Clear}))
 	})
+
+	It("is refused by a daemon that starts long after the crashes, as long as requests with it come", func() {
+		for i := range 3 {
+			crash(0, fleet.FencingNumber(i), cause)
+		}
+		ttl := int(suspect.CrashTTL.Milliseconds())
+		for minute := 1; minute <= 30; minute++ {
+			table.Extend(parts(cause), at(minute*60_000))
+			Expect(standings(minute*60_000, cause)).To(Equal([]suspect.Standing{suspect.Refused}))
+		}
+		started := suspect.NewTable(suspect.Policy{})
+		started.Merge(table.Reports(at(31*60_000)), at(31*60_000))
+		Expect(started.Standing(parts(cause), at(31*60_000))).To(Equal(suspect.Refused))
+		Expect(started.Standing(parts(cause), at(31*60_000+ttl))).To(Equal(suspect.Clear), "no daemon gives back what has expired")
+		table.Merge(started.Reports(at(31*60_000+ttl-60_000)), at(31*60_000+ttl))
+		Expect(standings(31*60_000+ttl, cause)).To(Equal([]suspect.Standing{suspect.Clear}))
+	})
+
+	It("is told before requests that are refused, however many there are", func() {
+		for i := range 3 {
+			for request := range uint64(200) {
+				table.Add(suspect.Crash{Subject: suspect.Subject{Fingerprint: 5000 + request}, Group: fleet.FencingNumber(100 + i), At: at(0)}, at(0))
+			}
+			crash(0, fleet.FencingNumber(i), cause)
+		}
+		table.Review(at(5000))
+		Expect(len(table.Reports(at(5000)))).To(BeNumerically("<=", 64))
+		started := suspect.NewTable(suspect.Policy{})
+		started.Merge(table.Reports(at(5000)), at(5000))
+		Expect(started.Standing(parts(cause), at(5000))).To(Equal(suspect.Refused))
+	})
 })
