--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -514,6 +514,14 @@
 			add("c", 5, answers(200, io.EOF, event(2)))
 			Expect(run()).To(BeNil())
 			Expect(t.calls).To(Equal([]string{"a", "c 1"}))
+
+			t.calls, targets = nil, nil
+			add("d", 0, answers(200, io.ErrUnexpectedEOF, event(1)))
+			second := add("e", 1, named(200, io.EOF, event(2)))
+			limited(second, 1)
+			Expect(run()).To(BeNil())
+			Expect(t.calls).To(Equal([]string{"d", "e 1"}))
+			Expect(second.Limit.Admits(time.Now())).To(BeFalse())
 		})
 
 		It("sends as before after an answer that names none", func() {
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -95,7 +95,7 @@
 
 // place chooses a target and counts the request against its limit.
 func (r *run) place(targets []*placement.Target, now time.Time) (*placement.Target, placement.Reason) {
-	for {
+	for range len(targets) + 1 {
 		target, reason := placement.Pick(targets, placement.Requirements{
 			DataCentre:   r.DataCentre,
 			Grouped:      r.req.Service.Grouped(),
@@ -113,6 +113,7 @@
 			return target, reason
 		} // another request has taken the last one, so that Pick passes the target over
 	}
+	return nil, placement.HeldBack
 }
 
 // refused reports whether the request must not run because it, or a part of its prompt, crashed
