--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -504,7 +504,7 @@
 			failure := run()
 			Expect(failure.Reason).To(Equal(exchange.HeldBack))
 			Expect(failure.NotRun).To(BeTrue())
-			Expect(failure.RetryAfter).To(BeNumerically(">", 500*time.Millisecond), "one request a second, the last one just now")
+			Expect(failure.RetryAfter).To(BeNumerically(">", 900*time.Millisecond), "one request a second, the last one just now")
 		})
 
 		It("counts second attempts and resumed streams", func() {
