--- a/internal/exchange/watchdog.go
+++ b/internal/exchange/watchdog.go
@@ -84,7 +84,7 @@
 
 // checkStream cancels the attempt if no stream of the group has made progress for too
 // long, which indicates a lost member rather than load, or if the caller would soon
-// time out.
+// time out. An attempt without output whose request is refused now is cancelled as well.
 func (w *watchdog) checkStream() {
 	now := time.Now()
 	if !w.begun.Load() && w.run.withdrawn(now) {
