Wait for all crashes in the spec of gossip over hubs

The spec asserted five known crashes at the moment at which all daemons refuse the part, and three are enough for that. It now waits, as it did for the verdict, until each daemon knows exactly five; that is as strict, since a crash that counted twice would make it six.

--- a/internal/gossip/hubs_test.go
+++ b/internal/gossip/hubs_test.go
@@ -134,9 +134,14 @@
 			return all
 		}
 		Eventually(refused, "2s", "20ms").Should(HaveEach(suspect.Refused))
-		for _, t := range fleet {
-			Expect(t.suspects.Review(time.Now())).To(Equal(map[uint64]int{3: 5}))
+		known := func() []map[uint64]int {
+			var all []map[uint64]int
+			for _, t := range fleet {
+				all = append(all, t.suspects.Review(time.Now()))
+			}
+			return all
 		}
+		Eventually(known, "2s", "20ms").Should(HaveEach(map[uint64]int{3: 5}))
 		fleet[5].suspects.Clear(part, time.Now())
 		Eventually(refused, "2s", "20ms").Should(HaveEach(suspect.Clear))
 	})
