--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -19,14 +19,6 @@
 	refreshAfter = CrashTTL / 20
 )
 
-type records map[Trait]record
-
-// state is what a table holds. It is immutable.
-type state struct {
-	records
-	refused map[Trait]verdict
-}
-
 // Table holds the suspects that a daemon knows. Reads are lock-free.
 type Table struct {
 	policy  Policy
@@ -199,6 +191,7 @@
 // Prune forgets parts of which no request was answered lately.
 func (t *Table) Prune(now time.Time) { t.sound.prune(now) }
 
+// judgeAgain judges the records as they are.
 func (t *Table) judgeAgain(now time.Time) *state {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -208,6 +201,7 @@
 	return next
 }
 
+// update changes a copy of the records, without those that have expired, and judges it.
 func (t *Table) update(now time.Time, change func(records)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -220,16 +214,3 @@
 	next.dropOldest()
 	t.current.Store(&state{records: next, refused: judge(next, t.policy, now)})
 }
-
-func (r records) dropOldest() {
-	for len(r) > maxRecords {
-		var oldest Trait
-		found := false
-		for trait, entry := range r {
-			if !found || entry.last.Before(r[oldest].last) {
-				oldest, found = trait, true
-			}
-		}
-		delete(r, oldest)
-	}
-}
--- a/internal/suspect/verdict.go
+++ b/internal/suspect/verdict.go
@@ -6,13 +6,6 @@
 	"time"
 )
 
-// candidate is a trait with the groups that crashed on requests with it.
-type candidate struct {
-	trait  Trait
-	sound  bool
-	groups map[GroupKey]bool
-}
-
 // verdict is the refusal of a trait.
 type verdict struct {
 	doubtful bool // other parts could be the cause of each of the crashes as well
@@ -49,32 +42,6 @@
 	return refused
 }
 
-func (c candidate) threshold() int {
-	if c.sound {
-		return refuseSound
-	}
-	return refuseShared
-}
-
-// unexplained returns the number of crashes that no likelier part was in. Parts that are as likely
-// do not explain each other: they may always come together.
-func (c candidate) unexplained(others []candidate) int {
-	return c.unexplainedBy(slices.DeleteFunc(slices.Clone(others), func(o candidate) bool {
-		return o.sound == c.sound && len(o.groups) <= len(c.groups)
-	}))
-}
-
-// unexplainedBy returns the number of crashes that none of the others was in.
-func (c candidate) unexplainedBy(others []candidate) int {
-	count := 0
-	for group := range c.groups {
-		if !slices.ContainsFunc(others, func(o candidate) bool { return o.groups[group] }) {
-			count++
-		}
-	}
-	return count
-}
-
 func others(all []candidate, one candidate) []candidate {
 	return slices.DeleteFunc(slices.Clone(all), func(c candidate) bool { return c.trait == one.trait })
 }
