Tell when a daemon loses its links to the endpoints

Change: exchanges with endpoints go through one router (internal/forward), which gives each outcome to a tracker (internal/reach): distinct endpoints that fail in a row, and whether other daemons have told of events of these since.

--- a/internal/gateway/adapters.go
+++ b/internal/gateway/adapters.go
@@ -7,6 +7,7 @@
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/formation"
+	"github.com/plantainmux/plantainmux/internal/forward"
 	"github.com/plantainmux/plantainmux/internal/keyed"
 	"github.com/plantainmux/plantainmux/internal/notice"
 	"github.com/plantainmux/plantainmux/internal/registry"
@@ -15,9 +16,10 @@
 // Adapters connect a gateway with the platform.
 type Adapters struct {
 	Store        keyed.Log
-	Transport    exchange.Transport
+	Endpoints    forward.Sender // over this daemon's own connections
+	Transport    func(sender forward.Sender) exchange.Transport
 	Engines      formation.Engines
-	Notices      *notice.Publisher // what endpoints announce in answers to Transport and Engines
+	Notices      *notice.Publisher // what endpoints announce in answers to Endpoints and Engines
 	DecodeConfig func(data []byte) (*catalog.Catalog, error)
 	DecodeEntry  registry.Decoder
 	Topics       Topics
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/formation"
+	"github.com/plantainmux/plantainmux/internal/forward"
 	"github.com/plantainmux/plantainmux/internal/gossip"
 	"github.com/plantainmux/plantainmux/internal/keyed"
 	"github.com/plantainmux/plantainmux/internal/ledger"
@@ -52,6 +53,7 @@
 	reconciler     *formation.Reconciler
 	gossip         *gossip.Gossip
 	exchanger      *exchange.Exchanger
+	endpoints      *forward.Router
 	suspects       *suspect.Table
 	refusedParts   map[uint64]int // as last logged; by the housekeeping alone
 	failedRequests *exchange.FailedRequests
@@ -162,9 +164,15 @@
 }
 
 func (g *Gateway) buildRequestPath() {
+	g.endpoints = forward.NewRouter(forward.Dependencies{
+		Direct: g.adapters.Endpoints,
+		Known:  func() int { return g.view.Load().TargetCount() },
+		Vouch:  g.reachedByOthers,
+		Logger: g.logger,
+	})
 	g.exchanger = exchange.New(exchange.Dependencies{
 		View:           g.view.Load,
-		Transport:      g.adapters.Transport,
+		Transport:      g.adapters.Transport(g.endpoints),
 		DataCentre:     g.settings.DataCentre,
 		Daemons:        g.liveDaemons,
 		GossipDelay:    g.gossip.Delay,
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -64,6 +64,7 @@
 	for _, suspicion := range message.Suspicions {
 		if meter := g.meters.Find(placement.GroupKey(suspicion.Group, suspicion.Epoch)); meter != nil && !suspicion.Tentative {
 			meter.Suspect(now, suspicionTTL)
+			g.metrics.GetOrCreateCounter(`plantainmux_suspicions_received_total`).Inc()
 		}
 		g.reconciler.ProbeGroup(context.Background(), suspicion.Group, suspicion.Epoch, suspicion.MissingMember)
 	}
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -23,6 +23,7 @@
 	for round := 0; wait.For(ctx, housekeepingInterval); round++ {
 		now := time.Now()
 		g.applyGossip(now)
+		g.endpoints.Review(now)
 		g.registry.Expire(now)
 		if round%sweepRounds == 0 {
 			g.adapters.Sweep(now)
--- a/internal/placement/summary.go
+++ b/internal/placement/summary.go
@@ -6,6 +6,7 @@
 type Summary struct {
 	Targets   int // serving targets
 	Down      int // of these, excluded because they failed, are suspected, or had a connection break
+	Suspected int // of those down, targets that did not fail here but are suspected of being silent
 	LeastLoad int // requests in progress at the least loaded of the others
 	Slots     int // slots of that target
 }
@@ -14,8 +15,13 @@
 func Summarize(targets []*Target, now time.Time) Summary {
 	summary := Summary{Targets: len(targets)}
 	for _, target := range targets {
-		if target.Meter.RecentlyInterrupted(now) || target.Meter.Down(now) || target.Meter.InBackoff(now) || target.Meter.Suspected(now) {
+		failed := target.Meter.RecentlyInterrupted(now) || target.Meter.Down(now) || target.Meter.InBackoff(now)
+		suspected := target.Meter.Suspected(now)
+		if failed || suspected {
 			summary.Down++
+			if !failed {
+				summary.Suspected++
+			}
 			continue
 		}
 		if load := target.Meter.Load(); summary.Slots == 0 || load < summary.LeastLoad {
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -14,3 +14,17 @@
 	}
 	return v.Plain[service]
 }
+
+// TargetCount returns the number of targets of all services.
+func (v *View) TargetCount() int {
+	count := 0
+	for _, targets := range v.Plain {
+		count += len(targets)
+	}
+	for _, models := range v.Groups {
+		for _, targets := range models {
+			count += len(targets)
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/reach/tracker.go
@@ -0,0 +1,156 @@
+package reach
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	failureTTL      = 3 * time.Second        // for which a failure counts as evidence
+	minTrialBackoff = 300 * time.Millisecond // before another request is tried directly after one that failed; it doubles with each
+	maxTrialBackoff = 3 * time.Second
+)
+
+// Vouch reports whether another daemon has reached an endpoint later than a time.
+type Vouch func(endpoint string, since time.Time) bool
+
+// Tracker collects the outcomes of a daemon's exchanges with endpoints. It is safe for concurrent
+// use.
+type Tracker struct {
+	mu           sync.Mutex
+	failures     map[string]failure // by endpoint
+	state        State
+	changedAt    time.Time
+	trialFrom    time.Time // no request is tried directly before
+	trialBackoff time.Duration
+	inTrial      bool
+}
+
+// NewTracker returns the tracker of a daemon without exchanges.
+func NewTracker() *Tracker {
+	return &Tracker{failures: map[string]failure{}, trialBackoff: minTrialBackoff}
+}
+
+// State returns the current state.
+func (t *Tracker) State() State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state
+}
+
+// ObserveConnectFailure records that no connection was made to an endpoint since a time.
+func (t *Tracker) ObserveConnectFailure(endpoint string, since time.Time) {
+	t.observeFailure(endpoint, failure{at: since, connect: true})
+}
+
+// ObserveSilence records that an endpoint accepted a connection and answered nothing on it since
+// a time.
+func (t *Tracker) ObserveSilence(endpoint string, since time.Time) {
+	t.observeFailure(endpoint, failure{at: since})
+}
+
+func (t *Tracker) observeFailure(endpoint string, f failure) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known, ok := t.failures[endpoint]
+	if ok && f.at.Sub(known.at) < failureTTL && (known.connect || !f.connect) {
+		return
+	}
+	t.failures[endpoint] = f
+}
+
+// ObserveAnswer records that an endpoint answered. Only an answer on a new connection shows that
+// new connections reach the endpoints: old ones may live on while new ones do not.
+func (t *Tracker) ObserveAnswer(fresh bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.failures) == 0 {
+		return
+	}
+	for endpoint, f := range t.failures {
+		if fresh || !f.connect {
+			delete(t.failures, endpoint)
+		}
+	}
+}
+
+// Review applies the evidence at now. known is the number of endpoints that serve requests. It
+// returns the evidence, and whether the daemon counts as cut off from now on.
+func (t *Tracker) Review(now time.Time, known int, vouch Vouch) (evidence Evidence, lost bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	evidence.Known = known
+	for endpoint, f := range t.failures {
+		if now.Sub(f.at) > failureTTL {
+			delete(t.failures, endpoint)
+			continue
+		}
+		evidence.Failing++
+		if vouch(endpoint, f.at) {
+			evidence.Vouched++
+		}
+	}
+	if t.state != Connected || !evidence.cutOff() {
+		return evidence, false
+	}
+	t.enter(CutOff, now)
+	t.trialBackoff = minTrialBackoff
+	return evidence, true
+}
+
+// ObserveProbe records that an endpoint answered a probe on a new connection.
+func (t *Tracker) ObserveProbe(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.state == CutOff && !now.Before(t.trialFrom) {
+		t.enter(Recovering, now)
+	}
+}
+
+// BeginTrial reports whether a request may be sent directly to try the links. The caller ends the
+// trial with EndTrial.
+func (t *Tracker) BeginTrial() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.state != Recovering || t.inTrial {
+		return false
+	}
+	t.inTrial = true
+	return true
+}
+
+// EndTrial ends a trial. An answer ends the cut; without one the next trial waits longer.
+func (t *Tracker) EndTrial(answered bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inTrial = false
+	if t.state != Recovering {
+		return
+	}
+	if answered {
+		t.enter(Connected, now)
+		clear(t.failures)
+		return
+	}
+	t.enter(CutOff, now)
+	t.trialFrom = now.Add(t.trialBackoff)
+	t.trialBackoff = min(2*t.trialBackoff, maxTrialBackoff)
+}
+
+// CancelTrial ends a trial that showed nothing, as its caller left.
+func (t *Tracker) CancelTrial() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inTrial = false
+}
+
+// For returns how long the state has lasted.
+func (t *Tracker) For(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.changedAt)
+}
+
+func (t *Tracker) enter(state State, now time.Time) {
+	t.state, t.changedAt = state, now
+}
--- a/internal/targetstats/meter.go
+++ b/internal/targetstats/meter.go
@@ -194,3 +194,6 @@
 
 // EventSince reports whether any daemon has had an event of the target later than a time.
 func (m *Meter) EventSince(at time.Time) bool { return m.newestEvent() > at.UnixNano() }
+
+// RemoteEventSince reports whether another daemon has had an event of the target later than a time.
+func (m *Meter) RemoteEventSince(at time.Time) bool { return m.lastRemoteEvent.Load() > at.UnixNano() }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"time"
 )
@@ -12,7 +13,8 @@
 
 // Pool holds idle connections by address.
 type Pool struct {
-	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	connectTimeout time.Duration
+	dial           Dial
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -20,18 +22,26 @@
 
 // NewPool returns an empty pool. Connecting fails after connectTimeout.
 func NewPool(connectTimeout time.Duration) *Pool {
-	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &Pool{dial: dialer.DialContext, idle: map[string][]*conn{}}
+	return &Pool{connectTimeout: connectTimeout, dial: (&net.Dialer{}).DialContext, idle: map[string][]*conn{}}
+}
+
+// Through makes the pool connect with dial, and returns it. It must be called before the first use.
+func (p *Pool) Through(dial Dial) *Pool {
+	p.dial = dial
+	return p
 }
 
 // Send sends a request and reads the head of the response. It returns a *ConnectError or
-// an *ExchangeError. When ctx ends, the connection is closed, also while the body is
+// an *ExchangeError. A connection is reported to the httptrace.ClientTrace of ctx. When ctx ends, the connection is closed, also while the body is
 // read. If fresh is true, it uses a new connection.
 func (p *Pool) Send(ctx context.Context, address string, head Head, body []byte, fresh bool) (*Answer, error) {
 	c, err := p.get(ctx, address, fresh)
 	if err != nil {
 		return nil, &ConnectError{Address: address, Err: err}
 	}
+	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotConn != nil {
+		trace.GotConn(httptrace.GotConnInfo{Conn: c, Reused: c.reused})
+	}
 	stopWatch := context.AfterFunc(ctx, func() { _ = c.Close() })
 	err = c.send(head, body)
 	var response *http.Response
@@ -55,6 +65,8 @@
 			return c, nil
 		}
 	}
+	ctx, cancel := context.WithTimeout(ctx, p.connectTimeout)
+	defer cancel()
 	raw, err := p.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
