Failing specs: daemons that are cut off from all endpoints serve their callers

A stand-in for the link between one daemon and all endpoints (fakes.Link): connections hang, are reset, or live on while new ones are refused.

--- a/internal/endpoint/http_engine.go
+++ b/internal/endpoint/http_engine.go
@@ -40,6 +40,7 @@
 type HTTPEngine struct {
 	transport *http.Transport
 	control   *resty.Client
+	counter   *traffic.Counter // of the bytes of control; nil: not counted
 }
 
 // NewHTTPEngine returns an engine client.
@@ -54,9 +55,24 @@
 	transport := newTransport()
 	transport.DialContext = traffic.NewDialer(dialTimeout, counter).DialContext
 	e.control = newControlClient(transport)
+	e.counter = counter
 	return e
 }
 
+// ConnectWith makes the client connect with dial. It must be called before its first use.
+func (e *HTTPEngine) ConnectWith(dial Dial) {
+	e.transport.DialContext = dial.within(dialTimeout)
+	control := newTransport()
+	control.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial.within(dialTimeout)(ctx, network, address)
+		if err != nil || e.counter == nil {
+			return conn, err
+		}
+		return traffic.WrapConn(conn, e.counter), nil
+	}
+	e.control = newControlClient(control)
+}
+
 // newControlClient returns a client for reports and orders. Its user agent is short
 // because every poll sends it.
 func newControlClient(transport *http.Transport) *resty.Client {
--- a/internal/endpoint/http_service.go
+++ b/internal/endpoint/http_service.go
@@ -22,7 +22,8 @@
 
 // HTTPService implements Service over HTTP.
 type HTTPService struct {
-	client *resty.Client
+	client    *resty.Client
+	transport *http.Transport
 }
 
 // NewHTTPService returns a client of plain services. It never retries a call.
@@ -32,9 +33,12 @@
 	// A new connection for each call prevents that.
 	transport.DisableKeepAlives = true
 	client := &http.Client{Transport: transport, CheckRedirect: refuseRedirect}
-	return &HTTPService{client: resty.NewWithClient(client).SetResponseBodyLimit(serviceAnswerLimit)}
+	return &HTTPService{client: resty.NewWithClient(client).SetResponseBodyLimit(serviceAnswerLimit), transport: transport}
 }
 
+// ConnectWith makes the client connect with dial. It must be called before its first use.
+func (s *HTTPService) ConnectWith(dial Dial) { s.transport.DialContext = dial.within(dialTimeout) }
+
 func refuseRedirect(*http.Request, []*http.Request) error {
 	return http.ErrUseLastResponse
 }
--- a/internal/testbed/daemon.go
+++ b/internal/testbed/daemon.go
@@ -13,6 +13,8 @@
 
 	"github.com/plantainmux/plantainmux/internal/adminapi"
 	"github.com/plantainmux/plantainmux/internal/daemon"
+	"github.com/plantainmux/plantainmux/internal/endpoint"
+	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/group"
 	"github.com/plantainmux/plantainmux/internal/settings"
@@ -28,6 +30,7 @@
 type Daemon struct {
 	*daemon.Daemon
 	Latch      *Latch
+	Link       *fakes.Link // to all engines and services
 	DataCentre fleet.DataCentre
 	peers      []settings.Peer
 	adjust     func(*settings.Settings)
@@ -57,7 +60,8 @@
 	}
 	s = s.WithDefaults()
 	latch := NewLatch()
-	adapters := gated(daemon.NewAdapters(s), latch)
+	link := fakes.NewLink()
+	adapters := gated(connectedBy(daemon.NewAdapters(s), link), latch)
 	at := location{dataCentre: dataCentre, gate: latch}
 	b.network.add(listener.Addr().String(), at)
 	adapters.PeerListener = listener
@@ -65,7 +69,7 @@
 	built, err := daemon.New(s, adapters, b.logger)
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &Daemon{Daemon: built, Latch: latch, DataCentre: dataCentre, peers: peers, adjust: adjust, stop: cancel, done: make(chan struct{})}
+	d := &Daemon{Daemon: built, Latch: latch, Link: link, DataCentre: dataCentre, peers: peers, adjust: adjust, stop: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(d.done)
 		built.Run(ctx)
@@ -74,6 +78,13 @@
 	return d
 }
 
+// connectedBy makes the daemon's adapters reach engines and services over link.
+func connectedBy(adapters daemon.Adapters, link *fakes.Link) daemon.Adapters {
+	adapters.Engine.(*endpoint.HTTPEngine).ConnectWith(link.DialContext)
+	adapters.Service.(*endpoint.HTTPService).ConnectWith(link.DialContext)
+	return adapters
+}
+
 // gated wraps the daemon's adapters so that latch can block them or make them fail.
 func gated(adapters daemon.Adapters, latch *Latch) daemon.Adapters {
 	adapters.Log = &gatedLog{Log: adapters.Log, gate: latch}
