--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -62,11 +62,12 @@
 // updateRouting publishes a new routing snapshot and announces the local state
 // to all peers if it has changed. The caller holds mu.
 func (n *Network) updateRouting() {
-	next := newRouting(n.self, remoteState{Leaving: n.leaving, LogUnreachable: n.logUnreachable}, n.links)
+	state := remoteState{Leaving: n.leaving, LogUnreachable: n.logUnreachable, CutOff: n.cutOff}
+	next := newRouting(n.self, state, n.links)
 	n.routing.Store(next)
 	close(n.changed)
 	n.changed = make(chan struct{})
-	state := remoteState{Leaving: n.leaving, LogUnreachable: n.logUnreachable, DataCentres: sortedKeys(next.byDataCentre)}
+	state.DataCentres = sortedKeys(next.byDataCentre)
 	if state.equals(n.announced) {
 		return
 	}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -14,10 +14,13 @@
 	// Live returns the reachable daemons of the local data centre, the local
 	// one included, sorted.
 	Live() []fleet.DaemonID
-	// LogReaders returns the daemons of Live that can read the platform's log, or
-	// all of them if none can. Tasks that need the log are assigned among
+	// LogReaders returns the daemons of Live that can read the platform's log and are not cut off
+	// from the endpoints, or all of them if there is none. Tasks that need the log are assigned among
 	// these.
 	LogReaders() []fleet.DaemonID
+	// EndpointReachers returns the daemons of Live that are not cut off from the endpoints, sorted;
+	// none if all are.
+	EndpointReachers() []fleet.DaemonID
 	// DataCentres returns the other data centres that are reachable, sorted.
 	DataCentres() []fleet.DataCentre
 	// Publish sends soft state to other daemons at once, together with deferred
@@ -40,6 +43,8 @@
 	// OpenStream sends a streamed call to any daemon of another data centre and
 	// returns the stream of its answers. It fails with the same errors as Call.
 	OpenStream(ctx context.Context, to fleet.DataCentre, method Method, body any) (Stream, error)
+	// OpenStreamTo is like OpenStream, to one daemon of the local data centre.
+	OpenStreamTo(ctx context.Context, to fleet.DaemonID, method Method, body any) (Stream, error)
 	// HandleStream registers the handler of a streamed method.
 	HandleStream(method Method, handler StreamHandler)
 }
--- a/internal/peer/method.go
+++ b/internal/peer/method.go
@@ -11,4 +11,5 @@
 	MethodUsage    Method = "usage"    // fetch the complete capacity usage by team
 	MethodOrder    Method = "order"    // run an order of a slot that the daemon owns
 	MethodGenerate Method = "generate" // run a request of another data centre; streamed
+	MethodExchange Method = "exchange" // carry out an exchange with an endpoint; streamed
 )
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -43,6 +43,7 @@
 	changed        chan struct{}            // closed and replaced when links change
 	leaving        bool
 	logUnreachable bool
+	cutOff         bool
 	announced      remoteState
 }
 
@@ -82,6 +83,9 @@
 // LogReaders implements Mesh.
 func (n *Network) LogReaders() []fleet.DaemonID { return n.routing.Load().logReaders }
 
+// EndpointReachers implements Mesh.
+func (n *Network) EndpointReachers() []fleet.DaemonID { return n.routing.Load().reachers }
+
 // DataCentres implements Mesh.
 func (n *Network) DataCentres() []fleet.DataCentre { return n.routing.Load().dataCentres }
 
--- a/internal/peer/open_stream.go
+++ b/internal/peer/open_stream.go
@@ -23,13 +23,30 @@
 			return stream, nil
 		}
 		lastErr = err
-		if !certainlyNotRun(err) {
+		if !NotRun(err) {
 			return nil, err
 		}
 	}
 	return nil, lastErr
 }
 
+// OpenStreamTo implements Mesh.
+func (n *Network) OpenStreamTo(ctx context.Context, to fleet.DaemonID, method Method, body any) (Stream, error) {
+	l, ok := n.routing.Load().localLink(to)
+	if !ok {
+		return nil, &UnreachableError{Daemon: to}
+	}
+	encoded, err := cbor.Marshal(body)
+	if err != nil {
+		return nil, &EncodeError{Type: fmt.Sprintf("%T", body), Err: err}
+	}
+	stream, err := n.openOn(ctx, l, "", method, encoded)
+	if err != nil {
+		return nil, err
+	}
+	return stream, nil
+}
+
 // openOn opens a stream on one link and waits until it is accepted.
 func (n *Network) openOn(ctx context.Context, l *link, to fleet.DataCentre, method Method, body cbor.RawMessage) (*linkStream, error) {
 	call, id, err := l.begin(frame{Kind: frameOpen, Name: string(method), Body: body, DataCentre: to})
--- a/internal/peer/routing.go
+++ b/internal/peer/routing.go
@@ -10,7 +10,8 @@
 // and the links to them.
 type routing struct {
 	live         []fleet.DaemonID // daemons of the local data centre, sorted
-	logReaders   []fleet.DaemonID // daemons of live that can read the log, or all if none can; sorted
+	reachers     []fleet.DaemonID // daemons of live that are not cut off from the endpoints; sorted
+	logReaders   []fleet.DaemonID // daemons of reachers that can read the log, or all of live if there is none; sorted
 	local        []*link          // to daemons of the local data centre
 	links        map[fleet.DaemonID]*link
 	byDataCentre map[fleet.DataCentre][]*link // direct links to other data centres
@@ -35,6 +36,7 @@
 		r.addLive(self.Daemon, own)
 	}
 	slices.Sort(r.live)
+	slices.Sort(r.reachers)
 	slices.Sort(r.logReaders)
 	if len(r.logReaders) == 0 {
 		r.logReaders = r.live
@@ -64,6 +66,10 @@
 
 func (r *routing) addLive(daemon fleet.DaemonID, state remoteState) {
 	r.live = append(r.live, daemon)
+	if state.CutOff {
+		return
+	}
+	r.reachers = append(r.reachers, daemon)
 	if !state.LogUnreachable {
 		r.logReaders = append(r.logReaders, daemon)
 	}
--- a/internal/peer/run.go
+++ b/internal/peer/run.go
@@ -77,6 +77,17 @@
 	n.updateRouting()
 }
 
+// SetCutOff announces to the peers whether this daemon is cut off from the endpoints.
+func (n *Network) SetCutOff(cutOff bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cutOff == cutOff {
+		return
+	}
+	n.cutOff = cutOff
+	n.updateRouting()
+}
+
 // Drain waits until no call has been in progress for one heartbeat interval, so
 // that calls sent before the peers learned that this daemon is leaving are
 // answered too.
--- a/internal/peer/standalone.go
+++ b/internal/peer/standalone.go
@@ -25,6 +25,9 @@
 // LogReaders implements Mesh.
 func (s *Standalone) LogReaders() []fleet.DaemonID { return s.Live() }
 
+// EndpointReachers implements Mesh.
+func (s *Standalone) EndpointReachers() []fleet.DaemonID { return s.Live() }
+
 // DataCentres implements Mesh.
 func (s *Standalone) DataCentres() []fleet.DataCentre { return nil }
 
@@ -50,5 +53,10 @@
 	return nil, &UnreachableError{DataCentre: to}
 }
 
+// OpenStreamTo implements Mesh.
+func (s *Standalone) OpenStreamTo(_ context.Context, to fleet.DaemonID, _ Method, _ any) (Stream, error) {
+	return nil, &UnreachableError{Daemon: to}
+}
+
 // HandleStream implements Mesh.
 func (s *Standalone) HandleStream(Method, StreamHandler) {}
