Forward requests through another daemon while this one is cut off from the endpoints

Callers of daemons that are partitioned from all endpoints saw 503: 0 of 310 first tries served, the others 547 of 551.

Cause: a daemon took its own failures for failures of the endpoints, and had no way to an endpoint but its own connections. Each target went down after three failures in a row, and all requests were refused with no_target.

Change: a daemon counts as cut off when distinct endpoints in a row fail that other daemons have reached since (internal/reach). It then forgets what it held against the targets and sends each attempt through a daemon that is not cut off (internal/forward): the other one carries out one exchange over its own connections, keeps to what endpoints have announced to it, never forwards it again, and says whether it was not sent. Probes on new connections, then single repeatable requests, end the cut. Failures of the way are not held against targets. Daemons that are cut off do not plan groups, share limits or own trials.

The own interface is not mended yet.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
+	"github.com/plantainmux/plantainmux/internal/forward"
 	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 )
@@ -92,11 +93,20 @@
 			return r.endStream(answer)
 		}
 		if err != nil {
-			return &BrokenError{Reason: Cut, Err: err}
+			return brokenBody(err)
 		}
 	}
 }
 
+// brokenBody returns the failure of an answer that could not be read to its end.
+func brokenBody(err error) error {
+	var lost *forward.PathLostError
+	if errors.As(err, &lost) {
+		return &BrokenError{Reason: PathLost, Err: err}
+	}
+	return &BrokenError{Reason: Cut, Err: err}
+}
+
 // brokenStream returns the failure of a stream whose events cannot be used.
 func brokenStream(err error) error {
 	var tooLarge *EventTooLargeError
@@ -173,7 +183,7 @@
 		return &BrokenError{Reason: Oversize, Err: err}
 	}
 	if err != nil {
-		return &BrokenError{Reason: Cut, Err: err}
+		return brokenBody(err)
 	}
 	if r.started {
 		return &BrokenError{Reason: ErrorStatus, Err: &StatusError{Status: answer.Status}}
--- a/internal/exchange/break_reason.go
+++ b/internal/exchange/break_reason.go
@@ -6,6 +6,7 @@
 // Break reasons.
 const (
 	Cut         BreakReason = "cut"       // the connection was closed before the end of the answer
+	PathLost    BreakReason = "path_lost" // the daemon through which it was sent, or the links of this one, were lost
 	Foreign     BreakReason = "foreign"   // the answer belongs to another request
 	Unsigned    BreakReason = "unsigned"  // a 2xx answer without the endpoint's signature
 	Silent      BreakReason = "silent"    // no stream of the group made progress
--- a/internal/exchange/exchanger.go
+++ b/internal/exchange/exchanger.go
@@ -17,6 +17,9 @@
 
 // New returns an Exchanger.
 func New(dependencies Dependencies) *Exchanger {
+	if dependencies.Forwards == nil {
+		dependencies.Forwards = func() bool { return false }
+	}
 	return &Exchanger{Dependencies: dependencies}
 }
 
--- a/internal/exchange/failed_attempt_log.go
+++ b/internal/exchange/failed_attempt_log.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/plantainmux/plantainmux/internal/forward"
 	"github.com/plantainmux/plantainmux/internal/placement"
 )
 
@@ -40,6 +41,10 @@
 	var notRun *NotRunError
 	var broken *BrokenError
 	switch {
+	case errors.As(err, &notSent) && notSent.Blame == forward.BlamePath:
+		return "path_failed"
+	case errors.As(err, &notSent) && notSent.Blame == forward.BlameHold:
+		return "declined"
 	case errors.As(err, &notSent):
 		return "not_sent"
 	case errors.As(err, &notRun):
--- a/internal/exchange/not_sent_error.go
+++ b/internal/exchange/not_sent_error.go
@@ -1,9 +1,16 @@
 package exchange
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/plantainmux/plantainmux/internal/forward"
+)
 
 // NotSentError reports that no byte of the request reached the endpoint.
-type NotSentError struct{ Err error }
+type NotSentError struct {
+	Blame forward.Blame // what kept it from being sent
+	Err   error
+}
 
 // Error implements error.
 func (e *NotSentError) Error() string { return fmt.Sprintf("not sent: %v", e.Err) }
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/plantainmux/plantainmux/internal/forward"
 	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 )
@@ -93,6 +94,7 @@
 
 // place chooses a target and counts the request against its limit.
 func (r *run) place(targets []*placement.Target, now time.Time) (*placement.Target, placement.Reason) {
+	forwarded := r.Forwards()
 	for range len(targets) + 1 {
 		target, reason := placement.Pick(targets, placement.Requirements{
 			DataCentre:   r.DataCentre,
@@ -103,11 +105,12 @@
 			Priority:     r.req.Priority,
 			Daemons:      r.Daemons(),
 			GossipDelay:  r.GossipDelay(),
+			Forwarded:    forwarded,
 			Random:       rand.Float64(),
 			Excluded:     r.excluded,
 			Now:          now,
 		})
-		if target == nil || target.Limit.Take(now) {
+		if target == nil || forwarded || target.Limit.Take(now) {
 			return target, reason
 		} // another request has taken the last one, so that Pick passes the target over
 	}
@@ -128,7 +131,9 @@
 // handleFailure returns nil if another attempt may be made, otherwise the failure
 // of the request.
 func (r *run) handleFailure(ctx context.Context, target *placement.Target, err error) *Failure {
-	r.excluded[target.Key] = true
+	if !pathFailed(err) {
+		r.excluded[target.Key] = true
+	}
 	var gone *CallerGoneError
 	if errors.As(err, &gone) {
 		return &Failure{Reason: CallerGone, Started: r.started, Cause: err}
@@ -152,8 +157,11 @@
 func (r *run) recordFailure(target *placement.Target, err error) {
 	now := time.Now()
 	var notRun *NotRunError
+	var notSent *NotSentError
 	var broken *BrokenError
 	switch {
+	case errors.As(err, &notSent) && notSent.Blame != forward.BlameEndpoint:
+		// Shows nothing about the target.
 	case errors.As(err, &notRun):
 		if notRun.AddressReassigned || notRun.MissingMember != "" {
 			target.Meter.ObserveFailure(now)
@@ -171,6 +179,9 @@
 }
 
 func (r *run) recordBroken(target *placement.Target, broken *BrokenError, now time.Time) {
+	if r.Forwards() && (broken.Reason == Silent || broken.Reason == Slow) {
+		return // the way to the target may have failed
+	}
 	switch broken.Reason {
 	case Silent:
 		target.Meter.Suspect(now, suspectPeriod)
@@ -255,3 +266,14 @@
 	route := r.req.Route
 	return route.LatencyTarget > 0 && r.timeToFirst() > route.LatencyTarget || route.GapTarget > 0 && r.longestGap > route.GapTarget
 }
+
+// pathFailed reports whether an attempt failed on the way to its target, which another attempt may
+// reach.
+func pathFailed(err error) bool {
+	var notSent *NotSentError
+	var broken *BrokenError
+	if errors.As(err, &notSent) {
+		return notSent.Blame == forward.BlamePath
+	}
+	return errors.As(err, &broken) && broken.Reason == PathLost
+}
--- /dev/null
+++ b/internal/forward/decline_reason.go
@@ -0,0 +1,25 @@
+package forward
+
+// DeclineReason is why a daemon does not carry out an exchange for another one.
+type DeclineReason string
+
+// Reasons to decline an exchange.
+const (
+	DeclinedStopping DeclineReason = "stopping"         // the daemon is shutting down
+	DeclinedCutOff   DeclineReason = "cut_off"          // it is cut off from the endpoints itself
+	DeclinedUnknown  DeclineReason = "unknown_endpoint" // it sends the endpoint no requests, as to one that is leaving
+	DeclinedHeld     DeclineReason = "held_back"        // the endpoint wants no request of it now
+)
+
+// blame returns what keeps a declined exchange from being sent.
+func (r DeclineReason) blame() Blame {
+	if r == DeclinedStopping || r == DeclinedCutOff {
+		return BlamePath
+	}
+	return BlameHold
+}
+
+// Decline returns the error of an exchange that is declined.
+func Decline(reason DeclineReason) *NotSentError {
+	return &NotSentError{Blame: reason.blame(), Err: &DeclinedError{Reason: reason}}
+}
--- /dev/null
+++ b/internal/forward/released_body.go
@@ -0,0 +1,31 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"sync"
+)
+
+// releasedBody calls release once, with the error that ended the body, when it is closed.
+type releasedBody struct {
+	io.ReadCloser
+	release func(err error)
+	err     error
+	once    sync.Once
+}
+
+// Read implements io.Reader.
+func (b *releasedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.err = err
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *releasedBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.once.Do(func() { b.release(b.err) })
+	return err
+}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -10,5 +10,6 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
-	Reused bool // it came on a connection that had been used before
+	Reused bool   // it came on a connection that had been used before
+	Via    string // daemon through which it came; empty: it came directly
 }
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -3,32 +3,54 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
+	"math/rand/v2"
+	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/plantainmux/plantainmux/internal/reach"
 )
 
-// slowConnect is the time without a connection after which an endpoint counts as not reached. A
-// connection takes a round trip of a few milliseconds.
-const slowConnect = 150 * time.Millisecond
+const (
+	// slowConnect is the time without a connection after which an endpoint counts as not reached. A
+	// connection takes a round trip of a few milliseconds.
+	slowConnect   = 150 * time.Millisecond
+	probeInterval = 300 * time.Millisecond // while cut off
+	probeTimeout  = 250 * time.Millisecond
+	probeCount    = 2               // endpoints that must answer before a request is tried
+	slowAnswer    = 1 * time.Second // without an answer, after which the way through a daemon is suspected
+)
 
 // Dependencies are the collaborators of a Router.
 type Dependencies struct {
-	Direct Sender      // over this daemon's own connections
-	Known  func() int  // number of endpoints that serve requests
-	Vouch  reach.Vouch // whether another daemon has reached an endpoint
-	Logger *slog.Logger
+	Direct    Sender  // over this daemon's own connections
+	Forwarded *Client // through other daemons
+	Paths     Paths
+	Probed    func() []Endpoint // endpoints that serve requests
+	ProbePath string            // of a probe, which any HTTP response answers
+	Vouch     reach.Vouch       // whether another daemon has reached an endpoint
+	OnLost    func()            // called when the links are lost, before exchanges are forwarded
+	OnBack    func()            // called when the links are back
+	Metrics   *metrics.Set
+	Logger    *slog.Logger
 }
 
-// Router carries out the exchanges of a daemon and watches whether it reaches the endpoints.
+// Router carries out the exchanges of a daemon: over its own connections, and through another
+// daemon while it is cut off from the endpoints.
 type Router struct {
 	Dependencies
 	tracker *reach.Tracker
+	lost    atomic.Bool // the state is not Connected
+	probing atomic.Bool
 
-	mu      sync.Mutex
-	flights map[*flight]struct{}
+	mu       sync.Mutex
+	flights  map[*flight]struct{}
+	probedAt time.Time
 }
 
 // NewRouter returns a router without exchanges.
@@ -36,36 +58,119 @@
 	return &Router{Dependencies: dependencies, tracker: reach.NewTracker(), flights: map[*flight]struct{}{}}
 }
 
-// Send implements Sender.
+// Lost reports whether this daemon is cut off from the endpoints.
+func (r *Router) Lost() bool { return r.lost.Load() }
+
+// Forwards reports whether exchanges are forwarded to another daemon.
+func (r *Router) Forwards() bool { return r.Lost() && r.Paths.Any() }
+
+// Send implements Sender. It fails with PathLostError if the way to the endpoint broke.
 func (r *Router) Send(ctx context.Context, exchange Exchange) (*Response, error) {
-	return r.sendDirect(ctx, exchange)
+	if !r.Lost() {
+		return r.sendDirect(ctx, exchange)
+	}
+	if exchange.Repeatable && r.tracker.BeginTrial() {
+		return r.tryDirect(ctx, exchange)
+	}
+	via, ok := r.Paths.Pick(ctx)
+	if !ok {
+		return r.sendDirect(ctx, exchange)
+	}
+	return r.forward(ctx, via, exchange)
+}
+
+// forward sends an exchange through another daemon.
+func (r *Router) forward(ctx context.Context, via string, exchange Exchange) (*Response, error) {
+	began := time.Now()
+	response, err := r.Forwarded.Send(ctx, via, exchange)
+	r.count(err)
+	if err != nil {
+		r.Paths.Release(via, pathFailed(ctx, err, time.Since(began)))
+		return nil, err
+	}
+	response.Body = &releasedBody{ReadCloser: response.Body, release: func(err error) { r.Paths.Release(via, pathFailed(ctx, err, 0)) }}
+	return response, nil
+}
+
+// pathFailed reports whether an exchange that failed after a time shows that the way through a
+// daemon failed.
+func pathFailed(ctx context.Context, err error, after time.Duration) bool {
+	var notSent *NotSentError
+	var lost *PathLostError
+	switch {
+	case errors.As(err, &notSent):
+		return notSent.Blame == BlamePath
+	case ctx.Err() != nil:
+		return after > slowAnswer
+	default:
+		return errors.As(err, &lost)
+	}
 }
 
 // sendDirect sends over this daemon's own connections.
 func (r *Router) sendDirect(ctx context.Context, exchange Exchange) (*Response, error) {
 	f := &flight{endpoint: exchange.Endpoint.Key, began: time.Now()}
+	own, cancel := context.WithCancel(ctx)
+	f.cancel = cancel
 	r.begin(f)
 	defer r.end(f)
-	response, err := r.Direct.Send(f.trace(ctx), exchange)
+	response, err := r.Direct.Send(f.trace(own), exchange)
+	if err != nil {
+		cancel()
+		return nil, r.observeError(ctx, f, err)
+	}
+	response.Reused = f.reused.Load()
+	response.Body = &releasedBody{ReadCloser: response.Body, release: func(error) { cancel() }}
+	r.tracker.ObserveAnswer(!response.Reused)
+	return response, nil
+}
+
+// tryDirect sends an exchange to find out whether the links are back.
+func (r *Router) tryDirect(ctx context.Context, exchange Exchange) (*Response, error) {
+	exchange.Fresh = true
+	response, err := r.sendDirect(ctx, exchange)
+	switch {
+	case err != nil && errors.Is(context.Cause(ctx), context.Canceled):
+		r.tracker.CancelTrial()
+		return nil, err
+	default:
+		r.tracker.EndTrial(err == nil, time.Now())
+	}
 	if err == nil {
-		response.Reused = f.reused.Load()
-		r.tracker.ObserveAnswer(!response.Reused)
-		return response, nil
+		r.restore()
+	}
+	return response, err
+}
+
+// restore ends the cut.
+func (r *Router) restore() {
+	if r.tracker.State() != reach.Connected || !r.lost.CompareAndSwap(true, false) {
+		return
 	}
-	r.observeError(ctx, f, err)
-	return nil, err
+	r.Logger.Info("links to the endpoints are back")
+	r.OnBack()
 }
 
-func (r *Router) observeError(ctx context.Context, f *flight, err error) {
+// observeError records a failed exchange and returns the error that its sender gets.
+func (r *Router) observeError(ctx context.Context, f *flight, err error) error {
 	var notSent *NotSentError
+	isNotSent := errors.As(err, &notSent)
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		// The caller left, which shows nothing.
-	case errors.As(err, &notSent):
+	case isNotSent:
 		r.tracker.ObserveConnectFailure(f.endpoint, f.began)
 	default:
 		r.tracker.ObserveSilence(f.endpoint, f.began)
 	}
+	switch {
+	case !r.Forwards():
+		return err
+	case isNotSent:
+		return &NotSentError{Blame: BlamePath, Err: notSent.Err}
+	default:
+		return &PathLostError{Err: err}
+	}
 }
 
 func (r *Router) begin(f *flight) {
@@ -80,12 +185,21 @@
 	delete(r.flights, f)
 }
 
-// Review applies the evidence that has come up. It is called every tenth of a second.
+// Review applies the evidence that has come up, and probes endpoints while the links are lost. It
+// is called every tenth of a second.
 func (r *Router) Review(now time.Time) {
 	r.reportSlowConnects(now)
-	evidence, lost := r.tracker.Review(now, r.Known(), r.Vouch)
+	endpoints := r.Probed()
+	evidence, lost := r.tracker.Review(now, len(endpoints), r.Vouch)
 	if lost {
 		r.Logger.Warn("links to the endpoints lost", "endpoints_failing", evidence.Failing, "reached_by_others", evidence.Vouched, "endpoints", evidence.Known)
+		r.Metrics.GetOrCreateCounter(`plantainmux_links_lost_total`).Inc()
+		r.OnLost()
+		r.lost.Store(true)
+		r.cancelConnects()
+	}
+	if r.Lost() && r.probeDue(now) && !r.probing.Swap(true) {
+		go r.probe(endpoints)
 	}
 }
 
@@ -99,3 +213,59 @@
 		}
 	}
 }
+
+// cancelConnects cancels the exchanges that have no connection yet, so that they are forwarded.
+func (r *Router) cancelConnects() {
+	if !r.Paths.Any() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for f := range r.flights {
+		if !f.connected.Load() {
+			f.cancel()
+		}
+	}
+}
+
+func (r *Router) probeDue(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.probedAt) < probeInterval {
+		return false
+	}
+	r.probedAt = now
+	return true
+}
+
+// probe sends probes to random endpoints and records whether all of them answer.
+func (r *Router) probe(endpoints []Endpoint) {
+	defer r.probing.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	rand.Shuffle(len(endpoints), func(i, j int) { endpoints[i], endpoints[j] = endpoints[j], endpoints[i] })
+	for _, endpoint := range endpoints[:min(probeCount, len(endpoints))] {
+		response, err := r.Direct.Send(ctx, Exchange{Endpoint: endpoint, Method: http.MethodGet, Target: r.ProbePath, Host: endpoint.Address, Header: http.Header{}, Fresh: true})
+		if err != nil {
+			return
+		}
+		_ = response.Body.Close()
+	}
+	r.tracker.ObserveProbe(time.Now())
+}
+
+// count counts an exchange that was forwarded.
+func (r *Router) count(err error) {
+	outcome := "answered"
+	var notSent *NotSentError
+	var lost *PathLostError
+	switch {
+	case errors.As(err, &notSent):
+		outcome = "not_sent_" + notSent.Blame.String()
+	case errors.As(err, &lost):
+		outcome = "path_lost"
+	case err != nil:
+		outcome = "broken"
+	}
+	r.Metrics.GetOrCreateCounter(fmt.Sprintf(`plantainmux_forwarded_total{outcome=%q}`, outcome)).Inc()
+}
--- a/internal/gateway/adapters.go
+++ b/internal/gateway/adapters.go
@@ -19,6 +19,7 @@
 	Endpoints    forward.Sender // over this daemon's own connections
 	Transport    func(sender forward.Sender) exchange.Transport
 	Engines      formation.Engines
+	ProbePath    string            // of endpoints, answered by any HTTP response
 	Notices      *notice.Publisher // what endpoints announce in answers to Endpoints and Engines
 	DecodeConfig func(data []byte) (*catalog.Catalog, error)
 	DecodeEntry  registry.Decoder
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -23,7 +23,7 @@
 
 // ownsTrial reports whether this daemon may let a refused request through as a trial.
 func (g *Gateway) ownsTrial(trait suspect.Trait) bool {
-	return rendezvous.Chosen(trait.String(), g.gossip.Live(time.Now()), 1, g.settings.Node)
+	return rendezvous.Chosen(trait.String(), g.dutyDaemons(time.Now()), 1, g.settings.Node)
 }
 
 // reviewCrashes clears the crashes of groups that have sent events since: their connections broke,
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -1,6 +1,57 @@
 package gateway
 
-import "time"
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/exchange"
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/forward"
+	"github.com/plantainmux/plantainmux/internal/peer"
+	"github.com/plantainmux/plantainmux/internal/placement"
+)
+
+const (
+	// meshDataCentre is the data centre of all daemons in the mesh: each is linked directly with
+	// those that forward for it, wherever they are.
+	meshDataCentre = fleet.DataCentre("all")
+	// linkHeartbeat is the interval of heartbeats on a link. One that is silent for three of them is
+	// lost, before callers leave a silent stream.
+	linkHeartbeat      = 400 * time.Millisecond
+	forwardersInterval = time.Second // between choices of the daemons to forward through, while the links are sound
+)
+
+// buildEndpoints builds what carries out exchanges with endpoints.
+func (g *Gateway) buildEndpoints() error {
+	mesh, err := peer.NewNetwork(peer.Options{Self: fleet.DaemonID(g.settings.Node), DataCentre: meshDataCentre, Heartbeat: linkHeartbeat, Logger: g.logger})
+	if err != nil {
+		return err
+	}
+	g.mesh = mesh
+	g.paths = forward.NewLinkPool(&meshLinks{gateway: g}, g.forwarders)
+	g.endpoints = forward.NewRouter(forward.Dependencies{
+		Direct:    g.adapters.Endpoints,
+		Forwarded: forward.NewClient(mesh),
+		Paths:     g.paths,
+		Probed:    g.servingEndpoints,
+		ProbePath: g.adapters.ProbePath,
+		Vouch:     g.reachedByOthers,
+		OnLost:    g.linksLost,
+		OnBack:    func() {},
+		Metrics:   g.metrics,
+		Logger:    g.logger,
+	})
+	forward.NewServer(mesh, forward.ServerDependencies{Direct: g.adapters.Endpoints, Admit: g.admitForwarded, Metrics: g.metrics, Logger: g.logger})
+	return nil
+}
+
+// servingEndpoints returns the endpoints of all targets.
+func (g *Gateway) servingEndpoints() []forward.Endpoint {
+	var endpoints []forward.Endpoint
+	g.view.Load().Each(func(target *placement.Target) { endpoints = append(endpoints, exchange.EndpointOf(target)) })
+	return endpoints
+}
 
 // reachedByOthers reports whether another daemon has told of an event of a target later than a
 // time. It implements reach.Vouch.
@@ -8,3 +59,90 @@
 	meter := g.meters.Find(target)
 	return meter != nil && meter.RemoteEventSince(since.Add(eventTimeTolerance))
 }
+
+// linksLost drops what this daemon holds against targets: its links failed, not they.
+func (g *Gateway) linksLost() {
+	g.meters.Each(func(_ string, meter meter) { meter.ForgetFailures() })
+	g.suspicions.clear()
+	g.paths.Prepare()
+}
+
+// forwarders returns the daemons through which this one forwards while it is cut off.
+func (g *Gateway) forwarders() []string { return *g.forwardersNow.Load() }
+
+// updateForwarders chooses these daemons.
+func (g *Gateway) updateForwarders(now time.Time) {
+	if !g.endpoints.Lost() && len(*g.forwardersNow.Load()) > 0 && now.Sub(g.forwardersAt) < forwardersInterval {
+		return
+	}
+	g.forwardersAt = now
+	peers, cutOffHere := g.gossip.Forwarders(now)
+	candidates := make([]forward.Candidate, 0, len(peers))
+	addresses := make(map[string]string, len(peers))
+	for _, p := range peers {
+		candidates = append(candidates, forward.Candidate{Daemon: p.Node, DataCentre: p.DataCentre})
+		addresses[p.Node] = p.Address
+	}
+	g.addressOf.Store(&addresses)
+	chosen := forward.Choose(g.settings.Node, g.settings.DataCentre, candidates, cutOffHere)
+	g.forwardersNow.Store(&chosen)
+}
+
+// dutyDaemons returns the live daemons that duties towards endpoints are divided among: those
+// that reach them, or all if none does.
+func (g *Gateway) dutyDaemons(now time.Time) []string {
+	if connected := g.gossip.Connected(now, g.endpoints.Lost()); len(connected) > 0 {
+		return connected
+	}
+	return g.gossip.Live(now)
+}
+
+// admitForwarded decides on an exchange that another daemon forwards. What endpoints announced to
+// this daemon holds for it, as it is the one that sends it.
+func (g *Gateway) admitForwarded(exchange forward.Exchange) (done func(), refused *forward.NotSentError) {
+	now := time.Now()
+	switch {
+	case g.stoppingFor(now) > admissionPeriod:
+		return nil, forward.Decline(forward.DeclinedStopping)
+	case g.endpoints.Lost():
+		return nil, forward.Decline(forward.DeclinedCutOff)
+	}
+	target := g.view.Load().Find(exchange.Endpoint.Key)
+	switch {
+	case target == nil:
+		return nil, forward.Decline(forward.DeclinedUnknown)
+	case target.Hold.Remaining(now) > 0 || !target.Limit.Take(now):
+		return nil, forward.Decline(forward.DeclinedHeld)
+	}
+	return g.Begin(), nil
+}
+
+// meshLinks establishes links to daemons that gossip has told of. It implements forward.Links.
+type meshLinks struct{ gateway *Gateway }
+
+// Connect implements forward.Links.
+func (m *meshLinks) Connect(daemon string) func() {
+	address := (*m.gateway.addressOf.Load())[daemon]
+	m.gateway.startMesh()
+	return m.gateway.mesh.Connect(peer.Address{HostPort: address, DataCentre: meshDataCentre})
+}
+
+// Await implements forward.Links.
+func (m *meshLinks) Await(ctx context.Context, daemon string, timeout time.Duration) bool {
+	return m.gateway.mesh.AwaitLink(ctx, fleet.DaemonID(daemon), timeout)
+}
+
+// Idle implements forward.Links.
+func (m *meshLinks) Idle(daemon string) bool {
+	return m.gateway.mesh.LinkIdle(fleet.DaemonID(daemon))
+}
+
+// startMesh runs the mesh from its first use on: a daemon that neither forwards nor is forwarded
+// to has no links to keep.
+func (g *Gateway) startMesh() { g.meshStart.Do(func() { g.tasks.Go(g.mesh.Run) }) }
+
+// acceptLink accepts a link of another daemon.
+func (g *Gateway) acceptLink(w http.ResponseWriter, r *http.Request) {
+	g.startMesh()
+	g.mesh.Handler().ServeHTTP(w, r)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/plantainmux/plantainmux/internal/gossip"
 	"github.com/plantainmux/plantainmux/internal/keyed"
 	"github.com/plantainmux/plantainmux/internal/ledger"
+	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/peerlog"
 	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/registry"
@@ -54,6 +55,12 @@
 	gossip         *gossip.Gossip
 	exchanger      *exchange.Exchanger
 	endpoints      *forward.Router
+	mesh           *peer.Network // links to the daemons through which this one forwards, and to those that forward through it
+	meshStart      sync.Once
+	paths          *forward.LinkPool
+	forwardersNow  atomic.Pointer[[]string] // daemons through which this one forwards while it is cut off
+	forwardersAt   time.Time                // when they were chosen; by the housekeeping alone
+	addressOf      atomic.Pointer[map[string]string]
 	suspects       *suspect.Table
 	refusedParts   map[uint64]int // as last logged; by the housekeeping alone
 	failedRequests *exchange.FailedRequests
@@ -114,6 +121,11 @@
 	g.planners.Store(&[]string{s.Node})
 	g.view.Store(&placement.View{})
 	g.trafficSeen.Store(!s.First)
+	g.forwardersNow.Store(&[]string{})
+	g.addressOf.Store(&map[string]string{})
+	if err := g.buildEndpoints(); err != nil {
+		return nil, err
+	}
 	if err := g.buildGossip(); err != nil {
 		return nil, err
 	}
@@ -164,12 +176,6 @@
 }
 
 func (g *Gateway) buildRequestPath() {
-	g.endpoints = forward.NewRouter(forward.Dependencies{
-		Direct: g.adapters.Endpoints,
-		Known:  func() int { return g.view.Load().TargetCount() },
-		Vouch:  g.reachedByOthers,
-		Logger: g.logger,
-	})
 	g.exchanger = exchange.New(exchange.Dependencies{
 		View:           g.view.Load,
 		Transport:      g.adapters.Transport(g.endpoints),
@@ -187,6 +193,7 @@
 			Window: time.Duration(g.settings.Bounds.RetryWindowS * float64(time.Second)),
 		},
 		BodyLimit:     answerBodyLimit,
+		Forwards:      g.endpoints.Forwards,
 		ReportSuspect: g.reportSuspect,
 	})
 }
@@ -208,6 +215,7 @@
 	g.logger.Info("daemon started", "callers", g.settings.Listen.Callers, "first", g.settings.First)
 	<-ctx.Done()
 	g.shutDown(servers, g.stop())
+	g.mesh.Close()
 	cancel()
 	g.tasks.Wait()
 	g.logger.Info("daemon stopped", "ran_s", time.Since(g.started).Seconds())
@@ -217,6 +225,7 @@
 func (g *Gateway) listen() ([]*http.Server, error) {
 	own := http.NewServeMux()
 	own.Handle(peerlog.Path, peerlog.Handler(g.mirror))
+	own.HandleFunc("GET "+peer.Path, g.acceptLink)
 	own.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { g.writeMetrics(w) })
 	handlers := map[string]http.Handler{
 		g.settings.Listen.Callers:   g.adapters.Callers(g),
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -33,7 +33,7 @@
 func (g *Gateway) gossipMessage() gossip.Message {
 	now := time.Now()
 	message := gossip.Message{
-		Draining: g.stopping.Load(), Traffic: g.trafficSeen.Load(), Store: g.storeReached(),
+		Draining: g.stopping.Load(), Traffic: g.trafficSeen.Load(), Store: g.storeReached(), CutOff: g.endpoints.Lost(),
 		Suspicions: g.suspicions.list(now), NewGroups: g.recentlyOpened(now), Suspects: g.suspects.Reports(now), Limits: g.limits.Reports(now),
 		FailedRequests: g.failedRequests.Recent(now),
 	}
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -23,10 +23,12 @@
 	for round := 0; wait.For(ctx, housekeepingInterval); round++ {
 		now := time.Now()
 		g.applyGossip(now)
+		g.updateForwarders(now)
 		g.endpoints.Review(now)
 		g.registry.Expire(now)
 		if round%sweepRounds == 0 {
 			g.adapters.Sweep(now)
+			g.paths.Sweep(now)
 			g.pruneMeters()
 			g.failedRequests.Prune(now)
 			g.suspects.Prune(now)
@@ -52,7 +54,7 @@
 	g.metersByHash.Store(&metersByHash)
 	g.reviewCrashes(now)
 	if g.limits.Any() {
-		g.limits.Share(live, g.settings.Node, now)
+		g.limits.Share(g.dutyDaemons(now), g.settings.Node, now)
 	}
 }
 
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -37,7 +37,7 @@
 	if !g.limits.GetOrCreate(n.Endpoint, n.Incarnation).Observe(limit, now) {
 		return
 	}
-	g.limits.Share(g.gossip.Live(now), g.settings.Node, now)
+	g.limits.Share(g.dutyDaemons(now), g.settings.Node, now)
 	g.metrics.GetOrCreateCounter(`plantainmux_endpoint_notices_total{kind="limit"}`).Inc()
 	g.logger.Info("endpoint named a limit", "endpoint", n.Endpoint, "requests_per_s", limit)
 }
--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -44,7 +44,7 @@
 	if g.settling(now) {
 		return g.gossip.ExpectedReaders()
 	}
-	return g.gossip.Readers(now, g.canReadForPeers())
+	return g.gossip.Planners(now, g.canReadForPeers(), g.endpoints.Lost())
 }
 
 // awaitsReader reports whether the fleet has just started and this daemon waits for what another
--- a/internal/gateway/suspicions.go
+++ b/internal/gateway/suspicions.go
@@ -27,6 +27,13 @@
 	s.expiresAt[suspicion] = now.Add(suspicionPublishPeriod)
 }
 
+// clear drops all suspicions.
+func (s *suspicions) clear() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.expiresAt)
+}
+
 func (s *suspicions) list(now time.Time) []gossip.Suspicion {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -18,6 +18,7 @@
 	NewGroups  []Suspicion     `cbor:"11,keyasint,omitempty"`
 
 	FailedRequests []uint32 `cbor:"13,keyasint,omitempty"`
+	CutOff         []uint32 `cbor:"16,keyasint,omitempty"` // of Members, those that are cut off from the endpoints
 }
 
 // add merges the message that a daemon sent age ago into the digest.
@@ -32,6 +33,15 @@
 	}
 }
 
+// addMember adds the state of a daemon. What members have in common with daemons of earlier
+// versions keeps its form.
+func (d *Digest) addMember(member Member, cutOff bool) {
+	d.Members = append(d.Members, member)
+	if cutOff {
+		d.CutOff = append(d.CutOff, member.Hash)
+	}
+}
+
 func (d *Digest) addLoad(key uint32, load Load) {
 	if d.Loads == nil {
 		d.Loads = map[uint32]Load{}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -170,7 +170,7 @@
 	peer.sequence = message.Sequence
 	now := time.Now()
 	peer.lastSeen, peer.lastReceived = now, now
-	peer.reachesStore, peer.draining = message.Store, message.Draining
+	peer.reachesStore, peer.draining, peer.cutOff = message.Store, message.Draining, message.CutOff
 	peer.message = message
 	return peer
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -64,7 +64,7 @@
 		Eventually(func() []string { return a.Live(time.Now()) }, "3s").Should(Equal([]string{"a", "b"}))
 		Expect(a.Loads(time.Now())).To(HaveKeyWithValue(uint32(1), HaveField("Count", 2)))
 		Expect(*receivedReports.Load()).To(Equal([]suspect.Report{{Hash: 3, Crashes: []suspect.ReportedCrash{{Group: 1}}}}))
-		Expect(a.Readers(time.Now(), false)).To(Equal([]string{"b"}))
+		Expect(a.Planners(time.Now(), false, false)).To(Equal([]string{"b"}))
 		Expect(receivedConfig.Load()).To(Equal(int64(9)))
 		name, _ := a.Reader(time.Now(), true)
 		other, _ := b.Reader(time.Now(), true)
--- a/internal/gossip/hubs.go
+++ b/internal/gossip/hubs.go
@@ -154,16 +154,14 @@
 func (g *Gossip) digestFor(receiver *Peer, own Message, now time.Time) *Digest {
 	digest := &Digest{DataCentre: g.DataCentre}
 	digest.add(own, 0)
-	digest.Members = append(digest.Members, Member{Hash: HashKey(g.Node), Store: own.Store, Draining: own.Draining})
+	digest.addMember(Member{Hash: HashKey(g.Node), Store: own.Store, Draining: own.Draining}, own.CutOff)
 	for _, peer := range g.peers {
 		age := now.Sub(peer.lastReceived)
 		if peer == receiver || peer.DataCentre != g.DataCentre || age > messageMaxAge*g.hubInterval {
 			continue
 		}
 		digest.add(peer.message, age)
-		digest.Members = append(digest.Members, Member{
-			Hash: HashKey(peer.Node), AgeMS: int(age.Milliseconds()), Store: peer.reachesStore, Draining: peer.draining,
-		})
+		digest.addMember(Member{Hash: HashKey(peer.Node), AgeMS: int(age.Milliseconds()), Store: peer.reachesStore, Draining: peer.draining}, peer.cutOff)
 	}
 	return digest
 }
@@ -213,6 +211,7 @@
 			continue
 		}
 		peer.lastSeen, peer.reachesStore, peer.draining = lastSeen, member.Store, member.Draining
+		peer.cutOff = slices.Contains(digest.CutOff, member.Hash)
 	}
 	return true
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -26,6 +26,8 @@
 	// Limits is what the daemon knows of limits that endpoints name, own and learnt, as Suspects.
 	Limits []targetstats.LimitReport `cbor:"15,keyasint,omitempty"`
 
+	CutOff bool `cbor:"16,keyasint,omitempty"` // the daemon is cut off from the endpoints
+
 	FailedRequests []uint32 `cbor:"13,keyasint,omitempty"` // shortened fingerprints of requests that recently ended without an answer
 
 	Digests []cbor.RawMessage `cbor:"12,keyasint,omitempty"` // encoded Digest of each data centre; set by hubs
--- a/internal/gossip/peer.go
+++ b/internal/gossip/peer.go
@@ -14,6 +14,7 @@
 	lastReceived time.Time // last datagram received from the peer itself
 	reachesStore bool      // the peer reaches the store
 	draining     bool
+	cutOff       bool // the peer is cut off from the endpoints
 	sequence     uint64
 	message      Message
 	lastSent     time.Time // last datagram sent to the peer
--- a/internal/gossip/queries.go
+++ b/internal/gossip/queries.go
@@ -13,6 +13,58 @@
 	return live
 }
 
+// Connected returns the names of the live daemons that are not cut off from the endpoints, sorted.
+// cutOff states whether this daemon is.
+func (g *Gossip) Connected(now time.Time, cutOff bool) []string {
+	var connected []string
+	if !cutOff {
+		connected = append(connected, g.Node)
+	}
+	g.eachLive(now, func(peer *Peer) {
+		if !peer.cutOff {
+			connected = append(connected, peer.Node)
+		}
+	})
+	slices.Sort(connected)
+	return connected
+}
+
+// Forwarders returns the other live daemons that reach the endpoints and take new work, and the
+// number of daemons of this data centre that are cut off, this one included.
+func (g *Gossip) Forwarders(now time.Time) (forwarders []Peer, cutOffHere int) {
+	cutOffHere = 1
+	g.eachLive(now, func(peer *Peer) {
+		switch {
+		case peer.cutOff && peer.DataCentre == g.DataCentre:
+			cutOffHere++
+		case !peer.cutOff && !peer.draining:
+			forwarders = append(forwarders, *peer)
+		}
+	})
+	return forwarders, cutOffHere
+}
+
+// Planners returns the names of the daemons that plan groups, one of each data centre that has a
+// live daemon with access to the store and to the endpoints, sorted. The reader of a data centre
+// plans unless it is cut off from the endpoints.
+func (g *Gossip) Planners(now time.Time, reachesStore, cutOff bool) []string {
+	candidates := candidatesByDataCentre{}
+	g.eachLive(now, func(peer *Peer) {
+		if peer.reachesStore && !peer.draining && !peer.cutOff {
+			candidates.add(*peer)
+		}
+	})
+	if reachesStore && !cutOff {
+		candidates.add(g.self())
+	}
+	var planners []string
+	for _, planner := range candidates.choose() {
+		planners = append(planners, planner.Node)
+	}
+	slices.Sort(planners)
+	return planners
+}
+
 // Reader returns the name and the address of the daemon that reads the store for this
 // data centre. reachesStore states whether this daemon can reach the store. The name is
 // this daemon's own if it is the reader, and empty if no daemon reaches the store.
@@ -51,17 +103,6 @@
 	return candidates.choose()
 }
 
-// Readers returns the names of the daemons that read the store for their data
-// centres, sorted.
-func (g *Gossip) Readers(now time.Time, reachesStore bool) []string {
-	var names []string
-	for _, reader := range g.readers(now, reachesStore) {
-		names = append(names, reader.Node)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // readers returns the reader of each data centre that has a live daemon with access
 // to the store.
 func (g *Gossip) readers(now time.Time, reachesStore bool) map[string]Peer {
--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -16,7 +16,7 @@
 	t := candidateTiers{healthy: make([]*Target, 0, len(targets))}
 	for _, target := range targets {
 		switch {
-		case target.Hold.Remaining(requirements.Now) > 0 || !target.Limit.Admits(requirements.Now):
+		case target.Hold.Remaining(requirements.Now) > 0 || !requirements.Forwarded && !target.Limit.Admits(requirements.Now):
 			t.held++
 		case requirements.Excluded[target.Key] || target.Meter.Down(requirements.Now):
 		case isSuspect(target, requirements):
--- a/internal/placement/requirements.go
+++ b/internal/placement/requirements.go
@@ -14,6 +14,7 @@
 	Daemons      int             // number of live daemons
 	GossipDelay  time.Duration   // with which this daemon learns of the requests of others
 	Random       float64         // uniform in [0, 1)
+	Forwarded    bool            // another daemon sends it, and keeps to the limits that endpoints name
 	Excluded     map[string]bool // keys of targets that failed this request
 	Now          time.Time
 }
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -15,16 +15,29 @@
 	return v.Plain[service]
 }
 
-// TargetCount returns the number of targets of all services.
-func (v *View) TargetCount() int {
-	count := 0
+// Find returns the target with a key, nil if there is none.
+func (v *View) Find(key string) *Target {
+	var found *Target
+	v.Each(func(target *Target) {
+		if target.Key == key {
+			found = target
+		}
+	})
+	return found
+}
+
+// Each calls f with each target.
+func (v *View) Each(f func(target *Target)) {
 	for _, targets := range v.Plain {
-		count += len(targets)
+		for _, target := range targets {
+			f(target)
+		}
 	}
 	for _, models := range v.Groups {
 		for _, targets := range models {
-			count += len(targets)
+			for _, target := range targets {
+				f(target)
+			}
 		}
 	}
-	return count
 }
--- a/internal/targetstats/health.go
+++ b/internal/targetstats/health.go
@@ -36,6 +36,13 @@
 	}
 }
 
+// ForgetFailures drops the failures and the suspicion of the target.
+func (m *Meter) ForgetFailures() {
+	m.failures.Store(0)
+	m.streamBrokeAt.Store(0)
+	m.suspectedUntil.Store(0)
+}
+
 // Suspect marks the target as suspected of being silent for the given duration from
 // now on, or until its next event.
 func (m *Meter) Suspect(now time.Time, duration time.Duration) {
--- a/test/cut_off_test.go
+++ b/test/cut_off_test.go
@@ -17,7 +17,7 @@
 	cutOffPeriod       = 3 * time.Second // after the cut, from which on they hold
 	cutOffMeasured     = 3 * time.Second
 	tryInterval        = 40 * time.Millisecond // between two requests to a daemon
-	leastServedShare   = 2.0 / 3 // of what the other daemons' callers get
+	leastServedShare   = 2.0 / 3               // of what the other daemons' callers get
 	allowedFailures    = 10
 	allowedFailedShare = 1.0 / 50 // of all first tries
 	callerPatience     = 2 * time.Second
