--- a/internal/endpoint/http_engine.go
+++ b/internal/endpoint/http_engine.go
@@ -14,6 +14,7 @@
 	"github.com/go-resty/resty/v2"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/traffic"
 )
 
@@ -39,6 +40,8 @@
 // HTTPEngine implements Engine over HTTP.
 type HTTPEngine struct {
 	transport *http.Transport
+	requests  http.RoundTripper // carries out requests of callers; transport unless set by SendThrough
+	cancels   *resty.Client
 	control   *resty.Client
 	counter   *traffic.Counter // of the bytes of control; nil: not counted
 }
@@ -46,9 +49,20 @@
 // NewHTTPEngine returns an engine client.
 func NewHTTPEngine() *HTTPEngine {
 	transport := newTransport()
-	return &HTTPEngine{transport: transport, control: newControlClient(transport)}
+	control := newControlClient(transport)
+	return &HTTPEngine{transport: transport, requests: transport, control: control, cancels: control}
 }
 
+// SendThrough makes the client send requests of callers, and their cancellations, with sender.
+// Reports and orders use its own connections.
+func (e *HTTPEngine) SendThrough(sender outbound.Sender) {
+	e.requests = &outbound.RoundTripper{Sender: sender}
+	e.cancels = newControlClient(e.requests)
+}
+
+// Transport returns the transport of the client's own connections for requests of callers.
+func (e *HTTPEngine) Transport() http.RoundTripper { return e.transport }
+
 // CountControlOn uses separate connections for reports and orders and counts their
 // bytes on counter. It must be called before the first use of the client.
 func (e *HTTPEngine) CountControlOn(counter *traffic.Counter) *HTTPEngine {
@@ -75,7 +89,7 @@
 
 // newControlClient returns a client for reports and orders. Its user agent is short
 // because every poll sends it.
-func newControlClient(transport *http.Transport) *resty.Client {
+func newControlClient(transport http.RoundTripper) *resty.Client {
 	return resty.NewWithClient(&http.Client{Transport: transport}).SetHeader("User-Agent", userAgent).SetResponseBodyLimit(controlAnswerLimit)
 }
 
@@ -156,7 +170,7 @@
 		return nil, &UnreachableError{Address: address, Err: merry.Wrap(err)}
 	}
 	httpRequest.Header.Set("Content-Type", "application/json")
-	response, err := e.transport.RoundTrip(httpRequest)
+	response, err := e.requests.RoundTrip(httpRequest)
 	if err != nil {
 		cancel()
 		return nil, transportError(address, err)
@@ -172,7 +186,7 @@
 func (e *HTTPEngine) Cancel(ctx context.Context, address, attempt string) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	response, err := e.control.R().
+	response, err := e.cancels.R().
 		SetContext(ctx).
 		SetPathParam("attempt", attempt).
 		Delete("http://" + address + PathGenerate + "/{attempt}")
@@ -203,11 +217,12 @@
 	return &BrokenError{Address: address, Err: &StatusError{Status: response.StatusCode, Body: string(body)}}
 }
 
-// transportError returns an UnreachableError for a failed dial, after which no byte
-// was sent, and a BrokenError for any other failure.
+// transportError returns an UnreachableError for a failed dial, or an exchange that was not sent,
+// after which no byte was sent, and a BrokenError for any other failure.
 func transportError(address string, err error) error {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	var notSent *outbound.NotSentError
+	if errors.As(err, &notSent) || errors.As(err, &op) && op.Op == "dial" {
 		return &UnreachableError{Address: address, Err: merry.Wrap(err)}
 	}
 	return &BrokenError{Address: address, Err: merry.Wrap(err)}
--- a/internal/endpoint/http_service.go
+++ b/internal/endpoint/http_service.go
@@ -10,6 +10,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/go-resty/resty/v2"
+
+	"github.com/plantainmux/plantainmux/internal/outbound"
 )
 
 const (
@@ -23,6 +25,7 @@
 // HTTPService implements Service over HTTP.
 type HTTPService struct {
 	client    *resty.Client
+	calls     *resty.Client // client unless set by SendThrough
 	transport *http.Transport
 }
 
@@ -33,9 +36,19 @@
 	// A new connection for each call prevents that.
 	transport.DisableKeepAlives = true
 	client := &http.Client{Transport: transport, CheckRedirect: refuseRedirect}
-	return &HTTPService{client: resty.NewWithClient(client).SetResponseBodyLimit(serviceAnswerLimit), transport: transport}
+	direct := resty.NewWithClient(client).SetResponseBodyLimit(serviceAnswerLimit)
+	return &HTTPService{client: direct, calls: direct, transport: transport}
+}
+
+// SendThrough makes the client carry out calls with sender. Health checks use its own connections.
+func (s *HTTPService) SendThrough(sender outbound.Sender) {
+	client := &http.Client{Transport: &outbound.RoundTripper{Sender: sender, Fresh: true}, CheckRedirect: refuseRedirect}
+	s.calls = resty.NewWithClient(client).SetResponseBodyLimit(serviceAnswerLimit)
 }
 
+// Transport returns the transport of the client's own connections.
+func (s *HTTPService) Transport() http.RoundTripper { return s.transport }
+
 // ConnectWith makes the client connect with dial. It must be called before its first use.
 func (s *HTTPService) ConnectWith(dial Dial) { s.transport.DialContext = dial.within(dialTimeout) }
 
@@ -49,7 +62,7 @@
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	request := s.client.R().SetContext(traced).SetBody(call.Body)
+	request := s.calls.R().SetContext(traced).SetBody(call.Body)
 	for name, values := range call.Header {
 		request.Header[name] = values
 	}
@@ -67,11 +80,18 @@
 	}, nil
 }
 
-// callError returns an UnreachableError if there was no connection, so that no byte
-// was sent, an AnswerTooLargeError if the response exceeds the limit, and otherwise
+// callError returns an UnreachableError if there was no connection or the call is known not to have
+// been sent, an AnswerTooLargeError if the response exceeds the limit, and otherwise
 // a BrokenError.
 func callError(address string, connected bool, err error) error {
+	var notSent *outbound.NotSentError
+	var lost *outbound.PathLostError
+	var remote *outbound.RemoteError
 	switch {
+	case errors.As(err, &notSent):
+		return &UnreachableError{Address: address, Err: merry.Wrap(err)}
+	case errors.As(err, &lost), errors.As(err, &remote):
+		return &BrokenError{Address: address, Err: merry.Wrap(err)}
 	case errors.Is(err, resty.ErrResponseBodyTooLarge):
 		return &AnswerTooLargeError{Address: address, Limit: serviceAnswerLimit}
 	case !connected:
--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
-	"github.com/plantainmux/plantainmux/internal/forward"
+	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 )
@@ -100,7 +100,7 @@
 
 // brokenBody returns the failure of an answer that could not be read to its end.
 func brokenBody(err error) error {
-	var lost *forward.PathLostError
+	var lost *outbound.PathLostError
 	if errors.As(err, &lost) {
 		return &BrokenError{Reason: PathLost, Err: err}
 	}
--- a/internal/exchange/failed_attempt_log.go
+++ b/internal/exchange/failed_attempt_log.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/forward"
+	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/placement"
 )
 
@@ -41,9 +41,9 @@
 	var notRun *NotRunError
 	var broken *BrokenError
 	switch {
-	case errors.As(err, &notSent) && notSent.Blame == forward.BlamePath:
+	case errors.As(err, &notSent) && notSent.Blame == outbound.BlamePath:
 		return "path_failed"
-	case errors.As(err, &notSent) && notSent.Blame == forward.BlameHold:
+	case errors.As(err, &notSent) && notSent.Blame == outbound.BlameHold:
 		return "declined"
 	case errors.As(err, &notSent):
 		return "not_sent"
--- a/internal/exchange/not_sent_error.go
+++ b/internal/exchange/not_sent_error.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 
-	"github.com/plantainmux/plantainmux/internal/forward"
+	"github.com/plantainmux/plantainmux/internal/outbound"
 )
 
 // NotSentError reports that no byte of the request reached the endpoint.
 type NotSentError struct {
-	Blame forward.Blame // what kept it from being sent
+	Blame outbound.Blame // what kept it from being sent
 	Err   error
 }
 
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/forward"
+	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 )
@@ -160,7 +160,7 @@
 	var notSent *NotSentError
 	var broken *BrokenError
 	switch {
-	case errors.As(err, &notSent) && notSent.Blame != forward.BlameEndpoint:
+	case errors.As(err, &notSent) && notSent.Blame != outbound.BlameEndpoint:
 		// Shows nothing about the target.
 	case errors.As(err, &notRun):
 		if notRun.AddressReassigned || notRun.MissingMember != "" {
@@ -273,7 +273,7 @@
 	var notSent *NotSentError
 	var broken *BrokenError
 	if errors.As(err, &notSent) {
-		return notSent.Blame == forward.BlamePath
+		return notSent.Blame == outbound.BlamePath
 	}
 	return errors.As(err, &broken) && broken.Reason == PathLost
 }
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -6,6 +6,7 @@
 	"io"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/peer"
 )
 
@@ -18,24 +19,24 @@
 // Send forwards an exchange to a daemon, which sends it at most once. It fails with NotSentError if
 // that daemon or the endpoint proves that it was not sent, with RemoteError if the endpoint failed,
 // and with PathLostError if the daemon may have sent it and was lost.
-func (c *Client) Send(ctx context.Context, via string, exchange Exchange) (*Response, error) {
+func (c *Client) Send(ctx context.Context, via string, exchange outbound.Exchange) (*outbound.Response, error) {
 	stream, err := c.mesh.OpenStreamTo(ctx, fleet.DaemonID(via), peer.MethodExchange, exchange)
 	if err != nil && peer.NotRun(err) {
-		return nil, &NotSentError{Blame: BlamePath, Err: err}
+		return nil, &outbound.NotSentError{Blame: outbound.BlamePath, Err: err}
 	}
 	if err != nil {
-		return nil, &PathLostError{Via: via, Err: err}
+		return nil, &outbound.PathLostError{Via: via, Err: err}
 	}
 	b := &body{via: via, stream: stream}
 	first, err := b.next()
 	if err == nil && first.Head == nil {
-		err = &PathLostError{Via: via, Err: &UnexpectedMessageError{}}
+		err = &outbound.PathLostError{Via: via, Err: &UnexpectedMessageError{}}
 	}
 	if err != nil {
 		_ = stream.Close()
 		return nil, err
 	}
-	return &Response{Status: first.Head.Status, Header: first.Head.Header, Body: b, Via: via}, nil
+	return &outbound.Response{Status: first.Head.Status, Header: first.Head.Header, Body: b, Via: via}, nil
 }
 
 // body is the body of a forwarded response.
@@ -53,7 +54,7 @@
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
-		return m, &PathLostError{Via: b.via, Err: err}
+		return m, &outbound.PathLostError{Via: b.via, Err: err}
 	}
 	if m.Failure != nil {
 		return m, m.Failure.err(b.via)
--- a/internal/forward/decline_reason.go
+++ b/internal/forward/decline_reason.go
@@ -1,5 +1,7 @@
 package forward
 
+import "github.com/plantainmux/plantainmux/internal/outbound"
+
 // DeclineReason is why a daemon does not carry out an exchange for another one.
 type DeclineReason string
 
@@ -12,14 +14,14 @@
 )
 
 // blame returns what keeps a declined exchange from being sent.
-func (r DeclineReason) blame() Blame {
+func (r DeclineReason) blame() outbound.Blame {
 	if r == DeclinedStopping || r == DeclinedCutOff {
-		return BlamePath
+		return outbound.BlamePath
 	}
-	return BlameHold
+	return outbound.BlameHold
 }
 
 // Decline returns the error of an exchange that is declined.
-func Decline(reason DeclineReason) *NotSentError {
-	return &NotSentError{Blame: reason.blame(), Err: &DeclinedError{Reason: reason}}
+func Decline(reason DeclineReason) *outbound.NotSentError {
+	return &outbound.NotSentError{Blame: reason.blame(), Err: &DeclinedError{Reason: reason}}
 }
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -1,6 +1,10 @@
 package forward
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/plantainmux/plantainmux/internal/outbound"
+)
 
 // message is one message of the answer to a forwarded exchange: a head, then data up to the end
 // of the body, or a failure instead of any of them.
@@ -19,15 +23,15 @@
 
 // failure says why an exchange has no response, or none that is complete.
 type failure struct {
-	NotSent bool   `cbor:"1,keyasint,omitempty"` // no byte reached the endpoint, nor will
-	Blame   Blame  `cbor:"2,keyasint,omitempty"` // if NotSent
-	Text    string `cbor:"3,keyasint,omitempty"`
+	NotSent bool           `cbor:"1,keyasint,omitempty"` // no byte reached the endpoint, nor will
+	Blame   outbound.Blame `cbor:"2,keyasint,omitempty"` // if NotSent
+	Text    string         `cbor:"3,keyasint,omitempty"`
 }
 
 // err returns the error that the sender of the exchange gets.
 func (f *failure) err(via string) error {
 	if f.NotSent {
-		return &NotSentError{Blame: f.Blame, Err: &RemoteError{Daemon: via, Text: f.Text}}
+		return &outbound.NotSentError{Blame: f.Blame, Err: &outbound.RemoteError{Daemon: via, Text: f.Text}}
 	}
-	return &RemoteError{Daemon: via, Text: f.Text}
+	return &outbound.RemoteError{Daemon: via, Text: f.Text}
 }
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -11,8 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
+	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/reach"
 )
 
@@ -28,15 +27,15 @@
 
 // Dependencies are the collaborators of a Router.
 type Dependencies struct {
-	Direct    Sender  // over this daemon's own connections
-	Forwarded *Client // through other daemons
+	Direct    outbound.Sender // over this daemon's own connections
+	Forwarded *Client         // through other daemons
 	Paths     Paths
-	Probed    func() []Endpoint // endpoints that serve requests
-	ProbePath string            // of a probe, which any HTTP response answers
-	Vouch     reach.Vouch       // whether another daemon has reached an endpoint
-	OnLost    func()            // called when the links are lost, before exchanges are forwarded
-	OnBack    func()            // called when the links are back
-	Metrics   *metrics.Set
+	Probed    func() []outbound.Endpoint // endpoints that serve requests
+	ProbePath string                     // of a probe, which any HTTP response answers
+	Vouch     reach.Vouch                // whether another daemon has reached an endpoint
+	OnLost    func()                     // called when the links are lost, before exchanges are forwarded
+	OnBack    func()                     // called when the links are back
+	Count     func(metric string)        // increments a counter
 	Logger    *slog.Logger
 }
 
@@ -65,7 +64,7 @@
 func (r *Router) Forwards() bool { return r.Lost() && r.Paths.Any() }
 
 // Send implements Sender. It fails with PathLostError if the way to the endpoint broke.
-func (r *Router) Send(ctx context.Context, exchange Exchange) (*Response, error) {
+func (r *Router) Send(ctx context.Context, exchange outbound.Exchange) (*outbound.Response, error) {
 	if !r.Lost() {
 		return r.sendDirect(ctx, exchange)
 	}
@@ -80,7 +79,7 @@
 }
 
 // forward sends an exchange through another daemon.
-func (r *Router) forward(ctx context.Context, via string, exchange Exchange) (*Response, error) {
+func (r *Router) forward(ctx context.Context, via string, exchange outbound.Exchange) (*outbound.Response, error) {
 	began := time.Now()
 	response, err := r.Forwarded.Send(ctx, via, exchange)
 	r.count(err)
@@ -95,11 +94,11 @@
 // pathFailed reports whether an exchange that failed after a time shows that the way through a
 // daemon failed.
 func pathFailed(ctx context.Context, err error, after time.Duration) bool {
-	var notSent *NotSentError
-	var lost *PathLostError
+	var notSent *outbound.NotSentError
+	var lost *outbound.PathLostError
 	switch {
 	case errors.As(err, &notSent):
-		return notSent.Blame == BlamePath
+		return notSent.Blame == outbound.BlamePath
 	case ctx.Err() != nil:
 		return after > slowAnswer
 	default:
@@ -108,7 +107,7 @@
 }
 
 // sendDirect sends over this daemon's own connections.
-func (r *Router) sendDirect(ctx context.Context, exchange Exchange) (*Response, error) {
+func (r *Router) sendDirect(ctx context.Context, exchange outbound.Exchange) (*outbound.Response, error) {
 	f := &flight{endpoint: exchange.Endpoint.Key, began: time.Now()}
 	own, cancel := context.WithCancel(ctx)
 	f.cancel = cancel
@@ -126,7 +125,7 @@
 }
 
 // tryDirect sends an exchange to find out whether the links are back.
-func (r *Router) tryDirect(ctx context.Context, exchange Exchange) (*Response, error) {
+func (r *Router) tryDirect(ctx context.Context, exchange outbound.Exchange) (*outbound.Response, error) {
 	exchange.Fresh = true
 	response, err := r.sendDirect(ctx, exchange)
 	switch {
@@ -153,7 +152,7 @@
 
 // observeError records a failed exchange and returns the error that its sender gets.
 func (r *Router) observeError(ctx context.Context, f *flight, err error) error {
-	var notSent *NotSentError
+	var notSent *outbound.NotSentError
 	isNotSent := errors.As(err, &notSent)
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
@@ -167,9 +166,9 @@
 	case !r.Forwards():
 		return err
 	case isNotSent:
-		return &NotSentError{Blame: BlamePath, Err: notSent.Err}
+		return &outbound.NotSentError{Blame: outbound.BlamePath, Err: notSent.Err}
 	default:
-		return &PathLostError{Err: err}
+		return &outbound.PathLostError{Err: err}
 	}
 }
 
@@ -189,11 +188,14 @@
 // is called every tenth of a second.
 func (r *Router) Review(now time.Time) {
 	r.reportSlowConnects(now)
+	if r.tracker.Quiet() {
+		return
+	}
 	endpoints := r.Probed()
 	evidence, lost := r.tracker.Review(now, len(endpoints), r.Vouch)
 	if lost {
 		r.Logger.Warn("links to the endpoints lost", "endpoints_failing", evidence.Failing, "reached_by_others", evidence.Vouched, "endpoints", evidence.Known)
-		r.Metrics.GetOrCreateCounter(`plantainmux_links_lost_total`).Inc()
+		r.Count(`plantainmux_links_lost_total`)
 		r.OnLost()
 		r.lost.Store(true)
 		r.cancelConnects()
@@ -239,13 +241,13 @@
 }
 
 // probe sends probes to random endpoints and records whether all of them answer.
-func (r *Router) probe(endpoints []Endpoint) {
+func (r *Router) probe(endpoints []outbound.Endpoint) {
 	defer r.probing.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	rand.Shuffle(len(endpoints), func(i, j int) { endpoints[i], endpoints[j] = endpoints[j], endpoints[i] })
 	for _, endpoint := range endpoints[:min(probeCount, len(endpoints))] {
-		response, err := r.Direct.Send(ctx, Exchange{Endpoint: endpoint, Method: http.MethodGet, Target: r.ProbePath, Host: endpoint.Address, Header: http.Header{}, Fresh: true})
+		response, err := r.Direct.Send(ctx, outbound.Exchange{Endpoint: endpoint, Method: http.MethodGet, Target: r.ProbePath, Host: endpoint.Address, Header: http.Header{}, Fresh: true})
 		if err != nil {
 			return
 		}
@@ -257,8 +259,8 @@
 // count counts an exchange that was forwarded.
 func (r *Router) count(err error) {
 	outcome := "answered"
-	var notSent *NotSentError
-	var lost *PathLostError
+	var notSent *outbound.NotSentError
+	var lost *outbound.PathLostError
 	switch {
 	case errors.As(err, &notSent):
 		outcome = "not_sent_" + notSent.Blame.String()
@@ -267,5 +269,5 @@
 	case err != nil:
 		outcome = "broken"
 	}
-	r.Metrics.GetOrCreateCounter(fmt.Sprintf(`plantainmux_forwarded_total{outcome=%q}`, outcome)).Inc()
+	r.Count(fmt.Sprintf(`plantainmux_forwarded_total{outcome=%q}`, outcome))
 }
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -3,15 +3,16 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/time/rate"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/peer"
 )
 
@@ -23,12 +24,12 @@
 
 // ServerDependencies are the collaborators of a Server.
 type ServerDependencies struct {
-	Direct Sender // over this daemon's own connections: what is forwarded here is not forwarded again
+	Direct outbound.Sender // over this daemon's own connections: what is forwarded here is not forwarded again
 	// Admit returns nil if this daemon may send an exchange to its endpoint now, and a function to
 	// call when it is over.
-	Admit   func(exchange Exchange) (done func(), refused *NotSentError)
-	Metrics *metrics.Set
-	Logger  *slog.Logger
+	Admit  func(exchange outbound.Exchange) (done func(), refused *outbound.NotSentError)
+	Count  func(metric string) // increments a counter
+	Logger *slog.Logger
 }
 
 // Server carries out the exchanges that other daemons forward to this one.
@@ -46,9 +47,9 @@
 }
 
 func (s *Server) handle(ctx context.Context, from fleet.DaemonID, data cbor.RawMessage, send func(any) error) error {
-	var exchange Exchange
+	var exchange outbound.Exchange
 	if err := cbor.Unmarshal(data, &exchange); err != nil {
-		return send(message{Failure: &failure{NotSent: true, Blame: BlamePath, Text: "unreadable: " + err.Error()}})
+		return send(message{Failure: &failure{NotSent: true, Blame: outbound.BlamePath, Text: "unreadable: " + err.Error()}})
 	}
 	began := time.Now()
 	err := s.run(ctx, exchange, send)
@@ -61,12 +62,12 @@
 }
 
 // run sends an exchange and passes its response on.
-func (s *Server) run(ctx context.Context, exchange Exchange, send func(any) error) error {
+func (s *Server) run(ctx context.Context, exchange outbound.Exchange, send func(any) error) error {
 	select {
 	case s.places <- struct{}{}:
 		defer func() { <-s.places }()
 	default:
-		return &NotSentError{Blame: BlamePath, Err: &BusyError{Limit: maxForwarded}}
+		return &outbound.NotSentError{Blame: outbound.BlamePath, Err: &BusyError{Limit: maxForwarded}}
 	}
 	done, refused := s.Admit(exchange)
 	if refused != nil {
@@ -74,7 +75,7 @@
 	}
 	defer done()
 	if ctx.Err() != nil {
-		return &NotSentError{Blame: BlamePath, Err: ctx.Err()}
+		return &outbound.NotSentError{Blame: outbound.BlamePath, Err: ctx.Err()}
 	}
 	response, err := s.Direct.Send(ctx, exchange)
 	if err != nil {
@@ -109,7 +110,7 @@
 }
 
 func failureOf(err error) *failure {
-	var notSent *NotSentError
+	var notSent *outbound.NotSentError
 	if errors.As(err, &notSent) {
 		return &failure{NotSent: true, Blame: notSent.Blame, Text: notSent.Err.Error()}
 	}
@@ -118,18 +119,18 @@
 
 // report counts an exchange of another daemon and logs it with the caller's request, so that the
 // request's story has the lines of both daemons.
-func (s *Server) report(exchange Exchange, from fleet.DaemonID, began time.Time, err error) {
+func (s *Server) report(exchange outbound.Exchange, from fleet.DaemonID, began time.Time, err error) {
 	outcome := "done"
-	var notSent *NotSentError
+	var notSent *outbound.NotSentError
 	switch {
 	case errors.As(err, &notSent):
 		outcome = "not_sent_" + notSent.Blame.String()
 	case err != nil:
 		outcome = "broken"
 	}
-	s.Metrics.GetOrCreateCounter(`plantainmux_forwarded_for_others_total{outcome="` + outcome + `"}`).Inc()
+	s.Count(fmt.Sprintf(`plantainmux_forwarded_for_others_total{outcome=%q}`, outcome))
 	if !s.logRate.Allow() {
-		s.Metrics.GetOrCreateCounter(`plantainmux_forwarded_lines_left_out_total`).Inc()
+		s.Count(`plantainmux_forwarded_lines_left_out_total`)
 		return
 	}
 	s.Logger.Info("exchange of another daemon", "request", exchange.RequestID, "from", from, "endpoint", exchange.Endpoint.ID,
--- a/internal/gateway/adapters.go
+++ b/internal/gateway/adapters.go
@@ -7,17 +7,17 @@
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/formation"
-	"github.com/plantainmux/plantainmux/internal/forward"
 	"github.com/plantainmux/plantainmux/internal/keyed"
 	"github.com/plantainmux/plantainmux/internal/notice"
+	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/registry"
 )
 
 // Adapters connect a gateway with the platform.
 type Adapters struct {
 	Store        keyed.Log
-	Endpoints    forward.Sender // over this daemon's own connections
-	Transport    func(sender forward.Sender) exchange.Transport
+	Endpoints    outbound.Sender // over this daemon's own connections
+	Transport    func(sender outbound.Sender) exchange.Transport
 	Engines      formation.Engines
 	ProbePath    string            // of endpoints, answered by any HTTP response
 	Notices      *notice.Publisher // what endpoints announce in answers to Endpoints and Engines
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -8,6 +8,7 @@
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/forward"
+	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/placement"
 )
@@ -39,16 +40,19 @@
 		Vouch:     g.reachedByOthers,
 		OnLost:    g.linksLost,
 		OnBack:    func() {},
-		Metrics:   g.metrics,
+		Count:     g.count,
 		Logger:    g.logger,
 	})
-	forward.NewServer(mesh, forward.ServerDependencies{Direct: g.adapters.Endpoints, Admit: g.admitForwarded, Metrics: g.metrics, Logger: g.logger})
+	forward.NewServer(mesh, forward.ServerDependencies{Direct: g.adapters.Endpoints, Admit: g.admitForwarded, Count: g.count, Logger: g.logger})
 	return nil
 }
 
+// count increments a counter.
+func (g *Gateway) count(metric string) { g.metrics.GetOrCreateCounter(metric).Inc() }
+
 // servingEndpoints returns the endpoints of all targets.
-func (g *Gateway) servingEndpoints() []forward.Endpoint {
-	var endpoints []forward.Endpoint
+func (g *Gateway) servingEndpoints() []outbound.Endpoint {
+	var endpoints []outbound.Endpoint
 	g.view.Load().Each(func(target *placement.Target) { endpoints = append(endpoints, exchange.EndpointOf(target)) })
 	return endpoints
 }
@@ -99,7 +103,7 @@
 
 // admitForwarded decides on an exchange that another daemon forwards. What endpoints announced to
 // this daemon holds for it, as it is the one that sends it.
-func (g *Gateway) admitForwarded(exchange forward.Exchange) (done func(), refused *forward.NotSentError) {
+func (g *Gateway) admitForwarded(exchange outbound.Exchange) (done func(), refused *outbound.NotSentError) {
 	now := time.Now()
 	switch {
 	case g.stoppingFor(now) > admissionPeriod:
--- a/internal/forward/blame.go
+++ b/internal/outbound/blame.go
@@ -1,4 +1,4 @@
-package forward
+package outbound
 
 // Blame says what kept an exchange from being sent.
 type Blame int
--- a/internal/forward/endpoint.go
+++ b/internal/outbound/endpoint.go
@@ -1,4 +1,4 @@
-package forward
+package outbound
 
 // Endpoint is the other side of an exchange.
 type Endpoint struct {
--- a/internal/forward/remote_error.go
+++ b/internal/outbound/remote_error.go
@@ -1,4 +1,4 @@
-package forward
+package outbound
 
 import "fmt"
 
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -74,6 +74,13 @@
 	}
 }
 
+// Quiet reports whether there is nothing to review.
+func (t *Tracker) Quiet() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.failures) == 0 && t.state == Connected
+}
+
 // Review applies the evidence at now. known is the number of endpoints that serve requests. It
 // returns the evidence, and whether the daemon counts as cut off from now on.
 func (t *Tracker) Review(now time.Time, known int, vouch Vouch) (evidence Evidence, lost bool) {
