Forward requests of the own interface while a daemon is cut off from the endpoints

Same mechanism as on the users' platform: the clients of engines and services send what callers request with the router; reports and control orders use the daemon's own connections. Evidence of others are the polls of other watchers. A daemon that is cut off watches no members, plans nothing and owns no slots; what it held against groups is dropped. Health checks of services go the same way as their calls.

--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -6,6 +6,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/infra"
+	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/settings"
 )
 
@@ -17,6 +18,9 @@
 	Engine  endpoint.Engine
 	Service endpoint.Service
 
+	Direct      outbound.Sender              // over this daemon's own connections to endpoints
+	SendThrough func(sender outbound.Sender) // makes Engine and Service send what callers request with sender
+
 	Traffic *Traffic
 
 	PeerListener net.Listener // nil: listen on the configured address
@@ -26,11 +30,18 @@
 // NewAdapters returns adapters that use the network.
 func NewAdapters(s settings.Settings) Adapters {
 	counters := &Traffic{}
+	engine := endpoint.NewHTTPEngine().CountControlOn(&counters.Engines)
+	service := endpoint.NewHTTPService()
 	return Adapters{
-		Log:      infra.NewHTTPLog(s.Platform.Log).CountBytes(&counters.Log),
-		VMs:      infra.NewHTTPVMList(s.Platform.VMs, s.DataCentre).CountBytes(&counters.VMs),
-		Engine:   endpoint.NewHTTPEngine().CountControlOn(&counters.Engines),
-		Service:  endpoint.NewHTTPService(),
+		Log:     infra.NewHTTPLog(s.Platform.Log).CountBytes(&counters.Log),
+		VMs:     infra.NewHTTPVMList(s.Platform.VMs, s.DataCentre).CountBytes(&counters.VMs),
+		Engine:  engine,
+		Service: service,
+		Direct:  &outbound.HTTPSender{Pooled: engine.Transport(), Fresh: service.Transport()},
+		SendThrough: func(sender outbound.Sender) {
+			engine.SendThrough(sender)
+			service.SendThrough(sender)
+		},
 		Traffic:  counters,
 		PeerDial: counters.dialPeer,
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/evidence"
 	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/forward"
 	"github.com/plantainmux/plantainmux/internal/group"
 	"github.com/plantainmux/plantainmux/internal/groupsync"
 	"github.com/plantainmux/plantainmux/internal/logstream"
@@ -67,11 +68,13 @@
 	digests  *evidence.Publisher
 	leaving  *leavingVMs
 
-	loop   *reconcile.Loop
-	gate   *admit.Gate
-	spill  *spill.Server
-	caller *callerapi.Server
-	admin  *adminapi.Server
+	loop  *reconcile.Loop
+	gate  *admit.Gate
+	spill *spill.Server
+
+	endpoints *forward.Router
+	caller    *callerapi.Server
+	admin     *adminapi.Server
 
 	callerListener net.Listener
 	adminListener  net.Listener
@@ -111,6 +114,7 @@
 	}
 	d.adapters.Traffic.register(d.metrics)
 	d.buildEvidence()
+	d.buildEndpoints()
 	d.buildControl()
 	d.buildOrders()
 	d.buildRequestPath()
--- a/internal/daemon/monitoring.go
+++ b/internal/daemon/monitoring.go
@@ -15,7 +15,7 @@
 	changed := func(fleet.VMID, group.Observation) { wake() }
 	failed := func(vm fleet.VMID) { d.sharer.RequestFailed(vm) }
 	d.table = watch.NewTable(d.id, bound, changed, failed)
-	d.assignment = watch.NewAssignment(d.id, d.mesh.Live, d.knownVMs, d.table, bound)
+	d.assignment = watch.NewAssignment(d.id, d.watchers, d.knownVMs, d.table, bound)
 	d.poller = watch.NewPoller(d.id, d.adapters.Engine, d.table, d.assignment, period)
 	d.sharer = watch.NewSharer(d.mesh, d.table, d.assignment, d.poller)
 }
--- a/internal/endpoint/http_service.go
+++ b/internal/endpoint/http_service.go
@@ -40,7 +40,7 @@
 	return &HTTPService{client: direct, calls: direct, transport: transport}
 }
 
-// SendThrough makes the client carry out calls with sender. Health checks use its own connections.
+// SendThrough makes the client carry out calls and health checks with sender.
 func (s *HTTPService) SendThrough(sender outbound.Sender) {
 	client := &http.Client{Transport: &outbound.RoundTripper{Sender: sender, Fresh: true}, CheckRedirect: refuseRedirect}
 	s.calls = resty.NewWithClient(client).SetResponseBodyLimit(serviceAnswerLimit)
@@ -105,6 +105,6 @@
 func (s *HTTPService) Healthy(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
-	response, err := s.client.R().SetContext(ctx).Get("http://" + address + pathHealth)
+	response, err := s.calls.R().SetContext(ctx).Get("http://" + address + pathHealth)
 	return err == nil && response.IsSuccess()
 }
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -64,6 +64,9 @@
 	return all
 }
 
+// Inc increments the counter with a name.
+func (s *Set) Inc(name string) { s.set.GetOrCreateCounter(name).Inc() }
+
 // Refused counts a refused request.
 func (s *Set) Refused(reason refusal.Reason) {
 	if counter, ok := s.refusals[reason]; ok {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/metric"
+	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 )
 
@@ -119,7 +120,7 @@
 	if a.target.remote != "" {
 		return a.Remote.Generate(ctx, a.target.remote, a.req, a.frames.attempt)
 	}
-	return a.Engine.Generate(ctx, a.target.serving.LeaderAddress, endpoint.GenerateRequest{
+	return a.Engine.Generate(outbound.WithRequestID(ctx, a.req.ID), a.target.serving.LeaderAddress, endpoint.GenerateRequest{
 		Attempt:    a.frames.attempt,
 		Group:      a.target.serving.Fencing,
 		Model:      a.req.Model,
--- a/internal/relay/classify.go
+++ b/internal/relay/classify.go
@@ -5,10 +5,14 @@
 	"net/http"
 
 	"github.com/plantainmux/plantainmux/internal/endpoint"
+	"github.com/plantainmux/plantainmux/internal/outbound"
 )
 
 // isNotEndpointFault reports whether a failure is no evidence against the endpoint.
 func isNotEndpointFault(err error) bool {
+	if pathFailed(err) {
+		return true
+	}
 	var sink *SinkError
 	var gap *GapError
 	var diverged *DivergedError
@@ -39,3 +43,11 @@
 		return status.Status >= http.StatusBadRequest && status.Status < http.StatusInternalServerError
 	}
 }
+
+// pathFailed reports whether an attempt failed on the way to the endpoint, so that another attempt
+// may reach it.
+func pathFailed(err error) bool {
+	var notSent *outbound.NotSentError
+	var lost *outbound.PathLostError
+	return errors.As(err, &notSent) && notSent.Blame == outbound.BlamePath || errors.As(err, &lost)
+}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -104,7 +104,7 @@
 // recordFailure updates load, crash suspects and member health after a failed attempt.
 func (r *run) recordFailure(t *target, err error) {
 	var recalled *RecalledError
-	if errors.As(err, &recalled) {
+	if errors.As(err, &recalled) || pathFailed(err) {
 		delete(r.excluded, t.serving.Fencing) // the group did not fail
 	}
 	if isNotEndpointFault(err) || t.remote != "" {
--- a/internal/view/load.go
+++ b/internal/view/load.go
@@ -45,6 +45,9 @@
 // RecordFailure records a failed attempt.
 func (l *Load) RecordFailure(at time.Time) { l.failedAtNanos.Store(at.UnixNano()) }
 
+// ForgetFailure drops the last failed attempt.
+func (l *Load) ForgetFailure() { l.failedAtNanos.Store(0) }
+
 // FailedSince reports whether an attempt failed after a time.
 func (l *Load) FailedSince(at time.Time) bool { return l.failedAtNanos.Load() > at.UnixNano() }
 
--- a/internal/watch/table.go
+++ b/internal/watch/table.go
@@ -137,6 +137,37 @@
 	return !ok || !e.reportedSince(since)
 }
 
+// SucceededElsewhere reports whether another observer has polled a VM successfully since a time.
+func (t *Table) SucceededElsewhere(vm fleet.VMID, since time.Time) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	e, ok := t.entries[vm]
+	if !ok {
+		return false
+	}
+	for observer, o := range e.pollStates {
+		if observer != t.self && !o.failing() && o.lastSuccess.At.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
+// ForgetRequestFailures drops the failed requests of this daemon.
+func (t *Table) ForgetRequestFailures() {
+	t.mu.Lock()
+	var failed []fleet.VMID
+	for vm, e := range t.entries {
+		if !e.requestFailedAt.IsZero() {
+			failed = append(failed, vm)
+		}
+	}
+	t.mu.Unlock()
+	for _, vm := range failed {
+		t.update(vm, func(e *entry) { e.requestFailedAt = time.Time{} })
+	}
+}
+
 // own returns this daemon's own poll state of the given VMs, sorted by VM.
 func (t *Table) own(vms []fleet.VM) []listItem {
 	t.mu.RLock()
