A suspicion counts from when it arose, not from each datagram that repeats it

Cause: a suspicion is repeated for 0.5 s, and each datagram renewed it from the time it arrived, so that events that refuted it meanwhile counted for nothing.

Change: suspicions carry their age, through hubs too; an event later than what the other daemon saw refutes them.

Result: two specs of the meter; the first fails on the rule before (an event older than the datagram's arrival did not refute).

--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -63,7 +63,7 @@
 	g.recordRemoteEvents(message.Loads, now)
 	for _, suspicion := range message.Suspicions {
 		if meter := g.meters.Find(placement.GroupKey(suspicion.Group, suspicion.Epoch)); meter != nil && !suspicion.Tentative {
-			meter.Suspect(now, suspicionTTL)
+			meter.SuspectSince(now.Add(-time.Duration(suspicion.AgeMS)*time.Millisecond), now.Add(suspicionTTL))
 			g.metrics.GetOrCreateCounter(`plantainmux_suspicions_received_total`).Inc()
 		}
 		g.reconciler.ProbeGroup(context.Background(), suspicion.Group, suspicion.Epoch, suspicion.MissingMember)
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -25,7 +25,7 @@
 func (d *Digest) add(message Message, age time.Duration) {
 	d.Traffic = d.Traffic || message.Traffic
 	d.Config = max(d.Config, message.Config)
-	d.Suspicions = append(d.Suspicions, message.Suspicions...)
+	d.Suspicions = append(d.Suspicions, aged(message.Suspicions, age)...)
 	d.NewGroups = append(d.NewGroups, message.NewGroups...)
 	d.FailedRequests = append(d.FailedRequests, message.FailedRequests...)
 	for key, load := range message.Loads {
@@ -60,7 +60,7 @@
 	for key, load := range d.Loads {
 		loads[key] = load.aged(age)
 	}
-	return Message{Traffic: d.Traffic, Config: d.Config, Loads: loads, Suspicions: d.Suspicions, NewGroups: d.NewGroups, FailedRequests: d.FailedRequests}
+	return Message{Traffic: d.Traffic, Config: d.Config, Loads: loads, Suspicions: aged(d.Suspicions, age), NewGroups: d.NewGroups, FailedRequests: d.FailedRequests}
 }
 
 // encode returns the digest in CBOR with its current age. It returns nil if encoding fails.
--- a/internal/targetstats/health.go
+++ b/internal/targetstats/health.go
@@ -46,10 +46,15 @@
 // Suspect marks the target as suspected of being silent for the given duration from
 // now on, or until its next event.
 func (m *Meter) Suspect(now time.Time, duration time.Duration) {
-	until := now.Add(duration).UnixNano()
-	if m.suspectedUntil.Load() < until {
-		m.suspectedAt.Store(now.UnixNano())
-		m.suspectedUntil.Store(until)
+	m.SuspectSince(now, now.Add(duration))
+}
+
+// SuspectSince marks the target as suspected until a time, because of what was seen at since. An
+// event after that refutes it, also one that has come already.
+func (m *Meter) SuspectSince(since, until time.Time) {
+	if m.suspectedUntil.Load() < until.UnixNano() {
+		m.suspectedAt.Store(max(m.suspectedAt.Load(), since.UnixNano()))
+		m.suspectedUntil.Store(until.UnixNano())
 	}
 }
 
--- a/internal/targetstats/meter_test.go
+++ b/internal/targetstats/meter_test.go
@@ -84,3 +84,25 @@
 		Expect(m.InFlight()).To(Equal(1))
 	})
 })
+
+var _ = Describe("A suspicion that another daemon tells of", func() {
+	now := time.Unix(1_700_000_000, 0)
+	const ttl = time.Second
+
+	It("has no effect on a target that has sent an event since", func() {
+		m := targetstats.NewMeter()
+		m.ObserveEvent(now, 0)
+		m.SuspectSince(now.Add(-200*time.Millisecond), now.Add(ttl))
+		Expect(m.Suspected(now)).To(BeFalse())
+		m.SuspectSince(now.Add(-200*time.Millisecond), now.Add(2*ttl))
+		Expect(m.Suspected(now)).To(BeFalse(), "nor when it is repeated")
+	})
+
+	It("holds for a target that was silent since, until it expires", func() {
+		m := targetstats.NewMeter()
+		m.ObserveEvent(now.Add(-300*time.Millisecond), 0)
+		m.SuspectSince(now.Add(-200*time.Millisecond), now.Add(ttl))
+		Expect(m.Suspected(now)).To(BeTrue())
+		Expect(m.Suspected(now.Add(2 * ttl))).To(BeFalse())
+	})
+})
