Do not take a former head for gone because connections are refused on the way

Cause: an order to leave that met a refused connection counted as proof that the head's process is gone. A daemon whose new connections to all endpoints are refused, while the head goes on serving, would have granted its members to another group.

Change: a refused connection counts only if another endpoint answers this daemon.

--- a/internal/formation/reconciler.go
+++ b/internal/formation/reconciler.go
@@ -31,6 +31,9 @@
 	loadBurst     = 3
 	probeAttempts = 2
 	probeInterval = 500 * time.Millisecond
+	// maxReachProbes is the number of endpoints that are probed to find out whether this daemon
+	// reaches any.
+	maxReachProbes = 4
 	workers       = 96
 )
 
@@ -206,6 +209,8 @@
 		r.observations.setDraining(former, time.Now())
 	case Leave:
 		switch {
+		case errors.As(err, &gone) && gone.Refused && !r.reachesAnother(ctx, order.To):
+			// Its connections may be refused on the way, while the head goes on serving.
 		case err == nil, errors.As(err, &gone), errors.As(err, &refused):
 			r.observations.setReleased(former)
 		default:
@@ -214,6 +219,23 @@
 	}
 }
 
+// reachesAnother reports whether any of a few endpoints beside one answers a probe.
+func (r *Reconciler) reachesAnother(ctx context.Context, except ledger.Member) bool {
+	probed := 0
+	for id, e := range r.Endpoints().ByID {
+		if id == except.ID || e.Domain == "" {
+			continue
+		}
+		if alive, _ := r.probeMember(ctx, memberOf(e)); alive {
+			return true
+		}
+		if probed++; probed == maxReachProbes {
+			return false
+		}
+	}
+	return false
+}
+
 // recordUnanswered records a former head as released if it has no registry entry,
 // left several orders unanswered, and another member of its group answers a probe.
 // If none answers, the whole group may be partitioned from this daemon and still
