--- a/internal/daemon/endpoints.go
+++ b/internal/daemon/endpoints.go
@@ -101,11 +101,16 @@
 }
 
 // admitForwarded decides on an exchange that another daemon forwards.
-func (d *Daemon) admitForwarded(outbound.Exchange) (done func(), refused *outbound.NotSentError) {
+func (d *Daemon) admitForwarded(_ fleet.DaemonID, wanted outbound.Endpoint) (endpoint outbound.Endpoint, done func(), refused *outbound.NotSentError) {
 	if d.endpoints.Lost() {
-		return nil, forward.Decline(forward.DeclinedCutOff)
+		return endpoint, nil, forward.Decline(forward.DeclinedCutOff)
 	}
-	return func() {}, nil
+	for _, serving := range d.servingEndpoints() {
+		if serving.Key == wanted.Key {
+			return serving, func() {}, nil
+		}
+	}
+	return endpoint, nil, forward.Decline(forward.DeclinedUnknown)
 }
 
 // meshLinks is the links of the mesh, which exist all the time. It implements forward.Links.
--- a/internal/formation/reconciler.go
+++ b/internal/formation/reconciler.go
@@ -34,7 +34,7 @@
 	// maxReachProbes is the number of endpoints that are probed to find out whether this daemon
 	// reaches any.
 	maxReachProbes = 4
-	workers       = 96
+	workers        = 96
 )
 
 // Dependencies are the collaborators of a Reconciler.
--- a/internal/forward/decline_reason.go
+++ b/internal/forward/decline_reason.go
@@ -9,16 +9,19 @@
 const (
 	DeclinedStopping DeclineReason = "stopping"         // the daemon is shutting down
 	DeclinedCutOff   DeclineReason = "cut_off"          // it is cut off from the endpoints itself
+	DeclinedStranger DeclineReason = "stranger"         // the daemon that forwards is not one of the fleet
 	DeclinedUnknown  DeclineReason = "unknown_endpoint" // it sends the endpoint no requests, as to one that is leaving
 	DeclinedHeld     DeclineReason = "held_back"        // the endpoint wants no request of it now
 )
 
 // blame returns what keeps a declined exchange from being sent.
 func (r DeclineReason) blame() outbound.Blame {
-	if r == DeclinedStopping || r == DeclinedCutOff {
+	switch r {
+	case DeclinedUnknown, DeclinedHeld:
+		return outbound.BlameHold
+	default:
 		return outbound.BlamePath
 	}
-	return outbound.BlameHold
 }
 
 // Decline returns the error of an exchange that is declined.
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -25,9 +25,9 @@
 // ServerDependencies are the collaborators of a Server.
 type ServerDependencies struct {
 	Direct outbound.Sender // over this daemon's own connections: what is forwarded here is not forwarded again
-	// Admit returns nil if this daemon may send an exchange to its endpoint now, and a function to
-	// call when it is over.
-	Admit  func(exchange outbound.Exchange) (done func(), refused *outbound.NotSentError)
+	// Admit decides whether this daemon sends an exchange of another one to its endpoint now. It
+	// returns the endpoint as this daemon knows it, and a function to call when the exchange is over.
+	Admit  func(from fleet.DaemonID, wanted outbound.Endpoint) (endpoint outbound.Endpoint, done func(), refused *outbound.NotSentError)
 	Count  func(metric string) // increments a counter
 	Logger *slog.Logger
 }
@@ -52,7 +52,7 @@
 		return send(message{Failure: &failure{NotSent: true, Blame: outbound.BlamePath, Text: "unreadable: " + err.Error()}})
 	}
 	began := time.Now()
-	err := s.run(ctx, exchange, send)
+	err := s.run(ctx, from, exchange, send)
 	s.report(exchange, from, began, err)
 	var sending *sendError
 	if err == nil || errors.As(err, &sending) {
@@ -62,18 +62,19 @@
 }
 
 // run sends an exchange and passes its response on.
-func (s *Server) run(ctx context.Context, exchange outbound.Exchange, send func(any) error) error {
+func (s *Server) run(ctx context.Context, from fleet.DaemonID, exchange outbound.Exchange, send func(any) error) error {
 	select {
 	case s.places <- struct{}{}:
 		defer func() { <-s.places }()
 	default:
 		return &outbound.NotSentError{Blame: outbound.BlamePath, Err: &BusyError{Limit: maxForwarded}}
 	}
-	done, refused := s.Admit(exchange)
+	endpoint, done, refused := s.Admit(from, exchange.Endpoint)
 	if refused != nil {
 		return refused
 	}
 	defer done()
+	exchange.Endpoint = endpoint
 	if ctx.Err() != nil {
 		return &outbound.NotSentError{Blame: outbound.BlamePath, Err: ctx.Err()}
 	}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -103,22 +103,24 @@
 
 // admitForwarded decides on an exchange that another daemon forwards. What endpoints announced to
 // this daemon holds for it, as it is the one that sends it.
-func (g *Gateway) admitForwarded(exchange outbound.Exchange) (done func(), refused *outbound.NotSentError) {
+func (g *Gateway) admitForwarded(from fleet.DaemonID, wanted outbound.Endpoint) (endpoint outbound.Endpoint, done func(), refused *outbound.NotSentError) {
 	now := time.Now()
 	switch {
 	case g.stoppingFor(now) > admissionPeriod:
-		return nil, forward.Decline(forward.DeclinedStopping)
+		return endpoint, nil, forward.Decline(forward.DeclinedStopping)
 	case g.endpoints.Lost():
-		return nil, forward.Decline(forward.DeclinedCutOff)
+		return endpoint, nil, forward.Decline(forward.DeclinedCutOff)
+	case !g.gossip.Knows(string(from)):
+		return endpoint, nil, forward.Decline(forward.DeclinedStranger)
 	}
-	target := g.view.Load().Find(exchange.Endpoint.Key)
+	target := g.view.Load().Find(wanted.Key)
 	switch {
 	case target == nil:
-		return nil, forward.Decline(forward.DeclinedUnknown)
+		return endpoint, nil, forward.Decline(forward.DeclinedUnknown)
 	case target.Hold.Remaining(now) > 0 || !target.Limit.Take(now):
-		return nil, forward.Decline(forward.DeclinedHeld)
+		return endpoint, nil, forward.Decline(forward.DeclinedHeld)
 	}
-	return g.Begin(), nil
+	return exchange.EndpointOf(target), g.Begin(), nil
 }
 
 // meshLinks establishes links to daemons that gossip has told of. It implements forward.Links.
--- a/internal/gossip/queries.go
+++ b/internal/gossip/queries.go
@@ -13,6 +13,13 @@
 	return live
 }
 
+// Knows reports whether a daemon is registered.
+func (g *Gossip) Knows(node string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.peers[node] != nil
+}
+
 // Connected returns the names of the live daemons that are not cut off from the endpoints, sorted.
 // cutOff states whether this daemon is.
 func (g *Gossip) Connected(now time.Time, cutOff bool) []string {
--- a/internal/relay/classify.go
+++ b/internal/relay/classify.go
@@ -10,7 +10,8 @@
 
 // isNotEndpointFault reports whether a failure is no evidence against the endpoint.
 func isNotEndpointFault(err error) bool {
-	if pathFailed(err) {
+	var notSent *outbound.NotSentError
+	if pathFailed(err) || errors.As(err, &notSent) && notSent.Blame != outbound.BlameEndpoint {
 		return true
 	}
 	var sink *SinkError
