--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/exchange"
+	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/suspect"
@@ -218,6 +219,41 @@
 			Expect(t.calls).To(Equal([]string{"a", "b", "c"}))
 		})
 
+		It("reaches the only endpoint by another way if the first one failed, which is held against nobody", func() {
+			only := add("a", 0, failsWith(&exchange.NotSentError{Blame: outbound.BlamePath, Err: io.EOF}), answers(200, io.EOF, "ok"))
+			Expect(run()).To(BeNil())
+			Expect(t.calls).To(Equal([]string{"a", "a"}))
+			Expect(suspected).To(BeEmpty())
+			Expect(only.Meter.InBackoff(time.Now())).To(BeFalse())
+		})
+
+		It("goes to another endpoint if the daemon that would send it may not, which is held against nobody", func() {
+			held := add("a", 0, failsWith(&exchange.NotSentError{Blame: outbound.BlameHold, Err: io.EOF}))
+			add("b", 1, answers(200, io.EOF, "ok"))
+			Expect(run()).To(BeNil())
+			Expect(t.calls).To(Equal([]string{"a", "b"}))
+			Expect(suspected).To(BeEmpty())
+			Expect(held.Meter.InBackoff(time.Now())).To(BeFalse())
+		})
+
+		It("is neither sent again nor called not run if the way was lost after it may have run", func() {
+			route.Kind, route.MaxAttempts = catalog.Unsafe, 3
+			only := add("a", 0, failsWith(&exchange.BrokenError{Reason: exchange.PathLost, Err: io.EOF}), answers(200, io.EOF, "twice"))
+			failure := run()
+			Expect(failure).NotTo(BeNil())
+			Expect(failure.NotRun).To(BeFalse())
+			Expect(t.calls).To(Equal([]string{"a"}))
+			Expect(only.Meter.InBackoff(time.Now())).To(BeFalse())
+		})
+
+		It("goes on after its last event if the way is lost midway", func() {
+			route.Kind, route.Resumable, route.MaxAttempts = catalog.Streaming, true, 3
+			add("a", 0, answers(200, &outbound.PathLostError{Via: "n", Err: io.EOF}, event(1), event(2)), answers(200, io.EOF, event(3)))
+			Expect(run()).To(BeNil())
+			Expect(t.calls).To(Equal([]string{"a", "a 2"}))
+			Expect(out.body).To(Equal(event(1) + event(2) + event(3)))
+		})
+
 		It("is refused as not run with a retry delay if no endpoint ran it", func() {
 			add("a", 0, failsWith(&exchange.NotRunError{Status: 503}))
 			failure := run()
