One source of whether the links are lost; one type a file

Found by reading: the router kept a flag of its own beside the tracker's state. Had a new cut been found between the two steps that end one, the flag would have stayed down while the tracker counted as cut off, and no later cut would have been noticed.

--- a/internal/daemon/endpoints.go
+++ b/internal/daemon/endpoints.go
@@ -112,19 +112,3 @@
 	}
 	return endpoint, nil, forward.Decline(forward.DeclinedUnknown)
 }
-
-// meshLinks is the links of the mesh, which exist all the time. It implements forward.Links.
-type meshLinks struct{ daemon *Daemon }
-
-// Connect implements forward.Links.
-func (m *meshLinks) Connect(string) func() { return func() {} }
-
-// Await implements forward.Links.
-func (m *meshLinks) Await(ctx context.Context, daemon string, timeout time.Duration) bool {
-	return m.daemon.mesh.AwaitLink(ctx, fleet.DaemonID(daemon), timeout)
-}
-
-// Idle implements forward.Links.
-func (m *meshLinks) Idle(daemon string) bool {
-	return m.daemon.mesh.LinkIdle(fleet.DaemonID(daemon))
-}
--- a/internal/forward/link_pool.go
+++ b/internal/forward/link_pool.go
@@ -12,16 +12,6 @@
 	linkIdleTime = 30 * time.Second       // after which an unused link is released
 )
 
-// Links maintains links to daemons, on demand.
-type Links interface {
-	// Connect maintains a link to a daemon until release is called.
-	Connect(daemon string) (release func())
-	// Await waits until there is a link to a daemon and reports whether there is one in time.
-	Await(ctx context.Context, daemon string, timeout time.Duration) bool
-	// Idle reports whether nothing is in progress on the link to a daemon.
-	Idle(daemon string) bool
-}
-
 // LinkPool is the links of a daemon to those through which it forwards. It implements Paths.
 type LinkPool struct {
 	links  Links
@@ -31,14 +21,6 @@
 	byName map[string]*pooledLink
 }
 
-// pooledLink is the link to one daemon.
-type pooledLink struct {
-	release  func()
-	inFlight int
-	usedAt   time.Time
-	failedAt time.Time
-}
-
 // NewLinkPool returns a pool without links.
 func NewLinkPool(links Links, choose func() []string) *LinkPool {
 	return &LinkPool{links: links, choose: choose, byName: map[string]*pooledLink{}}
--- /dev/null
+++ b/internal/forward/links.go
@@ -0,0 +1,16 @@
+package forward
+
+import (
+	"context"
+	"time"
+)
+
+// Links maintains links to daemons, on demand.
+type Links interface {
+	// Connect maintains a link to a daemon until release is called.
+	Connect(daemon string) (release func())
+	// Await waits until there is a link to a daemon and reports whether there is one in time.
+	Await(ctx context.Context, daemon string, timeout time.Duration) bool
+	// Idle reports whether nothing is in progress on the link to a daemon.
+	Idle(daemon string) bool
+}
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -33,7 +33,7 @@
 	Probed    func() []outbound.Endpoint // endpoints that serve requests
 	ProbePath string                     // of a probe, which any HTTP response answers
 	Vouch     reach.Vouch                // whether another daemon has reached an endpoint
-	OnLost    func()                     // called when the links are lost, before exchanges are forwarded
+	OnLost    func()                     // called when the links are lost
 	OnBack    func()                     // called when the links are back
 	Count     func(metric string)        // increments a counter
 	Logger    *slog.Logger
@@ -44,7 +44,6 @@
 type Router struct {
 	Dependencies
 	tracker *reach.Tracker
-	lost    atomic.Bool // the state is not Connected
 	probing atomic.Bool
 
 	mu       sync.Mutex
@@ -58,7 +57,7 @@
 }
 
 // Lost reports whether this daemon is cut off from the endpoints.
-func (r *Router) Lost() bool { return r.lost.Load() }
+func (r *Router) Lost() bool { return r.tracker.Lost() }
 
 // Forwards reports whether exchanges are forwarded to another daemon.
 func (r *Router) Forwards() bool { return r.Lost() && r.Paths.Any() }
@@ -128,28 +127,17 @@
 func (r *Router) tryDirect(ctx context.Context, exchange outbound.Exchange) (*outbound.Response, error) {
 	exchange.Fresh = true
 	response, err := r.sendDirect(ctx, exchange)
-	switch {
-	case err != nil && errors.Is(context.Cause(ctx), context.Canceled):
+	if err != nil && errors.Is(context.Cause(ctx), context.Canceled) {
 		r.tracker.CancelTrial()
 		return nil, err
-	default:
-		r.tracker.EndTrial(err == nil, time.Now())
 	}
-	if err == nil {
-		r.restore()
+	if r.tracker.EndTrial(err == nil, time.Now()) {
+		r.Logger.Info("links to the endpoints are back")
+		r.OnBack()
 	}
 	return response, err
 }
 
-// restore ends the cut.
-func (r *Router) restore() {
-	if r.tracker.State() != reach.Connected || !r.lost.CompareAndSwap(true, false) {
-		return
-	}
-	r.Logger.Info("links to the endpoints are back")
-	r.OnBack()
-}
-
 // observeError records a failed exchange and returns the error that its sender gets.
 func (r *Router) observeError(ctx context.Context, f *flight, err error) error {
 	var notSent *outbound.NotSentError
@@ -197,7 +185,6 @@
 		r.Logger.Warn("links to the endpoints lost", "endpoints_failing", evidence.Failing, "reached_by_others", evidence.Vouched, "endpoints", evidence.Known)
 		r.Count(`plantainmux_links_lost_total`)
 		r.OnLost()
-		r.lost.Store(true)
 		r.cancelConnects()
 	}
 	if r.Lost() && r.probeDue(now) && !r.probing.Swap(true) {
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -123,26 +122,6 @@
 	return exchange.EndpointOf(target), g.Begin(), nil
 }
 
-// meshLinks establishes links to daemons that gossip has told of. It implements forward.Links.
-type meshLinks struct{ gateway *Gateway }
-
-// Connect implements forward.Links.
-func (m *meshLinks) Connect(daemon string) func() {
-	address := (*m.gateway.addressOf.Load())[daemon]
-	m.gateway.startMesh()
-	return m.gateway.mesh.Connect(peer.Address{HostPort: address, DataCentre: meshDataCentre})
-}
-
-// Await implements forward.Links.
-func (m *meshLinks) Await(ctx context.Context, daemon string, timeout time.Duration) bool {
-	return m.gateway.mesh.AwaitLink(ctx, fleet.DaemonID(daemon), timeout)
-}
-
-// Idle implements forward.Links.
-func (m *meshLinks) Idle(daemon string) bool {
-	return m.gateway.mesh.LinkIdle(fleet.DaemonID(daemon))
-}
-
 // startMesh runs the mesh from its first use on: a daemon that neither forwards nor is forwarded
 // to has no links to keep.
 func (g *Gateway) startMesh() { g.meshStart.Do(func() { g.tasks.Go(g.mesh.Run) }) }
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,6 +18,8 @@
 // Tracker collects the outcomes of a daemon's exchanges with endpoints. It is safe for concurrent
 // use.
 type Tracker struct {
+	lost atomic.Bool // the state is not Connected
+
 	mu           sync.Mutex
 	failures     map[string]failure // by endpoint
 	state        State
@@ -38,6 +41,10 @@
 	return t.state
 }
 
+// Lost reports whether the state is other than Connected. It takes no lock because it is called for
+// each exchange.
+func (t *Tracker) Lost() bool { return t.lost.Load() }
+
 // ObserveConnectFailure records that no connection was made to an endpoint since a time.
 func (t *Tracker) ObserveConnectFailure(endpoint string, since time.Time) {
 	t.observeFailure(endpoint, failure{at: since, connect: true})
@@ -126,22 +133,24 @@
 	return true
 }
 
-// EndTrial ends a trial. An answer ends the cut; without one the next trial waits longer.
-func (t *Tracker) EndTrial(answered bool, now time.Time) {
+// EndTrial ends a trial. An answer ends the cut; without one the next trial waits longer. It reports
+// whether the cut has ended.
+func (t *Tracker) EndTrial(answered bool, now time.Time) (back bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.inTrial = false
 	if t.state != Recovering {
-		return
+		return false
 	}
 	if answered {
 		t.enter(Connected, now)
 		clear(t.failures)
-		return
+		return true
 	}
 	t.enter(CutOff, now)
 	t.trialFrom = now.Add(t.trialBackoff)
 	t.trialBackoff = min(2*t.trialBackoff, maxTrialBackoff)
+	return false
 }
 
 // CancelTrial ends a trial that showed nothing, as its caller left.
@@ -160,4 +169,5 @@
 
 func (t *Tracker) enter(state State, now time.Time) {
 	t.state, t.changedAt = state, now
+	t.lost.Store(state != Connected)
 }
