--- a/internal/peer/clocks.go
+++ b/internal/peer/clocks.go
@@ -86,8 +86,5 @@
 	}
 }
 
-// sendClock queues a clock frame. It is skipped when the queue is full, since
-// calls take precedence.
-func (n *Network) sendClock(l *link) {
-	_ = l.queue.tryPush(l.clockFrame())
-}
+// sendClock queues a clock frame.
+func (n *Network) sendClock(l *link) { l.queue.pushClock(l.clockFrame()) }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -117,6 +117,8 @@
 			return
 		case data := <-l.queue.calls:
 			batch = append(batch, data...)
+		case data := <-l.queue.clock:
+			batch = append(batch, data...)
 		case <-l.queue.flushNow:
 		}
 		batch = l.fillBatch(batch)
--- a/internal/peer/send_queue.go
+++ b/internal/peer/send_queue.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	softQueueFrames = 256
-	callQueueFrames = 1024
+	softQueueFrames  = 256
+	callQueueFrames  = 1024
+	clockQueueFrames = 4 // the other side sends one at a time and waits for its answer
 )
 
 // sendQueue holds the encoded frames queued on one link. When the queue of soft
@@ -16,6 +17,7 @@
 // new frames are rejected or wait.
 type sendQueue struct {
 	calls    chan []byte
+	clock    chan []byte   // clock readings: they belong to no call, so a link with one queued may be idle
 	flushNow chan struct{} // signals that queued soft state must be sent now
 
 	mu       sync.Mutex
@@ -26,6 +28,7 @@
 func newSendQueue() *sendQueue {
 	return &sendQueue{
 		calls:    make(chan []byte, callQueueFrames),
+		clock:    make(chan []byte, clockQueueFrames),
 		flushNow: make(chan struct{}, 1),
 	}
 }
@@ -84,6 +87,14 @@
 	}
 }
 
+// pushClock adds a clock reading. It is dropped if some are waiting to be sent.
+func (q *sendQueue) pushClock(data []byte) {
+	select {
+	case q.clock <- data:
+	default:
+	}
+}
+
 // push adds a frame of a call, and waits while the queue is full.
 func (q *sendQueue) push(ctx context.Context, data []byte) error {
 	select {
