Probe the members of a vanished group once for all of them

When a whole domain goes dark, each member without an entry had all others of its group probed: 16 x 15 probes a round. Members that are due together share one round now; what is concluded from the answers is the same.

--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -6,7 +6,6 @@
 	"maps"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/ledger"
@@ -100,44 +99,51 @@
 		if record.Dissolving || !r.Owns(record.Domain) {
 			continue
 		}
+		var absent []ledger.Member
 		for _, member := range record.Members {
 			if in.Endpoints.ByID[member.ID] != nil || !r.observations.tryProbe("absent/"+member.ID, in.Now, probeInterval) {
 				continue
 			}
 			r.observations.setAbsent(member, Unconfirmed)
-			r.pool.Submit(func() { r.probeAbsentMember(ctx, record, member) })
+			absent = append(absent, member)
+		}
+		if len(absent) > 0 {
+			r.pool.Submit(func() { r.probeAbsentMembers(ctx, record, absent) })
 		}
 	}
 }
 
-func (r *Reconciler) probeAbsentMember(ctx context.Context, record *ledger.Record, member ledger.Member) {
-	state := Unconfirmed
-	if alive, _ := r.probeMember(ctx, member); alive {
-		state = Alive
-	} else if r.anyOtherAnswers(ctx, record, member) {
-		state = Unresponsive
+// probeAbsentMembers records the states of the members of a group that have no registry entry. If
+// none of them answers, the others of the group are probed: when they do not answer either, the
+// whole domain may be partitioned from this daemon and still be serving.
+func (r *Reconciler) probeAbsentMembers(ctx context.Context, record *ledger.Record, absent []ledger.Member) {
+	alive := r.probeAll(ctx, absent)
+	anyAnswers := slices.Contains(alive, true)
+	if !anyAnswers {
+		others := slices.DeleteFunc(slices.Clone(record.Members), func(m ledger.Member) bool { return slices.Contains(absent, m) })
+		anyAnswers = slices.Contains(r.probeAll(ctx, others), true)
+	}
+	for i, member := range absent {
+		state := Unconfirmed
+		switch {
+		case alive[i]:
+			state = Alive
+		case anyAnswers:
+			state = Unresponsive
+		}
+		r.observations.setAbsent(member, state)
+		r.Logger.Info("probed group member without a registry entry", "endpoint", member.ID, "group", record.Group, "epoch", record.Epoch, "state", state)
 	}
-	r.observations.setAbsent(member, state)
-	r.Logger.Info("probed group member without a registry entry", "endpoint", member.ID, "group", record.Group, "epoch", record.Epoch, "state", state)
 	r.Wake()
 }
 
-// anyOtherAnswers reports whether any other member of a group answers a probe. If
-// none does, the whole domain may be partitioned from this daemon and still be
-// serving.
-func (r *Reconciler) anyOtherAnswers(ctx context.Context, record *ledger.Record, except ledger.Member) bool {
+// probeAll probes members concurrently and reports which of them answer.
+func (r *Reconciler) probeAll(ctx context.Context, members []ledger.Member) []bool {
+	alive := make([]bool, len(members))
 	var wait sync.WaitGroup
-	var answered atomic.Bool
-	for _, member := range record.Members {
-		if member.ID == except.ID {
-			continue
-		}
-		wait.Go(func() {
-			if alive, _ := r.probeMember(ctx, member); alive {
-				answered.Store(true)
-			}
-		})
+	for i, member := range members {
+		wait.Go(func() { alive[i], _ = r.probeMember(ctx, member) })
 	}
 	wait.Wait()
-	return answered.Load()
+	return alive
 }
