--- a/internal/gossip/datagram.go
+++ b/internal/gossip/datagram.go
@@ -6,4 +6,5 @@
 type datagram struct {
 	to      *Peer
 	digests []cbor.RawMessage // encoded digests sent along with the daemon's own message
+	brief   bool              // the receiver learns this daemon's loads and news from digests
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -182,8 +182,12 @@
 	g.sequence++
 	message.Sequence = g.sequence
 	for _, outgoing := range g.datagrams(message, now) {
-		message.Digests = outgoing.digests
-		data, err := cbor.Marshal(message)
+		sent := message
+		if outgoing.brief {
+			sent = message.brief()
+		}
+		sent.Digests = outgoing.digests
+		data, err := cbor.Marshal(sent)
 		if err != nil {
 			g.Logger.Error("failed to encode gossip message", "error", merry.Wrap(err))
 			return
@@ -210,7 +214,7 @@
 		outgoing.to.lastSent = now
 	}
 	for _, peer := range g.duePeers(now) {
-		datagrams = append(datagrams, datagram{to: peer})
+		datagrams = append(datagrams, datagram{to: peer, brief: g.learnsFromDigests(peer, now)})
 	}
 	return datagrams
 }
--- a/internal/gossip/hubs.go
+++ b/internal/gossip/hubs.go
@@ -216,6 +216,12 @@
 	return true
 }
 
+// learnsFromDigests reports whether a peer of another data centre gets this daemon's state from the
+// hubs. The digest of its data centre being fresh here shows that the hubs of both reach each other.
+func (g *Gossip) learnsFromDigests(peer *Peer, now time.Time) bool {
+	return g.usesHubs() && peer.DataCentre != g.DataCentre && g.hasFreshDigest(peer.DataCentre, now) && g.hasFreshDigest(g.DataCentre, now)
+}
+
 // hasFreshDigest reports whether the newest digest of a data centre is recent enough to
 // be used.
 func (g *Gossip) hasFreshDigest(dataCentre string, now time.Time) bool {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -32,3 +32,10 @@
 
 	Digests []cbor.RawMessage `cbor:"12,keyasint,omitempty"` // encoded Digest of each data centre; set by hubs
 }
+
+// brief returns the message without what digests carry: bytes between data centres are dear, and
+// the direct datagrams of a fleet that uses hubs show little more than that their sender is alive.
+func (m Message) brief() Message {
+	m.Loads, m.Suspicions, m.NewGroups, m.FailedRequests = nil, nil, nil, nil
+	return m
+}
