--- a/internal/keyed/position.go
+++ b/internal/keyed/position.go
@@ -17,3 +17,8 @@
 
 // EraOf returns the era of the position with an ordinal.
 func EraOf(ordinal uint64) uint64 { return ordinal >> offsetBits }
+
+// PositionOf returns the position with an ordinal.
+func PositionOf(ordinal uint64) Position {
+	return Position{Era: EraOf(ordinal), Offset: ordinal & (1<<offsetBits - 1)}
+}
