Gossip of evacuated data centres

A daemon that the store does not answer reads the operators' topic through another daemon. Gossip field 17 is its second path: one report of each data centre whose evacuation is in force or changed within 10 s. Hubs pass on the latest. The spec with 27 daemons counts only what comes in digests; it fails if digests leave the field out.

--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/plantainmux/plantainmux/internal/evacuation"
 )
 
 // Digest aggregates the messages of the daemons of one data centre. A hub builds it.
@@ -19,6 +21,8 @@
 
 	FailedRequests []uint32 `cbor:"13,keyasint,omitempty"`
 	CutOff         []uint32 `cbor:"16,keyasint,omitempty"` // of Members, those that are cut off from the endpoints
+
+	Evacuations []evacuation.Report `cbor:"17,keyasint,omitempty"` // the latest of each data centre
 }
 
 // add merges the message that a daemon sent age ago into the digest.
@@ -28,6 +32,7 @@
 	d.Suspicions = append(d.Suspicions, aged(message.Suspicions, age)...)
 	d.NewGroups = append(d.NewGroups, message.NewGroups...)
 	d.FailedRequests = append(d.FailedRequests, message.FailedRequests...)
+	d.Evacuations = evacuation.Latest(d.Evacuations, message.Evacuations)
 	for key, load := range message.Loads {
 		d.addLoad(key, load.aged(age))
 	}
@@ -60,7 +65,7 @@
 	for key, load := range d.Loads {
 		loads[key] = load.aged(age)
 	}
-	return Message{Traffic: d.Traffic, Config: d.Config, Loads: loads, Suspicions: aged(d.Suspicions, age), NewGroups: d.NewGroups, FailedRequests: d.FailedRequests}
+	return Message{Traffic: d.Traffic, Config: d.Config, Loads: loads, Suspicions: aged(d.Suspicions, age), NewGroups: d.NewGroups, FailedRequests: d.FailedRequests, Evacuations: d.Evacuations}
 }
 
 // encode returns the digest in CBOR with its current age. It returns nil if encoding fails.
--- a/internal/gossip/hubs_test.go
+++ b/internal/gossip/hubs_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/plantainmux/plantainmux/internal/evacuation"
 	gofleet "github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/gossip"
 	"github.com/plantainmux/plantainmux/internal/keyed"
@@ -27,11 +28,12 @@
 	suspicionReceived     atomic.Bool // a suspicion from another daemon
 	failedRequestReceived atomic.Bool // a failed request from another daemon
 	suspects              *suspect.Table
+	evacuations           *evacuation.Set
 	stop                  func()
 }
 
 func startDaemon(name, dataCentre string) *testDaemon {
-	t := &testDaemon{name: name, dataCentre: dataCentre, suspects: suspect.NewTable(suspect.Policy{})}
+	t := &testDaemon{name: name, dataCentre: dataCentre, suspects: suspect.NewTable(suspect.Policy{}), evacuations: evacuation.NewSet("out/")}
 	t.count.Store(1)
 	var err error
 	t.Gossip, err = gossip.New(gossip.Dependencies{
@@ -39,6 +41,9 @@
 		LocalMessage: t.message,
 		OnMessage: func(message gossip.Message) {
 			t.suspects.Merge(message.Suspects, time.Now())
+			if message.Node == "" { // a digest: direct datagrams would hide what hubs drop
+				t.evacuations.Merge(message.Evacuations, time.Now())
+			}
 			if len(message.Suspicions) > 0 {
 				t.suspicionReceived.Store(true)
 			}
@@ -62,7 +67,7 @@
 }
 
 func (t *testDaemon) message() gossip.Message {
-	message := gossip.Message{Store: true, CutOff: t.cutOff.Load(), Loads: map[uint32]gossip.Load{1: {Count: int(t.count.Load()), AgeMS: 5, PrefillTokens: 100}}, Suspects: t.suspects.Reports(time.Now())}
+	message := gossip.Message{Store: true, CutOff: t.cutOff.Load(), Loads: map[uint32]gossip.Load{1: {Count: int(t.count.Load()), AgeMS: 5, PrefillTokens: 100}}, Suspects: t.suspects.Reports(time.Now()), Evacuations: t.evacuations.Reports(time.Now())}
 	if t.sendsSuspicion.Load() {
 		message.Suspicions = []gossip.Suspicion{{Group: "g", Epoch: 1}}
 		message.FailedRequests = []uint32{17}
@@ -166,6 +171,25 @@
 		Eventually(refused, "2s", "20ms").Should(HaveEach(suspect.Clear))
 	})
 
+	// Guards against evacuations that hubs drop, and against old states that return over another hub.
+	It("tells each daemon of evacuations and of their withdrawal, in this order", func() {
+		evacuated := func() []bool {
+			var all []bool
+			for _, t := range fleet {
+				all = append(all, t.evacuations.Evacuated("y"))
+			}
+			return all
+		}
+		learns := func(t *testDaemon, record keyed.Record) {
+			t.evacuations.Apply(keyed.Batch{Records: []keyed.Record{record}, End: record.Offset + 1}, time.Now())
+		}
+		learns(fleet[0], keyed.Record{Key: "out/y", Value: []byte("{}"), Offset: 3})
+		Eventually(evacuated, "2s", "20ms").Should(HaveEach(true))
+		learns(fleet[perDataCentre], keyed.Record{Key: "out/y", Offset: 4})
+		Eventually(evacuated, "2s", "20ms").Should(HaveEach(false))
+		Consistently(evacuated, "1s", "20ms").Should(HaveEach(false))
+	})
+
 	It("replaces the hubs of a data centre that fail together, and drops the failed daemons", func() {
 		hubs := fleet[0].Hubs("x", time.Now())
 		Expect(hubs).To(HaveLen(2))
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/plantainmux/plantainmux/internal/evacuation"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 	"github.com/plantainmux/plantainmux/internal/targetstats"
 )
@@ -28,6 +29,9 @@
 
 	CutOff bool `cbor:"16,keyasint,omitempty"` // the daemon is cut off from the endpoints
 
+	// Evacuations is what the daemon knows of evacuated data centres that the others may not have read.
+	Evacuations []evacuation.Report `cbor:"17,keyasint,omitempty"`
+
 	FailedRequests []uint32 `cbor:"13,keyasint,omitempty"` // shortened fingerprints of requests that recently ended without an answer
 
 	Digests []cbor.RawMessage `cbor:"12,keyasint,omitempty"` // encoded Digest of each data centre; set by hubs
