Requests leave out evacuated data centres

Operators could not take a data centre out of service without ending its groups. The key evacuate/ZONE in the operators' topic now leaves its targets out of the view by which first attempts, retries, resumed streams, trials and forwarded exchanges choose. If only such targets exist, the request is refused at once with the reason evacuated and Retry-After 1 to 1.5 s. Meters, holds and limits of these targets stay for the return.

The view is built under a lock: registry, configuration and gossip rebuild it from several goroutines, and one that had read the earlier evacuations could have replaced a later view.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -115,6 +115,7 @@
 var _ = Describe("A request", func() {
 	var t *transport
 	var targets []*placement.Target
+	var evacuated *placement.View
 	var suspected []string
 	var suspects *suspect.Table
 	var ownsTrial bool
@@ -139,6 +140,7 @@
 			service.Models = []catalog.Model{{Name: "m", GroupSize: 1}}
 			view.Groups = map[string]map[string][]*placement.Target{"s": {"m": targets}}
 		}
+		view.Evacuated = evacuated
 		x := exchange.New(exchange.Dependencies{
 			View: func() *placement.View { return view }, Transport: t, Daemons: func() int { return 1 }, GossipDelay: func() time.Duration { return 0 }, Suspects: suspects, OwnsTrial: func(suspect.Trait) bool { return ownsTrial }, FailedRequests: exchange.NewFailedRequests(),
 			Metrics: exchange.NewMetrics(metrics.NewSet()), Logger: slog.New(slog.DiscardHandler), Retries: retries, BodyLimit: 100,
@@ -156,7 +158,7 @@
 	run := func() *exchange.Failure { return runUntil(context.Background()) }
 	BeforeEach(func() {
 		t = &transport{scripts: map[string][]script{}}
-		targets, suspected, prompt = nil, nil, 0
+		targets, evacuated, suspected, prompt = nil, nil, nil, 0
 		suspects = suspect.NewTable(suspect.Policy{})
 		ownsTrial, parts = true, nil
 		retries = exchange.RetryBounds{Share: 0.2, Slack: 100, Window: 10 * time.Second}
@@ -181,6 +183,20 @@
 		Expect(suspects.Reports(time.Now())).To(BeEmpty())
 	})
 
+	// Guards against waiting, and against a refusal that names another reason or may have run.
+	It("is refused at once as not run if all targets are in evacuated data centres", func() {
+		evacuated = &placement.View{Plain: map[string][]*placement.Target{"s": {{Key: "left out"}}}}
+		began := time.Now()
+		failure := run()
+		Expect(time.Since(began)).To(BeNumerically("<", 200*time.Millisecond))
+		Expect(failure.Reason).To(Equal(exchange.Evacuated))
+		Expect(failure.NotRun).To(BeTrue())
+		Expect(failure.RetryAfter).To(And(BeNumerically(">=", time.Second), BeNumerically("<", 1600*time.Millisecond)))
+		Expect(t.calls).To(BeEmpty())
+		evacuated = nil
+		Expect(run().Reason).To(Equal(exchange.NoTarget))
+	})
+
 	It("is counted as a waiting prompt until the first event or the end of the attempt", func() {
 		route.Kind = catalog.Streaming
 		route.Resumable = true
--- a/internal/exchange/reason.go
+++ b/internal/exchange/reason.go
@@ -7,6 +7,7 @@
 const (
 	NoTarget         Reason = "no_target"   // no endpoint serves the request
 	NoCapacity       Reason = "no_room"     // all endpoints that serve the request are full
+	Evacuated        Reason = "evacuated"   // all endpoints that serve the request are in evacuated data centres
 	HeldBack         Reason = "held_back"   // no endpoint that serves the request wants one now
 	DeadlineExceeded Reason = "time_over"   // the deadline has passed
 	CallerGone       Reason = "caller_gone" // the caller closed the connection
@@ -17,4 +18,4 @@
 )
 
 // Reasons lists all reasons, so that each counter is registered at start-up.
-var Reasons = []Reason{NoTarget, NoCapacity, HeldBack, DeadlineExceeded, CallerGone, Refused, Broken, NoBudget, CrashSuspect}
+var Reasons = []Reason{NoTarget, NoCapacity, Evacuated, HeldBack, DeadlineExceeded, CallerGone, Refused, Broken, NoBudget, CrashSuspect}
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -17,6 +17,7 @@
 	extraSends       = 2                      // attempts beyond the route's maximum, for those that did not run
 	suspectPeriod    = time.Second            // during which a silent group is avoided
 	retryAfterBase   = 300 * time.Millisecond // by then some of the requests in progress have ended
+	evacuatedRetry   = time.Second            // base of Retry-After while all targets are in evacuated data centres
 	retryAfterJitter = 500 * time.Millisecond // spreads the retries of callers that were refused together
 )
 
@@ -75,14 +76,19 @@
 	if ctx.Err() != nil {
 		return nil, r.contextFailure(ctx)
 	}
-	targets := r.View().Targets(r.req.Service.Name, r.req.Model)
-	target, reason := r.place(targets, now)
+	view := r.View()
+	targets := view.Targets(r.req.Service.Name, r.req.Model)
+	target, reason := r.place(targets, view.Evacuates(r.req.Service.Name, r.req.Model), now)
 	r.summary = placement.Summarize(targets, now)
 	switch reason {
 	case placement.NoTarget:
 		return nil, r.fail(NoTarget, nil)
 	case placement.NoCapacity:
 		return nil, r.fail(NoCapacity, nil)
+	case placement.Evacuated:
+		failure := r.fail(Evacuated, nil)
+		failure.RetryAfter = evacuatedRetry + retryJitter()
+		return nil, failure
 	case placement.HeldBack:
 		failure := r.fail(HeldBack, nil)
 		failure.RetryAfter = max(failure.RetryAfter, placement.HeldFor(targets, now)+retryJitter())
@@ -93,7 +99,7 @@
 }
 
 // place chooses a target and counts the request against its limit.
-func (r *run) place(targets []*placement.Target, now time.Time) (*placement.Target, placement.Reason) {
+func (r *run) place(targets []*placement.Target, evacuated bool, now time.Time) (*placement.Target, placement.Reason) {
 	forwarded := r.Forwards()
 	for range len(targets) + 1 {
 		target, reason := placement.Pick(targets, placement.Requirements{
@@ -106,6 +112,7 @@
 			Daemons:      r.Daemons(),
 			GossipDelay:  r.GossipDelay(),
 			Forwarded:    forwarded,
+			Evacuated:    evacuated,
 			Random:       rand.Float64(),
 			Excluded:     r.excluded,
 			Now:          now,
--- a/internal/forward/decline_reason.go
+++ b/internal/forward/decline_reason.go
@@ -7,17 +7,18 @@
 
 // Reasons to decline an exchange.
 const (
-	DeclinedStopping DeclineReason = "stopping"         // the daemon is shutting down
-	DeclinedCutOff   DeclineReason = "cut_off"          // it is cut off from the endpoints itself
-	DeclinedStranger DeclineReason = "stranger"         // the daemon that forwards is not one of the fleet
-	DeclinedUnknown  DeclineReason = "unknown_endpoint" // it sends the endpoint no requests, as to one that is leaving
-	DeclinedHeld     DeclineReason = "held_back"        // the endpoint wants no request of it now
+	DeclinedStopping  DeclineReason = "stopping"         // the daemon is shutting down
+	DeclinedCutOff    DeclineReason = "cut_off"          // it is cut off from the endpoints itself
+	DeclinedStranger  DeclineReason = "stranger"         // the daemon that forwards is not one of the fleet
+	DeclinedUnknown   DeclineReason = "unknown_endpoint" // it sends the endpoint no requests, as to one that is leaving
+	DeclinedEvacuated DeclineReason = "evacuated"        // the endpoint is in an evacuated data centre
+	DeclinedHeld      DeclineReason = "held_back"        // the endpoint wants no request of it now
 )
 
 // blame returns what keeps a declined exchange from being sent.
 func (r DeclineReason) blame() outbound.Blame {
 	switch r {
-	case DeclinedUnknown, DeclinedHeld:
+	case DeclinedUnknown, DeclinedEvacuated, DeclinedHeld:
 		return outbound.BlameHold
 	default:
 		return outbound.BlamePath
--- a/internal/gateway/adapters.go
+++ b/internal/gateway/adapters.go
@@ -33,5 +33,7 @@
 type Topics struct {
 	Operators string
 	ConfigKey string // key of the newest configuration, in Operators
-	Endpoints string
+	// EvacuationPrefix begins the keys in Operators that name an evacuated data centre; empty: there are none.
+	EvacuationPrefix string
+	Endpoints        string
 }
--- a/internal/gateway/bounds.go
+++ b/internal/gateway/bounds.go
@@ -9,6 +9,7 @@
 	GraceS          float64 `yaml:"grace_s"`             // seconds from the stop signal until the process is killed
 	StabilityMS     int     `yaml:"stability_window_ms"` // ms without changes until the fleet counts as stable
 	ConfigurationMS int     `yaml:"configuration_ms"`    // ms within which a new version must be applied
+	EvacuationMS    int     `yaml:"evacuation_ms"`       // ms within which an evacuation must be in force; 0: not given
 	RetryShare      float64 `yaml:"retry_share"`         // attempts beyond the first, as a share of the requests
 	RetrySlack      float64 `yaml:"retry_slack"`         // further attempts allowed in each window
 	RetryWindowS    float64 `yaml:"retry_window_s"`
@@ -20,9 +21,13 @@
 
 // configWait returns the maximum wait of a long poll for the configuration. The
 // store does not wake a poll when compaction removes the records that it waits
-// for, so that the poll has to end early enough to meet ConfigurationMS.
+// for, so that the poll has to end early enough to meet ConfigurationMS and EvacuationMS.
 func (b Bounds) configWait() time.Duration {
-	wait := time.Duration(configPollShare * float64(b.ConfigurationMS) * float64(time.Millisecond))
+	shortest := b.ConfigurationMS
+	if b.EvacuationMS > 0 && (shortest <= 0 || b.EvacuationMS < shortest) {
+		shortest = b.EvacuationMS
+	}
+	wait := time.Duration(configPollShare * float64(shortest) * float64(time.Millisecond))
 	if wait <= 0 {
 		return longPollWait
 	}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -112,8 +112,11 @@
 	case !g.gossip.Knows(string(from)):
 		return endpoint, nil, forward.Decline(forward.DeclinedStranger)
 	}
-	target := g.view.Load().Find(wanted.Key)
+	view := g.view.Load()
+	target := view.Find(wanted.Key)
 	switch {
+	case target == nil && view.Evacuated != nil && view.Evacuated.Find(wanted.Key) != nil:
+		return endpoint, nil, forward.Decline(forward.DeclinedEvacuated)
 	case target == nil:
 		return endpoint, nil, forward.Decline(forward.DeclinedUnknown)
 	case target.Hold.Remaining(now) > 0 || !target.Limit.Take(now):
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
+	"github.com/plantainmux/plantainmux/internal/evacuation"
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/formation"
 	"github.com/plantainmux/plantainmux/internal/forward"
@@ -51,6 +52,7 @@
 	meters         *targetstats.Meters
 	holds          *targetstats.Holds
 	view           atomic.Pointer[placement.View]
+	viewMu         sync.Mutex // held while a view is built, so that none replaces one of later knowledge
 	reconciler     *formation.Reconciler
 	gossip         *gossip.Gossip
 	exchanger      *exchange.Exchanger
@@ -66,6 +68,7 @@
 	failedRequests *exchange.FailedRequests
 	suspicions     suspicions
 	limits         *targetstats.Limits
+	evacuations    *evacuation.Set
 
 	store              *keyed.ReachabilityTracker
 	storeCalls         *storeCalls
@@ -113,6 +116,7 @@
 
 		registrationLost: make(chan struct{}, 1),
 	}
+	g.buildEvacuations()
 	g.suspects = suspect.NewTable(suspect.Policy{ConfirmAfter: g.crashConfirmation})
 	g.storeCalls = newStoreCalls(g.metrics)
 	g.store = keyed.NewReachabilityTracker(keyed.NewEraObserver(keyed.NewCountedLog(adapters.Store, g.storeCalls.count), g.refreshAll))
@@ -261,7 +265,9 @@
 	if current == nil {
 		return
 	}
-	g.view.Store(placement.Build(current, g.registry.Load(), g.ledger.Load(), g.meters, placement.Announced{Holds: g.holds, Limits: g.limits}))
+	g.viewMu.Lock()
+	g.view.Store(placement.Build(current, g.registry.Load(), g.ledger.Load(), g.meters, placement.Announced{Holds: g.holds, Limits: g.limits}, g.evacuations.Evacuated))
+	g.viewMu.Unlock()
 	if g.reconciler != nil {
 		g.reconciler.Wake()
 	}
@@ -270,6 +276,7 @@
 func (g *Gateway) applyConfig(batch keyed.Batch) {
 	g.configReadAt.Store(batch.StoreReadAt.UnixNano())
 	g.configRestored.Store(batch.Era > 0)
+	g.applyEvacuations(batch)
 	if batch.Empty() {
 		return
 	}
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -35,7 +35,7 @@
 	message := gossip.Message{
 		Draining: g.stopping.Load(), Traffic: g.trafficSeen.Load(), Store: g.storeReached(), CutOff: g.endpoints.Lost(),
 		Suspicions: g.suspicions.list(now), NewGroups: g.recentlyOpened(now), Suspects: g.suspects.Reports(now), Limits: g.limits.Reports(now),
-		FailedRequests: g.failedRequests.Recent(now),
+		FailedRequests: g.failedRequests.Recent(now), Evacuations: g.evacuations.Reports(now),
 	}
 	if current := g.catalogs.Load(); current != nil {
 		message.Config = current.Version
@@ -60,6 +60,7 @@
 	g.failedRequests.RecordRemote(message.FailedRequests, now)
 	g.suspects.Merge(message.Suspects, now)
 	g.limits.Merge(message.Limits, now)
+	g.mergeEvacuations(message.Evacuations, now)
 	g.recordRemoteEvents(message.Loads, now)
 	for _, suspicion := range message.Suspicions {
 		if meter := g.meters.Find(placement.GroupKey(suspicion.Group, suspicion.Epoch)); meter != nil && !suspicion.Tentative {
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -26,6 +26,7 @@
 		g.updateForwarders(now)
 		g.endpoints.Review(now)
 		g.registry.Expire(now)
+		g.settleEvacuations(now)
 		if round%sweepRounds == 0 {
 			g.adapters.Sweep(now)
 			g.paths.Sweep(now)
@@ -58,26 +59,21 @@
 	}
 }
 
-// pruneMeters removes the meters, holds and limits of targets that are no longer in the view.
+// pruneMeters removes the meters, holds and limits of targets that are no longer in the view. Those of
+// evacuated data centres stay for the return.
 func (g *Gateway) pruneMeters() {
 	inUse := map[string]bool{}
 	held := map[*targetstats.Hold]bool{}
 	limited := map[*targetstats.Limit]bool{}
-	retain := func(targets []*placement.Target) {
-		for _, target := range targets {
-			inUse[target.Key] = true
-			held[target.Hold] = true
-			limited[target.Limit] = true
-		}
+	retain := func(target *placement.Target) {
+		inUse[target.Key] = true
+		held[target.Hold] = true
+		limited[target.Limit] = true
 	}
 	view := g.view.Load()
-	for _, targets := range view.Plain {
-		retain(targets)
-	}
-	for _, models := range view.Groups {
-		for _, targets := range models {
-			retain(targets)
-		}
+	view.Each(retain)
+	if view.Evacuated != nil {
+		view.Evacuated.Each(retain)
 	}
 	g.meters.Retain(inUse)
 	g.holds.Retain(held, time.Now())
--- a/internal/placement/build.go
+++ b/internal/placement/build.go
@@ -11,8 +11,9 @@
 
 // Build returns the targets given by the registry and the ledger. A group is a
 // target while it is not being dissolved and its head reports that it is open under
-// its newest record: a head is opened only after every member was ready.
-func Build(current *catalog.Catalog, endpoints *registry.Snapshot, groups *ledger.State, meters *targetstats.Meters, announced Announced) *View {
+// its newest record: a head is opened only after every member was ready. Targets of evacuated data
+// centres are left out.
+func Build(current *catalog.Catalog, endpoints *registry.Snapshot, groups *ledger.State, meters *targetstats.Meters, announced Announced, evacuated func(dataCentre string) bool) *View {
 	view := &View{Plain: map[string][]*Target{}, Groups: map[string]map[string][]*Target{}}
 	for name, service := range current.Services {
 		if service.Grouped() {
@@ -30,7 +31,7 @@
 			models[record.Model] = append(models[record.Model], target)
 		}
 	}
-	return view
+	return view.withoutEvacuated(evacuated)
 }
 
 func plainTargets(endpoints []*registry.Endpoint, meters *targetstats.Meters, announced Announced) []*Target {
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -17,6 +17,9 @@
 // reset of connections, the few healthy targets would otherwise fill up at once and
 // refuse requests for which all targets together have capacity.
 func Pick(targets []*Target, requirements Requirements) (*Target, Reason) {
+	if len(targets) == 0 && requirements.Evacuated {
+		return nil, Evacuated
+	}
 	t := filter(targets, requirements)
 	if len(t.healthy)+len(t.interrupted)+len(t.suspect) == 0 && t.held > 0 {
 		return nil, HeldBack
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -183,7 +184,7 @@
 	}
 	build := func(record *ledger.Record, change func(*registry.Endpoint)) []*placement.Target {
 		groups := &ledger.State{Groups: map[string]*ledger.Record{"g": record}}
-		return placement.Build(current, head(change), groups, targetstats.NewMeters(), placement.Announced{Holds: targetstats.NewHolds(), Limits: targetstats.NewLimits()}).Targets("s", "m")
+		return placement.Build(current, head(change), groups, targetstats.NewMeters(), placement.Announced{Holds: targetstats.NewHolds(), Limits: targetstats.NewLimits()}, func(string) bool { return false }).Targets("s", "m")
 	}
 
 	It("includes the head of a group that is open under its newest record", func() {
@@ -198,4 +199,38 @@
 		dissolving.Dissolving = true
 		Expect(build(&dissolving, func(*registry.Endpoint) {})).To(BeEmpty())
 	})
+
+	// Guards against requests to an evacuated data centre, and against refusals that do not say so.
+	It("leaves out targets of evacuated data centres, of groups and plain services, and tells them from none", func() {
+		snapshot := &registry.Snapshot{ByID: map[string]*registry.Endpoint{}, ByService: map[string][]*registry.Endpoint{}}
+		groups := &ledger.State{Groups: map[string]*ledger.Record{}}
+		for i, dataCentre := range []string{"x", "y"} {
+			epoch := uint64(i)
+			plain := &registry.Endpoint{ID: "p" + dataCentre, Service: "plain", DataCentre: dataCentre}
+			leader := &registry.Endpoint{ID: "h" + dataCentre, Service: "s", DataCentre: dataCentre, Group: registry.Membership{Group: dataCentre, Epoch: epoch, State: registry.Open}}
+			snapshot.ByService["plain"] = append(snapshot.ByService["plain"], plain)
+			snapshot.ByID[plain.ID], snapshot.ByID[leader.ID] = plain, leader
+			groups.Groups[dataCentre] = &ledger.Record{Group: dataCentre, Epoch: epoch, Service: "s", Model: "m", Members: []ledger.Member{{ID: leader.ID}}}
+		}
+		view := func(evacuated ...string) *placement.View {
+			return placement.Build(current, snapshot, groups, targetstats.NewMeters(), placement.Announced{Holds: targetstats.NewHolds(), Limits: targetstats.NewLimits()},
+				func(dataCentre string) bool { return slices.Contains(evacuated, dataCentre) })
+		}
+		for _, service := range []string{"s", "plain"} {
+			Expect(view().Targets(service, "m")).To(HaveLen(2))
+			Expect(view().Evacuates(service, "m")).To(BeFalse())
+			one := view("x")
+			Expect(one.Targets(service, "m")).To(ConsistOf(HaveField("DataCentre", "y")))
+			Expect(one.Evacuated.Targets(service, "m")).To(ConsistOf(HaveField("DataCentre", "x")))
+			all := view("x", "y")
+			Expect(all.Targets(service, "m")).To(BeEmpty())
+			Expect(all.Evacuates(service, "m")).To(BeTrue())
+			Expect(all.Evacuates(service, "other")).To(Equal(service == "plain"), "a plain service has no models")
+		}
+		now := time.Now()
+		_, reason := placement.Pick(nil, placement.Requirements{Evacuated: true, Now: now})
+		Expect(reason).To(Equal(placement.Evacuated))
+		_, reason = placement.Pick([]*placement.Target{target("failed", 0)}, placement.Requirements{Evacuated: true, Excluded: map[string]bool{"failed": true}, Now: now})
+		Expect(reason).To(Equal(placement.NoTarget))
+	})
 })
--- a/internal/placement/reason.go
+++ b/internal/placement/reason.go
@@ -8,5 +8,6 @@
 	Placed     Reason = "placed"
 	NoTarget   Reason = "no_target" // no target serves, or all failed this request
 	NoCapacity Reason = "no_room"   // all serving targets are full
+	Evacuated  Reason = "evacuated" // all serving targets are in evacuated data centres
 	HeldBack   Reason = "held_back" // no serving target wants a request of this daemon now
 )
--- a/internal/placement/requirements.go
+++ b/internal/placement/requirements.go
@@ -15,6 +15,7 @@
 	GossipDelay  time.Duration   // with which this daemon learns of the requests of others
 	Random       float64         // uniform in [0, 1)
 	Forwarded    bool            // another daemon sends it, and keeps to the limits that endpoints name
+	Evacuated    bool            // further targets serve it, in evacuated data centres
 	Excluded     map[string]bool // keys of targets that failed this request
 	Now          time.Time
 }
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -2,8 +2,9 @@
 
 // View holds the targets at one time. It is immutable.
 type View struct {
-	Plain  map[string][]*Target            // by service
-	Groups map[string]map[string][]*Target // by service and model
+	Plain     map[string][]*Target            // by service
+	Groups    map[string]map[string][]*Target // by service and model
+	Evacuated *View                           // targets that are left out, as they are in evacuated data centres; nil: none
 }
 
 // Targets returns the targets of a plain service, or those of a model of a grouped
@@ -15,6 +16,12 @@
 	return v.Plain[service]
 }
 
+// Evacuates reports whether targets of a plain service, or of a model of a grouped service, are
+// left out as they are in evacuated data centres.
+func (v *View) Evacuates(service, model string) bool {
+	return v.Evacuated != nil && len(v.Evacuated.Targets(service, model)) > 0
+}
+
 // Find returns the target with a key, nil if there is none.
 func (v *View) Find(key string) *Target {
 	var found *Target
