--- a/internal/evacuation/set_test.go
+++ b/internal/evacuation/set_test.go
@@ -60,6 +60,12 @@
 		Expect(evacuation.NewSet("").Apply(news(0, keyed.Record{Key: "x", Value: []byte("{}")}), at(0))).To(BeEmpty(), "without a prefix there are no records")
 	})
 
+	It("stays evacuated for as long as nothing is read or told", func() {
+		set.Apply(news(0, imposed("x", 1)), at(0))
+		Expect(set.Settle(at(0).Add(1000 * time.Hour))).To(BeEmpty())
+		Expect(set.Evacuated("x")).To(BeTrue())
+	})
+
 	It("takes a missing key for a deletion when history was lost", func() {
 		set.Apply(news(0, imposed("x", 1), imposed("y", 2)), at(0))
 		set.Apply(whole(0, 9, imposed("y", 2), imposed("z", 8)), at(10))
@@ -100,6 +106,16 @@
 			Expect(set.Evacuated("x")).To(BeTrue(), "no copy has a record beyond the withdrawal that is older than it")
 		})
 
+		It("believes the first record that is written after an empty copy", func() {
+			set.Apply(news(0, imposed("x", 5)), at(0))
+			set.Apply(restored(1, 0), at(1000))
+			set.Settle(at(6000))
+			Expect(set.Evacuated("x")).To(BeFalse())
+			Expect(set.Reports(at(6000))).To(BeEmpty(), "others could not tell it from a record")
+			set.Apply(news(1, imposed("x", 0)), at(7000))
+			Expect(set.Evacuated("x")).To(BeTrue())
+		})
+
 		It("believes at once what the copy says of a data centre of which nothing is known", func() {
 			set.Apply(restored(1, 3, imposed("x", 2)), at(0))
 			Expect(set.Evacuated("x")).To(BeTrue())
--- a/internal/fakes/wire_engine.go
+++ b/internal/fakes/wire_engine.go
@@ -20,6 +20,8 @@
 // crashDelay is how long an engine reads a prompt before it crashes on it.
 const crashDelay = 50 * time.Millisecond
 
+const defaultLastEvent = 6 // of a stream
+
 // WireEngine is a fake of an endpoint on the users' platform: it registers itself in
 // the store, executes group orders, and serves streams while it is the head of an
 // open group. Without a fabric domain it is a plain service.
@@ -27,35 +29,42 @@
 	ID      string
 	Service string
 	Domain  string // fabric domain; empty: a plain service
+	Zone    string // data centre
 	Born    int64  // start time, Unix milliseconds
 
 	server   *http.Server
 	listener net.Listener
 	log      *KeyedLog
 
-	mu       sync.Mutex
-	group    map[string]any
-	models   []map[string]any
-	sequence int
-	runs     map[string]int // number of runs by request ID
-	stalled  bool           // streams send no more events, as after the loss of a member
-	leaving  bool           // all answers announce that the engine is leaving
-	hold     string         // Retry-After of a 503 that answers every request; empty: serve normally
-	arrivals []time.Time    // of requests
-	limit    string         // named as its limit in all answers; empty: none
-	killed   bool
-	crashOn  string                // ID of a prompt part on which the engine crashes as it begins to write; empty: none
-	crashes  []time.Time           // when it has crashed on that part
-	conns    map[net.Conn]struct{} // open connections
+	mu        sync.Mutex
+	group     map[string]any
+	models    []map[string]any
+	sequence  int
+	runs      map[string]int // number of runs by request ID
+	stalled   bool           // streams send no more events, as after the loss of a member
+	leaving   bool           // all answers announce that the engine is leaving
+	hold      string         // Retry-After of a 503 that answers every request; empty: serve normally
+	arrivals  []time.Time    // of requests
+	limit     string         // named as its limit in all answers; empty: none
+	killed    bool
+	lastEvent int                   // number of the last event of each stream
+	crashOn   string                // ID of a prompt part on which the engine crashes as it begins to write; empty: none
+	crashes   []time.Time           // when it has crashed on that part
+	conns     map[net.Conn]struct{} // open connections
 }
 
 // StartWireEngine starts an engine on loopback and registers it in a store.
 func StartWireEngine(log *KeyedLog, id, service, domain string) (*WireEngine, error) {
+	return StartWireEngineIn(log, "z", id, service, domain)
+}
+
+// StartWireEngineIn starts an engine in a data centre.
+func StartWireEngineIn(log *KeyedLog, zone, id, service, domain string) (*WireEngine, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	e := &WireEngine{ID: id, Service: service, Domain: domain, Born: time.Now().UnixMilli(), listener: listener, log: log, runs: map[string]int{}, conns: map[net.Conn]struct{}{}}
+	e := &WireEngine{ID: id, Service: service, Domain: domain, Zone: zone, lastEvent: defaultLastEvent, Born: time.Now().UnixMilli(), listener: listener, log: log, runs: map[string]int{}, conns: map[net.Conn]struct{}{}}
 	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Second, ConnState: e.trackConn}
 	go func() { _ = e.server.Serve(listener) }()
 	e.register()
@@ -83,6 +92,14 @@
 	e.stalled = true
 }
 
+// SetLastEvent sets the number of the last event of streams that begin from now on. An event takes
+// 30 ms.
+func (e *WireEngine) SetLastEvent(number int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lastEvent = number
+}
+
 // Announce makes all answers announce that the engine is leaving. Its entry stays as it is.
 func (e *WireEngine) Announce() {
 	e.mu.Lock()
@@ -203,7 +220,7 @@
 	entry := e.state()
 	entry["service"] = e.Service
 	entry["address"] = e.listener.Addr().String()
-	entry["zone"] = "z"
+	entry["zone"] = e.Zone
 	entry["version"] = "v1"
 	entry["slots"] = 8
 	entry["state"] = "ready"
@@ -309,7 +326,7 @@
 }
 
 // handleRequest answers a plain service's request with an echo of it, and an
-// engine's request with the events after Last-Event-Id, up to event 6.
+// engine's request with the events after Last-Event-Id, up to the last one.
 func (e *WireEngine) handleRequest(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
@@ -348,8 +365,11 @@
 		e.crash()
 		return
 	}
+	e.mu.Lock()
+	end := e.lastEvent
+	e.mu.Unlock()
 	last, _ := strconv.Atoi(strings.TrimSpace(r.Header.Get("Last-Event-Id")))
-	for number := last + 1; number <= 6; number++ {
+	for number := last + 1; number <= end; number++ {
 		e.mu.Lock()
 		stalled := e.stalled
 		e.mu.Unlock()
