--- a/internal/evacuation/set.go
+++ b/internal/evacuation/set.go
@@ -63,6 +63,9 @@
 // Settle makes copies from which the store was restored authoritative after HoldPeriod, and returns
 // what changed. It is called every tenth of a second.
 func (s *Set) Settle(now time.Time) []Change {
+	if !s.state.Load().due(now) {
+		return nil
+	}
 	return s.update(func(state State) (State, []Change) { return state.Settle(now) })
 }
 
