--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -261,16 +261,21 @@
 
 // changed rebuilds the view that the request path reads, and wakes the reconciler.
 func (g *Gateway) changed() {
+	if g.rebuildView() && g.reconciler != nil {
+		g.reconciler.Wake()
+	}
+}
+
+// rebuildView rebuilds the view. It returns false if there is no configuration yet.
+func (g *Gateway) rebuildView() bool {
+	g.viewMu.Lock()
+	defer g.viewMu.Unlock()
 	current := g.catalogs.Load()
 	if current == nil {
-		return
+		return false
 	}
-	g.viewMu.Lock()
 	g.view.Store(placement.Build(current, g.registry.Load(), g.ledger.Load(), g.meters, placement.Announced{Holds: g.holds, Limits: g.limits}, g.evacuations.Evacuated))
-	g.viewMu.Unlock()
-	if g.reconciler != nil {
-		g.reconciler.Wake()
-	}
+	return true
 }
 
 func (g *Gateway) applyConfig(batch keyed.Batch) {
