Limit the requests of all daemons to a cold endpoint

targetstats.Limit gets a second source: an endpoint that is cold until a time takes a share of each daemon, without word of each other. The share policy is one struct for both sources; the limit that an endpoint names keeps its numbers.

--- a/internal/targetstats/limit.go
+++ b/internal/targetstats/limit.go
@@ -9,27 +9,27 @@
 // noLimit is the value of a limit that an endpoint no longer names.
 const noLimit = -1
 
-// maxLimitTokens is the number of requests that a daemon may send at once after a pause. With
-// LimitShare it bounds what all daemons together send at once.
-const maxLimitTokens = 1
-
-// Limit holds the limit that one incarnation of an endpoint has named for the requests of all
-// daemons together, and admits this daemon's share of them. A nil Limit admits all. It is safe for
-// concurrent use.
+// Limit bounds the requests of this daemon to one incarnation of an endpoint, from two sources:
+// the limit that the endpoint has named in its answers, and the limit while it is cold. Each is for
+// the requests of all daemons together and admits this daemon's share of them; a request needs a
+// token of both. A nil Limit admits all. It is safe for concurrent use.
 type Limit struct {
 	active atomic.Bool // a limit is named
-
-	mu         sync.Mutex
-	named      float64 // requests per second of all daemons, or noLimit
-	version    uint64  // number of the value: a later one replaces those before it at all daemons
-	changedAt  time.Time
-	learntAt   time.Time // when this daemon learnt the value
-	rate       float64   // requests per second of this daemon
-	tokens     float64
-	refilledAt time.Time
+	cold   atomic.Bool // the endpoint is cold, or was when it was last looked at
+
+	skips *atomic.Uint64 // requests that passed over a cold endpoint, of all limits
+
+	mu        sync.Mutex
+	named     float64 // requests per second of all daemons, or noLimit
+	version   uint64  // number of the value: a later one replaces those before it at all daemons
+	changedAt time.Time
+	learntAt  time.Time // when this daemon learnt the value
+	tokens    bucket    // for the named limit
+	coldUntil time.Time
+	coldShare bucket // for the limit while the endpoint is cold
 }
 
-func newLimit() *Limit { return &Limit{named: noLimit} }
+func newLimit(skips *atomic.Uint64) *Limit { return &Limit{named: noLimit, skips: skips} }
 
 // Observe records that the endpoint named a limit, in requests per second. It reports whether
 // that is news.
@@ -75,7 +75,7 @@
 
 func (l *Limit) set(limit float64, version uint64, now time.Time) {
 	if l.named == noLimit {
-		l.tokens, l.rate = 0, 0
+		l.tokens.reset()
 	}
 	l.named, l.version, l.changedAt, l.learntAt = limit, version, now, now
 	l.active.Store(limit != noLimit)
@@ -88,61 +88,67 @@
 	return l.named, l.named != noLimit
 }
 
-// SetShare sets the rate of this daemon, in requests per second.
+// SetShare sets the rate of this daemon under the named limit, in requests per second.
 func (l *Limit) SetShare(rate float64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.refill(now)
-	l.rate = rate
-	if rate == 0 {
-		l.tokens = 0
-	}
+	l.tokens.setRate(rate, now)
 }
 
 // Admits reports whether a request may be sent now.
 func (l *Limit) Admits(now time.Time) bool {
-	if l == nil || !l.active.Load() {
+	if !l.inForce() {
 		return true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.refill(now)
-	return l.tokens >= 1
+	return l.admits(now)
 }
 
 // Take records a request that is sent. It returns false if none may be sent now.
 func (l *Limit) Take(now time.Time) bool {
-	if l == nil || !l.active.Load() {
+	if !l.inForce() {
 		return true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.refill(now)
-	if l.tokens < 1 {
+	if !l.admits(now) {
 		return false
 	}
-	l.tokens--
+	if l.named != noLimit {
+		l.tokens.tokens--
+	}
+	if l.isCold(now) {
+		l.coldShare.tokens--
+	}
 	return true
 }
 
 // Wait returns how long it takes until a request may be sent, 0 if it may be sent now or if this
-// daemon has no share.
+// daemon has no share of the named limit.
 func (l *Limit) Wait(now time.Time) time.Duration {
-	if l == nil || !l.active.Load() {
+	if !l.inForce() {
 		return 0
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.refill(now)
-	if l.tokens >= 1 || l.rate == 0 {
-		return 0
+	wait := l.coldWait(now)
+	if l.named != noLimit {
+		wait = max(wait, l.tokens.wait(now))
 	}
-	return time.Duration((1 - l.tokens) / l.rate * float64(time.Second))
+	return wait
 }
 
-func (l *Limit) refill(now time.Time) {
-	if elapsed := now.Sub(l.refilledAt); elapsed > 0 && !l.refilledAt.IsZero() {
-		l.tokens = min(l.tokens+l.rate*elapsed.Seconds(), maxLimitTokens)
+// inForce reports whether there may be a limit.
+func (l *Limit) inForce() bool { return l != nil && (l.active.Load() || l.cold.Load()) }
+
+func (l *Limit) admits(now time.Time) bool {
+	if l.named != noLimit && !l.tokens.has(now) {
+		return false
 	}
-	l.refilledAt = now
+	if l.isCold(now) && !l.coldShare.has(now) {
+		l.skips.Add(1)
+		return false
+	}
+	return true
 }
--- a/internal/targetstats/limits.go
+++ b/internal/targetstats/limits.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,6 +21,8 @@
 
 // Limits has the limit of each incarnation of an endpoint, across the groups that it heads.
 type Limits struct {
+	coldSkips atomic.Uint64
+
 	mu     sync.Mutex
 	byHash map[uint64]*Limit
 }
@@ -37,7 +40,7 @@
 	defer l.mu.Unlock()
 	limit := l.byHash[hash]
 	if limit == nil {
-		limit = newLimit()
+		limit = newLimit(&l.coldSkips)
 		l.byHash[hash] = limit
 	}
 	return limit
@@ -91,13 +94,16 @@
 	return found
 }
 
+// ColdSkips returns how often a request passed over an endpoint because it was cold.
+func (l *Limits) ColdSkips() uint64 { return l.coldSkips.Load() }
+
 // Retain deletes the limits that are not among those in use and have not changed for long.
 func (l *Limits) Retain(inUse map[*Limit]bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for hash, limit := range l.byHash {
 		limit.mu.Lock()
-		expired := now.Sub(limit.changedAt) > unusedLimitTTL
+		expired := now.Sub(limit.changedAt) > unusedLimitTTL && now.Sub(limit.coldUntil) > unusedLimitTTL
 		limit.mu.Unlock()
 		if !inUse[limit] && expired {
 			delete(l.byHash, hash)
