--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -11,7 +11,12 @@
 	// Limit is how many requests a second the endpoint takes from all daemons together, as a decimal
 	// number that has not been checked; empty if the answer names none.
 	Limit string
+	// ColdMS is how long the endpoint stays cold, as a decimal number of milliseconds that has not been
+	// checked; empty if the answer does not say.
+	ColdMS string
 }
 
 // Empty reports whether the answer announces nothing.
-func (n Notice) Empty() bool { return !n.Leaving && n.RetryAfter == "" && n.Limit == "" }
+func (n Notice) Empty() bool {
+	return !n.Leaving && n.RetryAfter == "" && n.Limit == "" && n.ColdMS == ""
+}
--- a/internal/registry/endpoint.go
+++ b/internal/registry/endpoint.go
@@ -22,11 +22,21 @@
 	Staged      []string   // models stored on its host
 	Slowdown    float64    // slowdown factor; 1 is normal speed, 0 means not reported
 
+	ColdStated      bool    // the entry says for how long the endpoint stays cold
+	ColdRemainingMS float64 // that time in ms, not checked
+
 	FirstSeen time.Time // when the first entry of this incarnation was read
 	LastSeen  time.Time // when the latest entry was read
 	// LapsedUntil is when an endpoint without an entry is removed. The entry may be
 	// missing only because of a store outage. It is zero while there is an entry.
 	LapsedUntil time.Time
+	// ColdUntil is the latest time until which entries of this incarnation have said that it is cold.
+	// It is counted from when this daemon read them, which is no earlier than when they were written.
+	ColdUntil time.Time
+	ColdError error // why the time in the latest entry is ignored; nil: it is used, or there is none
+	// AppearedAt is when this daemon first read an entry of this incarnation, zero if it was there at
+	// the first read: how long it had been running then is not known.
+	AppearedAt time.Time
 }
 
 // Lapsed reports whether the entry is missing.
@@ -42,6 +52,9 @@
 	if math.Abs(a.Slowdown-b.Slowdown) > slowdownTolerance || !slices.Equal(a.Staged, b.Staged) {
 		return false
 	}
+	if a.ColdRemainingMS > 0 || b.ColdRemainingMS > 0 || a.ColdStated != b.ColdStated {
+		return false // the time counts from when the entry is read
+	}
 	return a.ID == b.ID && a.Service == b.Service && a.Address == b.Address && a.DataCentre == b.DataCentre && a.Domain == b.Domain &&
 		a.Slots == b.Slots && a.Draining == b.Draining && a.Incarnation == b.Incarnation && a.Group == b.Group && a.Model == b.Model
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -28,6 +28,7 @@
 
 	mu         sync.Mutex
 	graceUntil time.Time
+	read       bool                   // the entries have been read once
 	invalid    map[string]bool        // IDs whose current entry is invalid; each is logged once
 	removed    map[string]*Endpoint   // last entries of removed endpoints, by ID
 	leaving    map[string]leavingMark // by ID
@@ -61,6 +62,7 @@
 		r.applyRecord(next, record, batch)
 	}
 	r.current.Store(index(next))
+	r.read = true
 	r.mu.Unlock()
 	r.onChange()
 }
@@ -120,6 +122,7 @@
 		r.logger.Info("older endpoint entry ignored", "endpoint", endpoint.ID, "sequence", endpoint.Sequence, "offset", record.Offset, "era", batch.Era)
 		return
 	}
+	departed := r.removed[endpoint.ID]
 	delete(r.removed, endpoint.ID)
 	if r.isLeaving(&endpoint) {
 		endpoint.Draining = true
@@ -129,6 +132,7 @@
 	if old != nil && old.Incarnation == endpoint.Incarnation {
 		endpoint.FirstSeen = old.FirstSeen
 	}
+	endpoint.noteCold(cmp.Or(old, departed), !r.read, time.Now())
 	r.logChange(old, &endpoint, record.Offset)
 	next[endpoint.ID] = &endpoint
 }
