Registered daemons, and the bounds on requests to cold endpoints

Gossip knows who is registered, heard or not. The settings take the platform's bounds; a template that renders nothing for a field leaves it without a value, which was refused (spec with the template).

--- a/internal/gateway/bounds.go
+++ b/internal/gateway/bounds.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/plantainmux/plantainmux/internal/targetstats"
 )
 
 // Bounds are the time and retry limits that the platform sets.
@@ -12,6 +14,22 @@
 	RetryShare      float64 `yaml:"retry_share"`         // attempts beyond the first, as a share of the requests
 	RetrySlack      float64 `yaml:"retry_slack"`         // further attempts allowed in each window
 	RetryWindowS    float64 `yaml:"retry_window_s"`
+	// In any second, a cold endpoint bears the requests that it takes x ColdOvershoot + ColdSlack.
+	// Without an overshoot above 0 nothing limits the requests to cold endpoints.
+	ColdOvershoot *float64 `yaml:"cold_overshoot"`
+	ColdSlack     *float64 `yaml:"cold_slack"` // requests; nil: none
+}
+
+// limitsCold reports whether requests to cold endpoints are limited.
+func (b Bounds) limitsCold() bool { return b.ColdOvershoot != nil && *b.ColdOvershoot > 0 }
+
+// coldPolicy returns how daemons share a cold endpoint that takes perS requests per second.
+func (b Bounds) coldPolicy(perS float64) targetstats.SharePolicy {
+	policy := targetstats.SharePolicy{PerS: perS, Window: time.Second, Overshoot: *b.ColdOvershoot}
+	if b.ColdSlack != nil {
+		policy.Slack = *b.ColdSlack
+	}
+	return policy
 }
 
 func (b Bounds) grace() time.Duration {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -49,11 +49,12 @@
 	Dependencies
 	conn *net.UDPConn
 
-	mu       sync.Mutex
-	peers    map[string]*Peer
-	byHash   map[uint32]*Peer
-	digests  map[string]*receivedDigest
-	sequence uint64
+	mu             sync.Mutex
+	peers          map[string]*Peer
+	byHash         map[uint32]*Peer
+	everRegistered map[string]bool // names of all other daemons ever registered
+	digests        map[string]*receivedDigest
+	sequence       uint64
 
 	delay         atomic.Int64  // nanoseconds; returned by Delay
 	hubInterval   time.Duration // between two sends to or from hubs
@@ -73,7 +74,7 @@
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
-	return &Gossip{Dependencies: dependencies, conn: conn, peers: map[string]*Peer{}, byHash: map[uint32]*Peer{}, digests: map[string]*receivedDigest{}, hubInterval: minInterval}, nil
+	return &Gossip{Dependencies: dependencies, conn: conn, peers: map[string]*Peer{}, byHash: map[uint32]*Peer{}, digests: map[string]*receivedDigest{}, everRegistered: map[string]bool{}, hubInterval: minInterval}, nil
 }
 
 // Registration returns the store record that registers this daemon with the others.
@@ -109,9 +110,10 @@
 	if existing != nil && existing.Incarnation >= registration.Incarnation {
 		return
 	}
-	peer := &Peer{Node: record.Key, Address: registration.Address, DataCentre: registration.DataCentre, Incarnation: registration.Incarnation, CPUShare: registration.CPUShare}
+	peer := &Peer{Node: record.Key, Address: registration.Address, DataCentre: registration.DataCentre, Incarnation: registration.Incarnation, CPUShare: registration.CPUShare, learntAt: time.Now()}
 	g.peers[record.Key] = peer
 	g.byHash[HashKey(record.Key)] = peer
+	g.everRegistered[record.Key] = true
 }
 
 // Run sends and receives datagrams until ctx is done.
--- a/internal/gossip/peer.go
+++ b/internal/gossip/peer.go
@@ -10,6 +10,7 @@
 	Incarnation int64
 	CPUShare    float64 // of a core; 0 if not known
 
+	learntAt     time.Time // when its registration was read
 	lastSeen     time.Time // last sign of life, from its own datagrams or from digests
 	lastReceived time.Time // last datagram received from the peer itself
 	reachesStore bool      // the peer reaches the store
--- a/internal/strictyaml/checker.go
+++ b/internal/strictyaml/checker.go
@@ -26,6 +26,8 @@
 	switch {
 	case node.Kind == yaml.AliasNode || node.Anchor != "":
 		c.reject(node, path, Unsupported, "anchors and aliases are not supported")
+	case t.Kind() == reflect.Pointer:
+		c.checkOptional(node, t, path)
 	case node.Kind == yaml.ScalarNode && node.Tag == "!!null":
 		c.reject(node, path, Missing, "the field has no value; leave it out instead")
 	case t.Kind() == reflect.Struct:
@@ -62,6 +64,15 @@
 	}
 }
 
+// checkOptional checks a field that may be without a value, which a pointer stands for: a template
+// renders nothing for what its platform does not provide.
+func (c *checker) checkOptional(node *yaml.Node, t reflect.Type, path string) {
+	if node.Kind == yaml.ScalarNode && node.Tag == "!!null" {
+		return
+	}
+	c.check(node, t.Elem(), path)
+}
+
 func (c *checker) checkSlice(node *yaml.Node, t reflect.Type, path string) {
 	if node.Kind != yaml.SequenceNode {
 		c.reject(node, path, WrongType, "want a list")
