Limit the requests to cold endpoints

A daemon learns that an endpoint is cold from its entry, from the header of any of its answers, or as a new incarnation whose entry does not say, and then sends its share alone. Requests whose answers are late anyway pass cold endpoints over. A daemon has a share once it has read the registrations and has been registered for 2 s.

--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -100,6 +100,7 @@
 			DataCentre:   r.DataCentre,
 			Grouped:      r.req.Service.Grouped(),
 			Late:         r.req.Late && r.attempts == 0,
+			Overdue:      r.overdue(now),
 			Resumed:      r.started,
 			PromptTokens: r.req.PromptTokens,
 			Priority:     r.req.Priority,
@@ -267,6 +268,13 @@
 	return route.LatencyTarget > 0 && r.timeToFirst() > route.LatencyTarget || route.GapTarget > 0 && r.longestGap > route.GapTarget
 }
 
+// overdue reports whether the answer will be late: the request was refused before, or its latency
+// target has passed without an event.
+func (r *run) overdue(now time.Time) bool {
+	target := r.req.Route.LatencyTarget
+	return r.req.Late || target > 0 && r.firstAt.IsZero() && now.Sub(r.req.Arrived) > target
+}
+
 // pathFailed reports whether an attempt failed on the way to its target, which another attempt may
 // reach.
 func pathFailed(err error) bool {
--- a/internal/fakes/wire_engine.go
+++ b/internal/fakes/wire_engine.go
@@ -43,6 +43,8 @@
 	hold     string         // Retry-After of a 503 that answers every request; empty: serve normally
 	arrivals []time.Time    // of requests
 	limit    string         // named as its limit in all answers; empty: none
+	cold     time.Time      // until when the engine is cold
+	mute     bool           // neither entry nor answers say for how long the engine stays cold
 	killed   bool
 	crashOn  string                // ID of a prompt part on which the engine crashes as it begins to write; empty: none
 	crashes  []time.Time           // when it has crashed on that part
@@ -51,11 +53,26 @@
 
 // StartWireEngine starts an engine on loopback and registers it in a store.
 func StartWireEngine(log *KeyedLog, id, service, domain string) (*WireEngine, error) {
+	return startWireEngine(log, id, service, domain, func(*WireEngine) {})
+}
+
+// StartMuteWireEngine starts an engine that does not say whether it is cold.
+func StartMuteWireEngine(log *KeyedLog, id, service, domain string) (*WireEngine, error) {
+	return startWireEngine(log, id, service, domain, func(e *WireEngine) { e.mute = true })
+}
+
+// StartColdWireEngine starts an engine that says that it is cold for a time.
+func StartColdWireEngine(log *KeyedLog, id, service, domain string, remaining time.Duration) (*WireEngine, error) {
+	return startWireEngine(log, id, service, domain, func(e *WireEngine) { e.cold = time.Now().Add(remaining) })
+}
+
+func startWireEngine(log *KeyedLog, id, service, domain string, setUp func(*WireEngine)) (*WireEngine, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	e := &WireEngine{ID: id, Service: service, Domain: domain, Born: time.Now().UnixMilli(), listener: listener, log: log, runs: map[string]int{}, conns: map[net.Conn]struct{}{}}
+	setUp(e)
 	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Second, ConnState: e.trackConn}
 	go func() { _ = e.server.Serve(listener) }()
 	e.register()
@@ -104,6 +121,17 @@
 	e.limit = limit
 }
 
+// TurnCold makes the engine cold for a time. Its entry says so at once.
+func (e *WireEngine) TurnCold(remaining time.Duration) {
+	e.mu.Lock()
+	e.cold = time.Now().Add(remaining)
+	e.mu.Unlock()
+	e.register()
+}
+
+// coldRemaining returns how long the engine stays cold. The caller holds mu.
+func (e *WireEngine) coldRemaining() time.Duration { return max(time.Until(e.cold), 0) }
+
 // Arrivals returns the number of requests that have arrived, rejected ones included.
 func (e *WireEngine) Arrivals() int { return len(e.ArrivalTimes()) }
 
@@ -207,7 +235,9 @@
 	entry["version"] = "v1"
 	entry["slots"] = 8
 	entry["state"] = "ready"
-	entry["cold_remaining_ms"] = 0
+	if !e.mute {
+		entry["cold_remaining_ms"] = e.coldRemaining().Milliseconds()
+	}
 	entry["sequence"] = e.sequence
 	killed := e.killed
 	e.mu.Unlock()
@@ -233,8 +263,11 @@
 // ServeHTTP implements http.Handler.
 func (e *WireEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
-	leaving, limit := e.leaving, e.limit
+	leaving, limit, cold := e.leaving, e.limit, e.coldRemaining()
 	e.mu.Unlock()
+	if cold > 0 {
+		w.Header().Set("Cold-Remaining-Ms", strconv.FormatInt(cold.Milliseconds(), 10))
+	}
 	if leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,8 @@
 	failedRequests *exchange.FailedRequests
 	suspicions     suspicions
 	limits         *targetstats.Limits
+	cold           *coldEndpoints
+	registeredAt   atomic.Pointer[time.Time] // when the store first accepted this daemon's registration; nil: not yet
 
 	store              *keyed.ReachabilityTracker
 	storeCalls         *storeCalls
@@ -87,6 +89,8 @@
 	groupOpenedAt      sync.Map                         // time when a group was first seen open, by name and epoch
 	trafficSeen        atomic.Bool                      // a request has arrived, at this daemon or a peer
 
+	requested atomic.Bool // this daemon has had a request, of a plain service too
+
 	registrationLost chan struct{} // the store has lost this daemon's registration
 
 	inFlight      atomic.Int64
@@ -113,6 +117,7 @@
 
 		registrationLost: make(chan struct{}, 1),
 	}
+	g.cold = newColdEndpoints(s, g.limits, g.sharingDaemons, g.logger, g.metrics)
 	g.suspects = suspect.NewTable(suspect.Policy{ConfirmAfter: g.crashConfirmation})
 	g.storeCalls = newStoreCalls(g.metrics)
 	g.store = keyed.NewReachabilityTracker(keyed.NewEraObserver(keyed.NewCountedLog(adapters.Store, g.storeCalls.count), g.refreshAll))
@@ -261,6 +266,7 @@
 	if current == nil {
 		return
 	}
+	g.cold.observe(g.registry.Load(), current.Services, g.trafficSeen.Load() || g.requested.Load(), time.Now())
 	g.view.Store(placement.Build(current, g.registry.Load(), g.ledger.Load(), g.meters, placement.Announced{Holds: g.holds, Limits: g.limits}))
 	if g.reconciler != nil {
 		g.reconciler.Wake()
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -26,6 +26,7 @@
 		g.updateForwarders(now)
 		g.endpoints.Review(now)
 		g.registry.Expire(now)
+		g.cold.review(now)
 		if round%sweepRounds == 0 {
 			g.adapters.Sweep(now)
 			g.paths.Sweep(now)
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -22,6 +22,17 @@
 	if n.Limit != "" {
 		g.noteLimit(n)
 	}
+	if n.ColdMS != "" {
+		g.noteCold(n)
+	}
+}
+
+// noteCold limits the requests to an endpoint that is cold.
+func (g *Gateway) noteCold(n notice.Notice) {
+	endpoint, current := g.registry.Load().ByID[n.Endpoint], g.catalogs.Load()
+	if endpoint != nil && current != nil {
+		g.cold.observeAnswer(n, current.Services[endpoint.Service], time.Now())
+	}
 }
 
 // noteLimit bounds the requests to an endpoint by the limit that it named.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -56,6 +56,9 @@
 	if service == nil {
 		return nil, g.deny(in, NoService, retryAfterStarting)
 	}
+	if !g.requested.Load() {
+		g.requested.Store(true)
+	}
 	if service.Grouped() {
 		g.trafficSeen.Store(true)
 	}
--- a/internal/gateway/store_access.go
+++ b/internal/gateway/store_access.go
@@ -75,6 +75,7 @@
 		err := g.store.Put(call, gossip.Topic, own)
 		cancel()
 		if err == nil {
+			g.noteRegistered(time.Now())
 			return
 		}
 		g.logger.Warn("writing the registration failed", "error", err)
--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -16,7 +16,7 @@
 	t := candidateTiers{healthy: make([]*Target, 0, len(targets))}
 	for _, target := range targets {
 		switch {
-		case target.Hold.Remaining(requirements.Now) > 0 || !requirements.Forwarded && !target.Limit.Admits(requirements.Now):
+		case isHeld(target, requirements):
 			t.held++
 		case requirements.Excluded[target.Key] || target.Meter.Down(requirements.Now):
 		case isSuspect(target, requirements):
@@ -30,6 +30,15 @@
 	return t
 }
 
+// isHeld reports whether a target wants no such request now. A cold endpoint takes so few requests
+// that none of them is spent on an answer that is late anyway.
+func isHeld(target *Target, requirements Requirements) bool {
+	if target.Hold.Remaining(requirements.Now) > 0 || requirements.Overdue && target.Limit.SkipIfCold(requirements.Now) {
+		return true
+	}
+	return !requirements.Forwarded && !target.Limit.Admits(requirements.Now)
+}
+
 // isSuspect reports whether a target failed recently or is silent.
 func isSuspect(target *Target, requirements Requirements) bool {
 	if target.Meter.InBackoff(requirements.Now) || target.Meter.Suspected(requirements.Now) {
--- a/internal/placement/requirements.go
+++ b/internal/placement/requirements.go
@@ -8,6 +8,7 @@
 	DataCentre   string // of the daemon
 	Grouped      bool
 	Late         bool // its latency target has been missed already, so that its answer has little value
+	Overdue      bool // its answer will miss the latency target, whichever attempt this is
 	PromptTokens int
 	Resumed      bool            // part of its answer has been sent to the caller
 	Priority     int             // 0 is the most urgent
