--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -560,6 +560,43 @@
 			Expect(second.Limit.Admits(time.Now())).To(BeFalse())
 		})
 
+		// cold makes a target's endpoint cold. This daemon may send one request at once.
+		cold := func(target *placement.Target) {
+			limits := targetstats.NewLimits()
+			target.Limit = limits.GetOrCreate(target.ID, 1)
+			began := time.Now().Add(-time.Hour)
+			target.Limit.MarkCold(time.Now().Add(time.Hour), began)
+			target.Limit.SetColdShare(1, began)
+		}
+
+		It("goes elsewhere when the share of a cold one is used, and is refused with a time if there is no other", func() {
+			cold(add("a", 0, answers(200, io.EOF, "ok")))
+			add("b", 5, answers(200, io.EOF, "ok"))
+			Expect(run()).To(BeNil())
+			Expect(run()).To(BeNil())
+			Expect(t.calls).To(Equal([]string{"a", "b"}))
+			targets = targets[:1]
+			failure := run()
+			Expect(failure.Reason).To(Equal(exchange.HeldBack))
+			Expect(failure.NotRun).To(BeTrue())
+			Expect(failure.RetryAfter).To(BeNumerically(">", 900*time.Millisecond))
+		})
+
+		// A cold endpoint takes few requests; they are for answers that can be in time.
+		It("takes nothing of a cold one if its answer is late, in second attempts too", func() {
+			route.LatencyTarget = 20 * time.Millisecond
+			add("a", 0, func(context.Context, exchange.Call) (*exchange.Answer, error) {
+				time.Sleep(2 * route.LatencyTarget)
+				return nil, &exchange.NotRunError{Status: 503}
+			})
+			second := add("b", 1, answers(200, io.EOF, "ok"))
+			cold(second)
+			add("c", 5, answers(200, io.EOF, "ok"))
+			Expect(run()).To(BeNil())
+			Expect(t.calls).To(Equal([]string{"a", "c"}))
+			Expect(second.Limit.Admits(time.Now())).To(BeTrue())
+		})
+
 		It("sends as before after an answer that names none", func() {
 			limited(add("a", 0, answers(200, io.EOF, "ok"), answers(200, io.EOF, "ok")), 1)
 			Expect(run()).To(BeNil())
