--- a/internal/gateway/cold_endpoints_test.go
+++ b/internal/gateway/cold_endpoints_test.go
@@ -81,6 +81,15 @@
 		Expect(limit().Take(at(1110))).To(BeTrue())
 	})
 
+	// Daemons that have not yet heard of a new one divide the limit among themselves alone.
+	It("are shared by a daemon that has read the registrations and has been registered for 2 s", func() {
+		registered := at(0)
+		Expect(mayShare(nil, true, at(10_000))).To(BeFalse())
+		Expect(mayShare(&registered, false, at(10_000))).To(BeFalse())
+		Expect(mayShare(&registered, true, at(1999))).To(BeFalse())
+		Expect(mayShare(&registered, true, at(2000))).To(BeTrue())
+	})
+
 	It("report an unusable time once for each incarnation", func() {
 		_, err := notice.ColdTime(-1)
 		for range 3 {
