--- a/internal/gateway/cold_endpoints.go
+++ b/internal/gateway/cold_endpoints.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
@@ -27,15 +26,14 @@
 	metrics *metrics.Set
 
 	mu       sync.Mutex
-	cold     map[string]coldEndpoint // by registry.IncarnationKey
-	unusable map[string]int64        // incarnation whose unusable entry was reported, by endpoint ID
-	daemons  []string                // for which the shares were last set
+	cold     map[string]*coldEndpoint // by registry.IncarnationKey
+	unusable map[string]int64         // incarnation whose unusable entry was reported, by endpoint ID
 }
 
 func newColdEndpoints(s Settings, limits *targetstats.Limits, sharing func(time.Time) ([]string, int), logger *slog.Logger, set *metrics.Set) *coldEndpoints {
 	c := &coldEndpoints{
 		bounds: s.Bounds, node: s.Node, limits: limits, sharing: sharing, logger: logger, metrics: set,
-		cold: map[string]coldEndpoint{}, unusable: map[string]int64{},
+		cold: map[string]*coldEndpoint{}, unusable: map[string]int64{},
 	}
 	set.NewGauge("plantainmux_cold_endpoints", func() float64 { return float64(c.count()) })
 	set.NewGauge("plantainmux_cold_skips_total", func() float64 { return float64(limits.ColdSkips()) })
@@ -89,14 +87,13 @@
 	if _, known := c.cold[key]; known && !turned {
 		return
 	}
-	endpoint := coldEndpoint{id: id, limit: limit, policy: c.bounds.coldPolicy(service.ColdPerS), since: now}
+	endpoint := &coldEndpoint{id: id, limit: limit, policy: c.bounds.coldPolicy(service.ColdPerS), key: key, since: now}
 	c.cold[key] = endpoint
 	daemons, ever := c.sharing(now)
-	rate := endpoint.policy.Rate(key, daemons, ever, c.node)
-	limit.SetColdShare(rate, now)
+	endpoint.share(c.node, daemons, ever, now)
 	c.metrics.GetOrCreateCounter(fmt.Sprintf(`plantainmux_endpoint_cold_total{source=%q}`, source)).Inc()
 	c.logger.Info("endpoint is cold", "endpoint", id, "source", source, "remaining_ms", until.Sub(now).Milliseconds(),
-		"requests_per_s", service.ColdPerS, "own_requests_per_s", rate, "daemons", len(daemons))
+		"requests_per_s", service.ColdPerS, "own_requests_per_s", endpoint.policy.Rate(key, daemons, ever, c.node), "daemons", len(daemons))
 }
 
 // review sets the shares again if the daemons that may share have changed, and drops the endpoints
@@ -108,17 +105,13 @@
 		return
 	}
 	daemons, ever := c.sharing(now)
-	changed := !slices.Equal(daemons, c.daemons)
-	c.daemons = daemons
 	for key, endpoint := range c.cold {
 		if !endpoint.limit.Cold(now) {
 			delete(c.cold, key)
 			c.logger.Info("endpoint is warm", "endpoint", endpoint.id, "cold_ms", now.Sub(endpoint.since).Milliseconds())
 			continue
 		}
-		if changed {
-			endpoint.limit.SetColdShare(endpoint.policy.Rate(key, daemons, ever, c.node), now)
-		}
+		endpoint.share(c.node, daemons, ever, now)
 	}
 }
 
