Do not take requests without a body for late ones at cold endpoints

They have one fingerprint for each path, so that after one refusal all of them passed every cold endpoint over for 10 s. Found when a spec over whole daemons sent equal requests: a cold endpoint got none of them.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -121,6 +121,8 @@
 	var parts []uint64
 	var retries exchange.RetryBounds
 	var out *sink
+	var body []byte
+	var failedRequests *exchange.FailedRequests
 	route := catalog.Route{}
 	prompt := 0
 	add := func(key string, load int, scripts ...script) *placement.Target {
@@ -140,7 +142,7 @@
 			view.Groups = map[string]map[string][]*placement.Target{"s": {"m": targets}}
 		}
 		x := exchange.New(exchange.Dependencies{
-			View: func() *placement.View { return view }, Transport: t, Daemons: func() int { return 1 }, GossipDelay: func() time.Duration { return 0 }, Suspects: suspects, OwnsTrial: func(suspect.Trait) bool { return ownsTrial }, FailedRequests: exchange.NewFailedRequests(),
+			View: func() *placement.View { return view }, Transport: t, Daemons: func() int { return 1 }, GossipDelay: func() time.Duration { return 0 }, Suspects: suspects, OwnsTrial: func(suspect.Trait) bool { return ownsTrial }, FailedRequests: failedRequests,
 			Metrics: exchange.NewMetrics(metrics.NewSet()), Logger: slog.New(slog.DiscardHandler), Retries: retries, BodyLimit: 100,
 			ReportSuspect: func(target *placement.Target, _ string, tentative bool) {
 				if !tentative {
@@ -150,7 +152,7 @@
 		})
 		now := time.Now()
 		return x.Run(ctx, &exchange.Request{
-			ID: "r", Route: &route, Service: service, Model: "m", PromptTokens: prompt, Fingerprint: 7, PromptParts: parts, Arrived: now, Deadline: now.Add(2 * time.Second),
+			ID: "r", Route: &route, Service: service, Model: "m", PromptTokens: prompt, Fingerprint: 7, Body: body, PromptParts: parts, Arrived: now, Deadline: now.Add(2 * time.Second),
 		}, out)
 	}
 	run := func() *exchange.Failure { return runUntil(context.Background()) }
@@ -158,7 +160,8 @@
 		t = &transport{scripts: map[string][]script{}}
 		targets, suspected, prompt = nil, nil, 0
 		suspects = suspect.NewTable(suspect.Policy{})
-		ownsTrial, parts = true, nil
+		ownsTrial, parts, body = true, nil, nil
+		failedRequests = exchange.NewFailedRequests()
 		retries = exchange.RetryBounds{Share: 0.2, Slack: 100, Window: 10 * time.Second}
 		out = &sink{}
 		route = catalog.Route{Name: "r", Kind: catalog.Unsafe, MaxAttempts: 2}
@@ -597,6 +600,20 @@
 			Expect(second.Limit.Admits(time.Now())).To(BeTrue())
 		})
 
+		// Requests without a body are alike, as those of different callers for one page: if one was refused,
+		// the others are not late.
+		It("takes nothing of a cold one if it was refused before, unless it has no body to know it by", func() {
+			failedRequests.Record(7, time.Now())
+			body = []byte("x")
+			cold(add("a", 0, answers(200, io.EOF, "ok")))
+			add("b", 5, answers(200, io.EOF, "ok"))
+			Expect(run()).To(BeNil())
+			Expect(t.calls).To(Equal([]string{"b"}))
+			body = nil
+			Expect(run()).To(BeNil())
+			Expect(t.calls).To(Equal([]string{"b", "a"}))
+		})
+
 		It("sends as before after an answer that names none", func() {
 			limited(add("a", 0, answers(200, io.EOF, "ok"), answers(200, io.EOF, "ok")), 1)
 			Expect(run()).To(BeNil())
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -269,10 +269,11 @@
 }
 
 // overdue reports whether the answer will be late: the request was refused before, or its latency
-// target has passed without an event.
+// target has passed without an event. Requests without a body have one fingerprint in common, so that
+// it does not tell that this one was refused.
 func (r *run) overdue(now time.Time) bool {
 	target := r.req.Route.LatencyTarget
-	return r.req.Late || target > 0 && r.firstAt.IsZero() && now.Sub(r.req.Arrived) > target
+	return r.req.Late && len(r.req.Body) > 0 || target > 0 && r.firstAt.IsZero() && now.Sub(r.req.Arrived) > target
 }
 
 // pathFailed reports whether an attempt failed on the way to its target, which another attempt may
