--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -76,6 +76,25 @@
 		Expect(picked.Key).To(Equal("reset"))
 	})
 
+	// A daemon that forwards has no share to spend: the one that sends takes the token.
+	It("passes over a cold target without a token, unless another daemon sends, and for late requests always", func() {
+		cold := target("cold", 0)
+		cold.Limit = targetstats.NewLimits().GetOrCreate("cold", 1)
+		cold.Limit.MarkCold(now.Add(3*time.Second), now)
+		targets := []*placement.Target{cold}
+		pick := func(forwarded, overdue bool) placement.Reason {
+			_, reason := placement.Pick(targets, requirements(func(d *placement.Requirements) { d.Forwarded, d.Overdue = forwarded, overdue }))
+			return reason
+		}
+		Expect(pick(false, false)).To(Equal(placement.HeldBack))
+		Expect(placement.HeldFor(targets, now)).To(Equal(3 * time.Second))
+		Expect(pick(true, false)).To(Equal(placement.Placed))
+		Expect(pick(true, true)).To(Equal(placement.HeldBack))
+		targets = append(targets, target("warm", 9))
+		picked, _ := placement.Pick(targets, requirements(nil))
+		Expect(picked.Key).To(Equal("warm"))
+	})
+
 	Describe("prompts that wait for prefill", func() {
 		withPrefill := func(key string, load, tokens int) *placement.Target {
 			t := target(key, load)
