--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -122,6 +122,8 @@
 	var parts []uint64
 	var retries exchange.RetryBounds
 	var out *sink
+	var body []byte
+	var failedRequests *exchange.FailedRequests
 	route := catalog.Route{}
 	prompt := 0
 	add := func(key string, load int, scripts ...script) *placement.Target {
@@ -142,7 +144,7 @@
 		}
 		view.Evacuated = evacuated
 		x := exchange.New(exchange.Dependencies{
-			View: func() *placement.View { return view }, Transport: t, Daemons: func() int { return 1 }, GossipDelay: func() time.Duration { return 0 }, Suspects: suspects, OwnsTrial: func(suspect.Trait) bool { return ownsTrial }, FailedRequests: exchange.NewFailedRequests(),
+			View: func() *placement.View { return view }, Transport: t, Daemons: func() int { return 1 }, GossipDelay: func() time.Duration { return 0 }, Suspects: suspects, OwnsTrial: func(suspect.Trait) bool { return ownsTrial }, FailedRequests: failedRequests,
 			Metrics: exchange.NewMetrics(metrics.NewSet()), Logger: slog.New(slog.DiscardHandler), Retries: retries, BodyLimit: 100,
 			ReportSuspect: func(target *placement.Target, _ string, tentative bool) {
 				if !tentative {
@@ -152,7 +154,7 @@
 		})
 		now := time.Now()
 		return x.Run(ctx, &exchange.Request{
-			ID: "r", Route: &route, Service: service, Model: "m", PromptTokens: prompt, Fingerprint: 7, PromptParts: parts, Arrived: now, Deadline: now.Add(2 * time.Second),
+			ID: "r", Route: &route, Service: service, Model: "m", PromptTokens: prompt, Fingerprint: 7, Body: body, PromptParts: parts, Arrived: now, Deadline: now.Add(2 * time.Second),
 		}, out)
 	}
 	run := func() *exchange.Failure { return runUntil(context.Background()) }
@@ -160,7 +162,8 @@
 		t = &transport{scripts: map[string][]script{}}
 		targets, evacuated, suspected, prompt = nil, nil, nil, 0
 		suspects = suspect.NewTable(suspect.Policy{})
-		ownsTrial, parts = true, nil
+		ownsTrial, parts, body = true, nil, nil
+		failedRequests = exchange.NewFailedRequests()
 		retries = exchange.RetryBounds{Share: 0.2, Slack: 100, Window: 10 * time.Second}
 		out = &sink{}
 		route = catalog.Route{Name: "r", Kind: catalog.Unsafe, MaxAttempts: 2}
@@ -576,6 +579,57 @@
 			Expect(second.Limit.Admits(time.Now())).To(BeFalse())
 		})
 
+		// cold makes a target's endpoint cold. This daemon may send one request at once.
+		cold := func(target *placement.Target) {
+			limits := targetstats.NewLimits()
+			target.Limit = limits.GetOrCreate(target.ID, 1)
+			began := time.Now().Add(-time.Hour)
+			target.Limit.MarkCold(time.Now().Add(time.Hour), began)
+			target.Limit.SetColdShare(1, began)
+		}
+
+		It("goes elsewhere when the share of a cold one is used, and is refused with a time if there is no other", func() {
+			cold(add("a", 0, answers(200, io.EOF, "ok")))
+			add("b", 5, answers(200, io.EOF, "ok"))
+			Expect(run()).To(BeNil())
+			Expect(run()).To(BeNil())
+			Expect(t.calls).To(Equal([]string{"a", "b"}))
+			targets = targets[:1]
+			failure := run()
+			Expect(failure.Reason).To(Equal(exchange.HeldBack))
+			Expect(failure.NotRun).To(BeTrue())
+			Expect(failure.RetryAfter).To(BeNumerically(">", 900*time.Millisecond))
+		})
+
+		// A cold endpoint takes few requests; they are for answers that can be in time.
+		It("takes nothing of a cold one if its answer is late, in second attempts too", func() {
+			route.LatencyTarget = 20 * time.Millisecond
+			add("a", 0, func(context.Context, exchange.Call) (*exchange.Answer, error) {
+				time.Sleep(2 * route.LatencyTarget)
+				return nil, &exchange.NotRunError{Status: 503}
+			})
+			second := add("b", 1, answers(200, io.EOF, "ok"))
+			cold(second)
+			add("c", 5, answers(200, io.EOF, "ok"))
+			Expect(run()).To(BeNil())
+			Expect(t.calls).To(Equal([]string{"a", "c"}))
+			Expect(second.Limit.Admits(time.Now())).To(BeTrue())
+		})
+
+		// Requests without a body are alike, as those of different callers for one page: if one was refused,
+		// the others are not late.
+		It("takes nothing of a cold one if it was refused before, unless it has no body to know it by", func() {
+			failedRequests.Record(7, time.Now())
+			body = []byte("x")
+			cold(add("a", 0, answers(200, io.EOF, "ok")))
+			add("b", 5, answers(200, io.EOF, "ok"))
+			Expect(run()).To(BeNil())
+			Expect(t.calls).To(Equal([]string{"b"}))
+			body = nil
+			Expect(run()).To(BeNil())
+			Expect(t.calls).To(Equal([]string{"b", "a"}))
+		})
+
 		It("sends as before after an answer that names none", func() {
 			limited(add("a", 0, answers(200, io.EOF, "ok"), answers(200, io.EOF, "ok")), 1)
 			Expect(run()).To(BeNil())
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -27,6 +27,7 @@
 		g.endpoints.Review(now)
 		g.registry.Expire(now)
 		g.settleEvacuations(now)
+		g.cold.review(now)
 		if round%sweepRounds == 0 {
 			g.adapters.Sweep(now)
 			g.paths.Sweep(now)
