Endpoints of a data centre count as cold for a time after its evacuation was withdrawn

They may have turned cold without requests after they wrote the entries that are known. This connects evacuations with the limit of cold endpoints.

--- a/internal/gateway/cold_endpoints.go
+++ b/internal/gateway/cold_endpoints.go
@@ -18,21 +18,24 @@
 // coldEndpoints keeps the limits of the endpoints that are cold. Nothing is limited if the platform
 // sets no bound for cold endpoints, or if their service does not start cold.
 type coldEndpoints struct {
-	bounds  Bounds
-	node    string
-	limits  *targetstats.Limits
-	sharing func(now time.Time) (daemons []string, ever int) // that may share limits; none: this daemon has no share
-	logger  *slog.Logger
-	metrics *metrics.Set
+	bounds Bounds
+	node   string
+	limits *targetstats.Limits
+	// withdrawnAt returns when this daemon learnt that the latest evacuation of a data centre was
+	// withdrawn, the zero time if there was none.
+	withdrawnAt func(dataCentre string) time.Time
+	sharing     func(now time.Time) (daemons []string, ever int) // that may share limits; none: this daemon has no share
+	logger      *slog.Logger
+	metrics     *metrics.Set
 
 	mu       sync.Mutex
 	cold     map[string]*coldEndpoint // by registry.IncarnationKey
 	unusable map[string]int64         // incarnation whose unusable entry was reported, by endpoint ID
 }
 
-func newColdEndpoints(s Settings, limits *targetstats.Limits, sharing func(time.Time) ([]string, int), logger *slog.Logger, set *metrics.Set) *coldEndpoints {
+func newColdEndpoints(s Settings, limits *targetstats.Limits, withdrawnAt func(dataCentre string) time.Time, sharing func(time.Time) ([]string, int), logger *slog.Logger, set *metrics.Set) *coldEndpoints {
 	c := &coldEndpoints{
-		bounds: s.Bounds, node: s.Node, limits: limits, sharing: sharing, logger: logger, metrics: set,
+		bounds: s.Bounds, node: s.Node, limits: limits, withdrawnAt: withdrawnAt, sharing: sharing, logger: logger, metrics: set,
 		cold: map[string]*coldEndpoint{}, unusable: map[string]int64{},
 	}
 	set.NewGauge("plantainmux_cold_endpoints", func() float64 { return float64(c.count()) })
@@ -56,11 +59,25 @@
 			if end := e.ColdEnd(service.ColdStart); traffic && end.After(until) {
 				until, source = end, coldByStart
 			}
+			if end := c.returnEnd(e.DataCentre, service); end.After(until) {
+				until, source = end, coldByReturn
+			}
 			c.mark(e.ID, e.Incarnation, service, until, source, now)
 		}
 	}
 }
 
+// returnEnd returns the time until which the endpoints of a data centre count as cold after its
+// evacuation was withdrawn, the zero time if there was none. They may have turned cold without
+// requests, after they wrote the entries that are known.
+func (c *coldEndpoints) returnEnd(dataCentre string, service *catalog.Service) time.Time {
+	withdrawn := c.withdrawnAt(dataCentre)
+	if withdrawn.IsZero() {
+		return time.Time{}
+	}
+	return withdrawn.Add(service.ColdStart)
+}
+
 // observeAnswer limits the requests to an endpoint that says in an answer that it is cold.
 func (c *coldEndpoints) observeAnswer(n notice.Notice, service *catalog.Service, now time.Time) {
 	if !c.bounds.limitsCold() || service == nil || !service.StartsCold() {
--- a/internal/gateway/cold_endpoints_test.go
+++ b/internal/gateway/cold_endpoints_test.go
@@ -20,15 +20,16 @@
 	service := &catalog.Service{Name: "s", ColdStart: 3 * time.Second, ColdPerS: 20}
 	services := map[string]*catalog.Service{"s": service}
 	var daemons []string
+	var withdrawn map[string]time.Time // when evacuations were withdrawn, by data centre
 	var limits *targetstats.Limits
 	var cold *coldEndpoints
 	var set *metrics.Set
 	build := func(overshoot *float64) {
 		slack := 5.0
-		limits, set, daemons = targetstats.NewLimits(), metrics.NewSet(), []string{"n"}
+		limits, set, daemons, withdrawn = targetstats.NewLimits(), metrics.NewSet(), []string{"n"}, map[string]time.Time{}
 		s := Settings{Node: "n", Bounds: Bounds{ColdOvershoot: overshoot, ColdSlack: &slack}}
 		sharing := func(time.Time) ([]string, int) { return daemons, len(daemons) }
-		cold = newColdEndpoints(s, limits, sharing, slog.New(slog.DiscardHandler), set)
+		cold = newColdEndpoints(s, limits, func(dataCentre string) time.Time { return withdrawn[dataCentre] }, sharing, slog.New(slog.DiscardHandler), set)
 	}
 	observe := func(e registry.Endpoint, traffic bool, now time.Time) {
 		e.ID, e.Incarnation, e.Service = "e", 1, "s"
@@ -62,6 +63,19 @@
 		Expect(limit().Cold(at(3000))).To(BeFalse())
 	})
 
+	// Their entries may be older than the moment at which they turned cold without requests.
+	It("include all endpoints of a data centre whose evacuation was withdrawn", func() {
+		observe(registry.Endpoint{DataCentre: "z", ColdStated: true}, true, at(0))
+		Expect(cold.count()).To(BeZero())
+		withdrawn["z"] = at(100)
+		observe(registry.Endpoint{DataCentre: "z", ColdStated: true}, true, at(110))
+		Expect(limit().Take(at(110))).To(BeFalse())
+		Expect(limit().Cold(at(3099))).To(BeTrue())
+		Expect(limit().Cold(at(3100))).To(BeFalse())
+		observe(registry.Endpoint{DataCentre: "z", ColdStated: true}, true, at(4000))
+		Expect(limit().Cold(at(4000))).To(BeFalse())
+	})
+
 	It("are told by any of their answers", func() {
 		cold.observeAnswer(notice.Notice{Endpoint: "e", Incarnation: 1, ColdMS: "500"}, service, at(0))
 		Expect(limit().Cold(at(499))).To(BeTrue())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,7 +121,7 @@
 		registrationLost: make(chan struct{}, 1),
 	}
 	g.buildEvacuations()
-	g.cold = newColdEndpoints(s, g.limits, g.sharingDaemons, g.logger, g.metrics)
+	g.cold = newColdEndpoints(s, g.limits, g.evacuations.WithdrawnAt, g.sharingDaemons, g.logger, g.metrics)
 	g.suspects = suspect.NewTable(suspect.Policy{ConfirmAfter: g.crashConfirmation})
 	g.storeCalls = newStoreCalls(g.metrics)
 	g.store = keyed.NewReachabilityTracker(keyed.NewEraObserver(keyed.NewCountedLog(adapters.Store, g.storeCalls.count), g.refreshAll))
