--- a/internal/catalog/route.go
+++ b/internal/catalog/route.go
@@ -16,6 +16,8 @@
 	Priority      int           // 0 is the most urgent
 	Public        bool          // requires no API key
 	Resumable     bool          // an interrupted stream may be resumed at another endpoint
+	// AllowedRegions are the regions in which requests may be handled; empty: all.
+	AllowedRegions []string
 }
 
 // Repeatable reports whether a request that may have been executed may be sent
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"github.com/plantainmux/plantainmux/internal/homes"
 	"github.com/plantainmux/plantainmux/internal/strictyaml"
 )
 
@@ -8,6 +9,9 @@
 type Settings struct {
 	Node       string `yaml:"node"`
 	DataCentre string `yaml:"data_centre"`
+	// Regions maps each data centre to its region. A data centre that is missing is in no region:
+	// requests that are restricted to regions are not sent there.
+	Regions homes.Regions `yaml:"zones"`
 	Listen     Listen `yaml:"listen"`
 	Store      string `yaml:"store"` // address of the platform's store
 	First      bool   `yaml:"first"` // first start of the whole fleet
--- a/internal/strictyaml/checker.go
+++ b/internal/strictyaml/checker.go
@@ -26,6 +26,8 @@
 	switch {
 	case node.Kind == yaml.AliasNode || node.Anchor != "":
 		c.reject(node, path, Unsupported, "anchors and aliases are not supported")
+	case t.Kind() == reflect.Map:
+		c.checkMap(node, t, path)
 	case node.Kind == yaml.ScalarNode && node.Tag == "!!null":
 		c.reject(node, path, Missing, "the field has no value; leave it out instead")
 	case t.Kind() == reflect.Struct:
@@ -62,6 +64,30 @@
 	}
 }
 
+// checkMap accepts a field without value as an empty map: a template that lists no entries writes
+// one.
+func (c *checker) checkMap(node *yaml.Node, t reflect.Type, path string) {
+	if node.Kind == yaml.ScalarNode && node.Tag == "!!null" {
+		return
+	}
+	if node.Kind != yaml.MappingNode {
+		c.reject(node, path, WrongType, "want a mapping")
+		return
+	}
+	seen := map[string]int{}
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		key, value := node.Content[i], node.Content[i+1]
+		keyPath := join(path, key.Value)
+		if first, repeated := seen[key.Value]; repeated {
+			c.reject(key, keyPath, DuplicateField, fmt.Sprintf("also at line %d", first))
+			continue
+		}
+		seen[key.Value] = key.Line
+		c.document.lines[keyPath] = key.Line
+		c.check(value, t.Elem(), keyPath)
+	}
+}
+
 func (c *checker) checkSlice(node *yaml.Node, t reflect.Type, path string) {
 	if node.Kind != yaml.SequenceNode {
 		c.reject(node, path, WrongType, "want a list")
