Keep requests within the regions that route and team allow

Placement leaves out endpoints of other regions before it looks at load and health; if only such endpoints serve, the request is refused as not run with no_allowed_region and Retry-After of 1 s with jitter. Forwarded exchanges carry the allowed regions; a daemon that is cut off chooses by them through whom it sends, and the daemon that sends checks them again.

--- a/internal/daemon/endpoints.go
+++ b/internal/daemon/endpoints.go
@@ -7,6 +7,7 @@
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/forward"
+	"github.com/plantainmux/plantainmux/internal/homes"
 	"github.com/plantainmux/plantainmux/internal/outbound"
 )
 
@@ -82,7 +83,7 @@
 }
 
 // forwarders returns the daemons through which this one forwards while it is cut off.
-func (d *Daemon) forwarders() []string {
+func (d *Daemon) forwarders(*homes.Allowed) []string {
 	var candidates []forward.Candidate
 	for _, other := range d.mesh.EndpointReachers() {
 		if other != d.id {
@@ -101,12 +102,12 @@
 }
 
 // admitForwarded decides on an exchange that another daemon forwards.
-func (d *Daemon) admitForwarded(_ fleet.DaemonID, wanted outbound.Endpoint) (endpoint outbound.Endpoint, done func(), refused *outbound.NotSentError) {
+func (d *Daemon) admitForwarded(_ fleet.DaemonID, wanted outbound.Exchange) (endpoint outbound.Endpoint, done func(), refused *outbound.NotSentError) {
 	if d.endpoints.Lost() {
 		return endpoint, nil, forward.Decline(forward.DeclinedCutOff)
 	}
 	for _, serving := range d.servingEndpoints() {
-		if serving.Key == wanted.Key {
+		if serving.Key == wanted.Endpoint.Key {
 			return serving, func() {}, nil
 		}
 	}
--- a/internal/exchange/exchanger.go
+++ b/internal/exchange/exchanger.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/plantainmux/plantainmux/internal/homes"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 )
 
@@ -18,7 +19,7 @@
 // New returns an Exchanger.
 func New(dependencies Dependencies) *Exchanger {
 	if dependencies.Forwards == nil {
-		dependencies.Forwards = func() bool { return false }
+		dependencies.Forwards = func(*homes.Allowed) bool { return false }
 	}
 	return &Exchanger{Dependencies: dependencies}
 }
@@ -67,7 +68,7 @@
 		}
 	}
 	x.Logger.Info("request finished", "request", r.req.ID, "route", r.req.Route.Name, "kind", r.req.Route.Kind.String(),
-		"outcome", outcome, "reason", reason, "attempts", r.attempts, "took_ms", took.Milliseconds(),
+		"outcome", outcome, "reason", reason, "allowed_regions", r.req.Allowed.String(), "attempts", r.attempts, "took_ms", took.Milliseconds(),
 		"first_ms", r.timeToFirst().Milliseconds(), "longest_gap_ms", r.longestGap.Milliseconds(), "late", late, "late_retry", r.req.Late,
 		"targets", r.summary.Targets, "targets_down", r.summary.Down, "targets_suspected", r.summary.Suspected, "least_load", r.summary.LeastLoad, "load", r.loadBefore, "slots", r.summary.Slots,
 		"left_ms", time.Until(r.req.Deadline).Milliseconds())
--- a/internal/exchange/reason.go
+++ b/internal/exchange/reason.go
@@ -14,7 +14,9 @@
 	Broken           Reason = "broken"      // the answer is incomplete and the request cannot be retried
 	NoBudget         Reason = "no_budget"   // the retry budget is used up
 	CrashSuspect     Reason = "killer"      // the request crashed endpoints repeatedly
+
+	NoAllowedRegion Reason = "no_allowed_region" // no endpoint serves it in a region in which it may be handled
 )
 
 // Reasons lists all reasons, so that each counter is registered at start-up.
-var Reasons = []Reason{NoTarget, NoCapacity, HeldBack, DeadlineExceeded, CallerGone, Refused, Broken, NoBudget, CrashSuspect}
+var Reasons = []Reason{NoTarget, NoCapacity, HeldBack, DeadlineExceeded, CallerGone, Refused, Broken, NoBudget, CrashSuspect, NoAllowedRegion}
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
+	"github.com/plantainmux/plantainmux/internal/homes"
 )
 
 // Request is an authorized request of a caller.
@@ -26,5 +27,8 @@
 	Fingerprint  uint64   // hash of path, team and body
 	Arrived      time.Time
 	Deadline     time.Time
-	Late         bool // an earlier run ended without an answer, so the latency target is already missed
+	// Allowed are the regions in which the request may be handled, by the configuration in force
+	// at its arrival; nil: all.
+	Allowed *homes.Allowed
+	Late    bool // an earlier run ended without an answer, so the latency target is already missed
 }
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -18,6 +18,9 @@
 	suspectPeriod    = time.Second            // during which a silent group is avoided
 	retryAfterBase   = 300 * time.Millisecond // by then some of the requests in progress have ended
 	retryAfterJitter = 500 * time.Millisecond // spreads the retries of callers that were refused together
+	// regionRetryAfter is for requests that no allowed region serves: a region comes back when an
+	// operator or a repair brings it back, not when requests in progress end.
+	regionRetryAfter = time.Second
 )
 
 // run is the state of one request until its answer is complete.
@@ -85,7 +88,12 @@
 		return nil, r.fail(NoCapacity, nil)
 	case placement.HeldBack:
 		failure := r.fail(HeldBack, nil)
-		failure.RetryAfter = max(failure.RetryAfter, placement.HeldFor(targets, now)+retryJitter())
+		allowed := placement.InAllowedRegions(targets, placement.Requirements{Allowed: r.req.Allowed, Regions: r.Regions})
+		failure.RetryAfter = max(failure.RetryAfter, placement.HeldFor(allowed, now)+retryJitter())
+		return nil, failure
+	case placement.NoAllowedRegion:
+		failure := r.fail(NoAllowedRegion, nil)
+		failure.RetryAfter = regionRetryAfter + retryJitter()
 		return nil, failure
 	default:
 		return target, nil
@@ -94,7 +102,7 @@
 
 // place chooses a target and counts the request against its limit.
 func (r *run) place(targets []*placement.Target, now time.Time) (*placement.Target, placement.Reason) {
-	forwarded := r.Forwards()
+	forwarded := r.Forwards(r.req.Allowed)
 	for range len(targets) + 1 {
 		target, reason := placement.Pick(targets, placement.Requirements{
 			DataCentre:   r.DataCentre,
@@ -109,6 +117,8 @@
 			Random:       rand.Float64(),
 			Excluded:     r.excluded,
 			Now:          now,
+			Allowed:      r.req.Allowed,
+			Regions:      r.Regions,
 		})
 		if target == nil || forwarded || target.Limit.Take(now) {
 			return target, reason
@@ -179,7 +189,7 @@
 }
 
 func (r *run) recordBroken(target *placement.Target, broken *BrokenError, now time.Time) {
-	if r.Forwards() && (broken.Reason == Silent || broken.Reason == Slow) {
+	if r.Forwards(r.req.Allowed) && (broken.Reason == Silent || broken.Reason == Slow) {
 		return // the way to the target may have failed
 	}
 	switch broken.Reason {
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -1,6 +1,9 @@
 package forward
 
-import "github.com/plantainmux/plantainmux/internal/rendezvous"
+import (
+	"github.com/plantainmux/plantainmux/internal/homes"
+	"github.com/plantainmux/plantainmux/internal/rendezvous"
+)
 
 const (
 	// pathsPerDaemon is the number of daemons through which one that is cut off forwards: one may
@@ -17,6 +20,21 @@
 	DataCentre string
 }
 
+// Permitted returns the candidates to which the body of a request may be passed on, if its caller
+// connected to a daemon of the data centre entry.
+func Permitted(allowed *homes.Allowed, regions homes.Regions, entry string, candidates []Candidate) []Candidate {
+	if allowed == nil {
+		return candidates
+	}
+	var permitted []Candidate
+	for _, c := range candidates {
+		if regions.AllowsForwarder(allowed, entry, c.DataCentre) {
+			permitted = append(permitted, c)
+		}
+	}
+	return permitted
+}
+
 // Choose returns the daemons through which a daemon forwards while it is cut off: those of its data
 // centre if they suffice for the cutOffHere daemons of it that are cut off, this one included,
 // otherwise any.
--- /dev/null
+++ b/internal/forward/choose_paths.go
@@ -0,0 +1,7 @@
+package forward
+
+import "github.com/plantainmux/plantainmux/internal/homes"
+
+// ChoosePaths returns the daemons through which to forward now a request that may be handled in some
+// regions.
+type ChoosePaths func(allowed *homes.Allowed) []string
--- a/internal/forward/decline_reason.go
+++ b/internal/forward/decline_reason.go
@@ -12,12 +12,15 @@
 	DeclinedStranger DeclineReason = "stranger"         // the daemon that forwards is not one of the fleet
 	DeclinedUnknown  DeclineReason = "unknown_endpoint" // it sends the endpoint no requests, as to one that is leaving
 	DeclinedHeld     DeclineReason = "held_back"        // the endpoint wants no request of it now
+
+	DeclinedRegion         DeclineReason = "region"          // the body may not be passed on to the daemon's region
+	DeclinedEndpointRegion DeclineReason = "endpoint_region" // the request may not be handled in the endpoint's region
 )
 
 // blame returns what keeps a declined exchange from being sent.
 func (r DeclineReason) blame() outbound.Blame {
 	switch r {
-	case DeclinedUnknown, DeclinedHeld:
+	case DeclinedUnknown, DeclinedHeld, DeclinedEndpointRegion:
 		return outbound.BlameHold
 	default:
 		return outbound.BlamePath
--- a/internal/forward/flight.go
+++ b/internal/forward/flight.go
@@ -5,11 +5,14 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/plantainmux/plantainmux/internal/homes"
 )
 
 // flight is an exchange over this daemon's own connections that has no answer yet.
 type flight struct {
 	endpoint  string
+	allowed   *homes.Allowed // regions in which the request may be handled
 	began     time.Time
 	cancel    context.CancelFunc
 	connected atomic.Bool
--- a/internal/forward/link_pool.go
+++ b/internal/forward/link_pool.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/plantainmux/plantainmux/internal/homes"
 )
 
 const (
@@ -15,31 +17,31 @@
 // LinkPool is the links of a daemon to those through which it forwards. It implements Paths.
 type LinkPool struct {
 	links  Links
-	choose func() []string // daemons through which to forward now
+	choose ChoosePaths
 
 	mu     sync.Mutex
 	byName map[string]*pooledLink
 }
 
 // NewLinkPool returns a pool without links.
-func NewLinkPool(links Links, choose func() []string) *LinkPool {
+func NewLinkPool(links Links, choose ChoosePaths) *LinkPool {
 	return &LinkPool{links: links, choose: choose, byName: map[string]*pooledLink{}}
 }
 
-// Prepare establishes the links through which exchanges would be forwarded now.
+// Prepare establishes the links through which exchanges without restriction would be forwarded now.
 func (p *LinkPool) Prepare() {
-	for _, daemon := range p.choose() {
+	for _, daemon := range p.choose(nil) {
 		p.get(daemon)
 	}
 }
 
 // Any implements Paths.
-func (p *LinkPool) Any() bool { return len(p.choose()) > 0 }
+func (p *LinkPool) Any(allowed *homes.Allowed) bool { return len(p.choose(allowed)) > 0 }
 
 // Pick implements Paths. It returns the daemon with the fewest exchanges of this one in progress
 // among those to which there is a link and that did not fail lately.
-func (p *LinkPool) Pick(ctx context.Context) (string, bool) {
-	for _, daemon := range p.byLoad(p.choose(), time.Now()) {
+func (p *LinkPool) Pick(ctx context.Context, allowed *homes.Allowed) (string, bool) {
+	for _, daemon := range p.byLoad(p.choose(allowed), time.Now()) {
 		if p.links.Await(ctx, daemon, linkTimeout) {
 			p.begin(daemon)
 			return daemon, true
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -83,8 +83,8 @@
 	return t
 }
 
-func (r *rig) admit(_ fleet.DaemonID, wanted outbound.Endpoint) (outbound.Endpoint, func(), *outbound.NotSentError) {
-	return wanted, func() {}, r.declined.Load()
+func (r *rig) admit(_ fleet.DaemonID, wanted outbound.Exchange) (outbound.Endpoint, func(), *outbound.NotSentError) {
+	return wanted.Endpoint, func() {}, r.declined.Load()
 }
 
 func (r *rig) serve(w http.ResponseWriter, request *http.Request) {
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/plantainmux/plantainmux/internal/homes"
 	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/reach"
 )
@@ -59,8 +60,9 @@
 // Lost reports whether this daemon is cut off from the endpoints.
 func (r *Router) Lost() bool { return r.tracker.Lost() }
 
-// Forwards reports whether exchanges are forwarded to another daemon.
-func (r *Router) Forwards() bool { return r.Lost() && r.Paths.Any() }
+// Forwards reports whether exchanges of requests that may be handled in some regions are forwarded
+// to another daemon.
+func (r *Router) Forwards(allowed *homes.Allowed) bool { return r.Lost() && r.Paths.Any(allowed) }
 
 // Send implements Sender. It fails with PathLostError if the way to the endpoint broke.
 func (r *Router) Send(ctx context.Context, exchange outbound.Exchange) (*outbound.Response, error) {
@@ -70,7 +72,7 @@
 	if exchange.Repeatable && r.tracker.BeginTrial() {
 		return r.tryDirect(ctx, exchange)
 	}
-	via, ok := r.Paths.Pick(ctx)
+	via, ok := r.Paths.Pick(ctx, exchange.Allowed)
 	if !ok {
 		return r.sendDirect(ctx, exchange)
 	}
@@ -107,7 +109,7 @@
 
 // sendDirect sends over this daemon's own connections.
 func (r *Router) sendDirect(ctx context.Context, exchange outbound.Exchange) (*outbound.Response, error) {
-	f := &flight{endpoint: exchange.Endpoint.Key, began: time.Now()}
+	f := &flight{endpoint: exchange.Endpoint.Key, allowed: exchange.Allowed, began: time.Now()}
 	own, cancel := context.WithCancel(ctx)
 	f.cancel = cancel
 	r.begin(f)
@@ -151,7 +153,7 @@
 		r.tracker.ObserveSilence(f.endpoint, f.began)
 	}
 	switch {
-	case !r.Forwards():
+	case !r.Forwards(f.allowed):
 		return err
 	case isNotSent:
 		return &outbound.NotSentError{Blame: outbound.BlamePath, Err: notSent.Err}
@@ -203,15 +205,16 @@
 	}
 }
 
-// cancelConnects cancels the exchanges that have no connection yet, so that they are forwarded.
+// cancelConnects cancels the exchanges that have no connection yet and may be forwarded, so that they
+// are.
 func (r *Router) cancelConnects() {
-	if !r.Paths.Any() {
+	if !r.Paths.Any(nil) {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for f := range r.flights {
-		if !f.connected.Load() {
+		if !f.connected.Load() && (f.allowed == nil || r.Paths.Any(f.allowed)) {
 			f.cancel()
 		}
 	}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -27,7 +27,7 @@
 	Direct outbound.Sender // over this daemon's own connections: what is forwarded here is not forwarded again
 	// Admit decides whether this daemon sends an exchange of another one to its endpoint now. It
 	// returns the endpoint as this daemon knows it, and a function to call when the exchange is over.
-	Admit  func(from fleet.DaemonID, wanted outbound.Endpoint) (endpoint outbound.Endpoint, done func(), refused *outbound.NotSentError)
+	Admit  func(from fleet.DaemonID, wanted outbound.Exchange) (endpoint outbound.Endpoint, done func(), refused *outbound.NotSentError)
 	Count  func(metric string) // increments a counter
 	Logger *slog.Logger
 }
@@ -69,7 +69,7 @@
 	default:
 		return &outbound.NotSentError{Blame: outbound.BlamePath, Err: &BusyError{Limit: maxForwarded}}
 	}
-	endpoint, done, refused := s.Admit(from, exchange.Endpoint)
+	endpoint, done, refused := s.Admit(from, exchange)
 	if refused != nil {
 		return refused
 	}
--- a/internal/gateway/admitted.go
+++ b/internal/gateway/admitted.go
@@ -8,6 +8,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/exchange"
+	"github.com/plantainmux/plantainmux/internal/homes"
 )
 
 // Admitted is a request whose route and team are known and whose body has not
@@ -28,9 +29,12 @@
 		Route: a.route, Service: a.service, Priority: catalog.RequestPriority(a.route, a.team),
 		LastEvent: in.LastEvent, Arrived: in.Arrived, Deadline: in.Arrived.Add(a.timeout()),
 	}
+	var teamRegions []string
 	if a.team != nil {
 		req.Team = a.team.Name
+		teamRegions = a.team.AllowedRegions
 	}
+	req.Allowed = homes.Both(a.route.AllowedRegions, teamRegions)
 	if a.service.Grouped() {
 		req.Model = in.Model
 		req.PromptTokens = in.PromptTokens
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -7,6 +7,7 @@
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/forward"
+	"github.com/plantainmux/plantainmux/internal/homes"
 	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/placement"
@@ -71,11 +72,18 @@
 }
 
 // forwarders returns the daemons through which this one forwards while it is cut off.
-func (g *Gateway) forwarders() []string { return *g.forwardersNow.Load() }
+func (g *Gateway) forwarders(allowed *homes.Allowed) []string {
+	now := g.forwardersNow.Load()
+	if allowed == nil {
+		return now.chosen
+	}
+	permitted := forward.Permitted(allowed, g.settings.Regions, g.settings.DataCentre, now.candidates)
+	return forward.Choose(g.settings.Node, g.settings.DataCentre, permitted, now.cutOffHere)
+}
 
 // updateForwarders chooses these daemons.
 func (g *Gateway) updateForwarders(now time.Time) {
-	if !g.endpoints.Lost() && len(*g.forwardersNow.Load()) > 0 && now.Sub(g.forwardersAt) < forwardersInterval {
+	if !g.endpoints.Lost() && len(g.forwardersNow.Load().chosen) > 0 && now.Sub(g.forwardersAt) < forwardersInterval {
 		return
 	}
 	g.forwardersAt = now
@@ -88,7 +96,7 @@
 	}
 	g.addressOf.Store(&addresses)
 	chosen := forward.Choose(g.settings.Node, g.settings.DataCentre, candidates, cutOffHere)
-	g.forwardersNow.Store(&chosen)
+	g.forwardersNow.Store(&forwarders{chosen: chosen, candidates: candidates, cutOffHere: cutOffHere})
 }
 
 // dutyDaemons returns the live daemons that duties towards endpoints are divided among: those
@@ -102,20 +110,25 @@
 
 // admitForwarded decides on an exchange that another daemon forwards. What endpoints announced to
 // this daemon holds for it, as it is the one that sends it.
-func (g *Gateway) admitForwarded(from fleet.DaemonID, wanted outbound.Endpoint) (endpoint outbound.Endpoint, done func(), refused *outbound.NotSentError) {
+func (g *Gateway) admitForwarded(from fleet.DaemonID, wanted outbound.Exchange) (endpoint outbound.Endpoint, done func(), refused *outbound.NotSentError) {
 	now := time.Now()
+	entry, known := g.gossip.DataCentreOf(string(from))
 	switch {
 	case g.stoppingFor(now) > admissionPeriod:
 		return endpoint, nil, forward.Decline(forward.DeclinedStopping)
 	case g.endpoints.Lost():
 		return endpoint, nil, forward.Decline(forward.DeclinedCutOff)
-	case !g.gossip.Knows(string(from)):
+	case !known:
 		return endpoint, nil, forward.Decline(forward.DeclinedStranger)
+	case !g.settings.Regions.AllowsForwarder(wanted.Allowed, entry, g.settings.DataCentre):
+		return endpoint, nil, forward.Decline(forward.DeclinedRegion)
 	}
-	target := g.view.Load().Find(wanted.Key)
+	target := g.view.Load().Find(wanted.Endpoint.Key)
 	switch {
 	case target == nil:
 		return endpoint, nil, forward.Decline(forward.DeclinedUnknown)
+	case !g.settings.Regions.AllowsTarget(wanted.Allowed, target.DataCentre):
+		return endpoint, nil, forward.Decline(forward.DeclinedEndpointRegion)
 	case target.Hold.Remaining(now) > 0 || !target.Limit.Take(now):
 		return endpoint, nil, forward.Decline(forward.DeclinedHeld)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,8 +58,8 @@
 	mesh           *peer.Network // links to the daemons through which this one forwards, and to those that forward through it
 	meshStart      sync.Once
 	paths          *forward.LinkPool
-	forwardersNow  atomic.Pointer[[]string] // daemons through which this one forwards while it is cut off
-	forwardersAt   time.Time                // when they were chosen; by the housekeeping alone
+	forwardersNow  atomic.Pointer[forwarders] // daemons through which this one forwards while it is cut off
+	forwardersAt   time.Time                  // when they were chosen; by the housekeeping alone
 	addressOf      atomic.Pointer[map[string]string]
 	suspects       *suspect.Table
 	refusedParts   map[uint64]int // as last logged; by the housekeeping alone
@@ -122,7 +122,7 @@
 	g.planners.Store(&[]string{s.Node})
 	g.view.Store(&placement.View{})
 	g.trafficSeen.Store(!s.First)
-	g.forwardersNow.Store(&[]string{})
+	g.forwardersNow.Store(&forwarders{})
 	g.addressOf.Store(&map[string]string{})
 	if err := g.buildEndpoints(); err != nil {
 		return nil, err
@@ -181,6 +181,7 @@
 		View:           g.view.Load,
 		Transport:      g.adapters.Transport(g.endpoints),
 		DataCentre:     g.settings.DataCentre,
+		Regions:        g.settings.Regions,
 		Daemons:        g.liveDaemons,
 		GossipDelay:    g.gossip.Delay,
 		Suspects:       g.suspects,
--- a/internal/gossip/queries.go
+++ b/internal/gossip/queries.go
@@ -13,11 +13,15 @@
 	return live
 }
 
-// Knows reports whether a daemon is registered.
-func (g *Gossip) Knows(node string) bool {
+// DataCentreOf returns the data centre of a daemon, and false if it is not registered.
+func (g *Gossip) DataCentreOf(node string) (dataCentre string, known bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.peers[node] != nil
+	peer := g.peers[node]
+	if peer == nil {
+		return "", false
+	}
+	return peer.DataCentre, true
 }
 
 // Connected returns the names of the live daemons that are not cut off from the endpoints, sorted.
--- a/internal/outbound/exchange.go
+++ b/internal/outbound/exchange.go
@@ -1,6 +1,10 @@
 package outbound
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/plantainmux/plantainmux/internal/homes"
+)
 
 // Exchange is one HTTP request to an endpoint. It is sent at most once.
 type Exchange struct {
@@ -16,4 +20,7 @@
 	Fresh bool `cbor:"8,keyasint,omitempty"`
 	// Repeatable states that the request may be sent again after it was lost.
 	Repeatable bool `cbor:"9,keyasint,omitempty"`
+	// Allowed are the regions in which the request may be handled; nil: all. Daemons of earlier
+	// versions neither send nor read it.
+	Allowed *homes.Allowed `cbor:"10,keyasint,omitempty"`
 }
--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -30,6 +30,20 @@
 	return t
 }
 
+// InAllowedRegions returns the targets in the regions in which a request may be handled.
+func InAllowedRegions(targets []*Target, requirements Requirements) []*Target {
+	if requirements.Allowed == nil {
+		return targets
+	}
+	allowed := make([]*Target, 0, len(targets))
+	for _, target := range targets {
+		if requirements.Regions.AllowsTarget(requirements.Allowed, target.DataCentre) {
+			allowed = append(allowed, target)
+		}
+	}
+	return allowed
+}
+
 // isSuspect reports whether a target failed recently or is silent.
 func isSuspect(target *Target, requirements Requirements) bool {
 	if target.Meter.InBackoff(requirements.Now) || target.Meter.Suspected(requirements.Now) {
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -17,7 +17,11 @@
 // reset of connections, the few healthy targets would otherwise fill up at once and
 // refuse requests for which all targets together have capacity.
 func Pick(targets []*Target, requirements Requirements) (*Target, Reason) {
-	t := filter(targets, requirements)
+	allowed := InAllowedRegions(targets, requirements)
+	if len(allowed) == 0 && len(targets) > 0 {
+		return nil, NoAllowedRegion
+	}
+	t := filter(allowed, requirements)
 	if len(t.healthy)+len(t.interrupted)+len(t.suspect) == 0 && t.held > 0 {
 		return nil, HeldBack
 	}
--- a/internal/placement/reason.go
+++ b/internal/placement/reason.go
@@ -9,4 +9,6 @@
 	NoTarget   Reason = "no_target" // no target serves, or all failed this request
 	NoCapacity Reason = "no_room"   // all serving targets are full
 	HeldBack   Reason = "held_back" // no serving target wants a request of this daemon now
+
+	NoAllowedRegion Reason = "no_allowed_region" // targets serve, but none in a region in which the request may be handled
 )
--- a/internal/placement/requirements.go
+++ b/internal/placement/requirements.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/homes"
+)
 
 // Requirements describes a request that is to be placed, and the state of the fleet
 // in which it is placed.
@@ -17,4 +21,7 @@
 	Forwarded    bool            // another daemon sends it, and keeps to the limits that endpoints name
 	Excluded     map[string]bool // keys of targets that failed this request
 	Now          time.Time
+
+	Allowed *homes.Allowed // regions in which the request may be handled; nil: all
+	Regions homes.Regions  // of the data centres
 }
