--- a/internal/fakes/wire_engine.go
+++ b/internal/fakes/wire_engine.go
@@ -26,6 +26,7 @@
 type WireEngine struct {
 	ID      string
 	Service string
+	Zone    string // data centre
 	Domain  string // fabric domain; empty: a plain service
 	Born    int64  // start time, Unix milliseconds
 
@@ -49,13 +50,18 @@
 	conns    map[net.Conn]struct{} // open connections
 }
 
-// StartWireEngine starts an engine on loopback and registers it in a store.
+// StartWireEngine starts an engine of the data centre "z" on loopback and registers it in a store.
 func StartWireEngine(log *KeyedLog, id, service, domain string) (*WireEngine, error) {
+	return StartWireEngineIn(log, "z", id, service, domain)
+}
+
+// StartWireEngineIn does so in a data centre.
+func StartWireEngineIn(log *KeyedLog, zone, id, service, domain string) (*WireEngine, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	e := &WireEngine{ID: id, Service: service, Domain: domain, Born: time.Now().UnixMilli(), listener: listener, log: log, runs: map[string]int{}, conns: map[net.Conn]struct{}{}}
+	e := &WireEngine{ID: id, Service: service, Zone: zone, Domain: domain, Born: time.Now().UnixMilli(), listener: listener, log: log, runs: map[string]int{}, conns: map[net.Conn]struct{}{}}
 	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Second, ConnState: e.trackConn}
 	go func() { _ = e.server.Serve(listener) }()
 	e.register()
@@ -203,7 +209,7 @@
 	entry := e.state()
 	entry["service"] = e.Service
 	entry["address"] = e.listener.Addr().String()
-	entry["zone"] = "z"
+	entry["zone"] = e.Zone
 	entry["version"] = "v1"
 	entry["slots"] = 8
 	entry["state"] = "ready"
