--- a/cmd/plantainfake/main.go
+++ b/cmd/plantainfake/main.go
@@ -26,6 +26,7 @@
 	addCommand(parser, "measure", "measure what daemons spend", &measureCommand{})
 	addCommand(parser, "fit", "fit slopes to measurements", &fitCommand{})
 	addCommand(parser, "service", "a plain service", &serviceCommand{})
+	addCommand(parser, "platform", "the users' platform: store, engines and a plain service", &platformCommand{})
 	if _, err := parser.Parse(); err != nil && !flags.WroteHelp(err) {
 		os.Exit(exitUsage)
 	}
--- /dev/null
+++ b/internal/fakes/wire_platform.go
@@ -0,0 +1,91 @@
+package fakes
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+
+	"github.com/plantainmux/plantainmux/internal/keyed"
+)
+
+// wirePlatformConfig has a route of streams that any region may serve, one for the region north, and
+// one of requests that must not be repeated.
+const wirePlatformConfig = `{"version":1,"routes":[
+ {"name":"talk","host":"x.example","path_prefix":"/talk/","kind":"streaming","timeout_ms":5000,"target_latency_ms":400,"service":"engines","max_attempts":3,"stream_resumption":true},
+ {"name":"home","host":"x.example","path_prefix":"/home/","kind":"streaming","timeout_ms":5000,"service":"engines","max_attempts":3,"stream_resumption":true,"allowed_regions":["north"]},
+ {"name":"order","host":"x.example","path_prefix":"/order/","kind":"unsafe","timeout_ms":3000,"service":"desk","max_attempts":1}],
+ "services":[{"name":"engines","engine":{"slots":8,"stride":1,"chunk":100,"step_ms":20,"read_per_s":10000,"loads_per_s":50,"models":[{"name":"big","size":2,"share":1,"pace":1,"load_s":1,"warm_s":0.1}]}},{"name":"desk"}],
+ "limits":{"max_body_bytes":100000},"tenants":[{"name":"merchants","api_keys":["k1"]}]}`
+
+// WirePlatform is the users' platform in one process: a store with a configuration, and engines and a
+// plain service in some data centres. Two calls more than the platform has are for scripts.
+type WirePlatform struct {
+	store   *WireStore
+	mux     *http.ServeMux
+	mu      sync.Mutex
+	engines map[string]*WireEngine // by ID
+}
+
+// StartWirePlatform starts engines, a plain service in each data centre, and a store.
+func StartWirePlatform(dataCentres []string, engines int) (*WirePlatform, error) {
+	p := &WirePlatform{store: NewWireStore(), engines: map[string]*WireEngine{}, mux: http.NewServeMux()}
+	for _, dataCentre := range dataCentres {
+		for i := range engines {
+			if err := p.startEngine(dataCentre, fmt.Sprintf("%s-e%d", dataCentre, i), "engines", "domain-"+dataCentre); err != nil {
+				return nil, err
+			}
+		}
+		if err := p.startEngine(dataCentre, dataCentre+"-desk", "desk", ""); err != nil {
+			return nil, err
+		}
+	}
+	if err := p.store.Log.Put(context.Background(), "keyed.op", keyed.Record{Key: "config", Value: []byte(wirePlatformConfig)}); err != nil {
+		return nil, err
+	}
+	p.mux.Handle("/", p.store)
+	p.mux.HandleFunc("POST /fake/kill-head", p.killHead)
+	p.mux.HandleFunc("GET /fake/runs", p.runs)
+	return p, nil
+}
+
+func (p *WirePlatform) startEngine(dataCentre, id, service, domain string) error {
+	engine, err := StartWireEngineIn(p.store.Log, dataCentre, id, service, domain)
+	if err != nil {
+		return err
+	}
+	p.engines[id] = engine
+	return nil
+}
+
+// ServeHTTP implements http.Handler.
+func (p *WirePlatform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
+
+// killHead kills the head of an open group of the data centre that the query names, and writes its ID.
+func (p *WirePlatform) killHead(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, engine := range p.engines {
+		if engine.Zone == r.URL.Query().Get("zone") && engine.Head() {
+			engine.Kill()
+			delete(p.engines, id)
+			_, _ = fmt.Fprintln(w, id)
+			return
+		}
+	}
+	w.WriteHeader(http.StatusNotFound)
+}
+
+// runs writes a line for each request that a plain service has run: data centre, ID, number of runs.
+func (p *WirePlatform) runs(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, engine := range p.engines {
+		if engine.Domain != "" {
+			continue
+		}
+		for _, id := range engine.RequestsRun() {
+			_, _ = fmt.Fprintln(w, engine.Zone, id, engine.Ran(id))
+		}
+	}
+}
