Specs of reading the store through a daemon of another version; region in the start line

The response with which a daemon that reads the store serves the others of its data centre, in both directions. A daemon logs its region as it starts, since one without a region serves no restricted request.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -214,7 +214,7 @@
 	} {
 		g.tasks.Go(func() { run(background) })
 	}
-	g.logger.Info("daemon started", "callers", g.settings.Listen.Callers, "first", g.settings.First)
+	g.logger.Info("daemon started", "callers", g.settings.Listen.Callers, "first", g.settings.First, "region", g.settings.Regions[g.settings.DataCentre])
 	<-ctx.Done()
 	g.shutDown(servers, g.stop())
 	g.mesh.Close()
--- a/scripts/previous-messages.sh
+++ b/scripts/previous-messages.sh
@@ -10,7 +10,7 @@
 
 git cat-file -e "$PREVIOUS^{commit}" 2>/dev/null || { echo "previous messages: the history does not hold $PREVIOUS; nothing written"; exit 0; }
 git archive "$PREVIOUS" | tar -x -C "$work"
-for package in gossip ledger forward; do
+for package in gossip ledger forward peerlog; do
   cp "internal/$package/testdata/previous_version_test.go.txt" "$work/internal/$package/previous_version_test.go"
   (cd "$work" && go test -count=1 -v -run '^TestPreviousVersionMessages$' "./internal/$package") >"$work/out"
   grep -E '^[a-z]+ [0-9a-f]+$' "$work/out" | sort >"internal/$package/testdata/previous_version.hex"
