--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -73,12 +73,7 @@
 
 // forwarders returns the daemons through which this one forwards while it is cut off.
 func (g *Gateway) forwarders(allowed *homes.Allowed) []string {
-	now := g.forwardersNow.Load()
-	if allowed == nil {
-		return now.chosen
-	}
-	permitted := forward.Permitted(allowed, g.settings.Regions, g.settings.DataCentre, now.candidates)
-	return forward.Choose(g.settings.Node, g.settings.DataCentre, permitted, now.cutOffHere)
+	return g.forwardersNow.Load().through(allowed, g.settings.Regions, g.settings.Node, g.settings.DataCentre)
 }
 
 // updateForwarders chooses these daemons.
