Hold no failure against endpoints if a restricted request finds no permitted way

A daemon that is cut off and has no permitted daemon to forward to sent such requests directly and blamed the endpoints, so that it then refused requests that it could forward. The spec failed before: 503 in place of 200.

--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -189,7 +189,7 @@
 }
 
 func (r *run) recordBroken(target *placement.Target, broken *BrokenError, now time.Time) {
-	if r.Forwards(r.req.Allowed) && (broken.Reason == Silent || broken.Reason == Slow) {
+	if r.Forwards(nil) && (broken.Reason == Silent || broken.Reason == Slow) {
 		return // the way to the target may have failed
 	}
 	switch broken.Reason {
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -153,7 +153,7 @@
 		r.tracker.ObserveSilence(f.endpoint, f.began)
 	}
 	switch {
-	case !r.Forwards(f.allowed):
+	case !r.Forwards(nil): // with a way for any request, the links are lost for all
 		return err
 	case isNotSent:
 		return &outbound.NotSentError{Blame: outbound.BlamePath, Err: notSent.Err}
