--- a/internal/fakes/wire_engine.go
+++ b/internal/fakes/wire_engine.go
@@ -28,8 +28,8 @@
 type WireEngine struct {
 	ID      string
 	Service string
-	Domain  string // fabric domain; empty: a plain service
 	Zone    string // data centre
+	Domain  string // fabric domain; empty: a plain service
 	Born    int64  // start time, Unix milliseconds
 
 	server   *http.Server
@@ -55,7 +55,7 @@
 	conns     map[net.Conn]struct{} // open connections
 }
 
-// StartWireEngine starts an engine on loopback and registers it in a store.
+// StartWireEngine starts an engine of the data centre "z" on loopback and registers it in a store.
 func StartWireEngine(log *KeyedLog, id, service, domain string) (*WireEngine, error) {
 	return StartWireEngineIn(log, "z", id, service, domain)
 }
--- a/internal/forward/decline_reason.go
+++ b/internal/forward/decline_reason.go
@@ -13,12 +13,15 @@
 	DeclinedUnknown   DeclineReason = "unknown_endpoint" // it sends the endpoint no requests, as to one that is leaving
 	DeclinedEvacuated DeclineReason = "evacuated"        // the endpoint is in an evacuated data centre
 	DeclinedHeld      DeclineReason = "held_back"        // the endpoint wants no request of it now
+
+	DeclinedRegion         DeclineReason = "region"          // the body may not be passed on to the daemon's region
+	DeclinedEndpointRegion DeclineReason = "endpoint_region" // the request may not be handled in the endpoint's region
 )
 
 // blame returns what keeps a declined exchange from being sent.
 func (r DeclineReason) blame() outbound.Blame {
 	switch r {
-	case DeclinedUnknown, DeclinedEvacuated, DeclinedHeld:
+	case DeclinedUnknown, DeclinedEvacuated, DeclinedHeld, DeclinedEndpointRegion:
 		return outbound.BlameHold
 	default:
 		return outbound.BlamePath
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -20,7 +20,11 @@
 	if len(targets) == 0 && requirements.Evacuated {
 		return nil, Evacuated
 	}
-	t := filter(targets, requirements)
+	allowed := InAllowedRegions(targets, requirements)
+	if len(allowed) == 0 && len(targets) > 0 {
+		return nil, NoAllowedRegion
+	}
+	t := filter(allowed, requirements)
 	if len(t.healthy)+len(t.interrupted)+len(t.suspect) == 0 && t.held > 0 {
 		return nil, HeldBack
 	}
