Count the demand in the request path and tell it to the other daemons

Gossip field 18 in messages and digests; hubs sum it. Each daemon counts first attempts of callers for configured models, served or refused; known repeats and resumed streams are left out. Specs: demand is told, summed over 27 daemons in three data centres without counting one twice, and dropped with a daemon that stops.

--- a/internal/demand/counter.go
+++ b/internal/demand/counter.go
@@ -11,6 +11,9 @@
 	// wholeBuckets cover the 2 s over which rates are taken: long enough that a daemon with one
 	// request per second does not report all or nothing, short beside the smoothing of the planner.
 	wholeBuckets = 8
+	// maxTokens bounds what one request counts: more than any model's context, so that one wrong
+	// header does not change the mean of all requests.
+	maxTokens = 1 << 20
 )
 
 // Counter counts the requests of this daemon by service, model and priority. The zero value is
@@ -30,9 +33,9 @@
 // Observe counts a request at its arrival. Only first attempts of callers count. outputTokens is 0
 // if it is not known.
 func (c *Counter) Observe(service, model string, priority, promptTokens, outputTokens int, now time.Time) {
-	observed := rates{requests: 1, promptTokens: float64(max(promptTokens, 0))}
+	observed := rates{requests: 1, promptTokens: float64(min(max(promptTokens, 0), maxTokens))}
 	if outputTokens > 0 {
-		observed.withOutput, observed.outputTokens = 1, float64(outputTokens)
+		observed.withOutput, observed.outputTokens = 1, float64(min(outputTokens, maxTokens))
 	}
 	key := class{keyOf(service, model), uint8(min(max(priority, 0), math.MaxUint8))}
 	c.mu.Lock()
--- a/internal/exchange/dependencies.go
+++ b/internal/exchange/dependencies.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/plantainmux/plantainmux/internal/demand"
 	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 )
@@ -16,6 +17,7 @@
 	Daemons        func() int           // number of live daemons, including this one
 	GossipDelay    func() time.Duration // delay with which this daemon learns of the others' requests
 	Suspects       *suspect.Table       // requests and prompt parts that crashed endpoints
+	Demand         *demand.Counter      // what callers ask for; nil: not counted
 	FailedRequests *FailedRequests      // requests that ended without an answer and may be retried by their callers
 	Metrics        *Metrics
 	Logger         *slog.Logger
--- a/internal/exchange/exchanger.go
+++ b/internal/exchange/exchanger.go
@@ -30,6 +30,7 @@
 	defer cancel()
 	x.budget(req.Service.Name).Earn(req.Arrived, x.Daemons())
 	req.Late = x.FailedRequests.Contains(req.Fingerprint, req.Arrived)
+	x.countDemand(req)
 	r := &run{Exchanger: x, req: req, subject: suspect.Subject{Fingerprint: req.Fingerprint, Parts: req.PromptParts}, sink: sink, excluded: map[string]bool{}}
 	r.events.lastID = req.LastEvent
 	failure := r.runToCompletion(ctx)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
+	"github.com/plantainmux/plantainmux/internal/demand"
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/formation"
 	"github.com/plantainmux/plantainmux/internal/forward"
@@ -64,6 +65,7 @@
 	suspects       *suspect.Table
 	refusedParts   map[uint64]int // as last logged; by the housekeeping alone
 	failedRequests *exchange.FailedRequests
+	demand         demand.Counter // of this daemon
 	suspicions     suspicions
 	limits         *targetstats.Limits
 
@@ -185,6 +187,7 @@
 		GossipDelay:    g.gossip.Delay,
 		Suspects:       g.suspects,
 		OwnsTrial:      g.ownsTrial,
+		Demand:         &g.demand,
 		FailedRequests: g.failedRequests,
 		Metrics:        exchange.NewMetrics(g.metrics),
 		Logger:         g.logger,
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -35,7 +35,7 @@
 	message := gossip.Message{
 		Draining: g.stopping.Load(), Traffic: g.trafficSeen.Load(), Store: g.storeReached(), CutOff: g.endpoints.Lost(),
 		Suspicions: g.suspicions.list(now), NewGroups: g.recentlyOpened(now), Suspects: g.suspects.Reports(now), Limits: g.limits.Reports(now),
-		FailedRequests: g.failedRequests.Recent(now),
+		FailedRequests: g.failedRequests.Recent(now), Demand: g.demand.Reports(now),
 	}
 	if current := g.catalogs.Load(); current != nil {
 		message.Config = current.Version
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/plantainmux/plantainmux/internal/demand"
 )
 
 // Digest aggregates the messages of the daemons of one data centre. A hub builds it.
@@ -19,6 +21,8 @@
 
 	FailedRequests []uint32 `cbor:"13,keyasint,omitempty"`
 	CutOff         []uint32 `cbor:"16,keyasint,omitempty"` // of Members, those that are cut off from the endpoints
+
+	Demand []demand.Report `cbor:"18,keyasint,omitempty"` // sum over Members
 }
 
 // add merges the message that a daemon sent age ago into the digest.
@@ -31,6 +35,9 @@
 	for key, load := range message.Loads {
 		d.addLoad(key, load.aged(age))
 	}
+	if len(message.Demand) > 0 {
+		d.Demand = demand.Sum(d.Demand, message.Demand)
+	}
 }
 
 // addMember adds the state of a daemon. What members have in common with daemons of earlier
@@ -60,7 +67,7 @@
 	for key, load := range d.Loads {
 		loads[key] = load.aged(age)
 	}
-	return Message{Traffic: d.Traffic, Config: d.Config, Loads: loads, Suspicions: aged(d.Suspicions, age), NewGroups: d.NewGroups, FailedRequests: d.FailedRequests}
+	return Message{Traffic: d.Traffic, Config: d.Config, Loads: loads, Suspicions: aged(d.Suspicions, age), NewGroups: d.NewGroups, FailedRequests: d.FailedRequests, Demand: d.Demand}
 }
 
 // encode returns the digest in CBOR with its current age. It returns nil if encoding fails.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/plantainmux/plantainmux/internal/demand"
 	"github.com/plantainmux/plantainmux/internal/gossip"
 	"github.com/plantainmux/plantainmux/internal/keyed"
 	"github.com/plantainmux/plantainmux/internal/suspect"
@@ -29,7 +30,7 @@
 		g, err := gossip.New(gossip.Dependencies{
 			Node: node, DataCentre: dataCentre, Address: freeAddress(), Incarnation: incarnation, Logger: slog.New(slog.DiscardHandler),
 			LocalMessage: func() gossip.Message {
-				return gossip.Message{Store: true, Config: 9, Loads: map[uint32]gossip.Load{1: {Count: 2, AgeMS: 5}}, Suspects: []suspect.Report{{Hash: 3, Crashes: []suspect.ReportedCrash{{Group: 1}}}}}
+				return gossip.Message{Store: true, Config: 9, Demand: []demand.Report{{Key: 4, Priority: 1, RequestsPerS: 2}}, Loads: map[uint32]gossip.Load{1: {Count: 2, AgeMS: 5}}, Suspects: []suspect.Report{{Hash: 3, Crashes: []suspect.ReportedCrash{{Group: 1}}}}}
 			},
 			OnMessage: func(message gossip.Message) {
 				receivedConfig.Store(message.Config)
@@ -73,6 +74,22 @@
 		Eventually(func() []string { return a.Live(time.Now()) }, "3s").Should(Equal([]string{"a"}))
 	})
 
+	It("tells demand, and counts that of no daemon that has stopped", func() {
+		a, stopA := start("a", "z", 1)
+		b, stopB := start("b", "z", 1)
+		defer stopA()
+		Expect(a.HearsMajority(time.Now())).To(BeTrue(), "no other daemon is registered")
+		register(a, b)
+		register(b, a)
+		Expect(a.HearsMajority(time.Now())).To(BeFalse(), "b is not heard yet")
+		told := []demand.Report{{Key: 4, Priority: 1, RequestsPerS: 2}}
+		Eventually(func() []demand.Report { return a.Demand(time.Now()) }, "3s").Should(Equal(told))
+		Expect(a.HearsMajority(time.Now())).To(BeTrue())
+		stopB()
+		Eventually(func() []demand.Report { return a.Demand(time.Now()) }, "3s").Should(BeEmpty())
+		Expect(a.HearsMajority(time.Now())).To(BeFalse())
+	})
+
 	It("ignores daemons that are not registered, and treats a restarted daemon as a new one", func() {
 		a, stopA := start("a", "z", 1)
 		defer stopA()
--- a/internal/gossip/hubs_test.go
+++ b/internal/gossip/hubs_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/plantainmux/plantainmux/internal/demand"
 	gofleet "github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/gossip"
 	"github.com/plantainmux/plantainmux/internal/keyed"
@@ -62,7 +63,7 @@
 }
 
 func (t *testDaemon) message() gossip.Message {
-	message := gossip.Message{Store: true, CutOff: t.cutOff.Load(), Loads: map[uint32]gossip.Load{1: {Count: int(t.count.Load()), AgeMS: 5, PrefillTokens: 100}}, Suspects: t.suspects.Reports(time.Now())}
+	message := gossip.Message{Store: true, CutOff: t.cutOff.Load(), Demand: []demand.Report{{Key: 5, RequestsPerS: 3, PromptTokensPerS: 10}}, Loads: map[uint32]gossip.Load{1: {Count: int(t.count.Load()), AgeMS: 5, PrefillTokens: 100}}, Suspects: t.suspects.Reports(time.Now())}
 	if t.sendsSuspicion.Load() {
 		message.Suspicions = []gossip.Suspicion{{Group: "g", Epoch: 1}}
 		message.FailedRequests = []uint32{17}
@@ -108,6 +109,15 @@
 		Eventually(loads, "10s", "50ms").Should(Equal(each(3*perDataCentre - 1)))
 	})
 
+	It("sums the demand of each data centre in its digest, without counting any daemon twice", func() {
+		const others = 3*perDataCentre - 1
+		for _, t := range fleet {
+			Eventually(func() []demand.Report { return t.Demand(time.Now()) }, "5s", "20ms").Should(
+				Equal([]demand.Report{{Key: 5, RequestsPerS: 3 * others, PromptTokensPerS: 10 * others}}), t.name)
+		}
+		Expect(fleet[0].HearsMajority(time.Now())).To(BeTrue())
+	})
+
 	It("gives the duties of daemons that are cut off from the endpoints to others, and forwards through none of them", func() {
 		last := fleet[len(fleet)-1]
 		for _, t := range fleet[:perDataCentre+1] { // all of x and one of y
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/plantainmux/plantainmux/internal/demand"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 	"github.com/plantainmux/plantainmux/internal/targetstats"
 )
@@ -30,5 +31,9 @@
 
 	FailedRequests []uint32 `cbor:"13,keyasint,omitempty"` // shortened fingerprints of requests that recently ended without an answer
 
+	// Demand is what callers asked this daemon for over the last 2 s, at most 23 bytes per model and
+	// priority. A daemon that sends none had no requests for groups, or is of an earlier version.
+	Demand []demand.Report `cbor:"18,keyasint,omitempty"`
+
 	Digests []cbor.RawMessage `cbor:"12,keyasint,omitempty"` // encoded Digest of each data centre; set by hubs
 }
