Change groups from one model to another when demand calls for it

Groups went by the configured shares alone, so that the build farm's smaller model ran at 0.75 of its capacity beside a larger one at 0.42. New package internal/apportion, a pure function, finds the change of groups that pays off; internal/formation carries it out by one append of records that any planner completes. With known demand the need of a model replaces its share, and only a model without any group preempts at once.

--- /dev/null
+++ b/internal/apportion/next.go
@@ -0,0 +1,60 @@
+package apportion
+
+const (
+	// minGain is the fall of the busier model's utilisation from which a change pays off. One group
+	// of twelve is out of service for some 5 s during a change: over the 10 s until the next one,
+	// that costs about as much. The opposite change pays off only after demand has moved by as much
+	// in the other direction.
+	minGain = 0.05
+	// maxUtilisation is the utilisation below which the model that gives up groups must stay. Above
+	// about 0.8 the loss of a group makes answers late (docs/design/hard-load.md, measurements).
+	maxUtilisation = 0.75
+)
+
+// Next returns the change that pays off most, and whether there is any. No change closes the last
+// group of a model, and none touches a domain in which a group of either model does not serve.
+func Next(models []Model, domains []Domain) (Change, bool) {
+	var best Change
+	found := false
+	for _, from := range models {
+		for _, to := range models {
+			if from.Name == to.Name || from.GroupSize <= 0 || to.GroupSize <= 0 {
+				continue
+			}
+			for _, domain := range domains {
+				change, ok := smallestChange(from, to, domain)
+				if ok && change.paysOff() && (!found || change.better(best)) {
+					best, found = change, true
+				}
+			}
+		}
+	}
+	return best, found
+}
+
+// smallestChange returns the change of a domain that closes the fewest groups. Several smaller
+// groups that make way for one larger group are closed together, so that none of them is idle
+// while the others still serve.
+func smallestChange(from, to Model, domain Domain) (Change, bool) {
+	if !domain.settled(from.Name, to.Name) {
+		return Change{}, false
+	}
+	change := Change{Domain: domain.Name, From: from.Name, To: to.Name}
+	members := domain.usableFree(to.Name)
+	for _, group := range domain.closable(from.Name) {
+		if len(change.Close)+1 >= from.Groups {
+			return Change{}, false // the last group of the model
+		}
+		change.Close = append(change.Close, group.Name)
+		change.InProgress += group.InProgress
+		members += group.Fit[to.Name]
+		if members < to.GroupSize {
+			continue
+		}
+		change.Form = members / to.GroupSize
+		change.FromBefore, change.FromAfter = from.utilisation(0), from.utilisation(-len(change.Close))
+		change.ToBefore, change.ToAfter = to.utilisation(0), to.utilisation(change.Form)
+		return change, true
+	}
+	return Change{}, false
+}
--- a/internal/demand/total.go
+++ b/internal/demand/total.go
@@ -22,3 +22,25 @@
 	total.RequestsPerS, total.PromptTokensPerS, total.OutputTokensPerS = sum.requests, sum.promptTokens, sum.allOutputTokens()
 	return total
 }
+
+// times returns the rates multiplied by a factor, without priorities.
+func (t Total) times(factor float64) Total {
+	return Total{RequestsPerS: factor * t.RequestsPerS, PromptTokensPerS: factor * t.PromptTokensPerS, OutputTokensPerS: factor * t.OutputTokensPerS}
+}
+
+// plus returns the sum of the rates, without priorities.
+func (t Total) plus(other Total) Total {
+	return Total{
+		RequestsPerS: t.RequestsPerS + other.RequestsPerS, PromptTokensPerS: t.PromptTokensPerS + other.PromptTokensPerS,
+		OutputTokensPerS: t.OutputTokensPerS + other.OutputTokensPerS,
+	}
+}
+
+// MeanTokens returns the mean number of prompt and output tokens of a request, 0 for one that is
+// not known.
+func (t Total) MeanTokens() (prompt, output float64) {
+	if t.RequestsPerS <= 0 {
+		return 0, 0
+	}
+	return t.PromptTokensPerS / t.RequestsPerS, t.OutputTokensPerS / t.RequestsPerS
+}
--- /dev/null
+++ b/internal/formation/follow_demand.go
@@ -0,0 +1,136 @@
+package formation
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/plantainmux/plantainmux/internal/apportion"
+	"github.com/plantainmux/plantainmux/internal/catalog"
+	"github.com/plantainmux/plantainmux/internal/ledger"
+)
+
+// followDemand changes groups of one model into groups of another if the demand has called for it
+// for some time. All records of a change are written by one append, which fails if the ledger has
+// newer records: of planners that decide at once, with whatever demand they know, one succeeds, and
+// the others see its records and wait. Each of these records states by itself what is to be done, so
+// that any planner completes the change.
+func (p *planner) followDemand() {
+	if p.needs == nil {
+		return
+	}
+	models := p.apportionedModels()
+	paying, pays := apportion.Next(models, p.apportionedDomains(true))
+	if !pays {
+		return
+	}
+	if p.plan.Paying == nil {
+		p.plan.Paying = map[string]apportion.Change{}
+	}
+	p.plan.Paying[p.service.Name] = paying
+	if !p.in.Shifts.pace(p.service.Name, paying, p.in.Now).Permits() || p.recordsChange() {
+		return
+	}
+	change, due := apportion.Next(models, p.apportionedDomains(false))
+	if due && change.From == paying.From && change.To == paying.To {
+		p.shift(change)
+	}
+}
+
+// recordsChange reports whether groups of the service are being dissolved or granted, or records
+// have to be written again after the store has come back from an older copy.
+func (p *planner) recordsChange() bool {
+	dissolving := func(record *ledger.Record) bool { return record.Dissolving }
+	return len(p.plan.Grants)+len(p.plan.Drops)+len(p.in.Groups.Forgotten)+len(p.in.Groups.Resurrected) > 0 ||
+		p.in.Groups.Era > 0 && p.in.EraAge < eraSettlingPeriod || slices.ContainsFunc(p.records(), dissolving)
+}
+
+func (p *planner) apportionedModels() []apportion.Model {
+	var models []apportion.Model
+	for i := range p.service.Models {
+		model := &p.service.Models[i]
+		models = append(models, apportion.Model{Name: model.Name, GroupSize: model.GroupSize, Groups: p.groupCounts[model.Name], Need: p.needs[model.Name]})
+	}
+	return models
+}
+
+// apportionedDomains returns the domains with what may be changed in them. With all, it returns
+// those of other planners too, and groups that do not serve now are no obstacle: every daemon then
+// sees what pays off, also while a group is repaired.
+func (p *planner) apportionedDomains(all bool) []apportion.Domain {
+	domains := map[string]*apportion.Domain{}
+	for name, free := range p.free {
+		domain := &apportion.Domain{Name: name, Free: len(free), FreeFit: map[string]int{}, Reserved: min(p.reservedSpares(name), len(free))}
+		for _, model := range p.service.Models {
+			domain.FreeFit[model.Name] = len(p.warm(free, model.Name))
+		}
+		domains[name] = domain
+	}
+	for _, record := range p.records() {
+		domain := domains[record.Domain]
+		if domain == nil {
+			domain = &apportion.Domain{Name: record.Domain}
+			domains[record.Domain] = domain
+		}
+		if _, worst := p.assessMembers(record); worst <= slow && !record.Dissolving && p.isServing(record) {
+			domain.Groups = append(domain.Groups, p.apportionedGroup(record))
+		} else if !all {
+			domain.Unsettled = append(domain.Unsettled, record.Model)
+		}
+	}
+	var chosen []apportion.Domain
+	for _, name := range slices.Sorted(maps.Keys(domains)) {
+		if all || p.in.Owns(name) {
+			chosen = append(chosen, *domains[name])
+		}
+	}
+	return chosen
+}
+
+func (p *planner) apportionedGroup(record *ledger.Record) apportion.Group {
+	group := apportion.Group{Name: record.Group, Model: record.Model, Fit: map[string]int{}}
+	if p.in.InProgress != nil {
+		group.InProgress = p.in.InProgress(record.Group, record.Epoch)
+	}
+	for _, model := range p.service.Models {
+		group.Fit[model.Name] = p.warmMembers(record, model.Name)
+	}
+	return group
+}
+
+// shift plans the records of a change. The members of the closed groups join their new groups once
+// the heads have completed their requests, for at most drainTimeout.
+func (p *planner) shift(change apportion.Change) {
+	to := p.service.Model(change.To)
+	needed := change.Form * to.GroupSize
+	source := newShiftSource(p, change, to, needed)
+	names := source.unusedNames()
+	for number := range change.Form {
+		members := source.members[number*to.GroupSize : (number+1)*to.GroupSize]
+		name := ""
+		if number < len(names) {
+			name = names[number]
+		} else {
+			name = p.newGroupName(change.Domain)
+		}
+		p.plan.Grants = append(p.plan.Grants, &ledger.Record{
+			Group: name, Service: p.service.Name, Model: to.Name, Domain: change.Domain, Members: members, Former: source.formerOf(members),
+		})
+	}
+	if len(names) > change.Form {
+		p.plan.Drops = append(p.plan.Drops, names[change.Form:]...)
+	}
+	p.plan.Grants = append(p.plan.Grants, source.leftovers()...)
+	p.groupCounts[change.From] -= len(change.Close)
+	p.groupCounts[change.To] += change.Form
+	p.plan.Converging = true
+	p.plan.Shifts = append(p.plan.Shifts, p.describe(change, to))
+}
+
+func (p *planner) describe(change apportion.Change, to *catalog.Model) Shift {
+	demand := p.in.Demand[p.service.Name]
+	return Shift{
+		Change: change, Service: p.service.Name,
+		FromDemand: demand[change.From].RequestsPerS, FromCapacity: p.capacity(p.service.Model(change.From)),
+		ToDemand: demand[change.To].RequestsPerS, ToCapacity: p.capacity(to),
+	}
+}
--- a/internal/formation/group_creation.go
+++ b/internal/formation/group_creation.go
@@ -146,15 +146,15 @@
 // weight store and, with the ready free endpoints, suffice for the new group. It
 // reports whether it dissolved a group.
 func (p *planner) preemptGroup(domain string, model *catalog.Model, ready int) bool {
-	if p.isDissolving(domain) {
-		return false
+	if p.isDissolving(domain) || p.needs != nil && p.groupCounts[model.Name] > 0 {
+		return false // with known demand, only a model without any group may take one of another at once
 	}
 	for _, record := range p.records() {
 		if record.Domain != domain || record.Model == model.Name || p.hasGrant(record.Group) {
 			continue
 		}
 		victim := p.service.Model(record.Model)
-		if victim == nil || p.groupValue(model, 1) < preemptionRatio*p.groupValue(victim, 0) {
+		if victim == nil || p.needs != nil && p.groupCounts[victim.Name] < 2 || p.groupValue(model, 1) < preemptionRatio*p.groupValue(victim, 0) {
 			continue
 		}
 		if ready+p.warmMembers(record, model.Name) >= model.GroupSize {
@@ -184,7 +184,7 @@
 // groupValue returns the share of the work that each group of a model would carry
 // if the model had some more groups.
 func (p *planner) groupValue(model *catalog.Model, more int) float64 {
-	return model.Share / float64(max(p.groupCounts[model.Name]+more, 1))
+	return p.groupWeight(model) / float64(max(p.groupCounts[model.Name]+more, 1))
 }
 
 // fullyDiscovered reports whether all endpoints of a domain have probably
@@ -216,9 +216,9 @@
 }
 
 // provisioning returns the number of endpoints in a model's groups divided by the
-// model's share.
+// model's weight.
 func (p *planner) provisioning(model *catalog.Model) float64 {
-	return float64(p.groupCounts[model.Name]*model.GroupSize) / max(model.Share, minShare)
+	return float64(p.groupCounts[model.Name]*model.GroupSize) / p.endpointWeight(model)
 }
 
 // newGroupName returns a group name that is unused in the ledger and the plan.
--- a/internal/formation/input.go
+++ b/internal/formation/input.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
+	"github.com/plantainmux/plantainmux/internal/demand"
 	"github.com/plantainmux/plantainmux/internal/ledger"
 	"github.com/plantainmux/plantainmux/internal/registry"
 )
@@ -18,5 +19,11 @@
 	BeforeTraffic bool                     // no request has arrived yet, so model loads disturb no traffic
 	// EraAge is for how long the ledger has been read in the store's current era.
 	EraAge time.Duration
-	Now    time.Time
+	// Demand is the smoothed demand of the fleet by service and model. The configured shares apply
+	// to a service without an entry.
+	Demand map[string]map[string]demand.Total
+	// InProgress returns the requests in progress at a group, as far as they are known; nil: not known.
+	InProgress func(group string, epoch uint64) int
+	Shifts     ShiftHistory
+	Now        time.Time
 }
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -30,6 +30,7 @@
 	service     *catalog.Service
 	free        map[string][]*registry.Endpoint // by domain
 	groupCounts map[string]int                  // number of groups by model, over all domains
+	needs       map[string]float64              // number of groups that the demand fills, by model; nil: not known
 	assigned    map[string]map[string]int       // number of healthy endpoints by domain and assigned model
 }
 
@@ -38,12 +39,14 @@
 	p.findFree()
 	p.countGroups()
 	p.countAssigned()
+	p.updateNeeds()
 	for _, record := range p.records() {
 		if p.in.Owns(record.Domain) {
 			p.reconcileGroup(record)
 		}
 	}
 	p.dropResurrected()
+	p.followDemand()
 	for _, domain := range slices.Sorted(maps.Keys(p.free)) {
 		if p.in.Owns(domain) {
 			p.createGroups(domain)
--- a/internal/formation/reconciler.go
+++ b/internal/formation/reconciler.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
+	"github.com/plantainmux/plantainmux/internal/demand"
 	"github.com/plantainmux/plantainmux/internal/keyed"
 	"github.com/plantainmux/plantainmux/internal/ledger"
 	"github.com/plantainmux/plantainmux/internal/registry"
@@ -44,9 +45,12 @@
 	Ledger        *ledger.Ledger
 	Engines       Engines
 	Owns          func(domain string) bool
-	BeforeTraffic func() bool                // reports whether no request has arrived yet
-	Owners        func(domains []string) int // number of daemons that plan any of the domains
-	CanWrite      func() bool                // reports whether the store was reachable recently
+	BeforeTraffic func() bool                                  // reports whether no request has arrived yet
+	Owners        func(domains []string) int                   // number of daemons that plan any of the domains
+	Demand        func(service string) map[string]demand.Total // smoothed, by model; nil: not known
+	InProgress    func(group string, epoch uint64) int         // requests in progress at a group, as far as they are known
+	Shifted       func(shift Shift)                            // is called for each change of groups to another model; nil: not
+	CanWrite      func() bool                                  // reports whether the store was reachable recently
 	// ExpectChange announces that the registry entries are expected to change after a duration.
 	ExpectChange func(after time.Duration)
 	Logger       *slog.Logger
@@ -58,6 +62,7 @@
 	observations *observations
 	pool         pond.Pool
 	loads        *rate.Limiter
+	shifts       ShiftTracker // by Run alone
 	wake         chan struct{}
 
 	converging atomic.Bool
@@ -109,12 +114,41 @@
 		return Input{}, false
 	}
 	now := time.Now()
+	groups := r.Ledger.Load()
+	r.shifts.Observe(groups, now)
 	return Input{
-		Catalog: current, Endpoints: r.Endpoints(), Groups: r.Ledger.Load(), Health: r.observations.health(),
+		Catalog: current, Endpoints: r.Endpoints(), Groups: groups, Health: r.observations.health(),
 		Owns: r.Owns, BeforeTraffic: r.BeforeTraffic(), EraAge: r.Ledger.EraAge(now), Now: now,
+		Demand: r.demand(current), InProgress: r.InProgress, Shifts: r.shifts.Load(),
 	}, true
 }
 
+// demand returns the smoothed demand by service and model.
+func (r *Reconciler) demand(current *catalog.Catalog) map[string]map[string]demand.Total {
+	if r.Demand == nil {
+		return nil
+	}
+	services := map[string]map[string]demand.Total{}
+	for name, service := range current.Services {
+		if models := r.Demand(name); service.Grouped() && models != nil {
+			services[name] = models
+		}
+	}
+	return services
+}
+
+func (r *Reconciler) logShifts(plan Plan) {
+	for _, shift := range plan.Shifts {
+		if r.Shifted != nil {
+			r.Shifted(shift)
+		}
+		r.Logger.Info("groups change their model to follow the demand", "service", shift.Service, "domain", shift.Domain, "closed", shift.Close, "formed", shift.Form,
+			"from", shift.From, "from_demand", shift.FromDemand, "from_capacity", shift.FromCapacity, "from_utilisation", shift.FromBefore, "from_utilisation_after", shift.FromAfter,
+			"to", shift.To, "to_demand", shift.ToDemand, "to_capacity", shift.ToCapacity, "to_utilisation", shift.ToBefore, "to_utilisation_after", shift.ToAfter,
+			"in_progress", shift.InProgress)
+	}
+}
+
 func (r *Reconciler) reconcile(ctx context.Context) {
 	in, ok := r.input()
 	if !ok {
@@ -125,6 +159,7 @@
 	r.probeAbsent(ctx, in)
 	in.Health = r.observations.health()
 	plan := MakePlan(in)
+	r.shifts.Review(plan.Paying, in.Now)
 	r.converging.Store(plan.Converging)
 	if len(plan.Grants)+len(plan.Drops) > 0 && r.CanWrite() {
 		r.propose(ctx, in.Groups, plan)
@@ -143,6 +178,7 @@
 	var eraChanged *ledger.EraChangedError
 	switch {
 	case err == nil:
+		r.logShifts(plan)
 		r.Wake()
 	case errors.As(err, &eraChanged):
 		r.Logger.Warn("group records are void: the store has come back from an older copy", "planned_era", eraChanged.Planned, "era", eraChanged.Era)
--- a/internal/formation/spares.go
+++ b/internal/formation/spares.go
@@ -134,7 +134,7 @@
 	least := 0.0
 	for i := range p.service.Models {
 		model := &p.service.Models[i]
-		perShare := float64(p.assigned[domain][model.Name]) / max(model.Share, minShare)
+		perShare := float64(p.assigned[domain][model.Name]) / p.endpointWeight(model)
 		if best == nil || perShare < least || perShare == least && model.GroupSize > best.GroupSize {
 			best, least = model, perShare
 		}
