Plan by the demand that a majority of the daemons tells of; gauges of demand and capacity

The gateway smooths the fleet's demand and passes it to the planner, while it hears more than half of the registered daemons. Gauges of demand, capacity and groups by model, counters of changes and of losing the fleet's demand.

--- /dev/null
+++ b/internal/apportion/next_test.go
@@ -0,0 +1,100 @@
+package apportion_test
+
+import (
+	"math"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/apportion"
+)
+
+var _ = Describe("The next change of groups", func() {
+	models := func(largeGroups int, largeNeed float64, smallGroups int, smallNeed float64) []apportion.Model {
+		return []apportion.Model{
+			{Name: "large", GroupSize: 12, Groups: largeGroups, Need: largeNeed}, {Name: "small", GroupSize: 6, Groups: smallGroups, Need: smallNeed},
+		}
+	}
+	group := func(name, model string, inProgress int) apportion.Group {
+		size := map[string]int{"large": 12, "small": 6}[model]
+		return apportion.Group{Name: name, Model: model, InProgress: inProgress, Fit: map[string]int{"large": size, "small": size}}
+	}
+	mixed := apportion.Domain{
+		Name: "mixed", Groups: []apportion.Group{group("m.0", "large", 5), group("m.1", "small", 9), group("m.2", "small", 2)},
+		Free: 3, FreeFit: map[string]int{"large": 3, "small": 3}, Reserved: 2,
+	}
+	smalls := apportion.Domain{
+		Name: "smalls", Groups: []apportion.Group{group("s.0", "small", 4), group("s.1", "small", 3), group("s.2", "small", 2), group("s.3", "small", 1)},
+	}
+	domains := []apportion.Domain{mixed, smalls}
+
+	It("replaces one larger group by as many smaller ones as its members make", func() {
+		change, ok := apportion.Next(models(6, 2.5, 12, 9), domains)
+		Expect(ok).To(BeTrue())
+		Expect(change).To(And(HaveField("Domain", "mixed"), HaveField("Close", []string{"m.0"}), HaveField("Form", 2)))
+		Expect(change.ToBefore).To(BeNumerically("~", 0.75, 0.001))
+		Expect(change.ToAfter).To(BeNumerically("~", 9.0/14, 0.001))
+		Expect(change.FromAfter).To(BeNumerically("~", 0.5, 0.001))
+	})
+
+	It("closes smaller groups for a larger one together, those with the fewest requests in progress", func() {
+		change, ok := apportion.Next(models(6, 5.5, 12, 5), domains)
+		Expect(ok).To(BeTrue())
+		Expect(change).To(And(HaveField("Domain", "smalls"), HaveField("Close", []string{"s.3", "s.2"}), HaveField("Form", 1), HaveField("InProgress", 3)))
+	})
+
+	DescribeTable("is none", func(given []apportion.Model, domains []apportion.Domain) {
+		_, ok := apportion.Next(given, domains)
+		Expect(ok).To(BeFalse())
+	},
+		Entry("if the busier model gains too little", models(6, 2.5, 12, 6.5), domains),
+		Entry("if the model that gives up a group would be too busy", models(6, 3.8, 12, 11.5), domains),
+		Entry("if all are busy", models(6, 8, 12, 16), domains),
+		Entry("if it closed the last group of a model without demand", models(1, 0, 12, 11), domains),
+		Entry("if it closed both groups of a model that has two", models(2, 2, 2, 0.1), []apportion.Domain{{Groups: smalls.Groups[:2]}}),
+		Entry("if a group of either model is unsettled", models(6, 2.5, 12, 9), []apportion.Domain{{Groups: mixed.Groups, Unsettled: []string{"small"}}}),
+		Entry("if the members would have to load the model from the shared store", models(6, 2.5, 12, 9), []apportion.Domain{
+			{Groups: []apportion.Group{{Name: "g", Model: "large", Fit: map[string]int{"small": 5}}}},
+		}),
+		Entry("if only reserved endpoints would complete the new group", models(6, 2.5, 12, 9), []apportion.Domain{
+			{Groups: []apportion.Group{{Name: "g", Model: "large", Fit: map[string]int{"small": 5}}}, Free: 2, FreeFit: map[string]int{"small": 2}, Reserved: 2},
+		}),
+		Entry("without demand", models(6, 0, 12, 0), domains),
+		Entry("without domains", models(6, 2.5, 12, 9), nil),
+	)
+
+	It("serves a model that has no group", func() {
+		change, ok := apportion.Next(models(6, 1, 0, 3), domains)
+		Expect(ok).To(BeTrue())
+		Expect(change.Close).To(Equal([]string{"m.0"}))
+		Expect(math.IsInf(change.ToBefore, 1)).To(BeTrue())
+	})
+
+	It("never pays off to undo at the same demand, whatever that is", func() {
+		for largeNeed := 0.0; largeNeed < 8; largeNeed += 0.1 {
+			for smallNeed := 0.0; smallNeed < 16; smallNeed += 0.1 {
+				change, ok := apportion.Next(models(6, largeNeed, 12, smallNeed), domains)
+				if !ok {
+					continue
+				}
+				large, small := 6+change.Form, 12-len(change.Close)
+				if change.To == "small" {
+					large, small = 6-len(change.Close), 12+change.Form
+				}
+				next, again := apportion.Next(models(large, largeNeed, small, smallNeed), domains)
+				Expect(again && next.To == change.From).To(BeFalse(), "demand %.1f and %.1f groups", largeNeed, smallNeed)
+			}
+		}
+	})
+})
+
+var _ = Describe("The pace of changes", func() {
+	DescribeTable("permits one", func(sinceChange, paying time.Duration, permitted bool) {
+		Expect(apportion.Pace{SinceChange: sinceChange, Paying: paying}.Permits()).To(Equal(permitted))
+	},
+		Entry("that has paid off for some time after the last one", 10*time.Second, 8*time.Second, true),
+		Entry("but none soon after another one in the fleet", 9900*time.Millisecond, time.Minute, false),
+		Entry("but none for a burst", time.Minute, 7900*time.Millisecond, false),
+	)
+})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,7 +65,10 @@
 	suspects       *suspect.Table
 	refusedParts   map[uint64]int // as last logged; by the housekeeping alone
 	failedRequests *exchange.FailedRequests
-	demand         demand.Counter // of this daemon
+	demand         demand.Counter                  // of this daemon
+	fleetDemand    atomic.Pointer[[]demand.Report] // of all daemons, this one included
+	smoothedDemand *demand.Tracker
+	demandKnown    atomic.Bool // this daemon hears from enough others to plan by their demand
 	suspicions     suspicions
 	limits         *targetstats.Limits
 
@@ -110,6 +113,7 @@
 		holds:          targetstats.NewHolds(),
 		limits:         targetstats.NewLimits(),
 		failedRequests: exchange.NewFailedRequests(),
+		smoothedDemand: demand.NewTracker(),
 		peers:          peerlog.NewClient(),
 		mirror:         keyed.NewMirror(),
 
@@ -123,6 +127,7 @@
 	g.metersByHash.Store(&map[uint32]meter{})
 	g.planners.Store(&[]string{s.Node})
 	g.view.Store(&placement.View{})
+	g.fleetDemand.Store(&[]demand.Report{})
 	g.trafficSeen.Store(!s.First)
 	g.forwardersNow.Store(&[]string{})
 	g.addressOf.Store(&map[string]string{})
@@ -173,6 +178,9 @@
 		BeforeTraffic: func() bool { return !g.trafficSeen.Load() },
 		Owners:        g.owners,
 		CanWrite:      g.storeReached,
+		Demand:        g.smoothedDemand.Smoothed,
+		InProgress:    g.requestsInProgress,
+		Shifted:       g.countShift,
 		ExpectChange:  g.expectEntries,
 		Logger:        g.logger,
 	})
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -23,6 +23,7 @@
 	for round := 0; wait.For(ctx, housekeepingInterval); round++ {
 		now := time.Now()
 		g.applyGossip(now)
+		g.observeDemand(now)
 		g.updateForwarders(now)
 		g.endpoints.Review(now)
 		g.registry.Expire(now)
@@ -30,6 +31,7 @@
 			g.adapters.Sweep(now)
 			g.paths.Sweep(now)
 			g.pruneMeters()
+			g.updateDemandGauges()
 			g.failedRequests.Prune(now)
 			g.suspects.Prune(now)
 		}
--- a/internal/gossip/demand.go
+++ b/internal/gossip/demand.go
@@ -16,11 +16,11 @@
 }
 
 // HearsMajority reports whether this daemon and the live ones that it hears are more than half of
-// the registered daemons. A daemon that is alone in the fleet hears the majority.
+// the registered daemons, and whether there are any others that it hears.
 func (g *Gossip) HearsMajority(now time.Time) bool {
 	live := 1
 	g.eachLive(now, func(*Peer) { live++ })
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return 2*live > len(g.peers)+1
+	return live > 1 && 2*live > len(g.peers)+1
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -78,7 +78,7 @@
 		a, stopA := start("a", "z", 1)
 		b, stopB := start("b", "z", 1)
 		defer stopA()
-		Expect(a.HearsMajority(time.Now())).To(BeTrue(), "no other daemon is registered")
+		Expect(a.HearsMajority(time.Now())).To(BeFalse(), "no other daemon is registered yet, as at a start")
 		register(a, b)
 		register(b, a)
 		Expect(a.HearsMajority(time.Now())).To(BeFalse(), "b is not heard yet")
