--- a/internal/formation/follow_demand_test.go
+++ b/internal/formation/follow_demand_test.go
@@ -221,6 +221,28 @@
 		Expect(small).To(BeNumerically(">", 24))
 	})
 
+	It("completes a change although a member is lost in its midst", func() {
+		s := buildFarm()
+		for len(s.shifts) == 0 {
+			s.run(siteStep, steady(1), steady(1))
+			Expect(s.in.Now.Sub(s.start)).To(BeNumerically("<", time.Minute))
+		}
+		record := s.in.Groups.Groups[s.shifts[0].Close[0]]
+		Expect(record.Model).To(Equal("small"))
+		delete(s.endpoints, record.Members[3].ID)
+		s.run(8*time.Second, steady(1), steady(1))
+		expectGroups(s, 5, 14)
+	})
+
+	It("uses reserved spares for the busier model only when that is short of capacity", func() {
+		s := bookSellers()
+		s.run(10*time.Second, steady(0.3), steady(0.8)) // shorter than until the first change
+		expectGroups(s, 6, 24)
+		s.run(15*time.Second, steady(0.3), steady(1.4))
+		_, small := s.groups()
+		Expect(small).To(BeNumerically(">=", 30))
+	})
+
 	It("plans as configured before traffic and while demand is too small to tell", func() {
 		s := buildFarm()
 		s.run(time.Minute, steady(0.001), steady(0.05))
--- a/internal/formation/group_creation.go
+++ b/internal/formation/group_creation.go
@@ -25,6 +25,9 @@
 	// endpoints per share below which a model gets a group even if that uses up the
 	// reserved spares.
 	underprovisionedRatio = 0.8
+	// spareUtilisation is the utilisation of a model below which it gets no group from reserved
+	// spares while demand is known: it has capacity left, and a failure is repaired sooner.
+	spareUtilisation = 0.75
 	// preemptionRatio is the minimum ratio between the value of a new group and the
 	// value of the group that is dissolved to provide its members.
 	preemptionRatio = 1.5
@@ -70,6 +73,9 @@
 	if len(p.free[domain])-model.GroupSize >= p.reservedSpares(domain) {
 		return true
 	}
+	if p.needs != nil && p.groupValue(model, 0) < spareUtilisation {
+		return false
+	}
 	most := 0.0
 	for i := range p.service.Models {
 		most = max(most, p.provisioning(&p.service.Models[i]))
@@ -182,7 +188,7 @@
 }
 
 // groupValue returns the share of the work that each group of a model would carry
-// if the model had some more groups.
+// if the model had some more groups. With known demand it is the utilisation.
 func (p *planner) groupValue(model *catalog.Model, more int) float64 {
 	return p.groupWeight(model) / float64(max(p.groupCounts[model.Name]+more, 1))
 }
