--- a/internal/formation/follow_demand_test.go
+++ b/internal/formation/follow_demand_test.go
@@ -234,6 +234,23 @@
 		expectGroups(s, 5, 14)
 	})
 
+	It("keeps members that no new group takes from other groups until the head has released them", func() {
+		s := newDemandSite(13, 7, 4, buildFarm().perf, requests(20, 1667, 102), requests(315, 714, 150))
+		s.run(14*time.Second, steady(1), steady(1))
+		Expect(s.shifts).To(HaveLen(1))
+		closed := s.shifts[0].Close
+		Expect(closed).To(HaveLen(1))
+		Expect(s.in.Groups.Groups[closed[0]]).To(And(HaveField("Dissolving", true), HaveField("Members", HaveLen(3))))
+		large, small := s.groups()
+		s.run(5*time.Second, steady(1), steady(1))
+		for _, record := range s.in.Groups.Groups {
+			Expect(record.Dissolving).To(BeFalse())
+		}
+		gotLarge, gotSmall := s.groups()
+		Expect(gotLarge).To(Equal(large))
+		Expect(gotSmall).To(BeNumerically(">=", small+s.shifts[0].Form))
+	})
+
 	It("uses reserved spares for the busier model only when that is short of capacity", func() {
 		s := bookSellers()
 		s.run(10*time.Second, steady(0.3), steady(0.8)) // shorter than until the first change
--- a/internal/gossip/hubs_test.go
+++ b/internal/gossip/hubs_test.go
@@ -115,6 +115,16 @@
 			Eventually(func() []demand.Report { return t.Demand(time.Now()) }, "5s", "20ms").Should(
 				Equal([]demand.Report{{Key: 5, RequestsPerS: 3 * others, PromptTokensPerS: 10 * others}}), t.name)
 		}
+		most := func() float32 {
+			most := float32(0)
+			for _, t := range fleet {
+				for _, report := range t.Demand(time.Now()) {
+					most = max(most, report.RequestsPerS)
+				}
+			}
+			return most
+		}
+		Consistently(most, "2s", "20ms").Should(BeNumerically("<=", 3*others), "while hubs take over from direct messages")
 		Expect(fleet[0].HearsMajority(time.Now())).To(BeTrue())
 	})
 
