--- /dev/null
+++ b/internal/formation/shift_tracker.go
@@ -0,0 +1,53 @@
+package formation
+
+import (
+	"maps"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/apportion"
+	"github.com/plantainmux/plantainmux/internal/ledger"
+)
+
+// ShiftTracker derives the ShiftHistory from the ledger and from past plans. The zero value has seen
+// nothing. It is used by one goroutine.
+type ShiftTracker struct {
+	history ShiftHistory
+	// models holds the model that each endpoint was last granted for, by ID. An entry stays when the
+	// endpoint is released, so that it is known what the endpoint served before.
+	models map[string]string
+}
+
+// Observe records whether endpoints have been granted to a group of another model than before. What
+// happened before the first call is not known, so that it counts as a change.
+func (t *ShiftTracker) Observe(groups *ledger.State, now time.Time) {
+	if t.models == nil {
+		t.models = map[string]string{}
+		t.history.LastChange = now
+	}
+	for _, record := range groups.Groups {
+		for _, member := range record.Members {
+			if model, known := t.models[member.ID]; known && model != record.Model {
+				t.history.LastChange = now
+			}
+			t.models[member.ID] = record.Model
+		}
+	}
+}
+
+// Review records which changes pay off now, by service.
+func (t *ShiftTracker) Review(paying map[string]apportion.Change, now time.Time) {
+	next := map[string]PayingService{}
+	for service, change := range paying {
+		known := t.history.Paying[service]
+		if known.From != change.From || known.To != change.To {
+			known = PayingService{From: change.From, To: change.To, Since: now}
+		}
+		next[service] = known
+	}
+	t.history.Paying = next
+}
+
+// Load returns the history up to now.
+func (t *ShiftTracker) Load() ShiftHistory {
+	return ShiftHistory{LastChange: t.history.LastChange, Paying: maps.Clone(t.history.Paying)}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
+	"github.com/plantainmux/plantainmux/internal/demand"
 	"github.com/plantainmux/plantainmux/internal/evacuation"
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/formation"
@@ -66,6 +67,10 @@
 	suspects       *suspect.Table
 	refusedParts   map[uint64]int // as last logged; by the housekeeping alone
 	failedRequests *exchange.FailedRequests
+	demand         demand.Counter                  // of this daemon
+	fleetDemand    atomic.Pointer[[]demand.Report] // of all daemons, this one included
+	smoothedDemand *demand.Tracker
+	demandKnown    atomic.Bool // this daemon hears from enough others to plan by their demand
 	suspicions     suspicions
 	limits         *targetstats.Limits
 	evacuations    *evacuation.Set
@@ -115,6 +120,7 @@
 		holds:          targetstats.NewHolds(),
 		limits:         targetstats.NewLimits(),
 		failedRequests: exchange.NewFailedRequests(),
+		smoothedDemand: demand.NewTracker(),
 		peers:          peerlog.NewClient(),
 		mirror:         keyed.NewMirror(),
 
@@ -130,6 +136,7 @@
 	g.metersByHash.Store(&map[uint32]meter{})
 	g.planners.Store(&[]string{s.Node})
 	g.view.Store(&placement.View{})
+	g.fleetDemand.Store(&[]demand.Report{})
 	g.trafficSeen.Store(!s.First)
 	g.forwardersNow.Store(&forwarders{})
 	g.addressOf.Store(&map[string]string{})
@@ -180,6 +187,9 @@
 		BeforeTraffic: func() bool { return !g.trafficSeen.Load() },
 		Owners:        g.owners,
 		CanWrite:      g.storeReached,
+		Demand:        g.smoothedDemand.Smoothed,
+		InProgress:    g.requestsInProgress,
+		Shifted:       g.countShift,
 		ExpectChange:  g.expectEntries,
 		Logger:        g.logger,
 	})
@@ -195,6 +205,7 @@
 		GossipDelay:    g.gossip.Delay,
 		Suspects:       g.suspects,
 		OwnsTrial:      g.ownsTrial,
+		Demand:         &g.demand,
 		FailedRequests: g.failedRequests,
 		Metrics:        exchange.NewMetrics(g.metrics),
 		Logger:         g.logger,
--- a/internal/gossip/brief_test.go
+++ b/internal/gossip/brief_test.go
@@ -6,6 +6,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/demand"
 )
 
 var _ = Describe("A direct datagram to a daemon of another data centre", func() {
@@ -34,7 +36,7 @@
 
 	It("leaves out what the hubs tell it, so that bytes between data centres are not paid twice", func() {
 		Expect(datagramTo(20, 0, "x", "y").brief).To(BeTrue())
-		full := Message{Loads: map[uint32]Load{1: {Count: 1}}, FailedRequests: []uint32{1}, Suspicions: []Suspicion{{}}, NewGroups: []Suspicion{{}}, Store: true, Config: 7, CutOff: true}
+		full := Message{Loads: map[uint32]Load{1: {Count: 1}}, FailedRequests: []uint32{1}, Suspicions: []Suspicion{{}}, NewGroups: []Suspicion{{}}, Demand: []demand.Report{{}}, Store: true, Config: 7, CutOff: true}
 		Expect(full.brief()).To(Equal(Message{Store: true, Config: 7, CutOff: true}))
 	})
 
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/plantainmux/plantainmux/internal/demand"
 	"github.com/plantainmux/plantainmux/internal/evacuation"
 )
 
@@ -23,6 +24,7 @@
 	CutOff         []uint32 `cbor:"16,keyasint,omitempty"` // of Members, those that are cut off from the endpoints
 
 	Evacuations []evacuation.Report `cbor:"17,keyasint,omitempty"` // the latest of each data centre
+	Demand      []demand.Report     `cbor:"18,keyasint,omitempty"` // sum over Members
 }
 
 // add merges the message that a daemon sent age ago into the digest.
@@ -36,6 +38,9 @@
 	for key, load := range message.Loads {
 		d.addLoad(key, load.aged(age))
 	}
+	if len(message.Demand) > 0 {
+		d.Demand = demand.Sum(d.Demand, message.Demand)
+	}
 }
 
 // addMember adds the state of a daemon. What members have in common with daemons of earlier
@@ -65,7 +70,10 @@
 	for key, load := range d.Loads {
 		loads[key] = load.aged(age)
 	}
-	return Message{Traffic: d.Traffic, Config: d.Config, Loads: loads, Suspicions: aged(d.Suspicions, age), NewGroups: d.NewGroups, FailedRequests: d.FailedRequests, Evacuations: d.Evacuations}
+	return Message{
+		Traffic: d.Traffic, Config: d.Config, Loads: loads, Suspicions: aged(d.Suspicions, age), NewGroups: d.NewGroups, FailedRequests: d.FailedRequests,
+		Evacuations: d.Evacuations, Demand: d.Demand,
+	}
 }
 
 // encode returns the digest in CBOR with its current age. It returns nil if encoding fails.
