Decide on admission under overload by capacity and demand (package overload)

Cause: with loads known 0.3 to 0.5 s late, each daemon refuses only while all targets seem nearly full, so that loads swing between too full and too empty.

Change: overload.Decide admits the same fraction at every daemon, capacity by demand, corrected by the distance of the known load from 0.8 of the slots over two delays. Admitted requests get the headroom of resumed streams. Nothing calls it yet outside of the simulation.

--- /dev/null
+++ b/internal/overload/decide.go
@@ -0,0 +1,95 @@
+package overload
+
+import "time"
+
+const (
+	// minDaemons is the number of daemons from which on each learns of the requests of others
+	// so late that the decision was shown to gain.
+	minDaemons = 16
+
+	// loadShare is the share of the slots in use that is aimed at. Loads of groups differ by a
+	// fifth when they are known 0.4 s late, and a group with more requests than slots answers
+	// late; at 0.8 a group completes over 0.9 of what it completes with all slots in use.
+	loadShare = 0.8
+
+	// horizon is the number of delays in which the load is brought to the one aimed at.
+	// With one, the load oscillates, as each correction is seen one delay later; with four,
+	// a queue at the start of a burst stays longer.
+	horizon = 2
+
+	// minDelay is the shortest delay that is assumed, for fleets whose clocks and links vary.
+	minDelay = 100 * time.Millisecond
+
+	// leastShare is the part of the fraction of all requests that each priority keeps. The
+	// requirement is 0.35; the rest is margin for a demand that is known late.
+	leastShare = 0.4
+
+	// slowGapRatio is the ratio to the smallest gap between events above which a group counts
+	// as slow, as in the choice of a target.
+	slowGapRatio = 1.6
+)
+
+// Decide decides on a request under sustained load beyond the capacity of a model's groups.
+// Each daemon admits the same fraction of the requests: what the groups complete at the load
+// aimed at, corrected by the distance of the known load from it, divided by the demand. It is
+// 1 while the groups take all requests that arrive within the horizon.
+func Decide(in Input) Decision {
+	d := Decision{Admit: true, Fraction: 1, Demand: in.Demand.total()}
+	if in.Daemons < minDaemons || in.Performance == nil || in.Model == nil || len(in.Targets) == 0 || d.Demand == 0 {
+		return d
+	}
+	aim := loadShare * float64(in.Performance.Slots)
+	rate := completionRate(in.Performance, in.Model, aim, in.Demand)
+	least := leastGap(in.Targets)
+	for _, target := range in.Targets {
+		d.Load += float64(target.Load)
+		d.Capacity += rate / slowness(target, least)
+	}
+	if d.Capacity == 0 {
+		return d
+	}
+	excess := d.Load - aim*float64(len(in.Targets))
+	admissible := max(0, d.Capacity-excess/(horizon*max(in.Delay, minDelay).Seconds()))
+	if admissible >= d.Demand {
+		return d
+	}
+	d.Limited = true
+	d.Fraction = fractionOf(in, admissible, d.Demand)
+	d.Admit = in.Random < d.Fraction
+	return d
+}
+
+// fractionOf returns the fraction of the requests of a priority that are admitted when all
+// priorities together get the given number of requests per second. Each keeps leastShare of
+// the overall fraction, and the most urgent get the rest. Late requests get none.
+func fractionOf(in Input, admissible, demand float64) float64 {
+	if in.Late {
+		return 0
+	}
+	least := leastShare * admissible / demand
+	rest := admissible - least*demand - (1-least)*in.Demand.moreUrgent(in.Priority)
+	own := in.Demand.ByPriority[in.Priority]
+	if own <= 0 {
+		own = demand // a priority of which no daemon has told yet
+	}
+	return least + min(max(0, rest)/own, 1-least)
+}
+
+func leastGap(targets []Target) time.Duration {
+	least := time.Duration(0)
+	for _, target := range targets {
+		if target.MeanGap > 0 && (least == 0 || target.MeanGap < least) {
+			least = target.MeanGap
+		}
+	}
+	return least
+}
+
+// slowness returns the factor by which a target is slower than the fastest one, 1 if it does
+// not count as slow.
+func slowness(target Target, least time.Duration) float64 {
+	if least <= 0 || float64(target.MeanGap) <= slowGapRatio*float64(least) {
+		return 1
+	}
+	return float64(target.MeanGap) / float64(least)
+}
--- /dev/null
+++ b/internal/overload/decide_test.go
@@ -0,0 +1,102 @@
+package overload_test
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/catalog"
+	"github.com/plantainmux/plantainmux/internal/overload"
+)
+
+var _ = Describe("The decision on a request under overload", func() {
+	// input is eight groups of the build farm's smaller model, which complete some 260 requests a
+	// second at the load aimed at.
+	input := func(load int, byPriority map[int]float64) overload.Input {
+		in := overload.Input{
+			Performance: &catalog.PerformanceModel{
+				Slots: 48, StepsPerPass: 5, PrefillChunkTokens: 2048, StepDuration: 6450 * time.Microsecond, PerRequest: 96700 * time.Nanosecond,
+				PrefillTokensPerSecond: 56100, MeanPromptTokens: 714, MeanOutputTokens: 150,
+			},
+			Model:  &catalog.Model{Name: "m", StepTimeFactor: 0.6},
+			Demand: overload.Demand{ByPriority: byPriority}, Daemons: 86, Delay: 400 * time.Millisecond,
+		}
+		for range 8 {
+			in.Targets = append(in.Targets, overload.Target{Load: load})
+		}
+		return in
+	}
+
+	It("computes the capacity by the published formula", func() {
+		Expect(overload.Decide(input(38, map[int]float64{0: 500})).Capacity).To(BeNumerically("~", 8*32.0, 4))
+	})
+
+	It("admits a fraction of capacity by demand at the load aimed at", func() {
+		d := overload.Decide(input(38, map[int]float64{0: 512}))
+		Expect(d.Limited).To(BeTrue())
+		Expect(d.Fraction).To(BeNumerically("~", 0.5, 0.03))
+	})
+
+	DescribeTable("refuses nothing while there is room, or where it cannot judge", func(change func(*overload.Input)) {
+		in := input(38, map[int]float64{0: 567})
+		in.Random = 0.999
+		change(&in)
+		d := overload.Decide(in)
+		Expect(d.Admit).To(BeTrue())
+		Expect(d.Limited).To(BeFalse())
+	},
+		Entry("demand below capacity", func(in *overload.Input) { in.Demand.ByPriority[0] = 240 }),
+		Entry("a burst that empty groups take within the horizon", func(in *overload.Input) { in.Targets = input(5, nil).Targets }),
+		Entry("late, below capacity", func(in *overload.Input) { in.Demand.ByPriority[0], in.Late = 240, true }),
+		Entry("few daemons", func(in *overload.Input) { in.Daemons = 15 }),
+		Entry("unknown demand", func(in *overload.Input) { in.Demand = overload.Demand{} }),
+		Entry("impossible demand", func(in *overload.Input) { in.Demand.ByPriority[1] = math.NaN() }),
+		Entry("no target", func(in *overload.Input) { in.Targets = nil }),
+		Entry("no published performance", func(in *overload.Input) { in.Performance = nil }),
+		Entry("empty performance", func(in *overload.Input) { in.Performance = &catalog.PerformanceModel{} }),
+	)
+
+	It("refuses late requests first", func() {
+		in := input(38, map[int]float64{0: 300})
+		in.Late = true
+		Expect(overload.Decide(in).Admit).To(BeFalse())
+	})
+
+	It("serves no priority less than a less urgent one, and each at least 0.35 of the fraction of all", func() {
+		for _, rates := range []map[int]float64{{0: 300, 1: 200}, {0: 20, 1: 400, 2: 400}, {1: 900, 9: 10}} {
+			for load := 0; load <= 60; load += 5 {
+				served, demand := 0.0, 0.0
+				fractions := map[int]float64{}
+				for priority, rate := range rates {
+					in := input(load, rates)
+					in.Priority = priority
+					d := overload.Decide(in)
+					fractions[priority] = d.Fraction
+					served += d.Fraction * rate
+					demand += rate
+				}
+				for p, fraction := range fractions {
+					Expect(fraction).To(BeNumerically(">=", 0.35*served/demand-1e-9), fmt.Sprint(rates, load))
+					for q, other := range fractions {
+						Expect(p > q || fraction >= other-1e-9).To(BeTrue(), fmt.Sprint(rates, load, fractions))
+					}
+				}
+				all := overload.Decide(input(load, map[int]float64{0: demand})).Fraction
+				Expect(served/demand).To(BeNumerically("~", all, 0.01), "the priorities share what is admitted of all")
+			}
+		}
+	})
+
+	It("counts the capacity of a slow group by its measured speed", func() {
+		in := input(38, map[int]float64{0: 567})
+		for i := range in.Targets {
+			in.Targets[i].MeanGap = 40 * time.Millisecond
+		}
+		even := overload.Decide(in).Capacity
+		in.Targets[0].MeanGap = 160 * time.Millisecond
+		Expect(overload.Decide(in).Capacity).To(BeNumerically("~", even*7.25/8, 0.01))
+	})
+})
--- /dev/null
+++ b/internal/overload/input.go
@@ -0,0 +1,20 @@
+package overload
+
+import (
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/catalog"
+)
+
+// Input is what a decision depends on.
+type Input struct {
+	Performance *catalog.PerformanceModel // published by the service
+	Model       *catalog.Model
+	Targets     []Target // groups of the model that take requests
+	Demand      Demand
+	Priority    int           // of the request; 0 is the most urgent
+	Late        bool          // the request has missed its latency target already
+	Daemons     int           // number of live daemons
+	Delay       time.Duration // with which this daemon learns of the requests of others
+	Random      float64       // uniform in [0, 1)
+}
--- a/internal/placement/capacity.go
+++ b/internal/placement/capacity.go
@@ -10,13 +10,14 @@
 // hasCapacity reports whether a target can take a request so that it is likely to meet
 // its latency target. Late requests are admitted only below lateAdmissionShare: their answers
 // have a quarter of the value, and under overload they must not displace requests that
-// can still be in time.
+// can still be in time. Admitted requests are few enough for all targets together, so that
+// they get the headroom of resumed streams: a target that seems full is a matter of late news.
 func hasCapacity(target *Target, requirements Requirements) bool {
 	load := target.Meter.Load()
 	if !requirements.Grouped {
 		return float64(load) < plainLoadFactor*float64(target.Slots)
 	}
-	if requirements.Resumed {
+	if requirements.Resumed || requirements.Admitted {
 		return load < target.Slots+groupQueueLimit+resumedHeadroom
 	}
 	if requirements.Late {
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -34,7 +34,7 @@
 	if len(candidates) == 0 {
 		return nil, NoTarget
 	}
-	if requirements.Grouped && !requirements.Resumed && nearlyFull(candidates) {
+	if requirements.Grouped && !requirements.Resumed && !requirements.Admitted && nearlyFull(candidates) {
 		return pickNearlyFull(candidates, requirements)
 	}
 	available := preferShortPrefill(withCapacity(candidates, requirements), requirements)
--- a/internal/placement/requirements.go
+++ b/internal/placement/requirements.go
@@ -10,6 +10,7 @@
 	Late         bool // its latency target has been missed already, so that its answer has little value
 	PromptTokens int
 	Resumed      bool            // part of its answer has been sent to the caller
+	Admitted     bool            // internal/overload has admitted it as one of the fraction that the groups take
 	Priority     int             // 0 is the most urgent
 	Daemons      int             // number of live daemons
 	GossipDelay  time.Duration   // with which this daemon learns of the requests of others
--- a/internal/placement/simulation_test.go
+++ b/internal/placement/simulation_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/plantainmux/plantainmux/internal/overload"
 	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/targetstats"
 )
@@ -35,6 +36,14 @@
 	failurePeriod      time.Duration // period of the failures; 0: no failures
 	retryDelay         retryDelay    // of the single retry of a refused caller; nil: no retry
 	choose             chooser
+	engine             simEngine                   // of the groups; zero: defaultEngine
+	classes            []simClass                  // of the requests; none: promptTokens, answerTokens and latencyTarget, with values
+	rateAt             func(time.Duration) float64 // requests a second at a time; nil: rate
+	lost               []int                       // groups that are lost for good at lostAt, with their requests placed elsewhere
+	lostAt             time.Duration
+	measureFrom        time.Duration // arrivals before it are not counted
+	measureUntil       time.Duration // nor those after it; 0: unlimited
+	seed               uint64
 	random             *rand.Rand
 	now                time.Duration
 	engines            []*simGroup
@@ -45,6 +54,11 @@
 	views              [][]*placement.Target
 	retries            []retry
 	result             outcome
+	byClass            []outcome
+	arrivals           [][]int    // first attempts by tick and class
+	decisions          *rand.Rand // of admission
+	demandTick         int        // newest tick in knownDemand
+	knownDemand        overload.Demand
 }
 
 // chooser picks a target for a request of a daemon.
@@ -58,6 +72,7 @@
 type retry struct {
 	arrivedAt, retryAt time.Duration
 	value              float64
+	class              int
 }
 
 // outcome counts requests by result.
@@ -72,14 +87,30 @@
 
 func (o outcome) inTimeShare() float64 { return float64(o.inTime) / float64(o.arrived) }
 
+// simClass is a class of requests.
+type simClass struct {
+	share                      float64 // of the requests
+	promptTokens, answerTokens float64 // mean tokens
+	latencyTarget              time.Duration
+	priority                   int
+}
+
+// simEngine is the published performance of a group.
+type simEngine struct {
+	stepsPerPass    int
+	stepTime        time.Duration // of a step without requests
+	decodeTime      time.Duration // added to a step for each decoding request
+	prefillRate     float64       // prompt tokens a millisecond
+	maxPromptTokens float64       // above 0: prompts are exponential up to this length
+}
+
+var defaultEngine = simEngine{stepsPerPass: simStepsPerPass, stepTime: 6450 * time.Microsecond, decodeTime: 97 * time.Microsecond, prefillRate: 56.1}
+
 const (
-	simStepsPerPass       = 5                       // decode steps a pass
-	simPrefillChunkTokens = 2048                    // maximum of prompt tokens prefilled a step
-	simStepTime           = 6450 * time.Microsecond // of a step without requests
-	simDecodeTime         = 97 * time.Microsecond   // added to a step for each decoding request
-	simPrefillRate        = 56.1                    // prompt tokens a millisecond
-	simTimeScale          = 0.6                     // of the most requested model
-	simLateValueShare     = 0.25                    // value of a late answer as a share of the value in time
+	simStepsPerPass       = 5    // decode steps a pass
+	simPrefillChunkTokens = 2048 // maximum of prompt tokens prefilled a step
+	simTimeScale          = 0.6  // of the most requested model
+	simLateValueShare     = 0.25 // value of a late answer as a share of the value in time
 	simLatencyTarget      = 300 * time.Millisecond
 	simCallerTimeout      = 6 * time.Second
 	simTick               = 10 * time.Millisecond
@@ -100,6 +131,7 @@
 	prefillLeft, decodeLeft float64 // tokens
 	value                   float64
 	promptTokens            int // tokens
+	class                   int
 	started                 bool
 	late                    bool
 }
@@ -110,6 +142,9 @@
 	for tick := time.Duration(0); tick < f.duration; tick += simTick {
 		f.snapshot()
 		f.retryRefused(tick)
+		if len(f.lost) > 0 && tick == f.lostAt {
+			f.loseGroups(tick)
+		}
 		for {
 			group := f.nextPass()
 			switch {
@@ -132,7 +167,11 @@
 }
 
 func (f *simulation) prepare() {
-	f.random = rand.New(rand.NewPCG(1, 2))
+	f.random = rand.New(rand.NewPCG(1, 2+f.seed))
+	if f.engine.stepsPerPass == 0 {
+		f.engine = defaultEngine
+	}
+	f.byClass = make([]outcome, max(len(f.classes), 1))
 	for g := range f.groups {
 		f.engines = append(f.engines, &simGroup{index: g})
 	}
@@ -147,7 +186,7 @@
 			}
 			target := &placement.Target{Key: string(rune('a' + g)), DataCentre: "z", Slots: slots, Meter: targetstats.NewMeter()}
 			if f.knownPrefill {
-				target.MaxPrefillTokensPerPass = simStepsPerPass * simPrefillChunkTokens
+				target.MaxPrefillTokensPerPass = f.engine.stepsPerPass * simPrefillChunkTokens
 			}
 			view = append(view, target)
 		}
@@ -156,13 +195,18 @@
 }
 
 func (f *simulation) interarrival() time.Duration {
-	return time.Duration(f.random.ExpFloat64() / f.rate * float64(time.Second))
+	rate := f.rate
+	if f.rateAt != nil {
+		rate = f.rateAt(f.now)
+	}
+	return time.Duration(f.random.ExpFloat64() / rate * float64(time.Second))
 }
 
 // snapshot records the requests in progress of each daemon, for later publication.
 func (f *simulation) snapshot() {
 	f.reported = append(f.reported, clone2D(f.inFlight))
 	f.reportedPrefilling = append(f.reportedPrefilling, clone2D(f.prefilling))
+	f.arrivals = append(f.arrivals, make([]int, len(f.byClass)))
 }
 
 func clone2D(rows [][]int) [][]int {
@@ -197,17 +241,83 @@
 }
 
 func (f *simulation) arrive() {
-	f.result.arrived++
 	value := 1 + float64(f.random.IntN(2))
-	f.result.offeredValue += value
-	if f.place(f.now, value, false) {
+	class := f.pickClass()
+	f.arrivals[len(f.arrivals)-1][class]++
+	f.count(f.now, class, func(o *outcome) {
+		o.arrived++
+		o.offeredValue += value
+	})
+	if f.place(f.now, value, class, false) {
 		return
 	}
 	if f.retryDelay == nil {
-		f.result.refused++
+		f.refuse(f.now, class)
 		return
 	}
-	f.retries = append(f.retries, retry{arrivedAt: f.now, retryAt: f.now + f.retryDelay(simCallerTimeout, f.random.Float64()), value: value})
+	f.retries = append(f.retries, retry{arrivedAt: f.now, retryAt: f.now + f.retryDelay(simCallerTimeout, f.random.Float64()), value: value, class: class})
+}
+
+func (f *simulation) pickClass() int {
+	if len(f.classes) < 2 {
+		return 0
+	}
+	remaining := f.random.Float64()
+	for i, class := range f.classes {
+		remaining -= class.share
+		if remaining < 0 {
+			return i
+		}
+	}
+	return len(f.classes) - 1
+}
+
+// class returns a class of requests.
+func (f *simulation) class(i int) simClass {
+	if len(f.classes) == 0 {
+		return simClass{promptTokens: f.promptTokens, answerTokens: f.answerTokens, latencyTarget: cmp.Or(f.latencyTarget, simLatencyTarget)}
+	}
+	return f.classes[i]
+}
+
+// count changes the results if a request arrived at a time that is measured.
+func (f *simulation) count(arrivedAt time.Duration, class int, change func(*outcome)) {
+	if arrivedAt < f.measureFrom || f.measureUntil > 0 && arrivedAt >= f.measureUntil {
+		return
+	}
+	change(&f.result)
+	change(&f.byClass[class])
+}
+
+func (f *simulation) refuse(arrivedAt time.Duration, class int) {
+	f.count(arrivedAt, class, func(o *outcome) { o.refused++ })
+}
+
+// loseGroups ends the lost groups. Their requests go to other groups, where the prompts and
+// what has been answered are prefilled again.
+func (f *simulation) loseGroups(tick time.Duration) {
+	f.now = max(f.now, tick)
+	var moved []*simRequest
+	for _, g := range f.lost {
+		group := f.engines[g]
+		moved = append(append(moved, group.batch...), group.waiting...)
+		group.batch, group.waiting, group.ends = nil, nil, 0
+	}
+	for _, r := range moved {
+		f.leave(r)
+		if !r.started {
+			f.endPrefill(r)
+		}
+		f.updateView(r.daemon)
+		requirements := f.requirements(r.promptTokens, r.class, false)
+		requirements.Resumed = r.started
+		if target := f.choose(f.openTargets(r.daemon), requirements); target != nil {
+			r.prefillLeft, r.started = float64(r.promptTokens), false
+			f.send(r, target)
+			continue
+		}
+		f.refuse(r.arrivedAt, r.class)
+	}
 }
 
 // retryRefused places the requests whose retry is due.
@@ -217,33 +327,49 @@
 			return false
 		}
 		f.now = max(f.now, tick)
-		if !f.place(r.arrivedAt, r.value, true) {
-			f.result.refused++
+		if !f.place(r.arrivedAt, r.value, r.class, true) {
+			f.refuse(r.arrivedAt, r.class)
 		}
 		return true
 	})
 }
 
 // place reports whether a group took a request.
-func (f *simulation) place(arrivedAt time.Duration, value float64, late bool) bool {
+func (f *simulation) place(arrivedAt time.Duration, value float64, class int, late bool) bool {
 	daemon := f.random.IntN(f.daemons)
 	f.updateView(daemon)
-	prompt := f.promptTokens * (0.5 + f.random.Float64())
-	target := f.choose(f.openTargets(daemon), placement.Requirements{
-		DataCentre: "z", Grouped: true, Late: late, PromptTokens: int(prompt), Daemons: f.daemons, GossipDelay: f.publishInterval + f.deliveryDelay, Random: f.random.Float64(),
-		Now: time.Unix(0, 0).Add(f.now),
-	})
+	prompt := f.promptLength(f.class(class).promptTokens)
+	target := f.choose(f.openTargets(daemon), f.requirements(int(prompt), class, late))
 	if target == nil {
 		return false
 	}
-	r := &simRequest{
-		daemon: daemon, group: int(target.Key[0] - 'a'), arrivedAt: arrivedAt, promptTokens: int(prompt),
-		prefillLeft: prompt, decodeLeft: f.answerTokens * (0.5 + f.random.Float64()), value: value,
+	f.send(&simRequest{
+		daemon: daemon, arrivedAt: arrivedAt, promptTokens: int(prompt), class: class,
+		prefillLeft: prompt, decodeLeft: f.class(class).answerTokens * (0.5 + f.random.Float64()), value: value,
+	}, target)
+	return true
+}
+
+func (f *simulation) requirements(promptTokens, class int, late bool) placement.Requirements {
+	return placement.Requirements{
+		DataCentre: "z", Grouped: true, Late: late, PromptTokens: promptTokens, Priority: f.class(class).priority, Daemons: f.daemons,
+		GossipDelay: f.publishInterval + f.deliveryDelay, Random: f.random.Float64(), Now: time.Unix(0, 0).Add(f.now),
+	}
+}
+
+func (f *simulation) promptLength(mean float64) float64 {
+	if f.engine.maxPromptTokens > 0 {
+		return min(mean*(0.2+0.85*f.random.ExpFloat64()), f.engine.maxPromptTokens)
 	}
+	return mean * (0.5 + f.random.Float64())
+}
+
+func (f *simulation) send(r *simRequest, target *placement.Target) {
+	r.group = int(target.Key[0] - 'a')
 	target.Meter.Begin(time.Unix(0, 0).Add(f.now))
 	target.Meter.BeginPrefill(r.promptTokens)
-	f.inFlight[daemon][r.group]++
-	f.prefilling[daemon][r.group] += r.promptTokens
+	f.inFlight[r.daemon][r.group]++
+	f.prefilling[r.daemon][r.group] += r.promptTokens
 	group := f.engines[r.group]
 	group.waiting = append(group.waiting, r)
 	if f.highValueFirst {
@@ -252,16 +378,22 @@
 	if group.ends == 0 {
 		f.beginPass(group)
 	}
-	return true
 }
 
 // openTargets returns the targets of a daemon that are not failed at f.now.
 func (f *simulation) openTargets(daemon int) []*placement.Target {
+	if len(f.lost) > 0 && f.now >= f.lostAt {
+		return without(f.views[daemon], f.lost)
+	}
 	if f.failurePeriod == 0 || f.now%f.failurePeriod < f.failurePeriod/2 {
 		return f.views[daemon]
 	}
-	return slices.DeleteFunc(slices.Clone(f.views[daemon]), func(t *placement.Target) bool {
-		return slices.Contains(f.failing, int(t.Key[0]-'a'))
+	return without(f.views[daemon], f.failing)
+}
+
+func without(targets []*placement.Target, groups []int) []*placement.Target {
+	return slices.DeleteFunc(slices.Clone(targets), func(t *placement.Target) bool {
+		return slices.Contains(groups, int(t.Key[0]-'a'))
 	})
 }
 
@@ -284,7 +416,7 @@
 		g.ends = 0
 		return
 	}
-	decoding, prefilled, budget := 0, 0.0, float64(simStepsPerPass*simPrefillChunkTokens)
+	decoding, prefilled, budget := 0, 0.0, float64(f.engine.stepsPerPass*simPrefillChunkTokens)
 	for _, r := range g.batch {
 		if r.prefillLeft == 0 {
 			decoding++
@@ -295,10 +427,10 @@
 		prefilled += part
 		r.prefillLeft -= part
 	}
-	step := float64(simStepTime) + float64(decoding)*float64(simDecodeTime)
-	prefillTime := prefilled / simPrefillRate * float64(time.Millisecond)
+	step := float64(f.engine.stepTime) + float64(decoding)*float64(f.engine.decodeTime)
+	prefillTime := prefilled / f.engine.prefillRate * float64(time.Millisecond)
 	g.begins = f.now
-	g.ends = f.now + time.Duration(cmp.Or(f.timeScale, simTimeScale)*(simStepsPerPass*step+prefillTime))
+	g.ends = f.now + time.Duration(cmp.Or(f.timeScale, simTimeScale)*(float64(f.engine.stepsPerPass)*step+prefillTime))
 }
 
 func (f *simulation) endPass(g *simGroup) {
@@ -320,22 +452,31 @@
 }
 
 func (f *simulation) event(r *simRequest) {
-	r.decodeLeft -= simStepsPerPass
+	r.decodeLeft -= float64(f.engine.stepsPerPass)
 	if r.started {
 		return
 	}
 	r.started = true
-	r.late = f.now-r.arrivedAt > cmp.Or(f.latencyTarget, simLatencyTarget)
-	f.views[r.daemon][r.group].Meter.EndPrefill(r.promptTokens)
-	f.prefilling[r.daemon][r.group] -= r.promptTokens
+	r.late = f.now-r.arrivedAt > f.class(r.class).latencyTarget
+	f.endPrefill(r)
 	if f.maxPause == 0 {
 		f.record(r)
 	}
 }
 
-func (f *simulation) finish(r *simRequest) {
+func (f *simulation) endPrefill(r *simRequest) {
+	f.views[r.daemon][r.group].Meter.EndPrefill(r.promptTokens)
+	f.prefilling[r.daemon][r.group] -= r.promptTokens
+}
+
+// leave ends a request at its group.
+func (f *simulation) leave(r *simRequest) {
 	f.inFlight[r.daemon][r.group]--
 	f.views[r.daemon][r.group].Meter.End()
+}
+
+func (f *simulation) finish(r *simRequest) {
+	f.leave(r)
 	if f.maxPause > 0 {
 		f.record(r)
 	}
@@ -344,11 +485,13 @@
 // record counts the result of a request. With unlimited pauses it is called at the
 // first event, otherwise at the end.
 func (f *simulation) record(r *simRequest) {
-	if r.late {
-		f.result.late++
-		f.result.earnedValue += simLateValueShare * r.value
-		return
-	}
-	f.result.inTime++
-	f.result.earnedValue += r.value
+	f.count(r.arrivedAt, r.class, func(o *outcome) {
+		if r.late {
+			o.late++
+			o.earnedValue += simLateValueShare * r.value
+			return
+		}
+		o.inTime++
+		o.earnedValue += r.value
+	})
 }
