Refuse by the decision under overload before a target is chosen (exchange)

Cause: package overload was called by nothing.

Change: an exchange asks it once for each request, before the first attempt, for services with a published performance model, when Dependencies.Demand tells the demand (nil, as today: not known, and nothing changes). Refusals have the reason overload. Later attempts and streams that the caller resumes are not asked about. Counters, gauges of load, demand and capacity by model, and fields in the line of a finished request show what decided.

--- /dev/null
+++ b/internal/exchange/admit.go
@@ -0,0 +1,54 @@
+package exchange
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/overload"
+	"github.com/plantainmux/plantainmux/internal/placement"
+)
+
+// admit reports whether a request may run under the load of its model. It decides once, before
+// the first attempt: a request that was sent, or of which the caller has a part, is kept.
+func (r *run) admit(targets []*placement.Target, now time.Time) bool {
+	service := r.req.Service
+	if r.attempts > 0 || r.req.LastEvent != "" || r.Demand == nil || service.Performance == nil {
+		return true
+	}
+	r.decision = overload.Decide(overload.Input{
+		Performance: service.Performance,
+		Model:       service.Model(r.req.Model),
+		Targets:     overloadTargets(targets, now),
+		Demand:      r.Demand(service.Name, r.req.Model),
+		Priority:    r.req.Priority,
+		Late:        r.req.Late,
+		Daemons:     r.Daemons(),
+		Delay:       r.GossipDelay(),
+		Random:      rand.Float64(),
+	})
+	r.Metrics.decided(modelKey{service.Name, r.req.Model}, r.decision)
+	return r.decision.Admit
+}
+
+// overloadTargets returns the targets that take requests. Those that failed or hold back have
+// no capacity, and what is in progress there is not in progress at the others.
+func overloadTargets(targets []*placement.Target, now time.Time) []overload.Target {
+	usable := make([]overload.Target, 0, len(targets))
+	for _, target := range targets {
+		meter := target.Meter
+		if meter.Down(now) || meter.InBackoff(now) || meter.Suspected(now) || target.Hold.Remaining(now) > 0 {
+			continue
+		}
+		usable = append(usable, overload.Target{Load: meter.Load(), MeanGap: meter.MeanGap()})
+	}
+	return usable
+}
+
+// decisionFields returns the log fields of a decision that was computed.
+func (r *run) decisionFields() []any {
+	d := r.decision
+	if d.Capacity == 0 {
+		return nil
+	}
+	return []any{"overload_limited", d.Limited, "overload_fraction", d.Fraction, "overload_load", d.Load, "overload_demand", d.Demand, "overload_capacity", d.Capacity}
+}
--- a/internal/exchange/dependencies.go
+++ b/internal/exchange/dependencies.go
@@ -4,19 +4,23 @@
 	"log/slog"
 	"time"
 
+	"github.com/plantainmux/plantainmux/internal/overload"
 	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 )
 
 // Dependencies are the collaborators and settings of an Exchanger.
 type Dependencies struct {
-	View           func() *placement.View
-	Transport      Transport
-	DataCentre     string               // of the daemon
-	Daemons        func() int           // number of live daemons, including this one
-	GossipDelay    func() time.Duration // delay with which this daemon learns of the others' requests
-	Suspects       *suspect.Table       // requests and prompt parts that crashed endpoints
-	FailedRequests *FailedRequests      // requests that ended without an answer and may be retried by their callers
+	View        func() *placement.View
+	Transport   Transport
+	DataCentre  string               // of the daemon
+	Daemons     func() int           // number of live daemons, including this one
+	GossipDelay func() time.Duration // delay with which this daemon learns of the others' requests
+	// Demand returns the demand for a model of a service over all daemons; nil: not known, so that
+	// nothing is refused because of it.
+	Demand         func(service, model string) overload.Demand
+	Suspects       *suspect.Table  // requests and prompt parts that crashed endpoints
+	FailedRequests *FailedRequests // requests that ended without an answer and may be retried by their callers
 	Metrics        *Metrics
 	Logger         *slog.Logger
 	Retries        RetryBounds
--- a/internal/exchange/exchanger.go
+++ b/internal/exchange/exchanger.go
@@ -66,9 +66,12 @@
 			outcome = "not_run"
 		}
 	}
-	x.Logger.Info("request finished", "request", r.req.ID, "route", r.req.Route.Name, "kind", r.req.Route.Kind.String(),
+	fields := []any{
+		"request", r.req.ID, "route", r.req.Route.Name, "kind", r.req.Route.Kind.String(),
 		"outcome", outcome, "reason", reason, "attempts", r.attempts, "took_ms", took.Milliseconds(),
 		"first_ms", r.timeToFirst().Milliseconds(), "longest_gap_ms", r.longestGap.Milliseconds(), "late", late, "late_retry", r.req.Late,
 		"targets", r.summary.Targets, "targets_down", r.summary.Down, "targets_suspected", r.summary.Suspected, "least_load", r.summary.LeastLoad, "load", r.loadBefore, "slots", r.summary.Slots,
-		"left_ms", time.Until(r.req.Deadline).Milliseconds())
+		"left_ms", time.Until(r.req.Deadline).Milliseconds(),
+	}
+	x.Logger.Info("request finished", append(fields, r.decisionFields()...)...)
 }
--- a/internal/exchange/metrics.go
+++ b/internal/exchange/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,7 @@
 	successes atomic.Uint64
 	first     map[catalog.Kind]*metrics.Histogram
 	gaps      *metrics.Histogram
+	overload  sync.Map // *overloadMetrics by modelKey
 }
 
 // NewMetrics registers a counter for each failure reason, so that each is exported
--- a/internal/exchange/reason.go
+++ b/internal/exchange/reason.go
@@ -8,6 +8,7 @@
 	NoTarget         Reason = "no_target"   // no endpoint serves the request
 	NoCapacity       Reason = "no_room"     // all endpoints that serve the request are full
 	HeldBack         Reason = "held_back"   // no endpoint that serves the request wants one now
+	Overloaded       Reason = "overload"    // the model's groups are offered more than they complete
 	DeadlineExceeded Reason = "time_over"   // the deadline has passed
 	CallerGone       Reason = "caller_gone" // the caller closed the connection
 	Refused          Reason = "refused"     // the endpoints refused the request
@@ -17,4 +18,4 @@
 )
 
 // Reasons lists all reasons, so that each counter is registered at start-up.
-var Reasons = []Reason{NoTarget, NoCapacity, HeldBack, DeadlineExceeded, CallerGone, Refused, Broken, NoBudget, CrashSuspect}
+var Reasons = []Reason{NoTarget, NoCapacity, HeldBack, Overloaded, DeadlineExceeded, CallerGone, Refused, Broken, NoBudget, CrashSuspect}
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -21,6 +21,7 @@
 	Priority     int      // 0 is the most urgent
 	Model        string   // empty for a plain service
 	PromptTokens int      // 0 for a plain service, or if the caller did not state it
+	OutputTokens int      // the caller's estimate of the output; 0 for a plain service, or if not stated
 	PromptParts  []uint64 // IDs of the parts of the prompt that other requests may share, in order
 	LastEvent    string   // ID of the event after which the stream resumes; empty: from the start
 	Fingerprint  uint64   // hash of path, team and body
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/outbound"
+	"github.com/plantainmux/plantainmux/internal/overload"
 	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 )
@@ -42,6 +43,7 @@
 	pastBeginning     bool              // the last attempt has been writing for a while
 	firstAt           time.Time         // when the first event or the complete answer arrived
 	longestGap        time.Duration
+	decision          overload.Decision // on the first attempt, under overload
 }
 
 func (r *run) runToCompletion(ctx context.Context) *Failure {
@@ -76,6 +78,10 @@
 		return nil, r.contextFailure(ctx)
 	}
 	targets := r.View().Targets(r.req.Service.Name, r.req.Model)
+	if !r.admit(targets, now) {
+		r.summary = placement.Summarize(targets, now)
+		return nil, r.fail(Overloaded, nil)
+	}
 	target, reason := r.place(targets, now)
 	r.summary = placement.Summarize(targets, now)
 	switch reason {
@@ -101,6 +107,7 @@
 			Grouped:      r.req.Service.Grouped(),
 			Late:         r.req.Late && r.attempts == 0,
 			Resumed:      r.started,
+			Admitted:     r.decision.Limited,
 			PromptTokens: r.req.PromptTokens,
 			Priority:     r.req.Priority,
 			Daemons:      r.Daemons(),
