Decode the caller's estimate of the answer (Length-Hint)

Cause: the demand of a model needs the output tokens of requests as they arrive; only the published mean was known. Nothing uses it yet.

--- a/internal/gateway/admitted.go
+++ b/internal/gateway/admitted.go
@@ -34,6 +34,7 @@
 	if a.service.Grouped() {
 		req.Model = in.Model
 		req.PromptTokens = in.PromptTokens
+		req.OutputTokens = in.OutputTokens
 		req.PromptParts = in.PromptParts
 	}
 	req.Fingerprint = fingerprint(in, body)
--- a/internal/gateway/incoming.go
+++ b/internal/gateway/incoming.go
@@ -17,6 +17,7 @@
 	Timeout      time.Duration // how long the caller waits; 0: not given
 	Model        string
 	PromptTokens int      // 0: not given
+	OutputTokens int      // the caller's estimate of the answer; 0: not given
 	PromptParts  []uint64 // IDs of the parts of the prompt that other requests may share, in order
 	LastEvent    string
 	Arrived      time.Time
