Count groups whose head names a limit by it in the decision under overload

Cause: such a group was counted with all that it could complete and with a load that it never reaches, so that the others would get its share. Change: its capacity and the load aimed at there are those of its limit; one that wants no requests is left out.

--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -39,11 +39,27 @@
 		if meter.Down(now) || meter.InBackoff(now) || meter.Suspected(now) || target.Hold.Remaining(now) > 0 {
 			continue
 		}
-		usable = append(usable, overload.Target{Load: meter.Load(), MeanGap: meter.MeanGap()})
+		limit, named := namedLimit(target)
+		if named && limit <= 0 {
+			continue
+		}
+		usable = append(usable, overload.Target{Load: meter.Load(), MeanGap: meter.MeanGap(), MaxRate: limit})
 	}
 	return usable
 }
 
+// namedLimit returns the requests per second that a target takes, and whether it names any limit.
+func namedLimit(target *placement.Target) (float64, bool) {
+	if target.Limit == nil {
+		return 0, false
+	}
+	limit, named := target.Limit.Named()
+	if !named {
+		return 0, false
+	}
+	return limit, true
+}
+
 // decisionFields returns the log fields of a decision that was computed.
 func (r *run) decisionFields() []any {
 	d := r.decision
--- a/internal/exchange/overload_test.go
+++ b/internal/exchange/overload_test.go
@@ -22,6 +22,7 @@
 var _ = Describe("A request to a model that is offered far more than it completes", func() {
 	var demand func(service, model string) overload.Demand
 	var daemons, load int
+	var limit float64 // that the endpoints name; negative: none
 	var lastEvent string
 	var set *metrics.Set
 	var sent *transport
@@ -32,7 +33,12 @@
 		for _, key := range []string{"g", "h"} {
 			meter := targetstats.NewMeter()
 			meter.SetRemoteInFlight(load)
-			targets = append(targets, &placement.Target{Key: key, ID: key, Slots: 40, Group: key, Meter: meter})
+			target := &placement.Target{Key: key, ID: key, Slots: 40, Group: key, Meter: meter, Limit: targetstats.NewLimits().GetOrCreate(key, 1)}
+			if limit >= 0 {
+				target.Limit.Observe(limit, time.Now())
+				target.Limit.SetShare(limit, time.Now())
+			}
+			targets = append(targets, target)
 			sent.scripts[key] = scripts
 		}
 		service := &catalog.Service{
@@ -54,7 +60,7 @@
 	}
 	BeforeEach(func() {
 		demand = func(string, string) overload.Demand { return overload.Demand{ByPriority: map[int]float64{0: 1e9}} }
-		daemons, load, lastEvent = 16, 35, ""
+		daemons, load, limit, lastEvent = 16, 35, -1, ""
 	})
 
 	It("is refused at once as not run, with the figures that decided, and sent to no endpoint", func() {
@@ -85,6 +91,17 @@
 		Entry("the caller resumes a stream that was started", func() { lastEvent = "4" }),
 	)
 
+	It("counts what endpoints say that they take as their capacity", func() {
+		limit = 3
+		Expect(run().Reason).To(Equal(exchange.Overloaded))
+		Expect(logged.String()).To(ContainSubstring("overload_capacity=6"))
+	})
+
+	It("is held back, and not called overload, where endpoints want none", func() {
+		limit = 0
+		Expect(run().Reason).To(Equal(exchange.HeldBack))
+	})
+
 	It("is kept once it was sent, although the load has risen since", func() {
 		known := 1.0
 		demand = func(string, string) overload.Demand { return overload.Demand{ByPriority: map[int]float64{0: known}} }
--- a/internal/overload/decide.go
+++ b/internal/overload/decide.go
@@ -41,14 +41,21 @@
 	aim := loadShare * float64(in.Performance.Slots)
 	rate := completionRate(in.Performance, in.Model, aim, in.Demand)
 	least := leastGap(in.Targets)
+	totalAim := 0.0
 	for _, target := range in.Targets {
+		completes := rate / slowness(target, least)
+		share := 1.0
+		if target.MaxRate > 0 && target.MaxRate < completes {
+			share = target.MaxRate / completes // by Little's law, it has that share of the load in progress
+		}
 		d.Load += float64(target.Load)
-		d.Capacity += rate / slowness(target, least)
+		d.Capacity += share * completes
+		totalAim += share * aim
 	}
 	if d.Capacity == 0 {
 		return d
 	}
-	excess := d.Load - aim*float64(len(in.Targets))
+	excess := d.Load - totalAim
 	admissible := max(0, d.Capacity-excess/(horizon*max(in.Delay, minDelay).Seconds()))
 	if admissible >= d.Demand {
 		return d
--- a/internal/overload/decide_test.go
+++ b/internal/overload/decide_test.go
@@ -90,6 +90,19 @@
 		}
 	})
 
+	It("counts a group that takes few requests a second with these and with the load that they make", func() {
+		in := input(38, map[int]float64{0: 567})
+		even := overload.Decide(in)
+		in.Targets[0].MaxRate = even.Capacity / 8 / 4
+		in.Targets[0].Load = 38 / 4
+		limited := overload.Decide(in)
+		Expect(limited.Capacity).To(BeNumerically("~", even.Capacity*7.25/8, 0.01))
+		Expect(limited.Fraction).To(BeNumerically("~", even.Fraction*7.25/8, 0.01))
+		in.Targets[0].MaxRate = even.Capacity
+		in.Targets[0].Load = 38
+		Expect(overload.Decide(in)).To(Equal(even))
+	})
+
 	It("counts the capacity of a slow group by its measured speed", func() {
 		in := input(38, map[int]float64{0: 567})
 		for i := range in.Targets {
--- a/internal/overload/target.go
+++ b/internal/overload/target.go
@@ -6,4 +6,5 @@
 type Target struct {
 	Load    int           // requests in progress through all daemons
 	MeanGap time.Duration // mean time between two events of a stream; 0: not known
+	MaxRate float64       // requests per second that it takes from all daemons together; 0: no limit
 }
