--- a/internal/exchange/count_demand_test.go
+++ b/internal/exchange/count_demand_test.go
@@ -22,7 +22,7 @@
 	x := exchange.New(exchange.Dependencies{
 		View:    func() *placement.View { return &placement.View{} },
 		Daemons: func() int { return 1 }, GossipDelay: func() time.Duration { return 0 }, Suspects: suspect.NewTable(suspect.Policy{}),
-		OwnsTrial: func(suspect.Trait) bool { return false }, FailedRequests: exchange.NewFailedRequests(), Demand: counter,
+		OwnsTrial: func(suspect.Trait) bool { return false }, FailedRequests: exchange.NewFailedRequests(), Counter: counter,
 		Metrics: exchange.NewMetrics(metrics.NewSet()), Logger: slog.New(slog.DiscardHandler),
 	})
 	// refuse makes a request that no target can take, and returns what was counted for a model.
--- a/internal/exchange/reason.go
+++ b/internal/exchange/reason.go
@@ -9,6 +9,7 @@
 	NoCapacity       Reason = "no_room"     // all endpoints that serve the request are full
 	Evacuated        Reason = "evacuated"   // all endpoints that serve the request are in evacuated data centres
 	HeldBack         Reason = "held_back"   // no endpoint that serves the request wants one now
+	Overloaded       Reason = "overload"    // the model's groups are offered more than they complete
 	DeadlineExceeded Reason = "time_over"   // the deadline has passed
 	CallerGone       Reason = "caller_gone" // the caller closed the connection
 	Refused          Reason = "refused"     // the endpoints refused the request
@@ -20,4 +21,4 @@
 )
 
 // Reasons lists all reasons, so that each counter is registered at start-up.
-var Reasons = []Reason{NoTarget, NoCapacity, Evacuated, HeldBack, DeadlineExceeded, CallerGone, Refused, Broken, NoBudget, CrashSuspect, NoAllowedRegion}
+var Reasons = []Reason{NoTarget, NoCapacity, Evacuated, HeldBack, Overloaded, DeadlineExceeded, CallerGone, Refused, Broken, NoBudget, CrashSuspect, NoAllowedRegion}
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -7,6 +7,7 @@
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/demand"
 	"github.com/plantainmux/plantainmux/internal/formation"
+	"github.com/plantainmux/plantainmux/internal/overload"
 	"github.com/plantainmux/plantainmux/internal/placement"
 )
 
@@ -41,6 +42,14 @@
 	}
 }
 
+// modelDemand returns the demand of the fleet for a model, as the admission of requests needs it. A
+// daemon that hears nobody knows its own only, which refuses nothing.
+func (g *Gateway) modelDemand(service, model string) overload.Demand {
+	total := demand.TotalOf(*g.fleetDemand.Load(), service, model)
+	prompt, output := total.MeanTokens()
+	return overload.Demand{ByPriority: total.ByPriority, PromptTokens: prompt, OutputTokens: output}
+}
+
 // updateDemandGauges sets the gauges of demand, capacity and groups of each model.
 func (g *Gateway) updateDemandGauges() {
 	current := g.catalogs.Load()
--- a/internal/placement/requirements.go
+++ b/internal/placement/requirements.go
@@ -15,6 +15,7 @@
 	Overdue      bool // its answer will miss the latency target, whichever attempt this is
 	PromptTokens int
 	Resumed      bool            // part of its answer has been sent to the caller
+	Admitted     bool            // internal/overload has admitted it as one of the fraction that the groups take
 	Priority     int             // 0 is the most urgent
 	Daemons      int             // number of live daemons
 	GossipDelay  time.Duration   // with which this daemon learns of the requests of others
