See a change of model by the endpoints, not by the name of the group

A new group under a name of its own was not seen as a change, so that the next change followed within 7 s instead of after 10 s.

--- a/internal/formation/follow_demand_test.go
+++ b/internal/formation/follow_demand_test.go
@@ -243,6 +243,7 @@
 		Expect(s.in.Groups.Groups[closed[0]]).To(And(HaveField("Dissolving", true), HaveField("Members", HaveLen(3))))
 		large, small := s.groups()
 		s.run(5*time.Second, steady(1), steady(1))
+		Expect(s.shifts).To(HaveLen(1), "the new group has a name of its own, and is a change all the same")
 		for _, record := range s.in.Groups.Groups {
 			Expect(record.Dissolving).To(BeFalse())
 		}
--- a/internal/formation/shift_tracker.go
+++ b/internal/formation/shift_tracker.go
@@ -12,21 +12,25 @@
 // nothing. It is used by one goroutine.
 type ShiftTracker struct {
 	history ShiftHistory
-	models  map[string]string // model of the last record of each group, by name; kept when the group is deleted
+	// models holds the model that each endpoint was last granted for, by ID. An entry stays when the
+	// endpoint is released, so that it is known what the endpoint served before.
+	models map[string]string
 }
 
-// Observe records the groups of the ledger that have changed their model. What happened before the
-// first call is not known, so that it counts as a change.
+// Observe records whether endpoints have been granted to a group of another model than before. What
+// happened before the first call is not known, so that it counts as a change.
 func (t *ShiftTracker) Observe(groups *ledger.State, now time.Time) {
 	if t.models == nil {
 		t.models = map[string]string{}
 		t.history.LastChange = now
 	}
-	for name, record := range groups.Groups {
-		if model, known := t.models[name]; known && model != record.Model {
-			t.history.LastChange = now
+	for _, record := range groups.Groups {
+		for _, member := range record.Members {
+			if model, known := t.models[member.ID]; known && model != record.Model {
+				t.history.LastChange = now
+			}
+			t.models[member.ID] = record.Model
 		}
-		t.models[name] = record.Model
 	}
 }
 
