--- /dev/null
+++ b/internal/exchange/choose_target.go
@@ -0,0 +1,93 @@
+package exchange
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/placement"
+	"github.com/plantainmux/plantainmux/internal/suspect"
+)
+
+// pickTarget returns the target of the next attempt, or the failure if there is none.
+func (r *run) pickTarget(ctx context.Context) (*placement.Target, *Failure) {
+	now := time.Now()
+	if r.refused(now) {
+		failure := r.fail(CrashSuspect, nil)
+		failure.RetryAfter = r.Suspects.RetryAfter(r.subject, now)
+		return nil, failure
+	}
+	if ctx.Err() != nil {
+		return nil, r.contextFailure(ctx)
+	}
+	view := r.View()
+	targets := view.Targets(r.req.Service.Name, r.req.Model)
+	if !r.admit(targets, now) {
+		r.summary = placement.Summarize(targets, now)
+		return nil, r.fail(Overloaded, nil)
+	}
+	target, reason := r.place(targets, view.Evacuates(r.req.Service.Name, r.req.Model), now)
+	r.summary = placement.Summarize(targets, now)
+	switch reason {
+	case placement.NoTarget:
+		return nil, r.fail(NoTarget, nil)
+	case placement.NoCapacity:
+		return nil, r.fail(NoCapacity, nil)
+	case placement.Evacuated:
+		failure := r.fail(Evacuated, nil)
+		failure.RetryAfter = evacuatedRetry + retryJitter()
+		return nil, failure
+	case placement.HeldBack:
+		failure := r.fail(HeldBack, nil)
+		allowed := placement.InAllowedRegions(targets, placement.Requirements{Allowed: r.req.Allowed, Regions: r.Regions})
+		failure.RetryAfter = max(failure.RetryAfter, placement.HeldFor(allowed, now)+retryJitter())
+		return nil, failure
+	case placement.NoAllowedRegion:
+		failure := r.fail(NoAllowedRegion, nil)
+		failure.RetryAfter = regionRetryAfter + retryJitter()
+		return nil, failure
+	default:
+		return target, nil
+	}
+}
+
+// place chooses a target and counts the request against its limit.
+func (r *run) place(targets []*placement.Target, evacuated bool, now time.Time) (*placement.Target, placement.Reason) {
+	forwarded := r.Forwards(r.req.Allowed)
+	for range len(targets) + 1 {
+		target, reason := placement.Pick(targets, placement.Requirements{
+			DataCentre:   r.DataCentre,
+			Grouped:      r.req.Service.Grouped(),
+			Late:         r.req.Late && r.attempts == 0,
+			Overdue:      r.overdue(now),
+			Resumed:      r.started,
+			Admitted:     r.decision.Limited,
+			PromptTokens: r.req.PromptTokens,
+			Priority:     r.req.Priority,
+			Daemons:      r.Daemons(),
+			GossipDelay:  r.GossipDelay(),
+			Forwarded:    forwarded,
+			Evacuated:    evacuated,
+			Random:       rand.Float64(),
+			Excluded:     r.excluded,
+			Now:          now,
+			Allowed:      r.req.Allowed,
+			Regions:      r.Regions,
+		})
+		if target == nil || forwarded || target.Limit.Take(now) {
+			return target, reason
+		} // another request has taken the last one, so that Pick passes the target over
+	}
+	return nil, placement.HeldBack
+}
+
+// refused reports whether the request must not run because it, or a part of its prompt, crashed
+// endpoints.
+func (r *run) refused(now time.Time) bool {
+	if r.Suspects.Standing(r.subject, now) != suspect.Refused {
+		return false
+	}
+	r.Suspects.Extend(r.subject, now)
+	r.trial.Store(r.attempts == 0 && r.Suspects.TakeTrial(r.subject, now, r.OwnsTrial))
+	return !r.trial.Load()
+}
--- a/internal/fakes/wire_engine.go
+++ b/internal/fakes/wire_engine.go
@@ -55,39 +55,6 @@
 	conns     map[net.Conn]struct{} // open connections
 }
 
-// StartWireEngine starts an engine of the data centre "z" on loopback and registers it in a store.
-func StartWireEngine(log *KeyedLog, id, service, domain string) (*WireEngine, error) {
-	return StartWireEngineIn(log, "z", id, service, domain)
-}
-
-// StartWireEngineIn starts an engine in a data centre.
-func StartWireEngineIn(log *KeyedLog, zone, id, service, domain string) (*WireEngine, error) {
-	return startWireEngine(log, zone, id, service, domain, func(*WireEngine) {})
-}
-
-// StartMuteWireEngine starts an engine that does not say whether it is cold.
-func StartMuteWireEngine(log *KeyedLog, id, service, domain string) (*WireEngine, error) {
-	return startWireEngine(log, "z", id, service, domain, func(e *WireEngine) { e.mute = true })
-}
-
-// StartColdWireEngine starts an engine that says that it is cold for a time.
-func StartColdWireEngine(log *KeyedLog, id, service, domain string, remaining time.Duration) (*WireEngine, error) {
-	return startWireEngine(log, "z", id, service, domain, func(e *WireEngine) { e.cold = time.Now().Add(remaining) })
-}
-
-func startWireEngine(log *KeyedLog, zone, id, service, domain string, setUp func(*WireEngine)) (*WireEngine, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	e := &WireEngine{ID: id, Service: service, Domain: domain, Zone: zone, lastEvent: defaultLastEvent, Born: time.Now().UnixMilli(), listener: listener, log: log, runs: map[string]int{}, conns: map[net.Conn]struct{}{}}
-	setUp(e)
-	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Second, ConnState: e.trackConn}
-	go func() { _ = e.server.Serve(listener) }()
-	e.register()
-	return e, nil
-}
-
 // Ran returns the number of runs of a request ID.
 func (e *WireEngine) Ran(id string) int {
 	e.mu.Lock()
--- a/internal/formation/reconciler.go
+++ b/internal/formation/reconciler.go
@@ -123,32 +123,6 @@
 	}, true
 }
 
-// demand returns the smoothed demand by service and model.
-func (r *Reconciler) demand(current *catalog.Catalog) map[string]map[string]demand.Total {
-	if r.Demand == nil {
-		return nil
-	}
-	services := map[string]map[string]demand.Total{}
-	for name, service := range current.Services {
-		if models := r.Demand(name); service.Grouped() && models != nil {
-			services[name] = models
-		}
-	}
-	return services
-}
-
-func (r *Reconciler) logShifts(plan Plan) {
-	for _, shift := range plan.Shifts {
-		if r.Shifted != nil {
-			r.Shifted(shift)
-		}
-		r.Logger.Info("groups change their model to follow the demand", "service", shift.Service, "domain", shift.Domain, "closed", shift.Close, "formed", shift.Form,
-			"from", shift.From, "from_demand", shift.FromDemand, "from_capacity", shift.FromCapacity, "from_utilisation", shift.FromBefore, "from_utilisation_after", shift.FromAfter,
-			"to", shift.To, "to_demand", shift.ToDemand, "to_capacity", shift.ToCapacity, "to_utilisation", shift.ToBefore, "to_utilisation_after", shift.ToAfter,
-			"in_progress", shift.InProgress)
-	}
-}
-
 func (r *Reconciler) reconcile(ctx context.Context) {
 	in, ok := r.input()
 	if !ok {
