--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -18,7 +18,7 @@
 	r.decision = overload.Decide(overload.Input{
 		Performance: service.Performance,
 		Model:       service.Model(r.req.Model),
-		Targets:     overloadTargets(targets, now),
+		Targets:     overloadTargets(targets, service.ColdPerS, now),
 		Demand:      r.Demand(service.Name, r.req.Model),
 		Priority:    r.req.Priority,
 		Late:        r.req.Late,
@@ -31,8 +31,9 @@
 }
 
 // overloadTargets returns the targets that take requests. Those that failed or hold back have
-// no capacity, and what is in progress there is not in progress at the others.
-func overloadTargets(targets []*placement.Target, now time.Time) []overload.Target {
+// no capacity, and what is in progress there is not in progress at the others. Cold ones take
+// coldPerS requests per second, if that is above 0.
+func overloadTargets(targets []*placement.Target, coldPerS float64, now time.Time) []overload.Target {
 	usable := make([]overload.Target, 0, len(targets))
 	for _, target := range targets {
 		meter := target.Meter
@@ -43,6 +44,9 @@
 		if named && limit <= 0 {
 			continue
 		}
+		if coldPerS > 0 && target.Limit.Cold(now) && (limit == 0 || coldPerS < limit) {
+			limit = coldPerS
+		}
 		usable = append(usable, overload.Target{Load: meter.Load(), MeanGap: meter.MeanGap(), MaxRate: limit})
 	}
 	return usable
--- a/internal/exchange/overload_test.go
+++ b/internal/exchange/overload_test.go
@@ -23,6 +23,7 @@
 	var demand func(service, model string) overload.Demand
 	var daemons, load int
 	var limit float64 // that the endpoints name; negative: none
+	var cold bool     // the endpoints are cold, and then take 3 requests a second each
 	var lastEvent string
 	var set *metrics.Set
 	var sent *transport
@@ -38,11 +39,15 @@
 				target.Limit.Observe(limit, time.Now())
 				target.Limit.SetShare(limit, time.Now())
 			}
+			if cold {
+				target.Limit.MarkCold(time.Now().Add(time.Minute), time.Now())
+				target.Limit.SetColdShare(3, time.Now())
+			}
 			targets = append(targets, target)
 			sent.scripts[key] = scripts
 		}
 		service := &catalog.Service{
-			Name: "s", Models: []catalog.Model{{Name: "m", GroupSize: 1}},
+			Name: "s", ColdStart: time.Minute, ColdPerS: 3, Models: []catalog.Model{{Name: "m", GroupSize: 1}},
 			Performance: &catalog.PerformanceModel{Slots: 40, StepsPerPass: 5, StepDuration: 10 * time.Millisecond, PrefillTokensPerSecond: 50000, MeanPromptTokens: 700, MeanOutputTokens: 150},
 		}
 		view := &placement.View{Groups: map[string]map[string][]*placement.Target{"s": {"m": targets}}}
@@ -60,7 +65,7 @@
 	}
 	BeforeEach(func() {
 		demand = func(string, string) overload.Demand { return overload.Demand{ByPriority: map[int]float64{0: 1e9}} }
-		daemons, load, limit, lastEvent = 16, 35, -1, ""
+		daemons, load, limit, cold, lastEvent = 16, 35, -1, false, ""
 	})
 
 	It("is refused at once as not run, with the figures that decided, and sent to no endpoint", func() {
@@ -97,6 +102,13 @@
 		Expect(logged.String()).To(ContainSubstring("overload_capacity=6"))
 	})
 
+	// Counted as full, cold endpoints would let in far more than all of them together take.
+	It("counts what cold endpoints take as their capacity", func() {
+		cold = true
+		Expect(run().Reason).To(Equal(exchange.Overloaded))
+		Expect(logged.String()).To(ContainSubstring("overload_capacity=6"))
+	})
+
 	It("is held back, and not called overload, where endpoints want none", func() {
 		limit = 0
 		Expect(run().Reason).To(Equal(exchange.HeldBack))
