--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -35,12 +35,32 @@
 		host := strings.ToLower(routes[i].Host)
 		c.routes[host] = append(c.routes[host], &routes[i])
 	}
+	c.rankServices(routes)
 	for _, hostRoutes := range c.routes {
 		slices.SortStableFunc(hostRoutes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	return c
 }
 
+// rankServices sets which services have routes that differ in priority.
+func (c *Catalog) rankServices(routes []Route) {
+	first := map[string]int{} // priority of the first route to a service
+	for _, route := range routes {
+		for _, target := range route.Targets {
+			service := c.Services[target.Service]
+			if service == nil {
+				continue
+			}
+			priority, known := first[target.Service]
+			if !known {
+				first[target.Service] = route.Priority
+			} else if priority != route.Priority {
+				service.RanksRoutes = true
+			}
+		}
+	}
+}
+
 // Route returns the route with the longest matching path prefix for a host, nil if
 // there is none.
 func (c *Catalog) Route(host, path string) *Route {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -26,6 +26,17 @@
 		Expect(c.Route("c.example", "/x/")).To(BeNil())
 	})
 
+	// Deployments that rank nothing are served as before: nothing is admitted or planned by demand there.
+	It("knows the services whose routes differ in priority", func() {
+		to := func(service string, priority int) catalog.Route {
+			return catalog.Route{Host: "a.example", Prefix: "/x/", Priority: priority, Targets: []catalog.WeightedTarget{{Service: service, Weight: 1}}}
+		}
+		ranked := catalog.New(1, []catalog.Route{to("alike", 1), to("alike", 1), to("ranked", 1), to("ranked", 0), to("gone", 0)}, []catalog.Service{{Name: "alike"}, {Name: "ranked"}, {Name: "unused"}}, nil, catalog.Limits{})
+		Expect(ranked.Services["alike"].RanksRoutes).To(BeFalse())
+		Expect(ranked.Services["ranked"].RanksRoutes).To(BeTrue())
+		Expect(ranked.Services["unused"].RanksRoutes).To(BeFalse())
+	})
+
 	It("requires a key except on public routes", func() {
 		_, allowed := c.Authorize(c.Route("a.example", "/x/"), "wrong")
 		Expect(allowed).To(BeFalse())
--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -9,7 +9,10 @@
 	ColdStart      time.Duration     // for which an endpoint is cold after it starts during traffic; 0: never
 	ColdPerS       float64           // requests per second that a cold endpoint takes from all daemons together
 	Performance    *PerformanceModel // nil for a plain service
-	Models         []Model           // empty unless replicas span several VMs
+	// RanksRoutes states that routes to it differ in priority: operators say whose requests go first.
+	// Only then is admission, and which groups there are, decided by the demand.
+	RanksRoutes bool
+	Models      []Model // empty unless replicas span several VMs
 }
 
 // Grouped reports whether requests go to groups of endpoints.
--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -12,7 +12,7 @@
 // the first attempt: a request that was sent, or of which the caller has a part, is kept.
 func (r *run) admit(targets []*placement.Target, now time.Time) bool {
 	service := r.req.Service
-	if r.attempts > 0 || r.req.LastEvent != "" || r.Demand == nil || service.Performance == nil {
+	if r.attempts > 0 || r.req.LastEvent != "" || r.Demand == nil || !service.RanksRoutes || service.Performance == nil {
 		return true
 	}
 	r.decision = overload.Decide(overload.Input{
--- a/internal/exchange/count_demand.go
+++ b/internal/exchange/count_demand.go
@@ -4,7 +4,7 @@
 // not it is served then. Repeats of refused requests would add up to a demand that does not exist,
 // and so would streams that callers resume after an event.
 func (x *Exchanger) countDemand(req *Request) {
-	if x.Counter == nil || req.Late || req.LastEvent != "" || req.Service.Model(req.Model) == nil {
+	if x.Counter == nil || !req.Service.RanksRoutes || req.Late || req.LastEvent != "" || req.Service.Model(req.Model) == nil {
 		return
 	}
 	prompt := req.PromptTokens
--- a/internal/exchange/count_demand_test.go
+++ b/internal/exchange/count_demand_test.go
@@ -17,7 +17,7 @@
 )
 
 var _ = Describe("The demand that an exchanger counts", func() {
-	service := &catalog.Service{Name: "s", Models: []catalog.Model{{Name: "m", GroupSize: 2}}, Performance: &catalog.PerformanceModel{MeanPromptTokens: 500}}
+	service := &catalog.Service{Name: "s", RanksRoutes: true, Models: []catalog.Model{{Name: "m", GroupSize: 2}}, Performance: &catalog.PerformanceModel{MeanPromptTokens: 500}}
 	counter := &demand.Counter{}
 	x := exchange.New(exchange.Dependencies{
 		View:    func() *placement.View { return &placement.View{} },
--- a/internal/exchange/overload_test.go
+++ b/internal/exchange/overload_test.go
@@ -47,7 +47,7 @@
 			sent.scripts[key] = scripts
 		}
 		service := &catalog.Service{
-			Name: "s", ColdStart: time.Minute, ColdPerS: 3, Models: []catalog.Model{{Name: "m", GroupSize: 1}},
+			Name: "s", RanksRoutes: true, ColdStart: time.Minute, ColdPerS: 3, Models: []catalog.Model{{Name: "m", GroupSize: 1}},
 			Performance: &catalog.PerformanceModel{Slots: 40, StepsPerPass: 5, StepDuration: 10 * time.Millisecond, PrefillTokensPerSecond: 50000, MeanPromptTokens: 700, MeanOutputTokens: 150},
 		}
 		view := &placement.View{Groups: map[string]map[string][]*placement.Target{"s": {"m": targets}}}
--- a/internal/gateway/build.go
+++ b/internal/gateway/build.go
@@ -44,7 +44,7 @@
 		BeforeTraffic: func() bool { return !g.trafficSeen.Load() },
 		Owners:        g.owners,
 		CanWrite:      g.storeReached,
-		Demand:        g.smoothedDemand.Smoothed,
+		Demand:        g.plannedDemand,
 		InProgress:    g.requestsInProgress,
 		Shifted:       g.countShift,
 		ExpectChange:  g.expectEntries,
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -31,7 +31,7 @@
 		return
 	}
 	for name, service := range current.Services {
-		if !service.Grouped() {
+		if !service.Grouped() || !service.RanksRoutes {
 			continue
 		}
 		totals := map[string]demand.Total{}
@@ -42,6 +42,16 @@
 	}
 }
 
+// plannedDemand returns the smoothed demand for the models of a service by which its groups are
+// planned, nil if they are planned by the configured shares.
+func (g *Gateway) plannedDemand(service string) map[string]demand.Total {
+	current := g.catalogs.Load()
+	if current == nil || current.Services[service] == nil || !current.Services[service].RanksRoutes {
+		return nil
+	}
+	return g.smoothedDemand.Smoothed(service)
+}
+
 // modelDemand returns the demand of the fleet for a model, as the admission of requests needs it. A
 // daemon that hears nobody knows its own only, which refuses nothing.
 func (g *Gateway) modelDemand(service, model string) overload.Demand {
