--- a/internal/apportion/next.go
+++ b/internal/apportion/next.go
@@ -2,8 +2,8 @@
 
 const (
 	// minGain is the fall of the busier model's utilisation from which a change pays off. One group
-	// of twelve that is out of service for half of the 10 s until the next change costs 0.04. The opposite change pays off only after demand has moved by as much
-	// in the other direction.
+	// of twelve that is out of service for half of the 10 s until the next change costs 0.04. The
+	// opposite change pays off only after demand has moved by as much in the other direction.
 	minGain = 0.05
 	// maxUtilisation is the utilisation below which the model that gives up groups must stay. The
 	// rest is for waves of demand and for groups that are lost meanwhile.
--- a/internal/exchange/choose_target.go
+++ b/internal/exchange/choose_target.go
@@ -35,7 +35,7 @@
 		return nil, r.fail(NoCapacity, nil)
 	case placement.Evacuated:
 		failure := r.fail(Evacuated, nil)
-		failure.RetryAfter = evacuatedRetry + retryJitter()
+		failure.RetryAfter = restrictedRetryAfter + retryJitter()
 		return nil, failure
 	case placement.HeldBack:
 		failure := r.fail(HeldBack, nil)
@@ -44,7 +44,7 @@
 		return nil, failure
 	case placement.NoAllowedRegion:
 		failure := r.fail(NoAllowedRegion, nil)
-		failure.RetryAfter = regionRetryAfter + retryJitter()
+		failure.RetryAfter = restrictedRetryAfter + retryJitter()
 		return nil, failure
 	default:
 		return target, nil
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -14,15 +14,15 @@
 )
 
 const (
-	minRemaining     = 30 * time.Millisecond  // with less time left, no attempt can succeed
-	extraSends       = 2                      // attempts beyond the route's maximum, for those that did not run
-	suspectPeriod    = time.Second            // during which a silent group is avoided
-	retryAfterBase   = 300 * time.Millisecond // by then some of the requests in progress have ended
-	evacuatedRetry   = time.Second            // base of Retry-After while all targets are in evacuated data centres
-	retryAfterJitter = 500 * time.Millisecond // spreads the retries of callers that were refused together
-	// regionRetryAfter is for requests that no allowed region serves: a region comes back when an
-	// operator or a repair brings it back, not when requests in progress end.
-	regionRetryAfter = time.Second
+	minRemaining   = 30 * time.Millisecond  // with less time left, no attempt can succeed
+	extraSends     = 2                      // attempts beyond the route's maximum, for those that did not run
+	suspectPeriod  = time.Second            // during which a silent group is avoided
+	retryAfterBase = 300 * time.Millisecond // by then some of the requests in progress have ended
+	// restrictedRetryAfter is for requests that may go to no endpoint by the word of operators: to an
+	// evacuated data centre, or to another region. That ends when operators end it, not when requests
+	// in progress do.
+	restrictedRetryAfter = time.Second
+	retryAfterJitter     = 500 * time.Millisecond // spreads the retries of callers that were refused together
 )
 
 // run is the state of one request until its answer is complete.
