--- a/internal/daemon/endpoints.go
+++ b/internal/daemon/endpoints.go
@@ -7,7 +7,7 @@
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/forward"
-	"github.com/plantainmux/plantainmux/internal/homes"
+	"github.com/plantainmux/plantainmux/internal/locality"
 	"github.com/plantainmux/plantainmux/internal/outbound"
 )
 
@@ -83,7 +83,7 @@
 }
 
 // forwarders returns the daemons through which this one forwards while it is cut off.
-func (d *Daemon) forwarders(*homes.Allowed) []string {
+func (d *Daemon) forwarders(*locality.Allowed) []string {
 	var candidates []forward.Candidate
 	for _, other := range d.mesh.EndpointReachers() {
 		if other != d.id {
--- a/internal/evacuation/data_centre.go
+++ b/internal/evacuation/data_centre.go
@@ -11,7 +11,7 @@
 	// daemon knows. It holds from pendingUntil on.
 	pending      *statement
 	pendingUntil time.Time
-	// hearsay marks what this daemon learnt from another one against the copy that it started with.
+	// unconfirmed marks what this daemon learnt from another one against the copy that it started with.
 	// It is not told: daemons that start one after the other would keep it alive.
-	hearsay bool
+	unconfirmed bool
 }
--- a/internal/evacuation/folding.go
+++ b/internal/evacuation/folding.go
@@ -59,7 +59,7 @@
 	case !ok && said.evacuated && f.now.Before(until) && said.position.Ordinal() >= f.state.earlierEnd.Ordinal():
 		f.adoptUntil(name, said, unwritten(f.state.era, f.state.end), until)
 		adopted := f.state.dataCentres[name]
-		adopted.hearsay = true
+		adopted.unconfirmed = true
 		f.state.dataCentres[name] = adopted
 	}
 }
--- a/internal/evacuation/set.go
+++ b/internal/evacuation/set.go
@@ -84,7 +84,7 @@
 	var reports []Report
 	for name, known := range dataCentres {
 		recent := !known.changedAt.IsZero() && now.Sub(known.changedAt) < toldPeriod
-		if (known.evacuated || recent) && !known.hearsay && !known.emptyTopic && len(name) <= maxToldName {
+		if (known.evacuated || recent) && !known.unconfirmed && !known.emptyTopic && len(name) <= maxToldName {
 			reports = append(reports, Report{DataCentre: name, Ordinal: known.position.Ordinal(), Evacuated: known.evacuated})
 		}
 	}
--- a/internal/exchange/dependencies.go
+++ b/internal/exchange/dependencies.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/demand"
-	"github.com/plantainmux/plantainmux/internal/homes"
+	"github.com/plantainmux/plantainmux/internal/locality"
 	"github.com/plantainmux/plantainmux/internal/overload"
 	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/suspect"
@@ -29,11 +29,11 @@
 	Retries        RetryBounds
 	BodyLimit      int64                          // maximum size in bytes of an answer that is buffered
 	OwnsTrial      func(trait suspect.Trait) bool // whether this daemon may let a refused request through as a trial
-	Regions        homes.Regions                  // of the data centres
+	Regions        locality.Regions               // of the data centres
 	// Forwards reports whether attempts of a request that may be handled in some regions go through
 	// another daemon, as this one is cut off from the endpoints. What an attempt then takes too long
 	// for is no sign against its target; nil: never.
-	Forwards func(allowed *homes.Allowed) bool
+	Forwards func(allowed *locality.Allowed) bool
 	// ReportSuspect is called for a group that stopped responding or reported that a
 	// member is missing; missingMember is the ID of the member, empty if unknown. If
 	// tentative is true, the only consequence is a health check of the members.
--- a/internal/exchange/exchanger.go
+++ b/internal/exchange/exchanger.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/homes"
+	"github.com/plantainmux/plantainmux/internal/locality"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 )
 
@@ -19,7 +19,7 @@
 // New returns an Exchanger.
 func New(dependencies Dependencies) *Exchanger {
 	if dependencies.Forwards == nil {
-		dependencies.Forwards = func(*homes.Allowed) bool { return false }
+		dependencies.Forwards = func(*locality.Allowed) bool { return false }
 	}
 	return &Exchanger{Dependencies: dependencies}
 }
--- a/internal/exchange/regions_test.go
+++ b/internal/exchange/regions_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/exchange"
-	"github.com/plantainmux/plantainmux/internal/homes"
+	"github.com/plantainmux/plantainmux/internal/locality"
 	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 	"github.com/plantainmux/plantainmux/internal/targetstats"
@@ -24,7 +24,7 @@
 	targets   []*placement.Target
 	sink      *sink
 	set       *metrics.Set
-	forwards  []*homes.Allowed // restrictions for which it was asked whether attempts are forwarded
+	forwards  []*locality.Allowed // restrictions for which it was asked whether attempts are forwarded
 }
 
 func newRegionRig() *regionRig {
@@ -39,17 +39,17 @@
 	r.transport.scripts[key] = scripts
 }
 
-func (r *regionRig) run(allowed *homes.Allowed) *exchange.Failure {
+func (r *regionRig) run(allowed *locality.Allowed) *exchange.Failure {
 	service := &catalog.Service{Name: "s", Models: []catalog.Model{{Name: "m", GroupSize: 1}}}
 	x := exchange.New(exchange.Dependencies{
 		View: func() *placement.View {
 			return &placement.View{Groups: map[string]map[string][]*placement.Target{"s": {"m": r.targets}}}
 		},
-		Transport: r.transport, DataCentre: "s", Regions: homes.Regions{"n": "north", "n2": "north", "s": "south"},
+		Transport: r.transport, DataCentre: "s", Regions: locality.Regions{"n": "north", "n2": "north", "s": "south"},
 		Daemons: func() int { return 1 }, GossipDelay: func() time.Duration { return 0 }, Suspects: suspect.NewTable(suspect.Policy{}),
 		OwnsTrial: func(suspect.Trait) bool { return false }, FailedRequests: exchange.NewFailedRequests(), Metrics: exchange.NewMetrics(r.set),
 		Logger: slog.New(slog.DiscardHandler), Retries: exchange.RetryBounds{Share: 0.2, Slack: 100, Window: 10 * time.Second}, BodyLimit: 100,
-		Forwards: func(asked *homes.Allowed) bool {
+		Forwards: func(asked *locality.Allowed) bool {
 			r.forwards = append(r.forwards, asked)
 			return false
 		},
@@ -62,7 +62,7 @@
 
 var _ = Describe("A request that may be handled in one region", func() {
 	var r *regionRig
-	north := &homes.Allowed{Regions: []string{"north"}}
+	north := &locality.Allowed{Regions: []string{"north"}}
 	BeforeEach(func() {
 		r = newRegionRig()
 		r.add("s", "near", 0, answers(200, io.EOF, event(1)), answers(200, io.EOF, event(2)))
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
-	"github.com/plantainmux/plantainmux/internal/homes"
+	"github.com/plantainmux/plantainmux/internal/locality"
 )
 
 // Request is an authorized request of a caller.
@@ -30,6 +30,6 @@
 	Deadline     time.Time
 	// Allowed are the regions in which the request may be handled, by the configuration in force
 	// at its arrival; nil: all.
-	Allowed *homes.Allowed
+	Allowed *locality.Allowed
 	Late    bool // an earlier run ended without an answer, so the latency target is already missed
 }
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -1,7 +1,7 @@
 package forward
 
 import (
-	"github.com/plantainmux/plantainmux/internal/homes"
+	"github.com/plantainmux/plantainmux/internal/locality"
 	"github.com/plantainmux/plantainmux/internal/rendezvous"
 )
 
@@ -22,7 +22,7 @@
 
 // Permitted returns the candidates to which the body of a request may be passed on, if its caller
 // connected to a daemon of the data centre entry.
-func Permitted(allowed *homes.Allowed, regions homes.Regions, entry string, candidates []Candidate) []Candidate {
+func Permitted(allowed *locality.Allowed, regions locality.Regions, entry string, candidates []Candidate) []Candidate {
 	if allowed == nil {
 		return candidates
 	}
--- a/internal/forward/flight.go
+++ b/internal/forward/flight.go
@@ -6,13 +6,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/homes"
+	"github.com/plantainmux/plantainmux/internal/locality"
 )
 
 // flight is an exchange over this daemon's own connections that has no answer yet.
 type flight struct {
 	endpoint  string
-	allowed   *homes.Allowed // regions in which the request may be handled
+	allowed   *locality.Allowed // regions in which the request may be handled
 	began     time.Time
 	cancel    context.CancelFunc
 	connected atomic.Bool
--- a/internal/forward/link_pool.go
+++ b/internal/forward/link_pool.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/homes"
+	"github.com/plantainmux/plantainmux/internal/locality"
 )
 
 const (
@@ -36,11 +36,11 @@
 }
 
 // Any implements Paths.
-func (p *LinkPool) Any(allowed *homes.Allowed) bool { return len(p.choose(allowed)) > 0 }
+func (p *LinkPool) Any(allowed *locality.Allowed) bool { return len(p.choose(allowed)) > 0 }
 
 // Pick implements Paths. It returns the daemon with the fewest exchanges of this one in progress
 // among those to which there is a link and that did not fail lately.
-func (p *LinkPool) Pick(ctx context.Context, allowed *homes.Allowed) (string, bool) {
+func (p *LinkPool) Pick(ctx context.Context, allowed *locality.Allowed) (string, bool) {
 	for _, daemon := range p.byLoad(p.choose(allowed), time.Now()) {
 		if p.links.Await(ctx, daemon, linkTimeout) {
 			p.begin(daemon)
--- a/internal/forward/regions_test.go
+++ b/internal/forward/regions_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainmux/plantainmux/internal/forward"
-	"github.com/plantainmux/plantainmux/internal/homes"
+	"github.com/plantainmux/plantainmux/internal/locality"
 )
 
 // openLinks has a link to every daemon. It implements forward.Links.
@@ -19,15 +19,15 @@
 func (openLinks) Idle(string) bool                                  { return true }
 
 var _ = Describe("A request that may be handled in some regions", func() {
-	regions := homes.Regions{"n": "north", "s": "south", "w": "west"}
+	regions := locality.Regions{"n": "north", "s": "south", "w": "west"}
 	candidates := []forward.Candidate{{Daemon: "n1", DataCentre: "n"}, {Daemon: "s1", DataCentre: "s"}, {Daemon: "w1", DataCentre: "w"}, {Daemon: "u1", DataCentre: "unknown"}}
 	// poolOf returns the pool of a daemon in a data centre.
 	poolOf := func(entry string) *forward.LinkPool {
-		return forward.NewLinkPool(openLinks{}, func(allowed *homes.Allowed) []string {
+		return forward.NewLinkPool(openLinks{}, func(allowed *locality.Allowed) []string {
 			return forward.Choose("self", entry, forward.Permitted(allowed, regions, entry, candidates), 100)
 		})
 	}
-	picks := func(entry string, allowed *homes.Allowed) []string {
+	picks := func(entry string, allowed *locality.Allowed) []string {
 		pool := poolOf(entry)
 		picked := map[string]bool{}
 		for range 12 { // each pick adds load, so that all paths have their turn
@@ -47,7 +47,7 @@
 
 	// Guards against a pool that keeps the choice for one request for all others.
 	DescribeTable("is passed on through daemons of these regions and of the caller's daemon", func(entry string, allowed []string, expected []string) {
-		Expect(picks(entry, homes.Both(allowed, nil))).To(Equal(expected))
+		Expect(picks(entry, locality.Both(allowed, nil))).To(Equal(expected))
 	},
 		Entry("an allowed region", "n", []string{"north"}, []string{"n1"}),
 		Entry("an allowed region and the entry's", "s", []string{"north"}, []string{"n1", "s1"}),
@@ -57,7 +57,7 @@
 
 	It("does not change through whom other requests of the same daemon go", func() {
 		pool := poolOf("n")
-		daemon, ok := pool.Pick(context.Background(), &homes.Allowed{Regions: []string{"north"}})
+		daemon, ok := pool.Pick(context.Background(), &locality.Allowed{Regions: []string{"north"}})
 		Expect([]any{daemon, ok}).To(Equal([]any{"n1", true}))
 		others := map[string]bool{}
 		for range 12 {
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/homes"
+	"github.com/plantainmux/plantainmux/internal/locality"
 	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/reach"
 )
@@ -62,7 +62,7 @@
 
 // Forwards reports whether exchanges of requests that may be handled in some regions are forwarded
 // to another daemon.
-func (r *Router) Forwards(allowed *homes.Allowed) bool { return r.Lost() && r.Paths.Any(allowed) }
+func (r *Router) Forwards(allowed *locality.Allowed) bool { return r.Lost() && r.Paths.Any(allowed) }
 
 // Send implements Sender. It fails with PathLostError if the way to the endpoint broke.
 func (r *Router) Send(ctx context.Context, exchange outbound.Exchange) (*outbound.Response, error) {
--- a/internal/gateway/admitted.go
+++ b/internal/gateway/admitted.go
@@ -8,7 +8,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/exchange"
-	"github.com/plantainmux/plantainmux/internal/homes"
+	"github.com/plantainmux/plantainmux/internal/locality"
 )
 
 // Admitted is a request whose route and team are known and whose body has not
@@ -34,7 +34,7 @@
 		req.Team = a.team.Name
 		teamRegions = a.team.AllowedRegions
 	}
-	req.Allowed = homes.Both(a.route.AllowedRegions, teamRegions)
+	req.Allowed = locality.Both(a.route.AllowedRegions, teamRegions)
 	if a.service.Grouped() {
 		req.Model = in.Model
 		req.PromptTokens = in.PromptTokens
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -7,7 +7,7 @@
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/forward"
-	"github.com/plantainmux/plantainmux/internal/homes"
+	"github.com/plantainmux/plantainmux/internal/locality"
 	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/placement"
@@ -72,7 +72,7 @@
 }
 
 // forwarders returns the daemons through which this one forwards while it is cut off.
-func (g *Gateway) forwarders(allowed *homes.Allowed) []string {
+func (g *Gateway) forwarders(allowed *locality.Allowed) []string {
 	return g.forwardersNow.Load().through(allowed, g.settings.Regions, g.settings.Node, g.settings.DataCentre)
 }
 
--- a/internal/gateway/forwarders.go
+++ b/internal/gateway/forwarders.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"github.com/plantainmux/plantainmux/internal/forward"
-	"github.com/plantainmux/plantainmux/internal/homes"
+	"github.com/plantainmux/plantainmux/internal/locality"
 )
 
 // forwarders is how this daemon forwards while it is cut off from the endpoints, until it is chosen
@@ -19,7 +19,7 @@
 
 // through returns the daemons through which a daemon in a data centre forwards requests that may be
 // handled in some regions.
-func (f *forwarders) through(allowed *homes.Allowed, regions homes.Regions, node, dataCentre string) []string {
+func (f *forwarders) through(allowed *locality.Allowed, regions locality.Regions, node, dataCentre string) []string {
 	if allowed == nil {
 		return f.chosen
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"github.com/plantainmux/plantainmux/internal/homes"
+	"github.com/plantainmux/plantainmux/internal/locality"
 	"github.com/plantainmux/plantainmux/internal/strictyaml"
 )
 
@@ -11,12 +11,12 @@
 	DataCentre string `yaml:"data_centre"`
 	// Regions maps each data centre to its region. A data centre that is missing is in no region:
 	// requests that are restricted to regions are not sent there.
-	Regions homes.Regions `yaml:"zones"`
-	Listen  Listen        `yaml:"listen"`
-	Store   string        `yaml:"store"` // address of the platform's store
-	First   bool          `yaml:"first"` // first start of the whole fleet
-	Limits  Limits        `yaml:"limits"`
-	Bounds  Bounds        `yaml:"bounds"`
+	Regions locality.Regions `yaml:"zones"`
+	Listen  Listen           `yaml:"listen"`
+	Store   string           `yaml:"store"` // address of the platform's store
+	First   bool             `yaml:"first"` // first start of the whole fleet
+	Limits  Limits           `yaml:"limits"`
+	Bounds  Bounds           `yaml:"bounds"`
 }
 
 // Load reads a settings file. If values are invalid, it fails with a list of
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -10,7 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainmux/plantainmux/internal/gateway"
-	"github.com/plantainmux/plantainmux/internal/homes"
+	"github.com/plantainmux/plantainmux/internal/locality"
 )
 
 var (
@@ -37,16 +37,16 @@
 
 var _ = Describe("The settings from the template", func() {
 	// Guards against a template that gives no valid settings with few data centres.
-	DescribeTable("hold the region of each data centre", func(regions homes.Regions, zones ...[2]string) {
+	DescribeTable("hold the region of each data centre", func(regions locality.Regions, zones ...[2]string) {
 		path := filepath.Join(GinkgoT().TempDir(), "settings.yaml")
 		Expect(os.WriteFile(path, []byte(rendered(zones...)), 0o600)).To(Succeed())
 		s, err := gateway.Load(path)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.Regions).To(Equal(regions))
 	},
-		Entry("none", homes.Regions(nil)),
-		Entry("one", homes.Regions{"a": "north"}, [2]string{"a", "north"}),
-		Entry("three", homes.Regions{"a": "north", "b": "north", "c.1": "south"}, [2]string{"a", "north"}, [2]string{"b", "north"}, [2]string{"c.1", "south"}),
+		Entry("none", locality.Regions(nil)),
+		Entry("one", locality.Regions{"a": "north"}, [2]string{"a", "north"}),
+		Entry("three", locality.Regions{"a": "north", "b": "north", "c.1": "south"}, [2]string{"a", "north"}, [2]string{"b", "north"}, [2]string{"c.1", "south"}),
 	)
 
 	DescribeTable("accept no regions in another form", func(zones, reason string) {
--- a/internal/homes/allowed.go
+++ b/internal/locality/allowed.go
@@ -1,4 +1,4 @@
-package homes
+package locality
 
 import (
 	"slices"
--- a/internal/homes/homes_test.go
+++ b/internal/locality/locality_test.go
@@ -1,19 +1,19 @@
-package homes_test
+package locality_test
 
 import (
 	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/plantainmux/plantainmux/internal/homes"
+	"github.com/plantainmux/plantainmux/internal/locality"
 )
 
 var _ = Describe("The regions of a request", func() {
-	regions := homes.Regions{"north-1": "north", "north-2": "north", "south-1": "south", "odd": ""}
+	regions := locality.Regions{"north-1": "north", "north-2": "north", "south-1": "south", "odd": ""}
 
 	// Guards against a body that runs at, or passes through, a region that the route or the team excludes.
 	DescribeTable("are those that route and team both allow", func(route, team []string, north, south bool) {
-		allowed := homes.Both(route, team)
+		allowed := locality.Both(route, team)
 		Expect(regions.AllowsTarget(allowed, "north-1")).To(Equal(north))
 		Expect(regions.AllowsTarget(allowed, "south-1")).To(Equal(south))
 	},
@@ -28,16 +28,16 @@
 
 	// Guards against a missing or empty setting that would let a restricted request go anywhere.
 	It("exclude data centres whose region is not known", func() {
-		for _, allowed := range []*homes.Allowed{homes.Both([]string{""}, nil), homes.Both([]string{"north", ""}, nil)} {
+		for _, allowed := range []*locality.Allowed{locality.Both([]string{""}, nil), locality.Both([]string{"north", ""}, nil)} {
 			Expect(regions.AllowsTarget(allowed, "odd")).To(BeFalse())
 			Expect(regions.AllowsTarget(allowed, "missing")).To(BeFalse())
-			Expect(homes.Regions(nil).AllowsTarget(allowed, "north-1")).To(BeFalse())
+			Expect(locality.Regions(nil).AllowsTarget(allowed, "north-1")).To(BeFalse())
 		}
-		Expect(homes.Regions(nil).AllowsTarget(nil, "north-1")).To(BeTrue())
+		Expect(locality.Regions(nil).AllowsTarget(nil, "north-1")).To(BeTrue())
 	})
 
 	DescribeTable("and that of the caller's daemon admit the daemons that pass the body on", func(route []string, entry, forwarder string, passes bool) {
-		Expect(regions.AllowsForwarder(homes.Both(route, nil), entry, forwarder)).To(Equal(passes))
+		Expect(regions.AllowsForwarder(locality.Both(route, nil), entry, forwarder)).To(Equal(passes))
 	},
 		Entry("no restriction", nil, "north-1", "south-1", true),
 		Entry("an allowed region", []string{"south"}, "north-1", "south-1", true),
@@ -50,10 +50,10 @@
 	// Guards against a request that may run nowhere and is taken for one that may run anywhere
 	// after it was passed to another daemon.
 	It("stay the same on the way to another daemon", func() {
-		for _, allowed := range []*homes.Allowed{nil, {}, {Regions: []string{"north", "south"}}} {
+		for _, allowed := range []*locality.Allowed{nil, {}, {Regions: []string{"north", "south"}}} {
 			data, err := cbor.Marshal(allowed)
 			Expect(err).NotTo(HaveOccurred())
-			var read *homes.Allowed
+			var read *locality.Allowed
 			Expect(cbor.Unmarshal(data, &read)).To(Succeed())
 			Expect(read).To(Equal(allowed))
 		}
--- a/internal/homes/regions.go
+++ b/internal/locality/regions.go
@@ -1,4 +1,4 @@
-package homes
+package locality
 
 // Regions maps the names of data centres to those of their regions. It is immutable.
 type Regions map[string]string
--- a/internal/homes/suite_test.go
+++ b/internal/locality/suite_test.go
@@ -1,4 +1,4 @@
-package homes_test
+package locality_test
 
 import (
 	"testing"
@@ -9,5 +9,5 @@
 
 func TestSuite(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "homes")
+	RunSpecs(t, "locality")
 }
--- a/internal/outbound/exchange.go
+++ b/internal/outbound/exchange.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"github.com/plantainmux/plantainmux/internal/homes"
+	"github.com/plantainmux/plantainmux/internal/locality"
 )
 
 // Exchange is one HTTP request to an endpoint. It is sent at most once.
@@ -22,5 +22,5 @@
 	Repeatable bool `cbor:"9,keyasint,omitempty"`
 	// Allowed are the regions in which the request may be handled; nil: all. Daemons of earlier
 	// versions neither send nor read it.
-	Allowed *homes.Allowed `cbor:"10,keyasint,omitempty"`
+	Allowed *locality.Allowed `cbor:"10,keyasint,omitempty"`
 }
--- a/internal/placement/regions_test.go
+++ b/internal/placement/regions_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/plantainmux/plantainmux/internal/homes"
+	"github.com/plantainmux/plantainmux/internal/locality"
 	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/targetstats"
 )
@@ -22,7 +22,7 @@
 	requirements := func(daemons int, allowed ...string) placement.Requirements {
 		return placement.Requirements{
 			DataCentre: "s", Grouped: true, Now: now, Daemons: daemons, Random: rand.Float64(),
-			Allowed: &homes.Allowed{Regions: allowed}, Regions: homes.Regions{"n": "north", "s": "south"},
+			Allowed: &locality.Allowed{Regions: allowed}, Regions: locality.Regions{"n": "north", "s": "south"},
 		}
 	}
 
--- a/internal/placement/requirements.go
+++ b/internal/placement/requirements.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/homes"
+	"github.com/plantainmux/plantainmux/internal/locality"
 )
 
 // Requirements describes a request that is to be placed, and the state of the fleet
@@ -25,6 +25,6 @@
 	Excluded     map[string]bool // keys of targets that failed this request
 	Now          time.Time
 
-	Allowed *homes.Allowed // regions in which the request may be handled; nil: all
-	Regions homes.Regions  // of the data centres
+	Allowed *locality.Allowed // regions in which the request may be handled; nil: all
+	Regions locality.Regions  // of the data centres
 }
