Others vouch for the leaders of groups that have left the view

Traced: its own failures made it drop all groups from its view before the first review, and it looked for the leaders that others reach among the groups of the view, so that nobody ever vouched (evidence: 3 failing, 0 vouched, 0 known).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -73,6 +73,7 @@
 	spill *spill.Server
 
 	endpoints *forward.Router
+	leaders   knownLeaders // by the review of the endpoints alone
 	caller    *callerapi.Server
 	admin     *adminapi.Server
 
@@ -99,6 +100,7 @@
 		kill:     kill,
 		id:       id,
 		settings: s,
+		leaders:  knownLeaders{},
 		adapters: adapters,
 		logger:   logger.With("daemon", id, "data_centre", s.DataCentre),
 		metrics:  metric.NewSet(),
--- a/internal/daemon/endpoints.go
+++ b/internal/daemon/endpoints.go
@@ -41,6 +41,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			d.leaders.observe(d.views.Load(), now)
 			d.endpoints.Review(now)
 		}
 	}
@@ -61,15 +62,11 @@
 	return endpoints
 }
 
-// reachedByOthers reports whether another daemon has polled the leader of a complete group
-// successfully since a time. It implements reach.Vouch.
+// reachedByOthers reports whether another daemon has polled the leader of a group successfully
+// since a time. It implements reach.Vouch.
 func (d *Daemon) reachedByOthers(address string, since time.Time) bool {
-	for _, group := range d.views.Load().Groups {
-		if group.LeaderAddress == address {
-			return d.table.SucceededElsewhere(group.Leader(), since)
-		}
-	}
-	return false
+	leader, known := d.leaders[address]
+	return known && d.table.SucceededElsewhere(leader.vm, since)
 }
 
 // linksLost drops what this daemon holds against endpoints, and tells its peers: its links failed,
