Poll members that their watchers do not reach from the other daemons too

Callers of a daemon that reaches all endpoints got no_complete_group (0 of 68 first tries) while the other three daemons of its data centre were cut off, and none of the three found out. Cause: where both watchers of every leader were cut off, their failed polls counted as reports, so that nobody else polled; one daemon in eight watches no leader of three groups. Now daemons that are no watchers poll a member that its watchers fail to poll, at most every two report bounds if they fail too, and report on it while they reach it.

--- a/internal/watch/assignment.go
+++ b/internal/watch/assignment.go
@@ -14,6 +14,10 @@
 // watchersPerMember is the number of daemons of a data centre that poll each VM.
 const watchersPerMember = 2
 
+// secondOpinionBounds is the number of report bounds between two polls of a VM that neither its
+// watchers nor this daemon reaches: a dead VM is not polled by all daemons in each round.
+const secondOpinionBounds = 2
+
 // Assignment decides which VMs this daemon polls: those that rendezvous hashing assigns
 // to it, and those whose watchers have stopped reporting.
 type Assignment struct {
@@ -73,17 +77,61 @@
 
 // Targets returns the VMs to poll at now. A VM without a report from any watcher
 // for half the report bound is polled by every daemon, so that its observation
-// does not expire while failed watchers have not been replaced yet.
+// does not expire while failed watchers have not been replaced yet. So is a VM that
+// its watchers do not reach: they may be cut off.
 func (a *Assignment) Targets(now time.Time) []fleet.VM {
 	assigned := a.Assigned()
 	targets := slices.Clone(assigned)
-	for _, vm := range a.listed() {
-		if !a.table.NotReportedSince(vm.ID, now.Add(-a.bound/2)) {
-			continue
-		}
-		if !slices.ContainsFunc(assigned, func(w fleet.VM) bool { return w.ID == vm.ID }) {
+	for _, vm := range a.unassigned(assigned) {
+		if a.table.NotReportedSince(vm.ID, now.Add(-a.bound/2)) || a.secondOpinionDue(vm.ID, now) {
 			targets = append(targets, vm)
 		}
 	}
 	return targets
 }
+
+// SecondOpinion returns a VM if this daemon should poll it although it is no watcher of it.
+func (a *Assignment) SecondOpinion(id fleet.VMID, now time.Time) (fleet.VM, bool) {
+	vm, ok := a.listed()[id]
+	return vm, ok && a.secondOpinionDue(id, now)
+}
+
+func (a *Assignment) secondOpinionDue(id fleet.VMID, now time.Time) bool {
+	return a.unreachedByWatchers(id) && !a.table.FailedSince(id, now.Add(-secondOpinionBounds*a.bound))
+}
+
+// unreachedByWatchers reports whether the last polls of a VM by its watchers failed.
+func (a *Assignment) unreachedByWatchers(id fleet.VMID) bool {
+	if !a.table.AnyFailing(id) {
+		return false
+	}
+	return a.table.AllFailing(id, rendezvous.Choose(string(id), a.live(), watchersPerMember))
+}
+
+// Published returns the VMs on which this daemon reports to its peers: those that it is a watcher
+// of, and those that it reaches while their watchers do not.
+func (a *Assignment) Published() []fleet.VM {
+	assigned := a.Assigned()
+	published := slices.Clone(assigned)
+	for _, vm := range a.unassigned(assigned) {
+		if a.table.ReachedHere(vm.ID) && a.unreachedByWatchers(vm.ID) {
+			published = append(published, vm)
+		}
+	}
+	return published
+}
+
+// unassigned returns the listed VMs that this daemon is no watcher of.
+func (a *Assignment) unassigned(assigned []fleet.VM) []fleet.VM {
+	watched := make(map[fleet.VMID]struct{}, len(assigned))
+	for _, vm := range assigned {
+		watched[vm.ID] = struct{}{}
+	}
+	var others []fleet.VM
+	for _, vm := range a.listed() {
+		if _, ok := watched[vm.ID]; !ok {
+			others = append(others, vm)
+		}
+	}
+	return others
+}
--- a/internal/watch/sharer.go
+++ b/internal/watch/sharer.go
@@ -67,7 +67,7 @@
 // publishChangeLocked publishes the change since the last one, if any, and returns
 // the published list. The caller holds mu.
 func (s *Sharer) publishChangeLocked() pollList {
-	list := newPollList(s.table.own(s.assignment.Assigned()))
+	list := newPollList(s.table.own(s.assignment.Published()))
 	if list.digest != s.published.digest {
 		change := list.changeFrom(s.published, s.mesh.TimestampAt(time.Now()), s.mesh.TimestampAt)
 		s.published = list
@@ -164,13 +164,18 @@
 }
 
 // pollFailing polls the VMs that another watcher failed to poll, so that the watchers
-// agree soon, or are known to disagree.
+// agree soon, or are known to disagree, and those that no watcher reaches.
 func (s *Sharer) pollFailing(items []listItem) {
+	now := time.Now()
 	for _, item := range items {
 		if !item.state.failing() {
 			continue
 		}
-		if vm, ok := s.assignment.AssignedVM(item.vm); ok {
+		vm, ok := s.assignment.AssignedVM(item.vm)
+		if !ok {
+			vm, ok = s.assignment.SecondOpinion(item.vm, now)
+		}
+		if ok {
 			s.poller.Hint(vm)
 		}
 	}
@@ -216,7 +221,7 @@
 func (s *Sharer) serveReports(context.Context, fleet.DaemonID, cbor.RawMessage) (any, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := newPollList(s.table.own(s.assignment.Assigned()))
+	list := newPollList(s.table.own(s.assignment.Published()))
 	if list.digest != s.published.digest {
 		list = s.published
 	}
--- a/internal/watch/table.go
+++ b/internal/watch/table.go
@@ -137,6 +137,69 @@
 	return !ok || !e.reportedSince(since)
 }
 
+// AnyFailing reports whether the last poll of a VM by any observer failed.
+func (t *Table) AnyFailing(vm fleet.VMID) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	e, ok := t.entries[vm]
+	if !ok {
+		return false
+	}
+	for _, o := range e.pollStates {
+		if o.failing() {
+			return true
+		}
+	}
+	return false
+}
+
+// AllFailing reports whether the last poll of a VM by each of the observers that have polled it
+// failed, and any has.
+func (t *Table) AllFailing(vm fleet.VMID, observers []fleet.DaemonID) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	e, ok := t.entries[vm]
+	if !ok {
+		return false
+	}
+	failing := false
+	for _, observer := range observers {
+		if o, polled := e.pollStates[observer]; polled {
+			if !o.failing() {
+				return false
+			}
+			failing = true
+		}
+	}
+	return failing
+}
+
+// FailedSince reports whether this daemon's last poll of a VM failed and began later than a time.
+func (t *Table) FailedSince(vm fleet.VMID, since time.Time) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	own, polled := t.ownState(vm)
+	return polled && own.failing() && own.failedAt.After(since)
+}
+
+// ReachedHere reports whether this daemon's last poll of a VM succeeded.
+func (t *Table) ReachedHere(vm fleet.VMID) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	own, polled := t.ownState(vm)
+	return polled && own.everSucceeded() && !own.failing()
+}
+
+// ownState returns the state of this daemon's polls of a VM. The caller holds mu.
+func (t *Table) ownState(vm fleet.VMID) (*pollState, bool) {
+	e, ok := t.entries[vm]
+	if !ok {
+		return nil, false
+	}
+	own, polled := e.pollStates[t.self]
+	return own, polled
+}
+
 // SucceededElsewhere reports whether another observer has polled a VM successfully since a time.
 func (t *Table) SucceededElsewhere(vm fleet.VMID, since time.Time) bool {
 	t.mu.RLock()
