--- a/internal/fakes/generate.go
+++ b/internal/fakes/generate.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	caller "github.com/plantainmux/plantainmux/internal/request"
@@ -65,25 +62,6 @@
 	}
 }
 
-// startOrResume starts an attempt or returns the existing one of the same ID. It
-// returns false if the request resumes an attempt that the engine does not know.
-func (e *Engine) startOrResume(ctx context.Context, request endpoint.GenerateRequest) (*attempt, bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if running, ok := e.attempts[request.Attempt]; ok {
-		return running, true
-	}
-	if request.ResumeFrom > 0 {
-		return nil, false
-	}
-	a := newAttempt()
-	e.attempts[request.Attempt] = a
-	e.addEvent(EngineEvent{Kind: EventStart, Group: request.Group, Attempt: request.Attempt, Body: string(request.Body)})
-	e.sampleLoad()
-	go e.generate(context.WithoutCancel(ctx), a, request)
-	return a, true
-}
-
 // generate adds the frames of an attempt, one every TokenDelay, until the answer
 // is complete or the attempt is cancelled.
 func (e *Engine) generate(ctx context.Context, a *attempt, request endpoint.GenerateRequest) {
@@ -163,21 +141,6 @@
 	}
 }
 
-// Token returns the i-th token of the answer to a request's body. It contains a
-// hash of the body, so that tests detect an answer that reaches the wrong caller.
-func Token(body []byte, i int) string {
-	return fmt.Sprintf("%016x-%d ", xxhash.Sum64(body), i)
-}
-
-// Answer returns the complete text of the answer to a request's body.
-func Answer(body []byte, tokens int) string {
-	text := ""
-	for i := range tokens {
-		text += Token(body, i)
-	}
-	return text
-}
-
 func (e *Engine) tokenCount(request endpoint.GenerateRequest) int {
 	var body generateBody
 	if json.Unmarshal(request.Body, &body) == nil && body.MaxTokens > 0 {
@@ -188,97 +151,3 @@
 	}
 	return defaultTokens
 }
-
-// waitRunning waits while the engine is frozen, then reports whether the attempt
-// is still current: not cancelled, and not lost in a crash or reboot.
-func (e *Engine) waitRunning(a *attempt, id string) bool {
-	faults, changed := e.faultState()
-	for faults.Frozen {
-		<-changed
-		faults, changed = e.faultState()
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.attempts[id] == a
-}
-
-func (e *Engine) faultState() (Faults, <-chan struct{}) { return e.FaultInjector.load() }
-
-func (e *Engine) finish(a *attempt, request endpoint.GenerateRequest) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	a.done = true
-	e.addEvent(EngineEvent{Kind: EventFinish, Group: request.Group, Attempt: request.Attempt})
-	e.sampleLoad()
-	time.AfterFunc(attemptRetention, func() { e.forget(request.Attempt) })
-}
-
-func (e *Engine) forgetAll() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.attempts = map[string]*attempt{}
-}
-
-func (e *Engine) forget(id string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	delete(e.attempts, id)
-}
-
-// stream sends the frames of an attempt. A closed connection does not cancel the
-// attempt.
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, a *attempt, request endpoint.GenerateRequest) {
-	faults := e.forConnection(request.Attempt)
-	if faults.CutBefore < 0 {
-		e.cutConnection(request, faults)
-	}
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.WriteHeader(http.StatusOK)
-	writer := &frameWriter{w: w, faults: faults}
-	from := request.ResumeFrom
-	for {
-		frames, more := a.from(from)
-		for _, frame := range frames {
-			if !writer.write(frame) {
-				flush(w)
-				e.cutConnection(request, faults)
-			}
-			if frame.Done {
-				return
-			}
-		}
-		from += len(frames)
-		flush(w)
-		if len(frames) > 0 {
-			continue
-		}
-		select {
-		case <-more:
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
-func flush(w http.ResponseWriter) {
-	if flusher, ok := w.(http.Flusher); ok {
-		flusher.Flush()
-	}
-}
-
-// cutConnection aborts a connection without an end marker.
-func (e *Engine) cutConnection(request endpoint.GenerateRequest, faults StreamFaults) {
-	if faults.Forget {
-		e.forget(request.Attempt)
-	}
-	panic(http.ErrAbortHandler)
-}
-
-// crash discards all attempts, as a crash of the process does, and calls OnCrash.
-func (e *Engine) crash(request endpoint.GenerateRequest) {
-	e.addAttemptEvent(EventCrash, request)
-	e.forgetAll()
-	if e.options.OnCrash != nil {
-		e.options.OnCrash()
-	}
-}
