--- /dev/null
+++ b/internal/fakes/wire_engine_crash.go
@@ -0,0 +1,51 @@
+package fakes
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// crashDelay is how long an engine reads a prompt before it crashes on it.
+const crashDelay = 50 * time.Millisecond
+
+func (e *WireEngine) trackConn(conn net.Conn, state http.ConnState) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		e.conns[conn] = struct{}{}
+	case http.StateClosed, http.StateHijacked:
+		delete(e.conns, conn)
+	}
+}
+
+// crash closes all connections and starts the engine again as a new incarnation.
+func (e *WireEngine) crash() {
+	e.mu.Lock()
+	e.crashes = append(e.crashes, time.Now())
+	e.group, e.models = nil, nil
+	e.Born = max(time.Now().UnixMilli(), e.Born+1)
+	e.sequence = 0
+	for conn := range e.conns {
+		_ = conn.Close()
+	}
+	e.mu.Unlock()
+	e.register()
+}
+
+// crashesOn reports whether a request's prompt has the part on which the engine crashes.
+func (e *WireEngine) crashesOn(r *http.Request) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.crashOn == "" {
+		return false
+	}
+	for entry := range strings.SplitSeq(r.Header.Get("Prompt-Prefix"), ",") {
+		if id, _, _ := strings.Cut(entry, ":"); id == e.crashOn {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/fakes/wire_engine_requests.go
@@ -0,0 +1,68 @@
+package fakes
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// handleRequest answers a plain service's request with an echo of it, and an
+// engine's request with the events after Last-Event-Id, up to the last one.
+func (e *WireEngine) handleRequest(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	e.mu.Lock()
+	e.arrivals = append(e.arrivals, time.Now())
+	hold := e.hold
+	if hold != "" {
+		e.mu.Unlock()
+		w.Header().Set("Retry-After", hold)
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	open := e.Domain == "" || e.group != nil && e.group["state"] == "open"
+	if open {
+		e.runs[id]++
+	}
+	e.mu.Unlock()
+	if !open {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Response-Signature", "signed-by-"+e.ID)
+	if e.Domain == "" {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = fmt.Fprintf(w, "%s %s tenant=%s key=%s body=%s", r.Method, r.RequestURI, r.Header.Get("Tenant"), r.Header.Get("Authorization"), body)
+		return
+	}
+	e.stream(w, r)
+}
+
+func (e *WireEngine) stream(w http.ResponseWriter, r *http.Request) {
+	if e.crashesOn(r) {
+		time.Sleep(crashDelay)
+		e.crash()
+		return
+	}
+	e.mu.Lock()
+	end := e.lastEvent
+	e.mu.Unlock()
+	last, _ := strconv.Atoi(strings.TrimSpace(r.Header.Get("Last-Event-Id")))
+	for number := last + 1; number <= end; number++ {
+		e.mu.Lock()
+		stalled := e.stalled
+		e.mu.Unlock()
+		if stalled {
+			<-r.Context().Done()
+			return
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", number, number)
+		w.(http.Flusher).Flush()
+		time.Sleep(30 * time.Millisecond)
+	}
+}
