--- a/internal/fakes/wire_engine_crash.go
+++ b/internal/fakes/wire_engine_crash.go
@@ -25,9 +25,7 @@
 func (e *WireEngine) crash() {
 	e.mu.Lock()
 	e.crashes = append(e.crashes, time.Now())
-	e.group, e.models = nil, nil
-	e.Born = max(time.Now().UnixMilli(), e.Born+1)
-	e.sequence = 0
+	e.startIncarnation()
 	for conn := range e.conns {
 		_ = conn.Close()
 	}
@@ -35,6 +33,13 @@
 	e.register()
 }
 
+// startIncarnation gives the engine the state of a new process. The caller holds mu.
+func (e *WireEngine) startIncarnation() {
+	e.group, e.models = nil, nil
+	e.Born = max(time.Now().UnixMilli(), e.Born+1)
+	e.sequence = 0
+}
+
 // crashesOn reports whether a request's prompt has the part on which the engine crashes.
 func (e *WireEngine) crashesOn(r *http.Request) bool {
 	e.mu.Lock()
--- a/internal/fakes/wire_engine_faults.go
+++ b/internal/fakes/wire_engine_faults.go
@@ -67,7 +67,8 @@
 func (e *WireEngine) Kill() {
 	e.mu.Lock()
 	e.killed = true
+	server := e.server
 	e.mu.Unlock()
-	_ = e.server.Close()
+	_ = server.Close()
 	_ = e.log.Put(context.Background(), "keyed.servers", keyed.Record{Key: e.ID})
 }
--- a/internal/fakes/wire_engine_start.go
+++ b/internal/fakes/wire_engine_start.go
@@ -31,10 +31,18 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &WireEngine{ID: id, Service: service, Domain: domain, Zone: zone, lastEvent: defaultLastEvent, Born: time.Now().UnixMilli(), listener: listener, log: log, runs: map[string]int{}, conns: map[net.Conn]struct{}{}}
+	e := &WireEngine{ID: id, Service: service, Domain: domain, Zone: zone, lastEvent: defaultLastEvent, Born: time.Now().UnixMilli(), log: log, runs: map[string]int{}, conns: map[net.Conn]struct{}{}}
 	setUp(e)
-	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Second, ConnState: e.trackConn}
-	go func() { _ = e.server.Serve(listener) }()
+	e.serve(listener)
 	e.register()
 	return e, nil
 }
+
+// serve serves on a listener until the server is closed.
+func (e *WireEngine) serve(listener net.Listener) {
+	server := &http.Server{Handler: e, ReadHeaderTimeout: time.Second, ConnState: e.trackConn}
+	e.mu.Lock()
+	e.listener, e.server = listener, server
+	e.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+}
--- a/internal/fakes/wire_platform.go
+++ b/internal/fakes/wire_platform.go
@@ -19,7 +19,7 @@
  "limits":{"max_body_bytes":100000},"tenants":[{"name":"merchants","api_keys":["k1"]}]}`
 
 // WirePlatform is the users' platform in one process: a store with a configuration, and engines and a
-// plain service in some data centres. Two calls more than the platform has are for scripts.
+// plain service in some data centres. Calls below /fake/ are for scripts; the platform has none of them.
 type WirePlatform struct {
 	store   *WireStore
 	mux     *http.ServeMux
@@ -40,12 +40,17 @@
 			return nil, err
 		}
 	}
-	if err := p.store.Log.Put(context.Background(), "keyed.op", keyed.Record{Key: "config", Value: []byte(wirePlatformConfig)}); err != nil {
+	if err := p.store.Log.Put(context.Background(), operatorsTopic, keyed.Record{Key: "config", Value: []byte(wirePlatformConfig)}); err != nil {
 		return nil, err
 	}
 	p.mux.Handle("/", p.store)
 	p.mux.HandleFunc("POST /fake/kill-head", p.killHead)
 	p.mux.HandleFunc("GET /fake/runs", p.runs)
+	p.mux.HandleFunc("GET /fake/arrivals", p.arrivals)
+	p.mux.HandleFunc("POST /fake/restart", p.restart)
+	p.mux.HandleFunc("GET /fake/operators/{key...}", p.operatorsRecord)
+	p.mux.HandleFunc("PUT /fake/operators/{key...}", p.writeOperatorsRecord)
+	p.mux.HandleFunc("DELETE /fake/operators/{key...}", p.deleteOperatorsRecord)
 	return p, nil
 }
 
