Count a group as slow only if it is slow for its load

Cause: the gap of a full group of the larger model is three times that of an empty one, as prompts are read between the events.

Change: the gap is compared with the smallest one and with the one that the published performance gives for the group's load, whichever is greater.

--- a/internal/overload/capacity.go
+++ b/internal/overload/capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"time"
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
 )
@@ -26,6 +27,23 @@
 	if pass <= 0 {
 		return 0
 	}
-	rate := inProgress / (max(output/steps, 1) * pass)
+	rate := inProgress / (passes(p, demand) * pass)
 	return rate / (1 + rate*read)
 }
+
+// passes returns the number of passes of an answer.
+func passes(p *catalog.PerformanceModel, demand Demand) float64 {
+	return max(cmp.Or(demand.OutputTokens, p.MeanOutputTokens)/float64(max(p.StepsPerPass, 1)), 1)
+}
+
+// publishedGap returns the mean time between two events of a stream at a group with a number of
+// requests in progress, by its published performance: prompts that are read meanwhile included. It
+// is 0 for an idle group.
+func publishedGap(in Input, inProgress int) time.Duration {
+	load := float64(min(inProgress, in.Performance.Slots))
+	rate := completionRate(in.Performance, in.Model, load, in.Demand)
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(load / (passes(in.Performance, in.Demand) * rate) * float64(time.Second)) // by Little's law
+}
--- a/internal/overload/decide.go
+++ b/internal/overload/decide.go
@@ -24,8 +24,9 @@
 	// requirement is 0.35; the rest is margin for a demand that is known late.
 	leastShare = 0.4
 
-	// slowGapRatio is the ratio to the smallest gap between events above which a group counts
-	// as slow, as in the choice of a target.
+	// slowGapRatio is the ratio to the smallest gap between events, and to the one published for
+	// its load, above which a group counts as slow. The published one matters because a full group
+	// with long prompts has three times the gap of an empty one.
 	slowGapRatio = 1.6
 )
 
@@ -43,7 +44,7 @@
 	least := leastGap(in.Targets)
 	totalAim := 0.0
 	for _, target := range in.Targets {
-		completes := rate / slowness(target, least)
+		completes := rate / slowness(target, max(least, publishedGap(in, target.Load)))
 		share := 1.0
 		if target.MaxRate > 0 && target.MaxRate < completes {
 			share = target.MaxRate / completes // by Little's law, it has that share of the load in progress
@@ -92,11 +93,11 @@
 	return least
 }
 
-// slowness returns the factor by which a target is slower than the fastest one, 1 if it does
-// not count as slow.
-func slowness(target Target, least time.Duration) float64 {
-	if least <= 0 || float64(target.MeanGap) <= slowGapRatio*float64(least) {
+// slowness returns the factor by which the gaps of a target exceed the reference, 1 if it does not
+// count as slow.
+func slowness(target Target, reference time.Duration) float64 {
+	if reference <= 0 || float64(target.MeanGap) <= slowGapRatio*float64(reference) {
 		return 1
 	}
-	return float64(target.MeanGap) / float64(least)
+	return float64(target.MeanGap) / float64(reference)
 }
--- a/internal/overload/decide_test.go
+++ b/internal/overload/decide_test.go
@@ -112,4 +112,24 @@
 		in.Targets[0].MeanGap = 160 * time.Millisecond
 		Expect(overload.Decide(in).Capacity).To(BeNumerically("~", even*7.25/8, 0.01))
 	})
+
+	// Gaps of the larger model grow from 33 ms in a group with one request to over 100 ms in a full one,
+	// most of it prompts that are read. A group that has just been formed again made all others count as
+	// three times as slow, and the model lost most of its capacity in the decision.
+	It("counts no loaded group as slow because another one has just been formed again", func() {
+		for load := 24; load <= 48; load += 8 {
+			in := input(load, map[int]float64{1: 47, 2: 29})
+			in.Model = &catalog.Model{Name: "large", StepTimeFactor: 1}
+			in.Demand.PromptTokens, in.Demand.OutputTokens = 1667, 102
+			in.Targets = in.Targets[:5]
+			capacity := overload.Decide(in).Capacity
+			for i := range in.Targets {
+				in.Targets[i].MeanGap = 106 * time.Millisecond // at 0.8 of the slots
+			}
+			in.Targets[0] = overload.Target{Load: 1, MeanGap: 34 * time.Millisecond}
+			Expect(overload.Decide(in).Capacity).To(BeNumerically("~", capacity, 0.01), fmt.Sprint(load))
+			in.Targets[1].MeanGap *= 3
+			Expect(overload.Decide(in).Capacity).To(BeNumerically("<", 0.9*capacity), "one that is slow for its load still counts as slow")
+		}
+	})
 })
