Process tests: an evacuation and a cold endpoint, counted at the endpoints

scripts/processes.sh ran only the daemon with the project's own interfaces, so that no process test saw an evacuation or a cold endpoint.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -1,4 +1,4 @@
-# Shared by demo.sh and processes.sh: starts stand-ins and daemons as processes of their own on loopback, and stops by
+# Shared by the scripts that run whole processes: starts stand-ins and daemons as processes of their own on loopback, and stops by
 # process id all that was started. A script that sources this file sets `name` and START_PORT first.
 
 readonly TOKEN=demo-admin-token-0000
@@ -7,7 +7,7 @@
 pids=()
 port=$START_PORT
 declare -A engine_pid engine_address
-declare -A daemon_pid caller_of admin_of
+declare -A daemon_pid caller_of admin_of ready_of
 
 stop_all() {
   local code=$?
@@ -20,6 +20,14 @@
 
 fail() { echo "$name failed: $*" >&2; exit 1; }
 
+# note FILE TEXT... appends one line; short lines are appended whole.
+note() { local file=$1; shift; printf '%s\n' "$*" >>"$work/$file"; }
+
+lines() { [ -e "$work/$1" ] && wc -l <"$work/$1" || echo 0; }
+
+# more FILE COUNT succeeds once a file has more lines.
+more() { [ "$(lines "$1")" -gt "$2" ]; }
+
 next_port() { port=$((port + 1)); }
 
 # start NAME COMMAND... starts a process and remembers its id in $started.
@@ -157,3 +165,18 @@
   local address=$1 key=$2; shift 2
   curl --max-time 20 -s "$@" -H "Authorization: Bearer $KEY" -H "Idempotency-Key: $key" "http://$address/v1/services/orders/orders" -d '{"swatch":"laid cream 120g"}'
 }
+
+# platform_settings NAME DATA_CENTRE PORT FIRST [BOUNDS [LINE]] prints the settings of a daemon on the users' platform, with
+# further bounds and a further line. The addresses are in $store, caller_of and ready_of.
+platform_settings() {
+  cat <<YAML
+node: $1
+data_centre: $2
+${6:-}
+store: $store
+first: $4
+listen: {callers: "${caller_of[$1]}", readiness: "${ready_of[$1]}", host: 127.0.0.1, first_port: $3, last_port: $3}
+limits: {memory_mb: 256, cpu_share: 1}
+bounds: {grace_s: 6, stability_window_ms: 3000, configuration_ms: 2000, retry_share: 0.2, retry_slack: 100, retry_window_s: 10${5:+, $5}}
+YAML
+}
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -2,7 +2,8 @@
 # Failures of whole processes under load, with real signals: three daemons are stopped in turn (SIGTERM), one is killed
 # (SIGKILL), one is paused while a member is frozen (SIGSTOP), the log is paused, and all daemons are killed at once.
 # Callers behind a balancer ask for streams and place orders all the while. The verdict comes from the callers' answers
-# and from what the stand-ins recorded. Stops everything it started, by process id. Exit code 0 only if every check passed.
+# and from what the stand-ins recorded. At last processes-on-platform.sh does the same for an evacuation and a cold endpoint.
+# Stops everything it started, by process id. Exit code 0 only if every check passed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -20,9 +21,6 @@
 
 daemons=(north-1 north-2 north-3)
 
-# note FILE TEXT... appends one line; short lines are appended whole.
-note() { local file=$1; shift; printf '%s\n' "$*" >>"$work/$file"; }
-
 # balance keeps the list of daemons that were ready a moment ago.
 balance() {
   local daemon
@@ -92,11 +90,6 @@
   done
 }
 
-lines() { [ -e "$work/$1" ] && wc -l <"$work/$1" || echo 0; }
-
-# more FILE COUNT succeeds once a file has more lines.
-more() { [ "$(lines "$1")" -gt "$2" ]; }
-
 no_cuts() {
   [ "$(lines cut)" -eq "$1" ] || { tail -n 3 "$work/cut"; fail "$2 cut off requests"; }
 }
@@ -183,3 +176,4 @@
 
 echo "processes ok: $(lines whole) whole streams, $killed_cuts cut by the killed daemon, $(($(lines cut) - killed_cuts)) cut or refused later," \
   "$(lines done) orders, $(lines not_run) refusals as not run, $(lines unsettled) unsettled"
+PLANTAINMUX_PROCESSES_PORT=$((START_PORT + 100)) scripts/processes-on-platform.sh
