--- a/scripts/mixed-versions.sh
+++ b/scripts/mixed-versions.sh
@@ -21,29 +21,17 @@
 . scripts/lib.sh
 trap stop_all EXIT
 
-declare -A ready_of port_of centre_of version_of
+declare -A port_of centre_of version_of
 daemons=()
 expected=$(for event in $(seq "$EVENTS"); do printf 'id: %s\ndata: %s\n\n' "$event" "$event"; done)
 
-note() { local file=$1; shift; printf '%s\n' "$*" >>"$work/$file"; }
-lines() { [ -e "$work/$1" ] && wc -l <"$work/$1" || echo 0; }
-more() { [ "$(lines "$1")" -gt "$2" ]; }
 is_ready() { curl --max-time 0.5 -sf -o /dev/null "http://${ready_of[$1]}/api/readiness"; }
 
 # run_daemon NAME VERSION FIRST starts a daemon of a version ("old" or "new"). The old one knows no zones.
 run_daemon() {
   local daemon=$1 version=$2 first=$3 zones=""
   [ "$version" = old ] || zones=$'zones: {"n": "north", "s": "south"}'
-  cat >"$work/$daemon.yaml" <<YAML
-node: $daemon
-data_centre: ${centre_of[$daemon]}
-$zones
-store: $store
-first: $first
-listen: {callers: "${caller_of[$daemon]}", readiness: "${ready_of[$daemon]}", host: 127.0.0.1, first_port: ${port_of[$daemon]}, last_port: ${port_of[$daemon]}}
-limits: {memory_mb: 256, cpu_share: 1}
-bounds: {grace_s: 6, stability_window_ms: 3000, configuration_ms: 2000, retry_share: 0.2, retry_slack: 100, retry_window_s: 10}
-YAML
+  platform_settings "$daemon" "${centre_of[$daemon]}" "${port_of[$daemon]}" "$first" "" "$zones" >"$work/$daemon.yaml"
   start "$daemon-$version" "$work/$version/plantainmuxd" --platform --settings "$work/$daemon.yaml"
   daemon_pid[$daemon]=$started
   version_of[$daemon]=$version
