--- a/scripts/mixed-versions.sh
+++ b/scripts/mixed-versions.sh
@@ -9,7 +9,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-readonly PREVIOUS=${PLANTAINMUX_PREVIOUS:-0bf6cfb}
+readonly PREVIOUS=${PLANTAINMUX_PREVIOUS:-9a2896993063} # 0bf6cfb, the one before, is checked with the variable
 readonly START_PORT=${PLANTAINMUX_MIXED_PORT:-22300}
 readonly PER_CENTRE=${PLANTAINMUX_MIXED_DAEMONS:-2}
 readonly STREAM_CALLERS=4
@@ -19,6 +19,7 @@
 name=mixed-versions
 git cat-file -e "$PREVIOUS^{commit}" 2>/dev/null || { echo "mixed-versions: the history does not hold $PREVIOUS; nothing to check"; exit 0; }
 . scripts/lib.sh
+old_knows_zones=$(git grep -l 'yaml:"zones"' "$PREVIOUS" -- internal/gateway || true)
 trap stop_all EXIT
 
 declare -A port_of centre_of version_of
@@ -27,10 +28,10 @@
 
 is_ready() { curl --max-time 0.5 -sf -o /dev/null "http://${ready_of[$1]}/api/readiness"; }
 
-# run_daemon NAME VERSION FIRST starts a daemon of a version ("old" or "new"). The old one knows no zones.
+# run_daemon NAME VERSION FIRST starts a daemon of a version ("old" or "new"). Versions up to 0bf6cfb know no zones.
 run_daemon() {
   local daemon=$1 version=$2 first=$3 zones=""
-  [ "$version" = old ] || zones=$'zones: {"n": "north", "s": "south"}'
+  [ "$version" = old ] && [ -z "$old_knows_zones" ] || zones=$'zones: {"n": "north", "s": "south"}'
   platform_settings "$daemon" "${centre_of[$daemon]}" "${port_of[$daemon]}" "$first" "" "$zones" >"$work/$daemon.yaml"
   start "$daemon-$version" "$work/$version/plantainmuxd" --platform --settings "$work/$daemon.yaml"
   daemon_pid[$daemon]=$started
