Apportion: rules for changes of groups while a data centre is evacuated

With a third of the groups gone, the model that gives up groups would have to stay below 0.75 of its capacity and the change would have to pay off for 8 s, so that no group changed during an evacuation of 9 s. While a data centre is evacuated the limit is 1.0; for 15 s after the evacuation a change is made at once, 2 s after the previous one and not before that is complete. evacuation.Set now tells since when and from which source it knows of each evacuation in force.

Specs of apportion and evacuation pass with -race; the new apportion specs give no change by the function Next, which is the previous decision.

--- a/internal/apportion/change.go
+++ b/internal/apportion/change.go
@@ -19,8 +19,9 @@
 	return max(c.FromBefore, c.ToBefore) - max(c.FromAfter, c.ToAfter)
 }
 
-// paysOff reports whether the gain exceeds the cost.
-func (c Change) paysOff() bool { return c.gain() > minGain && c.FromAfter < maxUtilisation }
+// paysOff reports whether the gain exceeds the cost, and the model that gives up groups stays below
+// a utilisation.
+func (c Change) paysOff(limit float64) bool { return c.gain() > minGain && c.FromAfter < limit }
 
 // better reports whether a change is preferable to another one: the greater gain, and among equal
 // ones that which disturbs fewer requests.
--- a/internal/apportion/next.go
+++ b/internal/apportion/next.go
@@ -13,6 +13,12 @@
 // Next returns the change that pays off most, and whether there is any. No change closes the last
 // group of a model, and none touches a domain in which a group of either model does not serve.
 func Next(models []Model, domains []Domain) (Change, bool) {
+	return Evacuation{}.Next(models, domains)
+}
+
+// Next returns the change that pays off most like the function Next. The models and the domains are
+// given without what is in evacuated data centres.
+func (e Evacuation) Next(models []Model, domains []Domain) (Change, bool) {
 	var best Change
 	found := false
 	for _, from := range models {
@@ -22,7 +28,7 @@
 			}
 			for _, domain := range domains {
 				change, ok := smallestChange(from, to, domain)
-				if ok && change.paysOff() && (!found || change.better(best)) {
+				if ok && change.paysOff(e.maxUtilisation()) && (!found || change.better(best)) {
 					best, found = change, true
 				}
 			}
--- a/internal/apportion/next_test.go
+++ b/internal/apportion/next_test.go
@@ -64,6 +64,18 @@
 		Entry("without domains", models(6, 2.5, 12, 9), nil),
 	)
 
+	It("is the one that the build farm needs when it loses a third of its groups, only while a data centre is evacuated", func() {
+		given := models(4, 2.8, 8, 9) // 48 and 315 requests per second at 17 and 35 for each group
+		_, ok := apportion.Next(given, domains)
+		Expect(ok).To(BeFalse(), "no rest for waves and lost groups")
+		evacuated := apportion.Evacuation{InForce: true, Age: time.Hour}
+		change, ok := evacuated.Next(given, domains)
+		Expect(ok).To(BeTrue())
+		Expect(change).To(And(HaveField("From", "large"), HaveField("Form", 2), HaveField("FromAfter", BeNumerically("<", 1))))
+		_, ok = evacuated.Next(models(4, 3.01, 8, 12), domains)
+		Expect(ok).To(BeFalse(), "requests of the larger model would be refused")
+	})
+
 	It("serves a model that has no group", func() {
 		change, ok := apportion.Next(models(6, 1, 0, 3), domains)
 		Expect(ok).To(BeTrue())
@@ -97,4 +109,14 @@
 		Entry("but none soon after another one in the fleet", 9900*time.Millisecond, time.Minute, false),
 		Entry("but none for a burst", time.Minute, 7900*time.Millisecond, false),
 	)
+
+	DescribeTable("permits one at once after an evacuation", func(sinceChange, age time.Duration, incomplete, permitted bool) {
+		evacuation := apportion.Evacuation{InForce: true, Age: age}
+		Expect(apportion.Pace{SinceChange: sinceChange, Evacuation: evacuation, Incomplete: incomplete}.Permits()).To(Equal(permitted))
+	},
+		Entry("that is recent", 2*time.Second, 15*time.Second, false, true),
+		Entry("but none within 2 s of another one", 1900*time.Millisecond, time.Second, false, false),
+		Entry("but none beside another one that is not complete", time.Minute, time.Second, true, false),
+		Entry("but not after an old one, as demand is smoothed by then", time.Minute, 15100*time.Millisecond, false, false),
+	)
 })
--- a/internal/evacuation/data_centre.go
+++ b/internal/evacuation/data_centre.go
@@ -7,6 +7,7 @@
 	statement
 	changedAt   time.Time // when this daemon learnt of the latest start or end; zero: of none
 	withdrawnAt time.Time // when this daemon learnt of the latest end; zero: of none
+	source      Source    // of the latest start or end
 	// pending is what the copy says from which the store was restored, if it contradicts what the
 	// daemon knows. It holds from pendingUntil on.
 	pending      *statement
--- a/internal/evacuation/folding.go
+++ b/internal/evacuation/folding.go
@@ -86,9 +86,9 @@
 // adopt makes a statement what is known.
 func (f *folding) adopt(name string, said statement) {
 	known := f.state.dataCentres[name]
-	next := dataCentre{statement: said, changedAt: known.changedAt, withdrawnAt: known.withdrawnAt}
+	next := dataCentre{statement: said, changedAt: known.changedAt, withdrawnAt: known.withdrawnAt, source: known.source}
 	if said.evacuated != known.evacuated {
-		next.changedAt = f.now
+		next.changedAt, next.source = f.now, f.source
 		kind := Started
 		if !said.evacuated {
 			next.withdrawnAt = f.now
--- a/internal/evacuation/set.go
+++ b/internal/evacuation/set.go
@@ -41,6 +41,18 @@
 	return count
 }
 
+// InForce returns the evacuations in force, sorted by name.
+func (s *Set) InForce() []InForce {
+	var all []InForce
+	for name, known := range s.state.Load().dataCentres {
+		if known.evacuated {
+			all = append(all, InForce{DataCentre: name, Since: known.changedAt, Source: known.source})
+		}
+	}
+	slices.SortFunc(all, func(a, b InForce) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
+	return all
+}
+
 // WithdrawnAt returns when this daemon learnt that the latest evacuation of a data centre was
 // withdrawn, the zero time if it has learnt of none. It stays when another one is imposed.
 func (s *Set) WithdrawnAt(dataCentre string) time.Time {
--- a/internal/evacuation/set_test.go
+++ b/internal/evacuation/set_test.go
@@ -164,6 +164,15 @@
 			Expect(set.Evacuated("x")).To(BeFalse(), "the store is read later than the other daemon told")
 		})
 
+		It("tells since when and from where each evacuation is known, from the first news on", func() {
+			set.Merge([]evacuation.Report{report("y", 0, 5, true)}, at(0))
+			set.Apply(news(0, imposed("x", 4), imposed("y", 5), imposed("z", 6), withdrawn("z", 7)), at(30))
+			set.Apply(news(0, imposed("x", 8)), at(900))
+			Expect(set.InForce()).To(Equal([]evacuation.InForce{
+				{DataCentre: "x", Since: at(30), Source: evacuation.FromStore}, {DataCentre: "y", Since: at(0), Source: evacuation.FromDaemon},
+			}), "a planner that took old evacuations for new ones would change groups at once")
+		})
+
 		It("never brings back an evacuation that was withdrawn before this daemon started", func() {
 			late := evacuation.NewSet(prefix)
 			late.Apply(whole(0, 9), at(0))
