Formation: groups outside evacuated data centres carry all demand

While a data centre is evacuated the planner counted its groups as capacity, so that the groups that were left stayed as they were: 315 requests per second at eight groups of the build farm's smaller model that complete 35 each. Capacity is now what is outside evacuated data centres. For 15 s after the evacuation the present demand counts in place of the smoothed one and a change is made at once, one at a time, none in an evacuated data centre. Groups there are planned as before. When the set of evacuated data centres changes, changes start anew to pay off. It applies to services that are planned by demand only.

--- a/internal/formation/demand_site_test.go
+++ b/internal/formation/demand_site_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -27,6 +28,7 @@
 	planners []*sitePlanner
 	start    time.Time
 	shifts   []formation.Shift // carried out
+	shiftsAt []time.Time       // when they were
 	storeOut bool              // appends fail
 }
 
@@ -57,7 +59,7 @@
 	}, requests(62.8, 1677, 113), requests(381, 714, 217))
 }
 
-// newDemandSite returns a site of six domains whose groups were formed before traffic, by equal
+// newDemandSite returns a site of six domains in three data centres whose groups were formed before traffic, by equal
 // shares.
 func newDemandSite(perDomain, largeSize, smallSize int, perf catalog.PerformanceModel, large, small demand.Total) *demandSite {
 	s := &demandSite{deployment: newDeployment(0), perf: perf, large: large, small: small}
@@ -69,7 +71,7 @@
 		for i := range perDomain {
 			id := fmt.Sprintf("d%d-%02d", domain, i)
 			s.endpoints[id] = &registry.Endpoint{
-				ID: id, Service: "s", Domain: fmt.Sprint("d", domain), Address: id, Slots: perf.Slots, Incarnation: 1, Staged: []string{"large", "small"}, FirstSeen: time.Unix(0, 0),
+				ID: id, Service: "s", DataCentre: fmt.Sprint("z", domain/2), Domain: fmt.Sprint("d", domain), Address: id, Slots: perf.Slots, Incarnation: 1, Staged: []string{"large", "small"}, FirstSeen: time.Unix(0, 0),
 			}
 		}
 	}
@@ -104,9 +106,10 @@
 	var orders []plannedOrder
 	for _, planner := range s.planners {
 		planner.history.Observe(read, s.in.Now)
-		planner.tracker.Observe("s", map[string]demand.Total{
-			"large": scaled(s.large, largeFactor*planner.seen), "small": scaled(s.small, smallFactor*planner.seen),
-		}, s.in.Now)
+		planner.history.ObserveEvacuated(slices.Sorted(maps.Keys(s.in.Evacuated)))
+		present := map[string]demand.Total{"large": scaled(s.large, largeFactor*planner.seen), "small": scaled(s.small, smallFactor*planner.seen)}
+		planner.tracker.Observe("s", present, s.in.Now)
+		s.in.PresentDemand = func(_, model string) demand.Total { return present[model] }
 		written := s.in.Groups
 		s.in.Groups, s.in.Owns, s.in.Health, s.in.Shifts = read, planner.owns, planner.health, planner.history.Load()
 		s.in.Demand = nil
@@ -122,6 +125,9 @@
 		if len(plan.Grants)+len(plan.Drops) > 0 && written == read && !s.storeOut {
 			s.applyToLedger(plan)
 			s.shifts = append(s.shifts, plan.Shifts...)
+			for range plan.Shifts {
+				s.shiftsAt = append(s.shiftsAt, s.in.Now)
+			}
 		}
 	}
 	for _, planned := range orders {
--- a/internal/formation/follow_demand.go
+++ b/internal/formation/follow_demand.go
@@ -19,7 +19,8 @@
 		return
 	}
 	models := p.apportionedModels()
-	paying, pays := apportion.Next(models, p.apportionedDomains(true))
+	evacuation := p.evacuation()
+	paying, pays := evacuation.Next(models, p.apportionedDomains(true))
 	if !pays {
 		return
 	}
@@ -27,19 +28,22 @@
 		p.plan.Paying = map[string]apportion.Change{}
 	}
 	p.plan.Paying[p.service.Name] = paying
-	if !p.in.Shifts.pace(p.service.Name, paying, p.in.Now).Permits() || p.recordsChange() {
+	pace := p.in.Shifts.pace(p.service.Name, paying, p.in.Now)
+	pace.Evacuation, pace.Incomplete = evacuation, p.changeIncomplete()
+	if !pace.Permits() || p.recordsChange() {
 		return
 	}
-	change, due := apportion.Next(models, p.apportionedDomains(false))
+	change, due := evacuation.Next(models, p.apportionedDomains(false))
 	if due && change.From == paying.From && change.To == paying.To {
 		p.shift(change)
 	}
 }
 
 // recordsChange reports whether groups of the service are being dissolved or granted, or records
-// have to be written again after the store has come back from an older copy.
+// have to be written again after the store has come back from an older copy. Groups that dissolve in an
+// evacuated data centre take part in no change.
 func (p *planner) recordsChange() bool {
-	dissolving := func(record *ledger.Record) bool { return record.Dissolving }
+	dissolving := func(record *ledger.Record) bool { return record.Dissolving && !p.evacuated.has(record.Domain) }
 	return len(p.plan.Grants)+len(p.plan.Drops)+len(p.in.Groups.Forgotten)+len(p.in.Groups.Resurrected) > 0 ||
 		p.in.Groups.Era > 0 && p.in.EraAge < eraSettlingPeriod || slices.ContainsFunc(p.records(), dissolving)
 }
@@ -48,12 +52,13 @@
 	var models []apportion.Model
 	for i := range p.service.Models {
 		model := &p.service.Models[i]
-		models = append(models, apportion.Model{Name: model.Name, GroupSize: model.GroupSize, Groups: p.groupCounts[model.Name], Need: p.needs[model.Name]})
+		models = append(models, apportion.Model{Name: model.Name, GroupSize: model.GroupSize, Groups: p.counts.usable[model.Name], Need: p.needs[model.Name]})
 	}
 	return models
 }
 
-// apportionedDomains returns the domains with what may be changed in them. With all, it returns
+// apportionedDomains returns the domains with what may be changed in them, without those of evacuated
+// data centres. With all, it returns
 // those of other planners too, and groups that do not serve now are no obstacle: every daemon then
 // sees what pays off, also while a group is repaired.
 func (p *planner) apportionedDomains(all bool) []apportion.Domain {
@@ -79,7 +84,7 @@
 	}
 	var chosen []apportion.Domain
 	for _, name := range slices.Sorted(maps.Keys(domains)) {
-		if all || p.in.Owns(name) {
+		if (all || p.in.Owns(name)) && !p.evacuated.has(name) {
 			chosen = append(chosen, *domains[name])
 		}
 	}
@@ -120,17 +125,16 @@
 		p.plan.Drops = append(p.plan.Drops, names[change.Form:]...)
 	}
 	p.plan.Grants = append(p.plan.Grants, source.leftovers()...)
-	p.groupCounts[change.From] -= len(change.Close)
-	p.groupCounts[change.To] += change.Form
+	p.addGroups(change.Domain, change.From, -len(change.Close))
+	p.addGroups(change.Domain, change.To, change.Form)
 	p.plan.Converging = true
 	p.plan.Shifts = append(p.plan.Shifts, p.describe(change, to))
 }
 
 func (p *planner) describe(change apportion.Change, to *catalog.Model) Shift {
-	demand := p.in.Demand[p.service.Name]
 	return Shift{
-		Change: change, Service: p.service.Name,
-		FromDemand: demand[change.From].RequestsPerS, FromCapacity: p.capacity(p.service.Model(change.From)),
-		ToDemand: demand[change.To].RequestsPerS, ToCapacity: p.capacity(to),
+		Change: change, Service: p.service.Name, Evacuation: p.evacuation(),
+		FromDemand: p.demandFor(change.From).RequestsPerS, FromCapacity: p.capacity(p.service.Model(change.From)),
+		ToDemand: p.demandFor(change.To).RequestsPerS, ToCapacity: p.capacity(to),
 	}
 }
--- a/internal/formation/group_creation.go
+++ b/internal/formation/group_creation.go
@@ -129,7 +129,7 @@
 		members = append(members, memberOf(e))
 		p.removeFree(e)
 	}
-	p.groupCounts[model.Name]++
+	p.addGroups(domain, model.Name, 1)
 	p.plan.Converging = true
 	p.plan.Grants = append(p.plan.Grants, &ledger.Record{
 		Group: p.newGroupName(domain), Service: p.service.Name, Model: model.Name, Domain: domain, Members: members,
@@ -152,7 +152,7 @@
 // weight store and, with the ready free endpoints, suffice for the new group. It
 // reports whether it dissolved a group.
 func (p *planner) preemptGroup(domain string, model *catalog.Model, ready int) bool {
-	if p.isDissolving(domain) || p.needs != nil && p.groupCounts[model.Name] > 0 {
+	if p.isDissolving(domain) || p.needs != nil && p.counts.all[model.Name] > 0 {
 		return false // with known demand, only a model without any group may take one of another at once
 	}
 	for _, record := range p.records() {
--- a/internal/formation/input.go
+++ b/internal/formation/input.go
@@ -22,6 +22,10 @@
 	// Demand is the smoothed demand of the fleet by service and model. The configured shares apply
 	// to a service without an entry.
 	Demand map[string]map[string]demand.Total
+	// PresentDemand returns the demand of the fleet over the last 2 s, which replaces the smoothed one
+	// after a recent evacuation; nil: not known.
+	PresentDemand func(service, model string) demand.Total
+	Evacuated     map[string]time.Time // when this daemon learnt of the evacuations in force, by data centre
 	// InProgress returns the requests in progress at a group, as far as they are known; nil: not known.
 	InProgress func(group string, epoch uint64) int
 	Shifts     ShiftHistory
--- a/internal/formation/needs.go
+++ b/internal/formation/needs.go
@@ -1,6 +1,9 @@
 package formation
 
-import "github.com/plantainmux/plantainmux/internal/catalog"
+import (
+	"github.com/plantainmux/plantainmux/internal/catalog"
+	"github.com/plantainmux/plantainmux/internal/demand"
+)
 
 // idleUtilisation is the utilisation of the busiest model below which the configured shares apply:
 // the mean over 8 s then stems from a few requests per group.
@@ -10,15 +13,14 @@
 // nil if the demand or the capacity of a group is not known.
 func (p *planner) updateNeeds() {
 	p.needs = nil
-	demand := p.in.Demand[p.service.Name]
-	if p.in.BeforeTraffic || demand == nil || p.service.Performance == nil {
+	if p.in.BeforeTraffic || p.in.Demand[p.service.Name] == nil || p.service.Performance == nil {
 		return
 	}
 	needs := map[string]float64{}
 	busiest := 0.0
 	for i := range p.service.Models {
 		model := &p.service.Models[i]
-		requests := demand[model.Name].RequestsPerS
+		requests := p.demandFor(model.Name).RequestsPerS
 		if requests <= 0 {
 			needs[model.Name] = 0
 			continue
@@ -35,9 +37,18 @@
 	}
 }
 
+// demandFor returns the demand for a model by which its groups are planned: the smoothed one or, after
+// a recent evacuation, that of the present.
+func (p *planner) demandFor(model string) demand.Total {
+	if p.in.PresentDemand != nil && p.evacuation().Recent() {
+		return p.in.PresentDemand(p.service.Name, model)
+	}
+	return p.in.Demand[p.service.Name][model]
+}
+
 // capacity returns the requests per second that a group of a model completes.
 func (p *planner) capacity(model *catalog.Model) float64 {
-	prompt, output := p.in.Demand[p.service.Name][model.Name].MeanTokens()
+	prompt, output := p.demandFor(model.Name).MeanTokens()
 	return p.service.Performance.GroupCapacity(model, prompt, output)
 }
 
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -29,14 +29,17 @@
 	plan        Plan
 	service     *catalog.Service
 	free        map[string][]*registry.Endpoint // by domain
-	groupCounts map[string]int                  // number of groups by model, over all domains
-	needs       map[string]float64              // number of groups that the demand fills, by model; nil: not known
-	assigned    map[string]map[string]int       // number of healthy endpoints by domain and assigned model
+	groupCounts map[string]int                  // number of groups by model that count for the domain that is planned
+	counts      countedGroups
+	evacuated   evacuatedDomains
+	needs       map[string]float64        // number of groups that the demand fills, by model; nil: not known
+	assigned    map[string]map[string]int // number of healthy endpoints by domain and assigned model
 }
 
 func (p *planner) planService(service *catalog.Service) {
 	p.service = service
 	p.findFree()
+	p.findEvacuated()
 	p.countGroups()
 	p.countAssigned()
 	p.updateNeeds()
@@ -49,6 +52,7 @@
 	p.followDemand()
 	for _, domain := range slices.Sorted(maps.Keys(p.free)) {
 		if p.in.Owns(domain) {
+			p.groupCounts = p.countsFor(domain)
 			p.createGroups(domain)
 			p.prepareSpares(domain)
 		}
@@ -93,12 +97,13 @@
 }
 
 func (p *planner) countGroups() {
-	p.groupCounts = map[string]int{}
+	p.counts = countedGroups{all: map[string]int{}, usable: map[string]int{}}
 	for _, record := range p.records() {
 		if !record.Dissolving && !p.allAbsent(record) {
-			p.groupCounts[record.Model]++
+			p.addGroups(record.Domain, record.Model, 1)
 		}
 	}
+	p.groupCounts = p.counts.usable
 }
 
 // reconcileGroup orders the next step that a group needs to match its record, or
@@ -133,7 +138,7 @@
 // dissolve marks a group as dissolving. Its members remain granted until its head has
 // released them.
 func (p *planner) dissolve(record *ledger.Record) {
-	p.groupCounts[record.Model]--
+	p.addGroups(record.Domain, record.Model, -1)
 	p.plan.Converging = true
 	p.plan.Grants = append(p.plan.Grants, &ledger.Record{
 		Group: record.Group, Service: record.Service, Model: record.Model, Domain: record.Domain,
--- a/internal/formation/reconciler.go
+++ b/internal/formation/reconciler.go
@@ -14,6 +14,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/demand"
+	"github.com/plantainmux/plantainmux/internal/evacuation"
 	"github.com/plantainmux/plantainmux/internal/keyed"
 	"github.com/plantainmux/plantainmux/internal/ledger"
 	"github.com/plantainmux/plantainmux/internal/registry"
@@ -48,6 +49,8 @@
 	BeforeTraffic func() bool                                  // reports whether no request has arrived yet
 	Owners        func(domains []string) int                   // number of daemons that plan any of the domains
 	Demand        func(service string) map[string]demand.Total // smoothed, by model; nil: not known
+	PresentDemand func(service, model string) demand.Total     // over the last 2 s; nil: not known
+	Evacuations   func() []evacuation.InForce                  // nil: there are none
 	InProgress    func(group string, epoch uint64) int         // requests in progress at a group, as far as they are known
 	Shifted       func(shift Shift)                            // is called for each change of groups to another model; nil: not
 	CanWrite      func() bool                                  // reports whether the store was reachable recently
@@ -116,10 +119,12 @@
 	now := time.Now()
 	groups := r.Ledger.Load()
 	r.shifts.Observe(groups, now)
+	evacuated := r.evacuated()
+	r.shifts.ObserveEvacuated(slices.Sorted(maps.Keys(evacuated)))
 	return Input{
 		Catalog: current, Endpoints: r.Endpoints(), Groups: groups, Health: r.observations.health(),
 		Owns: r.Owns, BeforeTraffic: r.BeforeTraffic(), EraAge: r.Ledger.EraAge(now), Now: now,
-		Demand: r.demand(current), InProgress: r.InProgress, Shifts: r.shifts.Load(),
+		Demand: r.demand(current), PresentDemand: r.PresentDemand, Evacuated: evacuated, InProgress: r.InProgress, Shifts: r.shifts.Load(),
 	}, true
 }
 
--- a/internal/formation/shift.go
+++ b/internal/formation/shift.go
@@ -6,6 +6,7 @@
 type Shift struct {
 	apportion.Change
 	Service                  string
-	FromDemand, ToDemand     float64 // requests per second, smoothed
+	FromDemand, ToDemand     float64 // requests per second, smoothed unless the evacuation is recent
 	FromCapacity, ToCapacity float64 // requests per second that a group completes
+	Evacuation               apportion.Evacuation
 }
--- a/internal/formation/shift_history.go
+++ b/internal/formation/shift_history.go
@@ -10,6 +10,7 @@
 type ShiftHistory struct {
 	LastChange time.Time                // in the fleet, or when this daemon first read the ledger
 	Paying     map[string]PayingService // by service; the change paid off at every planning round since
+	Evacuated  []string                 // data centres that were evacuated in these rounds
 }
 
 // PayingService is the direction in which a change of a service pays off.
--- a/internal/formation/shift_tracker.go
+++ b/internal/formation/shift_tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/apportion"
@@ -34,6 +35,14 @@
 	}
 }
 
+// ObserveEvacuated records which data centres are evacuated, sorted by name. If others are than before,
+// changes start anew to pay off: what paid off until now did so with other groups.
+func (t *ShiftTracker) ObserveEvacuated(dataCentres []string) {
+	if !slices.Equal(dataCentres, t.history.Evacuated) {
+		t.history.Evacuated, t.history.Paying = dataCentres, nil
+	}
+}
+
 // Review records which changes pay off now, by service.
 func (t *ShiftTracker) Review(paying map[string]apportion.Change, now time.Time) {
 	next := map[string]PayingService{}
@@ -49,5 +58,5 @@
 
 // Load returns the history up to now.
 func (t *ShiftTracker) Load() ShiftHistory {
-	return ShiftHistory{LastChange: t.history.LastChange, Paying: maps.Clone(t.history.Paying)}
+	return ShiftHistory{LastChange: t.history.LastChange, Paying: maps.Clone(t.history.Paying), Evacuated: t.history.Evacuated}
 }
