Gateway: tell the planner of evacuations and of the present demand

The planner had no knowledge of evacuated data centres. It gets the evacuations in force with the times at which this daemon learnt of them, and the demand of the fleet over the last 2 s beside the smoothed one.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -149,6 +149,8 @@
 	g.buildFollowers()
 	g.registerAgeGauges()
 	g.buildReconciler()
+	g.reconciler.Evacuations = g.evacuations.InForce
+	g.reconciler.PresentDemand = g.presentDemand
 	g.buildRequestPath()
 	adapters.Notices.Subscribe(g.applyNotice)
 	return g, nil
@@ -204,6 +206,11 @@
 	return servers, nil
 }
 
+// presentDemand returns the demand of the fleet for a model over the last 2 s.
+func (g *Gateway) presentDemand(service, model string) demand.Total {
+	return demand.TotalOf(*g.fleetDemand.Load(), service, model)
+}
+
 func (g *Gateway) peerAddress() string {
 	return net.JoinHostPort(g.settings.Listen.Host, strconv.Itoa(g.settings.Listen.FirstPort))
 }
