--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -185,6 +185,7 @@
 	own.Handle(peerlog.Path, peerlog.Handler(g.mirror))
 	own.HandleFunc("GET "+peer.Path, g.acceptLink)
 	own.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { g.writeMetrics(w) })
+	own.HandleFunc("GET "+StatusPath, g.serveStatus)
 	handlers := map[string]http.Handler{
 		g.settings.Listen.Callers:   g.adapters.Callers(g),
 		g.settings.Listen.Readiness: g.adapters.Readiness(g),
