Let a model that is short of capacity take groups from a busy one

Cause: the model that gives up groups must stay below 0.75 of its capacity. With both models short of capacity, no change was possible, however far apart they were: 1.67 and 0.94 in the spec.

Change: where the other model is short of capacity, the one that gives up groups may be as busy as that one is afterwards. No change leaves the models further apart than before.

Specs: two new ones in internal/apportion; both fail on the rule before.

--- a/internal/apportion/change.go
+++ b/internal/apportion/change.go
@@ -1,5 +1,7 @@
 package apportion
 
+import "math"
+
 // Change closes groups of one model in a domain and forms groups of another from their members
 // and, if those are too few, from free endpoints.
 type Change struct {
@@ -19,8 +21,16 @@
 	return max(c.FromBefore, c.ToBefore) - max(c.FromAfter, c.ToAfter)
 }
 
-// paysOff reports whether the gain exceeds the cost.
-func (c Change) paysOff() bool { return c.gain() > minGain && c.FromAfter < maxUtilisation }
+// paysOff reports whether the gain exceeds the cost, the models end up no further apart than before,
+// and the one that gives up groups keeps enough: the rest above maxUtilisation or, where the other one
+// is short of capacity, as much as that has then.
+func (c Change) paysOff() bool {
+	apart := math.Abs(c.FromAfter - c.ToAfter)
+	if c.gain() <= minGain || apart > math.Abs(c.FromBefore-c.ToBefore) {
+		return false
+	}
+	return c.FromAfter < maxUtilisation || c.ToBefore >= shortUtilisation && c.FromAfter <= c.ToAfter
+}
 
 // better reports whether a change is preferable to another one: the greater gain, and among equal
 // ones that which disturbs fewer requests.
--- a/internal/apportion/next.go
+++ b/internal/apportion/next.go
@@ -8,6 +8,9 @@
 	// maxUtilisation is the utilisation below which the model that gives up groups must stay. The
 	// rest is for waves of demand and for groups that are lost meanwhile.
 	maxUtilisation = 0.75
+	// shortUtilisation is the utilisation from which a model is short of capacity, so that a part of
+	// its requests is refused. Both models then share what there is.
+	shortUtilisation = 1
 )
 
 // Next returns the change that pays off most, and whether there is any. No change closes the last
--- a/internal/apportion/next_test.go
+++ b/internal/apportion/next_test.go
@@ -51,6 +51,7 @@
 		Entry("if the busier model gains too little", models(6, 2.5, 12, 6.5), domains),
 		Entry("if the model that gives up a group would be too busy", models(6, 3.8, 12, 11.5), domains),
 		Entry("if all are busy", models(6, 8, 12, 16), domains),
+		Entry("if it only exchanged which of the models is the busier one", models(1, 0.66, 12, 6), domains),
 		Entry("if it closed the last group of a model without demand", models(1, 0, 12, 11), domains),
 		Entry("if it closed both groups of a model that has two", models(2, 2, 2, 0.1), []apportion.Domain{{Groups: smalls.Groups[:2]}}),
 		Entry("if a group of either model is unsettled", models(6, 2.5, 12, 9), []apportion.Domain{{Groups: mixed.Groups, Unsettled: []string{"small"}}}),
@@ -64,6 +65,21 @@
 		Entry("without domains", models(6, 2.5, 12, 9), nil),
 	)
 
+	// With both models short of capacity, the larger one stayed at 1.7 times its capacity and the
+	// smaller one at 0.9, as that may not exceed 0.75.
+	It("takes groups from a busy model for one that is short of capacity, until they are equally busy", func() {
+		large, small := 3, 18
+		for {
+			change, ok := apportion.Next(models(large, 5, small, 17), domains)
+			if !ok {
+				break
+			}
+			Expect(change.To).To(Equal("large"))
+			large, small = large+change.Form, small-len(change.Close)
+		}
+		Expect([]int{large, small}).To(Equal([]int{4, 16}))
+	})
+
 	It("serves a model that has no group", func() {
 		change, ok := apportion.Next(models(6, 1, 0, 3), domains)
 		Expect(ok).To(BeTrue())
