Share what is admitted under overload between teams by max-min fairness

Cause: all requests of a priority were refused alike, so that a team that floods a model took the part of the teams that ask for little.

Change: requests are counted by team where they are decided, over 2 s. Each team gets its max-min fair share of what is admitted of its priority; where no team has four requests in that time, all have the fraction of the priority as before. The function moves from internal/admit to internal/fairshare, which both packages use. Shares are equal, as the configuration has no weights.

Specs: a team that asks for less than its share is refused nothing, and all teams together get no more than before.

--- a/internal/admit/allotment.go
+++ b/internal/admit/allotment.go
@@ -1,6 +1,9 @@
 package admit
 
-import "github.com/plantainmux/plantainmux/internal/fleet"
+import (
+	"github.com/plantainmux/plantainmux/internal/fairshare"
+	"github.com/plantainmux/plantainmux/internal/fleet"
+)
 
 // Allotment is one daemon's part of the capacity of a model in its data centre.
 type Allotment struct {
@@ -26,7 +29,7 @@
 		totals[i] = float64(demand.total())
 		shares[i] = demand.Share
 	}
-	byTeam := apportion(maxMin(float64(capacity), shares, totals), rotation)
+	byTeam := apportion(fairshare.MaxMin(float64(capacity), shares, totals), rotation)
 	allotment := Allotment{
 		Teams:   make(map[fleet.TeamName]int, len(demands)),
 		Backlog: make(map[fleet.TeamName]float64, len(demands)),
--- a/internal/demand/counter.go
+++ b/internal/demand/counter.go
@@ -21,6 +21,7 @@
 type Counter struct {
 	mu      sync.Mutex
 	classes map[class]*[wholeBuckets + 1]bucket
+	teams   map[class]map[string]*teamBuckets
 	started time.Time // of the first observation
 }
 
@@ -40,10 +41,7 @@
 	key := class{keyOf(service, model), uint8(min(max(priority, 0), math.MaxUint8))}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.started.IsZero() {
-		c.started = now
-		c.classes = map[class]*[wholeBuckets + 1]bucket{}
-	}
+	c.start(now)
 	ring := c.classes[key]
 	if ring == nil {
 		ring = &[wholeBuckets + 1]bucket{}
@@ -57,6 +55,14 @@
 	at.counts = at.counts.plus(observed)
 }
 
+func (c *Counter) start(now time.Time) {
+	if c.started.IsZero() {
+		c.started = now
+		c.classes = map[class]*[wholeBuckets + 1]bucket{}
+		c.teams = map[class]map[string]*teamBuckets{}
+	}
+}
+
 // Reports returns the rates over the last 2 s. A class without requests in that time is left out.
 func (c *Counter) Reports(now time.Time) []Report {
 	c.mu.Lock()
--- a/internal/demand/demand_test.go
+++ b/internal/demand/demand_test.go
@@ -33,6 +33,19 @@
 		Expect(c.Reports(start.Add(16 * time.Second))).To(BeEmpty())
 	})
 
+	It("counts teams by model and priority over the same time, and tells other daemons nothing of them", func() {
+		c := &demand.Counter{}
+		Expect(c.Teams("s", "m", 1, start)).To(BeEmpty())
+		for i := range 40 {
+			c.ObserveTeam("s", "m", 1, []string{"a", "a", "a", "b"}[i%4], start.Add(time.Duration(i)*100*time.Millisecond))
+		}
+		c.ObserveTeam("s", "m", 0, "c", start.Add(4*time.Second))
+		teams := c.Teams("s", "m", 1, start.Add(4*time.Second))
+		Expect(teams).To(And(HaveLen(2), HaveKeyWithValue("a", BeNumerically("~", 15, 2)), HaveKeyWithValue("b", BeNumerically("~", 5, 1))))
+		Expect(c.Teams("s", "m", 1, start.Add(7*time.Second))).To(BeEmpty())
+		Expect(c.Reports(start.Add(4 * time.Second))).To(BeEmpty())
+	})
+
 	It("does not report a quarter of a second late or early what begins or ends within an interval", func() {
 		c := &demand.Counter{}
 		observe(c, 40, 0, 0, 5*time.Second+110*time.Millisecond)
--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -21,6 +21,8 @@
 		Targets:     overloadTargets(targets, service.ColdPerS, now),
 		Demand:      r.Demand(service.Name, r.req.Model),
 		Priority:    r.req.Priority,
+		Team:        r.req.Team,
+		Teams:       r.teamDemand(now),
 		Late:        r.req.Late,
 		Daemons:     r.Daemons(),
 		Delay:       r.GossipDelay(),
@@ -30,6 +32,22 @@
 	return r.decision.Admit
 }
 
+// teamDemand counts a request that is not late and returns the demand by team of its priority.
+func (r *run) teamDemand(now time.Time) []overload.TeamDemand {
+	if r.Counter == nil {
+		return nil
+	}
+	if !r.req.Late {
+		r.Counter.ObserveTeam(r.req.Service.Name, r.req.Model, r.req.Priority, r.req.Team, now)
+	}
+	counts := r.Counter.Teams(r.req.Service.Name, r.req.Model, r.req.Priority, now)
+	teams := make([]overload.TeamDemand, 0, len(counts))
+	for team, requests := range counts {
+		teams = append(teams, overload.TeamDemand{Team: team, Requests: requests})
+	}
+	return teams
+}
+
 // overloadTargets returns the targets that take requests. Those that failed or hold back have
 // no capacity, and what is in progress there is not in progress at the others. Cold ones take
 // coldPerS requests per second, if that is above 0.
--- a/internal/admit/max_min.go
+++ b/internal/fairshare/max_min.go
@@ -1,13 +1,13 @@
-package admit
+package fairshare
 
 // minShare is the weight of a team without a share: it gets only what the others do not
 // use.
 const minShare = 1e-6
 
-// maxMin divides capacity between teams by weighted max-min fairness: each team gets its
+// MaxMin divides capacity between teams by weighted max-min fairness: each team gets its
 // demand up to its share, and capacity that it does not use is divided between the
 // others in the same way.
-func maxMin(capacity float64, shares, demands []float64) []float64 {
+func MaxMin(capacity float64, shares, demands []float64) []float64 {
 	granted := make([]float64, len(demands))
 	unsatisfied := make([]bool, len(demands))
 	for i := range unsatisfied {
--- a/internal/overload/decide.go
+++ b/internal/overload/decide.go
@@ -62,7 +62,7 @@
 		return d
 	}
 	d.Limited = true
-	d.Fraction = fractionOf(in, admissible, d.Demand)
+	d.Fraction = teamFraction(in, fractionOf(in, admissible, d.Demand))
 	d.Admit = in.Random < d.Fraction
 	return d
 }
--- a/internal/overload/decide_test.go
+++ b/internal/overload/decide_test.go
@@ -132,4 +132,39 @@
 			Expect(overload.Decide(in).Capacity).To(BeNumerically("<", 0.9*capacity), "one that is slow for its load still counts as slow")
 		}
 	})
+
+	// One team that floods the model took the part of all others, as each was refused alike.
+	It("gives each team its max-min fair share of what is admitted of its priority", func() {
+		teams := []overload.TeamDemand{{Team: "small", Requests: 5}, {Team: "mean", Requests: 25}, {Team: "flood", Requests: 70}}
+		admitted := map[string]float64{}
+		for _, team := range teams {
+			in := input(38, map[int]float64{0: 512})
+			all := overload.Decide(in).Fraction
+			in.Team, in.Teams = team.Team, teams
+			admitted[team.Team] = overload.Decide(in).Fraction * team.Requests
+			admitted["all"] = all * 100
+		}
+		Expect(admitted["small"]).To(BeNumerically("~", 5, 1e-9), "asks for less than its share")
+		Expect(admitted["mean"]).To(BeNumerically(">=", (admitted["all"]-5)/2-1e-9))
+		Expect(admitted["small"]+admitted["mean"]+admitted["flood"]).To(BeNumerically("~", admitted["all"], 1e-6), "no more than without teams")
+	})
+
+	It("weights the shares", func() {
+		in := input(38, map[int]float64{0: 512})
+		in.Team, in.Teams = "a", []overload.TeamDemand{{Team: "a", Requests: 50, Weight: 3}, {Team: "b", Requests: 50}}
+		a := overload.Decide(in).Fraction
+		in.Team = "b"
+		Expect(a).To(BeNumerically("~", 3*overload.Decide(in).Fraction, 1e-9))
+	})
+
+	DescribeTable("tells no team from another by chance", func(team string, teams ...overload.TeamDemand) {
+		in := input(38, map[int]float64{0: 512})
+		all := overload.Decide(in)
+		in.Team, in.Teams = team, teams
+		Expect(overload.Decide(in)).To(Equal(all))
+	},
+		Entry("few requests of all", "a", overload.TeamDemand{Team: "a", Requests: 3}, overload.TeamDemand{Team: "b", Requests: 1}),
+		Entry("the team was not counted", "a", overload.TeamDemand{Team: "b", Requests: 30}),
+		Entry("impossible counts", "a", overload.TeamDemand{Team: "a", Requests: -1}, overload.TeamDemand{Team: "b", Requests: 9}),
+	)
 })
--- a/internal/overload/input.go
+++ b/internal/overload/input.go
@@ -13,6 +13,8 @@
 	Targets     []Target // groups of the model that take requests
 	Demand      Demand
 	Priority    int           // of the request; 0 is the most urgent
+	Team        string        // of the request; empty: none, which counts as a team
+	Teams       []TeamDemand  // of the priority of the request; empty: not known, so that all teams are alike
 	Late        bool          // the request has missed its latency target already
 	Daemons     int           // number of live daemons
 	Delay       time.Duration // with which this daemon learns of the requests of others
