Compute the time after which callers refused under overload come back

Cause: refused callers come back within 0.3 to 0.8 s whatever the load, so that at a high one they are refused again.

Change: the decision states the time in which the admitted fraction covers what was refused within the 2 s over which demand is counted, at least 0.3 s, at most a third of the time to the deadline, with up to half as jitter. Above that third, it is the third, and the decision says that there is no room. internal/exchange/choose_target.go does not use it yet.

Specs: 1.05 to 3 times the capacity, short and unknown deadlines, late requests.

--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -26,6 +26,8 @@
 		Late:        r.req.Late,
 		Daemons:     r.Daemons(),
 		Delay:       r.GossipDelay(),
+		Remaining:   r.req.Deadline.Sub(now),
+		Jitter:      rand.Float64(),
 		Random:      rand.Float64(),
 	})
 	r.Metrics.decided(modelKey{service.Name, r.req.Model}, r.decision)
--- a/internal/overload/decide.go
+++ b/internal/overload/decide.go
@@ -70,18 +70,21 @@
 		return d
 	}
 	d.Limited = true
-	d.Fraction = teamFraction(in, fractionOf(in, admissible, d.Demand))
+	fraction := teamFraction(in, fractionOf(in, admissible, d.Demand))
+	d.RetryAfter, d.NoRoom = retryAfter(fraction, in.Remaining, in.Jitter)
+	if !in.Late {
+		d.Fraction = fraction
+	} else {
+		d.Fraction = 0 // late requests must not displace those that can still be in time
+	}
 	d.Admit = in.Random < d.Fraction
 	return d
 }
 
 // fractionOf returns the fraction of the requests of a priority that are admitted when all
 // priorities together get the given number of requests per second. Each keeps leastShare of
-// the overall fraction, and the most urgent get the rest. Late requests get none.
+// the overall fraction, and the most urgent get the rest.
 func fractionOf(in Input, admissible, demand float64) float64 {
-	if in.Late {
-		return 0
-	}
 	least := leastShare * admissible / demand
 	rest := admissible - least*demand - (1-least)*in.Demand.moreUrgent(in.Priority)
 	own := in.Demand.ByPriority[in.Priority]
--- a/internal/overload/decide_test.go
+++ b/internal/overload/decide_test.go
@@ -181,4 +181,23 @@
 		Expect(decide(80).Limited).To(BeFalse())
 		Expect(decide(168).Fraction).To(BeNumerically("~", 0.5, 0.01), "0.7 of 48 slots within 0.4 s")
 	})
+
+	// All refused callers came back within 0.3 to 0.8 s, at whatever load, and were refused again.
+	DescribeTable("tells refused callers to come back when what was refused before is covered", func(demand float64, late bool, remaining time.Duration, jitter float64, least, most time.Duration, noRoom bool) {
+		in := input(38, map[int]float64{0: demand})
+		in.Late, in.Remaining, in.Jitter, in.Random = late, remaining, jitter, 1
+		d := overload.Decide(in)
+		Expect(d.Admit).To(BeFalse())
+		Expect(d.RetryAfter).To(And(BeNumerically(">=", least), BeNumerically("<=", most)))
+		Expect(d.NoRoom).To(Equal(noRoom))
+	},
+		Entry("at 1.05 times the capacity, at once", 270.0, false, 9*time.Second, 0.0, 300*time.Millisecond, 300*time.Millisecond, false),
+		Entry("with up to half of the time as jitter", 270.0, false, 9*time.Second, 1.0, 450*time.Millisecond, 450*time.Millisecond, false),
+		Entry("at 1.5 times, after a second", 385.0, false, 9*time.Second, 0.0, 900*time.Millisecond, 1100*time.Millisecond, false),
+		Entry("never later than they wait for", 385.0, false, 3100*time.Millisecond, 1.0, time.Second, 1034*time.Millisecond, false),
+		Entry("no room at 3 times", 770.0, false, 9*time.Second, 0.5, 3*time.Second, 3*time.Second, true),
+		Entry("no room for those with little time left", 385.0, false, 600*time.Millisecond, 0.5, 200*time.Millisecond, 200*time.Millisecond, true),
+		Entry("late ones like the others of their priority", 385.0, true, 9*time.Second, 0.0, 900*time.Millisecond, 1100*time.Millisecond, false),
+		Entry("the deadline is not known", 770.0, false, time.Duration(0), 0.5, 2*time.Second, 2*time.Second, true),
+	)
 })
--- a/internal/overload/input.go
+++ b/internal/overload/input.go
@@ -18,5 +18,7 @@
 	Late        bool          // the request has missed its latency target already
 	Daemons     int           // number of live daemons
 	Delay       time.Duration // with which this daemon learns of the requests of others
+	Remaining   time.Duration // until the deadline of the request; 0: not known
+	Jitter      float64       // uniform in [0, 1), for the time after which a refused caller comes back
 	Random      float64       // uniform in [0, 1)
 }
