--- a/internal/overload/decide.go
+++ b/internal/overload/decide.go
@@ -1,6 +1,9 @@
 package overload
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// minDaemons is the number of daemons from which on each learns of the requests of others
@@ -38,7 +41,7 @@
 	if in.Daemons < minDaemons || in.Performance == nil || in.Model == nil || len(in.Targets) == 0 || d.Demand == 0 {
 		return d
 	}
-	aim := loadShare * float64(in.Performance.Slots)
+	aim := cmp.Or(in.LoadShare, loadShare) * float64(in.Performance.Slots)
 	rate := completionRate(in.Performance, in.Model, aim, in.Demand)
 	least := leastGap(in.Targets)
 	totalAim := 0.0
--- a/internal/overload/input.go
+++ b/internal/overload/input.go
@@ -17,4 +17,5 @@
 	Daemons     int           // number of live daemons
 	Delay       time.Duration // with which this daemon learns of the requests of others
 	Random      float64       // uniform in [0, 1)
+	LoadShare   float64       // share of the slots in use that is aimed at; 0: the one for daemons that decide by themselves
 }
--- a/internal/placement/simulation_test.go
+++ b/internal/placement/simulation_test.go
@@ -59,6 +59,7 @@
 	decisions          *rand.Rand // of admission
 	demandTick         int        // newest tick in knownDemand
 	knownDemand        overload.Demand
+	placingDaemon      int // daemon whose request is being placed
 }
 
 // chooser picks a target for a request of a daemon.
@@ -307,6 +308,7 @@
 		group.batch, group.waiting, group.ends = nil, nil, 0
 	}
 	for _, r := range moved {
+		f.placingDaemon = r.daemon
 		f.leave(r)
 		if !r.started {
 			f.endPrefill(r)
@@ -341,6 +343,7 @@
 func (f *simulation) place(arrivedAt time.Duration, value float64, class int, late bool) bool {
 	daemon := f.random.IntN(f.daemons)
 	f.updateView(daemon)
+	f.placingDaemon = daemon
 	prompt := f.promptLength(f.class(class).promptTokens)
 	target := f.choose(f.openTargets(daemon), f.requirements(int(prompt), class, late))
 	if target == nil {
