Ask the dispatcher of the data centre which group takes a request

The first attempt of a request for a model with dispatchers asks the first hub of the data centre by the call dispatch on a link of the mesh, for 20 ms at most; the daemon's own checks of the target still apply. Without an answer the daemon chooses by itself, and after a timeout it asks nobody for 500 ms.

--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -18,7 +18,7 @@
 	r.decision = overload.Decide(overload.Input{
 		Performance: service.Performance,
 		Model:       service.Model(r.req.Model),
-		Targets:     overloadTargets(targets, service.ColdPerS, now),
+		Targets:     OverloadTargets(targets, service.ColdPerS, meterLoad, now),
 		Demand:      r.Demand(service.Name, r.req.Model),
 		Priority:    r.req.Priority,
 		Late:        r.req.Late,
@@ -30,10 +30,10 @@
 	return r.decision.Admit
 }
 
-// overloadTargets returns the targets that take requests. Those that failed or hold back have
+// OverloadTargets returns the targets that take requests, with the requests in progress by load. Those that failed or hold back have
 // no capacity, and what is in progress there is not in progress at the others. Cold ones take
 // coldPerS requests per second, if that is above 0.
-func overloadTargets(targets []*placement.Target, coldPerS float64, now time.Time) []overload.Target {
+func OverloadTargets(targets []*placement.Target, coldPerS float64, load func(target *placement.Target) int, now time.Time) []overload.Target {
 	usable := make([]overload.Target, 0, len(targets))
 	for _, target := range targets {
 		meter := target.Meter
@@ -47,11 +47,13 @@
 		if coldPerS > 0 && target.Limit.Cold(now) && (limit == 0 || coldPerS < limit) {
 			limit = coldPerS
 		}
-		usable = append(usable, overload.Target{Load: meter.Load(), MeanGap: meter.MeanGap(), MaxRate: limit})
+		usable = append(usable, overload.Target{Load: load(target), MeanGap: meter.MeanGap(), MaxRate: limit})
 	}
 	return usable
 }
 
+func meterLoad(target *placement.Target) int { return target.Meter.Load() }
+
 // namedLimit returns the requests per second that a target takes, and whether it names any limit.
 func namedLimit(target *placement.Target) (float64, bool) {
 	if target.Limit == nil {
--- a/internal/exchange/choose_target.go
+++ b/internal/exchange/choose_target.go
@@ -22,7 +22,14 @@
 	}
 	view := r.View()
 	targets := view.Targets(r.req.Service.Name, r.req.Model)
-	if !r.admit(targets, now) {
+	if r.askDispatcher(ctx, targets) {
+		now = time.Now()
+		target, failure := r.applyAnswer(targets, now)
+		if target != nil || failure != nil {
+			r.summary = placement.Summarize(targets, now)
+			return target, failure
+		}
+	} else if !r.admit(targets, now) {
 		r.summary = placement.Summarize(targets, now)
 		return nil, r.fail(Overloaded, nil)
 	}
@@ -55,25 +62,9 @@
 func (r *run) place(targets []*placement.Target, evacuated bool, now time.Time) (*placement.Target, placement.Reason) {
 	forwarded := r.Forwards(r.req.Allowed)
 	for range len(targets) + 1 {
-		target, reason := placement.Pick(targets, placement.Requirements{
-			DataCentre:   r.DataCentre,
-			Grouped:      r.req.Service.Grouped(),
-			Late:         r.req.Late && r.attempts == 0,
-			Overdue:      r.overdue(now),
-			Resumed:      r.started,
-			Admitted:     r.decision.Limited,
-			PromptTokens: r.req.PromptTokens,
-			Priority:     r.req.Priority,
-			Daemons:      r.Daemons(),
-			GossipDelay:  r.GossipDelay(),
-			Forwarded:    forwarded,
-			Evacuated:    evacuated,
-			Random:       rand.Float64(),
-			Excluded:     r.excluded,
-			Now:          now,
-			Allowed:      r.req.Allowed,
-			Regions:      r.Regions,
-		})
+		requirements := r.requirements(now)
+		requirements.Forwarded, requirements.Evacuated = forwarded, evacuated
+		target, reason := placement.Pick(targets, requirements)
 		if target == nil || forwarded || target.Limit.Take(now) {
 			return target, reason
 		} // another request has taken the last one, so that Pick passes the target over
@@ -81,6 +72,27 @@
 	return nil, placement.HeldBack
 }
 
+// requirements returns those of the next attempt, through this daemon.
+func (r *run) requirements(now time.Time) placement.Requirements {
+	return placement.Requirements{
+		DataCentre:   r.DataCentre,
+		Grouped:      r.req.Service.Grouped(),
+		Late:         r.req.Late && r.attempts == 0,
+		Overdue:      r.overdue(now),
+		Resumed:      r.started,
+		Admitted:     r.decision.Limited,
+		PromptTokens: r.req.PromptTokens,
+		Priority:     r.req.Priority,
+		Daemons:      r.Daemons(),
+		GossipDelay:  r.GossipDelay(),
+		Random:       rand.Float64(),
+		Excluded:     r.excluded,
+		Now:          now,
+		Allowed:      r.req.Allowed,
+		Regions:      r.Regions,
+	}
+}
+
 // refused reports whether the request must not run because it, or a part of its prompt, crashed
 // endpoints.
 func (r *run) refused(now time.Time) bool {
--- a/internal/exchange/dependencies.go
+++ b/internal/exchange/dependencies.go
@@ -1,10 +1,12 @@
 package exchange
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/demand"
+	"github.com/plantainmux/plantainmux/internal/dispatch"
 	"github.com/plantainmux/plantainmux/internal/locality"
 	"github.com/plantainmux/plantainmux/internal/overload"
 	"github.com/plantainmux/plantainmux/internal/placement"
@@ -21,7 +23,11 @@
 	Counter     *demand.Counter      // counts what callers ask for; nil: not counted
 	// Demand returns the demand for a model of a service over all daemons; nil: not known, so that
 	// nothing is refused because of it.
-	Demand         func(service, model string) overload.Demand
+	Demand func(service, model string) overload.Demand
+	// Dispatch asks the dispatcher of the data centre which target takes a request. excluded returns the
+	// keys of the targets that this daemon may not use now, and whether there are any others; nil:
+	// this daemon chooses by itself.
+	Dispatch       func(ctx context.Context, req *Request, excluded func() (keys []string, others bool)) dispatch.Outcome
 	Suspects       *suspect.Table  // requests and prompt parts that crashed endpoints
 	FailedRequests *FailedRequests // requests that ended without an answer and may be retried by their callers
 	Metrics        *Metrics
--- a/internal/exchange/exchanger.go
+++ b/internal/exchange/exchanger.go
@@ -55,6 +55,7 @@
 func (x *Exchanger) report(r *run, failure *Failure) {
 	took := time.Since(r.req.Arrived)
 	x.Metrics.finished(r, failure, took)
+	x.Metrics.dispatched(r.dispatch)
 	late := failure == nil && r.late()
 	if failure == nil && r.attempts <= 1 && !late && !x.Metrics.sampled() {
 		return
@@ -75,5 +76,6 @@
 		"targets", r.summary.Targets, "targets_down", r.summary.Down, "targets_suspected", r.summary.Suspected, "least_load", r.summary.LeastLoad, "load", r.loadBefore, "slots", r.summary.Slots,
 		"left_ms", time.Until(r.req.Deadline).Milliseconds(),
 	}
+	fields = append(fields, r.dispatchFields()...)
 	x.Logger.Info("request finished", append(fields, r.decisionFields()...)...)
 }
--- a/internal/exchange/metrics.go
+++ b/internal/exchange/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
+	"github.com/plantainmux/plantainmux/internal/dispatch"
 )
 
 const successesPerLog = 64 // one of this many ordinary successes is logged
@@ -59,3 +60,14 @@
 
 // sampled reports whether the latest ordinary success is to be logged.
 func (m *Metrics) sampled() bool { return m.successes.Load()%successesPerLog == 1 }
+
+// dispatched counts a request for which dispatchers are used, by the reason of a local choice.
+func (m *Metrics) dispatched(outcome dispatch.Outcome) {
+	switch {
+	case !outcome.Asked:
+	case outcome.Local == "":
+		m.set.GetOrCreateCounter(fmt.Sprintf(`plantainmux_dispatched_total{outcome=%q}`, outcome.Answer.Outcome())).Inc()
+	default:
+		m.set.GetOrCreateCounter(fmt.Sprintf(`plantainmux_dispatch_local_total{reason=%q}`, outcome.Local)).Inc()
+	}
+}
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/plantainmux/plantainmux/internal/dispatch"
 	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/overload"
 	"github.com/plantainmux/plantainmux/internal/placement"
@@ -48,6 +49,7 @@
 	firstAt           time.Time         // when the first event or the complete answer arrived
 	longestGap        time.Duration
 	decision          overload.Decision // on the first attempt, under overload
+	dispatch          dispatch.Outcome  // of asking the dispatcher, on the first attempt
 }
 
 func (r *run) runToCompletion(ctx context.Context) *Failure {
--- a/internal/gateway/build.go
+++ b/internal/gateway/build.go
@@ -64,6 +64,7 @@
 		OwnsTrial:      g.ownsTrial,
 		Counter:        &g.demand,
 		Demand:         g.modelDemand,
+		Dispatch:       g.dispatch,
 		FailedRequests: g.failedRequests,
 		Metrics:        exchange.NewMetrics(g.metrics),
 		Logger:         g.logger,
--- /dev/null
+++ b/internal/gateway/dispatch.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/dispatch"
+	"github.com/plantainmux/plantainmux/internal/exchange"
+	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/peer"
+	"github.com/plantainmux/plantainmux/internal/wait"
+)
+
+const (
+	// dispatchInterval is the time between two looks at what the daemons report: at most this is
+	// added to the age of their reports, of 0.1 s.
+	dispatchInterval = 20 * time.Millisecond
+	reviewRounds     = 5 // of dispatchInterval between two looks at which daemon dispatches
+)
+
+// buildDispatch builds the dispatcher and what asks it.
+func (g *Gateway) buildDispatch() {
+	g.dispatcher = newDispatcher(dispatcherDependencies{
+		self: g.settings.Node, dataCentre: g.settings.DataCentre, regions: g.settings.Regions,
+		view: g.view.Load, catalog: g.catalogs.Load, reported: g.gossip.Reported, demand: g.modelDemand, daemons: g.liveDaemons, delay: g.gossip.Delay,
+		declines: g.declinesDispatch, metrics: g.metrics,
+	})
+	g.dispatchClient = newDispatchClient(dispatchClientDependencies{
+		self: g.settings.Node, call: g.callDispatcher, local: g.dispatcher.answer, metrics: g.metrics, logger: g.logger,
+	})
+	g.mesh.HandleCall(dispatch.Method, g.answerDispatch)
+	g.metrics.NewGauge(`plantainmux_dispatcher`, func() float64 {
+		if g.dispatcher.acting.Load() {
+			return 1
+		}
+		return 0
+	})
+}
+
+// runDispatch keeps track of the dispatcher and, while this daemon is the one, of what the daemons
+// report. It does nothing until the first request of a model for which dispatchers are used.
+func (g *Gateway) runDispatch(ctx context.Context) {
+	release := func() {}
+	defer func() { release() }()
+	linked := ""
+	for round := 0; wait.For(ctx, dispatchInterval); round++ {
+		if !g.dispatchClient.used.Load() {
+			continue
+		}
+		now := time.Now()
+		if round%reviewRounds == 0 {
+			name, address, acting := g.gossip.Dispatcher(now, g.endpoints.Lost())
+			if g.dispatchClient.follow(name) || linked != address {
+				release()
+				release = g.linkDispatcher(name, address)
+				linked = address
+			}
+			g.dispatcher.setActing(acting)
+		}
+		if g.dispatcher.acting.Load() {
+			g.dispatcher.review(now)
+		}
+	}
+}
+
+// linkDispatcher keeps a link to another daemon until the returned function is called.
+func (g *Gateway) linkDispatcher(name, address string) (release func()) {
+	if name == "" || name == g.settings.Node {
+		return func() {}
+	}
+	g.startMesh()
+	return g.mesh.Connect(peer.Address{HostPort: address, DataCentre: meshDataCentre})
+}
+
+func (g *Gateway) callDispatcher(ctx context.Context, to string, call dispatch.Call, answer *dispatch.Answer) error {
+	return g.mesh.Call(ctx, fleet.DaemonID(to), dispatch.Method, call, answer)
+}
+
+// declinesDispatch returns why this daemon leaves the choice to the daemons that ask, empty if it
+// does not.
+func (g *Gateway) declinesDispatch() dispatch.Decline {
+	switch {
+	case g.stopping.Load():
+		return dispatch.Stopping
+	case g.endpoints.Lost():
+		return dispatch.CutOff
+	default:
+		return ""
+	}
+}
+
+// dispatch implements exchange.Dependencies.Dispatch.
+func (g *Gateway) dispatch(ctx context.Context, req *exchange.Request, excluded func() (keys []string, others bool)) dispatch.Outcome {
+	if !g.dispatchClient.applies(req) {
+		return dispatch.Outcome{}
+	}
+	keys, others := excluded()
+	if !others {
+		return dispatch.Outcome{Asked: true, Local: dispatch.NoneUsable}
+	}
+	return g.dispatchClient.ask(ctx, dispatch.Call{
+		Service: req.Service.Name, Model: req.Model, PromptTokens: req.PromptTokens, OutputTokens: req.OutputTokens, Priority: req.Priority, Team: req.Team,
+		Late: req.Late, Excluded: keys, Allowed: req.Allowed,
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,8 @@
 	mesh           *peer.Network // links to the daemons through which this one forwards, and to those that forward through it
 	meshStart      sync.Once
 	paths          *forward.LinkPool
+	dispatcher     *dispatcher
+	dispatchClient *dispatchClient
 	forwardersNow  atomic.Pointer[forwarders] // daemons through which this one forwards while it is cut off
 	forwardersAt   time.Time                  // when they were chosen; by the housekeeping alone
 	addressOf      atomic.Pointer[map[string]string]
@@ -149,6 +151,7 @@
 	g.buildFollowers()
 	g.registerAgeGauges()
 	g.buildReconciler()
+	g.buildDispatch()
 	g.buildRequestPath()
 	adapters.Notices.Subscribe(g.applyNotice)
 	return g, nil
@@ -164,7 +167,7 @@
 		return err
 	}
 	for _, run := range []func(context.Context){
-		g.configs.Run, g.entries.Run, g.groups.Run, g.followDaemons, g.gossip.Run, g.register, g.plan, g.housekeep, g.probeUnreachableStore, g.logStoreCalls,
+		g.configs.Run, g.entries.Run, g.groups.Run, g.followDaemons, g.gossip.Run, g.register, g.plan, g.housekeep, g.runDispatch, g.probeUnreachableStore, g.logStoreCalls,
 	} {
 		g.tasks.Go(func() { run(background) })
 	}
--- a/internal/gossip/queries.go
+++ b/internal/gossip/queries.go
@@ -137,6 +137,50 @@
 	return g.hubs(dataCentre, now)
 }
 
+// Dispatcher returns the name and the address of the daemon that chooses targets for those of this
+// data centre, empty if there is none, and whether this daemon acts as it. It is the first of the
+// hubs, which have the newest state, that is not cut off from the endpoints. cutOff states whether this
+// daemon is.
+func (g *Gossip) Dispatcher(now time.Time, cutOff bool) (name, address string, acting bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.usesHubs() {
+		return "", "", false
+	}
+	for _, hub := range g.hubs(g.DataCentre, now) {
+		if hub == g.Node {
+			if cutOff {
+				continue
+			}
+			return hub, g.Address, g.isHub
+		}
+		if peer := g.peers[hub]; peer != nil && !peer.cutOff {
+			return hub, peer.Address, false
+		}
+	}
+	return "", "", false
+}
+
+// Reported returns the load that the other daemons have at each target, as Loads does, and when the
+// latest message of each daemon of this data centre that it contains was received.
+func (g *Gossip) Reported(now time.Time) (loads map[uint32]Load, receivedAt map[string]time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var sum Digest
+	g.eachDigestLocked(now, func(digest *Digest) {
+		for key, load := range digest.Loads {
+			sum.addLoad(key, load)
+		}
+	})
+	receivedAt = map[string]time.Time{}
+	for _, peer := range g.peers {
+		if peer.DataCentre == g.DataCentre {
+			receivedAt[peer.Node] = peer.lastReceived
+		}
+	}
+	return sum.Loads, receivedAt
+}
+
 // RandomStorePeer returns the address of one of the other live daemons that reach the store,
 // selected by a random number in [0, 1). It returns an empty string if there is none.
 func (g *Gossip) RandomStorePeer(now time.Time, random float64) string {
@@ -170,6 +214,11 @@
 func (g *Gossip) eachDigest(now time.Time, f func(digest *Digest)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.eachDigestLocked(now, f)
+}
+
+// eachDigestLocked is eachDigest for a caller that holds mu.
+func (g *Gossip) eachDigestLocked(now time.Time, f func(digest *Digest)) {
 	byDigest := map[string]bool{}
 	for dataCentre, received := range g.digests {
 		if g.usesHubs() && g.hasFreshDigest(dataCentre, now) && (dataCentre != g.DataCentre || !g.isHub) {
