--- /dev/null
+++ b/internal/dispatch/class.go
@@ -0,0 +1,7 @@
+package dispatch
+
+// class is a priority and a team.
+type class struct {
+	priority int
+	team     string
+}
--- /dev/null
+++ b/internal/gateway/dispatch_client_test.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/dispatch"
+	"github.com/plantainmux/plantainmux/internal/peer"
+)
+
+var _ = Describe("A daemon whose dispatcher", func() {
+	var client *dispatchClient
+	var calls int
+	var respond func(ctx context.Context, answer *dispatch.Answer) error
+	ask := func() dispatch.Outcome {
+		return client.ask(context.Background(), dispatch.Call{Service: "s", Model: "m"})
+	}
+	BeforeEach(func() {
+		calls = 0
+		respond = func(_ context.Context, answer *dispatch.Answer) error {
+			answer.Target = "g"
+			return nil
+		}
+		client = newDispatchClient(dispatchClientDependencies{
+			self: "self", metrics: metrics.NewSet(), logger: slog.New(slog.DiscardHandler),
+			call: func(ctx context.Context, to string, _ dispatch.Call, answer *dispatch.Answer) error {
+				Expect(to).To(Equal("hub"))
+				calls++
+				return respond(ctx, answer)
+			},
+			local: func(string, dispatch.Call, time.Time) dispatch.Answer { return dispatch.Answer{Target: "own"} },
+		})
+		client.follow("hub")
+	})
+
+	It("answers does as it says", func() {
+		Expect(ask()).To(Equal(dispatch.Outcome{Asked: true, By: "hub", Answer: dispatch.Answer{Target: "g"}}))
+	})
+	It("is frozen costs one caller the timeout and the following ones nothing, and asks the next dispatcher at once", func() {
+		respond = func(ctx context.Context, _ *dispatch.Answer) error {
+			<-ctx.Done()
+			return &peer.LinkError{Daemon: "hub", Err: ctx.Err()}
+		}
+		started := time.Now()
+		Expect(ask().Local).To(Equal(dispatch.TimedOut))
+		Expect(time.Since(started)).To(BeNumerically("~", dispatchTimeout, 15*time.Millisecond))
+		for range 100 {
+			Expect(ask().Local).To(Equal(dispatch.Paused))
+		}
+		Expect(calls).To(Equal(1))
+		client.follow("self")
+		Expect(ask().Answer.Target).To(Equal("own"))
+	})
+	It("was frozen is asked again after the pause", func() {
+		healthy := respond
+		respond = func(context.Context, *dispatch.Answer) error { return errors.New("lost") }
+		Expect(ask().Local).To(Equal(dispatch.CallFailed))
+		respond = healthy
+		Eventually(func() dispatch.LocalReason { return ask().Local }, "1s", "20ms").Should(BeEmpty())
+		Expect(calls).To(Equal(2))
+	})
+	It("is killed, so that there is no link, is not waited for", func() {
+		respond = func(context.Context, *dispatch.Answer) error { return &peer.UnreachableError{Daemon: "hub"} }
+		started := time.Now()
+		Expect(ask().Local).To(Equal(dispatch.NoLink))
+		Expect(time.Since(started)).To(BeNumerically("<", dispatchTimeout/2))
+	})
+	It("is cut off from the endpoints, or is stopping, chooses by itself", func() {
+		for _, declined := range []dispatch.Decline{dispatch.CutOff, dispatch.Stopping} {
+			respond = func(_ context.Context, answer *dispatch.Answer) error {
+				answer.Declined = declined
+				return nil
+			}
+			Expect(ask().Local).To(Equal(dispatch.Declined(declined)))
+		}
+		Expect(calls).To(Equal(2))
+	})
+	It("is of the previous version, or answers nothing, chooses by itself", func() {
+		respond = func(context.Context, *dispatch.Answer) error { return nil }
+		Expect(ask().Local).NotTo(BeEmpty())
+		respond = func(context.Context, *dispatch.Answer) error {
+			return &peer.UnknownMethodError{Method: dispatch.Method}
+		}
+		Expect(ask().Local).To(Equal(dispatch.OldVersion))
+	})
+	It("is unknown, or whose caller is gone, asks nobody again for that", func() {
+		client.follow("")
+		Expect(ask().Local).To(Equal(dispatch.NoDispatcher))
+		client.follow("hub")
+		ctx, cancel := context.WithCancel(context.Background())
+		respond = func(ctx context.Context, _ *dispatch.Answer) error {
+			cancel()
+			return &peer.LinkError{Daemon: "hub", Err: ctx.Err()}
+		}
+		Expect(client.ask(ctx, dispatch.Call{}).Local).To(Equal(dispatch.CallFailed))
+		respond = func(context.Context, *dispatch.Answer) error { return &peer.UnreachableError{Daemon: "hub"} }
+		Expect(ask().Local).To(Equal(dispatch.NoLink), "no pause")
+	})
+})
