--- a/internal/gossip/hubs_test.go
+++ b/internal/gossip/hubs_test.go
@@ -155,6 +155,51 @@
 		Eventually(func() []string { return last.Connected(time.Now(), false) }, "5s", "20ms").Should(ContainElement("x0"))
 	})
 
+	// Guards against daemons that ask one that does not dispatch, and against a dispatcher without endpoints.
+	It("agrees on one dispatcher in each data centre, and on another one when it is cut off or stops", func() {
+		stopped := ""
+		// dispatchers returns the names that the daemons of x give, and those of them that act.
+		dispatchers := func() (named, acting []string) {
+			for _, t := range fleet[:perDataCentre] {
+				if t.name == stopped {
+					continue
+				}
+				name, address, acts := t.Dispatcher(time.Now(), t.cutOff.Load())
+				Expect(address == "").To(Equal(name == ""))
+				named = append(named, name)
+				if acts {
+					acting = append(acting, t.name)
+				}
+			}
+			slices.Sort(named)
+			return slices.Compact(named), acting
+		}
+		settled := func() string {
+			named, acting := dispatchers()
+			if len(named) != 1 || !slices.Equal(named, acting) {
+				return ""
+			}
+			return named[0]
+		}
+		find := func(name string) *testDaemon {
+			return fleet[slices.IndexFunc(fleet, func(t *testDaemon) bool { return t.name == name })]
+		}
+		Eventually(settled, "5s", "20ms").Should(HavePrefix("x"))
+		first := settled()
+		_, receivedAt := find(first).Reported(time.Now())
+		Expect(receivedAt).To(HaveLen(perDataCentre - 1))
+		for _, at := range receivedAt {
+			Expect(time.Since(at)).To(BeNumerically("<", 400*time.Millisecond))
+		}
+		find(first).cutOff.Store(true)
+		Eventually(settled, "5s", "20ms").Should(And(HavePrefix("x"), Not(Equal(first))))
+		find(first).cutOff.Store(false)
+		Eventually(settled, "5s", "20ms").Should(Equal(first))
+		stopped = first
+		find(first).stop()
+		Eventually(settled, "5s", "20ms").Should(And(HavePrefix("x"), Not(Equal(first))))
+	})
+
 	It("counts the state of every other daemon once and follows its changes", func() {
 		for _, t := range fleet {
 			t.count.Store(2)
