--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -18,11 +18,11 @@
 	r.decision = overload.Decide(overload.Input{
 		Performance: service.Performance,
 		Model:       service.Model(r.req.Model),
-		Targets:     overloadTargets(targets, service.ColdPerS, now),
+		Targets:     OverloadTargets(targets, service.ColdPerS, meterLoad, now),
 		Demand:      r.Demand(service.Name, r.req.Model),
 		Priority:    r.req.Priority,
 		Team:        r.req.Team,
-		Teams:       r.teamDemand(now),
+		Teams:       CountTeams(r.Counter, r.teamClass(), now),
 		Late:        r.req.Late,
 		Daemons:     r.Daemons(),
 		Delay:       r.GossipDelay(),
@@ -34,26 +34,14 @@
 	return r.decision.Admit
 }
 
-// teamDemand counts a request that is not late and returns the demand by team of its priority.
-func (r *run) teamDemand(now time.Time) []overload.TeamDemand {
-	if r.Counter == nil {
-		return nil
-	}
-	if !r.req.Late {
-		r.Counter.ObserveTeam(r.req.Service.Name, r.req.Model, r.req.Priority, r.req.Team, now)
-	}
-	counts := r.Counter.Teams(r.req.Service.Name, r.req.Model, r.req.Priority, now)
-	teams := make([]overload.TeamDemand, 0, len(counts))
-	for team, requests := range counts {
-		teams = append(teams, overload.TeamDemand{Team: team, Requests: requests})
-	}
-	return teams
+func (r *run) teamClass() TeamClass {
+	return TeamClass{Service: r.req.Service.Name, Model: r.req.Model, Priority: r.req.Priority, Team: r.req.Team, Late: r.req.Late}
 }
 
-// overloadTargets returns the targets that take requests. Those that failed or hold back have
-// no capacity, and what is in progress there is not in progress at the others. Cold ones take
-// coldPerS requests per second, if that is above 0.
-func overloadTargets(targets []*placement.Target, coldPerS float64, now time.Time) []overload.Target {
+// OverloadTargets returns the targets that take requests, with the requests in progress by load.
+// Those that failed or hold back have no capacity, and what is in progress there is not in progress
+// at the others. Cold ones take coldPerS requests per second, if that is above 0.
+func OverloadTargets(targets []*placement.Target, coldPerS float64, load func(target *placement.Target) int, now time.Time) []overload.Target {
 	usable := make([]overload.Target, 0, len(targets))
 	for _, target := range targets {
 		meter := target.Meter
@@ -67,11 +55,13 @@
 		if coldPerS > 0 && target.Limit.Cold(now) && (limit == 0 || coldPerS < limit) {
 			limit = coldPerS
 		}
-		usable = append(usable, overload.Target{Load: meter.Load(), MeanGap: meter.MeanGap(), MaxRate: limit})
+		usable = append(usable, overload.Target{Load: load(target), MeanGap: meter.MeanGap(), MaxRate: limit})
 	}
 	return usable
 }
 
+func meterLoad(target *placement.Target) int { return target.Meter.Load() }
+
 // namedLimit returns the requests per second that a target takes, and whether it names any limit.
 func namedLimit(target *placement.Target) (float64, bool) {
 	if target.Limit == nil {
--- a/internal/overload/input.go
+++ b/internal/overload/input.go
@@ -21,4 +21,5 @@
 	Remaining   time.Duration // until the deadline of the request; 0: not known
 	Jitter      float64       // uniform in [0, 1), for the time after which a refused caller comes back
 	Random      float64       // uniform in [0, 1)
+	LoadShare   float64       // share of the slots in use that is aimed at; 0: the one for daemons that decide by themselves
 }
