--- /dev/null
+++ b/internal/heldbytes/account.go
@@ -0,0 +1,76 @@
+package heldbytes
+
+import (
+	"fmt"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// reservedShare is the share of the limit that only answers may use, so that the bodies of new
+// requests and the events of slow callers do not keep answers that are ready from being delivered.
+const reservedShare = 0.25
+
+// Account counts the bytes that are held. It is safe for concurrent use.
+type Account struct {
+	limit    int64 // bytes; 0: none
+	total    atomic.Int64
+	held     [kinds]atomic.Int64
+	refusals [kinds]*metrics.Counter
+}
+
+// NewAccount returns an account that holds at most limit bytes, any number if limit is 0. It
+// registers its metrics in set.
+func NewAccount(limit int64, set *metrics.Set) *Account {
+	a := &Account{limit: limit}
+	for kind := range kinds {
+		set.GetOrCreateGauge(fmt.Sprintf(`plantainmux_held_bytes{kind=%q}`, kind), func() float64 { return float64(a.Held(kind)) })
+		a.refusals[kind] = set.GetOrCreateCounter(fmt.Sprintf(`plantainmux_held_refusals_total{kind=%q}`, kind))
+	}
+	set.GetOrCreateGauge("plantainmux_held_limit_bytes", func() float64 { return float64(limit) })
+	return a
+}
+
+// Fits returns a LimitError, and counts a refusal, if further bytes of a kind would exceed the
+// limit now.
+func (a *Account) Fits(kind Kind, bytes int64) error {
+	return a.check(kind, bytes, a.total.Load()+bytes)
+}
+
+// Hold counts further bytes of a kind. If they exceed the limit it counts a refusal instead, and
+// returns a LimitError. The caller releases what is held.
+func (a *Account) Hold(kind Kind, bytes int64) error {
+	if err := a.check(kind, bytes, a.total.Add(bytes)); err != nil {
+		a.total.Add(-bytes)
+		return err
+	}
+	a.held[kind].Add(bytes)
+	return nil
+}
+
+// HoldAlways counts further bytes of a kind that must be held whatever the limit is.
+func (a *Account) HoldAlways(kind Kind, bytes int64) {
+	a.total.Add(bytes)
+	a.held[kind].Add(bytes)
+}
+
+// Release counts bytes as no longer held.
+func (a *Account) Release(kind Kind, bytes int64) {
+	a.held[kind].Add(-bytes)
+	a.total.Add(-bytes)
+}
+
+// Held returns the bytes of a kind that are held.
+func (a *Account) Held(kind Kind) int64 { return a.held[kind].Load() }
+
+func (a *Account) check(kind Kind, bytes, total int64) error {
+	limit := a.limit
+	if kind != Answers {
+		limit -= int64(reservedShare * float64(a.limit))
+	}
+	if a.limit <= 0 || total <= limit {
+		return nil
+	}
+	a.refusals[kind].Inc()
+	return &LimitError{Kind: kind, Wanted: bytes, Held: total - bytes, Limit: limit}
+}
