Limit request bodies by the memory of the daemon

Concurrent large bodies could exceed the memory of a small VM. Bodies are now held in an account of 0.4 of limits.memory_mb. A body that does not fit is denied as not run (503, Retry-After 0.5 to 1 s, reason memory), before it is read where its length is known. Bodies that exceed the configured maximum by their length are refused before they are read.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -176,7 +176,7 @@
 // bufferAnswer reads the complete body before any of it is forwarded, so that
 // a broken answer can still be retried.
 func (r *run) bufferAnswer(answer *Answer) error {
-	body, release, err := r.buffered.readAll(answer.Body, r.BodyLimit)
+	body, release, err := readAll(r.Held, answer.Body, r.BodyLimit)
 	defer release()
 	var tooLarge *BodyTooLargeError
 	if errors.As(err, &tooLarge) {
--- a/internal/exchange/buffered_bytes.go
+++ b/internal/exchange/buffered_bytes.go
@@ -2,7 +2,8 @@
 
 import (
 	"io"
-	"sync/atomic"
+
+	"github.com/plantainmux/plantainmux/internal/heldbytes"
 )
 
 const (
@@ -13,22 +14,21 @@
 	smallBodyBytes   = 64 << 10 // which is buffered however much the others take
 )
 
-// bufferedBytes counts the bytes of all bodies that are buffered, so that endpoints which send
-// without end do not use up the memory together.
-type bufferedBytes struct{ count atomic.Int64 }
-
-// readAll reads a body of at most limit bytes. The caller must call release once. It fails with a
-// BodyTooLargeError if the body, or all of them together, are too large.
-func (b *bufferedBytes) readAll(body io.Reader, limit int64) (data []byte, release func(), err error) {
+// readAll reads a body of at most limit bytes and counts it as held. The caller must call release
+// once. It fails with a BodyTooLargeError if the body, or all that is held, is too large. Bodies
+// below smallBodyBytes are read whatever is held, as their requests have run already.
+func readAll(held *heldbytes.Account, body io.Reader, limit int64) (data []byte, release func(), err error) {
 	counted := int64(0)
-	release = func() { b.count.Add(-counted) }
+	release = func() { held.Release(heldbytes.Answers, counted) }
 	for {
 		if len(data) == cap(data) {
 			growth := int64(max(len(data), bodyChunkBytes))
-			counted += growth
-			if b.count.Add(growth) > maxBufferedBytes && len(data) >= smallBodyBytes {
+			if len(data) < smallBodyBytes {
+				held.HoldAlways(heldbytes.Answers, growth)
+			} else if held.Held(heldbytes.Answers)+growth > maxBufferedBytes || held.Hold(heldbytes.Answers, growth) != nil {
 				return nil, release, &BodyTooLargeError{Limit: maxBufferedBytes}
 			}
+			counted += growth
 			data = append(make([]byte, 0, int64(len(data))+growth), data...)
 		}
 		n, err := body.Read(data[len(data):cap(data)])
--- a/internal/exchange/dependencies.go
+++ b/internal/exchange/dependencies.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/demand"
+	"github.com/plantainmux/plantainmux/internal/heldbytes"
 	"github.com/plantainmux/plantainmux/internal/locality"
 	"github.com/plantainmux/plantainmux/internal/overload"
 	"github.com/plantainmux/plantainmux/internal/placement"
@@ -22,8 +23,9 @@
 	// Demand returns the demand for a model of a service over all daemons; nil: not known, so that
 	// nothing is refused because of it.
 	Demand         func(service, model string) overload.Demand
-	Suspects       *suspect.Table  // requests and prompt parts that crashed endpoints
-	FailedRequests *FailedRequests // requests that ended without an answer and may be retried by their callers
+	Held           *heldbytes.Account // counts and limits what is held for exchanges; nil: not limited
+	Suspects       *suspect.Table     // requests and prompt parts that crashed endpoints
+	FailedRequests *FailedRequests    // requests that ended without an answer and may be retried by their callers
 	Metrics        *Metrics
 	Logger         *slog.Logger
 	Retries        RetryBounds
--- a/internal/exchange/exchanger.go
+++ b/internal/exchange/exchanger.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/plantainmux/plantainmux/internal/heldbytes"
 	"github.com/plantainmux/plantainmux/internal/locality"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 )
@@ -12,8 +15,7 @@
 // Exchanger forwards requests to endpoints.
 type Exchanger struct {
 	Dependencies
-	budgets  sync.Map // *Budget by service name
-	buffered bufferedBytes
+	budgets sync.Map // *Budget by service name
 }
 
 // New returns an Exchanger.
@@ -21,6 +23,9 @@
 	if dependencies.Forwards == nil {
 		dependencies.Forwards = func(*locality.Allowed) bool { return false }
 	}
+	if dependencies.Held == nil {
+		dependencies.Held = heldbytes.NewAccount(0, metrics.NewSet())
+	}
 	return &Exchanger{Dependencies: dependencies}
 }
 
--- a/internal/gateway/build.go
+++ b/internal/gateway/build.go
@@ -53,7 +53,9 @@
 }
 
 func (g *Gateway) buildRequestPath() {
+	g.held = g.newHeldBytes()
 	g.exchanger = exchange.New(exchange.Dependencies{
+		Held:           g.held,
 		View:           g.view.Load,
 		Transport:      g.adapters.Transport(g.endpoints),
 		DataCentre:     g.settings.DataCentre,
--- a/internal/gateway/denied.go
+++ b/internal/gateway/denied.go
@@ -12,6 +12,7 @@
 	NoKey           DenyReason = "no_key"     // the key belongs to no team
 	DaemonStopping  DenyReason = "stopping"   // this daemon is stopping
 	NoService       DenyReason = "no_service" // the route's service is not configured
+	Memory          DenyReason = "memory"     // this daemon holds as much for exchanges as it may
 )
 
 // Denied describes a request that was not admitted. It has not run.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/plantainmux/plantainmux/internal/formation"
 	"github.com/plantainmux/plantainmux/internal/forward"
 	"github.com/plantainmux/plantainmux/internal/gossip"
+	"github.com/plantainmux/plantainmux/internal/heldbytes"
 	"github.com/plantainmux/plantainmux/internal/keyed"
 	"github.com/plantainmux/plantainmux/internal/ledger"
 	"github.com/plantainmux/plantainmux/internal/peer"
@@ -57,6 +58,7 @@
 	reconciler     *formation.Reconciler
 	gossip         *gossip.Gossip
 	exchanger      *exchange.Exchanger
+	held           *heldbytes.Account // for exchanges
 	endpoints      *forward.Router
 	mesh           *peer.Network // links to the daemons through which this one forwards, and to those that forward through it
 	meshStart      sync.Once
