Read on from endpoints while callers are slow

A write to a slow caller kept the answer from being read, so that an endpoint would cut it off, and counted as silence or load of the endpoint. Once a write has lasted 100 ms, a second goroutine reads on and up to 256 KB of events wait for the caller; then reading stops. A caller that takes nothing for 10 s in that state is ended with the reason slow_reader. An attempt ends at its endpoint when its answer has been read, not when the caller has taken it. An answer that is not read is no sign against the target: the watchdog, the silence of the meter and a cut by the endpoint leave it out. Streams whose callers read have the same goroutine as before, and two uses of a mutex more for each event.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
@@ -18,30 +19,46 @@
 // attempt sends the request to one target and forwards its answer to the sink.
 func (r *run) attempt(ctx context.Context, target *placement.Target) error {
 	r.attempts++
-	ctx, cancel := context.WithCancelCause(ctx)
+	request := ctx
+	ctx, cancel := context.WithCancelCause(request)
 	defer cancel(nil)
 	now := time.Now()
 	r.sentAt, r.loadBefore = now, target.Meter.Load()
 	r.attemptEvents, r.attemptFirstAt, r.pastBeginning = 0, time.Time{}, false
+	r.heldBack = false
 	target.Meter.Begin(now)
-	defer target.Meter.End()
 	target.Meter.BeginPrefill(r.req.PromptTokens)
 	r.unprefilledTokens = r.req.PromptTokens
-	defer func() { r.endPrefill(target) }()
 	watch := r.newWatchdog(target, cancel)
-	defer watch.stop()
+	var answer *Answer
+	// The attempt ends at its endpoint once the answer has been read: how long the caller takes to
+	// read it is no load of the endpoint.
+	end := sync.OnceFunc(func() {
+		if answer != nil {
+			_ = answer.Body.Close()
+		}
+		watch.stop()
+		cancel(nil)
+		r.endPrefill(target)
+		target.Meter.End()
+		r.answeredAt = time.Now()
+	})
+	defer end()
 	answer, err := r.Transport.Send(ctx, target, Call{Request: r.req, Remaining: r.req.Deadline.Sub(now), After: r.events.lastID})
 	if err != nil {
 		return withCause(ctx, err)
 	}
-	defer func() { _ = answer.Body.Close() }()
 	if answer.Succeeded() && !answer.NamesLimit && target.Limit.ObserveNone(r.sentAt, time.Now()) {
 		r.Logger.Info("endpoint no longer names a limit", "endpoint", target.ID)
 	}
 	if r.req.Route.Kind == catalog.Streaming && answer.Succeeded() {
-		return withCause(ctx, r.streamAnswer(answer, target, watch))
+		r.events.discardPartial()
+		s := &stream{run: r, ctx: request, cancel: cancel, end: end, answer: answer, target: target, watch: watch, buffer: make([]byte, readBufferBytes)}
+		s.changed.L = &s.mu
+		watch.stream.Store(s)
+		return withCause(ctx, s.forward())
 	}
-	return withCause(ctx, r.bufferAnswer(answer))
+	return withCause(ctx, r.bufferAnswer(answer, end))
 }
 
 // withCause replaces the connection error of an attempt that this daemon cancelled
@@ -67,37 +84,6 @@
 	}
 }
 
-// streamAnswer forwards events as they arrive.
-func (r *run) streamAnswer(answer *Answer, target *placement.Target, watch *watchdog) error {
-	r.events.discardPartial()
-	buffer := make([]byte, readBufferBytes)
-	var last time.Time
-	for {
-		n, err := answer.Body.Read(buffer)
-		if n > 0 {
-			now := time.Now()
-			complete, err := r.events.add(buffer[:n])
-			if err != nil {
-				return brokenStream(err)
-			}
-			if len(complete) > 0 { // parts of an event are no sign of progress
-				r.recordEvent(target, now, last)
-				watch.recordEvent(now)
-				last = now
-				if err := r.forwardEvents(answer, complete); err != nil {
-					return err
-				}
-			}
-		}
-		if err == io.EOF {
-			return r.endStream(answer)
-		}
-		if err != nil {
-			return brokenBody(err)
-		}
-	}
-}
-
 // brokenBody returns the failure of an answer that could not be read to its end.
 func brokenBody(err error) error {
 	var lost *outbound.PathLostError
@@ -143,11 +129,18 @@
 	r.unprefilledTokens = 0
 }
 
-// forwardEvents forwards complete events.
-func (r *run) forwardEvents(answer *Answer, complete []byte) error {
+// forwardEvents forwards complete events. It calls taken after each part that is not the last one.
+func (r *run) forwardEvents(answer *Answer, complete []byte, taken func()) error {
 	if err := r.sendHead(answer); err != nil {
 		return err
 	}
+	for len(complete) > maxWriteBytes {
+		if err := r.sink.Events(complete[:maxWriteBytes]); err != nil {
+			return &CallerGoneError{Err: err}
+		}
+		complete = complete[maxWriteBytes:]
+		taken()
+	}
 	if err := r.sink.Events(complete); err != nil {
 		return &CallerGoneError{Err: err}
 	}
@@ -174,10 +167,11 @@
 }
 
 // bufferAnswer reads the complete body before any of it is forwarded, so that
-// a broken answer can still be retried.
-func (r *run) bufferAnswer(answer *Answer) error {
+// a broken answer can still be retried. It calls end once the body has been read.
+func (r *run) bufferAnswer(answer *Answer, end func()) error {
 	body, release, err := readAll(r.Held, answer.Body, r.BodyLimit)
 	defer release()
+	end()
 	var tooLarge *BodyTooLargeError
 	if errors.As(err, &tooLarge) {
 		return &BrokenError{Reason: Oversize, Err: err}
--- a/internal/exchange/dependencies.go
+++ b/internal/exchange/dependencies.go
@@ -22,16 +22,19 @@
 	Counter     *demand.Counter      // counts what callers ask for; nil: not counted
 	// Demand returns the demand for a model of a service over all daemons; nil: not known, so that
 	// nothing is refused because of it.
-	Demand         func(service, model string) overload.Demand
-	Held           *heldbytes.Account // counts and limits what is held for exchanges; nil: not limited
-	Suspects       *suspect.Table     // requests and prompt parts that crashed endpoints
-	FailedRequests *FailedRequests    // requests that ended without an answer and may be retried by their callers
-	Metrics        *Metrics
-	Logger         *slog.Logger
-	Retries        RetryBounds
-	BodyLimit      int64                          // maximum size in bytes of an answer that is buffered
-	OwnsTrial      func(trait suspect.Trait) bool // whether this daemon may let a refused request through as a trial
-	Regions        locality.Regions               // of the data centres
+	Demand func(service, model string) overload.Demand
+	Held   *heldbytes.Account // counts and limits what is held for exchanges; nil: not limited
+	// SlowReaderTimeout is how long a caller may take nothing while the daemon holds as much of its
+	// stream as it may; 0: 10 s.
+	SlowReaderTimeout time.Duration
+	Suspects          *suspect.Table  // requests and prompt parts that crashed endpoints
+	FailedRequests    *FailedRequests // requests that ended without an answer and may be retried by their callers
+	Metrics           *Metrics
+	Logger            *slog.Logger
+	Retries           RetryBounds
+	BodyLimit         int64                          // maximum size in bytes of an answer that is buffered
+	OwnsTrial         func(trait suspect.Trait) bool // whether this daemon may let a refused request through as a trial
+	Regions           locality.Regions               // of the data centres
 	// Forwards reports whether attempts of a request that may be handled in some regions go through
 	// another daemon, as this one is cut off from the endpoints. What an attempt then takes too long
 	// for is no sign against its target; nil: never.
--- a/internal/exchange/event_buffer.go
+++ b/internal/exchange/event_buffer.go
@@ -21,7 +21,7 @@
 }
 
 // add appends received bytes and returns the events that are now complete, nil if
-// there are none. The result is valid until the next call.
+// there are none. Later calls do not overwrite the result.
 func (e *eventBuffer) add(data []byte) ([]byte, error) {
 	e.buffer = append(e.buffer, data...)
 	end := bytes.LastIndex(e.buffer, eventEnd)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -73,6 +73,8 @@
 	return s.err
 }
 
+func (s *sink) Interrupt() {}
+
 // chunkedBody is a body that arrives in chunks and then ends, fails or blocks.
 type chunkedBody struct {
 	ctx      context.Context
--- a/internal/exchange/exchanger.go
+++ b/internal/exchange/exchanger.go
@@ -23,6 +23,9 @@
 	if dependencies.Forwards == nil {
 		dependencies.Forwards = func(*locality.Allowed) bool { return false }
 	}
+	if dependencies.SlowReaderTimeout == 0 {
+		dependencies.SlowReaderTimeout = defaultSlowReaderTimeout
+	}
 	if dependencies.Held == nil {
 		dependencies.Held = heldbytes.NewAccount(0, metrics.NewSet())
 	}
@@ -40,7 +43,7 @@
 	r := &run{Exchanger: x, req: req, subject: suspect.Subject{Fingerprint: req.Fingerprint, Parts: req.PromptParts}, sink: sink, excluded: map[string]bool{}}
 	r.events.lastID = req.LastEvent
 	failure := r.runToCompletion(ctx)
-	if failure != nil && failure.Reason != CallerGone && failure.Reason != CrashSuspect {
+	if failure != nil && failure.Reason != CallerGone && failure.Reason != SlowReader && failure.Reason != CrashSuspect {
 		x.FailedRequests.Record(req.Fingerprint, time.Now())
 	}
 	x.report(r, failure)
--- a/internal/exchange/metrics.go
+++ b/internal/exchange/metrics.go
@@ -15,11 +15,12 @@
 
 // Metrics holds the metrics of requests and retries.
 type Metrics struct {
-	set       *metrics.Set
-	successes atomic.Uint64
-	first     map[catalog.Kind]*metrics.Histogram
-	gaps      *metrics.Histogram
-	overload  sync.Map // *overloadMetrics by modelKey
+	set           *metrics.Set
+	successes     atomic.Uint64
+	first         map[catalog.Kind]*metrics.Histogram
+	gaps          *metrics.Histogram
+	blockedWrites *metrics.Counter // writes to callers that blocked, so that another goroutine reads on
+	overload      sync.Map         // *overloadMetrics by modelKey
 }
 
 // NewMetrics registers a counter for each failure reason, so that each is exported
@@ -33,6 +34,7 @@
 		m.first[kind] = set.GetOrCreateHistogram(fmt.Sprintf(`plantainmux_exchange_first_seconds{kind=%q}`, kind))
 	}
 	m.gaps = set.GetOrCreateHistogram("plantainmux_exchange_longest_gap_seconds")
+	m.blockedWrites = set.GetOrCreateCounter("plantainmux_exchange_blocked_writes_total")
 	return m
 }
 
--- a/internal/exchange/reason.go
+++ b/internal/exchange/reason.go
@@ -12,6 +12,7 @@
 	Overloaded       Reason = "overload"    // the model's groups are offered more than they complete
 	DeadlineExceeded Reason = "time_over"   // the deadline has passed
 	CallerGone       Reason = "caller_gone" // the caller closed the connection
+	SlowReader       Reason = "slow_reader" // the caller took nothing for too long
 	Refused          Reason = "refused"     // the endpoints refused the request
 	Broken           Reason = "broken"      // the answer is incomplete and the request cannot be retried
 	NoBudget         Reason = "no_budget"   // the retry budget is used up
@@ -21,4 +22,4 @@
 )
 
 // Reasons lists all reasons, so that each counter is registered at start-up.
-var Reasons = []Reason{NoTarget, NoCapacity, Evacuated, HeldBack, Overloaded, DeadlineExceeded, CallerGone, Refused, Broken, NoBudget, CrashSuspect, NoAllowedRegion}
+var Reasons = []Reason{NoTarget, NoCapacity, Evacuated, HeldBack, Overloaded, DeadlineExceeded, CallerGone, SlowReader, Refused, Broken, NoBudget, CrashSuspect, NoAllowedRegion}
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/plantainmux/plantainmux/internal/heldbytes"
 	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/overload"
 	"github.com/plantainmux/plantainmux/internal/placement"
@@ -41,6 +42,8 @@
 	unprefilledTokens int               // prompt tokens that the current attempt's target has not prefilled yet
 	loadBefore        int               // load of the target when the last attempt began
 	sentAt            time.Time         // when the last attempt began
+	answeredAt        time.Time         // when the last attempt ended at its endpoint
+	heldBack          bool              // the last attempt's answer was not read for a time, since the caller was slow
 	attemptEvents     int               // reads of the last attempt that completed events
 	attemptFirstAt    time.Time         // when the last attempt brought its first event; zero: none yet
 	trial             atomic.Bool       // the request runs although it is refused
@@ -58,10 +61,9 @@
 		}
 		err := r.attempt(ctx, target)
 		if err == nil {
-			now := time.Now()
-			target.Meter.ObserveSuccess(now)
-			target.Meter.ObserveLatency(now.Sub(r.sentAt))
-			r.Suspects.Clear(r.subject, now)
+			target.Meter.ObserveSuccess(r.answeredAt)
+			target.Meter.ObserveLatency(r.answeredAt.Sub(r.sentAt))
+			r.Suspects.Clear(r.subject, r.answeredAt)
 			return nil
 		}
 		if failure := r.handleFailure(ctx, target, err); failure != nil {
@@ -77,6 +79,11 @@
 		r.excluded[target.Key] = true
 	}
 	var gone *CallerGoneError
+	var tooSlow *SlowReaderError
+	if errors.As(err, &tooSlow) {
+		r.Logger.Info("caller reads too slowly", "request", r.req.ID, "endpoint", target.ID, "timeout_ms", tooSlow.After.Milliseconds(), "events_limit_bytes", maxWaitingEventBytes, "held_bytes_events", r.Held.Held(heldbytes.Events))
+		return &Failure{Reason: SlowReader, Started: r.started, Cause: err}
+	}
 	if errors.As(err, &gone) {
 		return &Failure{Reason: CallerGone, Started: r.started, Cause: err}
 	}
@@ -129,6 +136,9 @@
 		target.Meter.Suspect(now, suspectPeriod)
 		r.ReportSuspect(target, "", false)
 	case Cut:
+		if r.heldBack {
+			return // endpoints cut off an answer that is not read
+		}
 		if suspect.Beginning(r.attemptFirstAt, now) {
 			r.Suspects.Add(suspect.Crash{Subject: r.subject, Group: target.CrashKey(), At: now}, now)
 		}
--- a/internal/exchange/sink.go
+++ b/internal/exchange/sink.go
@@ -8,6 +8,8 @@
 	Complete(status int, header http.Header, body []byte) error
 	// Begin sends the head of an event stream.
 	Begin(status int, header http.Header) error
-	// Events sends complete events and flushes them.
+	// Events sends further bytes of an event stream and flushes them.
 	Events(data []byte) error
+	// Interrupt makes a call that blocks, and all later ones, fail. It may be called at any time.
+	Interrupt()
 }
--- a/internal/exchange/watchdog.go
+++ b/internal/exchange/watchdog.go
@@ -29,10 +29,11 @@
 	mu        sync.Mutex
 	timer     *time.Timer // nil: the attempt is not monitored
 	stopped   bool
-	failed    map[string]bool // keys of this target and of those that failed earlier
-	lastEvent atomic.Int64    // time of the last event or of the attempt's start, in Unix nanoseconds
-	begun     atomic.Bool     // an event has arrived
-	movable   bool            // the request can be retried elsewhere
+	failed    map[string]bool        // keys of this target and of those that failed earlier
+	lastEvent atomic.Int64           // time of the last event or of the attempt's start, in Unix nanoseconds
+	begun     atomic.Bool            // an event has arrived
+	stream    atomic.Pointer[stream] // nil: no event stream has begun
+	movable   bool                   // the request can be retried elsewhere
 }
 
 func (r *run) newWatchdog(target *placement.Target, cancel context.CancelCauseFunc) *watchdog {
@@ -91,6 +92,11 @@
 		w.cancel(&WithdrawnError{})
 		return
 	}
+	if s := w.stream.Load(); s != nil && s.check(now) {
+		w.lastEvent.Store(now.UnixNano()) // silence shows nothing about the target
+		w.rearm()
+		return
+	}
 	if !w.movable {
 		w.rearm()
 		return
--- a/internal/fakes/wire_engine.go
+++ b/internal/fakes/wire_engine.go
@@ -49,6 +49,7 @@
 	cold      time.Time      // until when the engine is cold
 	mute      bool           // neither entry nor answers say for how long the engine stays cold
 	killed    bool
+	padding   int                   // bytes added to each event
 	lastEvent int                   // number of the last event of each stream
 	crashOn   string                // ID of a prompt part on which the engine crashes as it begins to write; empty: none
 	crashes   []time.Time           // when it has crashed on that part
@@ -84,6 +85,13 @@
 	e.lastEvent = number
 }
 
+// PadEvents adds bytes to each event of streams that begin from now on.
+func (e *WireEngine) PadEvents(bytes int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.padding = bytes
+}
+
 // Announce makes all answers announce that the engine is leaving. Its entry stays as it is.
 func (e *WireEngine) Announce() {
 	e.mu.Lock()
@@ -366,7 +374,7 @@
 		return
 	}
 	e.mu.Lock()
-	end := e.lastEvent
+	end, padding := e.lastEvent, strings.Repeat("x", e.padding)
 	e.mu.Unlock()
 	last, _ := strconv.Atoi(strings.TrimSpace(r.Header.Get("Last-Event-Id")))
 	for number := last + 1; number <= end; number++ {
@@ -377,7 +385,7 @@
 			<-r.Context().Done()
 			return
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", number, number)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %d%s\n\n", number, number, padding)
 		w.(http.Flusher).Flush()
 		time.Sleep(30 * time.Millisecond)
 	}
--- a/internal/targetstats/meter.go
+++ b/internal/targetstats/meter.go
@@ -23,6 +23,7 @@
 type Meter struct {
 	inFlight        atomic.Int32
 	remoteInFlight  atomic.Int32 // requests in flight through other daemons, as last reported
+	heldBack        atomic.Int32 // requests of inFlight whose answers are not read now, as their callers are slow
 	localPrefill    atomic.Int64 // prompt tokens of this daemon's requests that have had no event yet
 	remotePrefill   atomic.Int64 // the same for other daemons, as last reported
 	busySince       atomic.Int64 // Unix nanoseconds at which the target stopped being idle
@@ -49,7 +50,7 @@
 
 // Begin records that a request is sent to the target. The caller calls End once.
 func (m *Meter) Begin(now time.Time) {
-	if m.inFlight.Add(1) == 1 {
+	if m.inFlight.Add(1)-m.heldBack.Load() == 1 {
 		m.busySince.Store(now.UnixNano())
 	}
 }
@@ -57,6 +58,13 @@
 // End records that the request is over.
 func (m *Meter) End() { m.inFlight.Add(-1) }
 
+// HoldBack records that an answer is not read until ReadOn is called, so that silence of the target
+// cannot be seen by it.
+func (m *Meter) HoldBack() { m.heldBack.Add(1) }
+
+// ReadOn records that the answer is read again, or that its request is over.
+func (m *Meter) ReadOn() { m.heldBack.Add(-1) }
+
 // InFlight returns the number of requests in progress through this daemon.
 func (m *Meter) InFlight() int { return int(m.inFlight.Load()) }
 
@@ -173,7 +181,7 @@
 // this daemon has just begun to use may be in the middle of a pass for other
 // requests, so its limit is two passes.
 func (m *Meter) Silence(now time.Time) (time.Duration, bool) {
-	if m.inFlight.Load() == 0 {
+	if m.inFlight.Load() <= m.heldBack.Load() {
 		return 0, false
 	}
 	event, busy := m.newestEvent(), m.busySince.Load()
