Place no more on a group than its memory holds

A group with free slots was given requests whose prompts and answers exceed its memory for context (kv_tokens). Requests that no group can hold are refused at once as not run, reason exceeds_memory. A group is passed over like a full one where the request and those known to be in progress exceed 0.95 of its memory: those of this daemon by prompt and estimate, those of others by the published mean. An idle group takes what it holds at all. Off where the service publishes no memory.

--- a/internal/catalog/performance_model.go
+++ b/internal/catalog/performance_model.go
@@ -5,6 +5,7 @@
 // PerformanceModel is the published performance model of a service's groups.
 type PerformanceModel struct {
 	Slots                    int           // maximum number of concurrent requests
+	MemoryTokens             int           // context tokens that the memory of a group holds; 0: not published
 	StepsPerPass             int           // token steps in a pass with requests that generate output
 	PrefillChunkTokens       int           // maximum number of prompt tokens processed in a step
 	StepDuration             time.Duration // base duration of a token step
--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -29,6 +29,8 @@
 	target.Meter.Begin(now)
 	target.Meter.BeginPrefill(r.req.PromptTokens)
 	r.unprefilledTokens = r.req.PromptTokens
+	tokens := target.RequestTokens(r.req.PromptTokens, r.req.OutputTokens)
+	target.Meter.BeginTokens(tokens)
 	watch := r.newWatchdog(target, cancel)
 	var answer *Answer
 	// The attempt ends at its endpoint once the answer has been read: how long the caller takes to
@@ -40,6 +42,7 @@
 		watch.stop()
 		cancel(nil)
 		r.endPrefill(target)
+		target.Meter.EndTokens(tokens)
 		target.Meter.End()
 		r.answeredAt = time.Now()
 	})
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -54,6 +54,10 @@
 }
 
 func (r *run) runToCompletion(ctx context.Context) *Failure {
+	if !r.fitsMemory() {
+		r.Logger.Info("request exceeds the memory of a group", "request", r.req.ID, "prompt_tokens", r.req.PromptTokens, "output_tokens", r.req.OutputTokens, "memory_tokens", r.req.Service.Performance.MemoryTokens)
+		return r.fail(ExceedsMemory, nil)
+	}
 	for {
 		target, failure := r.pickTarget(ctx)
 		if failure != nil {
--- a/internal/placement/build.go
+++ b/internal/placement/build.go
@@ -66,10 +66,14 @@
 	if model := service.Model(record.Model); model != nil && service.Performance != nil {
 		meter.SetMaxPass(service.Performance.MaxPassDuration(model))
 	}
-	return &Target{
+	target := &Target{
 		Key: key, ID: head.ID, Incarnation: head.Incarnation, Address: head.Address, DataCentre: head.DataCentre, Slots: max(slots, 1), MaxPrefillTokensPerPass: pass,
 		Group: record.Group, Epoch: record.Epoch, Meter: meter, Hold: announced.Holds.GetOrCreate(head.ID, head.Incarnation), Limit: announced.Limits.GetOrCreate(head.ID, head.Incarnation),
 	}
+	if p := service.Performance; p != nil {
+		target.MemoryTokens, target.MeanPromptTokens, target.MeanOutputTokens = p.MemoryTokens, p.MeanPromptTokens, p.MeanOutputTokens
+	}
+	return target
 }
 
 // GroupKey returns the key of the meter of a group at an epoch.
--- a/internal/placement/capacity.go
+++ b/internal/placement/capacity.go
@@ -17,6 +17,9 @@
 	if !requirements.Grouped {
 		return float64(load) < plainLoadFactor*float64(target.Slots)
 	}
+	if !hasMemory(target, requirements) {
+		return false
+	}
 	if requirements.Resumed || requirements.Admitted {
 		return load < target.Slots+groupQueueLimit+resumedHeadroom
 	}
--- a/internal/placement/requirements.go
+++ b/internal/placement/requirements.go
@@ -14,6 +14,7 @@
 	Late         bool // its latency target has been missed already, so that its answer has little value
 	Overdue      bool // its answer will miss the latency target, whichever attempt this is
 	PromptTokens int
+	OutputTokens int             // the caller's estimate of the answer; 0: not known
 	Resumed      bool            // part of its answer has been sent to the caller
 	Admitted     bool            // internal/overload has admitted it as one of the fraction that the groups take
 	Priority     int             // 0 is the most urgent
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -15,8 +15,11 @@
 	Incarnation             int64 // start time of the endpoint, Unix milliseconds
 	Address                 string
 	DataCentre              string
-	Slots                   int // requests that it runs concurrently
-	MaxPrefillTokensPerPass int // maximum of prompt tokens that one pass prefills; 0 if unknown
+	Slots                   int     // requests that it runs concurrently
+	MaxPrefillTokensPerPass int     // maximum of prompt tokens that one pass prefills; 0 if unknown
+	MemoryTokens            int     // context tokens that its memory holds; 0: not known
+	MeanPromptTokens        float64 // published mean length of a prompt
+	MeanOutputTokens        float64 // published mean length of an answer
 	Group                   string
 	Epoch                   uint64
 	Meter                   *targetstats.Meter
--- a/internal/targetstats/meter.go
+++ b/internal/targetstats/meter.go
@@ -24,6 +24,7 @@
 	inFlight        atomic.Int32
 	remoteInFlight  atomic.Int32 // requests in flight through other daemons, as last reported
 	heldBack        atomic.Int32 // requests of inFlight whose answers are not read now, as their callers are slow
+	localTokens     atomic.Int64 // context tokens that this daemon's requests in flight fill in the end, as estimated
 	localPrefill    atomic.Int64 // prompt tokens of this daemon's requests that have had no event yet
 	remotePrefill   atomic.Int64 // the same for other daemons, as last reported
 	busySince       atomic.Int64 // Unix nanoseconds at which the target stopped being idle
@@ -71,6 +72,18 @@
 // Load returns the number of requests in progress through all daemons.
 func (m *Meter) Load() int { return int(m.inFlight.Load() + m.remoteInFlight.Load()) }
 
+// RemoteInFlight returns the number of requests in progress through other daemons.
+func (m *Meter) RemoteInFlight() int { return int(m.remoteInFlight.Load()) }
+
+// BeginTokens records that a request is sent that fills this many context tokens in the end.
+func (m *Meter) BeginTokens(tokens int) { m.localTokens.Add(int64(tokens)) }
+
+// EndTokens records that such a request is over.
+func (m *Meter) EndTokens(tokens int) { m.localTokens.Add(-int64(tokens)) }
+
+// LocalTokens returns the context tokens of this daemon's requests in progress.
+func (m *Meter) LocalTokens() int { return int(m.localTokens.Load()) }
+
 // SetRemoteInFlight sets the number of requests in progress through other daemons.
 func (m *Meter) SetRemoteInFlight(count int) { m.remoteInFlight.Store(int32(count)) }
 
