--- a/internal/exchange/slow_reader_test.go
+++ b/internal/exchange/slow_reader_test.go
@@ -150,6 +150,19 @@
 		Expect(t.calls).To(Equal([]string{"a"}))
 	})
 
+	// Guards against a target that is taken for broken, or a request for one that crashes endpoints,
+	// because the endpoint cut off an answer whose caller did not read it.
+	It("is resumed without a mark against the target if the endpoint cut it off meanwhile", func() {
+		start(0, numbered(1, 400, io.ErrUnexpectedEOF), numbered(401, 450, io.EOF))
+		Eventually(func() int64 { return held.Held(heldbytes.Events) }, "2s").Should(BeNumerically(">", 252<<10))
+		time.Sleep(200 * time.Millisecond)
+		close(out.reads)
+		Eventually(failed, "5s").Should(Receive(BeNil()))
+		Expect(out.body == events(450)).To(BeTrue())
+		Expect(t.calls).To(Equal([]string{"a", "b 400"}))
+		Expect(meter.RecentlyInterrupted(time.Now())).To(BeFalse())
+	})
+
 	// Guards against slots of endpoints, and memory, that callers occupy without reading.
 	It("ends once the caller takes nothing for the timeout while the limit is reached", func() {
 		timeout = 500 * time.Millisecond
