--- a/internal/exchange/slow_reader_test.go
+++ b/internal/exchange/slow_reader_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -73,6 +74,36 @@
 
 func (b *numberedBody) Close() error { return nil }
 
+// loadSink records the load of a target when a complete answer is written.
+type loadSink struct {
+	sink
+	meter *targetstats.Meter
+	load  int
+}
+
+func (s *loadSink) Complete(status int, header http.Header, body []byte) error {
+	s.load = s.meter.Load()
+	return s.sink.Complete(status, header, body)
+}
+
+var _ = Describe("An answer that is not streamed", func() {
+	// Guards against endpoints that count as busy while only the caller is slow.
+	It("is no load of its endpoint while it is written to the caller", func() {
+		out := &loadSink{meter: targetstats.NewMeter()}
+		view := &placement.View{Plain: map[string][]*placement.Target{"s": {{Key: "a", ID: "a", Slots: 10, Meter: out.meter}}}}
+		x := exchange.New(exchange.Dependencies{
+			View: func() *placement.View { return view }, Transport: &transport{scripts: map[string][]script{"a": {answers(200, io.EOF, "whole")}}},
+			Daemons: func() int { return 1 }, GossipDelay: func() time.Duration { return 0 }, Suspects: suspect.NewTable(suspect.Policy{}), FailedRequests: exchange.NewFailedRequests(),
+			Metrics: exchange.NewMetrics(metrics.NewSet()), Logger: slog.New(slog.DiscardHandler), BodyLimit: 100,
+		})
+		now := time.Now()
+		route := &catalog.Route{Name: "r", Kind: catalog.Unsafe, MaxAttempts: 1}
+		Expect(x.Run(context.Background(), &exchange.Request{Route: route, Service: &catalog.Service{Name: "s"}, Arrived: now, Deadline: now.Add(time.Second)}, out)).To(BeNil())
+		Expect(out.body).To(Equal("whole"))
+		Expect(out.load).To(BeZero())
+	})
+})
+
 var _ = Describe("A stream whose caller reads slowly", func() {
 	var t *transport
 	var sent atomic.Int64
