--- a/internal/exchange/dependencies.go
+++ b/internal/exchange/dependencies.go
@@ -7,6 +7,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/demand"
 	"github.com/plantainmux/plantainmux/internal/dispatch"
+	"github.com/plantainmux/plantainmux/internal/heldbytes"
 	"github.com/plantainmux/plantainmux/internal/locality"
 	"github.com/plantainmux/plantainmux/internal/overload"
 	"github.com/plantainmux/plantainmux/internal/placement"
@@ -27,15 +28,19 @@
 	// Dispatch asks the dispatcher of the data centre which target takes a request. excluded returns the
 	// keys of the targets that this daemon may not use now, and whether there are any others; nil:
 	// this daemon chooses by itself.
-	Dispatch       func(ctx context.Context, req *Request, excluded func() (keys []string, others bool)) dispatch.Outcome
-	Suspects       *suspect.Table  // requests and prompt parts that crashed endpoints
-	FailedRequests *FailedRequests // requests that ended without an answer and may be retried by their callers
-	Metrics        *Metrics
-	Logger         *slog.Logger
-	Retries        RetryBounds
-	BodyLimit      int64                          // maximum size in bytes of an answer that is buffered
-	OwnsTrial      func(trait suspect.Trait) bool // whether this daemon may let a refused request through as a trial
-	Regions        locality.Regions               // of the data centres
+	Dispatch func(ctx context.Context, req *Request, excluded func() (keys []string, others bool)) dispatch.Outcome
+	Held     *heldbytes.Account // counts and limits what is held for exchanges; nil: not limited
+	// SlowReaderTimeout is how long a caller may take nothing while the daemon holds as much of its
+	// stream as it may; 0: 10 s.
+	SlowReaderTimeout time.Duration
+	Suspects          *suspect.Table  // requests and prompt parts that crashed endpoints
+	FailedRequests    *FailedRequests // requests that ended without an answer and may be retried by their callers
+	Metrics           *Metrics
+	Logger            *slog.Logger
+	Retries           RetryBounds
+	BodyLimit         int64                          // maximum size in bytes of an answer that is buffered
+	OwnsTrial         func(trait suspect.Trait) bool // whether this daemon may let a refused request through as a trial
+	Regions           locality.Regions               // of the data centres
 	// Forwards reports whether attempts of a request that may be handled in some regions go through
 	// another daemon, as this one is cut off from the endpoints. What an attempt then takes too long
 	// for is no sign against its target; nil: never.
--- a/internal/exchange/exchanger.go
+++ b/internal/exchange/exchanger.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/plantainmux/plantainmux/internal/heldbytes"
 	"github.com/plantainmux/plantainmux/internal/locality"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 )
@@ -12,8 +15,7 @@
 // Exchanger forwards requests to endpoints.
 type Exchanger struct {
 	Dependencies
-	budgets  sync.Map // *Budget by service name
-	buffered bufferedBytes
+	budgets sync.Map // *Budget by service name
 }
 
 // New returns an Exchanger.
@@ -21,6 +23,12 @@
 	if dependencies.Forwards == nil {
 		dependencies.Forwards = func(*locality.Allowed) bool { return false }
 	}
+	if dependencies.SlowReaderTimeout == 0 {
+		dependencies.SlowReaderTimeout = defaultSlowReaderTimeout
+	}
+	if dependencies.Held == nil {
+		dependencies.Held = heldbytes.NewAccount(0, metrics.NewSet())
+	}
 	return &Exchanger{Dependencies: dependencies}
 }
 
@@ -35,7 +43,7 @@
 	r := &run{Exchanger: x, req: req, subject: suspect.Subject{Fingerprint: req.Fingerprint, Parts: req.PromptParts}, sink: sink, excluded: map[string]bool{}}
 	r.events.lastID = req.LastEvent
 	failure := r.runToCompletion(ctx)
-	if failure != nil && failure.Reason != CallerGone && failure.Reason != CrashSuspect {
+	if failure != nil && failure.Reason != CallerGone && failure.Reason != SlowReader && failure.Reason != CrashSuspect {
 		x.FailedRequests.Record(req.Fingerprint, time.Now())
 	}
 	x.report(r, failure)
--- a/internal/fakes/wire_engine_faults.go
+++ b/internal/fakes/wire_engine_faults.go
@@ -22,6 +22,13 @@
 	e.lastEvent = number
 }
 
+// PadEvents adds bytes to each event of streams that begin from now on.
+func (e *WireEngine) PadEvents(bytes int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.padding = bytes
+}
+
 // Announce makes all answers announce that the engine is leaving. Its entry stays as it is.
 func (e *WireEngine) Announce() {
 	e.mu.Lock()
--- a/internal/fakes/wire_engine_requests.go
+++ b/internal/fakes/wire_engine_requests.go
@@ -50,7 +50,7 @@
 		return
 	}
 	e.mu.Lock()
-	end := e.lastEvent
+	end, padding := e.lastEvent, strings.Repeat("x", e.padding)
 	e.mu.Unlock()
 	last, _ := strconv.Atoi(strings.TrimSpace(r.Header.Get("Last-Event-Id")))
 	for number := last + 1; number <= end; number++ {
@@ -61,7 +61,7 @@
 			<-r.Context().Done()
 			return
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", number, number)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %d%s\n\n", number, number, padding)
 		w.(http.Flusher).Flush()
 		time.Sleep(30 * time.Millisecond)
 	}
