Formation: a pause of the demand after an evacuation dissolves no groups

After a recent evacuation the demand of the last 2 s counts. If no request arrived in them, the configured shares applied at once, and groups that the demand had just called for were dissolved. The smoothed demand counts then. It is also read once for each plan, so that the log line holds what was decided by.

--- a/internal/formation/evacuation_test.go
+++ b/internal/formation/evacuation_test.go
@@ -92,6 +92,17 @@
 		Expect(s.shifts[0].ToDemand).To(Equal(315.0))
 	})
 
+	It("are not planned by the configured shares in a pause of the demand, which would dissolve groups", func() {
+		s = newDemandSite(14, 7, 4, buildFarm().perf, requests(10, 1667, 102), requests(280, 714, 150))
+		run(5*second, 1, 1)
+		evacuate("z0")
+		run(12*second, 1, 1)
+		Expect(len(s.shifts)).To(BeNumerically(">=", 2))
+		kept := s.in.Groups
+		run(2*second, 0, 0)
+		Expect(s.in.Groups.Groups).To(Equal(kept.Groups))
+	})
+
 	It("complete a change whose planner is lost after its append, and make no second one", func() {
 		evacuate("z0")
 		run(siteStep, 1, 1)
--- a/internal/formation/follow_demand.go
+++ b/internal/formation/follow_demand.go
@@ -134,7 +134,7 @@
 func (p *planner) describe(change apportion.Change, to *catalog.Model) Shift {
 	return Shift{
 		Change: change, Service: p.service.Name, Evacuation: p.evacuation(),
-		FromDemand: p.demandFor(change.From).RequestsPerS, FromCapacity: p.capacity(p.service.Model(change.From)),
-		ToDemand: p.demandFor(change.To).RequestsPerS, ToCapacity: p.capacity(to),
+		FromDemand: p.demand[change.From].RequestsPerS, FromCapacity: p.capacity(p.service.Model(change.From)),
+		ToDemand: p.demand[change.To].RequestsPerS, ToCapacity: p.capacity(to),
 	}
 }
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
+	"github.com/plantainmux/plantainmux/internal/demand"
 	"github.com/plantainmux/plantainmux/internal/ledger"
 	"github.com/plantainmux/plantainmux/internal/registry"
 )
@@ -32,6 +33,7 @@
 	groupCounts map[string]int                  // number of groups by model that count for the domain that is planned
 	counts      countedGroups
 	evacuated   evacuatedDomains
+	demand      map[string]demand.Total   // for each model, by which the groups are planned; nil: not known
 	needs       map[string]float64        // number of groups that the demand fills, by model; nil: not known
 	assigned    map[string]map[string]int // number of healthy endpoints by domain and assigned model
 }
