Groups formed after losses are no change of models

Cause: any endpoint granted to a group of another model counted as a change, so that with endpoints lost in pairs every 3 s the 10 s between changes never passed, and the members of larger groups that had broken went on serving as smaller ones. Change: only groups formed from groups that were closed for them count. The request's output estimate reaches the choice of a target.

--- a/internal/exchange/choose_target.go
+++ b/internal/exchange/choose_target.go
@@ -86,6 +86,7 @@
 		Resumed:      r.started,
 		Admitted:     r.decision.Limited,
 		PromptTokens: r.req.PromptTokens,
+		OutputTokens: r.req.OutputTokens,
 		Priority:     r.req.Priority,
 		Daemons:      r.Daemons(),
 		GossipDelay:  r.GossipDelay(),
--- a/internal/formation/shift_tracker.go
+++ b/internal/formation/shift_tracker.go
@@ -18,8 +18,8 @@
 	models map[string]string
 }
 
-// Observe records whether endpoints have been granted to a group of another model than before. What
-// happened before the first call is not known, so that it counts as a change.
+// Observe records whether groups have been formed from groups of another model. What happened
+// before the first call is not known, so that it counts as a change.
 func (t *ShiftTracker) Observe(groups *ledger.State, now time.Time) {
 	if t.models == nil {
 		t.models = map[string]string{}
@@ -27,9 +27,13 @@
 	}
 	for _, record := range groups.Groups {
 		for _, member := range record.Members {
-			if model, known := t.models[member.ID]; known && model != record.Model {
+			if model, known := t.models[member.ID]; known && model != record.Model && t.replaces(record) {
 				t.history.LastChange = now
 			}
+		}
+	}
+	for _, record := range groups.Groups {
+		for _, member := range record.Members {
 			t.models[member.ID] = record.Model
 		}
 	}
@@ -60,3 +64,14 @@
 func (t *ShiftTracker) Load() ShiftHistory {
 	return ShiftHistory{LastChange: t.history.LastChange, Paying: maps.Clone(t.history.Paying), Evacuated: t.history.Evacuated}
 }
+
+// replaces reports whether a group is formed from groups of another model that are closed for it.
+// Groups that are formed from free endpoints after losses are no such change.
+func (t *ShiftTracker) replaces(record *ledger.Record) bool {
+	for _, former := range record.Former {
+		if model, known := t.models[former.Head.ID]; former.Drain && known && model != record.Model {
+			return true
+		}
+	}
+	return false
+}
