Proofs of dispatchers, and three specs that let a break pass

A timeout of 2 s, a pause that outlasts its dispatcher, a limit that is not counted, and a dispatcher that has heard nobody passed the specs before.

--- a/internal/exchange/dispatched_test.go
+++ b/internal/exchange/dispatched_test.go
@@ -93,6 +93,15 @@
 			answer.Target, demand = "gone", overload.Demand{ByPriority: map[int]float64{0: 1e9}}
 		}, "unknown_target"),
 	)
+	It("is counted against the limit of the target, so that the next one does not exceed it", func() {
+		answer.Target = "busy"
+		past := time.Now().Add(-10 * time.Second)
+		targets[1].Limit.MarkCold(time.Now().Add(time.Minute), past)
+		targets[1].Limit.SetColdShare(0.1, past) // one request by now
+		Expect(run()).To(BeNil())
+		Expect(run()).To(BeNil())
+		Expect(sent.calls).To(Equal([]string{"busy", "idle"}))
+	})
 	It("tells the dispatcher which targets this daemon may not use", func() {
 		answer.Target = "idle"
 		targets[1].Meter.Suspect(time.Now(), time.Second)
--- a/internal/gateway/dispatch_client_test.go
+++ b/internal/gateway/dispatch_client_test.go
@@ -17,12 +17,13 @@
 var _ = Describe("A daemon whose dispatcher", func() {
 	var client *dispatchClient
 	var calls int
+	var dispatcher string
 	var respond func(ctx context.Context, answer *dispatch.Answer) error
 	ask := func() dispatch.Outcome {
 		return client.ask(context.Background(), dispatch.Call{Service: "s", Model: "m"})
 	}
 	BeforeEach(func() {
-		calls = 0
+		calls, dispatcher = 0, "hub"
 		respond = func(_ context.Context, answer *dispatch.Answer) error {
 			answer.Target = "g"
 			return nil
@@ -30,7 +31,7 @@
 		client = newDispatchClient(dispatchClientDependencies{
 			self: "self", metrics: metrics.NewSet(), logger: slog.New(slog.DiscardHandler),
 			call: func(ctx context.Context, to string, _ dispatch.Call, answer *dispatch.Answer) error {
-				Expect(to).To(Equal("hub"))
+				Expect(to).To(Equal(dispatcher))
 				calls++
 				return respond(ctx, answer)
 			},
@@ -43,17 +44,22 @@
 		Expect(ask()).To(Equal(dispatch.Outcome{Asked: true, By: "hub", Answer: dispatch.Answer{Target: "g"}}))
 	})
 	It("is frozen costs one caller the timeout and the following ones nothing, and asks the next dispatcher at once", func() {
+		healthy := respond
 		respond = func(ctx context.Context, _ *dispatch.Answer) error {
 			<-ctx.Done()
 			return &peer.LinkError{Daemon: "hub", Err: ctx.Err()}
 		}
 		started := time.Now()
 		Expect(ask().Local).To(Equal(dispatch.TimedOut))
-		Expect(time.Since(started)).To(BeNumerically("~", dispatchTimeout, 15*time.Millisecond))
+		Expect(time.Since(started)).To(BeNumerically("~", 30*time.Millisecond, 12*time.Millisecond))
 		for range 100 {
 			Expect(ask().Local).To(Equal(dispatch.Paused))
 		}
 		Expect(calls).To(Equal(1))
+		respond = healthy
+		dispatcher = "second"
+		client.follow("second")
+		Expect(ask().Answer.Target).To(Equal("g"))
 		client.follow("self")
 		Expect(ask().Answer.Target).To(Equal("own"))
 	})
--- a/internal/gossip/hubs_test.go
+++ b/internal/gossip/hubs_test.go
@@ -200,6 +200,24 @@
 		Eventually(settled, "5s", "20ms").Should(And(HavePrefix("x"), Not(Equal(first))))
 	})
 
+	It("lets no daemon dispatch before the others have had time to tell it their requests", func() {
+		alone := startDaemon("x99", "x")
+		DeferCleanup(alone.stop)
+		var batch keyed.Batch
+		for _, t := range fleet {
+			registration, err := t.Registration()
+			Expect(err).NotTo(HaveOccurred())
+			batch.Records = append(batch.Records, registration)
+		}
+		alone.Apply(batch) // the others do not know it, so that it hears of none
+		acts := func() bool {
+			_, _, acting := alone.Dispatcher(time.Now(), false)
+			return acting
+		}
+		Consistently(acts, "200ms", "10ms").Should(BeFalse())
+		Eventually(acts, "5s", "20ms").Should(BeTrue())
+	})
+
 	It("counts the state of every other daemon once and follows its changes", func() {
 		for _, t := range fleet {
 			t.count.Store(2)
