--- a/cmd/plantainmux/help.go
+++ b/cmd/plantainmux/help.go
@@ -11,7 +11,7 @@
 	"validate":   "Checks files as collect does and prints nothing of them. All that is refused is told with file, line, field and reason.",
 	"diff":       "Compares a configuration with the one in force, or two files. Exit code 7 says that they differ.",
 	"publish":    "Collects, checks and appends a configuration. It comes into force only if --base is the version in force; else the difference is told and nothing changes. A repeat of what is in force already succeeds.",
-	"status":     "Asks each daemon for its version in force, the time that it took, and each group's members and condition. Tells first what is wrong, then each data centre. A daemon that cannot be reached does not hide the others.",
+	"status":     "Asks each daemon for its version in force, the time that it took, and each group's members and condition. Tells first what is wrong, then each data centre. A daemon that cannot be reached does not hide the others. With --platform it asks daemons on a platform for evacuated data centres, cold endpoints, and the groups, demand and capacity of each model.",
 	"order":      "Shows the orders that the log keeps, asked of any daemon, and settles unclear ones by hand. A settlement is recorded with its operator and time. A key settled as not run is closed: it never runs, and the caller is told to use a new one.",
 	"reference":  "Lists every field with its unit, default and bounds.",
 	"story":      "Reads log files of daemons, as many as there are, and prints the lines of a request and what the daemons learnt meanwhile of the groups and endpoints that it was sent to, in order of time.",
--- a/internal/gateway/build.go
+++ b/internal/gateway/build.go
@@ -45,6 +45,8 @@
 		Owners:        g.owners,
 		CanWrite:      g.storeReached,
 		Demand:        g.plannedDemand,
+		PresentDemand: g.presentDemand,
+		Evacuations:   g.evacuations.InForce,
 		InProgress:    g.requestsInProgress,
 		Shifted:       g.countShift,
 		ExpectChange:  g.expectEntries,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -153,8 +153,6 @@
 	g.buildFollowers()
 	g.registerAgeGauges()
 	g.buildReconciler()
-	g.reconciler.Evacuations = g.evacuations.InForce
-	g.reconciler.PresentDemand = g.presentDemand
 	g.buildDispatch()
 	g.buildRequestPath()
 	adapters.Notices.Subscribe(g.applyNotice)
