--- a/internal/exchange/event_buffer.go
+++ b/internal/exchange/event_buffer.go
@@ -23,14 +23,18 @@
 // add appends received bytes and returns the events that are now complete, nil if
 // there are none. Later calls do not overwrite the result.
 func (e *eventBuffer) add(data []byte) ([]byte, error) {
+	// What was buffered holds no end of an event, but may end with its first byte. Searching all of it
+	// for each read took seconds for an event without end.
+	from := max(len(e.buffer)-len(eventEnd)+1, 0)
 	e.buffer = append(e.buffer, data...)
-	end := bytes.LastIndex(e.buffer, eventEnd)
+	end := bytes.LastIndex(e.buffer[from:], eventEnd)
 	if end < 0 && len(e.buffer) > maxEventBytes {
 		return nil, &EventTooLargeError{Limit: maxEventBytes}
 	}
 	if end < 0 {
 		return nil, nil
 	}
+	end += from
 	complete := e.buffer[:end+len(eventEnd)]
 	if err := e.checkIDs(complete); err != nil {
 		return nil, err
