--- a/internal/placement/summary.go
+++ b/internal/placement/summary.go
@@ -9,6 +9,7 @@
 	Suspected int // of those down, targets that did not fail here but are suspected of being silent
 	LeastLoad int // requests in progress at the least loaded of the others
 	Slots     int // slots of that target
+	Prefill   int // prompt tokens that wait for prefill at the target where the fewest do
 }
 
 // Summarize summarises the targets at now.
@@ -24,6 +25,9 @@
 			}
 			continue
 		}
+		if tokens := target.Meter.PrefillTokens(); summary.Slots == 0 || tokens < summary.Prefill {
+			summary.Prefill = tokens
+		}
 		if load := target.Meter.Load(); summary.Slots == 0 || load < summary.LeastLoad {
 			summary.LeastLoad, summary.Slots = load, target.Slots
 		}
