Read the view again after a dispatcher was asked

The call takes up to 20 ms, in which a data centre may have been evacuated: the target was looked up in the view of before. The spec of an evacuation during the call fails without the change; exchange is green with -race.

--- a/internal/exchange/choose_target.go
+++ b/internal/exchange/choose_target.go
@@ -22,8 +22,13 @@
 	}
 	view := r.View()
 	targets := view.Targets(r.req.Service.Name, r.req.Model)
-	if r.askDispatcher(ctx, targets) {
+	answered := r.askDispatcher(ctx, targets)
+	if r.dispatch.Asked && r.attempts == 0 { // the call takes time, in which a data centre may have been evacuated
 		now = time.Now()
+		view = r.View()
+		targets = view.Targets(r.req.Service.Name, r.req.Model)
+	}
+	if answered {
 		target, failure := r.applyAnswer(targets, now)
 		if target != nil || failure != nil {
 			r.summary = placement.Summarize(targets, now)
--- a/internal/exchange/dispatched_test.go
+++ b/internal/exchange/dispatched_test.go
@@ -24,6 +24,7 @@
 	var answer dispatch.Answer
 	var local dispatch.LocalReason
 	var asked int
+	var meanwhile func() // what happens while the dispatcher is asked
 	var excluded []string
 	var lastEvent string
 	var demand overload.Demand
@@ -33,12 +34,14 @@
 	var set *metrics.Set
 	run := func() *exchange.Failure {
 		set, logged = metrics.NewSet(), &strings.Builder{}
-		view := &placement.View{Groups: map[string]map[string][]*placement.Target{"s": {"m": targets}}}
 		x := exchange.New(exchange.Dependencies{
-			View: func() *placement.View { return view }, Transport: sent, Daemons: func() int { return 20 }, GossipDelay: func() time.Duration { return 300 * time.Millisecond },
+			View: func() *placement.View {
+				return &placement.View{Groups: map[string]map[string][]*placement.Target{"s": {"m": targets}}}
+			}, Transport: sent, Daemons: func() int { return 20 }, GossipDelay: func() time.Duration { return 300 * time.Millisecond },
 			Demand: func(string, string) overload.Demand { return demand },
 			Dispatch: func(_ context.Context, _ *exchange.Request, unusable func() ([]string, bool)) dispatch.Outcome {
 				asked++
+				meanwhile()
 				excluded, _ = unusable()
 				return dispatch.Outcome{Asked: true, By: "hub", Answer: answer, Local: local}
 			},
@@ -61,6 +64,7 @@
 		return text.String()
 	}
 	BeforeEach(func() {
+		meanwhile = func() {}
 		answer, local, asked, excluded, lastEvent, demand = dispatch.Answer{}, "", 0, nil, "", overload.Demand{}
 		targets, sent = nil, &transport{scripts: map[string][]script{}}
 		for i, key := range []string{"idle", "busy"} {
@@ -87,6 +91,7 @@
 	},
 		Entry("no answer", func() { local = dispatch.TimedOut }, "timeout"),
 		Entry("unknown target", func() { answer.Target = "gone" }, "unknown_target"),
+		Entry("target of a data centre that is evacuated meanwhile", func() { meanwhile = func() { targets = targets[:1] } }, "unknown_target"),
 		Entry("suspected target", func() { targets[1].Meter.Suspect(time.Now(), time.Second) }, "unusable_target"),
 		Entry("target that takes no request of this daemon", func() { targets[1].Limit.Observe(0, time.Now()) }, "unusable_target"),
 		Entry("unusable target of an admitted request, although this daemon would admit none", func() {
