Resume a stream before events that were dropped

If one read brought events 5, 6 and 8 after 4, none was forwarded, but the next attempt resumed after 6, so that the caller's answer looked complete without 5 and 6.

--- a/internal/exchange/event_buffer.go
+++ b/internal/exchange/event_buffer.go
@@ -36,7 +36,9 @@
 	}
 	end += from
 	complete := e.buffer[:end+len(eventEnd)]
+	previous := e.lastID
 	if err := e.checkIDs(complete); err != nil {
+		e.lastID = previous // none of them is forwarded, so that the stream resumes before the first one
 		return nil, err
 	}
 	rest := e.buffer[end+len(eventEnd):]
