--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -79,9 +79,9 @@
 		b, stopB := start("b", "z", 1)
 		defer stopA()
 		Expect(a.HearsMajority(time.Now())).To(BeFalse(), "no other daemon is registered yet, as at a start")
-		register(a, b)
-		register(b, a)
+		register(a, b) // b does not send to a before it knows it
 		Expect(a.HearsMajority(time.Now())).To(BeFalse(), "b is not heard yet")
+		register(b, a)
 		told := []demand.Report{{Key: 4, Priority: 1, RequestsPerS: 2}}
 		Eventually(func() []demand.Report { return a.Demand(time.Now()) }, "3s").Should(Equal(told))
 		Expect(a.HearsMajority(time.Now())).To(BeTrue())
