Dispatchers decline for daemons that they do not hear; refusals are reviewed

Found in review. A daemon that receives no datagrams counted as the first hub, and placed for all without knowing any load. A refusal of a dispatcher that knew fewer than three quarters of the groups that the asking daemon can use, or that left out groups whose streams had just broken, was final. A prompt length of 2^63 made a group look idle. A late failure of the previous dispatcher, or a caller's own deadline, paused dispatching. The memory of groups was not looked at. NaN in a report refused a class until a restart.

--- a/internal/dispatch/accumulators.go
+++ b/internal/dispatch/accumulators.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "math"
+
 // firstSum is the sum with which a pair of priority and team begins: of a fraction of one half or
 // more, its first request is admitted.
 const firstSum = 0.5
@@ -14,6 +16,9 @@
 	if a.sums == nil {
 		a.sums = map[class]float64{}
 	}
+	if math.IsNaN(fraction) {
+		return true
+	}
 	key := class{priority: priority, team: team}
 	sum, known := a.sums[key]
 	if !known {
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -13,6 +13,8 @@
 	Load     float64 `cbor:"7,keyasint,omitempty"`
 	Demand   float64 `cbor:"8,keyasint,omitempty"`
 	Capacity float64 `cbor:"9,keyasint,omitempty"`
+
+	Groups int `cbor:"10,keyasint,omitempty"` // that the answer rests on; 0: not told
 }
 
 // Outcome returns the kind of the answer, for metrics.
--- a/internal/dispatch/local_reason.go
+++ b/internal/dispatch/local_reason.go
@@ -14,6 +14,8 @@
 	NoneUsable   LocalReason = "none_usable"    // the daemon knows of no healthy target
 	UnknownKey   LocalReason = "unknown_target" // the daemon does not know the target of the answer
 	Unusable     LocalReason = "unusable_target"
+	FewerGroups  LocalReason = "fewer_groups" // a refusal that rests on fewer groups than the daemon can use
+	Interrupted  LocalReason = "interrupted"  // groups without room, while others had streams that broke
 )
 
 // Declined returns the reason of a call that was declined.
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -14,6 +14,10 @@
 	// received. A daemon reports every 0.1 s; after six lost reports it is assumed to be gone.
 	assignmentMaxAge = 600 * time.Millisecond
 
+	// ReportTimeout is the age of the latest report of a daemon from which on a dispatcher does not
+	// choose for it: it does not hear the daemons then, and knows no loads. Daemons report every 0.1 s.
+	ReportTimeout = time.Second
+
 	// promptWindow is how long the prompt of an assignment counts at its target: about the two
 	// passes for which it waits and is read. Reports of prompts that wait are older than that. In
 	// trials of the simulation of long prompts, the goodput on the wave was 0.917, 0.950, 0.950, 0.969,
--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -34,6 +34,15 @@
 	return r.decision.Admit
 }
 
+// refusedUnderOverload returns the failure of a request that is not admitted.
+func (r *run) refusedUnderOverload() *Failure {
+	failure := r.fail(Overloaded, nil)
+	if after := r.decision.RetryAfter; after > 0 {
+		failure.RetryAfter = after
+	}
+	return failure
+}
+
 func (r *run) teamClass() TeamClass {
 	return TeamClass{Service: r.req.Service.Name, Model: r.req.Model, Priority: r.req.Priority, Team: r.req.Team, Late: r.req.Late}
 }
--- a/internal/exchange/choose_target.go
+++ b/internal/exchange/choose_target.go
@@ -36,11 +36,7 @@
 		}
 	} else if !r.admit(targets, now) {
 		r.summary = placement.Summarize(targets, now)
-		failure := r.fail(Overloaded, nil)
-		if after := r.decision.RetryAfter; after > 0 {
-			failure.RetryAfter = after
-		}
-		return nil, failure
+		return nil, r.refusedUnderOverload()
 	}
 	target, reason := r.place(targets, view.Evacuates(r.req.Service.Name, r.req.Model), now)
 	r.summary = placement.Summarize(targets, now)
--- a/internal/exchange/dispatched.go
+++ b/internal/exchange/dispatched.go
@@ -29,7 +29,8 @@
 }
 
 // applyAnswer does what the dispatcher has answered. It returns neither a target nor a failure if
-// what this daemon knows of the target forbids it; the request stays admitted then.
+// this daemon chooses by itself: what it knows of the target forbids it, or it knows of groups that
+// a refusal leaves out. The request stays admitted then.
 func (r *run) applyAnswer(targets []*placement.Target, now time.Time) (*placement.Target, *Failure) {
 	answer := r.dispatch.Answer
 	r.decision = overload.Decision{
@@ -37,10 +38,8 @@
 	}
 	r.Metrics.decided(modelKey{r.req.Service.Name, r.req.Model}, r.decision)
 	switch answer.Refused {
-	case dispatch.Overload:
-		return nil, r.refusedByDispatcher(Overloaded)
-	case dispatch.NoRoom:
-		return nil, r.refusedByDispatcher(NoCapacity)
+	case dispatch.Overload, dispatch.NoRoom:
+		return nil, r.reviewRefusal(targets, now)
 	default:
 	}
 	found := slices.IndexFunc(targets, func(target *placement.Target) bool { return target.Key == answer.Target })
@@ -56,6 +55,34 @@
 	return target, nil
 }
 
+// refusalReasons are the reasons of requests that a dispatcher refuses.
+var refusalReasons = map[dispatch.Refusal]Reason{dispatch.Overload: Overloaded, dispatch.NoRoom: NoCapacity}
+
+// knownGroupsShare is the share of the groups that this daemon can use on which a refusal must rest:
+// with fewer, the dispatcher has failures or an old view of its own. Daemons differ in single groups
+// at any time.
+const knownGroupsShare = 0.75
+
+// reviewRefusal returns the failure of a request that the dispatcher refuses, nil if this daemon
+// knows of groups that the refusal leaves out and admits the request.
+func (r *run) reviewRefusal(targets []*placement.Target, now time.Time) *Failure {
+	answer := r.dispatch.Answer
+	usable := len(placement.Usable(targets, r.requirements(now)))
+	if answer.Groups > 0 && float64(answer.Groups) < knownGroupsShare*float64(usable) {
+		r.dispatch.Local = dispatch.FewerGroups
+		if r.admit(targets, now) {
+			return nil
+		}
+		return r.refusedUnderOverload()
+	}
+	interrupted := func(target *placement.Target) bool { return target.Meter.RecentlyInterrupted(now) }
+	if answer.Refused == dispatch.NoRoom && slices.ContainsFunc(targets, interrupted) {
+		r.dispatch.Local = dispatch.Interrupted // they have room, and are used once the healthy ones are full
+		return nil
+	}
+	return r.refusedByDispatcher(refusalReasons[answer.Refused])
+}
+
 func (r *run) refusedByDispatcher(reason Reason) *Failure {
 	failure := r.fail(reason, nil)
 	if millis := r.dispatch.Answer.RetryAfterMS; millis > 0 {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -82,6 +82,8 @@
 	switch {
 	case g.stopping.Load():
 		return dispatch.Stopping
+	case !g.synced():
+		return dispatch.NotDispatcher // its view may lack groups
 	case g.endpoints.Lost():
 		return dispatch.CutOff
 	default:
--- a/internal/gateway/dispatch_client.go
+++ b/internal/gateway/dispatch_client.go
@@ -90,12 +90,16 @@
 		outcome.Local = dispatch.Paused
 		return outcome
 	default:
-		ctx, cancel := context.WithTimeout(ctx, dispatchTimeout)
+		limited, cancel := context.WithTimeout(ctx, dispatchTimeout)
 		defer cancel()
-		err := c.call(ctx, outcome.By, call, &outcome.Answer)
+		err := c.call(limited, outcome.By, call, &outcome.Answer)
 		c.took.UpdateDuration(now)
+		if err != nil && ctx.Err() != nil {
+			outcome.Local = dispatch.CallFailed // the caller is gone or its time is over, which shows nothing about the dispatcher
+			return outcome
+		}
 		if err != nil {
-			outcome.Local = c.failed(ctx, outcome.By, err)
+			outcome.Local = c.failed(limited, outcome.By, err)
 			return outcome
 		}
 	}
@@ -111,8 +115,6 @@
 	var unknown *peer.UnknownMethodError
 	reason := dispatch.CallFailed
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
-		return reason // the caller is gone, which shows nothing about the dispatcher
 	case errors.As(err, &unreachable):
 		return dispatch.NoLink // known at once
 	case errors.As(err, &unknown):
@@ -120,6 +122,9 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		reason = dispatch.TimedOut
 	}
+	if *c.current.Load() != dispatcher {
+		return reason // another one has replaced it
+	}
 	c.pausedUntil.Store(time.Now().Add(dispatchPause).UnixNano())
 	c.logger.Info("dispatcher not asked for a time", "dispatcher", dispatcher, "reason", reason, "pause_ms", dispatchPause.Milliseconds(), "error", err)
 	return reason
--- a/internal/gateway/dispatch_decision.go
+++ b/internal/gateway/dispatch_decision.go
@@ -20,6 +20,9 @@
 	"github.com/plantainmux/plantainmux/internal/placement"
 )
 
+// maxPromptTokens bounds the length of a prompt, which a caller states, as in the counts of demand.
+const maxPromptTokens = 1 << 20
+
 type dispatcherDependencies struct {
 	self       string // name of this daemon
 	dataCentre string
@@ -43,6 +46,7 @@
 	mu           sync.Mutex
 	table        dispatch.Table
 	loads        map[uint32]gossip.Load // of the other daemons, as last reviewed
+	heardAt      map[string]time.Time   // when the latest report of each daemon came
 	reviewed     bool                   // loads have been read since this daemon became the dispatcher
 	accumulators map[dispatchModel]*dispatch.Accumulators
 	teams        demand.Counter // requests by team, of the data centre
@@ -67,7 +71,7 @@
 	loads, receivedAt := d.reported(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.loads, d.reviewed = loads, true
+	d.loads, d.heardAt, d.reviewed = loads, receivedAt, true
 	d.table.Review(receivedAt, now)
 }
 
@@ -96,11 +100,16 @@
 	if !d.acting.Load() || !d.reviewed {
 		return dispatch.Answer{Declined: dispatch.NotDispatcher}
 	}
+	if from != d.self && now.Sub(d.heardAt[from]) > dispatch.ReportTimeout {
+		return dispatch.Answer{Declined: dispatch.NoReport}
+	}
 	assigned := d.table.Assigned(now)
 	load := func(target *placement.Target) int {
 		return target.Meter.InFlight() + d.loads[gossip.HashKey(target.Key)].Count + assigned[target.Key].Requests
 	}
+	call.PromptTokens = min(max(call.PromptTokens, 0), maxPromptTokens)
 	answer, admitted := d.admit(service, model, call, exchange.OverloadTargets(targets, service.ColdPerS, load, now), now)
+	answer.Groups = len(usable)
 	if !admitted {
 		return answer
 	}
@@ -134,7 +143,9 @@
 // usable returns the targets that may take a request. The daemon that asks keeps to the limits of
 // its own share, and names the targets that it may not use.
 func (d *dispatcher) usable(targets []*placement.Target, call dispatch.Call, now time.Time) []*placement.Target {
-	usable := placement.Usable(targets, placement.Requirements{Grouped: true, Forwarded: true, Allowed: call.Allowed, Regions: d.regions, Now: now})
+	usable := placement.Usable(targets, placement.Requirements{
+		Grouped: true, Forwarded: true, PromptTokens: call.PromptTokens, OutputTokens: call.OutputTokens, Allowed: call.Allowed, Regions: d.regions, Now: now,
+	})
 	return slices.DeleteFunc(usable, func(target *placement.Target) bool { return slices.Contains(call.Excluded, target.Key) })
 }
 
--- a/internal/gateway/dispatch_decision_test.go
+++ b/internal/gateway/dispatch_decision_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -39,7 +40,7 @@
 	}
 	load := func(count int) gossip.Load { return gossip.Load{Count: count} }
 	BeforeEach(func() {
-		declined, loads, receivedAt, demand, targets = "", map[uint32]gossip.Load{}, map[string]time.Time{}, 0, nil
+		declined, loads, receivedAt, demand, targets = "", map[uint32]gossip.Load{}, map[string]time.Time{"n": now}, 0, nil
 		for i := range 3 {
 			key := fmt.Sprintf("g%d", i)
 			targets = append(targets, &placement.Target{Key: key, ID: key, DataCentre: "z", Slots: 10, Group: key, Meter: targetstats.NewMeter()})
@@ -86,6 +87,24 @@
 		Expect(answer.Limited).To(BeTrue())
 		Expect(answer.Load).To(Equal(27.0))
 	})
+	It("does not choose for a daemon that it does not hear", func() {
+		delete(receivedAt, "n")
+		d.review(now)
+		Expect(d.answer("n", call, now).Declined).To(Equal(dispatch.NoReport))
+		receivedAt["n"] = now.Add(-dispatch.ReportTimeout / 2)
+		d.review(now)
+		Expect(d.answer("n", call, now).Target).NotTo(BeEmpty())
+	})
+	It("bounds the length of a prompt that a caller states", func() {
+		d.review(now)
+		call := call
+		call.PromptTokens = math.MaxInt
+		Expect(d.answer("n", call, now).Target).NotTo(BeEmpty())
+		call.PromptTokens = 100
+		for range 5 {
+			Expect(d.answer("n", call, now).Target).NotTo(BeEmpty())
+		}
+	})
 	It("names no target that the daemon may not use, that is suspected, or that is full", func() {
 		call := call
 		call.Excluded = []string{"g0"}
--- a/internal/placement/usable.go
+++ b/internal/placement/usable.go
@@ -1,7 +1,10 @@
 package placement
 
-// Usable returns the targets that may take a request and have no known problem. Whether they have
-// capacity is left to the caller.
+import "slices"
+
+// Usable returns the targets that may take a request, have no known problem and hold it in their
+// memory. Whether they have slots is left to the caller.
 func Usable(targets []*Target, requirements Requirements) []*Target {
-	return filter(InAllowedRegions(targets, requirements), requirements).healthy
+	healthy := filter(InAllowedRegions(targets, requirements), requirements).healthy
+	return slices.DeleteFunc(healthy, func(target *Target) bool { return !hasMemory(target, requirements) })
 }
