Slow readers: judge endpoints by when their answers ended

Found in review. The success of an answer that a slow caller took seconds later set the last event of its target back and cleared later failures; failures were recorded when the caller had taken the rest; a stream that was held back made others look silent; a blocked write counted as a gap. Requests are moved only where their own lengths and regions allow.

--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -110,7 +110,7 @@
 
 // recordFailure updates the health of the target after a failed attempt.
 func (r *run) recordFailure(target *placement.Target, err error) {
-	now := time.Now()
+	now := r.answeredAt // a slow caller may have taken what was read before the failure only now
 	var notRun *NotRunError
 	var notSent *NotSentError
 	var broken *BrokenError
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -180,6 +180,7 @@
 // readOn reads the answer to its end, as long as there is room for its events.
 func (s *stream) readOn() {
 	defer close(s.readOnDone)
+	s.last = time.Now() // the blocked write is no gap of the endpoint's
 	stop := context.AfterFunc(s.ctx, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -235,8 +236,8 @@
 		return true
 	}
 	s.fullSince, s.run.heldBack = time.Now(), true
-	s.target.Meter.HoldBack()
-	defer s.target.Meter.ReadOn()
+	s.target.Meter.HoldBack(s.fullSince)
+	defer func() { s.target.Meter.ReadOn(time.Now()) }()
 	defer func() {
 		s.fullSince, s.last = time.Time{}, time.Now() // the pause is no gap of the endpoint's
 		s.watch.recordEvent(s.last)
--- a/internal/exchange/watchdog.go
+++ b/internal/exchange/watchdog.go
@@ -120,8 +120,12 @@
 
 // hasOther reports whether another target can accept the request.
 func (w *watchdog) hasOther(now time.Time) bool {
-	targets := w.run.View().Targets(w.run.req.Service.Name, w.run.req.Model)
-	other, _ := placement.Pick(targets, placement.Requirements{Grouped: w.run.req.Service.Grouped(), Resumed: true, Excluded: w.failed, Now: now})
+	req := w.run.req
+	targets := w.run.View().Targets(req.Service.Name, req.Model)
+	other, _ := placement.Pick(targets, placement.Requirements{
+		Grouped: req.Service.Grouped(), Resumed: true, Excluded: w.failed, PromptTokens: req.PromptTokens, OutputTokens: req.OutputTokens,
+		Allowed: req.Allowed, Regions: w.run.Regions, Now: now,
+	})
 	return other != nil
 }
 
--- a/internal/targetstats/health.go
+++ b/internal/targetstats/health.go
@@ -29,9 +29,11 @@
 }
 
 // ObserveSuccess records a complete answer.
-func (m *Meter) ObserveSuccess(now time.Time) {
-	m.lastEvent.Store(now.UnixNano())
-	if m.failures.Load() != 0 {
+func (m *Meter) ObserveSuccess(at time.Time) {
+	if at.UnixNano() > m.lastEvent.Load() {
+		m.lastEvent.Store(at.UnixNano())
+	}
+	if m.failures.Load() != 0 && m.failedAt.Load() <= at.UnixNano() {
 		m.failures.Store(0)
 	}
 }
--- a/internal/targetstats/meter.go
+++ b/internal/targetstats/meter.go
@@ -60,11 +60,17 @@
 func (m *Meter) End() { m.inFlight.Add(-1) }
 
 // HoldBack records that an answer is not read until ReadOn is called, so that silence of the target
-// cannot be seen by it.
-func (m *Meter) HoldBack() { m.heldBack.Add(1) }
+// cannot be seen by it. The others are judged anew, as they may have had no event yet.
+func (m *Meter) HoldBack(now time.Time) {
+	m.heldBack.Add(1)
+	m.busySince.Store(now.UnixNano())
+}
 
 // ReadOn records that the answer is read again, or that its request is over.
-func (m *Meter) ReadOn() { m.heldBack.Add(-1) }
+func (m *Meter) ReadOn(now time.Time) {
+	m.busySince.Store(now.UnixNano())
+	m.heldBack.Add(-1)
+}
 
 // InFlight returns the number of requests in progress through this daemon.
 func (m *Meter) InFlight() int { return int(m.inFlight.Load()) }
