--- a/internal/gateway/evacuations.go
+++ b/internal/gateway/evacuations.go
@@ -10,7 +10,7 @@
 
 func (g *Gateway) buildEvacuations() {
 	g.evacuations = evacuation.NewSet(g.adapters.Topics.EvacuationPrefix)
-	g.metrics.NewGauge(`plantainmux_evacuated_data_centres`, func() float64 { return float64(g.evacuations.Count()) })
+	g.metrics.NewGauge(`plantainmux_evacuated_data_centres`, func() float64 { return float64(g.evacuatedInView.Load()) })
 }
 
 // applyEvacuations applies a batch of the operators' topic. It is called before the configuration
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,38 +48,39 @@
 	metrics  *metrics.Set
 	started  time.Time
 
-	catalogs       catalog.Store
-	registry       *registry.Registry
-	ledger         *ledger.Ledger
-	meters         *targetstats.Meters
-	holds          *targetstats.Holds
-	view           atomic.Pointer[placement.View]
-	viewMu         sync.Mutex // held while a view is built, so that none replaces one of later knowledge
-	reconciler     *formation.Reconciler
-	gossip         *gossip.Gossip
-	exchanger      *exchange.Exchanger
-	held           *heldbytes.Account // for exchanges
-	endpoints      *forward.Router
-	mesh           *peer.Network // links to the daemons through which this one forwards, and to those that forward through it
-	meshStart      sync.Once
-	paths          *forward.LinkPool
-	dispatcher     *dispatcher
-	dispatchClient *dispatchClient
-	forwardersNow  atomic.Pointer[forwarders] // daemons through which this one forwards while it is cut off
-	forwardersAt   time.Time                  // when they were chosen; by the housekeeping alone
-	addressOf      atomic.Pointer[map[string]string]
-	suspects       *suspect.Table
-	refusedParts   map[uint64]int // as last logged; by the housekeeping alone
-	failedRequests *exchange.FailedRequests
-	demand         demand.Counter                  // of this daemon
-	fleetDemand    atomic.Pointer[[]demand.Report] // of all daemons, this one included
-	smoothedDemand *demand.Tracker
-	demandKnown    atomic.Bool // this daemon hears from enough others to plan by their demand
-	suspicions     suspicions
-	limits         *targetstats.Limits
-	evacuations    *evacuation.Set
-	cold           *coldEndpoints
-	registeredAt   atomic.Pointer[time.Time] // when the store first accepted this daemon's registration; nil: not yet
+	catalogs        catalog.Store
+	registry        *registry.Registry
+	ledger          *ledger.Ledger
+	meters          *targetstats.Meters
+	holds           *targetstats.Holds
+	view            atomic.Pointer[placement.View]
+	viewMu          sync.Mutex // held while a view is built, so that none replaces one of later knowledge
+	reconciler      *formation.Reconciler
+	gossip          *gossip.Gossip
+	exchanger       *exchange.Exchanger
+	held            *heldbytes.Account // for exchanges
+	endpoints       *forward.Router
+	mesh            *peer.Network // links to the daemons through which this one forwards, and to those that forward through it
+	meshStart       sync.Once
+	paths           *forward.LinkPool
+	dispatcher      *dispatcher
+	dispatchClient  *dispatchClient
+	forwardersNow   atomic.Pointer[forwarders] // daemons through which this one forwards while it is cut off
+	forwardersAt    time.Time                  // when they were chosen; by the housekeeping alone
+	addressOf       atomic.Pointer[map[string]string]
+	suspects        *suspect.Table
+	refusedParts    map[uint64]int // as last logged; by the housekeeping alone
+	failedRequests  *exchange.FailedRequests
+	demand          demand.Counter                  // of this daemon
+	fleetDemand     atomic.Pointer[[]demand.Report] // of all daemons, this one included
+	smoothedDemand  *demand.Tracker
+	demandKnown     atomic.Bool // this daemon hears from enough others to plan by their demand
+	suspicions      suspicions
+	limits          *targetstats.Limits
+	evacuations     *evacuation.Set
+	evacuatedInView atomic.Int32 // evacuated data centres that the view leaves out
+	cold            *coldEndpoints
+	registeredAt    atomic.Pointer[time.Time] // when the store first accepted this daemon's registration; nil: not yet
 
 	store              *keyed.ReachabilityTracker
 	storeCalls         *storeCalls
@@ -237,7 +238,9 @@
 		return false
 	}
 	g.cold.observe(g.registry.Load(), current.Services, g.trafficSeen.Load() || g.requested.Load(), time.Now())
+	evacuated := g.evacuations.Count()
 	g.view.Store(placement.Build(current, g.registry.Load(), g.ledger.Load(), g.meters, placement.Announced{Holds: g.holds, Limits: g.limits}, g.evacuations.Evacuated))
+	g.evacuatedInView.Store(int32(evacuated))
 	return true
 }
 
