--- a/internal/gateway/dispatch_client.go
+++ b/internal/gateway/dispatch_client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,14 +24,6 @@
 	dispatchPause = 500 * time.Millisecond
 )
 
-type dispatchClientDependencies struct {
-	self    string // name of this daemon
-	call    func(ctx context.Context, to string, call dispatch.Call, answer *dispatch.Answer) error
-	local   func(from string, call dispatch.Call, now time.Time) dispatch.Answer // of this daemon's own dispatcher
-	metrics *metrics.Set
-	logger  *slog.Logger
-}
-
 // dispatchClient asks the dispatcher of the data centre. It is safe for concurrent use.
 type dispatchClient struct {
 	dispatchClientDependencies
@@ -43,8 +34,6 @@
 	pausedUntil atomic.Int64           // Unix nanoseconds
 }
 
-type dispatchModel struct{ service, model string }
-
 func newDispatchClient(dependencies dispatchClientDependencies) *dispatchClient {
 	c := &dispatchClient{dispatchClientDependencies: dependencies, took: dependencies.metrics.NewHistogram("plantainmux_dispatch_call_seconds")}
 	c.current.Store(new(string))
--- /dev/null
+++ b/internal/gateway/dispatch_client_dependencies.go
@@ -0,0 +1,20 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/plantainmux/plantainmux/internal/dispatch"
+)
+
+// dispatchClientDependencies are the collaborators of a dispatchClient.
+type dispatchClientDependencies struct {
+	self    string // name of this daemon
+	call    func(ctx context.Context, to string, call dispatch.Call, answer *dispatch.Answer) error
+	local   func(from string, call dispatch.Call, now time.Time) dispatch.Answer // of this daemon's own dispatcher
+	metrics *metrics.Set
+	logger  *slog.Logger
+}
