--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -57,6 +57,23 @@
 		Expect(nodes[0].Live()).To(HaveLen(1))
 	})
 
+	// A daemon may be stopped while its mesh starts: tasks that begin then are not waited for.
+	It("are never begun by a mesh that is closed while it starts", func() {
+		for i := range 1500 {
+			n, err := NewNetwork(Options{Self: "north-0", DataCentre: "north", Secret: testSecret, Addresses: []Address{{HostPort: "127.0.0.1:1", DataCentre: "north"}}})
+			Expect(err).NotTo(HaveOccurred())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				n.Run()
+			}()
+			for began := time.Now(); time.Since(began) < time.Duration(i%100)*time.Microsecond; {
+			}
+			n.Close()
+			Eventually(done, eventuallyTimeout).Should(BeClosed())
+		}
+	})
+
 	It("are closed when silent and dialled again", func() {
 		gate := newGate()
 		nodes := startNodes(func(_ int, o *Options) { o.Dial = gate.dial }, "north", "north")
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -33,9 +33,10 @@
 	sequence     atomic.Uint64
 	rotation     atomic.Uint64
 
-	ctx    context.Context
-	cancel context.CancelFunc
-	tasks  sync.WaitGroup
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
+	starting sync.Mutex // between the start of a task and the cancellation of ctx
 
 	mu             sync.Mutex
 	links          map[fleet.DaemonID]*link // in use, one for each daemon
--- a/internal/peer/run.go
+++ b/internal/peer/run.go
@@ -12,23 +12,32 @@
 
 // Run maintains the links until Close is called.
 func (n *Network) Run() {
-	n.tasks.Go(n.checkLoop)
+	n.begin(n.checkLoop)
 	otherDataCentres := map[fleet.DataCentre][]string{}
 	for _, address := range n.options.Addresses {
 		if address.DataCentre == n.options.DataCentre {
-			n.tasks.Go(func() { n.dialLoop(n.ctx, address) })
+			n.begin(func() { n.dialLoop(n.ctx, address) })
 			continue
 		}
 		otherDataCentres[address.DataCentre] = append(otherDataCentres[address.DataCentre], address.HostPort)
 	}
 	for to, addresses := range otherDataCentres {
 		if n.options.DataCentre < to {
-			n.tasks.Go(func() { n.relayLoop(n.ctx, to, addresses) })
+			n.begin(func() { n.relayLoop(n.ctx, to, addresses) })
 		}
 	}
 	n.tasks.Wait()
 }
 
+// begin starts a task of Run, unless the mesh is closed: Close waits only for tasks that began before.
+func (n *Network) begin(task func()) {
+	n.starting.Lock()
+	defer n.starting.Unlock()
+	if n.ctx.Err() == nil {
+		n.tasks.Go(task)
+	}
+}
+
 // checkLoop periodically checks all links. One timer serves all of them.
 func (n *Network) checkLoop() {
 	ticker := time.NewTicker(n.options.checkPeriod())
@@ -114,7 +123,9 @@
 
 // Close ends every link at once.
 func (n *Network) Close() {
+	n.starting.Lock()
 	n.cancel()
+	n.starting.Unlock()
 	n.tasks.Wait()
 	n.pool.StopAndWait()
 }
