Groups count as slow only by gaps that were measured of late

Cause: the mean gap of a group begins at 70 ms, of which little is left only after the daemon's own streams, and stays after them; a dispatcher carries one in 29 of its data centre's requests, so that groups which have just formed count as slow by 2.3 and get fewer requests yet. Dispatchers and the decision under overload now go by gaps of the last 2 s, ten at least, and take other groups for sound. The new specs fail on the decision before (2 of 2). Daemons that choose by themselves are unchanged.

--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -64,7 +64,7 @@
 		if coldPerS > 0 && target.Limit.Cold(now) && (limit == 0 || coldPerS < limit) {
 			limit = coldPerS
 		}
-		usable = append(usable, overload.Target{Load: load(target), MeanGap: meter.MeanGap(), MaxRate: limit})
+		usable = append(usable, overload.Target{Load: load(target), MeanGap: meter.RecentGap(now), MaxRate: limit})
 	}
 	return usable
 }
--- a/internal/gateway/dispatch_decision.go
+++ b/internal/gateway/dispatch_decision.go
@@ -116,7 +116,7 @@
 	in := dispatch.Input{Performance: service.Performance, Model: model, PromptTokens: call.PromptTokens, Late: call.Late, Admitted: answer.Limited}
 	for _, target := range usable {
 		in.Targets = append(in.Targets, dispatch.Target{
-			Local: target.DataCentre == d.dataCentre, Slots: target.Slots, Load: load(target), PromptTokens: assigned[target.Key].PromptTokens, MeanGap: target.Meter.MeanGap(),
+			Local: target.DataCentre == d.dataCentre, Slots: target.Slots, Load: load(target), PromptTokens: assigned[target.Key].PromptTokens, MeanGap: target.Meter.RecentGap(now),
 		})
 	}
 	chosen := dispatch.Choose(in)
--- a/internal/gateway/dispatch_decision_test.go
+++ b/internal/gateway/dispatch_decision_test.go
@@ -87,6 +87,26 @@
 		Expect(answer.Limited).To(BeTrue())
 		Expect(answer.Load).To(Equal(27.0))
 	})
+	DescribeTable("takes no group for slow of which it has measured nothing of late", func(measure func(*targetstats.Meter)) {
+		stream := func(meter *targetstats.Meter, gap time.Duration, until time.Time) {
+			for i := range 20 {
+				meter.ObserveEvent(until.Add(time.Duration(i-20)*gap), gap)
+			}
+		}
+		stream(targets[1].Meter, 30*time.Millisecond, now)
+		stream(targets[2].Meter, 30*time.Millisecond, now)
+		measure(targets[0].Meter)
+		Expect(placed(9)).To(HaveKeyWithValue("g0", 3))
+		stream(targets[0].Meter, 90*time.Millisecond, now)
+		Expect(placed(9)["g0"]).To(BeNumerically("<", 3), "a group that is slow now")
+	},
+		Entry("a group that has just formed", func(*targetstats.Meter) {}),
+		Entry("a group that was slow some seconds ago", func(meter *targetstats.Meter) {
+			for i := range 20 {
+				meter.ObserveEvent(now.Add(time.Duration(i-50)*100*time.Millisecond), 100*time.Millisecond)
+			}
+		}),
+	)
 	It("does not choose for a daemon that it does not hear", func() {
 		delete(receivedAt, "n")
 		d.review(now)
--- a/internal/targetstats/meter.go
+++ b/internal/targetstats/meter.go
@@ -31,6 +31,7 @@
 	lastEvent       atomic.Int64 // Unix nanoseconds
 	lastRemoteEvent atomic.Int64 // Unix nanoseconds of the last event that another daemon reported
 	meanGap         atomic.Uint64
+	recentGap       recentGap
 	meanLatency     atomic.Uint64
 	maxPass         atomic.Int64 // nanoseconds
 	gossipDelay     atomic.Int64 // nanoseconds from an event at another daemon to its report here
@@ -123,6 +124,7 @@
 		return
 	}
 	updateMean(&m.meanGap, gapWeight, sincePrevious)
+	m.recentGap.observe(now, sincePrevious)
 }
 
 // ObserveLatency records the latency of a request that was answered completely.
--- a/internal/targetstats/meter_test.go
+++ b/internal/targetstats/meter_test.go
@@ -78,6 +78,24 @@
 		Expect(m.Suspected(at(500))).To(BeFalse())
 	})
 
+	It("knows the gap between events only from several of late, so that one pass that reads prompts makes no group slow", func() {
+		now := time.Unix(1000, 0)
+		meter := targetstats.NewMeter()
+		observe := func(count int, gap time.Duration) {
+			for range count {
+				now = now.Add(gap)
+				meter.ObserveEvent(now, gap)
+			}
+		}
+		observe(9, 300*time.Millisecond)
+		Expect(meter.RecentGap(now)).To(BeZero())
+		observe(1, 300*time.Millisecond)
+		Expect(meter.RecentGap(now)).To(BeNumerically("~", 300*time.Millisecond, time.Millisecond))
+		now = now.Add(2100 * time.Millisecond)
+		Expect(meter.RecentGap(now)).To(BeZero())
+		observe(10, 30*time.Millisecond)
+		Expect(meter.RecentGap(now)).To(BeNumerically("~", 30*time.Millisecond, time.Millisecond), "nothing is left of what was measured long ago")
+	})
 	It("counts the requests of all daemons", func() {
 		m.SetRemoteInFlight(4)
 		Expect(m.Load()).To(Equal(5))
