Groups change back: stage the model that the demand calls for

Cause: a host keeps one staged model. After a change to the smaller model, or a group of it formed after losses, no member has the larger one staged, and changes take only endpoints that need no load, so that there is no way back. Planners now order the members of the domain that needs the fewest loads to stage it while they serve; the change follows. Groups with more members that have it staged are closed first.

--- a/internal/apportion/domain.go
+++ b/internal/apportion/domain.go
@@ -15,9 +15,10 @@
 	Reserved  int            // free endpoints that are kept to repair groups
 }
 
-// closable returns the groups of a model, those with the fewest requests in progress first: each
-// of these may have to be resumed elsewhere.
-func (d Domain) closable(model string) []Group {
+// closable returns the groups of a model that may make way for another one, those with the most
+// members that can serve that first, and of equal ones those with the fewest requests in progress:
+// each of these may have to be resumed elsewhere.
+func (d Domain) closable(model, to string) []Group {
 	var groups []Group
 	for _, group := range d.Groups {
 		if group.Model == model {
@@ -25,7 +26,7 @@
 		}
 	}
 	slices.SortFunc(groups, func(a, b Group) int {
-		return cmp.Or(cmp.Compare(a.InProgress, b.InProgress), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(b.Fit[to], a.Fit[to]), cmp.Compare(a.InProgress, b.InProgress), cmp.Compare(a.Name, b.Name))
 	})
 	return groups
 }
--- a/internal/apportion/next.go
+++ b/internal/apportion/next.go
@@ -50,7 +50,7 @@
 	}
 	change := Change{Domain: domain.Name, From: from.Name, To: to.Name}
 	members := domain.usableFree(to.Name)
-	for _, group := range domain.closable(from.Name) {
+	for _, group := range domain.closable(from.Name, to.Name) {
 		if len(change.Close)+1 >= from.Groups {
 			return Change{}, false // the last group of the model
 		}
--- a/internal/formation/follow_demand.go
+++ b/internal/formation/follow_demand.go
@@ -22,6 +22,7 @@
 	evacuation := p.evacuation()
 	paying, pays := evacuation.Next(models, p.apportionedDomains(true))
 	if !pays {
+		p.stageForChange(models, evacuation)
 		return
 	}
 	if p.plan.Paying == nil {
--- /dev/null
+++ b/internal/formation/stage_for_change.go
@@ -0,0 +1,85 @@
+package formation
+
+import (
+	"github.com/plantainmux/plantainmux/internal/apportion"
+	"github.com/plantainmux/plantainmux/internal/catalog"
+	"github.com/plantainmux/plantainmux/internal/ledger"
+	"github.com/plantainmux/plantainmux/internal/registry"
+)
+
+// stageForChange orders endpoints to stage the model that the demand calls for, if a change of groups
+// would pay off but for endpoints that must first load the model. Hosts keep few staged models, so that
+// after a change or a repair no member may have the other model staged, and groups could never change
+// back. The endpoints go on serving while they load. All planners choose the same domain, that with the
+// fewest loads, and its planner orders them.
+func (p *planner) stageForChange(models []apportion.Model, evacuation apportion.Evacuation) {
+	var chosen apportion.Change
+	fewest := -1
+	for _, domain := range p.apportionedDomains(true) {
+		change, pays := evacuation.Next(models, []apportion.Domain{p.afterStaging(domain)})
+		if !pays {
+			continue
+		}
+		if loads := len(p.stagingOrders(change)); fewest < 0 || loads < fewest {
+			chosen, fewest = change, loads
+		}
+	}
+	if fewest > 0 && p.in.Owns(chosen.Domain) {
+		p.plan.Orders = append(p.plan.Orders, p.stagingOrders(chosen)...)
+	}
+}
+
+// afterStaging returns a domain as it is once its endpoints have staged whatever model they need.
+// Groups that have most of it staged already come first.
+func (p *planner) afterStaging(domain apportion.Domain) apportion.Domain {
+	staged := domain
+	staged.Groups, staged.FreeFit = nil, map[string]int{}
+	for _, group := range domain.Groups {
+		record := p.in.Groups.Groups[group.Name]
+		able := apportion.Group{Name: group.Name, Model: group.Model, Fit: map[string]int{}}
+		for _, model := range p.service.Models {
+			able.Fit[model.Name] = len(p.stageable(record, model.Name))
+			if model.Name != group.Model {
+				able.InProgress -= group.Fit[model.Name]
+			}
+		}
+		staged.Groups = append(staged.Groups, able)
+	}
+	for _, model := range p.service.Models {
+		staged.FreeFit[model.Name] = len(p.withoutSlow(p.free[domain.Name]))
+	}
+	return staged
+}
+
+// stageable returns the members of a group that can serve a model once it is staged.
+func (p *planner) stageable(record *ledger.Record, model string) []*registry.Endpoint {
+	var members []*registry.Endpoint
+	for _, member := range record.Members {
+		if e := p.in.Endpoints.ByID[member.ID]; e != nil && p.healthy(e) && e.Incarnation == member.Incarnation && p.startupRank(e, model) != startupSlow {
+			members = append(members, e)
+		}
+	}
+	return members
+}
+
+// stagingOrders returns the orders to stage what the new groups of a change need: by members of the
+// groups that it closes and, if those are too few, by free endpoints.
+func (p *planner) stagingOrders(change apportion.Change) []Order {
+	to := p.service.Model(change.To)
+	var candidates []*registry.Endpoint
+	for _, name := range change.Close {
+		candidates = append(candidates, p.stageable(p.in.Groups.Groups[name], to.Name)...)
+	}
+	candidates = append(candidates, p.withoutSlow(p.spares(change.Domain, to.Name))...)
+	return stagingOrders(candidates[:min(change.Form*to.GroupSize, len(candidates))], to)
+}
+
+func stagingOrders(endpoints []*registry.Endpoint, model *catalog.Model) []Order {
+	var orders []Order
+	for _, e := range endpoints {
+		if e.Model != model.Name && !e.HasStaged(model.Name) {
+			orders = append(orders, Order{To: memberOf(e), Operation: Stage, Model: model.Name, NeedsLoad: true})
+		}
+	}
+	return orders
+}
