Models are compared by their utilisation after the loss of a group

Models are now compared by need / (groups - 1), in changes and where free endpoints form groups; the model that gives up groups stays below 0.9 of that, 0.75 with all of six groups as before. Three specs state figures of the new definition; one has another example of a change that only exchanges which model is the busier one.

--- a/internal/apportion/evacuation.go
+++ b/internal/apportion/evacuation.go
@@ -29,3 +29,23 @@
 	}
 	return maxUtilisation
 }
+
+// GroupsLeft returns the groups of a model by which it is compared with others: those that are left
+// after the loss of one. While a data centre is evacuated, the loss has happened. A lost group is back
+// after 5 to 20 s, and takes half of the capacity of a model with two groups.
+func (e Evacuation) GroupsLeft(groups float64) float64 {
+	if e.InForce || groups <= 0 {
+		return groups
+	}
+	return max(groups-1, leastLeft)
+}
+
+// compared returns the models with the evacuation by which their groups count.
+func (e Evacuation) compared(models []Model) []Model {
+	adjusted := make([]Model, len(models))
+	for i, m := range models {
+		m.evacuation = e
+		adjusted[i] = m
+	}
+	return adjusted
+}
--- a/internal/apportion/model.go
+++ b/internal/apportion/model.go
@@ -10,17 +10,23 @@
 	Serving   int     // groups that serve now; 0 for all models: not known
 	Need      float64 // demand divided by the capacity of a group
 
-	available float64 // share of the groups that are expected to serve; 0: all
+	available  float64 // share of the groups that are expected to serve; 0: all
+	evacuation Evacuation
 }
 
-// utilisation returns the fraction of its capacity that a model needs if it has some more groups.
+// leastLeft is the part of its only group by which a model is compared that can bear no loss.
+const leastLeft = 0.5
+
+// utilisation returns the fraction of its capacity that a model needs if it has some more groups, after
+// the loss of one of them.
 func (m Model) utilisation(more int) float64 {
-	groups := m.Groups + more
+	left := m.evacuation.GroupsLeft(float64(m.Groups + more))
+	if m.available > 0 {
+		left *= m.available
+	}
 	switch {
-	case groups > 0 && m.available > 0:
-		return m.Need / (float64(groups) * m.available)
-	case groups > 0:
-		return m.Need / float64(groups)
+	case left > 0:
+		return m.Need / left
 	case m.Need > 0:
 		return math.Inf(1)
 	default:
--- a/internal/apportion/next.go
+++ b/internal/apportion/next.go
@@ -1,13 +1,14 @@
 package apportion
 
 const (
-	// minGain is the fall of the busier model's utilisation from which a change pays off. One group
+	// minGain is the fall of the busier model's utilisation, after the loss of one of its groups, from which a change pays off. One group
 	// of twelve that is out of service for half of the 10 s until the next change costs 0.04. The
 	// opposite change pays off only after demand has moved by as much in the other direction.
 	minGain = 0.05
-	// maxUtilisation is the utilisation below which the model that gives up groups must stay. The
-	// rest is for waves of demand and for groups that are lost meanwhile.
-	maxUtilisation = 0.75
+	// maxUtilisation is the utilisation, after the loss of one of its groups, below which the model
+	// that gives up groups must stay. The rest is for waves of demand: it is 0.75 with all of six
+	// groups, the fewest of a model of the known deployments.
+	maxUtilisation = 0.9
 	// shortUtilisation is the utilisation from which a model is short of capacity, so that a part of
 	// its requests is refused. Both models then share what there is.
 	shortUtilisation = 1
@@ -22,7 +23,7 @@
 // Next returns the change that pays off most like the function Next. The models and the domains are
 // given without what is in evacuated data centres.
 func (e Evacuation) Next(models []Model, domains []Domain) (Change, bool) {
-	models = withAvailability(models)
+	models = e.compared(withAvailability(models))
 	var best Change
 	found := false
 	for _, from := range models {
--- a/internal/apportion/next_test.go
+++ b/internal/apportion/next_test.go
@@ -33,9 +33,9 @@
 		change, ok := apportion.Next(models(6, 2.5, 12, 9), domains)
 		Expect(ok).To(BeTrue())
 		Expect(change).To(And(HaveField("Domain", "mixed"), HaveField("Close", []string{"m.0"}), HaveField("Form", 2)))
-		Expect(change.ToBefore).To(BeNumerically("~", 0.75, 0.001))
-		Expect(change.ToAfter).To(BeNumerically("~", 9.0/14, 0.001))
-		Expect(change.FromAfter).To(BeNumerically("~", 0.5, 0.001))
+		Expect(change.ToBefore).To(BeNumerically("~", 9.0/11, 0.001), "after the loss of one of twelve groups")
+		Expect(change.ToAfter).To(BeNumerically("~", 9.0/13, 0.001))
+		Expect(change.FromAfter).To(BeNumerically("~", 2.5/4, 0.001))
 	})
 
 	It("closes smaller groups for a larger one together, those with the fewest requests in progress", func() {
@@ -51,7 +51,7 @@
 		Entry("if the busier model gains too little", models(6, 2.5, 12, 6.5), domains),
 		Entry("if the model that gives up a group would be too busy", models(6, 3.8, 12, 11.5), domains),
 		Entry("if all are busy", models(6, 8, 12, 16), domains),
-		Entry("if it only exchanged which of the models is the busier one", models(1, 0.66, 12, 6), domains),
+		Entry("if it only exchanged which of the models is the busier one", models(2, 0.75, 12, 6), domains),
 		Entry("if it closed the last group of a model without demand", models(1, 0, 12, 11), domains),
 		Entry("if it closed both groups of a model that has two", models(2, 2, 2, 0.1), []apportion.Domain{{Groups: smalls.Groups[:2]}}),
 		Entry("if a group of either model is unsettled", models(6, 2.5, 12, 9), []apportion.Domain{{Groups: mixed.Groups, Unsettled: []string{"small"}}}),
@@ -115,7 +115,7 @@
 				}
 				lost := float64(out) / float64(12*groups[0]+6*groups[1])
 				apart := func(large, small int) float64 {
-					return math.Abs(needLarge/(float64(large)*(1-12*lost)) - needSmall/(float64(small)*(1-6*lost)))
+					return math.Abs(needLarge/(float64(large-1)*(1-12*lost)) - needSmall/(float64(small-1)*(1-6*lost))) // after the loss of one more group
 				}
 				Expect(apart(large, small)).To(BeNumerically("<=", apart(groups[0], groups[1])+1e-9), "groups %v need %.2f and %.2f, %d out", groups, needLarge, needSmall, out)
 			}
@@ -123,6 +123,16 @@
 		Expect(changes).To(BeNumerically(">", 20))
 	})
 
+	// On the calm day of the build farm both models were at 0.69 of their groups, three and thirteen. Two
+	// lost groups left the larger model at twice its capacity.
+	It("gives a model with few groups the capacity to lose one of them", func() {
+		change, ok := apportion.Next(models(3, 2.06, 13, 8.7), domains)
+		Expect(ok).To(BeTrue())
+		Expect(change).To(And(HaveField("To", "large"), HaveField("Form", 1)))
+		_, ok = apportion.Next(models(4, 2.06, 11, 8.7), domains)
+		Expect(ok).To(BeFalse())
+	})
+
 	It("serves a model that has no group", func() {
 		change, ok := apportion.Next(models(6, 1, 0, 3), domains)
 		Expect(ok).To(BeTrue())
--- a/internal/formation/follow_demand_test.go
+++ b/internal/formation/follow_demand_test.go
@@ -32,8 +32,8 @@
 		s.run(3*time.Minute, steady(1), steady(1))
 		Expect(s.shifts).To(HaveLen(1))
 		shift := s.shifts[0]
-		Expect(shift.ToBefore).To(BeNumerically("~", 0.75, 0.01), "315 of 420 requests per second")
-		Expect(max(shift.FromAfter, shift.ToAfter)).To(BeNumerically("~", 0.64, 0.01))
+		Expect(shift.ToBefore).To(BeNumerically("~", 0.82, 0.01), "315 of the 385 requests per second that eleven of twelve groups complete")
+		Expect(max(shift.FromAfter, shift.ToAfter)).To(BeNumerically("~", 0.69, 0.01))
 		expectGroups(s, 5, 14)
 	})
 
--- a/internal/formation/group_creation.go
+++ b/internal/formation/group_creation.go
@@ -209,14 +209,22 @@
 }
 
 // modelsByProvisioning returns the models in ascending order of endpoints per
-// share, larger group sizes first among equals.
+// share, larger group sizes first among equals. With known demand, those that would be
+// left after the loss of one group of each model count.
 func (p *planner) modelsByProvisioning() []*catalog.Model {
 	models := make([]*catalog.Model, 0, len(p.service.Models))
 	for i := range p.service.Models {
 		models = append(models, &p.service.Models[i])
 	}
+	left := func(model *catalog.Model) float64 {
+		groups := float64(p.groupCounts[model.Name])
+		if p.needs != nil {
+			groups = p.evacuation().GroupsLeft(groups)
+		}
+		return p.endpointsPerWeight(model, groups)
+	}
 	slices.SortStableFunc(models, func(a, b *catalog.Model) int {
-		return cmp.Or(cmp.Compare(p.provisioning(a), p.provisioning(b)), cmp.Compare(b.GroupSize, a.GroupSize))
+		return cmp.Or(cmp.Compare(left(a), left(b)), cmp.Compare(b.GroupSize, a.GroupSize))
 	})
 	return models
 }
@@ -224,7 +232,11 @@
 // provisioning returns the number of endpoints in a model's groups divided by the
 // model's weight.
 func (p *planner) provisioning(model *catalog.Model) float64 {
-	return float64(p.groupCounts[model.Name]*model.GroupSize) / p.endpointWeight(model)
+	return p.endpointsPerWeight(model, float64(p.groupCounts[model.Name]))
+}
+
+func (p *planner) endpointsPerWeight(model *catalog.Model, groups float64) float64 {
+	return groups * float64(model.GroupSize) / p.endpointWeight(model)
 }
 
 // newGroupName returns a group name that is unused in the ledger and the plan.
--- a/internal/formation/lost_pairs_test.go
+++ b/internal/formation/lost_pairs_test.go
@@ -119,7 +119,7 @@
 			small += l.utilisation("small", factor*9)
 		}
 		GinkgoWriter.Printf("utilisation %.2f and %.2f\n", large/3, small/3)
-		Expect(large).To(BeNumerically("<", 1.15*small))
+		Expect(large).To(BeNumerically("<", 1.05*small))
 	},
 		Entry("mean demand", 1.0),
 		Entry("1.3 times", 1.3),
