Survivors of a larger group complete it with members of a smaller one

Cause: the 10 or 11 endpoints that a larger group leaves when it loses members and finds no spares are too few for a group of 12 and enough for one of 6, which they formed at once. If they are more than half of a group, a group of the other model in the domain closes at once to complete it, where the change pays off by the same rule as any other.

--- a/internal/formation/group_creation.go
+++ b/internal/formation/group_creation.go
@@ -55,7 +55,7 @@
 		ready := p.eligibleEndpoints(domain, model)
 		switch {
 		case len(ready) < model.GroupSize:
-			if p.awaitsDissolution(domain, model, len(ready)) || p.preemptGroup(domain, model, len(ready)) {
+			if p.awaitsDissolution(domain, model, len(ready)) || p.preemptGroup(domain, model, len(ready)) || p.closeToComplete(domain, model) {
 				return false // the free endpoints stay reserved for this model
 			}
 		case !p.mayUseSpares(domain, model):
