Admission: count slow groups by the slowdown that their endpoints report

Cause: for some seconds, some groups run several times as slowly as others.

Change: placement.Build writes the greatest slowdown that the members of a group report to its target (not finite or below 1: 1; above 100: 100). overload.SlowFactor takes the greater of the ratio of the gaps (above 1.6, as before) and of the report (above 1.2); a measured normal gap takes precedence. overload.Decide divides the capacity by it. The normal gap is the smallest of the groups that do not report to be slow: a slow group that alone is measured would otherwise show its own gap as normal. Lines of finished requests carry overload_slow_by_report.

Result: one of eight groups that reports 4 counts as 0.25 of a group.

--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -64,7 +64,7 @@
 		if coldPerS > 0 && target.Limit.Cold(now) && (limit == 0 || coldPerS < limit) {
 			limit = coldPerS
 		}
-		usable = append(usable, overload.Target{Load: load(target), MeanGap: meter.RecentGap(now), MaxRate: limit})
+		usable = append(usable, overload.Target{Load: load(target), MeanGap: meter.RecentGap(now), Slowdown: target.Slowdown, MaxRate: limit})
 	}
 	return usable
 }
@@ -89,5 +89,9 @@
 	if d.Capacity == 0 {
 		return nil
 	}
-	return []any{"overload_limited", d.Limited, "overload_fraction", d.Fraction, "overload_load", d.Load, "overload_demand", d.Demand, "overload_capacity", d.Capacity}
+	fields := []any{"overload_limited", d.Limited, "overload_fraction", d.Fraction, "overload_load", d.Load, "overload_demand", d.Demand, "overload_capacity", d.Capacity}
+	if d.SlowByReport > 0 {
+		fields = append(fields, "overload_slow_by_report", d.SlowByReport)
+	}
+	return fields
 }
--- a/internal/exchange/overload_test.go
+++ b/internal/exchange/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"strings"
@@ -22,8 +23,9 @@
 var _ = Describe("A request to a model that is offered far more than it completes", func() {
 	var demand func(service, model string) overload.Demand
 	var daemons, load int
-	var limit float64 // that the endpoints name; negative: none
-	var cold bool     // the endpoints are cold, and then take 3 requests a second each
+	var limit float64    // that the endpoints name; negative: none
+	var slowdown float64 // that the endpoints report
+	var cold bool        // the endpoints are cold, and then take 3 requests a second each
 	var lastEvent string
 	var set *metrics.Set
 	var sent *transport
@@ -34,7 +36,7 @@
 		for _, key := range []string{"g", "h"} {
 			meter := targetstats.NewMeter()
 			meter.SetRemoteInFlight(load)
-			target := &placement.Target{Key: key, ID: key, Slots: 40, Group: key, Meter: meter, Limit: targetstats.NewLimits().GetOrCreate(key, 1)}
+			target := &placement.Target{Key: key, ID: key, Slots: 40, Group: key, Slowdown: slowdown, Meter: meter, Limit: targetstats.NewLimits().GetOrCreate(key, 1)}
 			if limit >= 0 {
 				target.Limit.Observe(limit, time.Now())
 				target.Limit.SetShare(limit, time.Now())
@@ -65,7 +67,7 @@
 	}
 	BeforeEach(func() {
 		demand = func(string, string) overload.Demand { return overload.Demand{ByPriority: map[int]float64{0: 1e9}} }
-		daemons, load, limit, cold, lastEvent = 16, 35, -1, false, ""
+		daemons, load, limit, slowdown, cold, lastEvent = 16, 35, -1, 1, false, ""
 	})
 
 	It("is refused at once as not run, with the figures that decided, and sent to no endpoint", func() {
@@ -109,6 +111,20 @@
 		Expect(logged.String()).To(ContainSubstring("overload_capacity=6"))
 	})
 
+	// Counted as normal, slow groups would let in more than they complete.
+	It("counts what endpoints complete that report to be slow as their capacity", func() {
+		capacity := func() (found float64) {
+			run()
+			_, text, _ := strings.Cut(logged.String(), "overload_capacity=")
+			fmt.Sscan(text, &found)
+			return found
+		}
+		even := capacity()
+		slowdown = 4
+		Expect(capacity()).To(BeNumerically("~", even/4, 0.01))
+		Expect(logged.String()).To(ContainSubstring("overload_slow_by_report=2"))
+	})
+
 	It("is held back, and not called overload, where endpoints want none", func() {
 		limit = 0
 		Expect(run().Reason).To(Equal(exchange.HeldBack))
--- a/internal/overload/decide.go
+++ b/internal/overload/decide.go
@@ -32,11 +32,6 @@
 	// leastShare is the part of the fraction of all requests that each priority keeps. The
 	// requirement is 0.35; the rest is margin for a demand that is known late.
 	leastShare = 0.4
-
-	// slowGapRatio is the ratio to the smallest gap between events, and to the one published for
-	// its load, above which a group counts as slow. The published one matters because a full group
-	// with long prompts has three times the gap of an empty one.
-	slowGapRatio = 1.6
 )
 
 // Decide decides on a request under sustained load beyond the capacity of a model's groups.
@@ -53,7 +48,13 @@
 	least := leastGap(in.Targets)
 	totalAim, room := 0.0, 0.0
 	for _, target := range in.Targets {
-		completes := rate / slowness(target, max(least, publishedGap(in, target.Load)))
+		// The gap published for the load matters because a full group with long prompts has three times
+		// the gap of an empty one.
+		slowness, byReport := SlowFactor(target.MeanGap, max(least, publishedGap(in, target.Load)), target.Slowdown)
+		if byReport {
+			d.SlowByReport++
+		}
+		completes := rate / slowness
 		share := 1.0
 		if target.MaxRate > 0 && target.MaxRate < completes {
 			share = target.MaxRate / completes // by Little's law, it has that share of the load in progress
@@ -97,21 +98,13 @@
 	return least + min(max(0, rest)/own, 1-least)
 }
 
+// leastGap returns the smallest gap of the targets that do not report to be slow, 0 if none is known.
 func leastGap(targets []Target) time.Duration {
 	least := time.Duration(0)
 	for _, target := range targets {
-		if target.MeanGap > 0 && (least == 0 || target.MeanGap < least) {
+		if target.MeanGap > 0 && target.Slowdown <= ReportedSlowdown && (least == 0 || target.MeanGap < least) {
 			least = target.MeanGap
 		}
 	}
 	return least
 }
-
-// slowness returns the factor by which the gaps of a target exceed the reference, 1 if it does not
-// count as slow.
-func slowness(target Target, reference time.Duration) float64 {
-	if reference <= 0 || float64(target.MeanGap) <= slowGapRatio*float64(reference) {
-		return 1
-	}
-	return float64(target.MeanGap) / float64(reference)
-}
--- a/internal/overload/decide_test.go
+++ b/internal/overload/decide_test.go
@@ -113,6 +113,21 @@
 		Expect(overload.Decide(in).Capacity).To(BeNumerically("~", even*7.25/8, 0.01))
 	})
 
+	// Guards against admitting what slow groups do not complete, of which this daemon has measured nothing.
+	DescribeTable("counts the capacity of a slow group by the slowdown that it reports, unless a normal gap is measured", func(slowdown float64, gap time.Duration, groups float64) {
+		in := input(38, map[int]float64{0: 567})
+		even := overload.Decide(in).Capacity
+		in.Targets[0].Slowdown, in.Targets[0].MeanGap = slowdown, gap
+		Expect(overload.Decide(in).Capacity / even * 8).To(BeNumerically("~", groups, 0.01))
+	},
+		Entry("not measured", 4.0, time.Duration(0), 7.25),
+		Entry("noise", 1.2, time.Duration(0), 8.0),
+		Entry("not reported", 0.0, time.Duration(0), 8.0),
+		Entry("not a number", math.NaN(), time.Duration(0), 8.0),
+		Entry("no longer slow", 4.0, 40*time.Millisecond, 8.0),
+		Entry("a gap that shows it, of the only group that is measured", 4.0, 120*time.Millisecond, 7.25),
+	)
+
 	// Gaps of the larger model grow from 33 ms in a group with one request to over 100 ms in a full one,
 	// most of it prompts that are read. A group that has just been formed again made all others count as
 	// three times as slow, and the model lost most of its capacity in the decision.
--- a/internal/placement/build.go
+++ b/internal/placement/build.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"strconv"
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
@@ -68,7 +69,7 @@
 	}
 	target := &Target{
 		Key: key, ID: head.ID, Incarnation: head.Incarnation, Address: head.Address, DataCentre: head.DataCentre, Slots: max(slots, 1), MaxPrefillTokensPerPass: pass,
-		Group: record.Group, Epoch: record.Epoch, Meter: meter, Hold: announced.Holds.GetOrCreate(head.ID, head.Incarnation), Limit: announced.Limits.GetOrCreate(head.ID, head.Incarnation),
+		Group: record.Group, Epoch: record.Epoch, Slowdown: groupSlowdown(record, endpoints), Meter: meter, Hold: announced.Holds.GetOrCreate(head.ID, head.Incarnation), Limit: announced.Limits.GetOrCreate(head.ID, head.Incarnation),
 	}
 	if p := service.Performance; p != nil {
 		target.MemoryTokens, target.MeanPromptTokens, target.MeanOutputTokens = p.MemoryTokens, p.MeanPromptTokens, p.MeanOutputTokens
@@ -76,6 +77,24 @@
 	return target
 }
 
+// maxSlowdown bounds the slowdown that an endpoint reports: at 100 a group is of no use, and greater
+// values are faults of the report.
+const maxSlowdown = 100
+
+// groupSlowdown returns the greatest slowdown that the members of a group report, since a group runs
+// at the pace of its slowest member. Members that have no entry, and values that are not finite or are
+// below 1, count as normal.
+func groupSlowdown(record *ledger.Record, endpoints *registry.Snapshot) float64 {
+	greatest := 1.0
+	for _, member := range record.Members {
+		e := endpoints.ByID[member.ID]
+		if e != nil && e.Slowdown > greatest && !math.IsInf(e.Slowdown, 0) {
+			greatest = e.Slowdown
+		}
+	}
+	return min(greatest, maxSlowdown)
+}
+
 // GroupKey returns the key of the meter of a group at an epoch.
 func GroupKey(group string, epoch uint64) string {
 	return "group/" + group + "/" + strconv.FormatUint(epoch, 10)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -219,6 +220,24 @@
 		Expect(build(&dissolving, func(*registry.Endpoint) {})).To(BeEmpty())
 	})
 
+	// Guards against slow groups that are not noticed because only the head was asked, and against
+	// reports that would shut out a group.
+	DescribeTable("takes the greatest slowdown that the members of a group report", func(head, worker, expected float64) {
+		leader := &registry.Endpoint{ID: "h", Service: "s", Slots: 4, Slowdown: head, Group: registry.Membership{Group: "g", Epoch: 9, State: registry.Open}}
+		snapshot := &registry.Snapshot{ByID: map[string]*registry.Endpoint{"h": leader, "w": {ID: "w", Slowdown: worker}}}
+		groups := &ledger.State{Groups: map[string]*ledger.Record{"g": {Group: "g", Epoch: 9, Service: "s", Model: "m", Members: []ledger.Member{{ID: "h"}, {ID: "w"}, {ID: "no entry"}}}}}
+		view := placement.Build(current, snapshot, groups, targetstats.NewMeters(), placement.Announced{Holds: targetstats.NewHolds(), Limits: targetstats.NewLimits()}, func(string) bool { return false })
+		Expect(view.Targets("s", "m")).To(ConsistOf(HaveField("Slowdown", expected)))
+	},
+		Entry("of the head", 3.0, 1.1, 3.0),
+		Entry("of another member", 1.0, 4.0, 4.0),
+		Entry("none reported", 0.0, 0.0, 1.0),
+		Entry("below 1", 0.2, -3.0, 1.0),
+		Entry("not finite", math.NaN(), math.Inf(1), 1.0),
+		Entry("not finite and slow", 2.0, math.NaN(), 2.0),
+		Entry("far above what is of use", 1e9, 1.0, 100.0),
+	)
+
 	// Guards against requests to an evacuated data centre, and against refusals that do not say so.
 	It("leaves out targets of evacuated data centres, of groups and plain services, and tells them from none", func() {
 		snapshot := &registry.Snapshot{ByID: map[string]*registry.Endpoint{}, ByService: map[string][]*registry.Endpoint{}}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -22,6 +22,7 @@
 	MeanOutputTokens        float64 // published mean length of an answer
 	Group                   string
 	Epoch                   uint64
+	Slowdown                float64 // of a group: greatest slowdown that its members report; 1: normal or not reported
 	Meter                   *targetstats.Meter
 	Hold                    *targetstats.Hold  // of the endpoint; nil: never held back
 	Limit                   *targetstats.Limit // of the endpoint; nil: none
