Dispatchers: avoid groups whose endpoints report that they are slow

Cause: a dispatcher measures only the streams of its own callers, so for seconds it sends requests to groups that take several times as long.

Change: the choice multiplies the expected time and the load of a target by overload.SlowFactor, as admission does for the capacity. Daemons that choose by themselves behave as before. The dispatcher counts answers for which a group counted as slow by its report (plantainmux_dispatch_slow_by_report_total).

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/overload"
+)
 
 const (
 	// queueLimit is the number of requests that may queue at a group beyond its slots, as where each
@@ -14,10 +18,6 @@
 	// chooses for itself.
 	lateShare = 0.85
 
-	// slowGapRatio is the ratio to the smallest gap between events above which a group counts as
-	// slow, as where each daemon chooses for itself.
-	slowGapRatio = 1.6
-
 	// otherDataCentrePenalty is added to the expected time of a target in another data centre. It
 	// stands for the distance and the bytes between data centres, and keeps dispatchers apart, which do
 	// not know of each other's latest assignments. In trials of the simulation of long prompts, the
@@ -60,7 +60,7 @@
 }
 
 // expect returns what the request is expected to meet at a target. What is known of a slow group
-// is scaled up by the ratio of the gaps.
+// is scaled up by the factor by which it is slow: by the ratio of the gaps, or as its endpoints report.
 func (in Input) expect(target Target, least time.Duration) expectation {
 	factor := in.Model.StepTimeFactor
 	if factor <= 0 {
@@ -76,17 +76,30 @@
 	if !target.Local {
 		e.seconds += otherDataCentrePenalty.Seconds()
 	}
-	if slowness := float64(target.MeanGap) / float64(max(least, 1)); slowness > slowGapRatio {
-		e.seconds *= slowness
-		e.load *= slowness
-	}
+	slowness, _ := overload.SlowFactor(target.MeanGap, least, target.Slowdown)
+	e.seconds *= slowness
+	e.load *= slowness
 	return e
 }
 
+// SlowByReport returns the number of targets that count as slow because their endpoints report it.
+func (in Input) SlowByReport() int {
+	slow := 0
+	least := leastGap(in.Targets)
+	for _, target := range in.Targets {
+		if _, byReport := overload.SlowFactor(target.MeanGap, least, target.Slowdown); byReport {
+			slow++
+		}
+	}
+	return slow
+}
+
+// leastGap returns the smallest gap of the targets that do not report to be slow, 0 if none is known:
+// the fastest group of a model is taken to run at normal speed.
 func leastGap(targets []Target) time.Duration {
 	least := time.Duration(0)
 	for _, target := range targets {
-		if target.MeanGap > 0 && (least == 0 || target.MeanGap < least) {
+		if target.MeanGap > 0 && target.Slowdown <= overload.ReportedSlowdown && (least == 0 || target.MeanGap < least) {
 			least = target.MeanGap
 		}
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -44,6 +44,33 @@
 		slow.MeanGap = 180 * time.Millisecond
 		Expect(choose(slow, target(10, 900))).To(Equal(1))
 	})
+	// Guards against requests to slow groups of which the dispatcher has measured no stream.
+	It("avoids a group whose endpoints report that it is slow, not one that reports noise", func() {
+		reporting := func(slowdown float64) dispatch.Target {
+			return dispatch.Target{Local: true, Slots: 30, Load: 2, Slowdown: slowdown}
+		}
+		Expect(choose(reporting(4), target(10, 900))).To(Equal(1))
+		Expect(choose(reporting(1.2), target(10, 900))).To(BeZero())
+		unmeasured := target(2, 0)
+		unmeasured.MeanGap = 0
+		Expect(choose(reporting(2), unmeasured)).To(Equal(1), "the load term is scaled as well")
+	})
+	// Guards against idle groups that are normal again but report their old slowdown, and against a slow
+	// group that counts as normal by its own gap alone.
+	It("believes a normal gap more than a report, if another group shows what is normal", func() {
+		slow, other := target(2, 0), target(10, 900)
+		slow.Slowdown = 4
+		Expect(choose(slow, other)).To(BeZero())
+		slow.MeanGap *= 4
+		Expect(choose(slow, other)).To(Equal(1))
+		other.MeanGap = 0
+		Expect(choose(slow, other)).To(Equal(1), "no other gap is known")
+	})
+	It("uses groups that all report to be slow", func() {
+		slow, slower := target(2, 0), target(2, 0)
+		slow.Slowdown, slower.Slowdown = 3, 4
+		Expect(choose(slower, slow)).To(Equal(1))
+	})
 	It("queues no more at full groups than daemons that choose by themselves", func() {
 		Expect(choose(target(32, 0), target(31, 0))).To(Equal(1))
 		Expect(choose(target(32, 0))).To(Equal(-1))
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -9,4 +9,5 @@
 	Load         int           // requests in progress through all daemons, with those assigned since they were counted
 	PromptTokens int           // of the requests assigned to it lately
 	MeanGap      time.Duration // mean time between two events of a stream; 0: not known
+	Slowdown     float64       // factor on its normal time that its endpoints report; 0: not reported
 }
--- a/internal/gateway/dispatch_decision.go
+++ b/internal/gateway/dispatch_decision.go
@@ -117,8 +117,12 @@
 	for _, target := range usable {
 		in.Targets = append(in.Targets, dispatch.Target{
 			Local: target.DataCentre == d.dataCentre, Slots: target.Slots, Load: load(target), PromptTokens: assigned[target.Key].PromptTokens, MeanGap: target.Meter.RecentGap(now),
+			Slowdown: target.Slowdown,
 		})
 	}
+	if in.SlowByReport() > 0 {
+		d.metrics.GetOrCreateCounter(`plantainmux_dispatch_slow_by_report_total`).Inc()
+	}
 	chosen := dispatch.Choose(in)
 	if chosen < 0 {
 		answer.Refused, answer.RetryAfterMS = dispatch.NoRoom, int(exchange.RefusalDelay().Milliseconds())
--- a/internal/gateway/dispatch_decision_test.go
+++ b/internal/gateway/dispatch_decision_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -107,6 +108,25 @@
 			}
 		}),
 	)
+	// Guards against a reported slowdown that is not used, or that outlasts a normal measurement.
+	It("takes a group for slow that reports it, and admits less, until a normal gap is measured", func() {
+		capacity := func() float64 { return d.answer("n", call, now).Capacity }
+		demand = 1
+		even := capacity()
+		targets[0].Slowdown = 4
+		Expect(placed(8)).NotTo(HaveKey("g0"))
+		Expect(capacity()).To(BeNumerically("~", even*2.25/3, 0.01))
+		var text strings.Builder
+		d.metrics.WritePrometheus(&text)
+		Expect(text.String()).To(ContainSubstring("plantainmux_dispatch_slow_by_report_total 9"))
+		for _, target := range targets {
+			for i := range 20 {
+				target.Meter.ObserveEvent(now.Add(time.Duration(i-20)*30*time.Millisecond), 30*time.Millisecond)
+			}
+		}
+		Expect(placed(3)).To(HaveKey("g0"))
+		Expect(capacity()).To(BeNumerically("~", even, 0.01))
+	})
 	It("does not choose for a daemon that it does not hear", func() {
 		delete(receivedAt, "n")
 		d.review(now)
--- a/internal/placement/dispatch_test.go
+++ b/internal/placement/dispatch_test.go
@@ -72,8 +72,9 @@
 	for _, target := range targets {
 		group := int(target.Key[0] - 'a')
 		load := f.reportedLoad(d, group) + assigned[target.Key].Requests
-		in.Targets = append(in.Targets, dispatch.Target{Local: f.dataCentreOf(group) == d.dataCentre, Slots: target.Slots, Load: load, PromptTokens: assigned[target.Key].PromptTokens})
-		limits.Targets = append(limits.Targets, overload.Target{Load: load})
+		gap, slowdown := f.knownPace(d, group)
+		in.Targets = append(in.Targets, dispatch.Target{Local: f.dataCentreOf(group) == d.dataCentre, Slots: target.Slots, Load: load, PromptTokens: assigned[target.Key].PromptTokens, MeanGap: gap, Slowdown: slowdown})
+		limits.Targets = append(limits.Targets, overload.Target{Load: load, MeanGap: gap, Slowdown: slowdown})
 	}
 	if ranked {
 		decision := overload.Decide(limits)
--- a/internal/placement/simulation_test.go
+++ b/internal/placement/simulation_test.go
@@ -41,6 +41,7 @@
 	rateAt             func(time.Duration) float64 // requests a second at a time; nil: rate
 	lost               []int                       // groups that are lost for good at lostAt, with their requests placed elsewhere
 	lostAt             time.Duration
+	slow               *simSlowdown  // of some groups; nil: none
 	measureFrom        time.Duration // arrivals before it are not counted
 	measureUntil       time.Duration // nor those after it; 0: unlimited
 	seed               uint64
@@ -134,6 +135,7 @@
 	promptTokens            int // tokens
 	class                   int
 	started                 bool
+	lastEvent               time.Duration
 	late                    bool
 }
 
@@ -436,7 +438,7 @@
 	step := float64(f.engine.stepTime) + float64(decoding)*float64(f.engine.decodeTime)
 	prefillTime := prefilled / f.engine.prefillRate * float64(time.Millisecond)
 	g.begins = f.now
-	g.ends = f.now + time.Duration(cmp.Or(f.timeScale, simTimeScale)*(float64(f.engine.stepsPerPass)*step+prefillTime))
+	g.ends = f.now + time.Duration(f.slow.at(g.index, f.now)*cmp.Or(f.timeScale, simTimeScale)*(float64(f.engine.stepsPerPass)*step+prefillTime))
 }
 
 func (f *simulation) endPass(g *simGroup) {
@@ -459,6 +461,10 @@
 
 func (f *simulation) event(r *simRequest) {
 	r.decodeLeft -= float64(f.engine.stepsPerPass)
+	if f.slow != nil && r.started {
+		f.views[r.daemon][r.group].Meter.ObserveEvent(time.Unix(0, 0).Add(f.now), f.now-r.lastEvent)
+	}
+	r.lastEvent = f.now
 	if r.started {
 		return
 	}
