Dispatcher links: keep them in the link pool, so that streams outlast a change

The link to a dispatcher was released as soon as another daemon became the dispatcher. A forwarded exchange to that daemon uses the same link, since two daemons have one, and its stream broke.

The dispatcher is now kept in the pool of links for forwarding (LinkPool.Keep). If a daemon has another address after a restart, its link moves there once nothing is in progress on it. The pool takes its clock from outside.

--- a/internal/daemon/endpoints.go
+++ b/internal/daemon/endpoints.go
@@ -15,7 +15,7 @@
 
 // buildEndpoints builds what carries out exchanges with endpoints.
 func (d *Daemon) buildEndpoints() {
-	paths := forward.NewLinkPool(&meshLinks{daemon: d}, d.forwarders)
+	paths := forward.NewLinkPool(&meshLinks{daemon: d}, d.forwarders, time.Now)
 	d.endpoints = forward.NewRouter(forward.Dependencies{
 		Direct:    d.adapters.Direct,
 		Forwarded: forward.NewClient(d.mesh),
--- a/internal/daemon/mesh_links.go
+++ b/internal/daemon/mesh_links.go
@@ -10,8 +10,11 @@
 // meshLinks is the links of the mesh, which exist all the time. It implements forward.Links.
 type meshLinks struct{ daemon *Daemon }
 
+// Address implements forward.Links.
+func (m *meshLinks) Address(string) string { return "" }
+
 // Connect implements forward.Links.
-func (m *meshLinks) Connect(string) func() { return func() {} }
+func (m *meshLinks) Connect(string, string) func() { return func() {} }
 
 // Await implements forward.Links.
 func (m *meshLinks) Await(ctx context.Context, daemon string, timeout time.Duration) bool {
--- a/internal/forward/regions_test.go
+++ b/internal/forward/regions_test.go
@@ -14,7 +14,8 @@
 // openLinks has a link to every daemon. It implements forward.Links.
 type openLinks struct{}
 
-func (openLinks) Connect(string) func()                             { return func() {} }
+func (openLinks) Address(string) string                             { return "" }
+func (openLinks) Connect(string, string) func()                     { return func() {} }
 func (openLinks) Await(context.Context, string, time.Duration) bool { return true }
 func (openLinks) Idle(string) bool                                  { return true }
 
@@ -25,7 +26,7 @@
 	poolOf := func(entry string) *forward.LinkPool {
 		return forward.NewLinkPool(openLinks{}, func(allowed *locality.Allowed) []string {
 			return forward.Choose("self", entry, forward.Permitted(allowed, regions, entry, candidates), 100)
-		})
+		}, time.Now)
 	}
 	picks := func(entry string, allowed *locality.Allowed) []string {
 		pool := poolOf(entry)
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -7,7 +7,6 @@
 	"github.com/plantainmux/plantainmux/internal/dispatch"
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/fleet"
-	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
@@ -40,9 +39,6 @@
 // runDispatch keeps track of the dispatcher and, while this daemon is the one, of what the daemons
 // report. It does nothing until the first request of a model for which dispatchers are used.
 func (g *Gateway) runDispatch(ctx context.Context) {
-	release := func() {}
-	defer func() { release() }()
-	linked := ""
 	for round := 0; wait.For(ctx, dispatchInterval); round++ {
 		if !g.dispatchClient.used.Load() {
 			continue
@@ -50,11 +46,8 @@
 		now := time.Now()
 		if round%reviewRounds == 0 {
 			name, address, acting := g.gossip.Dispatcher(now, g.endpoints.Lost())
-			if g.dispatchClient.follow(name) || linked != address {
-				release()
-				release = g.linkDispatcher(name, address)
-				linked = address
-			}
+			g.dispatchClient.follow(name)
+			g.linkDispatcher(name, address)
 			g.dispatcher.setActing(acting)
 		}
 		if g.dispatcher.acting.Load() {
@@ -63,13 +56,16 @@
 	}
 }
 
-// linkDispatcher keeps a link to another daemon until the returned function is called.
-func (g *Gateway) linkDispatcher(name, address string) (release func()) {
-	if name == "" || name == g.settings.Node {
-		return func() {}
+// linkDispatcher keeps the link to a dispatcher. The link to the previous one remains in the pool,
+// since streams that are forwarded may use it.
+func (g *Gateway) linkDispatcher(name, address string) {
+	if name == g.settings.Node {
+		name = ""
 	}
-	g.startMesh()
-	return g.mesh.Connect(peer.Address{HostPort: address, DataCentre: meshDataCentre})
+	if name != "" {
+		g.dispatcherAt.Store(&linkedDispatcher{name: name, address: address})
+	}
+	g.paths.Keep(name)
 }
 
 func (g *Gateway) callDispatcher(ctx context.Context, to string, call dispatch.Call, answer *dispatch.Answer) error {
--- a/internal/gateway/dispatch_client.go
+++ b/internal/gateway/dispatch_client.go
@@ -40,15 +40,14 @@
 	return c
 }
 
-// follow sets the name of the dispatcher, and reports whether it is another one than before.
-func (c *dispatchClient) follow(name string) bool {
+// follow sets the name of the dispatcher.
+func (c *dispatchClient) follow(name string) {
 	previous := *c.current.Swap(&name)
 	if previous == name {
-		return false
+		return
 	}
 	c.pausedUntil.Store(0)
 	c.logger.Info("dispatcher changed", "dispatcher", name, "previous", previous)
-	return true
 }
 
 // applies reports whether dispatchers are used for a request.
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -30,7 +30,7 @@
 		return err
 	}
 	g.mesh = mesh
-	g.paths = forward.NewLinkPool(&meshLinks{gateway: g}, g.forwarders)
+	g.paths = forward.NewLinkPool(&meshLinks{gateway: g}, g.forwarders, time.Now)
 	g.endpoints = forward.NewRouter(forward.Dependencies{
 		Direct:    g.adapters.Endpoints,
 		Forwarded: forward.NewClient(mesh),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,7 @@
 	forwardersNow   atomic.Pointer[forwarders] // daemons through which this one forwards while it is cut off
 	forwardersAt    time.Time                  // when they were chosen; by the housekeeping alone
 	addressOf       atomic.Pointer[map[string]string]
+	dispatcherAt    atomic.Pointer[linkedDispatcher] // nil: none yet
 	suspects        *suspect.Table
 	refusedParts    map[uint64]int // as last logged; by the housekeeping alone
 	failedRequests  *exchange.FailedRequests
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -31,7 +31,7 @@
 		g.cold.review(now)
 		if round%sweepRounds == 0 {
 			g.adapters.Sweep(now)
-			g.paths.Sweep(now)
+			g.paths.Sweep()
 			g.pruneMeters()
 			g.updateDemandGauges()
 			g.failedRequests.Prune(now)
--- a/internal/gateway/mesh_links.go
+++ b/internal/gateway/mesh_links.go
@@ -11,9 +11,16 @@
 // meshLinks establishes links to daemons that gossip has told of. It implements forward.Links.
 type meshLinks struct{ gateway *Gateway }
 
+// Address implements forward.Links.
+func (m *meshLinks) Address(daemon string) string {
+	if known := m.gateway.dispatcherAt.Load(); known != nil && known.name == daemon {
+		return known.address
+	}
+	return (*m.gateway.addressOf.Load())[daemon]
+}
+
 // Connect implements forward.Links.
-func (m *meshLinks) Connect(daemon string) func() {
-	address := (*m.gateway.addressOf.Load())[daemon]
+func (m *meshLinks) Connect(_, address string) func() {
 	m.gateway.startMesh()
 	return m.gateway.mesh.Connect(peer.Address{HostPort: address, DataCentre: meshDataCentre})
 }
