--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -73,7 +73,8 @@
 	spill *spill.Server
 
 	endpoints *forward.Router
-	leaders   knownLeaders // by the review of the endpoints alone
+	paths     *forward.LinkPool // daemons through which this one forwards
+	leaders   knownLeaders      // by the review of the endpoints alone
 	caller    *callerapi.Server
 	admin     *adminapi.Server
 
--- a/internal/daemon/endpoints.go
+++ b/internal/daemon/endpoints.go
@@ -11,15 +11,18 @@
 	"github.com/plantainmux/plantainmux/internal/outbound"
 )
 
-const reviewInterval = 100 * time.Millisecond // between reviews of whether the links to the endpoints are sound
+const (
+	reviewInterval = 100 * time.Millisecond // between reviews of whether the links to the endpoints are sound
+	sweepRounds    = 10                     // reviews between two sweeps of the links through which this daemon forwards
+)
 
 // buildEndpoints builds what carries out exchanges with endpoints.
 func (d *Daemon) buildEndpoints() {
-	paths := forward.NewLinkPool(&meshLinks{daemon: d}, d.forwarders, time.Now)
+	d.paths = forward.NewLinkPool(&meshLinks{daemon: d}, d.forwarders, time.Now)
 	d.endpoints = forward.NewRouter(forward.Dependencies{
 		Direct:    d.adapters.Direct,
 		Forwarded: forward.NewClient(d.mesh),
-		Paths:     paths,
+		Paths:     d.paths,
 		Probed:    d.servingEndpoints,
 		ProbePath: endpoint.PathReport,
 		Vouch:     d.reachedByOthers,
@@ -32,17 +35,21 @@
 	d.adapters.SendThrough(d.endpoints)
 }
 
-// reviewEndpoints reviews the links to the endpoints until ctx ends.
+// reviewEndpoints reviews the links to the endpoints, and sweeps those through which this daemon
+// forwards, until ctx ends.
 func (d *Daemon) reviewEndpoints(ctx context.Context) {
 	ticker := time.NewTicker(reviewInterval)
 	defer ticker.Stop()
-	for {
+	for round := 0; ; round++ {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
 			d.leaders.observe(d.views.Load(), now)
 			d.endpoints.Review(now)
+			if round%sweepRounds == 0 {
+				d.paths.Sweep()
+			}
 		}
 	}
 }
