Dispatchers and link pool: measure pauses by a monotonic clock

The pause after a dispatcher has not answered was kept as a wall-clock time. A jump of the wall clock by seconds ended it at once, or prolonged it by as much. The client now has a clock of its dependencies, order.MonotonicClock in a daemon.

The new specs set the clock apart from the wall clock.

--- a/internal/forward/link_pool.go
+++ b/internal/forward/link_pool.go
@@ -27,7 +27,7 @@
 }
 
 // NewLinkPool returns a pool without links. clock is the clock by which links are idle or have
-// failed.
+// failed. It must be monotonic, since the wall clock may jump by seconds.
 func NewLinkPool(links Links, choose ChoosePaths, clock func() time.Time) *LinkPool {
 	return &LinkPool{links: links, choose: choose, clock: clock, byName: map[string]*pooledLink{}}
 }
--- a/internal/forward/link_pool_test.go
+++ b/internal/forward/link_pool_test.go
@@ -72,6 +72,16 @@
 		sweepLater(2 * time.Second)
 		Expect(links.links["host-a"]).To(BeZero())
 	})
+	// Guards against a pause that a jump of the wall clock ends or prolongs.
+	It("prefers other daemons to one that has failed, for a time by its own clock", func() {
+		paths = []string{"a", "b"}
+		pool.Release(pick(), true)
+		Expect(pick()).To(Equal("b"))
+		now = now.Add(499 * time.Millisecond)
+		Expect(pick()).To(Equal("b"))
+		now = now.Add(500 * time.Millisecond)
+		Expect(pick()).To(Equal("a"))
+	})
 	// Guards against a link to the address of a daemon before its restart.
 	It("follows a daemon to another address once nothing is in progress", func() {
 		pool.Keep("a")
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -7,6 +7,7 @@
 	"github.com/plantainmux/plantainmux/internal/dispatch"
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/order"
 	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
@@ -25,7 +26,7 @@
 		declines: g.declinesDispatch, metrics: g.metrics,
 	})
 	g.dispatchClient = newDispatchClient(dispatchClientDependencies{
-		self: g.settings.Node, call: g.callDispatcher, local: g.dispatcher.answer, metrics: g.metrics, logger: g.logger,
+		self: g.settings.Node, call: g.callDispatcher, local: g.dispatcher.answer, clock: order.MonotonicClock(), metrics: g.metrics, logger: g.logger,
 	})
 	g.mesh.HandleCall(dispatch.Method, g.answerDispatch)
 	g.metrics.NewGauge(`plantainmux_dispatcher`, func() float64 {
--- a/internal/gateway/dispatch_client.go
+++ b/internal/gateway/dispatch_client.go
@@ -31,7 +31,7 @@
 	models      sync.Map               // true for each dispatchModel with a request that shows that dispatchers are of use
 	used        atomic.Bool            // there has been a model for which dispatchers are used
 	current     atomic.Pointer[string] // name of the dispatcher, empty: none
-	pausedUntil atomic.Int64           // Unix nanoseconds
+	pausedUntil atomic.Int64           // nanoseconds of the clock
 }
 
 func newDispatchClient(dependencies dispatchClientDependencies) *dispatchClient {
@@ -74,7 +74,7 @@
 		return outcome
 	case outcome.By == c.self:
 		outcome.Answer = c.local(c.self, call, now)
-	case now.UnixNano() < c.pausedUntil.Load():
+	case c.clock().UnixNano() < c.pausedUntil.Load():
 		outcome.Local = dispatch.Paused
 		return outcome
 	default:
@@ -113,7 +113,7 @@
 	if *c.current.Load() != dispatcher {
 		return reason // another one has replaced it
 	}
-	c.pausedUntil.Store(time.Now().Add(dispatchPause).UnixNano())
+	c.pausedUntil.Store(c.clock().Add(dispatchPause).UnixNano())
 	c.logger.Info("dispatcher not asked for a time", "dispatcher", dispatcher, "reason", reason, "pause_ms", dispatchPause.Milliseconds(), "error", err)
 	return reason
 }
--- a/internal/gateway/dispatch_client_test.go
+++ b/internal/gateway/dispatch_client_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainmux/plantainmux/internal/dispatch"
+	"github.com/plantainmux/plantainmux/internal/order"
 	"github.com/plantainmux/plantainmux/internal/peer"
 )
 
@@ -18,12 +19,13 @@
 	var client *dispatchClient
 	var calls int
 	var dispatcher string
+	var clock func() time.Time
 	var respond func(ctx context.Context, answer *dispatch.Answer) error
 	ask := func() dispatch.Outcome {
 		return client.ask(context.Background(), dispatch.Call{Service: "s", Model: "m"})
 	}
 	BeforeEach(func() {
-		calls, dispatcher = 0, "hub"
+		calls, dispatcher, clock = 0, "hub", order.MonotonicClock()
 		respond = func(_ context.Context, answer *dispatch.Answer) error {
 			answer.Target = "g"
 			return nil
@@ -35,6 +37,7 @@
 				calls++
 				return respond(ctx, answer)
 			},
+			clock: func() time.Time { return clock() },
 			local: func(string, dispatch.Call, time.Time) dispatch.Answer { return dispatch.Answer{Target: "own"} },
 		})
 		client.follow("hub")
@@ -71,6 +74,22 @@
 		Eventually(func() dispatch.LocalReason { return ask().Local }, "1s", "20ms").Should(BeEmpty())
 		Expect(calls).To(Equal(2))
 	})
+	// Guards against pauses that end at once, or last for long, when the wall clock jumps.
+	It("was frozen is asked again after the pause by the monotonic clock, whatever the wall clock shows", func() {
+		now := time.Now().Add(time.Hour) // of the monotonic clock; the wall clock has jumped back by an hour
+		clock = func() time.Time { return now }
+		respond = func(context.Context, *dispatch.Answer) error { return errors.New("lost") }
+		Expect(ask().Local).To(Equal(dispatch.CallFailed))
+		Expect(ask().Local).To(Equal(dispatch.Paused))
+		now = now.Add(dispatchPause)
+		Expect(ask().Local).To(Equal(dispatch.CallFailed), "asked again")
+		now = now.Add(-2 * time.Hour) // the wall clock has jumped forward
+		client.follow("")
+		client.follow("hub")
+		Expect(ask().Local).To(Equal(dispatch.CallFailed))
+		Expect(ask().Local).To(Equal(dispatch.Paused))
+		Expect(calls).To(Equal(3))
+	})
 	It("is killed, so that there is no link, is not waited for", func() {
 		respond = func(context.Context, *dispatch.Answer) error { return &peer.UnreachableError{Daemon: "hub"} }
 		started := time.Now()
