Dispatchers: stop using them for a model 60 s after the last request that calls for them

A model for which dispatch.Applies had held once used dispatchers until the daemon was restarted, also when operators no longer rank the routes or have raised the latency targets. The client now keeps the time of the last such request of each model. Without one for 60 s (and without calls to answer) there is no dispatcher, the link is kept no longer and the daemon does not dispatch. Log lines state the start and the end for a model; plantainmux_dispatch_models is their number.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -38,18 +38,12 @@
 }
 
 // runDispatch keeps track of the dispatcher and, while this daemon is the one, of what the daemons
-// report. It does nothing until the first request of a model for which dispatchers are used.
+// report. It does nothing while there is no model for which dispatchers are used.
 func (g *Gateway) runDispatch(ctx context.Context) {
 	for round := 0; wait.For(ctx, dispatchInterval); round++ {
-		if !g.dispatchClient.used.Load() {
-			continue
-		}
 		now := time.Now()
 		if round%reviewRounds == 0 {
-			name, address, acting := g.gossip.Dispatcher(now, g.endpoints.Lost())
-			g.dispatchClient.follow(name)
-			g.linkDispatcher(name, address)
-			g.dispatcher.setActing(acting)
+			g.reviewDispatcher(now)
 		}
 		if g.dispatcher.acting.Load() {
 			g.dispatcher.review(now)
@@ -57,6 +51,18 @@
 	}
 }
 
+// reviewDispatcher determines the dispatcher, none while there is no use for one.
+func (g *Gateway) reviewDispatcher(now time.Time) {
+	var name, address string
+	var acting bool
+	if g.dispatchClient.review() {
+		name, address, acting = g.gossip.Dispatcher(now, g.endpoints.Lost())
+	}
+	g.dispatchClient.follow(name)
+	g.linkDispatcher(name, address)
+	g.dispatcher.setActing(acting)
+}
+
 // linkDispatcher keeps the link to a dispatcher. The link to the previous one remains in the pool,
 // since streams that are forwarded may use it.
 func (g *Gateway) linkDispatcher(name, address string) {
--- a/internal/gateway/dispatch_answer.go
+++ b/internal/gateway/dispatch_answer.go
@@ -17,6 +17,6 @@
 	if err := cbor.Unmarshal(body, &call); err != nil {
 		return nil, merry.Wrap(err)
 	}
-	g.dispatchClient.used.Store(true)
+	g.dispatchClient.noteUse()
 	return g.dispatcher.answer(string(from), call, time.Now()), nil
 }
--- a/internal/gateway/dispatch_client.go
+++ b/internal/gateway/dispatch_client.go
@@ -22,14 +22,17 @@
 	// dispatchPause is how long no dispatcher is asked after one has not answered, so that the requests
 	// of its clients do not each wait for the timeout. Hubs are replaced within 0.7 s.
 	dispatchPause = 500 * time.Millisecond
+	// dispatchRetention is how long dispatchers are used for a model after the last request that shows
+	// that they are of use. It bridges the gaps between such requests of models that get few.
+	dispatchRetention = 60 * time.Second
 )
 
 // dispatchClient asks the dispatcher of the data centre. It is safe for concurrent use.
 type dispatchClient struct {
 	dispatchClientDependencies
 	took        *metrics.Histogram
-	models      sync.Map               // true for each dispatchModel with a request that shows that dispatchers are of use
-	used        atomic.Bool            // there has been a model for which dispatchers are used
+	models      sync.Map               // *atomic.Int64 for each dispatchModel: nanoseconds of the clock at the last request that shows that dispatchers are of use
+	usedAt      atomic.Int64           // the latest of these, or of the calls answered; 0: none yet
 	current     atomic.Pointer[string] // name of the dispatcher, empty: none
 	pausedUntil atomic.Int64           // nanoseconds of the clock
 }
@@ -37,6 +40,11 @@
 func newDispatchClient(dependencies dispatchClientDependencies) *dispatchClient {
 	c := &dispatchClient{dispatchClientDependencies: dependencies, took: dependencies.metrics.NewHistogram("plantainmux_dispatch_call_seconds")}
 	c.current.Store(new(string))
+	c.metrics.NewGauge("plantainmux_dispatch_models", func() float64 {
+		count := 0
+		c.models.Range(func(any, any) bool { count++; return true })
+		return float64(count)
+	})
 	return c
 }
 
@@ -53,17 +61,47 @@
 // applies reports whether dispatchers are used for a request.
 func (c *dispatchClient) applies(req *exchange.Request) bool {
 	key := dispatchModel{service: req.Service.Name, model: req.Model}
-	if _, known := c.models.Load(key); known {
-		return true
-	}
+	appliedAt, known := c.models.Load(key)
 	if !dispatch.Applies(req.Service, req.Model, req.Route) {
-		return false
+		return known && c.isRecent(appliedAt.(*atomic.Int64))
+	}
+	now := c.noteUse()
+	if !known {
+		first := &atomic.Int64{}
+		first.Store(now)
+		if appliedAt, known = c.models.LoadOrStore(key, first); !known {
+			c.logger.Info("dispatchers used for a model", "service", key.service, "model", key.model)
+		}
 	}
-	c.models.Store(key, true)
-	c.used.Store(true)
+	appliedAt.(*atomic.Int64).Store(now)
 	return true
 }
 
+// noteUse records that dispatchers are of use now, and returns the time in nanoseconds of the clock.
+func (c *dispatchClient) noteUse() int64 {
+	now := c.clock().UnixNano()
+	c.usedAt.Store(now)
+	return now
+}
+
+func (c *dispatchClient) isRecent(at *atomic.Int64) bool {
+	return c.clock().UnixNano()-at.Load() < int64(dispatchRetention)
+}
+
+// review forgets the models for which dispatchers have not been of use for long, so that a changed
+// configuration takes effect. It reports whether there has been any use lately.
+func (c *dispatchClient) review() (used bool) {
+	c.models.Range(func(key, appliedAt any) bool {
+		if !c.isRecent(appliedAt.(*atomic.Int64)) {
+			c.models.Delete(key)
+			model := key.(dispatchModel)
+			c.logger.Info("dispatchers no longer used for a model", "service", model.service, "model", model.model, "unused_s", dispatchRetention.Seconds())
+		}
+		return true
+	})
+	return c.isRecent(&c.usedAt)
+}
+
 // ask asks the dispatcher which target takes a request.
 func (c *dispatchClient) ask(ctx context.Context, call dispatch.Call) dispatch.Outcome {
 	now := time.Now()
--- a/internal/gateway/dispatch_client_test.go
+++ b/internal/gateway/dispatch_client_test.go
@@ -10,11 +10,26 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/dispatch"
+	"github.com/plantainmux/plantainmux/internal/exchange"
+	"github.com/plantainmux/plantainmux/internal/forward"
+	"github.com/plantainmux/plantainmux/internal/locality"
 	"github.com/plantainmux/plantainmux/internal/order"
 	"github.com/plantainmux/plantainmux/internal/peer"
 )
 
+// countedLinks counts its links. It implements forward.Links.
+type countedLinks struct{ links *metrics.Counter }
+
+func (l countedLinks) Address(string) string { return "address" }
+func (l countedLinks) Connect(string, string) func() {
+	l.links.Inc()
+	return l.links.Dec
+}
+func (l countedLinks) Await(context.Context, string, time.Duration) bool { return true }
+func (l countedLinks) Idle(string) bool                                  { return true }
+
 var _ = Describe("A daemon whose dispatcher", func() {
 	var client *dispatchClient
 	var calls int
@@ -114,6 +129,37 @@
 		}
 		Expect(ask().Local).To(Equal(dispatch.OldVersion))
 	})
+	// Guards against a changed configuration that takes effect only after a restart.
+	It("is no longer of use for a model asks none from 60 s after the last request that shows it to be of use", func() {
+		now := time.Now()
+		clock = func() time.Time { return now }
+		request := func(ranked bool) *exchange.Request {
+			service := &catalog.Service{Name: "s", RanksRoutes: ranked, Performance: &catalog.PerformanceModel{}, Models: []catalog.Model{{Name: "m"}}}
+			return &exchange.Request{Service: service, Model: "m", Route: &catalog.Route{}}
+		}
+		Expect(client.applies(request(false))).To(BeFalse())
+		Expect(client.review()).To(BeFalse())
+		Expect(client.applies(request(true))).To(BeTrue())
+		now = now.Add(40 * time.Second)
+		Expect(client.applies(request(true))).To(BeTrue())
+		now = now.Add(59 * time.Second)
+		Expect(client.applies(request(false))).To(BeTrue(), "a route without a tight target, of a model that has others")
+		Expect(client.review()).To(BeTrue())
+		now = now.Add(time.Second)
+		Expect(client.applies(request(false))).To(BeFalse())
+		links := metrics.NewSet().NewCounter("links")
+		g := &Gateway{settings: Settings{Node: "self"}, dispatchClient: client, dispatcher: newDispatcher(dispatcherDependencies{})}
+		g.paths = forward.NewLinkPool(countedLinks{links}, func(*locality.Allowed) []string { return nil }, clock)
+		g.linkDispatcher("hub", "address")
+		Expect(links.Get()).To(BeEquivalentTo(1))
+		g.reviewDispatcher(now)
+		Expect(ask().Local).To(Equal(dispatch.NoDispatcher))
+		now = now.Add(time.Minute)
+		g.paths.Sweep()
+		Expect(links.Get()).To(BeZero())
+		Expect(client.applies(request(true))).To(BeTrue())
+		Expect(client.review()).To(BeTrue())
+	})
 	It("is unknown, or whose caller is gone, asks nobody again for that", func() {
 		client.follow("")
 		Expect(ask().Local).To(Equal(dispatch.NoDispatcher))
