Dispatchers: exclude targets that the asking daemon does not know

The view of a dispatcher may be newer than that of a daemon that asks it. A group that has just formed is idle, so the dispatcher named it for one request after the other, and the daemon placed each of them locally. The client now lists such a target as excluded in its calls for the model for 1 s, or until the view of the daemon has it. The choice without a dispatcher is not affected. A log line states the exclusion; requests placed locally count as unknown_target as before.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/dispatch"
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/order"
+	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
@@ -26,7 +28,7 @@
 		declines: g.declinesDispatch, metrics: g.metrics,
 	})
 	g.dispatchClient = newDispatchClient(dispatchClientDependencies{
-		self: g.settings.Node, call: g.callDispatcher, local: g.dispatcher.answer, clock: order.MonotonicClock(), metrics: g.metrics, logger: g.logger,
+		self: g.settings.Node, call: g.callDispatcher, local: g.dispatcher.answer, known: g.knowsTarget, clock: order.MonotonicClock(), metrics: g.metrics, logger: g.logger,
 	})
 	g.mesh.HandleCall(dispatch.Method, g.answerDispatch)
 	g.metrics.NewGauge(`plantainmux_dispatcher`, func() float64 {
@@ -79,6 +81,12 @@
 	return g.mesh.Call(ctx, fleet.DaemonID(to), dispatch.Method, call, answer)
 }
 
+// knowsTarget reports whether the view has a target, outside evacuated data centres.
+func (g *Gateway) knowsTarget(wanted unknownTarget) bool {
+	targets := g.view.Load().Targets(wanted.model.service, wanted.model.model)
+	return slices.ContainsFunc(targets, func(target *placement.Target) bool { return target.Key == wanted.key })
+}
+
 // declinesDispatch returns why this daemon leaves the choice to the daemons that ask, empty if it
 // does not.
 func (g *Gateway) declinesDispatch() dispatch.Decline {
--- a/internal/gateway/dispatch_client.go
+++ b/internal/gateway/dispatch_client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,7 +35,8 @@
 	models      sync.Map               // *atomic.Int64 for each dispatchModel: nanoseconds of the clock at the last request that shows that dispatchers are of use
 	usedAt      atomic.Int64           // the latest of these, or of the calls answered; 0: none yet
 	current     atomic.Pointer[string] // name of the dispatcher, empty: none
-	pausedUntil atomic.Int64           // nanoseconds of the clock
+	unknown     unknownTargets
+	pausedUntil atomic.Int64 // nanoseconds of the clock
 }
 
 func newDispatchClient(dependencies dispatchClientDependencies) *dispatchClient {
@@ -106,6 +108,8 @@
 func (c *dispatchClient) ask(ctx context.Context, call dispatch.Call) dispatch.Outcome {
 	now := time.Now()
 	outcome := dispatch.Outcome{Asked: true, By: *c.current.Load()}
+	model := dispatchModel{service: call.Service, model: call.Model}
+	call.Excluded = slices.Concat(call.Excluded, c.unknown.keys(model, c.known, c.clock()))
 	switch {
 	case outcome.By == "":
 		outcome.Local = dispatch.NoDispatcher
@@ -132,9 +136,20 @@
 	if outcome.Answer.Declined != "" || outcome.Answer == (dispatch.Answer{}) {
 		outcome.Local = dispatch.Declined(outcome.Answer.Declined)
 	}
+	if outcome.Answer.Target != "" {
+		c.reviewTarget(unknownTarget{model: model, key: outcome.Answer.Target}, outcome.By)
+	}
 	return outcome
 }
 
+// reviewTarget has the target of an answer excluded from the next calls if this daemon does not know
+// it, since one request after the other would be placed locally otherwise.
+func (c *dispatchClient) reviewTarget(target unknownTarget, dispatcher string) {
+	if !c.known(target) && c.unknown.add(target, c.clock()) {
+		c.logger.Info("unknown target of a dispatcher excluded for a time", "target", target.key, "service", target.model.service, "model", target.model.model, "dispatcher", dispatcher, "excluded_ms", unknownTargetTime.Milliseconds())
+	}
+}
+
 // failed returns the reason of a local choice after a call failed.
 func (c *dispatchClient) failed(ctx context.Context, dispatcher string, err error) dispatch.LocalReason {
 	var unreachable *peer.UnreachableError
--- a/internal/gateway/dispatch_client_test.go
+++ b/internal/gateway/dispatch_client_test.go
@@ -17,6 +17,7 @@
 	"github.com/plantainmux/plantainmux/internal/locality"
 	"github.com/plantainmux/plantainmux/internal/order"
 	"github.com/plantainmux/plantainmux/internal/peer"
+	"github.com/plantainmux/plantainmux/internal/placement"
 )
 
 // countedLinks counts its links. It implements forward.Links.
@@ -35,24 +36,28 @@
 	var calls int
 	var dispatcher string
 	var clock func() time.Time
+	var known func(unknownTarget) bool
+	var excluded []string // of the latest call
 	var respond func(ctx context.Context, answer *dispatch.Answer) error
 	ask := func() dispatch.Outcome {
 		return client.ask(context.Background(), dispatch.Call{Service: "s", Model: "m"})
 	}
 	BeforeEach(func() {
-		calls, dispatcher, clock = 0, "hub", order.MonotonicClock()
+		calls, dispatcher, clock, known = 0, "hub", order.MonotonicClock(), func(unknownTarget) bool { return true }
 		respond = func(_ context.Context, answer *dispatch.Answer) error {
 			answer.Target = "g"
 			return nil
 		}
 		client = newDispatchClient(dispatchClientDependencies{
 			self: "self", metrics: metrics.NewSet(), logger: slog.New(slog.DiscardHandler),
-			call: func(ctx context.Context, to string, _ dispatch.Call, answer *dispatch.Answer) error {
+			call: func(ctx context.Context, to string, call dispatch.Call, answer *dispatch.Answer) error {
+				excluded = call.Excluded
 				Expect(to).To(Equal(dispatcher))
 				calls++
 				return respond(ctx, answer)
 			},
 			clock: func() time.Time { return clock() },
+			known: func(target unknownTarget) bool { return known(target) },
 			local: func(string, dispatch.Call, time.Time) dispatch.Answer { return dispatch.Answer{Target: "own"} },
 		})
 		client.follow("hub")
@@ -129,6 +134,49 @@
 		}
 		Expect(ask().Local).To(Equal(dispatch.OldVersion))
 	})
+	// Guards against requests that are placed locally one after the other, because the dispatcher knows
+	// of a group that is idle and that this daemon does not know yet.
+	It("names a target that this daemon does not know excludes it for a second, or until it knows it", func() {
+		now := time.Now()
+		clock = func() time.Time { return now }
+		g := &Gateway{}
+		show := func(keys ...string) {
+			var targets []*placement.Target
+			for _, key := range keys {
+				targets = append(targets, &placement.Target{Key: key})
+			}
+			g.view.Store(&placement.View{Groups: map[string]map[string][]*placement.Target{"s": {"m": targets}}})
+		}
+		known = g.knowsTarget
+		show("old")
+		Expect(ask().Answer.Target).To(Equal("g"), "the exchange places it locally")
+		Expect(excluded).To(BeEmpty())
+		for range 2 {
+			now = now.Add(499 * time.Millisecond)
+			respond = func(_ context.Context, answer *dispatch.Answer) error {
+				answer.Target = "old"
+				return nil
+			}
+			client.ask(context.Background(), dispatch.Call{Service: "s", Model: "m", Excluded: []string{"suspected"}})
+			Expect(excluded).To(Equal([]string{"suspected", "g"}))
+		}
+		client.ask(context.Background(), dispatch.Call{Service: "s", Model: "other"})
+		Expect(excluded).To(BeEmpty(), "a call for another model")
+		now = now.Add(2 * time.Millisecond)
+		ask()
+		Expect(excluded).To(BeEmpty())
+
+		respond = func(_ context.Context, answer *dispatch.Answer) error {
+			answer.Target = "new"
+			return nil
+		}
+		ask()
+		ask()
+		Expect(excluded).To(Equal([]string{"new"}))
+		show("old", "new")
+		ask()
+		Expect(excluded).To(BeEmpty())
+	})
 	// Guards against a changed configuration that takes effect only after a restart.
 	It("is no longer of use for a model asks none from 60 s after the last request that shows it to be of use", func() {
 		now := time.Now()
