Dispatchers: remember assignments for six report intervals, in data centres of any size

A daemon reports every max(100 ms, 3 ms for each daemon of its data centre), and a dispatcher forgot assignments after 0.6 s: above 200 daemons before they are reported, so that groups were taken to have room which they have not. Assignments are now forgotten after six intervals, at least 0.6 s, and a daemon is declined after ten without a report, at least 1 s (ReportTimeout). The interval is derived from the delay of gossip, which is three intervals where there are dispatchers.

A spec compares them with a recount after each of 5,000 random events.

--- a/internal/dispatch/assignment.go
+++ b/internal/dispatch/assignment.go
@@ -7,6 +7,6 @@
 	daemon       string
 	target       string // key
 	promptTokens int
-	reported     bool // what the daemons report contains it
+	reported     bool // what the daemons report contains it, or should by its age
 	at           time.Time
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -1,6 +1,8 @@
 package dispatch_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -81,6 +83,68 @@
 		table.Review(nil, at(610))
 		Expect(assigned(610)).To(BeZero())
 	})
+	// Guards against loads of some 0.5 s that a dispatcher of more than 200 daemons does not know of:
+	// 220 daemons report every 660 ms.
+	It("counts what a daemon was assigned until it reports, however long the interval is", func() {
+		table.ReportInterval = 660 * time.Millisecond
+		for ms := 20; ms < 660; ms += 20 {
+			table.Review(nil, at(ms))
+			Expect(assigned(ms).Requests).To(Equal(1))
+		}
+		table.Review(map[string]time.Time{"n": at(-1)}, at(3900))
+		Expect(assigned(3900).Requests).To(Equal(1), "five reports are lost")
+		table.Review(map[string]time.Time{"n": at(-1)}, at(3980))
+		Expect(assigned(3980)).To(BeZero())
+		table.Add("n", "g", 700, false, at(4000))
+		table.Review(map[string]time.Time{"n": at(4500)}, at(4510))
+		Expect(assigned(4510)).To(BeZero(), "reported")
+	})
+	// Guards against sums that drift away from the assignments.
+	It("counts the same as a recount of all assignments, in any order of events", func() {
+		type request struct {
+			daemon, target string
+			tokens, ms     int
+			reported       bool
+		}
+		table, now := dispatch.Table{ReportInterval: 150 * time.Millisecond}, 0
+		random := rand.New(rand.NewPCG(uint64(GinkgoRandomSeed()), 0))
+		name := func(kind string, of int) string { return fmt.Sprint(kind, random.IntN(of)) }
+		var requests []request
+		receivedAt := map[string]time.Time{}
+		for range 5000 {
+			now += random.IntN(10)
+			switch random.IntN(3) {
+			case 0:
+				r := request{daemon: name("n", 3), target: name("g", 3), tokens: random.IntN(1000), ms: now, reported: random.IntN(4) == 0}
+				requests = append(requests, r)
+				table.Add(r.daemon, r.target, r.tokens, r.reported, at(r.ms))
+			case 1:
+				if random.IntN(20) == 0 {
+					receivedAt[name("n", 3)] = at(now)
+				}
+				table.Review(receivedAt, at(now))
+				for i := range requests {
+					r := &requests[i]
+					r.reported = r.reported || receivedAt[r.daemon].Sub(at(r.ms)) > 5*time.Millisecond || now-r.ms > 900
+				}
+			default:
+			}
+			expected := map[string]dispatch.Assigned{}
+			for _, r := range requests {
+				sum := expected[r.target]
+				if !r.reported {
+					sum.Requests++
+				}
+				if now-r.ms <= 250 {
+					sum.PromptTokens += r.tokens
+				}
+				expected[r.target] = sum
+			}
+			for _, target := range []string{"g0", "g1", "g2"} {
+				Expect(table.Assigned(at(now))[target]).To(Equal(expected[target]))
+			}
+		}
+	})
 	It("does not count requests of the dispatcher itself beyond those in progress", func() {
 		table.Add("self", "g", 300, true, at(0))
 		Expect(assigned(1)).To(Equal(dispatch.Assigned{Requests: 1, PromptTokens: 1000}))
--- a/internal/gateway/dispatch_decision.go
+++ b/internal/gateway/dispatch_decision.go
@@ -72,6 +72,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.loads, d.heardAt, d.reviewed = loads, receivedAt, true
+	d.table.ReportInterval = reportInterval(d.delay())
 	d.table.Review(receivedAt, now)
 }
 
@@ -100,7 +101,7 @@
 	if !d.acting.Load() || !d.reviewed {
 		return dispatch.Answer{Declined: dispatch.NotDispatcher}
 	}
-	if from != d.self && now.Sub(d.heardAt[from]) > dispatch.ReportTimeout {
+	if from != d.self && now.Sub(d.heardAt[from]) > dispatch.ReportTimeout(reportInterval(d.delay())) {
 		return dispatch.Answer{Declined: dispatch.NoReport}
 	}
 	assigned := d.table.Assigned(now)
--- a/internal/gateway/dispatch_decision_test.go
+++ b/internal/gateway/dispatch_decision_test.go
@@ -111,7 +111,7 @@
 		delete(receivedAt, "n")
 		d.review(now)
 		Expect(d.answer("n", call, now).Declined).To(Equal(dispatch.NoReport))
-		receivedAt["n"] = now.Add(-dispatch.ReportTimeout / 2)
+		receivedAt["n"] = now.Add(-dispatch.ReportTimeout(0) / 2)
 		d.review(now)
 		Expect(d.answer("n", call, now).Target).NotTo(BeEmpty())
 	})
