Dispatchers: count the unknown targets that are excluded

An exclusion changes what a daemon assumes of a dispatcher and had a log line, but no counter: plantainmux_dispatch_excluded_targets_total.

--- a/internal/gateway/dispatch_client.go
+++ b/internal/gateway/dispatch_client.go
@@ -32,6 +32,7 @@
 type dispatchClient struct {
 	dispatchClientDependencies
 	took        *metrics.Histogram
+	excluded    *metrics.Counter       // unknown targets excluded
 	models      sync.Map               // *atomic.Int64 for each dispatchModel: nanoseconds of the clock at the last request that shows that dispatchers are of use
 	usedAt      atomic.Int64           // the latest of these, or of the calls answered; 0: none yet
 	current     atomic.Pointer[string] // name of the dispatcher, empty: none
@@ -40,7 +41,11 @@
 }
 
 func newDispatchClient(dependencies dispatchClientDependencies) *dispatchClient {
-	c := &dispatchClient{dispatchClientDependencies: dependencies, took: dependencies.metrics.NewHistogram("plantainmux_dispatch_call_seconds")}
+	c := &dispatchClient{
+		dispatchClientDependencies: dependencies,
+		took:                       dependencies.metrics.NewHistogram("plantainmux_dispatch_call_seconds"),
+		excluded:                   dependencies.metrics.NewCounter("plantainmux_dispatch_excluded_targets_total"),
+	}
 	c.current.Store(new(string))
 	c.metrics.NewGauge("plantainmux_dispatch_models", func() float64 {
 		count := 0
@@ -146,6 +151,7 @@
 // it, since one request after the other would be placed locally otherwise.
 func (c *dispatchClient) reviewTarget(target unknownTarget, dispatcher string) {
 	if !c.known(target) && c.unknown.add(target, c.clock()) {
+		c.excluded.Inc()
 		c.logger.Info("unknown target of a dispatcher excluded for a time", "target", target.key, "service", target.model.service, "model", target.model.model, "dispatcher", dispatcher, "excluded_ms", unknownTargetTime.Milliseconds())
 	}
 }
--- a/internal/gateway/dispatch_client_test.go
+++ b/internal/gateway/dispatch_client_test.go
@@ -176,6 +176,7 @@
 		show("old", "new")
 		ask()
 		Expect(excluded).To(BeEmpty())
+		Expect(client.excluded.Get()).To(BeEquivalentTo(3), "g, new, and old for the other model")
 	})
 	// Guards against a changed configuration that takes effect only after a restart.
 	It("is no longer of use for a model asks none from 60 s after the last request that shows it to be of use", func() {
