--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/dispatch"
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/fleet"
-	"github.com/plantainmux/plantainmux/internal/peer"
+	"github.com/plantainmux/plantainmux/internal/order"
+	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
@@ -26,7 +28,7 @@
 		declines: g.declinesDispatch, metrics: g.metrics,
 	})
 	g.dispatchClient = newDispatchClient(dispatchClientDependencies{
-		self: g.settings.Node, call: g.callDispatcher, local: g.dispatcher.answer, metrics: g.metrics, logger: g.logger,
+		self: g.settings.Node, call: g.callDispatcher, local: g.dispatcher.answer, known: g.knowsTarget, clock: order.MonotonicClock(), metrics: g.metrics, logger: g.logger,
 	})
 	g.mesh.HandleCall(dispatch.Method, g.answerDispatch)
 	g.metrics.NewGauge(`plantainmux_dispatcher`, func() float64 {
@@ -38,24 +40,12 @@
 }
 
 // runDispatch keeps track of the dispatcher and, while this daemon is the one, of what the daemons
-// report. It does nothing until the first request of a model for which dispatchers are used.
+// report. It does nothing while there is no model for which dispatchers are used.
 func (g *Gateway) runDispatch(ctx context.Context) {
-	release := func() {}
-	defer func() { release() }()
-	linked := ""
 	for round := 0; wait.For(ctx, dispatchInterval); round++ {
-		if !g.dispatchClient.used.Load() {
-			continue
-		}
 		now := time.Now()
 		if round%reviewRounds == 0 {
-			name, address, acting := g.gossip.Dispatcher(now, g.endpoints.Lost())
-			if g.dispatchClient.follow(name) || linked != address {
-				release()
-				release = g.linkDispatcher(name, address)
-				linked = address
-			}
-			g.dispatcher.setActing(acting)
+			g.reviewDispatcher(now)
 		}
 		if g.dispatcher.acting.Load() {
 			g.dispatcher.review(now)
@@ -63,19 +53,40 @@
 	}
 }
 
-// linkDispatcher keeps a link to another daemon until the returned function is called.
-func (g *Gateway) linkDispatcher(name, address string) (release func()) {
-	if name == "" || name == g.settings.Node {
-		return func() {}
+// reviewDispatcher determines the dispatcher, none while there is no use for one.
+func (g *Gateway) reviewDispatcher(now time.Time) {
+	var name, address string
+	var acting bool
+	if g.dispatchClient.review() {
+		name, address, acting = g.gossip.Dispatcher(now, g.endpoints.Lost())
 	}
-	g.startMesh()
-	return g.mesh.Connect(peer.Address{HostPort: address, DataCentre: meshDataCentre})
+	g.dispatchClient.follow(name)
+	g.linkDispatcher(name, address)
+	g.dispatcher.setActing(acting)
+}
+
+// linkDispatcher keeps the link to a dispatcher. The link to the previous one remains in the pool,
+// since streams that are forwarded may use it.
+func (g *Gateway) linkDispatcher(name, address string) {
+	if name == g.settings.Node {
+		name = ""
+	}
+	if name != "" {
+		g.dispatcherAt.Store(&linkedDispatcher{name: name, address: address})
+	}
+	g.paths.Keep(name)
 }
 
 func (g *Gateway) callDispatcher(ctx context.Context, to string, call dispatch.Call, answer *dispatch.Answer) error {
 	return g.mesh.Call(ctx, fleet.DaemonID(to), dispatch.Method, call, answer)
 }
 
+// knowsTarget reports whether the view has a target, outside evacuated data centres.
+func (g *Gateway) knowsTarget(wanted unknownTarget) bool {
+	targets := g.view.Load().Targets(wanted.model.service, wanted.model.model)
+	return slices.ContainsFunc(targets, func(target *placement.Target) bool { return target.Key == wanted.key })
+}
+
 // declinesDispatch returns why this daemon leaves the choice to the daemons that ask, empty if it
 // does not.
 func (g *Gateway) declinesDispatch() dispatch.Decline {
