Daemons know sooner that endpoints answer nothing to them

Cause: attempts counted as evidence only when they ended, so a daemon whose connections were accepted and never answered found out late that it was cut off. Its silent requests also counted as load at all daemons, which refused their own callers with no_room.

Change: an exchange that has had a connection and no answer for 650 ms counts as silence, unless anything arrived from any endpoint since it began. Events of streams in progress count as answers; they cost one atomic load, and one store per review. Time without answers counts only while reviews are on time. After 300 ms without an answered probe, silent exchanges that may be repeated are cancelled and sent through another daemon. New counter plantainmux_silent_exchanges_total; the line "links to the endpoints lost" has endpoints_silent. fakes.LinkSilent accepts connections and passes nothing.

Those of internal/reach call new functions and do not compile on the previous code.

--- a/internal/fakes/link.go
+++ b/internal/fakes/link.go
@@ -56,7 +56,7 @@
 	for {
 		fault, changed := l.state()
 		switch fault {
-		case LinkSound:
+		case LinkSound, LinkSilent:
 			return l.connect(ctx, network, address)
 		case LinkResets:
 			return nil, dialError(network, syscall.ECONNRESET)
--- a/internal/fakes/link_conn.go
+++ b/internal/fakes/link_conn.go
@@ -5,7 +5,7 @@
 	"sync"
 )
 
-// linkConn is a connection over a Link. While the link hangs, nothing passes.
+// linkConn is a connection over a Link. While the link hangs or is silent, nothing passes.
 type linkConn struct {
 	net.Conn
 	link   *Link
@@ -30,11 +30,11 @@
 	return c.Conn.Write(p)
 }
 
-// wait blocks while the link hangs. It fails if the connection is closed meanwhile.
+// wait blocks while nothing passes. It fails if the connection is closed meanwhile.
 func (c *linkConn) wait() error {
 	for {
 		fault, changed := c.link.state()
-		if fault != LinkHangs {
+		if fault != LinkHangs && fault != LinkSilent {
 			return nil
 		}
 		select {
--- a/internal/fakes/link_fault.go
+++ b/internal/fakes/link_fault.go
@@ -9,4 +9,5 @@
 	LinkHangs                // connections hang, new ones are never established
 	LinkResets               // connections are reset, new ones too
 	LinkRefusesNew           // open connections live on, new ones are refused
+	LinkSilent               // connections are accepted; nothing passes on them, nor on open ones
 )
--- a/internal/forward/released_body.go
+++ b/internal/forward/released_body.go
@@ -9,6 +9,7 @@
 // releasedBody calls release once, with the error that ended the body, when it is closed.
 type releasedBody struct {
 	io.ReadCloser
+	onRead  func() // called when a part of the body has been read; nil: not called
 	release func(err error)
 	err     error
 	once    sync.Once
@@ -17,6 +18,9 @@
 // Read implements io.Reader.
 func (b *releasedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if n > 0 && b.onRead != nil {
+		b.onRead()
+	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		b.err = err
 	}
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -19,7 +19,14 @@
 const (
 	// slowConnect is the time without a connection after which an endpoint counts as not reached. A
 	// connection takes a round trip of a few milliseconds.
-	slowConnect   = 150 * time.Millisecond
+	slowConnect = 150 * time.Millisecond
+	// silentAfter is the time on a connection without an answer after which an exchange counts as
+	// silence of its endpoint. The longest pass of the known deployments takes 250 ms, slow members
+	// take 1.3 times as long, and a first event may have to wait for two passes.
+	silentAfter = 650 * time.Millisecond
+	// maxReviewGap is the time between two reviews, which are due every 100 ms, above which this
+	// process itself was held up. Answers may then wait in its sockets.
+	maxReviewGap  = 300 * time.Millisecond
 	probeInterval = 300 * time.Millisecond // while cut off
 	probeTimeout  = 250 * time.Millisecond
 	probeCount    = 2               // endpoints that must answer before a request is tried
@@ -47,9 +54,11 @@
 	tracker *reach.Tracker
 	probing atomic.Bool
 
-	mu       sync.Mutex
-	flights  map[*flight]struct{}
-	probedAt time.Time
+	mu         sync.Mutex
+	flights    map[*flight]struct{}
+	probedAt   time.Time
+	reviewedAt time.Time
+	awakeSince time.Time // since which reviews have been on time
 }
 
 // NewRouter returns a router without exchanges.
@@ -109,7 +118,7 @@
 
 // sendDirect sends over this daemon's own connections.
 func (r *Router) sendDirect(ctx context.Context, exchange outbound.Exchange) (*outbound.Response, error) {
-	f := &flight{endpoint: exchange.Endpoint.Key, allowed: exchange.Allowed, began: time.Now()}
+	f := &flight{endpoint: exchange.Endpoint.Key, allowed: exchange.Allowed, repeatable: exchange.Repeatable, began: time.Now()}
 	own, cancel := context.WithCancel(ctx)
 	f.cancel = cancel
 	r.begin(f)
@@ -120,7 +129,7 @@
 		return nil, r.observeError(ctx, f, err)
 	}
 	response.Reused = f.reused.Load()
-	response.Body = &releasedBody{ReadCloser: response.Body, release: func(error) { cancel() }}
+	response.Body = &releasedBody{ReadCloser: response.Body, onRead: r.tracker.ObserveEvent, release: func(error) { cancel() }}
 	r.tracker.ObserveAnswer(!response.Reused)
 	return response, nil
 }
@@ -177,14 +186,16 @@
 // Review applies the evidence that has come up, and probes endpoints while the links are lost. It
 // is called every tenth of a second.
 func (r *Router) Review(now time.Time) {
+	r.tracker.ReviewAnswers(now)
 	r.reportSlowConnects(now)
+	r.reportSilence(now)
 	if r.tracker.Quiet() {
 		return
 	}
 	endpoints := r.Probed()
 	evidence, lost := r.tracker.Review(now, len(endpoints), r.Vouch)
 	if lost {
-		r.Logger.Warn("links to the endpoints lost", "endpoints_failing", evidence.Failing, "reached_by_others", evidence.Vouched, "endpoints", evidence.Known)
+		r.Logger.Warn("links to the endpoints lost", "endpoints_failing", evidence.Failing, "endpoints_silent", evidence.Silent, "reached_by_others", evidence.Vouched, "endpoints", evidence.Known)
 		r.Count(`plantainmux_links_lost_total`)
 		r.OnLost()
 		r.cancelConnects()
@@ -192,6 +203,17 @@
 	if r.Lost() && r.probeDue(now) && !r.probing.Swap(true) {
 		go r.probe(endpoints)
 	}
+	r.cancelSilent(now)
+}
+
+// cancelSilent cancels the exchanges that are silent and may be repeated once probes have brought no
+// answer either, so that they are sent through another daemon. Until they end they would count as load
+// of their endpoints at all daemons. Endpoints that are merely busy answer probes.
+func (r *Router) cancelSilent(now time.Time) {
+	if r.tracker.State() != reach.CutOff || r.tracker.For(now) < probeInterval {
+		return
+	}
+	r.cancelFlights(func(f *flight) bool { return f.silent && f.repeatable })
 }
 
 // reportSlowConnects records the endpoints to which a connection takes too long.
@@ -199,22 +221,53 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for f := range r.flights {
-		if !f.connected.Load() && now.Sub(f.began) > slowConnect && !f.reported.Swap(true) {
+		if !f.connected() && now.Sub(f.began) > slowConnect && !f.reported.Swap(true) {
 			r.tracker.ObserveConnectFailure(f.endpoint, f.began)
 		}
 	}
 }
 
+// reportSilence records the endpoints that have accepted a connection and answer nothing on it, if
+// nothing has arrived from any endpoint since the exchange began. An exchange that does not count
+// then counts when it ends.
+func (r *Router) reportSilence(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.reviewedAt) > maxReviewGap {
+		r.awakeSince = now
+	}
+	r.reviewedAt = now
+	if now.Sub(r.awakeSince) <= silentAfter {
+		return
+	}
+	for f := range r.flights {
+		if f.judged || !f.connected() || now.Sub(f.connectedAt()) <= silentAfter {
+			continue
+		}
+		f.judged = true
+		if !r.tracker.AnsweredSince(f.began) {
+			f.silent = true
+			r.tracker.ObserveSilence(f.endpoint, f.began)
+			r.Count(`plantainmux_silent_exchanges_total`)
+		}
+	}
+}
+
 // cancelConnects cancels the exchanges that have no connection yet and may be forwarded, so that they
 // are.
 func (r *Router) cancelConnects() {
+	r.cancelFlights(func(f *flight) bool { return !f.connected() })
+}
+
+// cancelFlights cancels the exchanges that may be forwarded and for which a condition holds.
+func (r *Router) cancelFlights(condition func(*flight) bool) {
 	if !r.Paths.Any(nil) {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for f := range r.flights {
-		if !f.connected.Load() && (f.allowed == nil || r.Paths.Any(f.allowed)) {
+		if condition(f) && (f.allowed == nil || r.Paths.Any(f.allowed)) {
 			f.cancel()
 		}
 	}
--- a/internal/reach/evidence.go
+++ b/internal/reach/evidence.go
@@ -7,6 +7,7 @@
 // Evidence is what a daemon's own failures and the other daemons tell of the endpoints.
 type Evidence struct {
 	Failing int // endpoints that failed since the last contact with any
+	Silent  int // of these, endpoints that accepted a connection and answered nothing
 	Vouched int // of these, endpoints that other daemons have reached since they failed
 	Known   int // endpoints that serve requests
 }
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -18,10 +18,13 @@
 // Tracker collects the outcomes of a daemon's exchanges with endpoints. It is safe for concurrent
 // use.
 type Tracker struct {
-	lost atomic.Bool // the state is not Connected
+	lost  atomic.Bool // the state is not Connected
+	event atomic.Bool // an event came that has not been applied to the failures yet
 
 	mu           sync.Mutex
 	failures     map[string]failure // by endpoint
+	answered     bool               // an endpoint answered since the last review
+	answeredAt   time.Time          // the review after the last answer; at most one interval later than the answer
 	state        State
 	changedAt    time.Time
 	trialFrom    time.Time // no request is tried directly before
@@ -59,6 +62,7 @@
 func (t *Tracker) observeFailure(endpoint string, f failure) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.applyEvents()
 	known, ok := t.failures[endpoint]
 	if ok && f.at.Sub(known.at) < failureTTL && (known.connect || !f.connect) {
 		return
@@ -71,9 +75,28 @@
 func (t *Tracker) ObserveAnswer(fresh bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.failures) == 0 {
-		return
+	t.clearFailures(fresh)
+}
+
+// ObserveEvent records that a part of an answer arrived on a connection that is open already. It
+// is called for each event of each stream, so it takes no lock: events are applied to the failures
+// before the next failure is recorded, and at each review.
+func (t *Tracker) ObserveEvent() {
+	if !t.event.Load() {
+		t.event.Store(true)
 	}
+}
+
+// applyEvents applies the events that came since it was last called.
+func (t *Tracker) applyEvents() {
+	if t.event.Swap(false) {
+		t.clearFailures(false)
+	}
+}
+
+// clearFailures drops the failures that an answer refutes.
+func (t *Tracker) clearFailures(fresh bool) {
+	t.answered = true
 	for endpoint, f := range t.failures {
 		if fresh || !f.connect {
 			delete(t.failures, endpoint)
@@ -81,10 +104,31 @@
 	}
 }
 
+// ReviewAnswers applies the answers that arrived until now. It is called at regular intervals; the
+// interval is the precision of AnsweredSince.
+func (t *Tracker) ReviewAnswers(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.applyEvents()
+	if t.answered {
+		t.answered, t.answeredAt = false, now
+	}
+}
+
+// AnsweredSince reports whether any endpoint has answered since a time, by a new answer or an event
+// of an older one. It takes answers for later than they were by up to an interval of reviews.
+func (t *Tracker) AnsweredSince(since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.applyEvents()
+	return t.answered || !t.answeredAt.Before(since)
+}
+
 // Quiet reports whether there is nothing to review.
 func (t *Tracker) Quiet() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.applyEvents()
 	return len(t.failures) == 0 && t.state == Connected
 }
 
@@ -93,6 +137,7 @@
 func (t *Tracker) Review(now time.Time, known int, vouch Vouch) (evidence Evidence, lost bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.applyEvents()
 	evidence.Known = known
 	for endpoint, f := range t.failures {
 		if now.Sub(f.at) > failureTTL {
@@ -100,6 +145,9 @@
 			continue
 		}
 		evidence.Failing++
+		if !f.connect {
+			evidence.Silent++
+		}
 		if vouch(endpoint, f.at) {
 			evidence.Vouched++
 		}
--- a/internal/reach/tracker_test.go
+++ b/internal/reach/tracker_test.go
@@ -90,6 +90,39 @@
 		Expect(lost(all)).To(BeFalse())
 	})
 
+	silence := func(endpoints int) {
+		for i := range endpoints {
+			tracker.ObserveSilence(fmt.Sprintf("e%d", i), now)
+		}
+	}
+
+	It("is not lost by silence while events of streams in progress arrive", func() {
+		silence(known)
+		tracker.ObserveEvent()
+		Expect(lost(all)).To(BeFalse())
+	})
+
+	It("is lost by silence that follows the last event", func() {
+		tracker.ObserveEvent()
+		silence(3)
+		Expect(lost(all)).To(BeTrue())
+	})
+
+	It("is lost although events arrive on open connections, if no new ones are made", func() {
+		failConnects(3)
+		tracker.ObserveEvent()
+		Expect(lost(all)).To(BeTrue())
+	})
+
+	It("remembers an event that arrived before there was any failure", func() {
+		began := now
+		tracker.ObserveEvent()
+		now = now.Add(100 * time.Millisecond)
+		tracker.ReviewAnswers(now)
+		Expect(tracker.AnsweredSince(began)).To(BeTrue())
+		Expect(tracker.AnsweredSince(now.Add(time.Millisecond))).To(BeFalse())
+	})
+
 	It("forgets failures that are old", func() {
 		failConnects(2)
 		now = now.Add(4 * time.Second)
