Exchanges that get no answer are no load of their endpoints

The requests that the other three had sent before they knew that they are cut off counted as load at all daemons for up to 4 s, while the endpoints knew nothing of them.

--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -54,6 +54,8 @@
 	tracker *reach.Tracker
 	probing atomic.Bool
 
+	silent atomic.Int32 // flights that are silent
+
 	mu         sync.Mutex
 	flights    map[*flight]struct{}
 	probedAt   time.Time
@@ -181,6 +183,26 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.flights, f)
+	if f.silent {
+		r.silent.Add(-1)
+	}
+}
+
+// Silent returns the number of exchanges in progress at each endpoint, by its key, that have had no
+// answer while nothing arrived from any endpoint: the endpoints know nothing of them.
+func (r *Router) Silent() map[string]int {
+	if r.silent.Load() == 0 {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := map[string]int{}
+	for f := range r.flights {
+		if f.silent {
+			counts[f.endpoint]++
+		}
+	}
+	return counts
 }
 
 // Review applies the evidence that has come up, and probes endpoints while the links are lost. It
@@ -247,6 +269,7 @@
 		f.judged = true
 		if !r.tracker.AnsweredSince(f.began) {
 			f.silent = true
+			r.silent.Add(1)
 			r.tracker.ObserveSilence(f.endpoint, f.began)
 			r.Count(`plantainmux_silent_exchanges_total`)
 		}
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -125,6 +125,30 @@
 		Expect(r.routers[1].Lost()).To(BeFalse())
 	})
 
+	// Requests that never reached their endpoints counted as load there, and the other daemons refused
+	// their callers.
+	It("tells which of them are no load of the endpoints, until they end", func() {
+		r := newSilenceRig(1, func(int, string) time.Duration { return -1 })
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, _ = r.routers[0].Send(ctx, outbound.Exchange{Endpoint: outbound.Endpoint{Key: "e"}})
+		}()
+		for range 9 {
+			r.routers[0].Review(time.Now())
+			Expect(r.routers[0].Silent()).To(BeEmpty())
+			time.Sleep(70 * time.Millisecond)
+		}
+		Eventually(func() map[string]int {
+			r.routers[0].Review(time.Now())
+			return r.routers[0].Silent()
+		}, "2s", reviewInterval).Should(Equal(map[string]int{"e": 1}))
+		cancel()
+		<-done
+		Expect(r.routers[0].Silent()).To(BeEmpty())
+	})
+
 	It("does not count as cut off while busy endpoints take 1 s for the first event at all daemons", func() {
 		r := newSilenceRig(3, func(int, string) time.Duration { return time.Second })
 		r.run(3500*time.Millisecond, 0)
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -40,8 +40,9 @@
 	if current := g.catalogs.Load(); current != nil {
 		message.Config = current.Version
 	}
+	silent := g.endpoints.Silent() // no load of the endpoints, for which other daemons would refuse requests
 	g.meters.Each(func(key string, meter meter) {
-		if count := meter.InFlight(); count > 0 {
+		if count := meter.InFlight() - silent[key]; count > 0 {
 			if message.Loads == nil {
 				message.Loads = map[uint32]gossip.Load{}
 			}
