--- a/internal/formation/group_creation.go
+++ b/internal/formation/group_creation.go
@@ -178,13 +178,17 @@
 }
 
 func (p *planner) warmMembers(record *ledger.Record, model string) int {
+	return len(p.warm(p.healthyMembers(record), model))
+}
+
+func (p *planner) healthyMembers(record *ledger.Record) []*registry.Endpoint {
 	var members []*registry.Endpoint
 	for _, member := range record.Members {
 		if e := p.in.Endpoints.ByID[member.ID]; e != nil && p.healthy(e) && e.Incarnation == member.Incarnation {
 			members = append(members, e)
 		}
 	}
-	return len(p.warm(members, model))
+	return members
 }
 
 // groupValue returns the share of the work that each group of a model would carry
--- a/internal/formation/stage_for_change.go
+++ b/internal/formation/stage_for_change.go
@@ -29,16 +29,18 @@
 	}
 }
 
-// afterStaging returns a domain as it is once its endpoints have staged whatever model they need.
-// Groups that have most of it staged already come first.
+// afterStaging returns a domain as it is once its endpoints have staged whatever model they need. Of
+// equal groups, a change closes those with the fewest requests in progress; here that is the negative
+// number of members that have another model staged already, so that the choice stays the same while
+// they load.
 func (p *planner) afterStaging(domain apportion.Domain) apportion.Domain {
 	staged := domain
 	staged.Groups, staged.FreeFit = nil, map[string]int{}
 	for _, group := range domain.Groups {
-		record := p.in.Groups.Groups[group.Name]
+		members := len(p.stageable(p.in.Groups.Groups[group.Name]))
 		able := apportion.Group{Name: group.Name, Model: group.Model, Fit: map[string]int{}}
 		for _, model := range p.service.Models {
-			able.Fit[model.Name] = len(p.stageable(record, model.Name))
+			able.Fit[model.Name] = members
 			if model.Name != group.Model {
 				able.InProgress -= group.Fit[model.Name]
 			}
@@ -51,15 +53,9 @@
 	return staged
 }
 
-// stageable returns the members of a group that can serve a model once it is staged.
-func (p *planner) stageable(record *ledger.Record, model string) []*registry.Endpoint {
-	var members []*registry.Endpoint
-	for _, member := range record.Members {
-		if e := p.in.Endpoints.ByID[member.ID]; e != nil && p.healthy(e) && e.Incarnation == member.Incarnation && p.startupRank(e, model) != startupSlow {
-			members = append(members, e)
-		}
-	}
-	return members
+// stageable returns the members of a group that can serve any model once it is staged.
+func (p *planner) stageable(record *ledger.Record) []*registry.Endpoint {
+	return p.withoutSlow(p.healthyMembers(record))
 }
 
 // stagingOrders returns the orders to stage what the new groups of a change need: by members of the
@@ -68,7 +64,7 @@
 	to := p.service.Model(change.To)
 	var candidates []*registry.Endpoint
 	for _, name := range change.Close {
-		candidates = append(candidates, p.stageable(p.in.Groups.Groups[name], to.Name)...)
+		candidates = append(candidates, p.stageable(p.in.Groups.Groups[name])...)
 	}
 	candidates = append(candidates, p.withoutSlow(p.spares(change.Domain, to.Name))...)
 	return stagingOrders(candidates[:min(change.Form*to.GroupSize, len(candidates))], to)
