--- a/internal/daemon/endpoints.go
+++ b/internal/daemon/endpoints.go
@@ -8,7 +8,7 @@
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/forward"
 	"github.com/plantainmux/plantainmux/internal/locality"
-	"github.com/plantainmux/plantainmux/internal/order"
+	"github.com/plantainmux/plantainmux/internal/monotonic"
 	"github.com/plantainmux/plantainmux/internal/outbound"
 )
 
@@ -19,7 +19,7 @@
 
 // buildEndpoints builds what carries out exchanges with endpoints.
 func (d *Daemon) buildEndpoints() {
-	d.paths = forward.NewLinkPool(&meshLinks{daemon: d}, d.forwarders, order.MonotonicClock())
+	d.paths = forward.NewLinkPool(&meshLinks{daemon: d}, d.forwarders, monotonic.Clock())
 	d.endpoints = forward.NewRouter(forward.Dependencies{
 		Direct:    d.adapters.Direct,
 		Forwarded: forward.NewClient(d.mesh),
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -6,6 +6,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/logstream"
+	"github.com/plantainmux/plantainmux/internal/monotonic"
 	"github.com/plantainmux/plantainmux/internal/order"
 	"github.com/plantainmux/plantainmux/internal/service"
 )
@@ -42,7 +43,7 @@
 		Metrics:         metrics,
 	})
 	router := order.NewRouter(d.mesh, slots, runner)
-	clock := order.MonotonicClock()
+	clock := monotonic.Clock()
 	d.orders = orders{
 		clock:   clock,
 		slots:   slots,
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -8,7 +8,7 @@
 	"github.com/plantainmux/plantainmux/internal/dispatch"
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/fleet"
-	"github.com/plantainmux/plantainmux/internal/order"
+	"github.com/plantainmux/plantainmux/internal/monotonic"
 	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/wait"
 )
@@ -28,7 +28,7 @@
 		declines: g.declinesDispatch, metrics: g.metrics,
 	})
 	g.dispatchClient = newDispatchClient(dispatchClientDependencies{
-		self: g.settings.Node, call: g.callDispatcher, local: g.dispatcher.answer, known: g.knowsTarget, clock: order.MonotonicClock(), metrics: g.metrics, logger: g.logger,
+		self: g.settings.Node, call: g.callDispatcher, local: g.dispatcher.answer, known: g.knowsTarget, clock: monotonic.Clock(), metrics: g.metrics, logger: g.logger,
 	})
 	g.mesh.HandleCall(dispatch.Method, g.answerDispatch)
 	g.metrics.NewGauge(`plantainmux_dispatcher`, func() float64 {
--- a/internal/gateway/dispatch_client_test.go
+++ b/internal/gateway/dispatch_client_test.go
@@ -15,7 +15,7 @@
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/forward"
 	"github.com/plantainmux/plantainmux/internal/locality"
-	"github.com/plantainmux/plantainmux/internal/order"
+	"github.com/plantainmux/plantainmux/internal/monotonic"
 	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/placement"
 )
@@ -43,7 +43,7 @@
 		return client.ask(context.Background(), dispatch.Call{Service: "s", Model: "m"})
 	}
 	BeforeEach(func() {
-		calls, dispatcher, clock, known = 0, "hub", order.MonotonicClock(), func(unknownTarget) bool { return true }
+		calls, dispatcher, clock, known = 0, "hub", monotonic.Clock(), func(unknownTarget) bool { return true }
 		respond = func(_ context.Context, answer *dispatch.Answer) error {
 			answer.Target = "g"
 			return nil
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -8,7 +8,7 @@
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/forward"
 	"github.com/plantainmux/plantainmux/internal/locality"
-	"github.com/plantainmux/plantainmux/internal/order"
+	"github.com/plantainmux/plantainmux/internal/monotonic"
 	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/placement"
@@ -31,7 +31,7 @@
 		return err
 	}
 	g.mesh = mesh
-	g.paths = forward.NewLinkPool(&meshLinks{gateway: g}, g.forwarders, order.MonotonicClock())
+	g.paths = forward.NewLinkPool(&meshLinks{gateway: g}, g.forwarders, monotonic.Clock())
 	g.endpoints = forward.NewRouter(forward.Dependencies{
 		Direct:    g.adapters.Endpoints,
 		Forwarded: forward.NewClient(mesh),
--- a/internal/order/monotonic_clock.go
+++ b/internal/monotonic/clock.go
@@ -1,11 +1,12 @@
-package order
+// Package monotonic provides a clock that is never stepped.
+package monotonic
 
 import "time"
 
-// MonotonicClock returns a clock that starts at the system time, advances with the
+// Clock returns a clock that starts at the system time, advances with the
 // monotonic clock and is never stepped. It does not advance while the system is
 // suspended.
-func MonotonicClock() func() time.Time {
+func Clock() func() time.Time {
 	started := time.Now()
 	return func() time.Time { return started.Add(time.Since(started)) }
 }
