--- a/internal/apportion/change.go
+++ b/internal/apportion/change.go
@@ -32,6 +32,9 @@
 	return c.FromAfter < limit || c.ToBefore >= shortUtilisation && c.FromAfter <= c.ToAfter
 }
 
+// ToBusy reports whether the model that gets groups is too busy to give up any.
+func (c Change) ToBusy() bool { return c.ToBefore >= maxUtilisation }
+
 // better reports whether a change is preferable to another one: the greater gain, and among equal
 // ones that which disturbs fewer requests.
 func (c Change) better(other Change) bool {
--- a/internal/apportion/next.go
+++ b/internal/apportion/next.go
@@ -1,16 +1,18 @@
 package apportion
 
 const (
-	// minGain is the fall of the busier model's utilisation, after the loss of one of its groups, from which a change pays off. One group
-	// of twelve that is out of service for half of the 10 s until the next change costs 0.04. The
-	// opposite change pays off only after demand has moved by as much in the other direction.
+	// minGain is the fall of the busier model's utilisation, after the loss of one of its groups, from
+	// which a change pays off. One group of twelve that is out of service for half of the 10 s until the
+	// next change costs 0.04. The opposite change pays off only after demand has moved by as much in
+	// the other direction.
 	minGain = 0.05
 	// maxUtilisation is the utilisation, after the loss of one of its groups, below which the model
 	// that gives up groups must stay. The rest is for waves of demand: it is 0.75 with all of six
 	// groups, the fewest of a model of the known deployments.
 	maxUtilisation = 0.9
-	// shortUtilisation is the utilisation from which a model is short of capacity, so that a part of
-	// its requests is refused. Both models then share what there is.
+	// shortUtilisation is the utilisation from which a model would be short of capacity after the loss of
+	// one of its groups, so that a part of its requests would be refused. Both models then share what
+	// there is.
 	shortUtilisation = 1
 )
 
--- a/internal/formation/follow_demand.go
+++ b/internal/formation/follow_demand.go
@@ -45,8 +45,13 @@
 // evacuated data centre take part in no change.
 func (p *planner) recordsChange() bool {
 	dissolving := func(record *ledger.Record) bool { return record.Dissolving && !p.evacuated.has(record.Domain) }
-	return len(p.plan.Grants)+len(p.plan.Drops)+len(p.in.Groups.Forgotten)+len(p.in.Groups.Resurrected) > 0 ||
-		p.in.Groups.Era > 0 && p.in.EraAge < eraSettlingPeriod || slices.ContainsFunc(p.records(), dissolving)
+	return len(p.plan.Grants)+len(p.plan.Drops) > 0 || p.storeSettles() || slices.ContainsFunc(p.records(), dissolving)
+}
+
+// storeSettles reports whether the store has come back from an older copy a short time ago, or records
+// have to be written again because of it.
+func (p *planner) storeSettles() bool {
+	return len(p.in.Groups.Forgotten)+len(p.in.Groups.Resurrected) > 0 || p.in.Groups.Era > 0 && p.in.EraAge < eraSettlingPeriod
 }
 
 func (p *planner) apportionedModels() []apportion.Model {
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -35,6 +35,7 @@
 	evacuated   evacuatedDomains
 	demand      map[string]demand.Total   // for each model, by which the groups are planned; nil: not known
 	needs       map[string]float64        // number of groups that the demand fills, by model; nil: not known
+	staging     []Order                   // that prepare a change of groups
 	assigned    map[string]map[string]int // number of healthy endpoints by domain and assigned model
 }
 
@@ -51,6 +52,7 @@
 		}
 	}
 	p.dropResurrected()
+	p.staging = nil
 	p.followDemand()
 	for _, domain := range slices.Sorted(maps.Keys(p.free)) {
 		if p.in.Owns(domain) {
@@ -59,6 +61,7 @@
 			p.prepareSpares(domain)
 		}
 	}
+	p.plan.Orders = append(p.plan.Orders, p.staging...) // spares that repairs need load first
 }
 
 // records returns the group records of the service, sorted by group name.
--- a/internal/formation/stage_for_change.go
+++ b/internal/formation/stage_for_change.go
@@ -1,6 +1,8 @@
 package formation
 
 import (
+	"slices"
+
 	"github.com/plantainmux/plantainmux/internal/apportion"
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/ledger"
@@ -13,6 +15,9 @@
 // back. The endpoints go on serving while they load. All planners choose the same domain, that with the
 // fewest loads, and its planner orders them.
 func (p *planner) stageForChange(models []apportion.Model, evacuation apportion.Evacuation) {
+	if p.storeSettles() {
+		return
+	}
 	var chosen apportion.Change
 	fewest := -1
 	for _, domain := range p.apportionedDomains(true) {
@@ -25,7 +30,7 @@
 		}
 	}
 	if fewest > 0 && p.in.Owns(chosen.Domain) {
-		p.plan.Orders = append(p.plan.Orders, p.stagingOrders(chosen)...)
+		p.staging = p.stagingOrders(chosen)
 	}
 }
 
@@ -48,7 +53,7 @@
 		staged.Groups = append(staged.Groups, able)
 	}
 	for _, model := range p.service.Models {
-		staged.FreeFit[model.Name] = len(p.withoutSlow(p.free[domain.Name]))
+		staged.FreeFit[model.Name] = len(p.stageableFree(domain.Name, model.Name))
 	}
 	return staged
 }
@@ -58,6 +63,12 @@
 	return p.withoutSlow(p.healthyMembers(record))
 }
 
+// stageableFree returns the free endpoints of a domain that can serve a model once it is staged. Those
+// without any model are loading one, or are about to.
+func (p *planner) stageableFree(domain, model string) []*registry.Endpoint {
+	return slices.DeleteFunc(p.withoutSlow(p.spares(domain, model)), func(e *registry.Endpoint) bool { return e.Model == "" })
+}
+
 // stagingOrders returns the orders to stage what the new groups of a change need: by members of the
 // groups that it closes and, if those are too few, by free endpoints.
 func (p *planner) stagingOrders(change apportion.Change) []Order {
@@ -66,7 +77,7 @@
 	for _, name := range change.Close {
 		candidates = append(candidates, p.stageable(p.in.Groups.Groups[name])...)
 	}
-	candidates = append(candidates, p.withoutSlow(p.spares(change.Domain, to.Name))...)
+	candidates = append(candidates, p.stageableFree(change.Domain, to.Name)...)
 	return stagingOrders(candidates[:min(change.Form*to.GroupSize, len(candidates))], to)
 }
 
--- a/internal/targetstats/recent_gap.go
+++ b/internal/targetstats/recent_gap.go
@@ -14,9 +14,12 @@
 	// minGaps is the number of gaps from which on their mean is known: a single one may span a pass
 	// that reads prompts.
 	minGaps = 10
+
+	// maxGaps bounds the count: from 1 / gapWeight on, the weight of a gap no longer depends on it.
+	maxGaps = 100
 )
 
-// recentGap is the mean time between two events of a stream, as measured of late.
+// recentGap is the mean time between two events of a stream, as measured within gapValidity.
 type recentGap struct {
 	mean  atomic.Uint64 // float64 bits, nanoseconds
 	count atomic.Int32  // gaps since the measurement began
@@ -29,7 +32,8 @@
 	if now.UnixNano()-previous > int64(gapValidity) {
 		g.count.Store(0)
 	}
-	count := g.count.Add(1)
+	count := min(g.count.Load(), maxGaps) + 1
+	g.count.Store(count)
 	if count == 1 {
 		g.mean.Store(math.Float64bits(float64(gap)))
 		return
