--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,6 +13,7 @@
 )
 
 var cases = map[string]func(folder string, trouble bool) (broken string){
+	"hup-in-stop":    hupInStop,
 	"spoiled-answer": spoiledAnswer,
 }
 
