--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,6 +15,7 @@
 var cases = map[string]func(folder string, trouble bool) (broken string){
 	"hup-in-stop":    hupInStop,
 	"spoiled-answer": spoiledAnswer,
+	"late-spare":     lateSpare,
 }
 
 var (
