--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,7 @@
 	"hup-in-stop":    hupInStop,
 	"spoiled-answer": spoiledAnswer,
 	"late-spare":     lateSpare,
+	"encoded-slash":  encodedSlash,
 }
 
 var (
