--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,6 +14,7 @@
 
 var cases = map[string]func(folder string, trouble bool) (broken string){
 	"hup-in-stop":    hupInStop,
+	"two-heads":      twoHeads,
 	"spoiled-answer": spoiledAnswer,
 	"late-spare":     lateSpare,
 	"encoded-slash":  encodedSlash,
