Signals: SIGHUP never ends the daemon

Cause: the goroutine that handles SIGHUP returned when the stop signal came, and signal.Stop gave SIGHUP back its default action while the daemon had up to its grace period to go. Before that goroutine ran, and always on the project's own interface, SIGHUP ended the process as well; so did a closed standard output (SIGPIPE).

All signals are now taken over in the first statement of main and never given back.

--- a/cmd/plantainmuxd/main.go
+++ b/cmd/plantainmuxd/main.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/jessevdk/go-flags"
 
@@ -28,6 +26,7 @@
 }
 
 func main() {
+	ctx, reload := handleSignals()
 	var opts options
 	if _, err := flags.Parse(&opts); err != nil {
 		if flags.WroteHelp(err) {
@@ -35,17 +34,16 @@
 		}
 		os.Exit(exitUsage)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	if opts.Platform {
-		os.Exit(runOnPlatform(ctx, opts.Settings))
+		os.Exit(runOnPlatform(ctx, opts.Settings, reload))
 	}
-	os.Exit(runStandalone(ctx, opts.Settings))
+	os.Exit(runStandalone(ctx, opts.Settings, reload))
 }
 
 // runStandalone runs the daemon with the project's own interfaces to the log, the
-// VM list and the engines. It returns the exit code.
-func runStandalone(ctx context.Context, path string) int {
+// VM list and the engines. It returns the exit code. A reload only validates the settings file:
+// all settings need a restart.
+func runStandalone(ctx context.Context, path string, reload <-chan os.Signal) int {
 	logger := logging.New(os.Stderr)
 	loaded, err := settings.Load(path)
 	if err != nil {
@@ -57,6 +55,10 @@
 		logger.Error("daemon failed to start", "error", err)
 		return exitListen
 	}
+	go reloadOn(reload, func() error {
+		_, err := settings.Load(path)
+		return err
+	}, logger)
 	d.Run(ctx)
 	return 0
 }
--- a/cmd/plantainmuxd/on_platform.go
+++ b/cmd/plantainmuxd/on_platform.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"log/slog"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/plantainmux/plantainmux/internal/gateway"
 	"github.com/plantainmux/plantainmux/internal/logging"
@@ -20,8 +17,8 @@
 )
 
 // runOnPlatform runs the daemon on a platform that provides its own store. It
-// returns the exit code.
-func runOnPlatform(ctx context.Context, path string) int {
+// returns the exit code. A reload changes the memory limit; all other settings need a restart.
+func runOnPlatform(ctx context.Context, path string, reload <-chan os.Signal) int {
 	out := logging.NewAsyncWriter(os.Stdout)
 	defer out.Close()
 	logger := logging.New(out)
@@ -36,7 +33,13 @@
 		logger.Error("daemon failed to start", "error", err)
 		return exitListen
 	}
-	go reloadOnSIGHUP(ctx, path, logger)
+	go reloadOn(reload, func() error {
+		changed, err := gateway.Load(path)
+		if err == nil {
+			configureGC(changed)
+		}
+		return err
+	}, logger)
 	if err := g.Run(ctx); err != nil {
 		logger.Error("daemon failed to start", "error", err)
 		return exitListen
@@ -52,25 +55,3 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB) * bytesPerMB))
 	}
 }
-
-// reloadOnSIGHUP loads and validates the settings file on each SIGHUP until ctx
-// ends. Only the memory limit takes effect; all other settings need a restart.
-func reloadOnSIGHUP(ctx context.Context, path string, logger *slog.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-signals:
-		}
-		loaded, err := gateway.Load(path)
-		if err != nil {
-			logger.Error("settings invalid, keeping the previous settings", "error", err)
-			continue
-		}
-		configureGC(loaded)
-		logger.Info("settings reloaded")
-	}
-}
--- a/internal/fakes/wire_platform.go
+++ b/internal/fakes/wire_platform.go
@@ -94,3 +94,12 @@
 		}
 	}
 }
+
+// SetLastEvent sets the number of the last event of streams that begin from now on, at all engines.
+func (p *WirePlatform) SetLastEvent(number int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, engine := range p.engines {
+		engine.SetLastEvent(number)
+	}
+}
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Failures of whole processes under load, with real signals: three daemons are stopped in turn (SIGTERM), one is killed
-# (SIGKILL), one is paused while a member is frozen (SIGSTOP), the log is paused, and all daemons are killed at once.
+# Failures of whole processes under load, with real signals: three daemons are stopped in turn (SIGTERM, with SIGHUP before
+# and after it), one is killed (SIGKILL), one is paused while a member is frozen (SIGSTOP), the log is paused, and all daemons
+# are killed at once.
 # Callers behind a balancer ask for streams and place orders all the while. The verdict comes from the callers' answers
 # and from what the stand-ins recorded. At last processes-on-platform.sh does the same for an evacuation and a cold endpoint.
 # Stops everything it started, by process id. Exit code 0 only if every check passed.
@@ -112,8 +113,10 @@
 until_ok 20 "the first orders" more done 5
 
 for daemon in "${daemons[@]}"; do
-  echo "SIGTERM to $daemon, then a new one at its address"
+  echo "SIGHUP, SIGTERM and SIGHUP to $daemon, then a new one at its address"
+  kill -HUP "${daemon_pid[$daemon]}"
   kill -TERM "${daemon_pid[$daemon]}"
+  kill -HUP "${daemon_pid[$daemon]}"
   wait "${daemon_pid[$daemon]}" || fail "$daemon did not stop cleanly"
   start_daemon "$daemon"
   await_groups "$daemon"
