Connections of callers are bounded, and idle ones make room

Cause: nothing bounded the connections of callers. Once they had taken every descriptor, Accept failed, readiness went on by a kept connection, and the daemon could connect to endpoints and the store no more; it blamed the endpoints for that. Its log had no line, so that this could not be told from a daemon without processor time.

At that number a new connection displaces one without a request in progress; if all have one, the daemon is not ready and refuses at once. One listener for both interfaces (internal/callerconn), with metrics and two lines. A shortage of the daemon's own closes idle connections to endpoints and is blamed on none.

Not shown: that this is what the users saw.

--- /dev/null
+++ b/cmd/plantainmuxd/connections_test.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os/exec"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const order = "POST /order/%[1]s HTTP/1.1\r\nHost: x.example\r\nRequest-Id: %[1]s\r\nDeadline-Ms: 3000\r\nAuthorization: Bearer k1\r\nContent-Length: 4\r\n\r\nbody"
+
+// dial opens a connection of a caller.
+func (d *daemonProcess) dial() net.Conn {
+	conn, err := net.DialTimeout("tcp", d.callers, 2*time.Second)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// answer returns the status line of the answer to an order on a connection of its own.
+func (d *daemonProcess) answer(id string) string {
+	conn := d.dial()
+	defer func() { _ = conn.Close() }()
+	_, err := fmt.Fprintf(conn, order, id)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(conn.SetReadDeadline(time.Now().Add(2 * time.Second))).To(Succeed())
+	line := make([]byte, len("HTTP/1.1 200"))
+	n, _ := conn.Read(line)
+	return string(line[:n])
+}
+
+func (d *daemonProcess) isReady() bool {
+	answer, err := http.Get("http://" + d.ready + "/api/readiness")
+	if err != nil {
+		return false
+	}
+	_ = answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+var _ = Describe("The connections of a daemon's callers", func() {
+	// Guards against idle connections that keep a daemon, which counts as ready, from accepting others.
+	It("are accepted and served with more idle ones open than the process has descriptors", func() {
+		d := newDaemonProcess()
+		d.start(exec.Command("bash", "-c", `ulimit -n 300; exec "$0" --platform --settings "$1"`, binary, d.settings))
+		d.awaitService()
+		for range 400 {
+			d.dial()
+		}
+		for i := range 20 {
+			Expect(d.answer(fmt.Sprintf("order%d", i))).To(Equal("HTTP/1.1 200"))
+			Expect(d.isReady()).To(BeTrue())
+		}
+	})
+})
--- a/internal/callerapi/authenticate.go
+++ b/internal/callerapi/authenticate.go
@@ -16,7 +16,9 @@
 	bearerPrefix       = "Bearer "
 	retryAfterNotReady = 2 * time.Second
 	retryAfterDraining = time.Second
-	detailNotReady     = "no configuration is in force yet"
+	// retryAfterConnections is for a daemon whose connections are all in use: another one may have some.
+	retryAfterConnections = time.Second
+	detailNotReady        = "no configuration is in force yet"
 )
 
 // teamHandler handles a request of an authenticated team.
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -57,6 +57,11 @@
 	return mux
 }
 
+// RefuseConnection refuses a request on a connection beyond the limit.
+func (s *Server) RefuseConnection(w http.ResponseWriter, _ *http.Request) {
+	s.refuse(w, refusal.New(refusal.Overloaded, retryAfterConnections, "all connections of this daemon are in use"))
+}
+
 // unknownPath refuses requests that match no other handler, so that every answer has an
 // outcome header.
 func (s *Server) unknownPath(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/internal/callerconn/doc.go
@@ -0,0 +1,3 @@
+// Package callerconn keeps the connections of callers within a limit, so that a daemon
+// can always accept new ones and has descriptors left for endpoints, peers and the store.
+package callerconn
--- /dev/null
+++ b/internal/callerconn/listener.go
@@ -0,0 +1,209 @@
+package callerconn
+
+import (
+	"container/list"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// firstRequestPatience is how long a new connection is kept for its first request while others
+	// wait to be accepted; callers of the platform give up a request that is not read within 1 s.
+	firstRequestPatience = time.Second
+	refusalShare         = 8               // one connection beyond so many of the limit is accepted, to be refused
+	logPeriod            = 2 * time.Second // between two lines of one kind
+)
+
+// Listener accepts connections up to a limit. When the limit is reached, a new one takes the place of
+// one without a request in progress; when all have one, the requests on new ones are to be refused.
+type Listener struct {
+	net.Listener
+	limit  int
+	logger *slog.Logger
+
+	mu          sync.Mutex
+	waiting     [2]*list.List // of *tracked, by state (unused and idle), the longest waiting first
+	open        int
+	inProgress  int // connections with a request in progress that is not refused
+	failedAt    time.Time
+	displacedAt time.Time
+
+	displaced atomic.Int64 // closed for a new one
+	refusals  atomic.Int64
+	failures  atomic.Int64 // not accepted
+}
+
+// Wrap returns a listener that accepts connections from another one, up to a limit.
+func Wrap(listener net.Listener, limit int, logger *slog.Logger) *Listener {
+	return &Listener{Listener: listener, limit: limit, logger: logger, waiting: [2]*list.List{unused: list.New(), idle: list.New()}}
+}
+
+// Register registers the metrics of the listener.
+func (l *Listener) Register(gauge func(name string, value func() float64)) {
+	gauge("plantainmux_caller_connections", func() float64 { return l.count(&l.open) })
+	gauge("plantainmux_caller_connections_in_progress", func() float64 { return l.count(&l.inProgress) })
+	gauge("plantainmux_caller_connections_limit", func() float64 { return float64(l.limit) })
+	gauge("plantainmux_caller_connections_displaced_total", func() float64 { return float64(l.displaced.Load()) })
+	gauge("plantainmux_caller_connections_refused_total", func() float64 { return float64(l.refusals.Load()) })
+	gauge("plantainmux_caller_connections_not_accepted_total", func() float64 { return float64(l.failures.Load()) })
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			if !errors.Is(err, net.ErrClosed) {
+				l.reportFailure(err)
+			}
+			return nil, err
+		}
+		c := &tracked{Conn: raw, listener: l, state: closed}
+		if !l.add(c, time.Now()) {
+			_ = raw.Close()
+			continue
+		}
+		return c, nil
+	}
+}
+
+// Full reports whether all connections that callers may have are taken by requests in progress.
+func (l *Listener) Full() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inProgress >= l.limit
+}
+
+// begin records that a request on a connection is in progress, until the connection is idle or
+// closed. It returns false if the request is to be refused, as too many others are in progress.
+func (l *Listener) begin(c *tracked) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.state == closed || c.state == busy {
+		return true
+	}
+	if l.inProgress >= l.limit {
+		l.refusals.Add(1)
+		l.set(c, refused, time.Now())
+		return false
+	}
+	l.set(c, busy, time.Now())
+	return true
+}
+
+// add adds a new connection, in the place of another one if the limit is reached. It returns false if
+// there is no place.
+func (l *Listener) add(c *tracked, now time.Time) bool {
+	l.mu.Lock()
+	var victim *tracked
+	if l.open >= l.limit {
+		victim = l.longestWaiting(now)
+	}
+	accepted := l.open < l.limit || victim != nil || l.open < l.limit+l.limit/refusalShare
+	if victim != nil {
+		l.set(victim, closed, now)
+	}
+	if accepted {
+		l.open++
+		l.set(c, unused, now)
+	}
+	l.mu.Unlock()
+	if victim != nil {
+		l.displaced.Add(1)
+		l.reportDisplacement(now)
+		_ = victim.Conn.Close()
+	}
+	if !accepted {
+		l.refusals.Add(1)
+	}
+	return accepted
+}
+
+// longestWaiting returns the connection that is to be closed for a new one, or nil. Those that have
+// not brought a request in time go first, as callers that come back use the others.
+func (l *Listener) longestWaiting(now time.Time) *tracked {
+	oldest := func(s state) *tracked {
+		if front := l.waiting[s].Front(); front != nil {
+			return front.Value.(*tracked)
+		}
+		return nil
+	}
+	first := oldest(unused)
+	if first != nil && now.Sub(first.since) >= firstRequestPatience {
+		return first
+	}
+	if longest := oldest(idle); longest != nil {
+		return longest
+	}
+	return first
+}
+
+func (l *Listener) move(c *tracked, to state) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.set(c, to, time.Now())
+}
+
+// set changes the state of a connection. The caller holds mu.
+func (l *Listener) set(c *tracked, to state, now time.Time) {
+	if c.state == to || c.state == closed && to != unused {
+		return
+	}
+	if c.waiting != nil {
+		l.waiting[c.state].Remove(c.waiting)
+		c.waiting = nil
+	}
+	if c.state == busy {
+		l.inProgress--
+	}
+	c.state, c.since = to, now
+	switch to {
+	case unused, idle:
+		c.waiting = l.waiting[to].PushBack(c)
+	case busy:
+		l.inProgress++
+	case closed:
+		l.open--
+	case refused:
+	}
+}
+
+func (l *Listener) count(value *int) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return float64(*value)
+}
+
+// reportFailure logs that a connection could not be accepted.
+func (l *Listener) reportFailure(err error) {
+	l.failures.Add(1)
+	now := time.Now()
+	l.mu.Lock()
+	report := now.Sub(l.failedAt) >= logPeriod
+	if report {
+		l.failedAt = now
+	}
+	open, inProgress := l.open, l.inProgress
+	l.mu.Unlock()
+	if report {
+		l.logger.Warn("connection not accepted", "open", open, "in_progress", inProgress, "limit", l.limit, "error", err)
+	}
+}
+
+// reportDisplacement logs that a connection was closed for a new one.
+func (l *Listener) reportDisplacement(now time.Time) {
+	l.mu.Lock()
+	report := now.Sub(l.displacedAt) >= logPeriod
+	if report {
+		l.displacedAt = now
+	}
+	open, inProgress, neverUsed := l.open, l.inProgress, l.waiting[unused].Len()
+	l.mu.Unlock()
+	if report {
+		l.logger.Warn("caller connections at their limit", "open", open, "in_progress", inProgress, "unused", neverUsed, "limit", l.limit)
+	}
+}
--- /dev/null
+++ b/internal/callerconn/tracked.go
@@ -0,0 +1,43 @@
+package callerconn
+
+import (
+	"container/list"
+	"crypto/tls"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+)
+
+// tracked is an accepted connection. Its fields are guarded by the mutex of its Listener.
+type tracked struct {
+	net.Conn
+	listener *Listener
+	state    state
+	since    time.Time     // when it took that state
+	waiting  *list.Element // in the list of its state; nil: busy or closed
+}
+
+// Close implements net.Conn.
+func (c *tracked) Close() error {
+	c.listener.move(c, closed)
+	return c.Conn.Close()
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *tracked) SyscallConn() (syscall.RawConn, error) {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return raw.SyscallConn()
+}
+
+// trackedOf returns the tracked connection below one that a server was given, or nil.
+func trackedOf(conn net.Conn) *tracked {
+	if secured, ok := conn.(*tls.Conn); ok {
+		conn = secured.NetConn()
+	}
+	c, _ := conn.(*tracked)
+	return c
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/plantainmux/plantainmux/internal/adminapi"
 	"github.com/plantainmux/plantainmux/internal/admit"
 	"github.com/plantainmux/plantainmux/internal/callerapi"
+	"github.com/plantainmux/plantainmux/internal/callerconn"
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/evidence"
 	"github.com/plantainmux/plantainmux/internal/fleet"
@@ -78,7 +79,7 @@
 	caller    *callerapi.Server
 	admin     *adminapi.Server
 
-	callerListener net.Listener
+	callerListener *callerconn.Listener
 	adminListener  net.Listener
 	peerListener   net.Listener
 
@@ -239,7 +240,7 @@
 	return adminapi.Status{
 		Daemon:         d.id,
 		DataCentre:     d.settings.DataCentre,
-		Ready:          d.readiness.check(current, time.Now()),
+		Ready:          d.readiness.check(current, time.Now()) && !d.callerListener.Full(),
 		Draining:       d.draining.Load(),
 		Peers:          d.mesh.Live(),
 		Links:          d.mesh.Links(),
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/plantainmux/plantainmux/internal/callerconn"
 	"github.com/plantainmux/plantainmux/internal/settings"
 	"github.com/plantainmux/plantainmux/internal/traffic"
 )
@@ -30,10 +31,12 @@
 func (d *Daemon) PeerAddress() string { return d.peerListener.Addr().String() }
 
 func (d *Daemon) listen() error {
-	var err error
-	if d.callerListener, err = net.Listen("tcp", d.settings.Listen.Caller); err != nil {
+	callers, err := net.Listen("tcp", d.settings.Listen.Caller)
+	if err != nil {
 		return &ListenError{Name: "caller", Err: merry.Wrap(err)}
 	}
+	d.callerListener = callerconn.Wrap(callers, callerconn.Limit(0), d.logger)
+	d.callerListener.Register(d.metrics.Gauge)
 	if d.adminListener, err = net.Listen("tcp", d.settings.Listen.Admin); err != nil {
 		return &ListenError{Name: "admin", Err: merry.Wrap(err)}
 	}
@@ -53,8 +56,7 @@
 	d.startControl(background)
 	peers := d.serve(withTLS(d.peerListener, d.tls.peer), d.mesh.Handler())
 	d.tasks.Go(d.mesh.Run)
-	d.inFlight = newInFlight(d.caller.Handler())
-	callers := d.serve(withTLS(d.callerListener, d.tls.caller), d.inFlight)
+	callers := d.serveCallers()
 	admins := d.serve(withTLS(d.adminListener, d.tls.admin), d.admin.Handler())
 	d.logger.Info("daemon started", "caller", d.CallerAddress(), "admin", d.AdminAddress(), "peer", d.PeerAddress())
 	select {
@@ -92,19 +94,35 @@
 	d.tasks.Go(func() { d.digests.Run(ctx) })
 }
 
+func (d *Daemon) serveCallers() *http.Server {
+	d.inFlight = newInFlight(d.callerListener.Handler(d.caller.Handler(), http.HandlerFunc(d.caller.RefuseConnection)))
+	server := d.newServer(d.inFlight)
+	d.callerListener.Attach(server)
+	d.start(server, withTLS(d.callerListener, d.tls.caller))
+	return server
+}
+
 func (d *Daemon) serve(listener net.Listener, handler http.Handler) *http.Server {
-	server := &http.Server{
+	server := d.newServer(handler)
+	d.start(server, listener)
+	return server
+}
+
+func (d *Daemon) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		BaseContext:       func(net.Listener) context.Context { return d.killed },
 	}
+}
+
+func (d *Daemon) start(server *http.Server, listener net.Listener) {
 	d.tasks.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			d.logger.Error("listener failed", "address", listener.Addr().String(), "error", err)
 		}
 	})
-	return server
 }
 
 func withTLS(listener net.Listener, config *tls.Config) net.Listener {
--- a/internal/gateway/adapters.go
+++ b/internal/gateway/adapters.go
@@ -25,10 +25,17 @@
 	DecodeEntry  registry.Decoder
 	Topics       Topics
 	Sweep        func(now time.Time) // closes idle connections
-	Callers      func(g *Gateway) http.Handler
+	Callers      func(g *Gateway) CallerHandler
 	Readiness    func(g *Gateway) http.Handler
 }
 
+// CallerHandler answers callers.
+type CallerHandler interface {
+	http.Handler
+	// RefuseConnection answers a request on a connection beyond the limit.
+	RefuseConnection(w http.ResponseWriter, r *http.Request)
+}
+
 // Topics name the topics of the platform's store that the gateway follows.
 type Topics struct {
 	Operators string
--- a/internal/gateway/denied.go
+++ b/internal/gateway/denied.go
@@ -9,10 +9,11 @@
 const (
 	NoConfiguration DenyReason = "no_configuration" // no configuration has been read yet
 	NoRoute         DenyReason = "no_route"
-	NoKey           DenyReason = "no_key"     // the key belongs to no team
-	DaemonStopping  DenyReason = "stopping"   // this daemon is stopping
-	NoService       DenyReason = "no_service" // the route's service is not configured
-	Memory          DenyReason = "memory"     // this daemon holds as much for exchanges as it may
+	NoKey           DenyReason = "no_key"      // the key belongs to no team
+	DaemonStopping  DenyReason = "stopping"    // this daemon is stopping
+	NoService       DenyReason = "no_service"  // the route's service is not configured
+	Connections     DenyReason = "connections" // callers have as many requests in progress as this daemon has connections for
+	Memory          DenyReason = "memory"      // this daemon holds as much for exchanges as it may
 )
 
 // Denied describes a request that was not admitted. It has not run.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net"
-	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -12,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/plantainmux/plantainmux/internal/callerconn"
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/demand"
 	"github.com/plantainmux/plantainmux/internal/evacuation"
@@ -107,6 +107,7 @@
 
 	registrationLost chan struct{} // the store has lost this daemon's registration
 
+	callers       atomic.Pointer[callerconn.Listener] // nil: not listening yet
 	inFlight      atomic.Int64
 	stopping      atomic.Bool
 	stopStartedAt atomic.Int64 // Unix nanoseconds; 0: not stopping
@@ -185,33 +186,6 @@
 	return nil
 }
 
-func (g *Gateway) listen() ([]*http.Server, error) {
-	own := http.NewServeMux()
-	own.Handle(peerlog.Path, peerlog.Handler(g.mirror))
-	own.HandleFunc("GET "+peer.Path, g.acceptLink)
-	own.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { g.writeMetrics(w) })
-	own.HandleFunc("GET "+StatusPath, g.serveStatus)
-	handlers := map[string]http.Handler{
-		g.settings.Listen.Callers:   g.adapters.Callers(g),
-		g.settings.Listen.Readiness: g.adapters.Readiness(g),
-		g.peerAddress():             own,
-	}
-	if address := g.settings.Listen.Metrics; address != "" {
-		handlers[address] = own
-	}
-	var servers []*http.Server
-	for address, handler := range handlers {
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			return nil, &ListenError{Address: address, Err: err}
-		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug)}
-		servers = append(servers, server)
-		g.tasks.Go(func() { _ = server.Serve(listener) }) // returns when the server is closed
-	}
-	return servers, nil
-}
-
 // presentDemand returns the demand of the fleet for a model over the last 2 s.
 func (g *Gateway) presentDemand(service, model string) demand.Total {
 	return demand.TotalOf(*g.fleetDemand.Load(), service, model)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -19,10 +19,13 @@
 	retryAfterStopping = 50 * time.Millisecond  // Retry-After, as another daemon answers
 	stopMargin         = 600 * time.Millisecond // before the platform kills the process
 	stopPollInterval   = 20 * time.Millisecond
-	closingPeriod      = 80 * time.Millisecond  // for requests that were accepted before the listeners closed
-	retryAfterStarting = 500 * time.Millisecond // Retry-After while the daemon is starting
-	defaultBodyLimit   = 4 << 20                // bytes
-	startupCatchUp     = 5 * time.Second        // after the start, for the operators to write a lost configuration again
+	closingPeriod      = 80 * time.Millisecond // for requests that were accepted before the listeners closed
+	// retryAfterConnections is Retry-After where all connections are in use, and the jitter added: another
+	// daemon may have some.
+	retryAfterConnections = 200 * time.Millisecond
+	retryAfterStarting    = 500 * time.Millisecond // Retry-After while the daemon is starting
+	defaultBodyLimit      = 4 << 20                // bytes
+	startupCatchUp        = 5 * time.Second        // after the start, for the operators to write a lost configuration again
 	// firstNewsPatience is how long a daemon waits for the first message of another one: the others
 	// read the registrations every 0.4 s, and then send within some 0.1 s.
 	firstNewsPatience = time.Second
@@ -69,6 +72,11 @@
 	return &Admitted{BodyLimit: limit, incoming: in, route: route, service: service, team: team}, nil
 }
 
+// DenyConnection returns the denial of a request on a connection beyond the limit.
+func (g *Gateway) DenyConnection(in Incoming) *Denied {
+	return g.deny(in, Connections, retryAfterConnections+time.Duration(random()*float64(retryAfterConnections)))
+}
+
 // Exchange forwards a request and writes the answer to sink.
 func (g *Gateway) Exchange(ctx context.Context, req *exchange.Request, sink exchange.Sink) *exchange.Failure {
 	return g.exchanger.Run(ctx, req, sink)
@@ -87,7 +95,7 @@
 
 // Ready reports whether the load balancer may send new connections.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.synced() && !g.startsBehind(time.Now())
+	return !g.stopping.Load() && g.synced() && !g.startsBehind(time.Now()) && !g.connectionsFull()
 }
 
 // startsBehind reports whether this daemon has just started and the store has not given it a
--- /dev/null
+++ b/internal/gateway/servers.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"log/slog"
+	"net"
+	"net/http"
+
+	"github.com/plantainmux/plantainmux/internal/callerconn"
+	"github.com/plantainmux/plantainmux/internal/peer"
+	"github.com/plantainmux/plantainmux/internal/peerlog"
+)
+
+// listen starts the servers for callers, the load balancer, the other daemons and monitoring.
+func (g *Gateway) listen() ([]*http.Server, error) {
+	own := http.NewServeMux()
+	own.Handle(peerlog.Path, peerlog.Handler(g.mirror))
+	own.HandleFunc("GET "+peer.Path, g.acceptLink)
+	own.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { g.writeMetrics(w) })
+	own.HandleFunc("GET "+StatusPath, g.serveStatus)
+	handlers := map[string]http.Handler{
+		g.settings.Listen.Readiness: g.adapters.Readiness(g),
+		g.peerAddress():             own,
+	}
+	if address := g.settings.Listen.Metrics; address != "" {
+		handlers[address] = own
+	}
+	callers, err := g.listenForCallers()
+	if err != nil {
+		return nil, err
+	}
+	servers := []*http.Server{callers}
+	for address, handler := range handlers {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, &ListenError{Address: address, Err: err}
+		}
+		servers = append(servers, g.serve(g.newServer(handler), listener))
+	}
+	return servers, nil
+}
+
+func (g *Gateway) listenForCallers() (*http.Server, error) {
+	address := g.settings.Listen.Callers
+	raw, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &ListenError{Address: address, Err: err}
+	}
+	listener := callerconn.Wrap(raw, callerconn.Limit(g.settings.Limits.FileDescriptors), g.logger)
+	listener.Register(func(name string, value func() float64) { g.metrics.NewGauge(name, value) })
+	g.callers.Store(listener)
+	handler := g.adapters.Callers(g)
+	server := g.newServer(listener.Handler(handler, http.HandlerFunc(handler.RefuseConnection)))
+	listener.Attach(server)
+	return g.serve(server, listener), nil
+}
+
+func (g *Gateway) newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug)}
+}
+
+func (g *Gateway) serve(server *http.Server, listener net.Listener) *http.Server {
+	g.tasks.Go(func() { _ = server.Serve(listener) }) // returns when the server is closed
+	return server
+}
+
+// connectionsFull reports whether callers have as many requests in progress as this daemon has
+// connections for.
+func (g *Gateway) connectionsFull() bool {
+	listener := g.callers.Load()
+	return listener != nil && listener.Full()
+}
--- a/internal/outbound/http_sender.go
+++ b/internal/outbound/http_sender.go
@@ -32,7 +32,7 @@
 	}
 	response, err := transport.RoundTrip(request)
 	if err != nil && !connected.Load() {
-		return nil, &NotSentError{Err: err}
+		return nil, &NotSentError{Blame: BlameOf(err), Err: err}
 	}
 	if err != nil {
 		return nil, err
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,6 +7,8 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"github.com/plantainmux/plantainmux/internal/outbound"
 )
 
 const maxIdlePerAddress = 32 // idle connections to one address
@@ -68,12 +70,31 @@
 	ctx, cancel := context.WithTimeout(ctx, p.connectTimeout)
 	defer cancel()
 	raw, err := p.dial(ctx, "tcp", address)
+	if outbound.IsOwnShortage(err) && p.closeIdle() > 0 {
+		raw, err = p.dial(ctx, "tcp", address)
+	}
 	if err != nil {
 		return nil, err
 	}
 	return newConn(raw, address), nil
 }
 
+// closeIdle closes all idle connections and returns how many there were.
+func (p *Pool) closeIdle() int {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = map[string][]*conn{}
+	p.mu.Unlock()
+	count := 0
+	for _, conns := range idle {
+		for _, c := range conns {
+			_ = c.Close()
+		}
+		count += len(conns)
+	}
+	return count
+}
+
 // take returns the most recently used idle connection that can be reused, or nil, and
 // closes the others that it meets.
 func (p *Pool) take(address string) *conn {
