Requests whose callers left before they were read are not sent on

What callers saw: work went on for callers that had left (GONE).

Cause: net/http notices a close by a read that begins once the body is read, and beside the handler. A request that waited unread with the close behind it was sent on if the handler was faster than that read.

Once a request has been read, and before anything is sent, the daemon now looks at the connection itself (a peek that takes no bytes), on both interfaces.

--- a/cmd/plantainmuxd/connections_test.go
+++ b/cmd/plantainmuxd/connections_test.go
@@ -4,7 +4,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os/exec"
+	"strings"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -42,6 +45,13 @@
 	return answer.StatusCode == http.StatusOK
 }
 
+// ordersRun returns how many orders whose ID has a prefix the plain service has run.
+func (d *daemonProcess) ordersRun(prefix string) int {
+	recorder := httptest.NewRecorder()
+	d.wire.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/fake/runs", nil))
+	return strings.Count(recorder.Body.String(), " "+prefix)
+}
+
 var _ = Describe("The connections of a daemon's callers", func() {
 	// Guards against idle connections that keep a daemon, which counts as ready, from accepting others.
 	It("are accepted and served with more idle ones open than the process has descriptors", func() {
@@ -56,4 +66,21 @@
 			Expect(d.isReady()).To(BeTrue())
 		}
 	})
+
+	// Guards against requests that are sent on although their callers left before they were read.
+	It("tell whether their callers left while the process stood still", func() {
+		d := startDaemonProcess()
+		Expect(d.session.Command.Process.Signal(syscall.SIGSTOP)).To(Succeed())
+		for i := range 200 {
+			conn := d.dial()
+			_, err := fmt.Fprintf(conn, order, fmt.Sprintf("left%d", i))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(conn.Close()).To(Succeed())
+		}
+		time.Sleep(time.Second)
+		Expect(d.session.Command.Process.Signal(syscall.SIGCONT)).To(Succeed())
+		Eventually(func() string { return d.answer("stayed") }, "5s").Should(Equal("HTTP/1.1 200"))
+		Expect(d.ordersRun("stayed")).To(Equal(1))
+		Expect(d.ordersRun("left")).To(BeZero())
+	})
 })
--- a/internal/callerapi/completion_request.go
+++ b/internal/callerapi/completion_request.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/plantainmux/plantainmux/internal/callerconn"
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/refusal"
@@ -79,6 +80,9 @@
 	if err != nil {
 		return nil, refusal.New(refusal.Malformed, 0, "the body could not be read")
 	}
+	if callerconn.Left(r.Context()) {
+		return nil, refusal.New(refusal.CallerGone, 0, "the caller left before its request was read")
+	}
 	return body, nil
 }
 
--- a/internal/callerconn/listener_test.go
+++ b/internal/callerconn/listener_test.go
@@ -24,19 +24,24 @@
 	var listener *callerconn.Listener
 	var server *http.Server
 	var proceed chan struct{} // closed: requests are answered at once
-	var stayed atomic.Int64
+	var left, stayed atomic.Int64
 
 	serve := func() {
 		go func() { _ = server.Serve(listener) }()
 	}
 	BeforeEach(func() {
+		left.Store(0)
 		stayed.Store(0)
 		raw, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		listener = callerconn.Wrap(raw, limit, slog.New(slog.NewJSONHandler(GinkgoWriter, nil)))
 		proceed = make(chan struct{})
 		released := proceed
-		next := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		next := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if callerconn.Left(r.Context()) {
+				left.Add(1)
+				return
+			}
 			stayed.Add(1)
 			<-released
 		})
@@ -136,4 +141,21 @@
 		close(proceed)
 		Eventually(listener.Full).Should(BeFalse())
 	})
+
+	// Guards against requests that are handled though their callers left before they were read.
+	It("tells for each request that waited unread whether its caller has left", func() {
+		close(proceed)
+		for range limit {
+			conn := connect()
+			send(conn)
+			Expect(conn.Close()).To(Succeed())
+		}
+		serve()
+		Eventually(func() int64 { return left.Load() + stayed.Load() }).Should(BeEquivalentTo(limit))
+		Expect(stayed.Load()).To(BeZero())
+		conn := connect()
+		send(conn)
+		Expect(status(conn)).To(Equal(http.StatusOK))
+		Expect(stayed.Load()).To(BeEquivalentTo(1))
+	})
 })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,6 +108,7 @@
 	registrationLost chan struct{} // the store has lost this daemon's registration
 
 	callers       atomic.Pointer[callerconn.Listener] // nil: not listening yet
+	callersLeft   *metrics.Counter                    // callers that had left when their request was read
 	inFlight      atomic.Int64
 	stopping      atomic.Bool
 	stopStartedAt atomic.Int64 // Unix nanoseconds; 0: not stopping
@@ -158,6 +159,7 @@
 	g.buildReconciler()
 	g.buildDispatch()
 	g.buildRequestPath()
+	g.callersLeft = g.metrics.NewCounter("plantainmux_gateway_callers_left_total")
 	adapters.Notices.Subscribe(g.applyNotice)
 	return g, nil
 }
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"net/http"
@@ -69,3 +70,14 @@
 	listener := g.callers.Load()
 	return listener != nil && listener.Full()
 }
+
+// CallerLeft reports whether the caller of a request has closed its connection. It is asked once the
+// request has been read: it may have waited for longer than its caller.
+func (g *Gateway) CallerLeft(ctx context.Context, id string) bool {
+	if !callerconn.Left(ctx) {
+		return false
+	}
+	g.callersLeft.Inc()
+	g.logger.Info("caller left before its request was read", "request", id)
+	return true
+}
