--- a/internal/callerapi/authenticate.go
+++ b/internal/callerapi/authenticate.go
@@ -8,11 +8,13 @@
 	"strings"
 	"time"
 
+	"github.com/plantainmux/plantainmux/internal/callerconn"
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 )
 
 const (
+	bodyTimeout        = 15 * time.Second // within which a caller must send a body, by default
 	bearerPrefix       = "Bearer "
 	retryAfterNotReady = 2 * time.Second
 	retryAfterDraining = time.Second
@@ -48,7 +50,7 @@
 			s.refuse(w, refusal.New(refusal.Unauthenticated, 0, "the key is not known"))
 			return
 		}
-		r.Body = newTimedBody(w, r.Body, cmp.Or(s.BodyTimeout, bodyTimeout))
+		r.Body = callerconn.TimedBody(w, r.Body, time.Now().Add(cmp.Or(s.BodyTimeout, bodyTimeout)))
 		next(w, r, team)
 	}
 }
--- a/internal/callerapi/timed_body.go
+++ b/internal/callerconn/timed_body.go
@@ -1,4 +1,4 @@
-package callerapi
+package callerconn
 
 import (
 	"io"
@@ -6,9 +6,6 @@
 	"time"
 )
 
-// bodyTimeout is the default time within which a caller must send a body.
-const bodyTimeout = 15 * time.Second
-
 // timedBody limits the time to read a body. The read deadline is set only during a read:
 // if it passed later, it would look as if the caller had disconnected.
 type timedBody struct {
@@ -17,8 +14,9 @@
 	deadline   time.Time
 }
 
-func newTimedBody(w http.ResponseWriter, body io.ReadCloser, timeout time.Duration) *timedBody {
-	return &timedBody{ReadCloser: body, controller: http.NewResponseController(w), deadline: time.Now().Add(timeout)}
+// TimedBody returns a body whose reads fail with os.ErrDeadlineExceeded after a deadline.
+func TimedBody(w http.ResponseWriter, body io.ReadCloser, deadline time.Time) io.ReadCloser {
+	return &timedBody{ReadCloser: body, controller: http.NewResponseController(w), deadline: deadline}
 }
 
 // Read implements io.Reader.
--- a/internal/gateway/admitted.go
+++ b/internal/gateway/admitted.go
@@ -27,7 +27,7 @@
 	req := &exchange.Request{
 		ID: in.ID, Method: in.Method, Target: in.Target, Host: in.Host, Header: header, Body: body,
 		Route: a.route, Service: a.service, Priority: catalog.RequestPriority(a.route, a.team),
-		LastEvent: in.LastEvent, Arrived: in.Arrived, Deadline: in.Arrived.Add(a.timeout()),
+		LastEvent: in.LastEvent, Arrived: in.Arrived, Deadline: a.Deadline(),
 	}
 	var teamRegions []string
 	if a.team != nil {
@@ -45,6 +45,9 @@
 	return req
 }
 
+// Deadline returns the time at which neither the caller nor the operators want an answer any more.
+func (a *Admitted) Deadline() time.Time { return a.incoming.Arrived.Add(a.timeout()) }
+
 // timeout returns the shorter of the caller's and the route's timeout.
 func (a *Admitted) timeout() time.Duration {
 	timeout := a.incoming.Timeout
