Connections of callers: errors of accept don't end the server, and closed connections bring no requests

Callers saw a daemon that said ready and accepted nothing for good, after one accept failed with an error that net/http doesn't take as temporary (ENOMEM, ENOBUFS, EPROTO, network errors): Serve returned and its error was dropped. displaced_test.go: a request that was read just as its connection was displaced was handled, and sent on, since begin took the state closed for one in progress; it is aborted now.

--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -14,8 +14,9 @@
 	// firstRequestPatience is how long a new connection is kept for its first request while others
 	// wait to be accepted; callers of the platform give up a request that is not read within 1 s.
 	firstRequestPatience = time.Second
-	refusalShare         = 8               // one connection beyond so many of the limit is accepted, to be refused
-	logPeriod            = 2 * time.Second // between two lines of one kind
+	refusalShare         = 8                     // one connection beyond so many of the limit is accepted, to be refused
+	acceptPause          = 20 * time.Millisecond // after a failure to accept
+	logPeriod            = 2 * time.Second       // between two lines of one kind
 )
 
 // Listener accepts connections up to a limit. When the limit is reached, a new one takes the place of
@@ -56,12 +57,14 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		raw, err := l.Listener.Accept()
-		if err != nil {
-			if !errors.Is(err, net.ErrClosed) {
-				l.reportFailure(err)
-			}
+		if errors.Is(err, net.ErrClosed) {
 			return nil, err
 		}
+		if err != nil { // the server would end for good after some of these errors
+			l.reportFailure(err)
+			time.Sleep(acceptPause)
+			continue
+		}
 		c := &tracked{Conn: raw, listener: l, state: closed}
 		if !l.add(c, time.Now()) {
 			_ = raw.Close()
@@ -79,20 +82,20 @@
 }
 
 // begin records that a request on a connection is in progress, until the connection is idle or
-// closed. It returns false if the request is to be refused, as too many others are in progress.
-func (l *Listener) begin(c *tracked) bool {
+// closed, and returns the state of the connection: refused if the request is to be refused, as too
+// many others are in progress, and closed if the connection is being closed for a new one.
+func (l *Listener) begin(c *tracked) state {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.state == closed || c.state == busy {
-		return true
-	}
-	if l.inProgress >= l.limit {
+	switch {
+	case c.state == closed || c.state == busy:
+	case l.inProgress >= l.limit:
 		l.refusals.Add(1)
 		l.set(c, refused, time.Now())
-		return false
+	default:
+		l.set(c, busy, time.Now())
 	}
-	l.set(c, busy, time.Now())
-	return true
+	return c.state
 }
 
 // add adds a new connection, in the place of another one if the limit is reached. It returns false if
--- a/internal/callerconn/serve.go
+++ b/internal/callerconn/serve.go
@@ -15,12 +15,20 @@
 // beyond the limit.
 func (l *Listener) Handler(next, refuse http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := trackedOf(connOf(r.Context())); c != nil && !l.begin(c) {
+		c := trackedOf(connOf(r.Context()))
+		if c == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		switch l.begin(c) {
+		case closed:
+			panic(http.ErrAbortHandler) // the answer would reach nobody
+		case refused:
 			w.Header().Set("Connection", "close")
 			refuse.ServeHTTP(w, r)
-			return
+		default:
+			next.ServeHTTP(w, r)
 		}
-		next.ServeHTTP(w, r)
 	})
 }
 
