Upstream: a request whose context has ended is not sent on a kept connection

The watch that closes the connection raced with the write, so that a request whose caller had left, such as while the dispatcher was asked, reached its endpoint. It is a ConnectError now: no byte was sent.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -44,6 +44,10 @@
 	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotConn != nil {
 		trace.GotConn(httptrace.GotConnInfo{Conn: c, Reused: c.reused})
 	}
+	if cause := context.Cause(ctx); cause != nil { // the watch below would race with the write
+		_ = c.Close()
+		return nil, &ConnectError{Address: address, Err: cause}
+	}
 	stopWatch := context.AfterFunc(ctx, func() { _ = c.Close() })
 	err = c.send(head, body)
 	var response *http.Response
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -199,4 +199,19 @@
 		Expect(err).To(HaveOccurred())
 		Eventually(r.ended).Should(Receive())
 	})
+
+	// Guards against requests that are sent on a kept connection though their callers have left.
+	It("sends nothing once the context has ended", func() {
+		for range 50 {
+			r, p := newRawServer(complete, complete), pool()
+			_, err := get(p, r, false)
+			Expect(err).NotTo(HaveOccurred())
+			ended, cancel := context.WithCancel(ctx)
+			cancel()
+			_, err = p.Send(ended, r.listener.Addr().String(), head, []byte("body"), false)
+			var notSent *upstream.ConnectError
+			Expect(errors.As(err, &notSent)).To(BeTrue(), "%v", err)
+			Consistently(r.answers, "5ms").Should(HaveLen(1), "an answer is taken for each request that arrives")
+		}
+	})
 })
