Peer links: calls that were cancelled in the queue are not begun at the other daemon

Exchanges through another daemon whose callers left while the link was blocked reached their endpoints: the open frame and its cancellation arrived together, and the handler began first. A frame that begins a cancelled call is no longer sent, nor begun if its cancellation is in the same message. What a blocked write already holds is still a race.

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -58,7 +58,7 @@
 	f.ID = id
 	data, err := encodeFrame(f)
 	if err == nil {
-		err = l.queue.tryPush(data)
+		err = l.queue.tryPush(queuedFrame{data: data, call: call})
 	}
 	if err != nil {
 		l.outgoing.remove(id)
@@ -69,6 +69,8 @@
 
 // cancelCall removes a call and tells the other side to cancel its handler.
 func (l *link) cancelCall(id uint64) {
-	l.outgoing.remove(id)
+	if call := l.outgoing.remove(id); call != nil {
+		call.cancelled.Store(true)
+	}
 	_ = l.pushFrame(frame{Kind: frameCancel, ID: id})
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -115,8 +116,8 @@
 		select {
 		case <-l.ctx.Done():
 			return
-		case data := <-l.queue.calls:
-			batch = append(batch, data...)
+		case f := <-l.queue.calls:
+			batch = f.appendTo(batch)
 		case data := <-l.queue.clock:
 			batch = append(batch, data...)
 		case <-l.queue.flushNow:
@@ -140,8 +141,8 @@
 func (l *link) fillBatch(batch []byte) []byte {
 	for len(batch) < batchTargetBytes {
 		select {
-		case data := <-l.queue.calls:
-			batch = append(batch, data...)
+		case f := <-l.queue.calls:
+			batch = f.appendTo(batch)
 			continue
 		default:
 		}
@@ -232,16 +233,27 @@
 	}
 }
 
-// handleAll handles the frames of one message. Decoded frames do not alias
-// data.
+// handleAll handles the frames of one message, but does not begin calls that the message itself
+// cancels. Decoded frames do not alias data.
 func (l *link) handleAll(data []byte) error {
+	var frames []frame
+	var cancelled []uint64
 	for len(data) > 0 {
 		var f frame
 		var err error
 		if data, err = cbor.UnmarshalFirst(data, &f); err != nil {
 			return &ProtocolError{Rule: "a message is a sequence of frames: " + err.Error()}
 		}
-		l.handle(f)
+		frames = append(frames, f)
+		if f.Kind == frameCancel {
+			cancelled = append(cancelled, f.ID)
+		}
+	}
+	for _, f := range frames {
+		begins := f.Kind == frameCall || f.Kind == frameOpen
+		if !begins || !slices.Contains(cancelled, f.ID) {
+			l.handle(f)
+		}
 	}
 	return nil
 }
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -85,7 +85,7 @@
 	}
 	data, err := encodeFrame(frame{Kind: frameState, Body: body})
 	if err == nil {
-		err = l.queue.tryPush(data)
+		err = l.queue.tryPush(queuedFrame{data: data})
 	}
 	if err != nil {
 		l.close(err)
--- a/internal/peer/open_stream.go
+++ b/internal/peer/open_stream.go
@@ -49,6 +49,9 @@
 
 // openOn opens a stream on one link and waits until it is accepted.
 func (n *Network) openOn(ctx context.Context, l *link, to fleet.DataCentre, method Method, body cbor.RawMessage) (*linkStream, error) {
+	if ctx.Err() != nil {
+		return nil, &UnreachableError{Daemon: l.remote.Daemon, DataCentre: to, Err: ctx.Err()}
+	}
 	call, id, err := l.begin(frame{Kind: frameOpen, Name: string(method), Body: body, DataCentre: to})
 	if err != nil {
 		return nil, err
--- a/internal/peer/outgoing_call.go
+++ b/internal/peer/outgoing_call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -17,7 +18,8 @@
 	ended      chan struct{} // closed when the call has ended
 	endOnce    sync.Once
 	acceptOnce sync.Once
-	err        error // nil: the call or stream is complete; valid once ended is closed
+	cancelled  atomic.Bool // by this daemon
+	err        error       // nil: the call or stream is complete; valid once ended is closed
 }
 
 func newOutgoingCall() *outgoingCall {
--- a/internal/peer/outgoing_table.go
+++ b/internal/peer/outgoing_table.go
@@ -26,10 +26,13 @@
 	return t.lastID, nil
 }
 
-func (t *outgoingTable) remove(id uint64) {
+// remove removes a call and returns it, or nil if it has ended.
+func (t *outgoingTable) remove(id uint64) *outgoingCall {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	call := t.calls[id]
 	delete(t.calls, id)
+	return call
 }
 
 func (t *outgoingTable) size() int {
--- a/internal/peer/send_queue.go
+++ b/internal/peer/send_queue.go
@@ -16,7 +16,7 @@
 // state is full, its oldest frame is dropped; when the queue of calls is full,
 // new frames are rejected or wait.
 type sendQueue struct {
-	calls    chan []byte
+	calls    chan queuedFrame
 	clock    chan []byte   // clock readings: they belong to no call, so a link with one queued may be idle
 	flushNow chan struct{} // signals that queued soft state must be sent now
 
@@ -27,7 +27,7 @@
 
 func newSendQueue() *sendQueue {
 	return &sendQueue{
-		calls:    make(chan []byte, callQueueFrames),
+		calls:    make(chan queuedFrame, callQueueFrames),
 		clock:    make(chan []byte, clockQueueFrames),
 		flushNow: make(chan struct{}, 1),
 	}
@@ -78,9 +78,9 @@
 }
 
 // tryPush adds a frame of a call, or fails if the queue is full.
-func (q *sendQueue) tryPush(data []byte) error {
+func (q *sendQueue) tryPush(f queuedFrame) error {
 	select {
-	case q.calls <- data:
+	case q.calls <- f:
 		return nil
 	default:
 		return &QueueFullError{}
@@ -98,7 +98,7 @@
 // push adds a frame of a call, and waits while the queue is full.
 func (q *sendQueue) push(ctx context.Context, data []byte) error {
 	select {
-	case q.calls <- data:
+	case q.calls <- queuedFrame{data: data}:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -96,7 +96,7 @@
 func (l *link) refuse(id uint64, code failureCode, message string) {
 	data, err := encodeFrame(frame{Kind: frameFailure, ID: id, Failure: code, Message: message})
 	if err == nil {
-		err = l.queue.tryPush(data)
+		err = l.queue.tryPush(queuedFrame{data: data})
 	}
 	if err != nil {
 		l.close(err)
