A late order to a spare takes no member out of a group granted later

Callers saw: at the first start of a fleet an endpoint left the first group, which served, and its streams stood still until the group broke.

Cause: an empty ledger gave spares epoch 0, and the group at offset 0 has epoch 0 too. An endpoint refuses a join only below the highest epoch that it has seen, so an order to a spare that was carried out late replaced the membership of the first group. In a new era a daemon that did not know a group yet could order its member as a spare under an epoch of that era, above the old epoch under which another daemon writes the record again.

Change: no spare is ordered anything before the ledger has a record, and a planner opens an empty one with a deletion of no group, which daemons of any version pass over. While a restored store settles, spares carry epoch 0.

--- a/internal/fakes/wire_engine.go
+++ b/internal/fakes/wire_engine.go
@@ -26,6 +26,8 @@
 
 	mu        sync.Mutex
 	group     map[string]any
+	members   []string // of the last group
+	seenEpoch uint64   // the highest of a join in this life
 	models    []map[string]any
 	sequence  int
 	runs      map[string]int // number of runs by request ID
--- a/internal/fakes/wire_engine_crash.go
+++ b/internal/fakes/wire_engine_crash.go
@@ -37,7 +37,7 @@
 func (e *WireEngine) startIncarnation() {
 	e.group, e.models = nil, nil
 	e.Born = max(time.Now().UnixMilli(), e.Born+1)
-	e.sequence = 0
+	e.sequence, e.seenEpoch, e.members = 0, 0, nil
 }
 
 // crashesOn reports whether a request's prompt has the part on which the engine crashes.
--- a/internal/fakes/wire_engine_orders.go
+++ b/internal/fakes/wire_engine_orders.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 )
 
 func (e *WireEngine) handleOrder(w http.ResponseWriter, r *http.Request) {
@@ -27,9 +28,10 @@
 func (e *WireEngine) applyOrder(operation, group, model string, epoch uint64, members []string) int {
 	switch operation {
 	case "join":
-		if e.group != nil && epoch < e.group["epoch"].(uint64) {
+		if epoch < e.seenEpoch || e.group != nil && e.group["name"] == group && e.group["epoch"] == epoch && !slices.Equal(e.members, members) {
 			return http.StatusPreconditionFailed
 		}
+		e.seenEpoch, e.members = epoch, members
 		rank := 0
 		for i, member := range members {
 			if member == e.ID {
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -22,6 +22,7 @@
 			p.planService(service)
 		}
 	}
+	p.openLedger()
 	return p.plan
 }
 
@@ -36,6 +37,7 @@
 	demand      map[string]demand.Total   // for each model, by which the groups are planned; nil: not known
 	needs       map[string]float64        // number of groups that the demand fills, by model; nil: not known
 	staging     []Order                   // that prepare a change of groups
+	sparesWait  bool                      // for the ledger to be opened
 	assigned    map[string]map[string]int // number of healthy endpoints by domain and assigned model
 }
 
--- a/internal/formation/spares.go
+++ b/internal/formation/spares.go
@@ -157,6 +157,10 @@
 }
 
 func (p *planner) orderSpare(e *registry.Endpoint, model *catalog.Model) {
+	if p.ledgerUnopened() {
+		p.sparesWait = true
+		return
+	}
 	if p.assignedModel(e) == "" {
 		p.assigned[e.Domain][model.Name]++
 	}
@@ -172,14 +176,16 @@
 	})
 }
 
-// spareEpoch returns an epoch below that of any group that is granted later, so
-// that a delayed order cannot remove an endpoint from such a group.
+// spareEpoch returns an epoch below that of any group that is granted later, so that a delayed
+// order cannot remove an endpoint from such a group. While the store settles after it has come
+// back from an older copy, that holds for groups of earlier eras too: this daemon may not know of
+// one that another writes again under its old epoch. An endpoint that has seen a later epoch
+// refuses the order meanwhile.
 func (p *planner) spareEpoch() uint64 {
-	end := p.in.Groups.EndEpoch()
-	if end == 0 {
+	if p.storeSettles() {
 		return 0
 	}
-	return end - 1
+	return p.in.Groups.EndEpoch() - 1
 }
 
 // stageOther stages another model of the service on the host of an endpoint that
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -17,6 +17,11 @@
 // Topic is the name of the topic of group records.
 const Topic = "keyed.groups"
 
+// OpeningKey is the key of the deletion that opens an empty ledger. It takes the position whose
+// ordinal is 0, so that every group has a higher epoch than an order that was sent before.
+// Deletions precede grants in a proposal, and daemons of any version pass over one of no group.
+const OpeningKey = "opening"
+
 // Ledger is this daemon's view of the group records.
 type Ledger struct {
 	log      keyed.Log
