Paths are routed as they are sent

"OPTIONS *" got a 200 that no endpoint had given. On the own interface orders%2Fpress ran the call /orders/press, and paths with dot segments or empty ones were redirected without an outcome header.

Cause: the platform's handler routed by r.URL.Path, which is decoded, while r.RequestURI is what is forwarded; calls were found by r.PathValue, which is decoded as well; net/http answers "OPTIONS *" itself.

Change: internal/requestpath takes the path out of the target, byte for byte, or says why there is none. The catalog routes by it. Where a reader that decodes unreserved characters, resolves dot segments, or leaves out empty ones would choose another route, the request is refused with 400 and not run, with a reason in the log and the metrics; what all of them route alike is passed on. gateway.Incoming has the target alone, so that there is no second form of the path. Calls of the own interface are found by their path as sent. Servers pass "OPTIONS *" to their handlers.

--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -12,6 +12,7 @@
 	"github.com/plantainmux/plantainmux/internal/metric"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 	"github.com/plantainmux/plantainmux/internal/relay"
+	"github.com/plantainmux/plantainmux/internal/requestpath"
 	"github.com/plantainmux/plantainmux/internal/service"
 	"github.com/plantainmux/plantainmux/internal/view"
 )
@@ -52,9 +53,26 @@
 	mux.HandleFunc("POST /v1/completions", s.authenticated(s.completions))
 	mux.HandleFunc("POST /v1/chat/completions", s.authenticated(s.chatCompletions))
 	mux.HandleFunc("GET /v1/models", s.authenticated(s.models))
-	mux.HandleFunc("/v1/services/{name}/{path...}", s.authenticated(s.service))
+	mux.HandleFunc(servicesPrefix+"{name}/{path...}", s.authenticated(s.service))
 	mux.HandleFunc("/", s.unknownPath)
-	return mux
+	return s.withPath(mux)
+}
+
+// withPath refuses targets without a path, and paths with dot segments or empty ones, which the mux
+// would redirect without an outcome header.
+func (s *Server) withPath(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		path, bad := requestpath.Parse(r.RequestURI)
+		if bad != nil {
+			s.refuse(w, refusal.New(refusal.Malformed, 0, bad.Error()))
+			return
+		}
+		if requestpath.Resolved.Read(path) != requestpath.Escapes.Read(path) {
+			s.refuse(w, refusal.New(refusal.Malformed, 0, "the path has dot segments or empty ones"))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // RefuseConnection refuses a request on a connection beyond the limit.
--- a/internal/callerapi/service.go
+++ b/internal/callerapi/service.go
@@ -2,14 +2,17 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/refusal"
+	"github.com/plantainmux/plantainmux/internal/requestpath"
 )
 
-// Headers of a call of a service.
+// Path and headers of a call of a service.
 const (
+	servicesPrefix    = "/v1/services/"
 	idempotencyHeader = "Idempotency-Key"
 	teamHeader        = "Plantainmux-Team" // the team whose idempotency key the service gets
 )
@@ -56,7 +59,7 @@
 	if !ok {
 		return service, config.Call{}, refusal.New(refusal.UnknownService, 0, "service "+r.PathValue("name")+" is not configured")
 	}
-	path := "/" + r.PathValue("path")
+	path := calledPath(r.RequestURI)
 	for _, call := range service.Calls {
 		if call.Method == r.Method && call.Path == path {
 			return service, call, nil
@@ -64,3 +67,11 @@
 	}
 	return service, config.Call{}, refusal.New(refusal.UnknownService, 0, r.Method+" "+path+" of service "+service.Name+" is not configured")
 }
+
+// calledPath returns the path of a call below /v1/services/NAME. An encoded slash stays encoded, as it is
+// data.
+func calledPath(target string) string {
+	sent, _ := requestpath.Parse(target)
+	_, path, _ := strings.Cut(strings.TrimPrefix(requestpath.Escapes.Read(sent), servicesPrefix), "/")
+	return "/" + path
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"strings"
+
+	"github.com/plantainmux/plantainmux/internal/requestpath"
 )
 
 // Catalog is one version of the operators' configuration. It is immutable.
@@ -62,7 +64,7 @@
 }
 
 // Route returns the route with the longest matching path prefix for a host, nil if
-// there is none.
+// there is none. The path is the one that was sent, without any decoding.
 func (c *Catalog) Route(host, path string) *Route {
 	for _, route := range c.routes[strings.ToLower(host)] {
 		if strings.HasPrefix(path, route.Prefix) {
@@ -72,6 +74,31 @@
 	return nil
 }
 
+// Ambiguous reports whether another reader of a path may take it for a path of another route than
+// the chosen one.
+func (c *Catalog) Ambiguous(host, path string, chosen *Route) bool {
+	if requestpath.Plain(path) {
+		return false
+	}
+	return slices.ContainsFunc(requestpath.Readings[:], func(reading requestpath.Reading) bool {
+		return c.routeAsRead(host, path, reading) != chosen
+	})
+}
+
+// routeAsRead returns the route that a reader chooses who understands paths and prefixes in the same way.
+func (c *Catalog) routeAsRead(host, path string, reading requestpath.Reading) *Route {
+	path = reading.Read(path)
+	var longest *Route
+	length := 0
+	for _, route := range c.routes[strings.ToLower(host)] {
+		prefix := reading.Read(route.Prefix)
+		if len(prefix) > length && strings.HasPrefix(path, prefix) {
+			longest, length = route, len(prefix)
+		}
+	}
+	return longest
+}
+
 // RouteCount returns the number of routes.
 func (c *Catalog) RouteCount() int {
 	count := 0
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -114,6 +114,8 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		BaseContext:       func(net.Listener) context.Context { return d.killed },
+
+		DisableGeneralOptionsHandler: true, // which answers "OPTIONS *" with a success without an outcome header
 	}
 }
 
--- a/internal/gateway/denied.go
+++ b/internal/gateway/denied.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/requestpath"
+)
 
 // DenyReason is the reason why a request was not admitted.
 type DenyReason string
@@ -14,6 +18,11 @@
 	NoService       DenyReason = "no_service"  // the route's service is not configured
 	Connections     DenyReason = "connections" // callers have as many requests in progress as this daemon has connections for
 	Memory          DenyReason = "memory"      // this daemon holds as much for exchanges as it may
+
+	NoPath                   = DenyReason(requestpath.NoPath)
+	BadByte                  = DenyReason(requestpath.BadByte)
+	InvalidEscape            = DenyReason(requestpath.InvalidEscape)
+	AmbiguousPath DenyReason = "ambiguous_path" // another reader may choose another route
 )
 
 // Denied describes a request that was not admitted. It has not run.
--- a/internal/gateway/incoming.go
+++ b/internal/gateway/incoming.go
@@ -9,8 +9,7 @@
 type Incoming struct {
 	ID           string
 	Method       string
-	Target       string // path and query
-	Path         string
+	Target       string // path and query, as sent
 	Host         string
 	Header       http.Header
 	APIKey       string        // identifies the caller's team; empty: none
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/exchange"
+	"github.com/plantainmux/plantainmux/internal/requestpath"
 )
 
 const (
@@ -47,7 +48,14 @@
 	if g.stoppingFor(in.Arrived) > admissionPeriod {
 		return nil, g.deny(in, DaemonStopping, retryAfterStopping)
 	}
-	route := current.Route(in.Host, in.Path)
+	path, bad := requestpath.Parse(in.Target)
+	if bad != nil {
+		return nil, g.deny(in, DenyReason(bad.Cause), 0)
+	}
+	route := current.Route(in.Host, path)
+	if current.Ambiguous(in.Host, path, route) {
+		return nil, g.deny(in, AmbiguousPath, 0)
+	}
 	if route == nil {
 		return nil, g.deny(in, NoRoute, 0)
 	}
@@ -87,7 +95,8 @@
 	if current := g.catalogs.Load(); current != nil {
 		version = current.Version
 	}
-	g.logger.Info("request denied", "request", in.ID, "reason", reason, "host", in.Host, "path", in.Path, "version", version,
+	path, _ := requestpath.Parse(in.Target)
+	g.logger.Info("request denied", "request", in.ID, "reason", reason, "host", in.Host, "path", path, "version", version,
 		"version_age_ms", g.configs.Age(time.Now()).Milliseconds())
 	g.metrics.GetOrCreateCounter(`plantainmux_gateway_denied_total{reason="` + string(reason) + `"}`).Inc()
 	return &Denied{Reason: reason, RetryAfter: retryAfter}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -56,7 +56,10 @@
 }
 
 func (g *Gateway) newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug)}
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug),
+		DisableGeneralOptionsHandler: true, // which answers "OPTIONS *" with a success that no endpoint gave
+	}
 }
 
 func (g *Gateway) serve(server *http.Server, listener net.Listener) *http.Server {
--- a/test/service_order_test.go
+++ b/test/service_order_test.go
@@ -37,7 +37,10 @@
 		Name:        "orders",
 		KeyLifetime: 3600,
 		Endpoints:   []config.ServiceEndpoint{{Address: address, DataCentre: "north"}},
-		Calls:       []config.Call{{Method: http.MethodPost, Path: "/orders", TimeoutSeconds: 8}},
+		Calls: []config.Call{
+			{Method: http.MethodPost, Path: "/orders", TimeoutSeconds: 8},
+			{Method: http.MethodPost, Path: "/orders/press", TimeoutSeconds: 8},
+		},
 	}}
 	b.Publish(0, configuration)
 	return b
