Planners together begin no more loads than the weight store allows

Cause: each planner had three loads at hand besides its share of the rate, so three of them 9 where the window leaves 5; one that began to plan had three more, and shares grew at once when a daemon knew of fewer planners.

A share of a limit is the question of targetstats.SharePolicy, which knows now the rate of each of n daemons that all share it. internal/loadlimit keeps a planner within it: one load at hand, none for one that begins to plan, and fewer planners count only once that has been known for a whole window. The window and the overshoot come from the platform's settings.

--- a/internal/formation/reconciler.go
+++ b/internal/formation/reconciler.go
@@ -10,14 +10,14 @@
 	"time"
 
 	"github.com/alitto/pond/v2"
-	"golang.org/x/time/rate"
-
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/demand"
 	"github.com/plantainmux/plantainmux/internal/evacuation"
 	"github.com/plantainmux/plantainmux/internal/keyed"
 	"github.com/plantainmux/plantainmux/internal/ledger"
+	"github.com/plantainmux/plantainmux/internal/loadlimit"
 	"github.com/plantainmux/plantainmux/internal/registry"
+	"github.com/plantainmux/plantainmux/internal/targetstats"
 )
 
 const (
@@ -28,11 +28,8 @@
 	orderRetryInterval = 1200 * time.Millisecond
 	stageRetryInterval = 20 * time.Second       // longer than a load from the weight store
 	probeTimeout       = 130 * time.Millisecond // longer than a round trip between data centres plus the report of a busy endpoint
-	// loadBurst is the number of loads that may start at once, within the margin that
-	// the load rate leaves below the limit on concurrent loads.
-	loadBurst     = 3
-	probeAttempts = 2
-	probeInterval = 500 * time.Millisecond
+	probeAttempts      = 2
+	probeInterval      = 500 * time.Millisecond
 	// maxReachProbes is the number of endpoints that are probed to find out whether this daemon
 	// reaches any.
 	maxReachProbes = 4
@@ -48,6 +45,7 @@
 	Owns          func(domain string) bool
 	BeforeTraffic func() bool                                  // reports whether no request has arrived yet
 	Owners        func(domains []string) int                   // number of daemons that plan any of the domains
+	LoadLimit     targetstats.SharePolicy                      // of loads that begin, over all daemons; its rate is the service's
 	Demand        func(service string) map[string]demand.Total // smoothed, by model; nil: not known
 	PresentDemand func(service, model string) demand.Total     // over the last 2 s; nil: not known
 	Evacuations   func() []evacuation.InForce                  // nil: there are none
@@ -64,8 +62,8 @@
 	Dependencies
 	observations *observations
 	pool         pond.Pool
-	loads        *rate.Limiter
-	shifts       ShiftTracker // by Run alone
+	loads        loadlimit.Limiter // by Run alone
+	shifts       ShiftTracker      // by Run alone
 	wake         chan struct{}
 
 	converging atomic.Bool
@@ -77,7 +75,6 @@
 		Dependencies: dependencies,
 		observations: newObservations(),
 		pool:         pond.NewPool(workers),
-		loads:        rate.NewLimiter(1, loadBurst),
 		wake:         make(chan struct{}, 1),
 	}
 }
@@ -168,19 +165,24 @@
 	}
 }
 
-// setLoadRate sets this daemon's share of the permitted model loads per second,
-// which is divided equally among the daemons that plan.
+// setLoadRate sets this daemon's share of the permitted model loads, which is divided equally among
+// the daemons that plan.
 func (r *Reconciler) setLoadRate(in Input) {
 	for _, service := range in.Catalog.Services {
 		if !service.Grouped() || service.Performance == nil || service.Performance.LoadsPerSecond <= 0 {
 			continue
 		}
 		domains := map[string]bool{}
+		plans := false
 		for _, e := range in.Endpoints.ByService[service.Name] {
-			domains[e.Domain] = true
+			if !domains[e.Domain] {
+				domains[e.Domain] = true
+				plans = plans || in.Owns(e.Domain)
+			}
 		}
-		owners := r.Owners(slices.Collect(maps.Keys(domains)))
-		r.loads.SetLimit(rate.Limit(service.Performance.LoadsPerSecond / float64(max(owners, 1))))
+		limit := r.LoadLimit
+		limit.PerS = service.Performance.LoadsPerSecond
+		r.loads.Update(limit, r.Owners(slices.Collect(maps.Keys(domains))), plans, in.Now)
 		return
 	}
 }
@@ -191,7 +193,7 @@
 	if !r.observations.tryOrder(order, in.Now, retryInterval(order)) {
 		return
 	}
-	if order.NeedsLoad && !in.BeforeTraffic && !r.loads.Allow() {
+	if order.NeedsLoad && !in.BeforeTraffic && !r.loads.Allow(in.Now) {
 		r.observations.cancelOrder(order)
 		return
 	}
--- a/internal/gateway/bounds.go
+++ b/internal/gateway/bounds.go
@@ -19,6 +19,26 @@
 	// Without an overshoot above 0 nothing limits the requests to cold endpoints.
 	ColdOvershoot *float64 `yaml:"cold_overshoot"`
 	ColdSlack     *float64 `yaml:"cold_slack"` // requests; nil: none
+	// In any LoadWindowS seconds, the loads that a service allows x LoadOvershoot may begin, and a few more.
+	LoadWindowS   *float64 `yaml:"load_window_s"`  // nil: defaultLoadWindow
+	LoadOvershoot *float64 `yaml:"load_overshoot"` // nil: 1
+}
+
+const (
+	defaultLoadWindow = 5 * time.Second // of deployments that set one
+	loadSlack         = 3               // loads in each window, by the platform's rules
+)
+
+// loadLimit returns the limit on the loads that all daemons begin, but for the rate of the service.
+func (b Bounds) loadLimit() targetstats.SharePolicy {
+	policy := targetstats.SharePolicy{Window: defaultLoadWindow, Overshoot: 1, Slack: loadSlack}
+	if b.LoadWindowS != nil && *b.LoadWindowS > 0 {
+		policy.Window = time.Duration(*b.LoadWindowS * float64(time.Second))
+	}
+	if b.LoadOvershoot != nil && *b.LoadOvershoot > 0 {
+		policy.Overshoot = *b.LoadOvershoot
+	}
+	return policy
 }
 
 // limitsCold reports whether requests to cold endpoints are limited.
--- a/internal/gateway/build.go
+++ b/internal/gateway/build.go
@@ -43,6 +43,7 @@
 		Owns:          g.owns,
 		BeforeTraffic: func() bool { return !g.trafficSeen.Load() },
 		Owners:        g.owners,
+		LoadLimit:     g.settings.Bounds.loadLimit(),
 		CanWrite:      g.storeReached,
 		Demand:        g.plannedDemand,
 		PresentDemand: g.presentDemand,
--- a/internal/gateway/platform_bounds_test.go
+++ b/internal/gateway/platform_bounds_test.go
@@ -21,7 +21,7 @@
 		withoutZones := regexp.MustCompile(`(?s)\{\{#zones\}\}.*?\{\{/zones\}\}`).ReplaceAllString(string(template), "")
 		text := regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllStringFunc(withoutZones, func(field string) string {
 			switch field {
-			case "{{bounds.cold_overshoot}}", "{{bounds.cold_slack}}", "{{bounds.evacuation_ms}}":
+			case "{{bounds.cold_overshoot}}", "{{bounds.cold_slack}}", "{{bounds.evacuation_ms}}", "{{bounds.ceiling_window_s}}", "{{bounds.ceiling_overshoot}}":
 				return bounds[field]
 			case "{{bootstrap|json}}":
 				return "false"
@@ -41,6 +41,15 @@
 		Expect(s.Bounds.coldPolicy(23)).To(Equal(targetstats.SharePolicy{PerS: 23, Window: time.Second, Overshoot: 1.5, Slack: 5}))
 	})
 
+	It("limit the loads from the weight store by its bounds, and to its rate without them", func() {
+		s, err := Load(render(map[string]string{"{{bounds.ceiling_window_s}}": "4", "{{bounds.ceiling_overshoot}}": "1.1"}))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Bounds.loadLimit()).To(Equal(targetstats.SharePolicy{Window: 4 * time.Second, Overshoot: 1.1, Slack: 3}))
+		s, err = Load(render(nil))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Bounds.loadLimit().Overshoot).To(Equal(1.0))
+	})
+
 	// A daemon of a deployment without these bounds must start, and serve as before.
 	It("limit nothing on a platform without them", func() {
 		s, err := Load(render(nil))
--- a/internal/targetstats/share_policy.go
+++ b/internal/targetstats/share_policy.go
@@ -10,6 +10,10 @@
 // it, for the time in which daemons disagree on who is registered or live.
 const shareMargin = 2
 
+// minUsedShare is the share of a limit's rate that daemons use who must all share it, so that each
+// gets on however many they are.
+const minUsedShare = 0.1
+
 // SharePolicy is a limit on the requests of all daemons together to one endpoint. In any Window it
 // bears PerS x Window x Overshoot + Slack requests. Each daemon that shares it has a token bucket of
 // one, so that n of them send at most n + PerS x Window, heard or unheard of each other.
@@ -44,3 +48,11 @@
 	}
 	return p.PerS * min(p.Overshoot, 1) / float64(divisor)
 }
+
+// RateOfEach returns the rate of each of n daemons that all share the limit. If it does not bear as
+// many, they use less of it together, but no less than minUsedShare.
+func (p SharePolicy) RateOfEach(n int) float64 {
+	sharers, window := float64(max(n, 1)), p.Window.Seconds()
+	spare := (p.PerS*window*p.Overshoot + p.Slack - sharers) / window
+	return max(min(p.PerS*min(p.Overshoot, 1), spare), minUsedShare*p.PerS) / sharers
+}
