Interim answers are read over and never become a success

Cause: the pool took the first head for the answer, whatever its status. The check of answers accepted a status below 200, and the server, told to write it, sent it as interim and then 200 of its own.

Now the pool reads over interim responses, which share the 64 KiB of a head with the final one. 101, numbers that are no status, and an end without a final head are failures after which the request may have run. This holds for all that is read from endpoints; the sender over net/http refuses 101 and other numbers, and answers by way of daemons of earlier versions are checked where they arrive.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -15,8 +15,8 @@
 func NewClient(mesh Mesh) *Client { return &Client{mesh: mesh} }
 
 // Send forwards an exchange to a daemon, which sends it at most once. It fails with NotSentError if
-// that daemon or the endpoint proves that it was not sent, with RemoteError if the endpoint failed,
-// and with PathLostError if the daemon may have sent it and was lost.
+// that daemon or the endpoint proves that it was not sent, with RemoteError or NotFinalError if the
+// endpoint failed, and with PathLostError if the daemon may have sent it and was lost.
 func (c *Client) Send(ctx context.Context, via string, exchange outbound.Exchange) (*outbound.Response, error) {
 	stream, err := c.mesh.OpenStreamTo(ctx, fleet.DaemonID(via), peer.MethodExchange, exchange)
 	if err != nil && peer.NotRun(err) {
@@ -30,6 +30,9 @@
 	if err == nil && first.Head == nil {
 		err = &outbound.PathLostError{Via: via, Err: &UnexpectedMessageError{}}
 	}
+	if err == nil && !outbound.IsFinal(first.Head.Status) { // daemons of earlier versions pass on interim ones
+		err = &outbound.NotFinalError{Status: first.Head.Status}
+	}
 	if err != nil {
 		_ = stream.Close()
 		return nil, err
--- a/internal/outbound/http_sender.go
+++ b/internal/outbound/http_sender.go
@@ -37,5 +37,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if !IsFinal(response.StatusCode) { // 101, which net/http returns, or no status of HTTP
+		_ = response.Body.Close()
+		return nil, &NotFinalError{Status: response.StatusCode}
+	}
 	return &Response{Status: response.StatusCode, Header: response.Header, Body: response.Body}, nil
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,13 +9,15 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/plantainmux/plantainmux/internal/outbound"
 )
 
 const (
 	defaultKeepAlive = 4 * time.Second        // of a server that sends no Keep-Alive timeout
 	keepAliveMargin  = 700 * time.Millisecond // subtracted from the server's Keep-Alive timeout, which it counts from an earlier time
 	readBufferBytes  = 4096
-	maxHeadBytes     = 64 << 10 // of a response; four times what the platform allows callers
+	maxHeadBytes     = 64 << 10 // of a response and the interim ones before it; four times what the platform allows callers
 )
 
 // conn is one connection to an endpoint.
@@ -33,15 +35,31 @@
 	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(limited, readBufferBytes), limited: limited}
 }
 
-// readHead reads the head of a response. Its body is not limited.
+// readHead reads over interim responses and returns the head of the final one, whose body is not
+// limited.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.limited.N = maxHeadBytes
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-	if err != nil && c.limited.N <= 0 {
-		return nil, &HeadTooLargeError{Limit: maxHeadBytes}
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		switch {
+		case err != nil && c.limited.N <= 0:
+			return nil, &HeadTooLargeError{Limit: maxHeadBytes}
+		case err != nil:
+			return nil, err
+		case isInterim(response.StatusCode):
+			continue
+		case !outbound.IsFinal(response.StatusCode):
+			return nil, &outbound.NotFinalError{Status: response.StatusCode}
+		}
+		c.limited.N = math.MaxInt64
+		return response, nil
 	}
-	c.limited.N = math.MaxInt64
-	return response, err
+}
+
+// isInterim reports whether a final response follows one with this status. No request asks to
+// switch protocols, so that 101 is a failure.
+func isInterim(status int) bool {
+	return status >= 100 && status < 200 && status != http.StatusSwitchingProtocols
 }
 
 // send writes a request in a single write.
--- a/internal/upstream/head_too_large_error.go
+++ b/internal/upstream/head_too_large_error.go
@@ -2,7 +2,8 @@
 
 import "fmt"
 
-// HeadTooLargeError reports that the head of a response exceeds a limit.
+// HeadTooLargeError reports that the head of a response, with the interim responses before it,
+// exceeds a limit.
 type HeadTooLargeError struct{ Limit int64 } // bytes
 
 // Error implements error.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -33,7 +33,7 @@
 	return p
 }
 
-// Send sends a request and reads the head of the response. It returns a *ConnectError or
+// Send sends a request and reads the head of the final response. It returns a *ConnectError or
 // an *ExchangeError. A connection is reported to the httptrace.ClientTrace of ctx. When ctx ends, the connection is closed, also while the body is
 // read. If fresh is true, it uses a new connection.
 func (p *Pool) Send(ctx context.Context, address string, head Head, body []byte, fresh bool) (*Answer, error) {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -28,8 +28,15 @@
 	reset            bool          // by a reset
 	endless          string        // repeated after an answer until the client closes
 	written          atomic.Int64  // bytes of that
+	piece            int           // bytes of an answer that are written at once; 0: all
+	late             string        // written lateAfter an answer
 }
 
+const (
+	lateAfter  = 10 * time.Millisecond
+	piecePause = time.Millisecond
+)
+
 func newRawServer(answers ...string) *rawServer {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
@@ -67,7 +74,16 @@
 		if answer == "" {
 			return
 		}
+		for r.piece > 0 && len(answer) > r.piece {
+			_, _ = io.WriteString(conn, answer[:r.piece])
+			answer = answer[r.piece:]
+			time.Sleep(piecePause)
+		}
 		_, _ = io.WriteString(conn, answer)
+		if r.late != "" {
+			time.Sleep(lateAfter)
+			_, _ = io.WriteString(conn, r.late)
+		}
 		for r.endless != "" {
 			n, err := io.WriteString(conn, strings.Repeat(r.endless, 1024))
 			r.written.Add(int64(n))
