Listeners: no error of accept ends a server, and closing connections tell their callers

The listeners for readiness, peers, metrics and operators had the fault that was mended for callers: net/http's server ends for good after errors that it does not take as temporary. All use one listener now (internal/accept).

Connections of callers hid CloseWrite, so that a caller whose body is not read heard of the end only after the server's 500 ms: the new spec failed before.

One spec could not fail for its stated cause, as no caller left in it; it has one that leaves now. The specs of the process draw their ports from a random start.

--- a/cmd/plantainmuxd/rig_test.go
+++ b/cmd/plantainmuxd/rig_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -19,13 +20,19 @@
 	"github.com/plantainmux/plantainmux/internal/fakes"
 )
 
-const firstPort = 30100 // below the ports that the system gives to clients
+// Ports below those that the system gives to clients. Test processes at the same time begin at different ones.
+const (
+	firstPort = 30100
+	ports     = 2000
+)
 
 var (
 	binary   string // of the daemon
 	lastPort atomic.Int32
 )
 
+var startPort = rand.Int32N(ports)
+
 var _ = BeforeSuite(func() {
 	var err error
 	binary, err = gexec.Build("github.com/plantainmux/plantainmux/cmd/plantainmuxd")
@@ -110,7 +117,7 @@
 // unusedAddress returns an address of loopback. No port is returned twice.
 func unusedAddress() string {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+lastPort.Add(1))
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+(startPort+lastPort.Add(1))%ports)
 		listener, err := net.Listen("tcp4", address)
 		if err != nil {
 			continue
--- a/internal/callerconn/accept_error_test.go
+++ b/internal/accept/accept_error_test.go
@@ -1,4 +1,4 @@
-package callerconn_test
+package accept_test
 
 import (
 	"io"
@@ -13,7 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/plantainmux/plantainmux/internal/callerconn"
+	"github.com/plantainmux/plantainmux/internal/accept"
 )
 
 // failingListener fails to accept once.
@@ -35,15 +35,14 @@
 var _ = DescribeTable("A listener that failed to accept a connection accepts the next", func(errno syscall.Errno) {
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	listener := callerconn.Wrap(&failingListener{Listener: raw, errno: errno}, limit, slog.New(slog.DiscardHandler))
+	listener := accept.AlwaysLogged(&failingListener{Listener: raw, errno: errno}, slog.New(slog.DiscardHandler))
 	server := &http.Server{Handler: http.NotFoundHandler()}
-	listener.Attach(server)
 	go func() { _ = server.Serve(listener) }()
 	DeferCleanup(server.Close)
 	conn, err := net.Dial("tcp", raw.Addr().String())
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(conn.Close)
-	_, err = io.WriteString(conn, request)
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 	Expect(err).NotTo(HaveOccurred())
 	Expect(conn.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
 	_, err = conn.Read(make([]byte, 1))
--- /dev/null
+++ b/internal/accept/doc.go
@@ -0,0 +1,2 @@
+// Package accept keeps servers accepting connections whatever errors that meets.
+package accept
--- a/internal/callerconn/left.go
+++ b/internal/callerconn/left.go
@@ -15,7 +15,8 @@
 }
 
 // Left reports whether the caller whose connection ctx holds has closed it. The server notices that
-// by itself, but possibly only after it has handed over a request that waited unread.
+// by itself, but possibly only after it has handed over a request that waited unread. Under TLS the
+// record that closes a connection counts as unread bytes, so that only a connection that broke is told.
 func Left(ctx context.Context) bool {
 	c := trackedOf(connOf(ctx))
 	if c == nil {
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -2,21 +2,21 @@
 
 import (
 	"container/list"
-	"errors"
 	"log/slog"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/plantainmux/plantainmux/internal/accept"
 )
 
 const (
 	// firstRequestPatience is how long a new connection is kept for its first request while others
 	// wait to be accepted; callers of the platform give up a request that is not read within 1 s.
 	firstRequestPatience = time.Second
-	refusalShare         = 8                     // one connection beyond so many of the limit is accepted, to be refused
-	acceptPause          = 20 * time.Millisecond // after a failure to accept
-	logPeriod            = 2 * time.Second       // between two lines of one kind
+	refusalShare         = 8               // one connection beyond so many of the limit is accepted, to be refused
+	logPeriod            = 2 * time.Second // between two lines of one kind
 )
 
 // Listener accepts connections up to a limit. When the limit is reached, a new one takes the place of
@@ -40,7 +40,9 @@
 
 // Wrap returns a listener that accepts connections from another one, up to a limit.
 func Wrap(listener net.Listener, limit int, logger *slog.Logger) *Listener {
-	return &Listener{Listener: listener, limit: limit, logger: logger, waiting: [2]*list.List{unused: list.New(), idle: list.New()}}
+	l := &Listener{limit: limit, logger: logger, waiting: [2]*list.List{unused: list.New(), idle: list.New()}}
+	l.Listener = accept.Always(listener, l.reportFailure)
+	return l
 }
 
 // Register registers the metrics of the listener.
@@ -57,14 +59,9 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		raw, err := l.Listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if err != nil {
 			return nil, err
 		}
-		if err != nil { // the server would end for good after some of these errors
-			l.reportFailure(err)
-			time.Sleep(acceptPause)
-			continue
-		}
 		c := &tracked{Conn: raw, listener: l, state: closed}
 		if !l.add(c, time.Now()) {
 			_ = raw.Close()
--- a/internal/callerconn/listener_test.go
+++ b/internal/callerconn/listener_test.go
@@ -43,7 +43,10 @@
 				return
 			}
 			stayed.Add(1)
-			<-released
+			select {
+			case <-released:
+			case <-r.Context().Done():
+			}
 		})
 		refuse := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
 		server = &http.Server{Handler: listener.Handler(next, refuse)}
@@ -130,16 +133,34 @@
 		Expect(status(again)).To(Equal(http.StatusOK))
 	})
 
+	// Guards against callers that have left and still take places.
 	It("frees the place of a connection whose caller leaves while its request is in progress", func() {
 		serve()
-		for range limit {
-			conn := connect()
-			send(conn)
-			Eventually(stayed.Load).Should(BeNumerically(">", 0))
+		callers := make([]net.Conn, limit)
+		for i := range callers {
+			callers[i] = connect()
+			send(callers[i])
 		}
 		Eventually(listener.Full).Should(BeTrue())
-		close(proceed)
+		Expect(callers[0].Close()).To(Succeed())
 		Eventually(listener.Full).Should(BeFalse())
+		close(proceed)
+	})
+
+	It("tells the caller of a body that is not read at once that its connection ends", func() {
+		server.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusRequestTimeout)
+		})
+		serve()
+		conn := connect()
+		_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\nhalf")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.SetReadDeadline(time.Now().Add(2 * time.Second))).To(Succeed())
+		began := time.Now()
+		_, err = io.ReadAll(conn)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(time.Since(began)).To(BeNumerically("<", 300*time.Millisecond), "the server waits 500 ms before it closes")
 	})
 
 	// Guards against requests that are handled though their callers left before they were read.
--- a/internal/callerconn/tracked.go
+++ b/internal/callerconn/tracked.go
@@ -24,6 +24,16 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite tells the caller that nothing more is sent. The server does so before it waits for a caller
+// whose body it does not read.
+func (c *tracked) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return half.CloseWrite()
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *tracked) SyscallConn() (syscall.RawConn, error) {
 	raw, ok := c.Conn.(syscall.Conn)
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/plantainmux/plantainmux/internal/accept"
 	"github.com/plantainmux/plantainmux/internal/callerconn"
 	"github.com/plantainmux/plantainmux/internal/settings"
 	"github.com/plantainmux/plantainmux/internal/traffic"
@@ -104,7 +105,7 @@
 
 func (d *Daemon) serve(listener net.Listener, handler http.Handler) *http.Server {
 	server := d.newServer(handler)
-	d.start(server, listener)
+	d.start(server, accept.AlwaysLogged(listener, d.logger))
 	return server
 }
 
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 
+	"github.com/plantainmux/plantainmux/internal/accept"
 	"github.com/plantainmux/plantainmux/internal/callerconn"
 	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/peerlog"
@@ -35,7 +36,7 @@
 		if err != nil {
 			return nil, &ListenError{Address: address, Err: err}
 		}
-		servers = append(servers, g.serve(g.newServer(handler), listener))
+		servers = append(servers, g.serve(g.newServer(handler), accept.AlwaysLogged(listener, g.logger)))
 	}
 	return servers, nil
 }
