A stream that broke off goes on with its next event, or is cut off

Here: answers of 400 and above were never added. But any 2xx counted as the rest of the stream, so that 204, an empty page and 201 or 206 ended it regularly, and text or a head that ends in an empty line, alone or before the next event, was passed on as an event. A stream whose events have no IDs was begun anew by the next engine.

Change: the rest of a stream is a 200 of the same content type (or of none) that begins, after comments, with an event that holds nothing but fields and has the ID that follows. Otherwise the answer is out of order: another attempt is made, or the caller's connection is cut off. An empty 200 of the same type, signed and with the request's ID, remains the engine's word that nothing follows.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -14,7 +14,10 @@
 	"github.com/plantainmux/plantainmux/internal/suspect"
 )
 
-const readBufferBytes = 4096
+const (
+	readBufferBytes   = 4096
+	headerContentType = "Content-Type"
+)
 
 // attempt sends the request to one target and forwards its answer to the sink.
 func (r *run) attempt(ctx context.Context, target *placement.Target) error {
@@ -55,7 +58,10 @@
 		r.Logger.Info("endpoint no longer names a limit", "endpoint", target.ID)
 	}
 	if r.req.Route.Kind == catalog.Streaming && answer.Succeeded() {
-		r.events.discardPartial()
+		if err := r.checkResumes(answer); r.started && err != nil {
+			return err
+		}
+		r.events.begin(r.started)
 		s := &stream{run: r, ctx: request, cancel: cancel, end: end, answer: answer, target: target, watch: watch, buffer: make([]byte, readBufferBytes)}
 		s.changed.L = &s.mu
 		watch.stream.Store(s)
@@ -156,6 +162,7 @@
 		return nil
 	}
 	r.started = true
+	r.contentType = answer.Header.Get(headerContentType)
 	if err := r.sink.Begin(answer.Status, answer.Header); err != nil {
 		return &CallerGoneError{Err: err}
 	}
--- a/internal/exchange/event_buffer.go
+++ b/internal/exchange/event_buffer.go
@@ -16,8 +16,9 @@
 // eventBuffer splits the bytes of a stream into complete events. The partial event
 // that a broken stream leaves behind is never forwarded.
 type eventBuffer struct {
-	buffer []byte
-	lastID string // ID of the last complete event
+	buffer   []byte
+	lastID   string // ID of the last complete event
+	resuming bool   // the next event is the first one of a stream that goes on with another answer
 }
 
 // add appends received bytes and returns the events that are now complete, nil if
@@ -36,6 +37,9 @@
 	}
 	end += from
 	complete := e.buffer[:end+len(eventEnd)]
+	if err := e.checkResumed(complete); err != nil {
+		return nil, err
+	}
 	previous := e.lastID
 	if err := e.checkIDs(complete); err != nil {
 		e.lastID = previous // none of them is forwarded, so that the stream resumes before the first one
@@ -49,8 +53,22 @@
 // hasPartial reports whether bytes of an incomplete event are buffered.
 func (e *eventBuffer) hasPartial() bool { return len(e.buffer) > 0 }
 
-// discardPartial drops the incomplete event of a broken stream.
-func (e *eventBuffer) discardPartial() { e.buffer = nil }
+// begin drops the incomplete event of a broken stream, as another answer follows. resuming states
+// that the caller has events of the broken one.
+func (e *eventBuffer) begin(resuming bool) { e.buffer, e.resuming = nil, resuming }
+
+// checkResumed verifies that a resumed stream begins with an event that follows the last one.
+func (e *eventBuffer) checkResumed(complete []byte) error {
+	if !e.resuming {
+		return nil
+	}
+	found, ok := beginsWithID(complete)
+	if found && (!ok || e.lastID == "") {
+		return &ResumedEventError{Last: e.lastID}
+	}
+	e.resuming = !found
+	return nil
+}
 
 // checkIDs verifies that the IDs of complete events are consecutive.
 func (e *eventBuffer) checkIDs(complete []byte) error {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -108,6 +108,13 @@
 	}
 }
 
+// typed is the script of a 200 answer of a content type.
+func typed(contentType string, end error, chunks ...string) script {
+	return func(ctx context.Context, _ exchange.Call) (*exchange.Answer, error) {
+		return &exchange.Answer{Status: 200, Header: http.Header{"Content-Type": {contentType}}, Body: &chunkedBody{ctx: ctx, chunks: chunks, end: end}}, nil
+	}
+}
+
 func failsWith(err error) script {
 	return func(context.Context, exchange.Call) (*exchange.Answer, error) { return nil, err }
 }
@@ -375,6 +382,55 @@
 			Expect([]any{out.status, out.body}).To(Equal([]any{200, event(1)}))
 		})
 
+		// Guards against the text of an answer within the stream, and an end as if it were complete.
+		DescribeTable("is cut off, without anything added, if the next endpoint sends no rest of its stream",
+			func(next script) {
+				add("a", 0, answers(200, io.ErrUnexpectedEOF, event(1)+"id: 2\nda"))
+				add("b", 1, next)
+				failure := run()
+				Expect(failure).NotTo(BeNil())
+				Expect(failure.Started).To(BeTrue())
+				Expect([]any{out.status, out.body}).To(Equal([]any{200, event(1)}))
+			},
+			Entry("500", answers(500, io.EOF, "no\n\n")),
+			Entry("502", answers(502, io.EOF, "no\n\n")),
+			Entry("504", answers(504, io.EOF, "no\n\n")),
+			Entry("404", answers(404, io.EOF, event(2))),
+			Entry("302", answers(302, io.EOF, event(2))),
+			Entry("201", answers(201, io.EOF, event(2))),
+			Entry("204", answers(204, io.EOF)),
+			Entry("206", answers(206, io.EOF, event(2))),
+			Entry("503 that did not run", failsWith(&exchange.NotRunError{Status: 503})),
+			Entry("429 that may have run", failsWith(&exchange.BrokenError{Reason: exchange.ErrorStatus, Err: &exchange.StatusError{Status: 429}})),
+			Entry("200 without a signature", failsWith(&exchange.BrokenError{Reason: exchange.Unsigned})),
+			Entry("another event than the next", answers(200, io.EOF, event(3))),
+			Entry("the last event again", answers(200, io.EOF, event(1))),
+			Entry("text", answers(200, io.EOF, "no")),
+			Entry("text with an empty line", answers(200, io.EOF, "no\n\nno\n\n")),
+			Entry("the head of an answer", answers(200, io.EOF, "HTTP/1.1 500 Internal Server Error\nServer: b\n\n"+event(2))),
+			Entry("the head of an answer before the next event", answers(200, io.EOF, "HTTP/1.1 200 OK\r\nServer: b\r\n\r\n"+event(2))),
+			Entry("text before the next event", answers(200, io.EOF, "no\n"+event(2))),
+			Entry("text after a comment", answers(200, io.EOF, ": on\n\nno\n\n")),
+			Entry("an event without an ID", answers(200, io.EOF, "data: no\n\n")),
+			Entry("a page", typed("text/html", io.EOF, event(2))),
+			Entry("an empty page", typed("text/html", io.EOF)),
+		)
+
+		It("is cut off if its events have no IDs, after which another endpoint would begin anew", func() {
+			add("a", 0, answers(200, io.ErrUnexpectedEOF, "data: x\n\n"))
+			add("b", 1, answers(200, io.EOF, event(1)))
+			Expect(run().Started).To(BeTrue())
+			Expect(out.body).To(Equal("data: x\n\n"))
+		})
+
+		It("goes on with comments, and fields before the ID, of the next endpoint", func() {
+			add("a", 0, answers(200, io.ErrUnexpectedEOF, event(1)))
+			rest := []string{": on\n\n", "weight-versions: 3\n" + event(2), "data: without an ID\n\n", event(3)}
+			add("b", 1, answers(200, io.EOF, rest...))
+			Expect(run()).To(BeNil())
+			Expect(out.body).To(Equal(event(1) + strings.Join(rest, "")))
+		})
+
 		It("resumes at another group after the last complete event and keeps the head of the first answer", func() {
 			add("a", 0, answers(200, io.ErrUnexpectedEOF, event(1), event(2)+"id: 3\nda"))
 			add("b", 1, func(ctx context.Context, call exchange.Call) (*exchange.Answer, error) {
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -37,6 +37,7 @@
 	attempts          int
 	possiblyRan       int // attempts in which the request may have run
 	started           bool
+	contentType       string // of the answer that started
 	events            eventBuffer
 	fallback          *fallbackAnswer   // error answer of an endpoint, forwarded if no attempt succeeds
 	summary           placement.Summary // at the last choice of a target, for the log
