Exchange: no attempt begins for a caller that has left meanwhile

Whether the caller waits was asked before the dispatcher and not after it, and a retry of a process that had stood still raced with the server's read of the connection. The context is asked again after the dispatcher, and the connection itself before a retry. Both specs fail on the code before.

--- a/internal/exchange/choose_target.go
+++ b/internal/exchange/choose_target.go
@@ -17,12 +17,15 @@
 		failure.RetryAfter = r.Suspects.RetryAfter(r.subject, now)
 		return nil, failure
 	}
-	if ctx.Err() != nil {
-		return nil, r.contextFailure(ctx)
+	if failure := r.ended(ctx); failure != nil {
+		return nil, failure
 	}
 	view := r.View()
 	targets := view.Targets(r.req.Service.Name, r.req.Model)
 	answered := r.askDispatcher(ctx, targets)
+	if failure := r.ended(ctx); r.dispatch.Asked && failure != nil {
+		return nil, failure
+	}
 	if r.dispatch.Asked && r.attempts == 0 { // the call takes time, in which a data centre may have been evacuated
 		now = time.Now()
 		view = r.View()
@@ -63,6 +66,20 @@
 	}
 }
 
+// ended returns the failure of a request that nobody waits for any more, otherwise nil. After an
+// attempt the connection itself is asked: this process may have stood still, and then goes on before the
+// server has noticed that the caller left.
+func (r *run) ended(ctx context.Context) *Failure {
+	switch {
+	case ctx.Err() != nil:
+		return r.contextFailure(ctx)
+	case r.attempts > 0 && r.CallerLeft != nil && r.CallerLeft(ctx):
+		return &Failure{Reason: CallerGone, Started: r.started}
+	default:
+		return nil
+	}
+}
+
 // place chooses a target and counts the request against its limit.
 func (r *run) place(targets []*placement.Target, evacuated bool, now time.Time) (*placement.Target, placement.Reason) {
 	forwarded := r.Forwards(r.req.Allowed)
--- a/internal/exchange/dependencies.go
+++ b/internal/exchange/dependencies.go
@@ -29,7 +29,10 @@
 	// keys of the targets that this daemon may not use now, and whether there are any others; nil:
 	// this daemon chooses by itself.
 	Dispatch func(ctx context.Context, req *Request, excluded func() (keys []string, others bool)) dispatch.Outcome
-	Held     *heldbytes.Account // counts and limits what is held for exchanges; nil: not limited
+	// CallerLeft reports whether the caller whose context it is has closed its connection, also if the
+	// context has not ended yet; nil: not known.
+	CallerLeft func(ctx context.Context) bool
+	Held       *heldbytes.Account // counts and limits what is held for exchanges; nil: not limited
 	// SlowReaderTimeout is how long a caller may take nothing while the daemon holds as much of its
 	// stream as it may; 0: 10 s.
 	SlowReaderTimeout time.Duration
--- a/internal/exchange/dispatched_test.go
+++ b/internal/exchange/dispatched_test.go
@@ -25,6 +25,7 @@
 	var local dispatch.LocalReason
 	var asked int
 	var meanwhile func() // what happens while the dispatcher is asked
+	var caller context.Context
 	var excluded []string
 	var lastEvent string
 	var demand overload.Demand
@@ -54,7 +55,7 @@
 			Name: "s", RanksRoutes: true, Models: []catalog.Model{{Name: "m", GroupSize: 1}},
 			Performance: &catalog.PerformanceModel{Slots: 40, StepsPerPass: 5, StepDuration: 10 * time.Millisecond, PrefillTokensPerSecond: 50000, MeanPromptTokens: 700, MeanOutputTokens: 150},
 		}
-		return x.Run(context.Background(), &exchange.Request{
+		return x.Run(caller, &exchange.Request{
 			ID: "r", Route: &catalog.Route{Name: "r", Kind: catalog.Streaming, MaxAttempts: 2}, Service: service, Model: "m", LastEvent: lastEvent, Arrived: now, Deadline: now.Add(2 * time.Second),
 		}, &sink{})
 	}
@@ -64,7 +65,7 @@
 		return text.String()
 	}
 	BeforeEach(func() {
-		meanwhile = func() {}
+		meanwhile, caller = func() {}, context.Background()
 		answer, local, asked, excluded, lastEvent, demand = dispatch.Answer{}, "", 0, nil, "", overload.Demand{}
 		targets, sent = nil, &transport{scripts: map[string][]script{}}
 		for i, key := range []string{"idle", "busy"} {
@@ -75,6 +76,16 @@
 		}
 	})
 
+	// Guards against requests that are sent for callers that left while the dispatcher was asked.
+	It("is not sent if its caller leaves while the dispatcher is asked", func() {
+		var leave context.CancelFunc
+		caller, leave = context.WithCancel(context.Background())
+		meanwhile = leave
+		answer = dispatch.Answer{Target: "busy"}
+		Expect(run().Reason).To(Equal(exchange.CallerGone))
+		Expect(sent.calls).To(BeEmpty())
+	})
+
 	It("goes to the target of the answer, although what this daemon knows says that it is full", func() {
 		answer.Target = "busy"
 		Expect(run()).To(BeNil())
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -133,6 +133,7 @@
 	var out *sink
 	var body []byte
 	var failedRequests *exchange.FailedRequests
+	var callerLeft func(context.Context) bool
 	route := catalog.Route{}
 	prompt := 0
 	add := func(key string, load int, scripts ...script) *placement.Target {
@@ -154,7 +155,7 @@
 		view.Evacuated = evacuated
 		x := exchange.New(exchange.Dependencies{
 			View: func() *placement.View { return view }, Transport: t, Daemons: func() int { return 1 }, GossipDelay: func() time.Duration { return 0 }, Suspects: suspects, OwnsTrial: func(suspect.Trait) bool { return ownsTrial }, FailedRequests: failedRequests,
-			Metrics: exchange.NewMetrics(metrics.NewSet()), Logger: slog.New(slog.DiscardHandler), Retries: retries, BodyLimit: 100,
+			Metrics: exchange.NewMetrics(metrics.NewSet()), Logger: slog.New(slog.DiscardHandler), Retries: retries, BodyLimit: 100, CallerLeft: callerLeft,
 			ReportSuspect: func(target *placement.Target, _ string, tentative bool) {
 				if !tentative {
 					suspected = append(suspected, target.Key)
@@ -171,7 +172,7 @@
 		t = &transport{scripts: map[string][]script{}}
 		targets, evacuated, suspected, prompt = nil, nil, nil, 0
 		suspects = suspect.NewTable(suspect.Policy{})
-		ownsTrial, parts, body = true, nil, nil
+		ownsTrial, parts, body, callerLeft = true, nil, nil, nil
 		failedRequests = exchange.NewFailedRequests()
 		retries = exchange.RetryBounds{Share: 0.2, Slack: 100, Window: 10 * time.Second}
 		out = &sink{}
@@ -195,6 +196,15 @@
 		Expect(suspects.Reports(time.Now())).To(BeEmpty())
 	})
 
+	// Guards against retries for callers that left while the process stood still.
+	It("is not sent again once its caller has left, though its context has not ended", func() {
+		callerLeft = func(context.Context) bool { return true }
+		add("full", 0, failsWith(&exchange.NotRunError{Status: 503}))
+		add("free", 1, answers(200, io.EOF, "x"))
+		Expect(run().Reason).To(Equal(exchange.CallerGone))
+		Expect(t.calls).To(Equal([]string{"full"}))
+	})
+
 	// Guards against waiting, and against a refusal that names another reason or may have run.
 	It("is refused at once as not run if all targets are in evacuated data centres", func() {
 		evacuated = &placement.View{Plain: map[string][]*placement.Target{"s": {{Key: "left out"}}}}
--- a/internal/gateway/build.go
+++ b/internal/gateway/build.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/plantainmux/plantainmux/internal/callerconn"
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/formation"
 	"github.com/plantainmux/plantainmux/internal/gossip"
@@ -58,6 +59,7 @@
 func (g *Gateway) buildRequestPath() {
 	g.held = g.newHeldBytes()
 	g.exchanger = exchange.New(exchange.Dependencies{
+		CallerLeft:     callerconn.Left,
 		Held:           g.held,
 		View:           g.view.Load,
 		Transport:      g.adapters.Transport(g.endpoints),
