--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -270,10 +270,10 @@
 }
 
 func (e *engine) handleRequest(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	if e.misdirected(w, r) {
 		return
 	}
-	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	if e.domain != "" {
 		e.mu.Lock()
 		open := e.group != nil && e.group.State == "open"
