--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -30,8 +30,8 @@
 	waiting     [2]*list.List // of *tracked, by state (unused and idle), the longest waiting first
 	open        int
 	inProgress  int // connections with a request in progress that is not refused
-	failedAt    time.Time
-	displacedAt time.Time
+	failedAt    time.Time // as last logged
+	displacedAt time.Time // as last logged
 
 	displaced atomic.Int64 // closed for a new one
 	refusals  atomic.Int64
@@ -114,7 +114,7 @@
 	l.mu.Unlock()
 	if victim != nil {
 		l.displaced.Add(1)
-		l.reportDisplacement(now)
+		l.report(&l.displacedAt, "caller connections at their limit")
 		_ = victim.Conn.Close()
 	}
 	if !accepted {
@@ -178,32 +178,23 @@
 	return float64(*value)
 }
 
-// reportFailure logs that a connection could not be accepted.
+// reportFailure counts and logs that a connection could not be accepted.
 func (l *Listener) reportFailure(err error) {
 	l.failures.Add(1)
-	now := time.Now()
-	l.mu.Lock()
-	report := now.Sub(l.failedAt) >= logPeriod
-	if report {
-		l.failedAt = now
-	}
-	open, inProgress := l.open, l.inProgress
-	l.mu.Unlock()
-	if report {
-		l.logger.Warn("connection not accepted", "open", open, "in_progress", inProgress, "limit", l.limit, "error", err)
-	}
+	l.report(&l.failedAt, "connection not accepted", "error", err)
 }
 
-// reportDisplacement logs that a connection was closed for a new one.
-func (l *Listener) reportDisplacement(now time.Time) {
+// report logs the counts of connections, unless it did so a moment ago, at the time in last.
+func (l *Listener) report(last *time.Time, message string, fields ...any) {
+	now := time.Now()
 	l.mu.Lock()
-	report := now.Sub(l.displacedAt) >= logPeriod
-	if report {
-		l.displacedAt = now
+	due := now.Sub(*last) >= logPeriod
+	if due {
+		*last = now
 	}
 	open, inProgress, neverUsed := l.open, l.inProgress, l.waiting[unused].Len()
 	l.mu.Unlock()
-	if report {
-		l.logger.Warn("caller connections at their limit", "open", open, "in_progress", inProgress, "unused", neverUsed, "limit", l.limit)
+	if due {
+		l.logger.Warn(message, append([]any{"open", open, "in_progress", inProgress, "unused", neverUsed, "limit", l.limit}, fields...)...)
 	}
 }
