--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -29,7 +29,7 @@
 	mu          sync.Mutex
 	waiting     [2]*list.List // of *tracked, by state (unused and idle), the longest waiting first
 	open        int
-	inProgress  int // connections with a request in progress that is not refused
+	inProgress  int       // connections with a request in progress that is not refused
 	failedAt    time.Time // as last logged
 	displacedAt time.Time // as last logged
 
