A spec of outages waits until both daemons have the first group

The second daemon had no complete group yet when the spec asked for none, so that it took the first group for the one after the repair. The spec waits for it, and demands that the two groups differ.

--- a/test/group_outage_test.go
+++ b/test/group_outage_test.go
@@ -134,10 +134,12 @@
 		b := bed.StartDaemon(north, frequentSnapshots)
 		bed.Publish(0, testbed.SampleConfig(1, north))
 		first := eventuallyComplete(a, 1)[0]
+		Expect(eventuallyComplete(b, 1)[0].Fencing).To(Equal(first.Fencing)) // else b may count no group complete only because it has none yet
 		a.Latch.Cut(testbed.SideLog)
 		bed.Engines[first.Members[1]].Kill()
 		Eventually(func() int { return completeGroups(b) }, repairTimeout, pollInterval).Should(Equal(0))
 		second := eventuallyComplete(b, 1)[0]
+		Expect(second.Fencing).NotTo(Equal(first.Fencing))
 		Eventually(func() []logstream.Kind { return afterLastReady(recordKinds(bed)) }, repairTimeout, pollInterval).Should(ContainElement(logstream.KindSnapshot))
 		all := recordKinds(bed)
 		expired := len(all) - len(afterLastReady(all))
