--- a/internal/exchange/exchanger.go
+++ b/internal/exchange/exchanger.go
@@ -41,7 +41,7 @@
 	req.Late = x.FailedRequests.Contains(req.Fingerprint, req.Arrived)
 	x.countDemand(req)
 	r := &run{Exchanger: x, req: req, subject: suspect.Subject{Fingerprint: req.Fingerprint, Parts: req.PromptParts}, sink: sink, excluded: map[string]bool{}}
-	r.events.lastID = req.LastEvent
+	r.events.lastID, r.race.from.lastID = req.LastEvent, req.LastEvent
 	failure := r.runToCompletion(ctx)
 	if failure != nil && failure.Reason != CallerGone && failure.Reason != SlowReader && failure.Reason != CrashSuspect {
 		x.FailedRequests.Record(req.Fingerprint, time.Now())
@@ -81,7 +81,7 @@
 		"request", r.req.ID, "route", r.req.Route.Name, "kind", r.req.Route.Kind.String(),
 		"outcome", outcome, "reason", reason, "allowed_regions", r.req.Allowed.String(), "attempts", r.attempts, "took_ms", took.Milliseconds(),
 		"first_ms", r.timeToFirst().Milliseconds(), "longest_gap_ms", r.longestGap.Milliseconds(), "late", late, "late_retry", r.req.Late,
-		"targets", r.summary.Targets, "targets_down", r.summary.Down, "targets_suspected", r.summary.Suspected, "least_load", r.summary.LeastLoad, "load", r.loadBefore, "slots", r.summary.Slots, "least_prefill_tokens", r.summary.Prefill,
+		"targets", r.summary.Targets, "targets_down", r.summary.Down, "targets_suspected", r.summary.Suspected, "least_load", r.summary.LeastLoad, "load", r.load(), "slots", r.summary.Slots, "least_prefill_tokens", r.summary.Prefill,
 		"left_ms", time.Until(r.req.Deadline).Milliseconds(),
 	}
 	fields = append(fields, r.dispatchFields()...)
--- a/internal/exchange/failed_attempt_log.go
+++ b/internal/exchange/failed_attempt_log.go
@@ -7,14 +7,14 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/outbound"
-	"github.com/plantainmux/plantainmux/internal/placement"
 )
 
-func (r *run) logFailedAttempt(target *placement.Target, err error) {
+func (r *run) logFailedAttempt(a *attempt, err error) {
+	target := a.target
 	r.Logger.Info("attempt failed", "request", r.req.ID, "route", r.req.Route.Name, "attempt", r.attempts, "endpoint", target.ID,
 		"group", target.Group, "epoch", target.Epoch, "load", target.Meter.Load(), "reason", retryReason(err), "error", err,
 		"begun", r.started, "after", r.events.lastID, "elapsed_ms", time.Since(r.req.Arrived).Milliseconds(),
-		"attempt_ms", time.Since(r.sentAt).Milliseconds(), "attempt_events", r.attemptEvents, "writing_ms", r.writingFor(time.Now()).Milliseconds(),
+		"attempt_ms", time.Since(a.sentAt).Milliseconds(), "attempt_events", r.attemptEvents, "writing_ms", r.writingFor(time.Now()).Milliseconds(),
 		"prompt_parts", hexParts(r.req.PromptParts))
 }
 
--- a/internal/exchange/metrics.go
+++ b/internal/exchange/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/dispatch"
+	"github.com/plantainmux/plantainmux/internal/hedge"
 )
 
 const successesPerLog = 64 // one of this many ordinary successes is logged
@@ -73,3 +74,18 @@
 		m.set.GetOrCreateCounter(fmt.Sprintf(`plantainmux_dispatch_local_total{reason=%q}`, outcome.Local)).Inc()
 	}
 }
+
+// hedged counts an attempt that was sent beside another one.
+func (m *Metrics) hedged(reason hedge.Action) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`plantainmux_exchange_hedges_total{reason=%q}`, reason)).Inc()
+}
+
+// hedgeDenied counts a check at which no attempt was sent beside a silent or slow one.
+func (m *Metrics) hedgeDenied(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`plantainmux_exchange_hedges_denied_total{reason=%q}`, reason)).Inc()
+}
+
+// hedgeEnded counts how an attempt beside another one ended as such.
+func (m *Metrics) hedgeEnded(outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`plantainmux_exchange_hedges_ended_total{outcome=%q}`, outcome)).Inc()
+}
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -33,3 +33,14 @@
 	Allowed *locality.Allowed
 	Late    bool // an earlier run ended without an answer, so the latency target is already missed
 }
+
+// overdue reports whether an answer without an event will be late: the request was refused before, or its
+// latency target has passed.
+func (r *Request) overdue(now time.Time) bool {
+	target := r.Route.LatencyTarget
+	return r.refusedBefore() || target > 0 && now.Sub(r.Arrived) > target
+}
+
+// refusedBefore reports whether the request was refused before. Requests without a body have one
+// fingerprint in common, so that it does not tell that this one was.
+func (r *Request) refusedBefore() bool { return r.Late && len(r.Body) > 0 }
--- a/internal/exchange/resumes.go
+++ b/internal/exchange/resumes.go
@@ -7,10 +7,10 @@
 )
 
 // checkResumes returns an error if a success cannot be the rest of a stream of which the caller has
-// a part.
-func (r *run) checkResumes(answer *Answer) error {
+// a part, of a content type.
+func checkResumes(answer *Answer, begunType string) error {
 	contentType := answer.Header.Get(headerContentType)
-	if answer.Status == http.StatusOK && (contentType == "" || mediaType(contentType) == mediaType(r.contentType)) {
+	if answer.Status == http.StatusOK && (contentType == "" || mediaType(contentType) == mediaType(begunType)) {
 		return nil
 	}
 	return &BrokenError{Reason: Disorder, Err: &NotResumedError{Status: answer.Status, ContentType: contentType}}
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/dispatch"
+	"github.com/plantainmux/plantainmux/internal/hedge"
 	"github.com/plantainmux/plantainmux/internal/heldbytes"
 	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/overload"
@@ -16,7 +18,6 @@
 )
 
 const (
-	minRemaining   = 30 * time.Millisecond  // with less time left, no attempt can succeed
 	extraSends     = 2                      // attempts beyond the route's maximum, for those that did not run
 	suspectPeriod  = time.Second            // during which a silent group is avoided
 	retryAfterBase = 300 * time.Millisecond // by then some of the requests in progress have ended
@@ -30,30 +31,28 @@
 // run is the state of one request until its answer is complete.
 type run struct {
 	*Exchanger
-	req               *Request
-	subject           suspect.Subject
-	sink              Sink
-	excluded          map[string]bool // keys of targets that failed this request
-	attempts          int
-	possiblyRan       int // attempts in which the request may have run
-	started           bool
-	contentType       string // of the answer that started
-	events            eventBuffer
-	fallback          *fallbackAnswer   // error answer of an endpoint, forwarded if no attempt succeeds
-	summary           placement.Summary // at the last choice of a target, for the log
-	unprefilledTokens int               // prompt tokens that the current attempt's target has not prefilled yet
-	loadBefore        int               // load of the target when the last attempt began
-	sentAt            time.Time         // when the last attempt began
-	answeredAt        time.Time         // when the last attempt ended at its endpoint
-	heldBack          bool              // the last attempt's answer was not read for a time, since the caller was slow
-	attemptEvents     int               // reads of the last attempt that completed events
-	attemptFirstAt    time.Time         // when the last attempt brought its first event; zero: none yet
-	trial             atomic.Bool       // the request runs although it is refused
-	pastBeginning     bool              // the last attempt has been writing for a while
-	firstAt           time.Time         // when the first event or the complete answer arrived
-	longestGap        time.Duration
-	decision          overload.Decision // on the first attempt, under overload
-	dispatch          dispatch.Outcome  // of asking the dispatcher, on the first attempt
+	req            *Request
+	subject        suspect.Subject
+	sink           Sink
+	excluded       map[string]bool // keys of targets that failed this request
+	attempts       int
+	possiblyRan    int // attempts in which the request may have run
+	started        bool
+	contentType    string // of the answer that started
+	events         eventBuffer
+	fallback       *fallbackAnswer   // error answer of an endpoint, forwarded if no attempt succeeds
+	summary        placement.Summary // at the last choice of a target, for the log
+	race           race
+	current        *attempt    // the last one whose answer was forwarded; nil: none
+	heldBack       bool        // the last attempt's answer was not read for a time, since the caller was slow
+	attemptEvents  int         // reads of the last attempt that completed events
+	attemptFirstAt time.Time   // when the last attempt brought its first event; zero: none yet
+	trial          atomic.Bool // the request runs although it is refused
+	pastBeginning  bool        // the last attempt has been writing for a while
+	firstAt        time.Time   // when the first event or the complete answer arrived
+	longestGap     time.Duration
+	decision       overload.Decision // on the first attempt, under overload
+	dispatch       dispatch.Outcome  // of asking the dispatcher, on the first attempt
 }
 
 func (r *run) runToCompletion(ctx context.Context) *Failure {
@@ -61,101 +60,142 @@
 		r.Logger.Info("request exceeds the memory of a group", "request", r.req.ID, "prompt_tokens", r.req.PromptTokens, "output_tokens", r.req.OutputTokens, "memory_tokens", r.req.Service.Performance.MemoryTokens)
 		return r.fail(ExceedsMemory, nil)
 	}
+	defer r.race.stop()
+	var next *attempt // in progress already
 	for {
-		target, failure := r.pickTarget(ctx)
-		if failure != nil {
-			return r.sendFallback(failure)
+		if next == nil {
+			target, failure := r.pickTarget(ctx)
+			if failure != nil {
+				return r.sendFallback(failure)
+			}
+			r.attempts++
+			next = r.begin(ctx, target, r.events.lastID)
+			r.race.lead(next)
 		}
-		err := r.attempt(ctx, target)
+		a := next
+		err := r.execute(ctx, a)
 		if err == nil {
-			target.Meter.ObserveSuccess(r.answeredAt)
-			target.Meter.ObserveLatency(r.answeredAt.Sub(r.sentAt))
-			r.Suspects.Clear(r.subject, r.answeredAt)
+			a.target.Meter.ObserveSuccess(a.endedAt)
+			a.target.Meter.ObserveLatency(a.endedAt.Sub(a.sentAt))
+			r.Suspects.Clear(r.subject, a.endedAt)
 			return nil
 		}
-		if failure := r.handleFailure(ctx, target, err); failure != nil {
+		var failure *Failure
+		if next, failure = r.handleFailure(ctx, a, err); failure != nil {
 			return r.sendFallback(failure)
 		}
 	}
 }
 
-// handleFailure returns nil if another attempt may be made, otherwise the failure
-// of the request.
-func (r *run) handleFailure(ctx context.Context, target *placement.Target, err error) *Failure {
+// handleFailure returns the failure of the request, unless another attempt may be made. It returns that
+// attempt if it is in progress already.
+func (r *run) handleFailure(ctx context.Context, a *attempt, err error) (*attempt, *Failure) {
 	if !pathFailed(err) {
-		r.excluded[target.Key] = true
+		r.excluded[a.target.Key] = true
 	}
 	var gone *CallerGoneError
 	var tooSlow *SlowReaderError
 	if errors.As(err, &tooSlow) {
-		r.Logger.Info("caller reads too slowly", "request", r.req.ID, "endpoint", target.ID, "timeout_ms", tooSlow.After.Milliseconds(), "events_limit_bytes", maxWaitingEventBytes, "held_bytes_events", r.Held.Held(heldbytes.Events))
-		return &Failure{Reason: SlowReader, Started: r.started, Cause: err}
+		r.Logger.Info("caller reads too slowly", "request", r.req.ID, "endpoint", a.target.ID, "timeout_ms", tooSlow.After.Milliseconds(), "events_limit_bytes", maxWaitingEventBytes, "held_bytes_events", r.Held.Held(heldbytes.Events))
+		return nil, &Failure{Reason: SlowReader, Started: r.started, Cause: err}
 	}
 	if errors.As(err, &gone) {
-		return &Failure{Reason: CallerGone, Started: r.started, Cause: err}
+		return nil, &Failure{Reason: CallerGone, Started: r.started, Cause: err}
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return r.contextFailure(ctx) // the caller cancelled, which is no evidence against the target
+		return nil, r.contextFailure(ctx) // the caller cancelled, which is no evidence against the target
 	}
-	r.recordFailure(target, err)
+	var broken *BrokenError
+	if errors.As(err, &broken) {
+		r.possiblyRan++
+	}
+	// A slow caller may have taken what was read before the failure only now.
+	r.recordFailure(evidence{target: a.target, err: err, at: a.endedAt, firstAt: r.attemptFirstAt, heldBack: r.heldBack})
 	if ctx.Err() != nil {
-		return r.contextFailure(ctx)
+		return nil, r.contextFailure(ctx)
+	}
+	r.logFailedAttempt(a, err)
+	if broken != nil && broken.Reason == Withdrawn {
+		return nil, r.fail(CrashSuspect, err)
+	}
+	if next := r.succeed(); next != nil {
+		r.Metrics.retried(retryReason(err))
+		return next, nil
 	}
-	r.logFailedAttempt(target, err)
 	if failure := r.retryDenial(err); failure != nil {
-		return failure
+		return nil, failure
 	}
 	r.Metrics.retried(retryReason(err))
-	return nil
+	return nil, nil
+}
+
+// succeed returns the attempt beside the failed one that goes on, nil if there is none, and counts those
+// that have ended.
+func (r *run) succeed() *attempt {
+	next, failed, sent, ran := r.race.succeed()
+	maps.Copy(r.excluded, failed)
+	r.attempts += sent
+	r.possiblyRan += ran
+	if next != nil {
+		r.attempts++
+	}
+	return next
 }
 
 // recordFailure updates the health of the target after a failed attempt.
-func (r *run) recordFailure(target *placement.Target, err error) {
-	now := r.answeredAt // a slow caller may have taken what was read before the failure only now
+func (r *run) recordFailure(e evidence) {
 	var notRun *NotRunError
 	var notSent *NotSentError
 	var broken *BrokenError
 	switch {
-	case errors.As(err, &notSent) && notSent.Blame != outbound.BlameEndpoint:
+	case errors.As(e.err, &notSent) && notSent.Blame != outbound.BlameEndpoint:
 		// Shows nothing about the target.
-	case errors.As(err, &notRun):
+	case errors.As(e.err, &notRun):
 		if notRun.AddressReassigned || notRun.MissingMember != "" {
-			target.Meter.ObserveFailure(now)
-			r.ReportSuspect(target, notRun.MissingMember, false)
+			e.target.Meter.ObserveFailure(e.at)
+			r.ReportSuspect(e.target, notRun.MissingMember, false)
 		}
-	case errors.As(err, &broken):
-		r.possiblyRan++
-		r.recordBroken(target, broken, now)
+	case errors.As(e.err, &broken):
+		r.recordBroken(e, broken)
 	default:
-		target.Meter.ObserveFailure(now)
+		e.target.Meter.ObserveFailure(e.at)
 		if r.req.Service.Grouped() {
-			r.ReportSuspect(target, target.ID, false)
+			r.ReportSuspect(e.target, e.target.ID, false)
 		}
 	}
 }
 
-func (r *run) recordBroken(target *placement.Target, broken *BrokenError, now time.Time) {
-	if r.Forwards(nil) && (broken.Reason == Silent || broken.Reason == Slow) {
-		return // the way to the target may have failed
-	}
+// recordBroken updates the health of the target of an attempt that may have run. A silent one was
+// reported when another attempt was sent beside it.
+func (r *run) recordBroken(e evidence, broken *BrokenError) {
 	switch broken.Reason {
-	case Silent:
-		target.Meter.Suspect(now, suspectPeriod)
-		r.ReportSuspect(target, "", false)
 	case Cut:
-		if r.heldBack {
+		if e.heldBack {
 			return // endpoints cut off an answer that is not read
 		}
-		if suspect.Beginning(r.attemptFirstAt, now) {
-			r.Suspects.Add(suspect.Crash{Subject: r.subject, Group: target.CrashKey(), At: now}, now)
+		if suspect.Beginning(e.firstAt, e.at) {
+			r.Suspects.Add(suspect.Crash{Subject: r.subject, Group: e.target.CrashKey(), At: e.at}, e.at)
+		}
+		r.recordCut(e.target, e.at)
+	case Slow:
+		if !r.Forwards(nil) { // otherwise the way to the target may have failed
+			e.target.Meter.ObserveFailure(e.at)
 		}
-		r.recordCut(target, now)
-	case Slow, ErrorStatus:
-		target.Meter.ObserveFailure(now)
+	case ErrorStatus:
+		e.target.Meter.ObserveFailure(e.at)
 	default:
 	}
 }
 
+// failedBeside records the failure of an attempt beside the main one.
+func (r *run) failedBeside(a *attempt, err error) {
+	now := time.Now()
+	r.Metrics.hedgeEnded("failed")
+	r.recordFailure(evidence{target: a.target, err: err, at: now})
+	r.Logger.Info("attempt beside another failed", "request", r.req.ID, "route", r.req.Route.Name, "endpoint", a.target.ID, "group", a.target.Group, "epoch", a.target.Epoch,
+		"reason", retryReason(err), "error", err, "after", a.after, "attempt_ms", now.Sub(a.sentAt).Milliseconds())
+}
+
 // recordCut updates the health of the target after its connection broke.
 func (r *run) recordCut(target *placement.Target, now time.Time) {
 	if r.req.Service.Grouped() {
@@ -172,15 +212,13 @@
 	var broken *BrokenError
 	isBroken := errors.As(err, &broken)
 	switch {
-	case isBroken && broken.Reason == Withdrawn:
-		return r.fail(CrashSuspect, err)
 	case isBroken && !r.req.Route.Repeatable():
 		return r.fail(Broken, err)
 	case r.possiblyRan >= max(r.req.Route.MaxAttempts, 1):
 		return r.fail(Broken, err)
 	case r.attempts >= r.req.Route.MaxAttempts+extraSends:
 		return r.fail(Refused, err)
-	case time.Until(r.req.Deadline) < minRemaining:
+	case time.Until(r.req.Deadline) < hedge.MinRemaining:
 		return r.fail(DeadlineExceeded, err)
 	case errors.As(err, &notSent):
 		return nil // did not reach the endpoint, so it does not count as a retry
@@ -227,11 +265,9 @@
 }
 
 // overdue reports whether the answer will be late: the request was refused before, or its latency
-// target has passed without an event. Requests without a body have one fingerprint in common, so that
-// it does not tell that this one was refused.
+// target has passed without an event.
 func (r *run) overdue(now time.Time) bool {
-	target := r.req.Route.LatencyTarget
-	return r.req.Late && len(r.req.Body) > 0 || target > 0 && r.firstAt.IsZero() && now.Sub(r.req.Arrived) > target
+	return r.firstAt.IsZero() && r.req.overdue(now) || r.req.refusedBefore()
 }
 
 // pathFailed reports whether an attempt failed on the way to its target, which another attempt may
@@ -244,3 +280,11 @@
 	}
 	return errors.As(err, &broken) && broken.Reason == PathLost
 }
+
+// load returns the load of the target when the last attempt began.
+func (r *run) load() int {
+	if r.current == nil {
+		return 0
+	}
+	return r.current.loadBefore
+}
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -31,15 +31,15 @@
 // caller blocks. From then on a second one reads what the endpoint sends, so that the endpoint does
 // not cut the answer off, and the first one only writes.
 type stream struct {
-	run    *run
-	ctx    context.Context         // of the request
-	cancel context.CancelCauseFunc // of the attempt
-	end    func()                  // ends the attempt at its endpoint; further calls have no effect
-	answer *Answer
-	target *placement.Target
-	watch  *watchdog
-	buffer []byte
-	last   time.Time // of the last event; by the goroutine that reads
+	run     *run
+	ctx     context.Context // of the request
+	attempt *attempt
+	end     func() // ends the attempt at its endpoint; further calls have no effect
+	answer  *Answer
+	target  *placement.Target
+	watch   *watchdog
+	buffer  []byte
+	last    time.Time // of the last event; by the goroutine that reads
 
 	mu           sync.Mutex
 	changed      sync.Cond
@@ -86,13 +86,13 @@
 	if err != nil && err != io.EOF {
 		err = brokenBody(err)
 	}
-	if n == 0 {
+	if n == 0 && err != io.EOF {
 		return nil, err
 	}
 	now := time.Now()
-	complete, eventErr := s.run.events.add(s.buffer[:n])
-	if eventErr != nil {
-		return nil, brokenStream(eventErr)
+	complete, addErr := s.add(s.buffer[:n], err == io.EOF)
+	if addErr != nil {
+		return nil, addErr
 	}
 	if len(complete) > 0 { // parts of an event are no sign of progress
 		s.run.recordEvent(s.target, now, s.last)
@@ -102,6 +102,26 @@
 	return complete, err
 }
 
+// add returns the events that received bytes complete, unless another attempt has taken over.
+func (s *stream) add(data []byte, last bool) (complete []byte, err error) {
+	events := &s.run.events
+	leads := s.run.race.output(func(from *resumePoint) bool {
+		complete, err = events.add(data)
+		if len(complete) > 0 && !from.begun {
+			from.begun, from.contentType = true, s.answer.Header.Get(headerContentType)
+		}
+		from.lastID = events.lastID
+		return len(complete) > 0 || last && err == nil && !events.hasPartial()
+	})
+	if !leads {
+		return nil, brokenBody(context.Cause(s.attempt.ctx))
+	}
+	if err != nil {
+		return nil, brokenStream(err)
+	}
+	return complete, nil
+}
+
 func (s *stream) outcome(readErr error) error {
 	if readErr == io.EOF {
 		return s.run.endStream(s.answer)
--- a/internal/exchange/stream_read_on.go
+++ b/internal/exchange/stream_read_on.go
@@ -122,7 +122,7 @@
 	s.stopped = true
 	s.changed.Broadcast()
 	s.mu.Unlock()
-	s.cancel(nil)
+	s.attempt.cancel(nil)
 	<-s.readOnDone
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/exchange/watchdog.go
+++ b/internal/exchange/watchdog.go
@@ -2,54 +2,61 @@
 
 import (
 	"context"
-	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
+	"github.com/plantainmux/plantainmux/internal/hedge"
 	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 )
 
 const (
-	streamCheckInterval     = 60 * time.Millisecond   // about the interval between two events
+	checkInterval           = 60 * time.Millisecond   // about the interval between two events
 	streamTimeout           = 1500 * time.Millisecond // silence of one stream; callers time out after 2 s
 	tentativeSuspicionShare = 0.6                     // share of a group's silence timeout after which its members' health is checked
-	slowLatencyTargets      = 2                       // multiple of the latency target after which an idempotent request is retried elsewhere
+	slowLatencyTargets      = 2                       // multiple of the latency target after which an idempotent request is sent elsewhere too
 )
 
-// watchdog cancels an attempt whose target appears to have failed, if the request can
-// be retried elsewhere, and one without output whose request is refused meanwhile.
+// watchdog sends another attempt beside the main one if its target appears to have failed, and cancels
+// the main one without output if the request is refused meanwhile.
 type watchdog struct {
 	run       *run
-	target    *placement.Target
-	cancel    context.CancelCauseFunc
+	ctx       context.Context // of the request
+	attempt   *attempt
+	slowAfter time.Duration // time without output after which the attempt is slow; 0: never
 	mu        sync.Mutex
 	timer     *time.Timer // nil: the attempt is not monitored
 	stopped   bool
-	failed    map[string]bool        // keys of this target and of those that failed earlier
+	excluded  []string               // keys of targets that failed earlier
+	sent      int                    // attempts up to this one
+	ran       int                    // attempts up to this one that may have run
+	resumed   bool                   // the caller has a part of an earlier attempt's answer
+	blamed    map[*attempt]bool      // attempts whose targets were reported as silent
 	lastEvent atomic.Int64           // time of the last event or of the attempt's start, in Unix nanoseconds
 	begun     atomic.Bool            // an event has arrived
 	stream    atomic.Pointer[stream] // nil: no event stream has begun
-	movable   bool                   // the request can be retried elsewhere
 }
 
-func (r *run) newWatchdog(target *placement.Target, cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{run: r, target: target, cancel: cancel, failed: map[string]bool{target.Key: true}}
-	maps.Copy(w.failed, r.excluded)
-	w.lastEvent.Store(time.Now().UnixNano())
-	w.movable = r.req.Route.Repeatable() && r.possiblyRan+1 < r.req.Route.MaxAttempts
+func (r *run) newWatchdog(ctx context.Context, a *attempt) *watchdog {
+	w := &watchdog{run: r, ctx: ctx, attempt: a, sent: r.attempts, ran: r.possiblyRan + 1, resumed: r.started, blamed: map[*attempt]bool{}}
+	for key := range r.excluded {
+		w.excluded = append(w.excluded, key)
+	}
+	w.lastEvent.Store(a.sentAt.UnixNano())
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if r.req.Route.Kind == catalog.Streaming {
-		w.timer = time.AfterFunc(streamCheckInterval, w.checkStream)
-		return w
-	}
-	if w.movable && r.req.Route.LatencyTarget > 0 {
-		after := slowLatencyTargets * r.req.Route.LatencyTarget
-		w.timer = time.AfterFunc(after, func() { cancel(&SlowError{After: after}) })
+	route := r.req.Route
+	switch {
+	case route.Kind == catalog.Streaming:
+		w.slowAfter = streamTimeout
+		w.timer = time.AfterFunc(checkInterval, w.check)
+	case route.Repeatable() && route.LatencyTarget > 0:
+		w.slowAfter = slowLatencyTargets * route.LatencyTarget
+		w.timer = time.AfterFunc(w.slowAfter, w.check)
 	}
 	return w
 }
@@ -74,7 +81,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.stopped {
-		w.timer.Reset(streamCheckInterval)
+		w.timer.Reset(checkInterval)
 	}
 }
 
@@ -83,55 +90,136 @@
 	return !r.trial.Load() && r.Suspects.Standing(r.subject, now) == suspect.Refused
 }
 
-// checkStream cancels the attempt if no stream of the group has made progress for too
-// long, which indicates a lost member rather than load, or if the caller would soon
-// time out. An attempt without output whose request is refused now is cancelled as well.
-func (w *watchdog) checkStream() {
+func (w *watchdog) check() {
 	now := time.Now()
-	if !w.begun.Load() && w.run.withdrawn(now) {
-		w.cancel(&WithdrawnError{})
+	newest, failed, sent, ran := w.run.race.newest(w.attempt)
+	for _, key := range w.excluded {
+		failed[key] = true
+	}
+	failed[w.attempt.target.Key] = true
+	state := w.state(newest, sent, ran, now)
+	switch action := hedge.Decide(state); {
+	case action == hedge.Withdraw:
+		w.attempt.cancel(&WithdrawnError{})
 		return
+	case action.Sends():
+		w.hedge(newest, failed, action, state, now)
 	}
-	if s := w.stream.Load(); s != nil && s.check(now) {
+	w.rearm()
+}
+
+// state returns the state of the request by its newest attempt. sent and ran are the attempts beside the
+// main one.
+func (w *watchdog) state(newest *attempt, sent, ran int, now time.Time) hedge.State {
+	req := w.run.req
+	s := hedge.State{
+		Repeatable: req.Route.Repeatable(), Withdrawn: req.Route.Kind == catalog.Streaming && w.run.withdrawn(now), Begun: w.begun.Load(),
+		Ran: w.ran + ran, MaxAttempts: req.Route.MaxAttempts, Sent: w.sent + sent, MaxSent: req.Route.MaxAttempts + extraSends,
+		Remaining: req.Deadline.Sub(now), SlowAfter: w.slowAfter,
+	}
+	if stream := w.stream.Load(); stream != nil && stream.check(now) {
 		w.lastEvent.Store(now.UnixNano()) // silence shows nothing about the target
-		w.rearm()
-		return
+		s.HeldBack = true
+		return s
 	}
-	if !w.movable {
-		w.rearm()
-		return
+	silentSince := time.Unix(0, w.lastEvent.Load())
+	if newest.sentAt.After(silentSince) {
+		silentSince = newest.sentAt
 	}
-	streamSilence := now.Sub(time.Unix(0, w.lastEvent.Load()))
-	groupSilence, silent := w.target.Meter.Silence(now)
-	if float64(groupSilence) > tentativeSuspicionShare*float64(w.target.Meter.SilenceTimeout()) {
-		w.run.ReportSuspect(w.target, "", true)
+	s.Silence = now.Sub(silentSince)
+	if req.Route.Kind != catalog.Streaming {
+		return s
 	}
-	switch {
-	case streamSilence > w.target.Meter.SilenceTimeout()/2 && w.superseded() && w.hasOther(now):
-		w.cancel(&SilentError{For: streamSilence})
-	case silent && streamSilence > w.target.Meter.SilenceTimeout() && w.hasOther(now):
-		w.cancel(&SilentError{For: groupSilence})
-	case streamSilence > streamTimeout && w.hasOther(now):
-		w.cancel(&SlowError{After: streamSilence})
-	default:
-		w.rearm()
+	meter := newest.target.Meter
+	s.SilenceTimeout = meter.SilenceTimeout()
+	targetSilence, silent := meter.Silence(now)
+	s.TargetSilent, s.Superseded = silent, w.superseded(newest.target)
+	if silent {
+		s.Busy, s.BusySilent = w.busy(now)
 	}
+	if hedge.MayRepeat(s) && float64(targetSilence) > tentativeSuspicionShare*float64(s.SilenceTimeout) {
+		w.run.ReportSuspect(newest.target, "", true)
+	}
+	return s
 }
 
-// hasOther reports whether another target can accept the request.
-func (w *watchdog) hasOther(now time.Time) bool {
-	req := w.run.req
-	targets := w.run.View().Targets(req.Service.Name, req.Model)
-	other, _ := placement.Pick(targets, placement.Requirements{
-		Grouped: req.Service.Grouped(), Resumed: true, Excluded: w.failed, PromptTokens: req.PromptTokens, OutputTokens: req.OutputTokens,
-		Allowed: req.Allowed, Regions: w.run.Regions, Now: now,
+// superseded reports whether a target is no longer in the view because its group was granted again under
+// a new epoch.
+func (w *watchdog) superseded(target *placement.Target) bool {
+	targets := w.run.View().Targets(w.run.req.Service.Name, w.run.req.Model)
+	return !slices.ContainsFunc(targets, func(t *placement.Target) bool { return t.Key == target.Key })
+}
+
+// busy returns the number of targets that have requests in progress, and of those that are silent.
+func (w *watchdog) busy(now time.Time) (busy, silent int) {
+	for _, target := range w.run.View().Targets(w.run.req.Service.Name, w.run.req.Model) {
+		if target.Meter.Load() == 0 {
+			continue
+		}
+		busy++
+		if _, s := target.Meter.Silence(now); s || target.Meter.Suspected(now) {
+			silent++
+		}
+	}
+	return busy, silent
+}
+
+// hedge sends another attempt beside those in progress if a target without a known problem has room and
+// the retry budget allows it. The targets of the others are not waited for any more by new requests.
+func (w *watchdog) hedge(newest *attempt, failed map[string]bool, action hedge.Action, state hedge.State, now time.Time) {
+	r, silence := w.run, state.Silence
+	targets := r.View().Targets(r.req.Service.Name, r.req.Model)
+	requirements := w.requirements(failed, now)
+	healthy := slices.DeleteFunc(placement.Usable(targets, requirements), func(target *placement.Target) bool {
+		return !hedge.Promising(state, action, target.Meter.EventSince(now.Add(-silence)))
+	})
+	if len(healthy) == 0 {
+		r.Metrics.hedgeDenied("no_target")
+		return
+	}
+	if action == hedge.Silent && !w.blamed[newest] && !r.Forwards(nil) {
+		w.blamed[newest] = true
+		newest.target.Meter.Suspect(now, suspectPeriod)
+		r.ReportSuspect(newest.target, "", false)
+	}
+	target, _ := placement.Pick(healthy, requirements)
+	if target == nil {
+		r.Metrics.hedgeDenied("no_room")
+		return
+	}
+	if !r.budget(r.req.Service.Name).Take(now, r.Daemons()) {
+		r.Metrics.hedgeDenied("no_budget")
+		return
+	}
+	if !requirements.Forwarded && !target.Limit.Take(now) {
+		r.Metrics.hedgeDenied("held_back")
+		return
+	}
+	a, from := r.race.join(w.attempt, func(from resumePoint) *attempt {
+		a := r.begin(w.ctx, target, from.lastID)
+		a.ahead = make(chan struct{})
+		a.replaces = &SilentError{For: silence}
+		if action == hedge.Slow {
+			a.replaces = &SlowError{After: silence}
+		}
+		return a
 	})
-	return other != nil
+	if a == nil {
+		return
+	}
+	r.Metrics.hedged(action)
+	r.Logger.Info("attempt sent beside another", "request", r.req.ID, "route", r.req.Route.Name, "endpoint", target.ID, "beside", newest.target.ID,
+		"reason", action, "silence_ms", silence.Milliseconds(), "begun", from.begun, "after", from.lastID, "left_ms", r.req.Deadline.Sub(now).Milliseconds())
+	go a.readAhead(from)
 }
 
-// superseded reports whether the target is no longer in the view because its group
-// was granted again under a new epoch.
-func (w *watchdog) superseded() bool {
-	targets := w.run.View().Targets(w.run.req.Service.Name, w.run.req.Model)
-	return !slices.ContainsFunc(targets, func(t *placement.Target) bool { return t.Key == w.target.Key })
+// requirements returns those of an attempt beside the main one.
+func (w *watchdog) requirements(failed map[string]bool, now time.Time) placement.Requirements {
+	r := w.run
+	return placement.Requirements{
+		DataCentre: r.DataCentre, Grouped: r.req.Service.Grouped(), Resumed: w.resumed || w.begun.Load(), Excluded: failed,
+		PromptTokens: r.req.PromptTokens, OutputTokens: r.req.OutputTokens, Priority: r.req.Priority,
+		Overdue: !w.begun.Load() && r.req.overdue(now), Daemons: r.Daemons(), GossipDelay: r.GossipDelay(), Random: rand.Float64(),
+		Forwarded: r.Forwards(r.req.Allowed), Allowed: r.req.Allowed, Regions: r.Regions, Now: now,
+	}
 }
