--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -26,8 +26,10 @@
 }
 
 // probeGroup probes the members of a group and records those as dead that do not
-// answer although others do.
+// answer although others do. If the group sends an event meanwhile, all of them are
+// running, however late one answers: no pass is made without it.
 func (r *Reconciler) probeGroup(ctx context.Context, record *ledger.Record, fault string) {
+	began := time.Now()
 	alive := make([]bool, len(record.Members))
 	slowdown := make([]float64, len(record.Members))
 	var wait sync.WaitGroup
@@ -48,8 +50,14 @@
 	if answered == 0 {
 		return // the whole domain is unreachable, or this daemon's own network link is down
 	}
+	serves := len(silent) > 0 && r.ServedSince != nil && r.ServedSince(record.Group, record.Epoch, began)
+	if serves {
+		r.Logger.Info("group sends events, so that its silent members count as running", "group", record.Group, "epoch", record.Epoch, "silent", silent)
+	}
 	for i, member := range record.Members {
-		r.observations.setProbed(member, alive[i], slowdown[i])
+		if alive[i] || !serves {
+			r.observations.setProbed(member, alive[i], slowdown[i])
+		}
 	}
 	r.Wake()
 }
--- a/internal/formation/reconciler.go
+++ b/internal/formation/reconciler.go
@@ -50,8 +50,11 @@
 	PresentDemand func(service, model string) demand.Total     // over the last 2 s; nil: not known
 	Evacuations   func() []evacuation.InForce                  // nil: there are none
 	InProgress    func(group string, epoch uint64) int         // requests in progress at a group, as far as they are known
-	Shifted       func(shift Shift)                            // is called for each change of groups to another model; nil: not
-	CanWrite      func() bool                                  // reports whether the store was reachable recently
+	// ServedSince reports whether a group has sent an event to any daemon later than a time, as far as
+	// this daemon knows; nil: not known.
+	ServedSince func(group string, epoch uint64, since time.Time) bool
+	Shifted     func(shift Shift) // is called for each change of groups to another model; nil: not
+	CanWrite    func() bool       // reports whether the store was reachable recently
 	// ExpectChange announces that the registry entries are expected to change after a duration.
 	ExpectChange func(after time.Duration)
 	Logger       *slog.Logger
--- a/internal/gateway/build.go
+++ b/internal/gateway/build.go
@@ -50,6 +50,7 @@
 		PresentDemand: g.presentDemand,
 		Evacuations:   g.evacuations.InForce,
 		InProgress:    g.requestsInProgress,
+		ServedSince:   g.servedSince,
 		Shifted:       g.countShift,
 		ExpectChange:  g.expectEntries,
 		Logger:        g.logger,
--- a/internal/hedge/decide.go
+++ b/internal/hedge/decide.go
@@ -31,4 +31,3 @@
 func MayRepeat(s State) bool {
 	return s.Repeatable && s.Ran < s.MaxAttempts && s.Sent < s.MaxSent && s.Remaining >= MinRemaining
 }
-
