--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -15,14 +15,17 @@
 	// firstRequestPatience is how long a new connection is kept for its first request while others
 	// wait to be accepted; callers of the platform give up a request that is not read within 1 s.
 	firstRequestPatience = time.Second
-	refusalShare         = 8               // one connection beyond so many of the limit is accepted, to be refused
-	logPeriod            = 2 * time.Second // between two lines of one kind
+	// failingPatience is how long connections may wait that could not be accepted before the daemon counts
+	// as taking none. Callers give up a request that is not read within 1 s.
+	failingPatience = 200 * time.Millisecond
+	refusalShare    = 8               // one connection beyond so many of the limit is accepted, to be refused
+	logPeriod       = 2 * time.Second // between two lines of one kind
 )
 
 // Listener accepts connections up to a limit. When the limit is reached, a new one takes the place of
 // one without a request in progress; when all have one, the requests on new ones are to be refused.
 type Listener struct {
-	net.Listener
+	*accept.Listener
 	limit  int
 	logger *slog.Logger
 
@@ -36,6 +39,7 @@
 	displaced atomic.Int64 // closed for a new one
 	refusals  atomic.Int64
 	failures  atomic.Int64 // not accepted
+	expired   atomic.Int64 // closed after a timeout
 }
 
 // Wrap returns a listener that accepts connections from another one, up to a limit.
@@ -52,6 +56,7 @@
 	gauge("plantainmux_caller_connections_limit", func() float64 { return float64(l.limit) })
 	gauge("plantainmux_caller_connections_displaced_total", func() float64 { return float64(l.displaced.Load()) })
 	gauge("plantainmux_caller_connections_refused_total", func() float64 { return float64(l.refusals.Load()) })
+	gauge("plantainmux_caller_connections_expired_total", func() float64 { return float64(l.expired.Load()) })
 	gauge("plantainmux_caller_connections_not_accepted_total", func() float64 { return float64(l.failures.Load()) })
 }
 
@@ -78,6 +83,9 @@
 	return l.inProgress >= l.limit
 }
 
+// TakesNone reports whether connections wait that cannot be accepted, for want of descriptors for example.
+func (l *Listener) TakesNone(now time.Time) bool { return l.FailingFor(now) >= failingPatience }
+
 // begin records that a request on a connection is in progress, until the connection is idle or
 // closed, and returns the state of the connection: refused if the request is to be refused, as too
 // many others are in progress, and closed if the connection is being closed for a new one.
@@ -161,6 +169,7 @@
 		l.inProgress--
 	}
 	c.state, c.since = to, now
+	c.reading.Store(0)
 	switch to {
 	case unused, idle:
 		c.waiting = l.waiting[to].PushBack(c)
--- /dev/null
+++ b/internal/callerconn/starved_test.go
@@ -0,0 +1,54 @@
+package callerconn_test
+
+import (
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/callerconn"
+)
+
+// starvedListener accepts nothing while it is starved, as a process without free descriptors.
+type starvedListener struct {
+	net.Listener
+	starved atomic.Bool
+}
+
+// Accept implements net.Listener.
+func (l *starvedListener) Accept() (net.Conn, error) {
+	if l.starved.Load() {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+var _ = Describe("A listener that cannot accept connections", func() {
+	// Guards against a daemon that counts as ready and takes no new connection.
+	It("tells so until it accepts one again, but not after a single failure", func() {
+		raw, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		starved := &starvedListener{Listener: raw}
+		starved.starved.Store(true)
+		listener := callerconn.Wrap(starved, limit, slog.New(slog.DiscardHandler))
+		takesNone := func() bool { return listener.TakesNone(time.Now()) }
+		server := &http.Server{Handler: http.NotFoundHandler()}
+		DeferCleanup(server.Close)
+		Expect(takesNone()).To(BeFalse())
+		began := time.Now()
+		go func() { _ = server.Serve(listener) }()
+		Eventually(takesNone, "500ms", "5ms").Should(BeTrue())
+		Expect(time.Since(began)).To(BeNumerically(">=", 200*time.Millisecond))
+		starved.starved.Store(false)
+		conn, err := net.Dial("tcp", raw.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		Eventually(takesNone, "500ms", "5ms").Should(BeFalse())
+	})
+})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -240,7 +240,7 @@
 	return adminapi.Status{
 		Daemon:         d.id,
 		DataCentre:     d.settings.DataCentre,
-		Ready:          d.readiness.check(current, time.Now()) && !d.callerListener.Full(),
+		Ready:          d.readiness.check(current, time.Now()) && !d.callerListener.Full() && !d.callerListener.TakesNone(time.Now()),
 		Draining:       d.draining.Load(),
 		Peers:          d.mesh.Live(),
 		Links:          d.mesh.Links(),
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -31,6 +31,7 @@
 		g.cold.review(now)
 		if round%sweepRounds == 0 {
 			g.adapters.Sweep(now)
+			g.expireConnections(now)
 			g.paths.Sweep()
 			g.pruneMeters()
 			g.updateDemandGauges()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	headerTimeout         = 10 * time.Second        // to receive the header of a request
-	idleTimeout           = 60 * time.Second        // between requests on a connection
+	headerTimeout         = 10 * time.Second        // to receive the header of a request, unless the configuration gives one
+	idleTimeout           = 60 * time.Second        // between requests on a connection, likewise
 	readinessNoticePeriod = 2600 * time.Millisecond // for the load balancer to notice that this daemon is not ready
 	// admissionPeriod is how long requests are still admitted after the stop signal.
 	// Requests admitted until then can finish within Bounds.GraceS.
@@ -104,7 +104,7 @@
 
 // Ready reports whether the load balancer may send new connections.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.synced() && !g.startsBehind(time.Now()) && !g.connectionsFull()
+	return !g.stopping.Load() && g.synced() && !g.startsBehind(time.Now()) && !g.connectionsFull() && !g.takesNone()
 }
 
 // startsBehind reports whether this daemon has just started and the store has not given it a
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/plantainmux/plantainmux/internal/accept"
 	"github.com/plantainmux/plantainmux/internal/callerconn"
@@ -52,6 +54,7 @@
 	g.callers.Store(listener)
 	handler := g.adapters.Callers(g)
 	server := g.newServer(listener.Handler(handler, http.HandlerFunc(handler.RefuseConnection)))
+	server.ReadHeaderTimeout, server.IdleTimeout = 0, 0 // expireConnections applies those of the configuration
 	listener.Attach(server)
 	return g.serve(server, listener), nil
 }
@@ -75,6 +78,24 @@
 	return listener != nil && listener.Full()
 }
 
+// takesNone reports whether connections of callers wait that cannot be accepted.
+func (g *Gateway) takesNone() bool {
+	listener := g.callers.Load()
+	return listener != nil && listener.TakesNone(time.Now())
+}
+
+// expireConnections closes the connections of callers that have exceeded the timeouts of the configuration.
+func (g *Gateway) expireConnections(now time.Time) {
+	timeouts := callerconn.Timeouts{Header: headerTimeout, Idle: idleTimeout}
+	if current := g.catalogs.Load(); current != nil {
+		timeouts.Header = cmp.Or(current.Limits.HeaderTimeout, timeouts.Header)
+		timeouts.Idle = cmp.Or(current.Limits.IdleTimeout, timeouts.Idle)
+	}
+	if listener := g.callers.Load(); listener != nil {
+		listener.CloseExpired(now, timeouts)
+	}
+}
+
 // CallerLeft reports whether the caller of a request has closed its connection. It is asked once the
 // request has been read: it may have waited for longer than its caller.
 func (g *Gateway) CallerLeft(ctx context.Context, id string) bool {
