--- a/internal/exchange/reason.go
+++ b/internal/exchange/reason.go
@@ -11,6 +11,7 @@
 	HeldBack         Reason = "held_back"      // no endpoint that serves the request wants one now
 	Overloaded       Reason = "overload"       // the model's groups are offered more than they complete
 	DeadlineExceeded Reason = "time_over"      // the deadline has passed
+	Stopped          Reason = "stopped"        // the daemon ends before the answer
 	CallerGone       Reason = "caller_gone"    // the caller closed the connection
 	SlowReader       Reason = "slow_reader"    // the caller took nothing for too long
 	Refused          Reason = "refused"        // the endpoints refused the request
@@ -23,4 +24,4 @@
 )
 
 // Reasons lists all reasons, so that each counter is registered at start-up.
-var Reasons = []Reason{NoTarget, NoCapacity, Evacuated, HeldBack, Overloaded, DeadlineExceeded, CallerGone, SlowReader, Refused, Broken, NoBudget, CrashSuspect, ExceedsMemory, NoAllowedRegion}
+var Reasons = []Reason{NoTarget, NoCapacity, Evacuated, HeldBack, Overloaded, DeadlineExceeded, Stopped, CallerGone, SlowReader, Refused, Broken, NoBudget, CrashSuspect, ExceedsMemory, NoAllowedRegion}
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -102,13 +102,16 @@
 	if errors.As(err, &gone) {
 		return nil, &Failure{Reason: CallerGone, Started: r.started, Cause: err}
 	}
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(ctx.Err(), context.Canceled) && !stopped(ctx) {
 		return nil, r.contextFailure(ctx) // the caller cancelled, which is no evidence against the target
 	}
 	var broken *BrokenError
 	if errors.As(err, &broken) {
 		r.possiblyRan++
 	}
+	if stopped(ctx) {
+		return nil, r.contextFailure(ctx)
+	}
 	// A slow caller may have taken what was read before the failure only now.
 	r.recordFailure(evidence{target: a.target, err: err, at: a.endedAt, firstAt: r.attemptFirstAt, heldBack: r.heldBack})
 	if ctx.Err() != nil {
@@ -233,9 +236,18 @@
 	return &Failure{Reason: reason, NotRun: r.possiblyRan == 0, Started: r.started, RetryAfter: retryAfter(), Cause: cause}
 }
 
-// contextFailure returns the failure of a request whose context has ended: CallerGone
-// if the caller cancelled, otherwise DeadlineExceeded.
+// stopped reports whether a request was ended since the daemon ends.
+func stopped(ctx context.Context) bool {
+	var stopped *StoppedError
+	return errors.As(context.Cause(ctx), &stopped)
+}
+
+// contextFailure returns the failure of a request whose context has ended: Stopped if the daemon ends,
+// CallerGone if the caller cancelled, otherwise DeadlineExceeded.
 func (r *run) contextFailure(ctx context.Context) *Failure {
+	if stopped(ctx) {
+		return r.fail(Stopped, context.Cause(ctx))
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return &Failure{Reason: CallerGone, Started: r.started, Cause: context.Cause(ctx)}
 	}
--- a/internal/fakes/wire_engine.go
+++ b/internal/fakes/wire_engine.go
@@ -31,6 +31,7 @@
 	models    []map[string]any
 	sequence  int
 	runs      map[string]int // number of runs by request ID
+	work      time.Duration  // a plain service works on each request
 	stalled   bool           // streams send no more events, as after the loss of a member
 	leaving   bool           // all answers announce that the engine is leaving
 	hold      string         // Retry-After of a 503 that answers every request; empty: serve normally
--- a/internal/fakes/wire_engine_faults.go
+++ b/internal/fakes/wire_engine_faults.go
@@ -22,6 +22,19 @@
 	e.lastEvent = number
 }
 
+// SetWorkTime sets how long a plain service works on each request.
+func (e *WireEngine) SetWorkTime(work time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.work = work
+}
+
+func (e *WireEngine) workTime() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.work
+}
+
 // PadEvents adds bytes to each event of streams that begin from now on.
 func (e *WireEngine) PadEvents(bytes int) {
 	e.mu.Lock()
--- a/internal/fakes/wire_engine_requests.go
+++ b/internal/fakes/wire_engine_requests.go
@@ -37,6 +37,11 @@
 	w.Header().Set("Response-Signature", "signed-by-"+e.ID)
 	if e.Domain == "" {
 		body, _ := io.ReadAll(r.Body)
+		select {
+		case <-time.After(e.workTime()):
+		case <-r.Context().Done():
+			return
+		}
 		_, _ = fmt.Fprintf(w, "%s %s tenant=%s key=%s body=%s", r.Method, r.RequestURI, r.Header.Get("Tenant"), r.Header.Get("Authorization"), body)
 		return
 	}
--- a/internal/fakes/wire_platform.go
+++ b/internal/fakes/wire_platform.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/plantainmux/plantainmux/internal/keyed"
 )
@@ -103,3 +104,12 @@
 		engine.SetLastEvent(number)
 	}
 }
+
+// SetWorkTime sets how long plain services work on each request.
+func (p *WirePlatform) SetWorkTime(work time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, engine := range p.engines {
+		engine.SetWorkTime(work)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,7 +111,9 @@
 	callersLeft   *metrics.Counter                    // callers that had left when their request was read
 	inFlight      atomic.Int64
 	stopping      atomic.Bool
-	stopStartedAt atomic.Int64 // Unix nanoseconds; 0: not stopping
+	stopStartedAt atomic.Int64            // Unix nanoseconds; 0: not stopping
+	exchanges     context.Context         // ends those in progress with the grace period
+	endExchanges  context.CancelCauseFunc // ends exchanges
 	tasks         sync.WaitGroup
 }
 
@@ -134,6 +136,7 @@
 
 		registrationLost: make(chan struct{}, 1),
 	}
+	g.exchanges, g.endExchanges = context.WithCancelCause(context.Background())
 	g.buildEvacuations()
 	g.cold = newColdEndpoints(s, g.limits, g.evacuations.WithdrawnAt, g.sharingDaemons, g.logger, g.metrics)
 	g.suspects = suspect.NewTable(suspect.Policy{ConfirmAfter: g.crashConfirmation})
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/exchange"
+	"github.com/plantainmux/plantainmux/internal/grace"
 	"github.com/plantainmux/plantainmux/internal/requestpath"
 )
 
@@ -20,7 +21,8 @@
 	retryAfterStopping = 50 * time.Millisecond  // Retry-After, as another daemon answers
 	stopMargin         = 600 * time.Millisecond // before the platform kills the process
 	stopPollInterval   = 20 * time.Millisecond
-	closingPeriod      = 80 * time.Millisecond // for requests that were accepted before the listeners closed
+	lastAnswersPeriod  = 200 * time.Millisecond // within stopMargin, to answer the requests that are ended with the grace
+	closingPeriod      = 80 * time.Millisecond  // for requests that were accepted before the listeners closed
 	// retryAfterConnections is Retry-After where all connections are in use, and the jitter added: another
 	// daemon may have some.
 	retryAfterConnections = 200 * time.Millisecond
@@ -80,6 +82,20 @@
 	return &Admitted{BodyLimit: limit, incoming: in, route: route, service: service, team: team}, nil
 }
 
+// Begins reports whether a request that has been read whole is still passed on, or its denial.
+func (g *Gateway) Begins(admitted *Admitted) *Denied {
+	now := time.Now()
+	stopping := g.stoppingFor(now)
+	state := grace.State{Stopping: stopping, Admission: admissionPeriod, Left: g.servingPeriod() - stopping, Remaining: admitted.Deadline().Sub(now)}
+	if grace.Begins(state) {
+		return nil
+	}
+	return g.deny(admitted.incoming, DaemonStopping, retryAfterStopping)
+}
+
+// servingPeriod returns how long requests may run after the stop signal.
+func (g *Gateway) servingPeriod() time.Duration { return g.settings.Bounds.grace() - stopMargin }
+
 // DenyConnection returns the denial of a request on a connection beyond the limit.
 func (g *Gateway) DenyConnection(in Incoming) *Denied {
 	return g.deny(in, Connections, retryAfterConnections+time.Duration(random()*float64(retryAfterConnections)))
@@ -87,6 +103,9 @@
 
 // Exchange forwards a request and writes the answer to sink.
 func (g *Gateway) Exchange(ctx context.Context, req *exchange.Request, sink exchange.Sink) *exchange.Failure {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(g.exchanges, func() { cancel(context.Cause(g.exchanges)) })()
 	return g.exchanger.Run(ctx, req, sink)
 }
 
@@ -139,14 +158,14 @@
 }
 
 // stop waits until the load balancer has noticed and the requests in progress have
-// finished, at most for the platform's grace period less stopMargin. It returns the end of that
-// period.
+// finished, at most for the platform's grace period less stopMargin. Then it ends those that have not, so
+// that their callers get an answer, and returns until when they may be written.
 func (g *Gateway) stop() time.Time {
 	startedAt := time.Now()
 	g.stopStartedAt.Store(startedAt.UnixNano())
 	g.stopping.Store(true)
 	g.logger.Info("daemon stopping", "in_flight", g.inFlight.Load())
-	latest := startedAt.Add(g.settings.Bounds.grace() - stopMargin)
+	latest := startedAt.Add(g.servingPeriod())
 	for time.Now().Before(latest) {
 		if time.Since(startedAt) > readinessNoticePeriod && g.inFlight.Load() == 0 {
 			return latest
@@ -154,7 +173,8 @@
 		time.Sleep(stopPollInterval)
 	}
 	g.logger.Warn("daemon stops with requests in progress", "in_flight", g.inFlight.Load())
-	return latest
+	g.endExchanges(&exchange.StoppedError{})
+	return latest.Add(lastAnswersPeriod)
 }
 
 // shutDown closes the servers. Their listeners close first; requests that were accepted just
