--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/ledger"
+	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
 // ProbeGroup probes the members of a group that stopped responding, if this daemon
@@ -32,11 +33,11 @@
 	began := time.Now()
 	alive := make([]bool, len(record.Members))
 	slowdown := make([]float64, len(record.Members))
-	var wait sync.WaitGroup
+	var probes sync.WaitGroup
 	for i, member := range record.Members {
-		wait.Go(func() { alive[i], slowdown[i] = r.probeMember(ctx, member) })
+		probes.Go(func() { alive[i], slowdown[i] = r.probeMember(ctx, member) })
 	}
-	wait.Wait()
+	probes.Wait()
 	answered := 0
 	var silent []string
 	for i, member := range record.Members {
@@ -50,7 +51,7 @@
 	if answered == 0 {
 		return // the whole domain is unreachable, or this daemon's own network link is down
 	}
-	serves := len(silent) > 0 && r.ServedSince != nil && r.ServedSince(record.Group, record.Epoch, began)
+	serves := len(silent) > 0 && r.servedSince(ctx, record, began)
 	if serves {
 		r.Logger.Info("group sends events, so that its silent members count as running", "group", record.Group, "epoch", record.Epoch, "silent", silent)
 	}
@@ -62,6 +63,18 @@
 	r.Wake()
 }
 
+// servedSince reports whether a group has sent an event to any daemon later than a time. It waits for the
+// news of the others.
+func (r *Reconciler) servedSince(ctx context.Context, record *ledger.Record, since time.Time) bool {
+	if r.ServedSince == nil {
+		return false
+	}
+	if r.NewsDelay != nil {
+		wait.For(ctx, min(r.NewsDelay(), maxNewsWait)-time.Since(since))
+	}
+	return r.ServedSince(record.Group, record.Epoch, since)
+}
+
 // probeMember reports whether the granted incarnation of an endpoint is running,
 // and its slowdown factor.
 func (r *Reconciler) probeMember(ctx context.Context, member ledger.Member) (alive bool, slowdown float64) {
@@ -148,10 +161,10 @@
 // probeAll probes members concurrently and reports which of them answer.
 func (r *Reconciler) probeAll(ctx context.Context, members []ledger.Member) []bool {
 	alive := make([]bool, len(members))
-	var wait sync.WaitGroup
+	var probes sync.WaitGroup
 	for i, member := range members {
-		wait.Go(func() { alive[i], _ = r.probeMember(ctx, member) })
+		probes.Go(func() { alive[i], _ = r.probeMember(ctx, member) })
 	}
-	wait.Wait()
+	probes.Wait()
 	return alive
 }
--- a/internal/formation/probe_test.go
+++ b/internal/formation/probe_test.go
@@ -13,12 +13,14 @@
 
 var _ = ginkgo.Describe("A group one of whose members answers no probe", func() {
 	members := []ledger.Member{{ID: "e0", Incarnation: 1}, {ID: "e1", Incarnation: 1}, {ID: "e2", Incarnation: 1}}
+	var newsDelay time.Duration
+	ginkgo.BeforeEach(func() { newsDelay = 0 })
 	probe := func(servedSince func(string, uint64, time.Time) bool, answering ...string) map[string]int64 {
 		engines := &countingEngines{answers: map[string]bool{}, received: map[string]int{}}
 		for _, id := range answering {
 			engines.answers[id] = true
 		}
-		r := NewReconciler(Dependencies{Engines: engines, ServedSince: servedSince, Logger: slog.New(slog.DiscardHandler)})
+		r := NewReconciler(Dependencies{Engines: engines, ServedSince: servedSince, NewsDelay: func() time.Duration { return newsDelay }, Logger: slog.New(slog.DiscardHandler)})
 		r.probeGroup(context.Background(), &ledger.Record{Group: "g", Epoch: 3, Members: members}, "")
 		return r.observations.health().Dead
 	}
@@ -40,4 +42,15 @@
 		Expect(lost).To(BeEmpty())
 		Expect(asked).To(Equal([]any{"g", uint64(3)}))
 	})
+
+	ginkgo.It("is kept if the news of the event takes longer than the probe", func() {
+		began := time.Now()
+		newsDelay = 350 * time.Millisecond // the probe fails after 260 ms
+		heard := func(string, uint64, time.Time) bool { return time.Since(began) >= newsDelay }
+		Expect(probe(heard, "e0", "e1")).To(BeEmpty())
+		newsDelay = time.Minute
+		began = time.Now()
+		Expect(probe(heard, "e0", "e1")).To(Equal(map[string]int64{"e2": 1}))
+		Expect(time.Since(began)).To(BeNumerically("<", time.Second), "a lost member is replaced however late the news is")
+	})
 })
--- a/internal/formation/reconciler.go
+++ b/internal/formation/reconciler.go
@@ -30,6 +30,7 @@
 	probeTimeout       = 130 * time.Millisecond // longer than a round trip between data centres plus the report of a busy endpoint
 	probeAttempts      = 2
 	probeInterval      = 500 * time.Millisecond
+	maxNewsWait        = 400 * time.Millisecond // for news of events at other daemons, after the probes of a group began
 	// maxReachProbes is the number of endpoints that are probed to find out whether this daemon
 	// reaches any.
 	maxReachProbes = 4
@@ -53,8 +54,9 @@
 	// ServedSince reports whether a group has sent an event to any daemon later than a time, as far as
 	// this daemon knows; nil: not known.
 	ServedSince func(group string, epoch uint64, since time.Time) bool
-	Shifted     func(shift Shift) // is called for each change of groups to another model; nil: not
-	CanWrite    func() bool       // reports whether the store was reachable recently
+	NewsDelay   func() time.Duration // with which this daemon learns of events at the others; nil: at once
+	Shifted     func(shift Shift)    // is called for each change of groups to another model; nil: not
+	CanWrite    func() bool          // reports whether the store was reachable recently
 	// ExpectChange announces that the registry entries are expected to change after a duration.
 	ExpectChange func(after time.Duration)
 	Logger       *slog.Logger
--- a/internal/gateway/build.go
+++ b/internal/gateway/build.go
@@ -51,6 +51,7 @@
 		Evacuations:   g.evacuations.InForce,
 		InProgress:    g.requestsInProgress,
 		ServedSince:   g.servedSince,
+		NewsDelay:     g.gossip.Delay,
 		Shifted:       g.countShift,
 		ExpectChange:  g.expectEntries,
 		Logger:        g.logger,
