--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -184,8 +184,13 @@
 		if !r.Forwards(nil) { // otherwise the way to the target may have failed
 			e.target.Meter.ObserveFailure(e.at)
 		}
-	case ErrorStatus:
+	case ErrorStatus, Disorder, Foreign, Unsigned:
 		e.target.Meter.ObserveFailure(e.at)
+	case Oversize:
+		var tooLarge *BodyTooLargeError
+		if !errors.As(broken.Err, &tooLarge) || !tooLarge.Shared {
+			e.target.Meter.ObserveFailure(e.at)
+		}
 	default:
 	}
 }
--- a/internal/heldbytes/account.go
+++ b/internal/heldbytes/account.go
@@ -60,6 +60,9 @@
 	a.total.Add(-bytes)
 }
 
+// Limit returns the most bytes that may be held, 0 if any number may.
+func (a *Account) Limit() int64 { return a.limit }
+
 // Held returns the bytes of a kind that are held.
 func (a *Account) Held(kind Kind) int64 { return a.held[kind].Load() }
 
