--- a/internal/formation/observations.go
+++ b/internal/formation/observations.go
@@ -9,8 +9,7 @@
 )
 
 const (
-	maxUnansweredOrders = 2                // before a former head without a registry entry counts as gone
-	orderKeyRetention   = 30 * time.Second // how long the time of an order is kept
+	orderKeyRetention = 30 * time.Second // how long the time of an order is kept
 )
 
 // observations collects the results of orders and probes.
@@ -23,6 +22,7 @@
 	released      map[string]bool
 	drainingSince map[string]int64
 	unanswered    map[string]int       // number of unanswered orders, by FormerKey
+	vacatedSince  map[string]time.Time // since when a member has left the group of a former head, by FormerKey
 	sentAt        map[string]time.Time // time of the last attempt, by order key
 	inFlight      map[string]bool      // orders that await an answer, by order key
 	lastProbed    map[string]time.Time // by group name, or by a prefixed endpoint ID
@@ -31,7 +31,7 @@
 func newObservations() *observations {
 	return &observations{
 		dead: map[string]int64{}, absent: map[string]Absence{}, slow: map[string]float64{}, preloads: map[string]Preload{}, released: map[string]bool{}, drainingSince: map[string]int64{},
-		unanswered: map[string]int{}, sentAt: map[string]time.Time{}, inFlight: map[string]bool{}, lastProbed: map[string]time.Time{},
+		unanswered: map[string]int{}, vacatedSince: map[string]time.Time{}, sentAt: map[string]time.Time{}, inFlight: map[string]bool{}, lastProbed: map[string]time.Time{},
 	}
 }
 
@@ -119,14 +119,26 @@
 	o.released[FormerKey(former)] = true
 }
 
-// countUnanswered counts an unanswered order to a former head, and reports whether
-// the count has reached maxUnansweredOrders.
-func (o *observations) countUnanswered(former ledger.FormerGroup) bool {
+// countUnanswered counts an unanswered order to a former head, if another member of its group has answered,
+// and returns what is known of the head.
+func (o *observations) countUnanswered(former ledger.FormerGroup, companion bool, now time.Time) silentHead {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	key := FormerKey(former)
-	o.unanswered[key]++
-	return o.unanswered[key] >= maxUnansweredOrders
+	if companion {
+		o.unanswered[key]++
+	}
+	since, vacated := o.vacatedSince[key]
+	return silentHead{unanswered: o.unanswered[key], companion: companion, vacated: vacated, vacatedFor: now.Sub(since)}
+}
+
+// setVacated records that a member has left the group of a former head.
+func (o *observations) setVacated(former ledger.FormerGroup, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, known := o.vacatedSince[FormerKey(former)]; !known {
+		o.vacatedSince[FormerKey(former)] = now
+	}
 }
 
 func (o *observations) setDraining(former ledger.FormerGroup, now time.Time) {
--- a/internal/formation/reconciler.go
+++ b/internal/formation/reconciler.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -46,6 +47,7 @@
 	Owns          func(domain string) bool
 	BeforeTraffic func() bool                                  // reports whether no request has arrived yet
 	Owners        func(domains []string) int                   // number of daemons that plan any of the domains
+	HeadStall     time.Duration                                // after which a head without one of its members is broken; 0: 6 s
 	LoadLimit     targetstats.SharePolicy                      // of loads that begin, over all daemons; its rate is the service's
 	Demand        func(service string) map[string]demand.Total // smoothed, by model; nil: not known
 	PresentDemand func(service, model string) demand.Total     // over the last 2 s; nil: not known
@@ -258,25 +260,57 @@
 	return false
 }
 
-// recordUnanswered records a former head as released if it has no registry entry,
-// left several orders unanswered, and another member of its group answers a probe.
-// If none answers, the whole group may be partitioned from this daemon and still
-// be serving.
+// recordUnanswered records an unanswered order to a former head without a registry entry. A head that stays
+// silent is released once it can no longer serve, as one of its members has left it for long enough.
 func (r *Reconciler) recordUnanswered(ctx context.Context, former ledger.FormerGroup) {
 	endpoints := r.Endpoints()
 	if endpoints.ByID[former.Head.ID] != nil {
 		return
 	}
-	for _, other := range otherMembers(former, endpoints) {
-		if alive, _ := r.probeMember(ctx, other); !alive {
+	others := otherMembers(former, endpoints)
+	if len(others) == 0 && r.leftBefore(former, endpoints) {
+		r.observations.setVacated(former, time.Now())
+	}
+	companion := slices.IndexFunc(others, func(other ledger.Member) bool {
+		alive, _ := r.probeMember(ctx, other)
+		return alive
+	})
+	head := r.observations.countUnanswered(former, companion >= 0, time.Now())
+	head.stall = cmp.Or(r.HeadStall, defaultHeadStall)
+	switch head.next() {
+	case vacateHead:
+		r.vacate(ctx, former, others[companion])
+	case releaseHead:
+		r.observations.setReleased(former)
+		r.Logger.Info("former group head does not answer and has lost a member; treating its group as released", "endpoint", former.Head.ID, "group", former.Group, "epoch", former.Epoch, "vacated_ms", head.vacatedFor.Milliseconds())
+	case awaitHead:
+	}
+}
+
+// vacate orders a member to leave the group of a silent head.
+func (r *Reconciler) vacate(ctx context.Context, former ledger.FormerGroup, member ledger.Member) {
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := r.Engines.Order(call, Order{To: member, Operation: Leave, Group: former.Group, Epoch: former.Epoch})
+	if err == nil {
+		r.observations.setVacated(former, time.Now())
+	}
+	r.Logger.Info("member of a silent group head ordered to leave", "endpoint", member.ID, "head", former.Head.ID, "group", former.Group, "epoch", former.Epoch, "error", err)
+}
+
+// leftBefore reports whether a member has left the group of a former head at the order of a daemon that
+// planned before: it stays in the record that waits for the release, and is in no group.
+func (r *Reconciler) leftBefore(former ledger.FormerGroup, endpoints *registry.Snapshot) bool {
+	for _, record := range r.Ledger.Load().Groups {
+		if !slices.Contains(record.Former, former) {
 			continue
 		}
-		if r.observations.countUnanswered(former) {
-			r.observations.setReleased(former)
-			r.Logger.Info("former group head does not answer; treating its group as released", "endpoint", former.Head.ID, "group", former.Group, "epoch", former.Epoch, "companion", other.ID)
-		}
-		return
+		return slices.ContainsFunc(record.Members, func(member ledger.Member) bool {
+			e := endpoints.ByID[member.ID]
+			return member.ID != former.Head.ID && e != nil && e.Incarnation == member.Incarnation && e.Group.Group == ""
+		})
 	}
+	return false
 }
 
 // retryInterval returns the time after which an order without visible effect is
