--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -7,7 +7,10 @@
 )
 
 const (
-	failureTTL      = 3 * time.Second        // for which a failure counts as evidence
+	// failureTTL is how long a failure counts as evidence, unless an endpoint answers: longer than two of
+	// the pauses that follow the failures of an endpoint (3 s, internal/targetstats). Otherwise endpoints
+	// that are tried by turns never fail together.
+	failureTTL      = 6500 * time.Millisecond
 	minTrialBackoff = 300 * time.Millisecond // before another request is tried directly after one that failed; it doubles with each
 	maxTrialBackoff = 3 * time.Second
 )
--- a/internal/reach/tracker_test.go
+++ b/internal/reach/tracker_test.go
@@ -40,6 +40,30 @@
 		Expect(lost(all)).To(BeFalse(), "it is reported once")
 	})
 
+	// Guards against a cut that is never noticed, as each failure expires in the pause before the next one.
+	It("is lost when endpoints that are down are tried by turns, with the longest pause between two attempts", func() {
+		const pause = 3001 * time.Millisecond // 34.837 s and 37.838 s of a run that failed
+		isLost := false
+		for turn := range 4 {
+			tracker.ObserveConnectFailure(fmt.Sprintf("e%d", turn%2), now)
+			for until := now.Add(pause); now.Before(until); now = now.Add(100 * time.Millisecond) {
+				_, lost := tracker.Review(now, 2, all)
+				isLost = isLost || lost
+			}
+		}
+		Expect(isLost).To(BeTrue())
+	})
+
+	It("is not lost by failures that are as far apart once an endpoint has answered between them", func() {
+		tracker.ObserveConnectFailure("e0", now)
+		now = now.Add(1500 * time.Millisecond)
+		tracker.ObserveAnswer(true)
+		now = now.Add(1501 * time.Millisecond)
+		tracker.ObserveConnectFailure("e1", now)
+		_, isLost := tracker.Review(now, 2, all)
+		Expect(isLost).To(BeFalse())
+	})
+
 	It("is lost when the only endpoints fail that there are", func() {
 		failConnects(1)
 		_, isLost := tracker.Review(now, 1, all)
