--- a/cmd/plantainmuxd/rig_test.go
+++ b/cmd/plantainmuxd/rig_test.go
@@ -58,22 +58,33 @@
 }
 
 // newDaemonProcess returns a daemon that has not been started, with its settings.
-func newDaemonProcess() *daemonProcess {
+func newDaemonProcess() *daemonProcess { return newDaemonProcesses(1)[0] }
+
+// newDaemonProcesses returns daemons before one platform, as newDaemonProcess does one.
+func newDaemonProcesses(count int) []*daemonProcess {
 	wire, err := fakes.StartWirePlatform([]string{"n"}, 4)
 	Expect(err).NotTo(HaveOccurred())
 	store, err := fakes.StartServer("127.0.0.1:0", wire)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(store.Kill)
-	d := &daemonProcess{settings: filepath.Join(GinkgoT().TempDir(), "n-1.yaml"), callers: unusedAddress(), ready: unusedAddress(), wire: wire}
+	daemons := make([]*daemonProcess, count)
+	for i := range daemons {
+		daemons[i] = newDaemonBefore(wire, store.Address(), fmt.Sprintf("n-%d", i+1))
+	}
+	return daemons
+}
+
+func newDaemonBefore(wire *fakes.WirePlatform, store, name string) *daemonProcess {
+	d := &daemonProcess{settings: filepath.Join(GinkgoT().TempDir(), name+".yaml"), callers: unusedAddress(), ready: unusedAddress(), wire: wire}
 	port := portOf(unusedAddress())
-	d.writeSettings(fmt.Sprintf(`node: n-1
+	d.writeSettings(fmt.Sprintf(`node: %s
 data_centre: n
 store: %s
 first: true
 listen: {callers: "%s", readiness: "%s", host: 127.0.0.1, first_port: %d, last_port: %d}
 limits: {memory_mb: 256, cpu_share: 1}
 bounds: {grace_s: 6, stability_window_ms: 3000, configuration_ms: 2000, retry_share: 0.2, retry_slack: 100, retry_window_s: 10}
-`, store.Address(), d.callers, d.ready, port, port))
+`, name, store, d.callers, d.ready, port, port))
 	return d
 }
 
