--- a/internal/exchange/race.go
+++ b/internal/exchange/race.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 )
@@ -41,19 +42,24 @@
 }
 
 // newest returns the attempt that was sent last, and how many were sent and may have run beside the main one.
-func (c *race) newest(main *attempt) (newest *attempt, failed map[string]bool, sent, ran int) {
+func (c *race) newest(main *attempt) (newest *attempt, sent, ran int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	newest = main
-	failed = make(map[string]bool, len(c.failed)+len(c.beside))
-	for key := range c.failed {
-		failed[key] = true
+	if len(c.beside) > 0 {
+		newest = c.beside[len(c.beside)-1]
 	}
+	return newest, c.sent + len(c.beside), c.ran + len(c.beside)
+}
+
+// addTargets adds the keys of the targets of attempts that are in progress, or failed, beside the main one.
+func (c *race) addTargets(keys map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	maps.Copy(keys, c.failed)
 	for _, a := range c.beside {
-		newest = a
-		failed[a.target.Key] = true
+		keys[a.target.Key] = true
 	}
-	return newest, failed, c.sent + len(c.beside), c.ran + len(c.beside)
 }
 
 // output calls use with the right to add output of the main attempt, unless another one has taken over.
--- a/internal/exchange/watchdog.go
+++ b/internal/exchange/watchdog.go
@@ -92,18 +92,14 @@
 
 func (w *watchdog) check() {
 	now := time.Now()
-	newest, failed, sent, ran := w.run.race.newest(w.attempt)
-	for _, key := range w.excluded {
-		failed[key] = true
-	}
-	failed[w.attempt.target.Key] = true
+	newest, sent, ran := w.run.race.newest(w.attempt)
 	state := w.state(newest, sent, ran, now)
 	switch action := hedge.Decide(state); {
 	case action == hedge.Withdraw:
 		w.attempt.cancel(&WithdrawnError{})
 		return
 	case action.Sends():
-		w.hedge(newest, failed, action, state, now)
+		w.hedge(newest, action, state, now)
 	}
 	w.rearm()
 }
@@ -133,7 +129,7 @@
 	meter := newest.target.Meter
 	s.SilenceTimeout = meter.SilenceTimeout()
 	targetSilence, silent := meter.Silence(now)
-	s.TargetSilent, s.Superseded = silent, w.superseded(newest.target)
+	s.TargetSilent, s.Superseded = silent, s.Silence > checkInterval && w.superseded(newest.target)
 	if silent {
 		s.Busy, s.BusySilent = w.busy(now)
 	}
@@ -166,10 +162,10 @@
 
 // hedge sends another attempt beside those in progress if a target without a known problem has room and
 // the retry budget allows it. The targets of the others are not waited for any more by new requests.
-func (w *watchdog) hedge(newest *attempt, failed map[string]bool, action hedge.Action, state hedge.State, now time.Time) {
+func (w *watchdog) hedge(newest *attempt, action hedge.Action, state hedge.State, now time.Time) {
 	r, silence := w.run, state.Silence
 	targets := r.View().Targets(r.req.Service.Name, r.req.Model)
-	requirements := w.requirements(failed, now)
+	requirements := w.requirements(now)
 	healthy := slices.DeleteFunc(placement.Usable(targets, requirements), func(target *placement.Target) bool {
 		return !hedge.Promising(state, action, target.Meter.EventSince(now.Add(-silence)))
 	})
@@ -214,10 +210,15 @@
 }
 
 // requirements returns those of an attempt beside the main one.
-func (w *watchdog) requirements(failed map[string]bool, now time.Time) placement.Requirements {
+func (w *watchdog) requirements(now time.Time) placement.Requirements {
 	r := w.run
+	used := map[string]bool{w.attempt.target.Key: true}
+	for _, key := range w.excluded {
+		used[key] = true
+	}
+	r.race.addTargets(used)
 	return placement.Requirements{
-		DataCentre: r.DataCentre, Grouped: r.req.Service.Grouped(), Resumed: w.resumed || w.begun.Load(), Excluded: failed,
+		DataCentre: r.DataCentre, Grouped: r.req.Service.Grouped(), Resumed: w.resumed || w.begun.Load(), Excluded: used,
 		PromptTokens: r.req.PromptTokens, OutputTokens: r.req.OutputTokens, Priority: r.req.Priority,
 		Overdue: !w.begun.Load() && r.req.overdue(now), Daemons: r.Daemons(), GossipDelay: r.GossipDelay(), Random: rand.Float64(),
 		Forwarded: r.Forwards(r.req.Allowed), Allowed: r.req.Allowed, Regions: r.Regions, Now: now,
