--- a/internal/formation/observations.go
+++ b/internal/formation/observations.go
@@ -22,6 +22,7 @@
 	released      map[string]bool
 	drainingSince map[string]int64
 	unanswered    map[string]int       // number of unanswered orders, by FormerKey
+	answered      map[string]bool      // former heads that have answered a probe since, by FormerKey
 	vacatedSince  map[string]time.Time // since when a member has left the group of a former head, by FormerKey
 	sentAt        map[string]time.Time // time of the last attempt, by order key
 	inFlight      map[string]bool      // orders that await an answer, by order key
@@ -31,7 +32,7 @@
 func newObservations() *observations {
 	return &observations{
 		dead: map[string]int64{}, absent: map[string]Absence{}, slow: map[string]float64{}, preloads: map[string]Preload{}, released: map[string]bool{}, drainingSince: map[string]int64{},
-		unanswered: map[string]int{}, vacatedSince: map[string]time.Time{}, sentAt: map[string]time.Time{}, inFlight: map[string]bool{}, lastProbed: map[string]time.Time{},
+		unanswered: map[string]int{}, answered: map[string]bool{}, vacatedSince: map[string]time.Time{}, sentAt: map[string]time.Time{}, inFlight: map[string]bool{}, lastProbed: map[string]time.Time{},
 	}
 }
 
@@ -120,16 +121,17 @@
 }
 
 // countUnanswered counts an unanswered order to a former head, if another member of its group has answered,
-// and returns what is known of the head.
-func (o *observations) countUnanswered(former ledger.FormerGroup, companion bool, now time.Time) silentHead {
+// and returns what is known of the head. answered states that the head has answered a probe.
+func (o *observations) countUnanswered(former ledger.FormerGroup, answered, companion bool, now time.Time) silentHead {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	key := FormerKey(former)
 	if companion {
 		o.unanswered[key]++
 	}
+	o.answered[key] = o.answered[key] || answered
 	since, vacated := o.vacatedSince[key]
-	return silentHead{unanswered: o.unanswered[key], companion: companion, vacated: vacated, vacatedFor: now.Sub(since)}
+	return silentHead{unanswered: o.unanswered[key], answered: o.answered[key], companion: companion, vacated: vacated, vacatedFor: now.Sub(since)}
 }
 
 // setVacated records that a member has left the group of a former head.
--- a/internal/formation/reconciler.go
+++ b/internal/formation/reconciler.go
@@ -260,8 +260,8 @@
 	return false
 }
 
-// recordUnanswered records an unanswered order to a former head without a registry entry. A head that stays
-// silent is released once it can no longer serve, as one of its members has left it for long enough.
+// recordUnanswered records an unanswered order to a former head without a registry entry, and releases the
+// head or makes a member leave it if that is due.
 func (r *Reconciler) recordUnanswered(ctx context.Context, former ledger.FormerGroup) {
 	endpoints := r.Endpoints()
 	if endpoints.ByID[former.Head.ID] != nil {
@@ -275,14 +275,15 @@
 		alive, _ := r.probeMember(ctx, other)
 		return alive
 	})
-	head := r.observations.countUnanswered(former, companion >= 0, time.Now())
+	answered, _ := r.probeMember(ctx, former.Head)
+	head := r.observations.countUnanswered(former, answered, companion >= 0, time.Now())
 	head.stall = cmp.Or(r.HeadStall, defaultHeadStall)
 	switch head.next() {
 	case vacateHead:
 		r.vacate(ctx, former, others[companion])
 	case releaseHead:
 		r.observations.setReleased(former)
-		r.Logger.Info("former group head does not answer and has lost a member; treating its group as released", "endpoint", former.Head.ID, "group", former.Group, "epoch", former.Epoch, "vacated_ms", head.vacatedFor.Milliseconds())
+		r.Logger.Info("former group head does not answer; treating its group as released", "endpoint", former.Head.ID, "group", former.Group, "epoch", former.Epoch, "answered_probes", head.answered, "vacated", head.vacated)
 	case awaitHead:
 	}
 }
--- a/internal/formation/silent_head.go
+++ b/internal/formation/silent_head.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	maxUnansweredOrders = 2 // before the members of a silent head without a registry entry are ordered to leave it
+	maxUnansweredOrders = 2 // before it is decided what becomes of a silent head without a registry entry
 	// headStallMargin is added to the time after which a head without its members is broken: the order to
 	// a member takes effect up to a round trip before its answer arrives, never after it.
 	headStallMargin = 500 * time.Millisecond
@@ -15,6 +15,7 @@
 // may have lost its link to the store and to this daemon, serve on, and carry the orders out late or never.
 type silentHead struct {
 	unanswered int           // orders
+	answered   bool          // it has answered a probe since
 	companion  bool          // another member of its group answers; otherwise the whole group may be partitioned
 	vacated    bool          // a member is known to have left the group
 	vacatedFor time.Duration // for how long
@@ -30,15 +31,19 @@
 	releaseHead                   // it can no longer serve
 )
 
-// next returns what happens to the head. Silence to orders, however long, is no knowledge that it has
-// stopped: without one of its members it has, after the stall.
+// next returns what happens to the head. One that answers probes has not stopped, however long it is silent
+// to orders: without one of its members it has, after the stall. One that answers neither, while a member of
+// its group does, counts as gone at once: most are, and their members would serve nobody until the stall is
+// over.
 func (h silentHead) next() headAction {
 	switch {
 	case h.vacated && h.vacatedFor >= h.stall+headStallMargin:
 		return releaseHead
-	case !h.vacated && h.companion && h.unanswered >= maxUnansweredOrders:
+	case h.vacated || !h.companion || h.unanswered < maxUnansweredOrders:
+		return awaitHead
+	case h.answered:
 		return vacateHead
 	default:
-		return awaitHead
+		return releaseHead
 	}
 }
