--- a/internal/exchange/watchdog.go
+++ b/internal/exchange/watchdog.go
@@ -153,23 +153,29 @@
 			continue
 		}
 		busy++
-		if _, s := target.Meter.Silence(now); s || target.Meter.Suspected(now) {
+		if silentTarget(target, now) {
 			silent++
 		}
 	}
 	return busy, silent
 }
 
-// hedge sends another attempt beside those in progress if a target without a known problem has room and
-// the retry budget allows it. The targets of the others are not waited for any more by new requests.
+// silentTarget reports whether a target is silent, as this daemon or another one has found.
+func silentTarget(target *placement.Target, now time.Time) bool {
+	_, silent := target.Meter.Silence(now)
+	return silent || target.Meter.Suspected(now)
+}
+
+// hedge sends another attempt beside those in progress if a target that is not silent has room and the
+// retry budget allows it. The target of the newest is avoided by new requests from now on.
 func (w *watchdog) hedge(newest *attempt, action hedge.Action, state hedge.State, now time.Time) {
 	r, silence := w.run, state.Silence
 	targets := r.View().Targets(r.req.Service.Name, r.req.Model)
 	requirements := w.requirements(now)
-	healthy := slices.DeleteFunc(placement.Usable(targets, requirements), func(target *placement.Target) bool {
-		return !hedge.Promising(state, action, target.Meter.EventSince(now.Add(-silence)))
+	promising := slices.DeleteFunc(slices.Clone(targets), func(target *placement.Target) bool {
+		return requirements.Excluded[target.Key] || silentTarget(target, now) || !hedge.Promising(state, action, target.Meter.EventSince(now.Add(-silence)))
 	})
-	if len(healthy) == 0 {
+	if len(promising) == 0 {
 		r.Metrics.hedgeDenied("no_target")
 		return
 	}
@@ -178,7 +184,7 @@
 		newest.target.Meter.Suspect(now, suspectPeriod)
 		r.ReportSuspect(newest.target, "", false)
 	}
-	target, _ := placement.Pick(healthy, requirements)
+	target, _ := placement.Pick(promising, requirements)
 	if target == nil {
 		r.Metrics.hedgeDenied("no_room")
 		return
--- a/internal/hedge/promising.go
+++ b/internal/hedge/promising.go
@@ -1,6 +1,6 @@
 package hedge
 
-// Promising reports whether a target without a known problem may get the attempt that an action sends. live
+// Promising reports whether a target that is not silent may get the attempt that an action sends. live
 // states that the target has sent something to some request since the attempt in progress fell silent.
 //
 // If most targets in use are silent, the cause is common to them, such as the network, this daemon or a
