--- a/cmd/plantainmuxd/late_in_grace_test.go
+++ b/cmd/plantainmuxd/late_in_grace_test.go
@@ -44,8 +44,10 @@
 			time.Sleep(time.Until(began.Add(at)))
 			go func() { answered <- answer(d, id, body) }()
 		}
+		place("earlier", 2300*time.Millisecond, 0)               // in progress, so that the daemon does not end before the others come
 		place("slow-body", 2600*time.Millisecond, 2*time.Second) // its deadline is at 5.6 s
 		place("last", 2750*time.Millisecond, 0)                  // it would be done at 5.75 s
+		Eventually(answers["earlier"], "5s").Should(Receive(HavePrefix("HTTP/1.1 ")))
 		Eventually(answers["slow-body"], "4s").Should(Receive(Equal("HTTP/1.1 503")))
 		Eventually(answers["last"], "4s").Should(Receive(Equal("HTTP/1.1 502")))
 		Eventually(d.session, "3s").Should(gexec.Exit(0))
