--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -163,8 +163,9 @@
 			},
 		})
 		now := time.Now()
+		used := route // a check of the attempt may outlast the request
 		return x.Run(ctx, &exchange.Request{
-			ID: "r", Route: &route, Service: service, Model: "m", PromptTokens: prompt, Fingerprint: 7, Body: body, PromptParts: parts, Arrived: now, Deadline: now.Add(2 * time.Second),
+			ID: "r", Route: &used, Service: service, Model: "m", PromptTokens: prompt, Fingerprint: 7, Body: body, PromptParts: parts, Arrived: now, Deadline: now.Add(2 * time.Second),
 		}, out)
 	}
 	run := func() *exchange.Failure { return runUntil(context.Background()) }
--- a/internal/exchange/hedge_test.go
+++ b/internal/exchange/hedge_test.go
@@ -60,6 +60,7 @@
 	var route catalog.Route
 	var x *exchange.Exchanger
 	var set *metrics.Set
+	var view atomic.Pointer[placement.View]
 	add := func(key string, load int, scripts ...script) *placement.Target {
 		meter := targetstats.NewMeter()
 		meter.SetRemoteInFlight(load)
@@ -72,9 +73,7 @@
 	start := func(retries exchange.RetryBounds) {
 		set = metrics.NewSet()
 		x = exchange.New(exchange.Dependencies{
-			View: func() *placement.View {
-				return &placement.View{Plain: map[string][]*placement.Target{"s": targets}, Groups: map[string]map[string][]*placement.Target{"s": {"m": targets}}}
-			},
+			View: view.Load,
 			Transport: t, Daemons: func() int { return 1 }, GossipDelay: func() time.Duration { return 0 }, Suspects: suspect.NewTable(suspect.Policy{}), OwnsTrial: func(suspect.Trait) bool { return true },
 			FailedRequests: exchange.NewFailedRequests(), Metrics: exchange.NewMetrics(set), Logger: slog.New(slog.DiscardHandler), Retries: retries, BodyLimit: 100,
 			ReportSuspect: func(*placement.Target, string, bool) {},
@@ -87,7 +86,9 @@
 		}
 		now := time.Now()
 		out = &sink{}
-		return x.Run(context.Background(), &exchange.Request{ID: "r", Route: &route, Service: service, Model: "m", Arrived: now, Deadline: now.Add(3 * time.Second)}, out)
+		view.Store(&placement.View{Plain: map[string][]*placement.Target{"s": targets}, Groups: map[string]map[string][]*placement.Target{"s": {"m": targets}}})
+		used := route // a check of the attempt may outlast the request
+		return x.Run(context.Background(), &exchange.Request{ID: "r", Route: &used, Service: service, Model: "m", Arrived: now, Deadline: now.Add(3 * time.Second)}, out)
 	}
 	BeforeEach(func() {
 		t = &transport{scripts: map[string][]script{}}
