--- a/internal/exchange/hedge_test.go
+++ b/internal/exchange/hedge_test.go
@@ -73,7 +73,7 @@
 	start := func(retries exchange.RetryBounds) {
 		set = metrics.NewSet()
 		x = exchange.New(exchange.Dependencies{
-			View: view.Load,
+			View:      view.Load,
 			Transport: t, Daemons: func() int { return 1 }, GossipDelay: func() time.Duration { return 0 }, Suspects: suspect.NewTable(suspect.Policy{}), OwnsTrial: func(suspect.Trait) bool { return true },
 			FailedRequests: exchange.NewFailedRequests(), Metrics: exchange.NewMetrics(set), Logger: slog.New(slog.DiscardHandler), Retries: retries, BodyLimit: 100,
 			ReportSuspect: func(*placement.Target, string, bool) {},
