Gateway: a line and counters tell that the process stood still

Nothing in the lines of a daemon told a standstill from a fault of its connections, so that the hypotheses of the incident could not be told apart. Housekeeping, which runs every 0.1 s, writes how late it is from 0.12 s on: 'process stood still' with stood_ms, plantainmux_standstills_total and plantainmux_standstill_seconds_total.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,14 +107,16 @@
 
 	registrationLost chan struct{} // the store has lost this daemon's registration
 
-	callers       atomic.Pointer[callerconn.Listener] // nil: not listening yet
-	callersLeft   *metrics.Counter                    // callers that had left when their request was read
-	inFlight      atomic.Int64
-	stopping      atomic.Bool
-	stopStartedAt atomic.Int64            // Unix nanoseconds; 0: not stopping
-	exchanges     context.Context         // ends those in progress with the grace period
-	endExchanges  context.CancelCauseFunc // ends exchanges
-	tasks         sync.WaitGroup
+	callers           atomic.Pointer[callerconn.Listener] // nil: not listening yet
+	callersLeft       *metrics.Counter                    // callers that had left when their request was read
+	standstills       *metrics.Counter
+	standstillSeconds *metrics.FloatCounter
+	inFlight          atomic.Int64
+	stopping          atomic.Bool
+	stopStartedAt     atomic.Int64            // Unix nanoseconds; 0: not stopping
+	exchanges         context.Context         // ends those in progress with the grace period
+	endExchanges      context.CancelCauseFunc // ends exchanges
+	tasks             sync.WaitGroup
 }
 
 // New returns a gateway that has not been started. It fails with a ListenError if
@@ -163,6 +165,8 @@
 	g.buildDispatch()
 	g.buildRequestPath()
 	g.callersLeft = g.metrics.NewCounter("plantainmux_gateway_callers_left_total")
+	g.standstills = g.metrics.NewCounter("plantainmux_standstills_total")
+	g.standstillSeconds = g.metrics.NewFloatCounter("plantainmux_standstill_seconds_total")
 	adapters.Notices.Subscribe(g.applyNotice)
 	return g, nil
 }
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/plantainmux/plantainmux/internal/awake"
 	"github.com/plantainmux/plantainmux/internal/gossip"
 	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/targetstats"
@@ -13,6 +14,8 @@
 const (
 	housekeepingInterval = 100 * time.Millisecond
 	sweepRounds          = 10 // rounds of housekeeping between sweeps of idle connections
+	// reportedStandstill is longer than a process whose processor time is a quota of each 0.1 s stands still.
+	reportedStandstill = 120 * time.Millisecond
 )
 
 type meter = *targetstats.Meter
@@ -20,8 +23,10 @@
 // housekeep periodically applies the gossip of the other daemons and removes
 // expired entries, idle connections and unused meters.
 func (g *Gateway) housekeep(ctx context.Context) {
+	gap := awake.NewGap(housekeepingInterval)
 	for round := 0; wait.For(ctx, housekeepingInterval); round++ {
 		now := time.Now()
+		g.reportStandstill(gap.Stood(now))
 		g.applyGossip(now)
 		g.observeDemand(now)
 		g.updateForwarders(now)
@@ -41,6 +46,16 @@
 	}
 }
 
+// reportStandstill logs and counts that the process was late by a time.
+func (g *Gateway) reportStandstill(late time.Duration) {
+	if late < reportedStandstill {
+		return
+	}
+	g.standstills.Inc()
+	g.standstillSeconds.Add(late.Seconds())
+	g.logger.Warn("process stood still", "stood_ms", late.Milliseconds(), "in_flight", g.inFlight.Load())
+}
+
 func (g *Gateway) applyGossip(now time.Time) {
 	live := g.gossip.Live(now)
 	g.live.Store(int32(len(live)))
