Callers' connections: none is closed over a request that has arrived

Cause: on waking, timers run before the network is polled. The gateway found its notice period over and nothing in progress, had net/http close all idle connections, and closed the rest 80 ms later by the clock; CloseExpired and the connection that makes room for a new one went by the clock in the same way.

Limits of the stop have now passed only once the process has run for 40 ms past them (awake.Deadline), and a connection without a request is closed under the lock that a beginning request takes, and only if nothing of its caller waits unread. The listener closes once its queue is empty, and connections that were accepted last get 80 ms in which the process runs. A connection counts as in use until its answer is written, not until the handler has returned.

The specs of callerconn fail without the look at unread bytes.

--- a/internal/callerconn/expire.go
+++ b/internal/callerconn/expire.go
@@ -3,25 +3,23 @@
 import "time"
 
 // CloseExpired closes the connections without a request in progress that have exceeded a timeout. A request
-// whose head has arrived is in progress: either it is answered or it does not begin.
+// that has arrived, read or not, is in progress: either it is answered or it does not begin. It is to be called
+// again and again.
 func (l *Listener) CloseExpired(now time.Time, timeouts Timeouts) {
-	var expired []*tracked
+	closed := 0
 	l.mu.Lock()
 	for _, waiting := range l.waiting {
 		for e := waiting.Front(); e != nil; {
 			c := e.Value.(*tracked)
 			e = e.Next()
-			if c.exceeds(timeouts, now) {
-				l.set(c, closed, now)
-				expired = append(expired, c)
+			if c.exceeds(timeouts, now) && l.settled(c) && l.closeUnlessUnread(c, now) {
+				closed++
 			}
 		}
 	}
+	l.sweptAt = time.Now()
 	l.mu.Unlock()
-	for _, c := range expired {
-		_ = c.Conn.Close()
-	}
-	l.expired.Add(int64(len(expired)))
+	l.expired.Add(int64(closed))
 }
 
 // exceeds reports whether a connection without a request in progress has exceeded a timeout. The mutex of
@@ -37,3 +35,9 @@
 	}
 	return limit > 0 && now.Sub(since) > limit
 }
+
+// settled reports whether what was last read from a connection without a request in progress is no request that
+// is about to begin: the process has looked at its connections since. The mutex is held.
+func (l *Listener) settled(c *tracked) bool {
+	return c.reading.Load() == 0 || l.sweptAt.IsZero() || time.Unix(0, c.lastRead.Load()).Before(l.sweptAt)
+}
--- /dev/null
+++ b/internal/callerconn/finish.go
@@ -0,0 +1,66 @@
+package callerconn
+
+import (
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/awake"
+)
+
+const (
+	finishInterval = 20 * time.Millisecond
+	acceptInterval = 2 * time.Millisecond
+	// firstBytePatience is how long a connection that was accepted last is kept for its first request.
+	firstBytePatience = 80 * time.Millisecond
+)
+
+// Finish stops accepting and closes the connections: those without a request as soon as they have nothing to
+// read, the others once they are answered. It returns when all are closed, or once until has passed, with the
+// number of those that are still open: they have a request in progress, or one that is being read.
+func (l *Listener) Finish(until time.Time) int {
+	end := awake.NewDeadline(until)
+	for l.queued() && !end.Passed(time.Now()) {
+		time.Sleep(acceptInterval)
+	}
+	_ = l.Close()                                    // fails if it is closed already
+	for !l.ended.Load() && !end.Passed(time.Now()) { // a connection may be on its way to the server
+		time.Sleep(acceptInterval)
+	}
+	patience := awake.NewDeadline(time.Now().Add(firstBytePatience))
+	for {
+		now := time.Now()
+		over := end.Passed(now)
+		if left := l.closeQuiet(patience.Passed(now)); left == 0 || over {
+			return left
+		}
+		time.Sleep(finishInterval)
+	}
+}
+
+// closeQuiet closes the connections without a request that have nothing to read, also those that have never
+// brought one or have brought a part of one if all is set. It returns how many are left.
+func (l *Listener) closeQuiet(all bool) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for _, waiting := range l.waiting {
+		for e := waiting.Front(); e != nil; {
+			c := e.Value.(*tracked)
+			e = e.Next()
+			if all || c.state == idle && c.reading.Load() == 0 {
+				l.closeUnlessUnread(c, now)
+			}
+		}
+	}
+	return l.open
+}
+
+// closeUnlessUnread closes a connection without a request in progress, unless bytes of its caller have arrived
+// that are not read yet. It reports whether it did. The caller holds mu, so that no request begins in between.
+func (l *Listener) closeUnlessUnread(c *tracked, now time.Time) bool {
+	if c.unread() {
+		return false
+	}
+	l.set(c, closed, now)
+	_ = c.Conn.Close()
+	return true
+}
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -17,9 +17,10 @@
 	firstRequestPatience = time.Second
 	// failingPatience is how long connections may wait that could not be accepted before the daemon counts
 	// as taking none. Callers give up a request that is not read within 1 s.
-	failingPatience = 200 * time.Millisecond
-	refusalShare    = 8               // one connection beyond so many of the limit is accepted, to be refused
-	logPeriod       = 2 * time.Second // between two lines of one kind
+	failingPatience  = 200 * time.Millisecond
+	victimCandidates = 64              // connections looked at for one that can be closed
+	refusalShare     = 8               // one connection beyond so many of the limit is accepted, to be refused
+	logPeriod        = 2 * time.Second // between two lines of one kind
 )
 
 // Listener accepts connections up to a limit. When the limit is reached, a new one takes the place of
@@ -35,11 +36,15 @@
 	inProgress  int       // connections with a request in progress that is not refused
 	failedAt    time.Time // as last logged
 	displacedAt time.Time // as last logged
+	sweptAt     time.Time // of the last look at timeouts; zero: none yet
 
 	displaced atomic.Int64 // closed for a new one
 	refusals  atomic.Int64
 	failures  atomic.Int64 // not accepted
 	expired   atomic.Int64 // closed after a timeout
+	aborted   atomic.Int64 // closed while a request was read that had not arrived before
+	accepted  atomic.Int64
+	ended     atomic.Bool // Accept has returned that the listener is closed
 }
 
 // Wrap returns a listener that accepts connections from another one, up to a limit.
@@ -57,6 +62,8 @@
 	gauge("plantainmux_caller_connections_displaced_total", func() float64 { return float64(l.displaced.Load()) })
 	gauge("plantainmux_caller_connections_refused_total", func() float64 { return float64(l.refusals.Load()) })
 	gauge("plantainmux_caller_connections_expired_total", func() float64 { return float64(l.expired.Load()) })
+	gauge("plantainmux_caller_connections_accepted_total", func() float64 { return float64(l.accepted.Load()) })
+	gauge("plantainmux_caller_connections_aborted_total", func() float64 { return float64(l.aborted.Load()) })
 	gauge("plantainmux_caller_connections_not_accepted_total", func() float64 { return float64(l.failures.Load()) })
 }
 
@@ -65,8 +72,10 @@
 	for {
 		raw, err := l.Listener.Accept()
 		if err != nil {
+			l.ended.Store(true) // the other errors do not get here
 			return nil, err
 		}
+		l.accepted.Add(1)
 		c := &tracked{Conn: raw, listener: l, state: closed}
 		if !l.add(c, time.Now()) {
 			_ = raw.Close()
@@ -93,7 +102,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case c.state == closed || c.state == busy:
+	case c.state == closed:
+		l.aborted.Add(1)
+	case c.state == busy:
 	case l.inProgress >= l.limit:
 		l.refusals.Add(1)
 		l.set(c, refused, time.Now())
@@ -109,12 +120,9 @@
 	l.mu.Lock()
 	var victim *tracked
 	if l.open >= l.limit {
-		victim = l.longestWaiting(now)
+		victim = l.displace(now)
 	}
 	accepted := l.open < l.limit || victim != nil || l.open < l.limit+l.limit/refusalShare
-	if victim != nil {
-		l.set(victim, closed, now)
-	}
 	if accepted {
 		l.open++
 		l.set(c, unused, now)
@@ -123,7 +131,6 @@
 	if victim != nil {
 		l.displaced.Add(1)
 		l.report(&l.displacedAt, "caller connections at their limit")
-		_ = victim.Conn.Close()
 	}
 	if !accepted {
 		l.refusals.Add(1)
@@ -131,23 +138,37 @@
 	return accepted
 }
 
-// longestWaiting returns the connection that is to be closed for a new one, or nil. Those that have
-// not brought a request in time go first, as callers that come back use the others.
-func (l *Listener) longestWaiting(now time.Time) *tracked {
-	oldest := func(s state) *tracked {
-		if front := l.waiting[s].Front(); front != nil {
-			return front.Value.(*tracked)
+// displace closes a connection for a new one, and returns it, or nil if there is none that can be closed. Those
+// that have not brought a request in time go first, as callers that come back use the others.
+func (l *Listener) displace(now time.Time) *tracked {
+	late := func(c *tracked) bool { return now.Sub(c.since) >= firstRequestPatience }
+	always := func(*tracked) bool { return true }
+	for _, choice := range []struct {
+		from    state
+		allowed func(*tracked) bool
+	}{{unused, late}, {idle, always}, {unused, always}} {
+		if c := l.closeLongestWaiting(choice.from, choice.allowed, now); c != nil {
+			return c
 		}
-		return nil
 	}
-	first := oldest(unused)
-	if first != nil && now.Sub(first.since) >= firstRequestPatience {
-		return first
-	}
-	if longest := oldest(idle); longest != nil {
-		return longest
+	return nil
+}
+
+// closeLongestWaiting closes the connection of a state that has waited for longest, among those that are allowed
+// and have nothing to read.
+func (l *Listener) closeLongestWaiting(from state, allowed func(*tracked) bool, now time.Time) *tracked {
+	e := l.waiting[from].Front()
+	for range victimCandidates {
+		if e == nil || !allowed(e.Value.(*tracked)) {
+			return nil
+		}
+		c := e.Value.(*tracked)
+		e = e.Next()
+		if l.settled(c) && l.closeUnlessUnread(c, now) {
+			return c
+		}
 	}
-	return first
+	return nil
 }
 
 func (l *Listener) move(c *tracked, to state) {
--- a/internal/callerconn/tracked.go
+++ b/internal/callerconn/tracked.go
@@ -10,21 +10,24 @@
 	"time"
 )
 
-// tracked is an accepted connection. Its fields but reading are guarded by the mutex of its Listener.
+// tracked is an accepted connection. Its fields but reading and lastRead are guarded by the mutex of its Listener.
 type tracked struct {
 	net.Conn
 	listener *Listener
 	state    state
 	since    time.Time     // when it took that state
 	reading  atomic.Int64  // Unix nanoseconds at which the first byte arrived since it took that state; 0: none has
+	lastRead atomic.Int64  // Unix nanoseconds of the last read that brought bytes; 0: none
 	waiting  *list.Element // in the list of its state; nil: busy or closed
 }
 
 // Read implements net.Conn.
 func (c *tracked) Read(into []byte) (int, error) {
 	n, err := c.Conn.Read(into)
-	if n > 0 && c.reading.Load() == 0 {
-		c.reading.Store(time.Now().UnixNano())
+	if n > 0 {
+		now := time.Now().UnixNano()
+		c.lastRead.Store(now)
+		c.reading.CompareAndSwap(0, now)
 	}
 	return n, err
 }
--- /dev/null
+++ b/internal/callerconn/unread.go
@@ -0,0 +1,43 @@
+package callerconn
+
+import (
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// unread reports whether bytes of the caller have arrived that the server has not read yet. It takes a
+// connection that cannot tell for one without any.
+func (c *tracked) unread() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	arrived := false
+	// Control, as the server's own read holds the lock that Read takes.
+	err = raw.Control(func(fd uintptr) {
+		var peeked [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		arrived = err == nil && n > 0
+	})
+	return err == nil && arrived
+}
+
+// queued reports whether connections wait that the listener below l has not accepted yet.
+func (l *Listener) queued() bool {
+	source, ok := l.Listener.Listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(fds, 0)
+		waiting = err == nil && n > 0 && fds[0].Revents&unix.POLLIN != 0
+	})
+	return err == nil && waiting
+}
--- /dev/null
+++ b/internal/callerconn/unread_test.go
@@ -0,0 +1,135 @@
+package callerconn_test
+
+import (
+	"bufio"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/callerconn"
+)
+
+// heldListener accepts connections from which nothing is read while they are held, as by a process that stands still.
+type heldListener struct {
+	net.Listener
+	held sync.RWMutex
+}
+
+// Accept implements net.Listener.
+func (l *heldListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &heldConn{TCPConn: conn.(*net.TCPConn), listener: l}, nil
+}
+
+type heldConn struct {
+	*net.TCPConn
+	listener *heldListener
+	deadline atomic.Int64 // of reads, in Unix nanoseconds; 0: none
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *heldConn) SetReadDeadline(at time.Time) error {
+	if at.IsZero() {
+		c.deadline.Store(0)
+	} else {
+		c.deadline.Store(at.UnixNano())
+	}
+	return nil
+}
+
+// Read implements net.Conn.
+func (c *heldConn) Read(into []byte) (int, error) {
+	for {
+		if deadline := c.deadline.Load(); deadline != 0 && time.Now().UnixNano() > deadline {
+			return 0, os.ErrDeadlineExceeded
+		}
+		_ = c.TCPConn.SetReadDeadline(time.Now().Add(time.Millisecond))
+		c.listener.held.RLock()
+		n, err := c.TCPConn.Read(into)
+		c.listener.held.RUnlock()
+		if timeout, ok := err.(net.Error); n > 0 || !ok || !timeout.Timeout() {
+			return n, err
+		}
+	}
+}
+
+var _ = Describe("A request that has arrived and was not read", func() {
+	// Guards against connections that are closed, on waking, over a request of their caller.
+	DescribeTable("is answered although its connection", func(act func(listener *callerconn.Listener)) {
+		raw, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		held := &heldListener{Listener: raw}
+		listener := callerconn.Wrap(held, 1, slog.New(slog.DiscardHandler))
+		ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+		server := &http.Server{Handler: listener.Handler(ok, ok)}
+		listener.Attach(server)
+		go func() { _ = server.Serve(listener) }()
+		DeferCleanup(server.Close)
+		conn, err := net.Dial("tcp", raw.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		place := func() {
+			_, err := io.WriteString(conn, request)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		place()
+		_, err = http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(listener.Full).Should(BeFalse())
+		held.held.Lock()
+		place()
+		time.Sleep(20 * time.Millisecond) // on its way through the kernel
+		act(listener)
+		held.held.Unlock()
+		_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+		_, err = http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+	},
+		Entry("has exceeded a timeout", func(listener *callerconn.Listener) {
+			listener.CloseExpired(time.Now().Add(time.Hour), callerconn.Timeouts{Header: time.Second, Idle: time.Second})
+		}),
+		Entry("was to be closed for a new one", func(listener *callerconn.Listener) {
+			other, err := net.Dial("tcp", listener.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(other.Close)
+			time.Sleep(100 * time.Millisecond)
+		}),
+		Entry("is closed as the daemon stops", func(listener *callerconn.Listener) {
+			finished := make(chan int, 1)
+			go func() { finished <- listener.Finish(time.Now().Add(5 * time.Second)) }()
+			Consistently(finished, "300ms").ShouldNot(Receive())
+		}),
+	)
+
+	It("does not keep a daemon that stops beyond its time", func() {
+		raw, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		held := &heldListener{Listener: raw}
+		held.held.Lock()
+		listener := callerconn.Wrap(held, 1, slog.New(slog.DiscardHandler))
+		server := &http.Server{Handler: http.NotFoundHandler()}
+		listener.Attach(server)
+		go func() { _ = server.Serve(listener) }()
+		DeferCleanup(func() { held.held.Unlock(); _ = server.Close() })
+		conn, err := net.Dial("tcp", raw.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, request)
+		Expect(err).NotTo(HaveOccurred())
+		began := time.Now()
+		Expect(listener.Finish(began.Add(300 * time.Millisecond))).To(Equal(1))
+		Expect(time.Since(began)).To(BeNumerically("<", 600*time.Millisecond), "the margin before the platform kills a process")
+	})
+})
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/exchange"
@@ -18,11 +17,7 @@
 	// admissionPeriod is how long requests are still admitted after the stop signal.
 	// Requests admitted until then can finish within Bounds.GraceS.
 	admissionPeriod    = 2900 * time.Millisecond
-	retryAfterStopping = 50 * time.Millisecond  // Retry-After, as another daemon answers
-	stopMargin         = 600 * time.Millisecond // before the platform kills the process
-	stopPollInterval   = 20 * time.Millisecond
-	lastAnswersPeriod  = 200 * time.Millisecond // within stopMargin, to answer the requests that are ended with the grace
-	closingPeriod      = 80 * time.Millisecond  // for requests that were accepted before the listeners closed
+	retryAfterStopping = 50 * time.Millisecond // Retry-After, as another daemon answers
 	// retryAfterConnections is Retry-After where all connections are in use, and the jitter added: another
 	// daemon may have some.
 	retryAfterConnections = 200 * time.Millisecond
@@ -157,43 +152,4 @@
 	return now.Sub(time.Unix(0, startedAt))
 }
 
-// stop waits until the load balancer has noticed and the requests in progress have
-// finished, at most for the platform's grace period less stopMargin. Then it ends those that have not, so
-// that their callers get an answer, and returns until when they may be written.
-func (g *Gateway) stop() time.Time {
-	startedAt := time.Now()
-	g.stopStartedAt.Store(startedAt.UnixNano())
-	g.stopping.Store(true)
-	g.logger.Info("daemon stopping", "in_flight", g.inFlight.Load())
-	latest := startedAt.Add(g.servingPeriod())
-	for time.Now().Before(latest) {
-		if time.Since(startedAt) > readinessNoticePeriod && g.inFlight.Load() == 0 {
-			return latest
-		}
-		time.Sleep(stopPollInterval)
-	}
-	g.logger.Warn("daemon stops with requests in progress", "in_flight", g.inFlight.Load())
-	g.endExchanges(&exchange.StoppedError{})
-	return latest.Add(lastAnswersPeriod)
-}
-
-// shutDown closes the servers. Their listeners close first; requests that were accepted just
-// before are answered, at most until a deadline.
-func (g *Gateway) shutDown(servers []*http.Server, deadline time.Time) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	for _, server := range servers {
-		go func() { _ = server.Shutdown(ctx) }() // ended by Close at the latest
-	}
-	for idleSince := time.Now(); time.Since(idleSince) < closingPeriod && time.Now().Before(deadline); {
-		if g.inFlight.Load() > 0 {
-			idleSince = time.Now()
-		}
-		time.Sleep(stopPollInterval)
-	}
-	for _, server := range servers {
-		_ = server.Close()
-	}
-}
-
 func (g *Gateway) writeMetrics(w io.Writer) { g.metrics.WritePrometheus(w) }
--- /dev/null
+++ b/internal/gateway/stop.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/awake"
+	"github.com/plantainmux/plantainmux/internal/exchange"
+)
+
+const (
+	stopMargin        = 600 * time.Millisecond // before the platform kills the process
+	stopPollInterval  = 20 * time.Millisecond
+	lastAnswersPeriod = 200 * time.Millisecond // within stopMargin, to answer the requests that are ended with the grace
+)
+
+// stop waits until the load balancer has noticed and the requests in progress have
+// finished, at most for the platform's grace period less stopMargin. Then it ends those that have not, so
+// that their callers get an answer, and returns until when they may be written.
+func (g *Gateway) stop() time.Time {
+	startedAt := time.Now()
+	g.stopStartedAt.Store(startedAt.UnixNano())
+	g.stopping.Store(true)
+	g.logger.Info("daemon stopping", "in_flight", g.inFlight.Load())
+	latest := startedAt.Add(g.servingPeriod())
+	noticed, end := awake.NewDeadline(startedAt.Add(readinessNoticePeriod)), awake.NewDeadline(latest)
+	for !end.Passed(time.Now()) {
+		if noticed.Passed(time.Now()) && g.inFlight.Load() == 0 {
+			return latest
+		}
+		time.Sleep(stopPollInterval)
+	}
+	g.logger.Warn("daemon stops with requests in progress", "in_flight", g.inFlight.Load())
+	g.endExchanges(&exchange.StoppedError{})
+	return latest.Add(lastAnswersPeriod)
+}
+
+// shutDown closes the servers, that of the callers first, which answers what it has accepted; at the latest
+// once a deadline has passed.
+func (g *Gateway) shutDown(servers []*http.Server, deadline time.Time) {
+	left := g.callers.Load().Finish(deadline)
+	g.logger.Info("daemon closes", "connections_left", left, "in_flight", g.inFlight.Load())
+	g.awaitExchanges(deadline)
+	for _, server := range servers {
+		_ = server.Close()
+	}
+}
+
+// awaitExchanges waits for the exchanges that other daemons have passed on to this one.
+func (g *Gateway) awaitExchanges(deadline time.Time) {
+	for end := awake.NewDeadline(deadline); g.inFlight.Load() > 0 && !end.Passed(time.Now()); {
+		time.Sleep(stopPollInterval)
+	}
+}
