Readiness: a daemon whose callers' connections nobody accepts is not ready

The users saw a daemon that said ready and took none of the new connections. Readiness is answered by another listener and looked at failing accepts only, so that an accept loop that is held up anywhere would not show.

--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -30,13 +30,16 @@
 	limit  int
 	logger *slog.Logger
 
-	mu          sync.Mutex
-	waiting     [2]*list.List // of *tracked, by state (unused and idle), the longest waiting first
-	open        int
-	inProgress  int       // connections with a request in progress that is not refused
-	failedAt    time.Time // as last logged
-	displacedAt time.Time // as last logged
-	sweptAt     time.Time // of the last look at timeouts; zero: none yet
+	mu           sync.Mutex
+	waiting      [2]*list.List // of *tracked, by state (unused and idle), the longest waiting first
+	open         int
+	inProgress   int       // connections with a request in progress that is not refused
+	failedAt     time.Time // as last logged
+	displacedAt  time.Time // as last logged
+	neglectedAt  time.Time // as last logged
+	queuedSince  time.Time // since when looks find connections to accept and none accepted; zero: they do not
+	acceptedThen int64     // connections accepted by queuedSince
+	sweptAt      time.Time // of the last look at timeouts; zero: none yet
 
 	displaced atomic.Int64 // closed for a new one
 	refusals  atomic.Int64
@@ -92,8 +95,31 @@
 	return l.inProgress >= l.limit
 }
 
-// TakesNone reports whether connections wait that cannot be accepted, for want of descriptors for example.
-func (l *Listener) TakesNone(now time.Time) bool { return l.FailingFor(now) >= failingPatience }
+// TakesNone reports whether connections wait that cannot be accepted, for want of descriptors for example, or that
+// nobody accepts. It is to be called again and again.
+func (l *Listener) TakesNone(now time.Time) bool {
+	return l.FailingFor(now) >= failingPatience || l.neglected(now)
+}
+
+// neglected reports whether connections have waited since the last look or longer and none was accepted.
+func (l *Listener) neglected(now time.Time) bool {
+	waits := l.queued()
+	accepted := l.accepted.Load()
+	l.mu.Lock()
+	if !waits || l.queuedSince.IsZero() || accepted != l.acceptedThen {
+		l.queuedSince, l.acceptedThen = time.Time{}, accepted
+		if waits {
+			l.queuedSince = now
+		}
+	}
+	since := l.queuedSince
+	l.mu.Unlock()
+	if !waits || now.Sub(since) < failingPatience {
+		return false
+	}
+	l.report(&l.neglectedAt, "connections wait that nobody accepts", "waiting_ms", now.Sub(since).Milliseconds())
+	return true
+}
 
 // begin records that a request on a connection is in progress, until the connection is idle or
 // closed, and returns the state of the connection: refused if the request is to be refused, as too
--- a/internal/callerconn/starved_test.go
+++ b/internal/callerconn/starved_test.go
@@ -52,3 +52,27 @@
 		Eventually(takesNone, "500ms", "5ms").Should(BeFalse())
 	})
 })
+
+var _ = Describe("A listener whose connections nobody accepts", func() {
+	// Guards against a daemon that counts as ready by another listener while its callers' one is not served.
+	It("tells so at a later look, until one is accepted", func() {
+		raw, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		listener := callerconn.Wrap(raw, limit, slog.New(slog.DiscardHandler))
+		DeferCleanup(listener.Close)
+		now := time.Now()
+		takesNone := func(after time.Duration) bool { return listener.TakesNone(now.Add(after)) }
+		Expect(takesNone(0)).To(BeFalse())
+		for range 2 {
+			conn, err := net.Dial("tcp", raw.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = conn.Close() }()
+		}
+		Expect(takesNone(time.Second)).To(BeFalse(), "it may have arrived just now")
+		Expect(takesNone(2 * time.Second)).To(BeTrue())
+		_, err = listener.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(takesNone(3*time.Second)).To(BeFalse(), "another one waits, but one was accepted")
+		Expect(takesNone(4 * time.Second)).To(BeTrue())
+	})
+})
