Callers' connections: a shorter timeout holds for those that are used under it

A configuration that shortens the idle timeout made the whole of a daemon's kept connections due at once, though callers go by the timeout that was in force when they last used them: those that sent a request in that moment got a reset. A connection now keeps the longer of the timeout in force and of that under which it was last used. The new spec fails without that.

--- a/internal/callerconn/expire.go
+++ b/internal/callerconn/expire.go
@@ -17,14 +17,15 @@
 			}
 		}
 	}
-	l.sweptAt = time.Now()
+	l.sweptAt, l.timeouts = time.Now(), timeouts
 	l.mu.Unlock()
 	l.expired.Add(int64(closed))
 }
 
-// exceeds reports whether a connection without a request in progress has exceeded a timeout. The mutex of
-// its listener is held.
+// exceeds reports whether a connection without a request in progress has exceeded a timeout, and the one that
+// was in force when its caller last used it, by which the caller goes. The mutex of its listener is held.
 func (c *tracked) exceeds(timeouts Timeouts, now time.Time) bool {
+	timeouts = timeouts.atLeast(c.timeouts)
 	since, limit := c.since, timeouts.Idle
 	reading := c.reading.Load()
 	switch {
--- a/internal/callerconn/expire_test.go
+++ b/internal/callerconn/expire_test.go
@@ -90,4 +90,22 @@
 		Eventually(open(kept)).Should(BeFalse())
 		Eventually(open(fresh)).Should(BeFalse())
 	})
+
+	// Guards against a configuration that closes connections which their callers still use by the one before.
+	It("stay those that were in force when a connection was last used, if they become shorter", func() {
+		expire(0)
+		kept := connect()
+		send(kept, request)
+		Expect(answered(kept)).To(BeTrue())
+		time.Sleep(50 * time.Millisecond)
+		shorter := callerconn.Timeouts{Header: time.Second, Idle: time.Second}
+		listener.CloseExpired(time.Now().Add(idle-time.Second), shorter)
+		Expect(open(kept)()).To(BeTrue())
+		send(kept, request)
+		Expect(kept.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+		Expect(answered(kept)).To(BeTrue())
+		time.Sleep(50 * time.Millisecond)
+		listener.CloseExpired(time.Now().Add(2*time.Second), shorter)
+		Eventually(open(kept)).Should(BeFalse())
+	})
 })
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -40,6 +40,7 @@
 	queuedSince  time.Time // since when looks find connections to accept and none accepted; zero: they do not
 	acceptedThen int64     // connections accepted by queuedSince
 	sweptAt      time.Time // of the last look at timeouts; zero: none yet
+	timeouts     Timeouts  // as last applied; zero: none yet
 
 	displaced atomic.Int64 // closed for a new one
 	refusals  atomic.Int64
@@ -215,7 +216,7 @@
 	if c.state == busy {
 		l.inProgress--
 	}
-	c.state, c.since = to, now
+	c.state, c.since, c.timeouts = to, now, l.timeouts
 	c.reading.Store(0)
 	switch to {
 	case unused, idle:
--- a/internal/callerconn/tracked.go
+++ b/internal/callerconn/tracked.go
@@ -16,6 +16,7 @@
 	listener *Listener
 	state    state
 	since    time.Time     // when it took that state
+	timeouts Timeouts      // in force then
 	reading  atomic.Int64  // Unix nanoseconds at which the first byte arrived since it took that state; 0: none has
 	lastRead atomic.Int64  // Unix nanoseconds of the last read that brought bytes; 0: none
 	waiting  *list.Element // in the list of its state; nil: busy or closed
