Callers' connections: none is closed over a request that is being read

The look asked first whether bytes had been read, then whether some waited unread, so that a read in between showed in neither; a reader that has the bytes and not yet the processor shows in neither either. As a daemon stops, a connection whose request was read and had not begun was closed too.

The look now asks the system first, which counts the bytes that have arrived, and compares them with those that reads have returned; then, whether the last read is older than the look before. Finish applies the same rule.

--- a/internal/callerconn/expire.go
+++ b/internal/callerconn/expire.go
@@ -12,7 +12,7 @@
 		for e := waiting.Front(); e != nil; {
 			c := e.Value.(*tracked)
 			e = e.Next()
-			if c.exceeds(timeouts, now) && l.settled(c) && l.closeUnlessUnread(c, now) {
+			if c.exceeds(timeouts, now) && l.closeUnlessUnread(c, now) {
 				closed++
 			}
 		}
--- a/internal/callerconn/finish.go
+++ b/internal/callerconn/finish.go
@@ -51,13 +51,15 @@
 			}
 		}
 	}
+	l.sweptAt = time.Now()
 	return l.open
 }
 
 // closeUnlessUnread closes a connection without a request in progress, unless bytes of its caller have arrived
-// that are not read yet. It reports whether it did. The caller holds mu, so that no request begins in between.
+// that are not read yet, or that were read a moment ago. It reports whether it did. The caller holds mu, so that
+// no request begins in between.
 func (l *Listener) closeUnlessUnread(c *tracked, now time.Time) bool {
-	if c.unread() {
+	if c.unread() || !l.settled(c) { // in this order: bytes may be read in between
 		return false
 	}
 	l.set(c, closed, now)
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -39,7 +39,7 @@
 	neglectedAt  time.Time // as last logged
 	queuedSince  time.Time // since when looks find connections to accept and none accepted; zero: they do not
 	acceptedThen int64     // connections accepted by queuedSince
-	sweptAt      time.Time // of the last look at timeouts; zero: none yet
+	sweptAt      time.Time // of the last look at all connections to close some; zero: none yet
 	timeouts     Timeouts  // as last applied; zero: none yet
 
 	displaced atomic.Int64 // closed for a new one
@@ -191,7 +191,7 @@
 		}
 		c := e.Value.(*tracked)
 		e = e.Next()
-		if l.settled(c) && l.closeUnlessUnread(c, now) {
+		if l.closeUnlessUnread(c, now) {
 			return c
 		}
 	}
--- a/internal/callerconn/tracked.go
+++ b/internal/callerconn/tracked.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// tracked is an accepted connection. Its fields but reading and lastRead are guarded by the mutex of its Listener.
+// tracked is an accepted connection. Its fields but the atomic ones are guarded by the mutex of its Listener.
 type tracked struct {
 	net.Conn
 	listener *Listener
@@ -19,6 +19,7 @@
 	timeouts Timeouts      // in force then
 	reading  atomic.Int64  // Unix nanoseconds at which the first byte arrived since it took that state; 0: none has
 	lastRead atomic.Int64  // Unix nanoseconds of the last read that brought bytes; 0: none
+	received atomic.Uint64 // bytes read
 	waiting  *list.Element // in the list of its state; nil: busy or closed
 }
 
@@ -29,6 +30,7 @@
 		now := time.Now().UnixNano()
 		c.lastRead.Store(now)
 		c.reading.CompareAndSwap(0, now)
+		c.received.Add(uint64(n)) // last, as unread tells from it what the other two do not show yet
 	}
 	return n, err
 }
--- a/internal/callerconn/unread.go
+++ b/internal/callerconn/unread.go
@@ -6,8 +6,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// unread reports whether bytes of the caller have arrived that the server has not read yet. It takes a
-// connection that cannot tell for one without any.
+// unread reports whether bytes of the caller have arrived that the server has not read yet, or is reading: the
+// system counts more than Read has returned. It takes a connection that cannot tell for one without any.
 func (c *tracked) unread() bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
@@ -19,6 +19,9 @@
 		var peeked [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		arrived = err == nil && n > 0
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil && !arrived {
+			arrived = info.Bytes_received > c.received.Load()
+		}
 	})
 	return err == nil && arrived
 }
