Links between daemons: a standstill of the process is no silence of the other side

A daemon that is cut off forwards its callers' exchanges over links that it closes after 1.2 s without a frame. On waking, the check of links ran before what had arrived was read: each link was closed with the exchanges and calls on it, whose answers waited unread.

awake.Standstills remembers when the process stood still, from the times at which a periodic task runs, and tells how much of a silence it could have heard, on waking too. Links count their silence, and a write in progress, by that. A lateness of 0.12 s or more counts as a standstill, the threshold of the line "process stood still".

--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -14,8 +14,6 @@
 const (
 	housekeepingInterval = 100 * time.Millisecond
 	sweepRounds          = 10 // rounds of housekeeping between sweeps of idle connections
-	// reportedStandstill is longer than a process whose processor time is a quota of each 0.1 s stands still.
-	reportedStandstill = 120 * time.Millisecond
 )
 
 type meter = *targetstats.Meter
@@ -48,7 +46,7 @@
 
 // reportStandstill logs and counts that the process was late by a time.
 func (g *Gateway) reportStandstill(late time.Duration) {
-	if late < reportedStandstill {
+	if late < awake.Lateness {
 		return
 	}
 	g.standstills.Inc()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -173,7 +173,7 @@
 // heartbeat that is due.
 func (l *link) check(now time.Time) {
 	waited := l.queue.oldestAge(now) >= l.network.options.MaxPublishDelay-l.network.options.checkPeriod()
-	if l.checkAlive() && (waited || l.heartbeatDue()) {
+	if l.checkAlive(now) && (waited || l.heartbeatDue()) {
 		l.queue.flush()
 	}
 }
@@ -196,12 +196,12 @@
 }
 
 // checkAlive closes the link and returns false if no frame has been received,
-// or a write has been blocked, for longer than the silence timeout.
-func (l *link) checkAlive() bool {
-	now := time.Now().UnixNano()
-	silence := time.Duration(now - l.lastReceived.Load())
+// or a write has been blocked, for longer than the silence timeout. A time in which this process stood still does
+// not count: what arrived meanwhile waits unread.
+func (l *link) checkAlive(now time.Time) bool {
+	silence := l.network.standstills.Ran(time.Unix(0, l.lastReceived.Load()), now)
 	if since := l.writingSince.Load(); since > 0 {
-		silence = max(silence, time.Duration(now-since))
+		silence = max(silence, l.network.standstills.Ran(time.Unix(0, since), now))
 	}
 	if silence <= l.network.options.silenceTimeout() {
 		return true
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -7,6 +7,7 @@
 
 	"github.com/alitto/pond/v2"
 
+	"github.com/plantainmux/plantainmux/internal/awake"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 )
 
@@ -30,6 +31,7 @@
 	routing      atomic.Pointer[routing]
 	deduplicator *deduplicator
 	clocks       *clocks
+	standstills  awake.Standstills // of this process, by checkLoop
 	sequence     atomic.Uint64
 	rotation     atomic.Uint64
 
@@ -68,6 +70,7 @@
 		running:        map[*link]bool{},
 		changed:        make(chan struct{}),
 	}
+	n.standstills.Interval = n.options.checkPeriod()
 	n.counters = newCounters(n.options.Metrics)
 	n.options.Metrics.Gauge("plantainmux_peer_links", func() float64 { return float64(n.size()) })
 	n.ctx, n.cancel = context.WithCancel(context.Background())
--- a/internal/peer/run.go
+++ b/internal/peer/run.go
@@ -53,6 +53,7 @@
 }
 
 func (n *Network) checkLinks(now time.Time) {
+	n.standstills.Look(now)
 	for _, l := range n.runningLinks() {
 		l.check(now)
 	}
