Gossip: a standstill of the process is no silence of the other daemons

A daemon that stood still for 0.7 s or longer took all others for gone on waking, until it had read their datagrams. By reading, it then gave itself the whole of each named limit beside the others, planned the groups of all domains, chose other hubs, and as a hub told a digest without members. A daemon counts another one's silence, and the age of a digest, only as far as its process ran (awake.Standstills). Ages that it tells are unchanged.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/plantainmux/plantainmux/internal/awake"
 	"github.com/plantainmux/plantainmux/internal/keyed"
 )
 
@@ -56,8 +57,9 @@
 	digests        map[string]*receivedDigest
 	sequence       uint64
 
-	delay         atomic.Int64  // nanoseconds; returned by Delay
-	hubInterval   time.Duration // between two sends to or from hubs
+	standstills   awake.Standstills // of this process, by Run
+	delay         atomic.Int64      // nanoseconds; returned by Delay
+	hubInterval   time.Duration     // between two sends to or from hubs
 	lastHubSend   time.Time
 	isHub         bool      // this daemon acts as a hub
 	chosenAsHubAt time.Time // zero if this daemon is not chosen as a hub
@@ -74,7 +76,7 @@
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
-	return &Gossip{Dependencies: dependencies, conn: conn, peers: map[string]*Peer{}, byHash: map[uint32]*Peer{}, digests: map[string]*receivedDigest{}, everRegistered: map[string]bool{}, hubInterval: minInterval}, nil
+	return &Gossip{Dependencies: dependencies, conn: conn, peers: map[string]*Peer{}, byHash: map[uint32]*Peer{}, digests: map[string]*receivedDigest{}, everRegistered: map[string]bool{}, standstills: awake.Standstills{Interval: minInterval}, hubInterval: minInterval}, nil
 }
 
 // Registration returns the store record that registers this daemon with the others.
@@ -178,6 +180,7 @@
 }
 
 func (g *Gossip) send(now time.Time) {
+	g.standstills.Look(now)
 	message := g.LocalMessage()
 	message.Node = g.Node
 	message.Incarnation = g.Incarnation
--- a/internal/gossip/hubs.go
+++ b/internal/gossip/hubs.go
@@ -157,7 +157,7 @@
 	digest.addMember(Member{Hash: HashKey(g.Node), Store: own.Store, Draining: own.Draining}, own.CutOff)
 	for _, peer := range g.peers {
 		age := now.Sub(peer.lastReceived)
-		if peer == receiver || peer.DataCentre != g.DataCentre || age > messageMaxAge*g.hubInterval {
+		if peer == receiver || peer.DataCentre != g.DataCentre || g.standstills.Ran(peer.lastReceived, now) > messageMaxAge*g.hubInterval {
 			continue
 		}
 		digest.add(peer.message, age)
@@ -223,10 +223,11 @@
 }
 
 // hasFreshDigest reports whether the newest digest of a data centre is recent enough to
-// be used.
+// be used. Here and in isLive a time in which this process stood still does not count: what the others sent
+// meanwhile waits unread, and a daemon that takes them for gone takes their duties and shares over.
 func (g *Gossip) hasFreshDigest(dataCentre string, now time.Time) bool {
 	lastSeen := g.digests[dataCentre]
-	return lastSeen != nil && now.Sub(lastSeen.madeAt) < digestMaxAge*g.hubInterval
+	return lastSeen != nil && g.standstills.Ran(lastSeen.madeAt, now) < digestMaxAge*g.hubInterval
 }
 
 // isLive reports whether the last sign of life of a peer is within its timeout.
@@ -238,5 +239,5 @@
 	case g.usesHubs():
 		limit = g.interval() + directGrace
 	}
-	return now.Sub(peer.lastSeen) < limit
+	return g.standstills.Ran(peer.lastSeen, now) < limit
 }
