Reach: connections that are noticed late on waking are no lost links

A daemon with requests that waited for connections to three endpoints or more took its links for lost when it woke from a standstill of 0.2 s or longer: the review ran before the connections were noticed, each counted as slow (0.15 s), the other daemons vouched for the endpoints, and the requests were cancelled to be forwarded, as were all that followed, until probes brought the links back. Silent exchanges were judged by the time since waking already, connections were not. Now none is judged slow while the process stood still within the last 0.15 s.

--- a/internal/forward/flights.go
+++ b/internal/forward/flights.go
@@ -38,8 +38,12 @@
 	return counts
 }
 
-// reportSlowConnects records the endpoints to which a connection takes too long.
+// reportSlowConnects records the endpoints to which a connection takes too long. Connections may have been made, and not
+// been noticed, while this process stood still.
 func (r *Router) reportSlowConnects(now time.Time) {
+	if r.standstills.Stood(now.Add(-slowConnect), now) > 0 {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for f := range r.flights {
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/plantainmux/plantainmux/internal/awake"
 	"github.com/plantainmux/plantainmux/internal/locality"
 	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/reach"
@@ -24,13 +25,13 @@
 	// silence of its endpoint. The longest pass of the known deployments takes 250 ms, slow members
 	// take 1.3 times as long, and a first event may have to wait for two passes.
 	silentAfter = 650 * time.Millisecond
-	// maxReviewGap is the time between two reviews, which are due every 100 ms, above which this
-	// process itself was held up. Answers may then wait in its sockets.
-	maxReviewGap  = 300 * time.Millisecond
-	probeInterval = 300 * time.Millisecond // while cut off
-	probeTimeout  = 250 * time.Millisecond
-	probeCount    = 2               // endpoints that must answer before a request is tried
-	slowAnswer    = 1 * time.Second // without an answer, after which the way through a daemon is suspected
+	// maxReviewGap is the time between two reviews above which this process itself was held up. Answers may then wait in its sockets.
+	maxReviewGap   = 300 * time.Millisecond
+	reviewInterval = 100 * time.Millisecond
+	probeInterval  = 300 * time.Millisecond // while cut off
+	probeTimeout   = 250 * time.Millisecond
+	probeCount     = 2               // endpoints that must answer before a request is tried
+	slowAnswer     = 1 * time.Second // without an answer, after which the way through a daemon is suspected
 )
 
 // Dependencies are the collaborators of a Router.
@@ -56,6 +57,8 @@
 
 	silent atomic.Int32 // flights that are silent
 
+	standstills awake.Standstills // of this process, by Review
+
 	mu         sync.Mutex
 	flights    map[*flight]struct{}
 	probedAt   time.Time
@@ -65,7 +68,7 @@
 
 // NewRouter returns a router without exchanges.
 func NewRouter(dependencies Dependencies) *Router {
-	return &Router{Dependencies: dependencies, tracker: reach.NewTracker(), flights: map[*flight]struct{}{}}
+	return &Router{Dependencies: dependencies, tracker: reach.NewTracker(), flights: map[*flight]struct{}{}, standstills: awake.Standstills{Interval: reviewInterval}}
 }
 
 // Lost reports whether this daemon is cut off from the endpoints.
@@ -174,8 +177,9 @@
 }
 
 // Review applies the evidence that has come up, and probes endpoints while the links are lost. It
-// is called every tenth of a second.
+// is called after each reviewInterval.
 func (r *Router) Review(now time.Time) {
+	r.standstills.Look(now)
 	r.tracker.ReviewAnswers(now)
 	r.reportSlowConnects(now)
 	r.reportSilence(now)
