Store: a standstill of the process is no silence of the store

On waking, a long poll of a daemon that stood still runs into its time limit while the answer waits unread. It counted as failing since it was due, a moment in the standstill: after 1 s the store was unreachable at once. The daemon then gave up planning and reading for its data centre, told the others so, and read through them until a probe. Time in which the process stood still no longer counts (awake.Standstills, by housekeeping).

The spec fails on the code before and passes; internal/keyed and internal/gateway pass whole (-race).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/plantainmux/plantainmux/internal/awake"
 	"github.com/plantainmux/plantainmux/internal/callerconn"
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/demand"
@@ -109,6 +110,7 @@
 
 	callers           atomic.Pointer[callerconn.Listener] // nil: not listening yet
 	callersLeft       *metrics.Counter                    // callers that had left when their request was read
+	stood             awake.Standstills                   // of this process, by housekeep
 	standstills       *metrics.Counter
 	standstillSeconds *metrics.FloatCounter
 	inFlight          atomic.Int64
@@ -128,6 +130,7 @@
 		logger:         logger.With("node", s.Node),
 		metrics:        metrics.NewSet(),
 		started:        time.Now(),
+		stood:          awake.Standstills{Interval: housekeepingInterval},
 		meters:         targetstats.NewMeters(),
 		holds:          targetstats.NewHolds(),
 		limits:         targetstats.NewLimits(),
@@ -143,7 +146,7 @@
 	g.cold = newColdEndpoints(s, g.limits, g.evacuations.WithdrawnAt, g.sharingDaemons, g.logger, g.metrics)
 	g.suspects = suspect.NewTable(suspect.Policy{ConfirmAfter: g.crashConfirmation})
 	g.storeCalls = newStoreCalls(g.metrics)
-	g.store = keyed.NewReachabilityTracker(keyed.NewEraObserver(keyed.NewCountedLog(adapters.Store, g.storeCalls.count), g.refreshAll))
+	g.store = keyed.NewReachabilityTracker(keyed.NewEraObserver(keyed.NewCountedLog(adapters.Store, g.storeCalls.count), g.refreshAll), &g.stood)
 	g.entrySchedule.converging = func() bool { return g.reconciler.Converging() }
 	g.live.Store(1)
 	g.metersByHash.Store(&map[uint32]meter{})
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -25,6 +25,7 @@
 	for round := 0; wait.For(ctx, housekeepingInterval); round++ {
 		now := time.Now()
 		g.reportStandstill(gap.Stood(now))
+		g.stood.Look(now)
 		g.applyGossip(now)
 		g.observeDemand(now)
 		g.updateForwarders(now)
--- a/internal/keyed/reachability_tracker.go
+++ b/internal/keyed/reachability_tracker.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync/atomic"
 	"time"
+
+	"github.com/plantainmux/plantainmux/internal/awake"
 )
 
 const (
@@ -17,12 +19,16 @@
 // directly. Reads through other daemons do not count.
 type ReachabilityTracker struct {
 	Log
-	failingSince atomic.Int64 // Unix nanoseconds at which the first failed call was due; 0 after an answer
-	failedCalls  atomic.Int32 // failed calls since the last answer
+	standstills  *awake.Standstills // of this process
+	failingSince atomic.Int64       // Unix nanoseconds at which the first failed call was due; 0 after an answer
+	failedCalls  atomic.Int32       // failed calls since the last answer
 }
 
-// NewReachabilityTracker wraps log, which is initially considered reachable.
-func NewReachabilityTracker(log Log) *ReachabilityTracker { return &ReachabilityTracker{Log: log} }
+// NewReachabilityTracker wraps log, which is initially considered reachable. It does not count the time in which the
+// process stood still, by standstills: answers wait unread then.
+func NewReachabilityTracker(log Log, standstills *awake.Standstills) *ReachabilityTracker {
+	return &ReachabilityTracker{Log: log, standstills: standstills}
+}
 
 // Unreachable reports whether the store is unreachable: repeated calls have failed for
 // unreachableAfterRepeated, or a single one for unreachableAfterSingle.
@@ -31,7 +37,7 @@
 	if since == 0 {
 		return false
 	}
-	failing := now.Sub(time.Unix(0, since))
+	failing := r.standstills.Ran(time.Unix(0, since), now)
 	return failing >= unreachableAfterSingle || failing >= unreachableAfterRepeated && r.failedCalls.Load() >= repeatedFailures
 }
 
--- a/internal/keyed/reachability_tracker_test.go
+++ b/internal/keyed/reachability_tracker_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/plantainmux/plantainmux/internal/awake"
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/keyed"
 )
@@ -16,11 +17,13 @@
 	ctx := context.Background()
 	var log *fakes.KeyedLog
 	var tracker *keyed.ReachabilityTracker
+	var standstills awake.Standstills
 	read := func() { _, _ = tracker.Read(ctx, "keyed.t", 0, 0) }
 	unreachable := func() bool { return tracker.Unreachable(time.Now()) }
 	BeforeEach(func() {
 		log = fakes.NewKeyedLog()
-		tracker = keyed.NewReachabilityTracker(log)
+		standstills = awake.Standstills{Interval: 100 * time.Millisecond}
+		tracker = keyed.NewReachabilityTracker(log, &standstills)
 	})
 
 	It("is lost when calls keep failing, and restored by the first answer", func() {
@@ -42,6 +45,20 @@
 		Eventually(unreachable, "1s").Should(BeTrue())
 	})
 
+	// Guards against a store that counts as lost on waking, as a call ran into its time limit with the answer unread.
+	It("is not lost through a standstill of the process, before it has run and a call could be answered", func() {
+		slept := time.Now()
+		standstills.Look(slept)
+		log.SetDown(true)
+		read()
+		woken := slept.Add(3 * time.Second)
+		Expect(tracker.Unreachable(woken)).To(BeFalse())
+		for at := woken; at.Before(woken.Add(time.Second)); at = at.Add(standstills.Interval) {
+			standstills.Look(at)
+		}
+		Expect(tracker.Unreachable(woken.Add(time.Second))).To(BeTrue())
+	})
+
 	It("is lost through refused appends, but not through appends without an answer or conflicts", func() {
 		add := func() { _, _ = tracker.Append(ctx, "keyed.t", 0, []keyed.Record{{Key: "a"}}) }
 		log.SetLost(true)
