Registry: lapsed entries do not expire by a standstill of the process

After an outage of the store, endpoints whose entries are missing stay registered for 2.2 s, as they write them again within moments. A daemon that stood still meanwhile removed them on waking, with new entries unread: their groups lost members, and requests were refused for want of targets until the next read. The time in which the process stood still is added to their grace. What a restored copy of the store says of evacuations waits in the same way for what operators write again; that has no spec of its own.

--- a/internal/awake/standstills.go
+++ b/internal/awake/standstills.go
@@ -14,7 +14,7 @@
 
 // Standstills remembers when a process stood still, from the times at which a periodic task runs, so that silence of
 // others counts only as far as the process could have heard them. Before the first look there are none. It is safe for
-// concurrent use.
+// concurrent use; a nil one knows of none.
 type Standstills struct {
 	Interval time.Duration // of the task
 
@@ -40,6 +40,9 @@
 
 // Stood returns for how much of the time from since to now the process stood still, also before Look on waking.
 func (s *Standstills) Stood(since, now time.Time) time.Duration {
+	if s == nil {
+		return 0
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var stood time.Duration
--- a/internal/gateway/build.go
+++ b/internal/gateway/build.go
@@ -18,7 +18,7 @@
 		StoreUnreachable: func() bool { return g.storeUnreachable() || g.awaitsReader() },
 	}
 	registrations := &keyed.Fallback{Log: g.store, Reader: g.readerOfRegistrations, Peer: g.randomStorePeer, StoreUnreachable: g.storeUnreachable}
-	g.registry = registry.New(g.adapters.DecodeEntry, registry.GracePeriods{Lapsed: lapsedEntryGrace, Removed: removedEntryGrace}, g.logger, g.changed)
+	g.registry = registry.New(g.adapters.DecodeEntry, registry.GracePeriods{Lapsed: lapsedEntryGrace, Removed: removedEntryGrace, Standstills: &g.stood}, g.logger, g.changed)
 	g.ledger = ledger.New(g.store, g.logger, g.changed)
 	longPollPacing := keyed.LongPoll(longPollWait, storeCallTimeout)
 	configPacing := keyed.LongPoll(g.settings.Bounds.configWait(), storeCallTimeout)
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/awake"
+	"github.com/plantainmux/plantainmux/internal/evacuation"
 	"github.com/plantainmux/plantainmux/internal/gossip"
 	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/targetstats"
@@ -31,7 +32,7 @@
 		g.updateForwarders(now)
 		g.endpoints.Review(now)
 		g.registry.Expire(now)
-		g.settleEvacuations(now)
+		g.settleEvacuations(now.Add(-g.stood.Stood(now.Add(-evacuation.HoldPeriod), now))) // what operators write again may wait unread
 		g.cold.review(now)
 		if round%sweepRounds == 0 {
 			g.adapters.Sweep(now)
--- a/internal/registry/endpoint.go
+++ b/internal/registry/endpoint.go
@@ -30,6 +30,7 @@
 	// LapsedUntil is when an endpoint without an entry is removed. The entry may be
 	// missing only because of a store outage. It is zero while there is an entry.
 	LapsedUntil time.Time
+	LapsedAt    time.Time // when the entry was found missing
 	// ColdUntil is the latest time until which entries of this incarnation have said that it is cold.
 	// It is counted from when this daemon read them, which is no earlier than when they were written.
 	ColdUntil time.Time
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -79,7 +79,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.forgetDeparted(now)
-	expired := func(_ string, e *Endpoint) bool { return e.Lapsed() && !now.Before(e.LapsedUntil) }
+	expired := func(_ string, e *Endpoint) bool {
+		return e.Lapsed() && !now.Before(e.LapsedUntil.Add(r.gracePeriods.Standstills.Stood(e.LapsedAt, now)))
+	}
 	old := r.current.Load().ByID
 	found := false
 	for id, e := range old {
@@ -155,7 +157,7 @@
 		return
 	}
 	lapsed := *known
-	lapsed.LapsedUntil = r.graceUntil
+	lapsed.LapsedAt, lapsed.LapsedUntil = now, r.graceUntil
 	if removedUntil := now.Add(r.gracePeriods.Removed); batch.OutageDuration == 0 && !batch.Restored && removedUntil.Before(r.graceUntil) {
 		lapsed.LapsedUntil = removedUntil
 	}
