Formation: what a planner could not read while it stood still is no silence

A planner holds a member that leaves two probes of 0.13 s unanswered for dead while others answer, and releases a silent head after two orders of 0.8 s, so that its members are granted anew. On waking from a standstill such calls run into their time limits although the answers wait unread; two standstills, or a quota of processor time that is used up twice, could so replace running members or release a head that serves. A probe during which the process stood still is sent again, six times at most, and an order to leave counts neither way then; it is sent again after 1.2 s as before.

--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -76,11 +76,16 @@
 }
 
 // probeMember reports whether the granted incarnation of an endpoint is running,
-// and its slowdown factor.
+// and its slowdown factor. An attempt during which this process stood still shows nothing.
 func (r *Reconciler) probeMember(ctx context.Context, member ledger.Member) (alive bool, slowdown float64) {
-	for range probeAttempts {
+	heldUp := 0
+	for attempt := 0; attempt < min(probeAttempts+heldUp, maxProbeAttempts); attempt++ {
+		began := time.Now()
 		call, cancel := context.WithTimeout(ctx, probeTimeout)
 		report, err := r.Engines.Report(call, member)
+		if call.Err() != nil && r.Standstills.Stood(began, time.Now()) > 0 {
+			heldUp++
+		}
 		cancel()
 		var gone *GoneError
 		if errors.As(err, &gone) {
--- a/internal/formation/reconciler.go
+++ b/internal/formation/reconciler.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/alitto/pond/v2"
+	"github.com/plantainmux/plantainmux/internal/awake"
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/demand"
 	"github.com/plantainmux/plantainmux/internal/evacuation"
@@ -30,6 +31,7 @@
 	stageRetryInterval = 20 * time.Second       // longer than a load from the weight store
 	probeTimeout       = 130 * time.Millisecond // longer than a round trip between data centres plus the report of a busy endpoint
 	probeAttempts      = 2
+	maxProbeAttempts   = 6 // with those in which this process stood still
 	probeInterval      = 500 * time.Millisecond
 	maxNewsWait        = 400 * time.Millisecond // for news of events at other daemons, after the probes of a group began
 	// maxReachProbes is the number of endpoints that are probed to find out whether this daemon
@@ -61,7 +63,9 @@
 	CanWrite    func() bool          // reports whether the store was reachable recently
 	// ExpectChange announces that the registry entries are expected to change after a duration.
 	ExpectChange func(after time.Duration)
-	Logger       *slog.Logger
+	// Standstills of this process: what is not answered meanwhile may be answered and wait unread; nil: not known.
+	Standstills *awake.Standstills
+	Logger      *slog.Logger
 }
 
 // Reconciler periodically computes a plan and executes it.
@@ -211,9 +215,12 @@
 	started := time.Now()
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	err := r.Engines.Order(call, order)
+	heldUp := call.Err() != nil && r.Standstills.Stood(started, time.Now()) > 0
 	cancel()
 	r.observations.finishOrder(order)
-	r.recordOutcome(ctx, order, err)
+	if order.Operation != Leave || !heldUp {
+		r.recordOutcome(ctx, order, err)
+	}
 	r.Logger.Info("order sent to endpoint", "endpoint", order.To.ID, "operation", order.Operation, "group", order.Group, "epoch", order.Epoch,
 		"model", order.Model, "loads", order.NeedsLoad, "took_ms", time.Since(started).Milliseconds(), "error", err)
 	if err == nil && order.Operation != Leave && order.Operation != Stage {
--- a/internal/gateway/build.go
+++ b/internal/gateway/build.go
@@ -55,6 +55,7 @@
 		NewsDelay:     g.gossip.Delay,
 		Shifted:       g.countShift,
 		ExpectChange:  g.expectEntries,
+		Standstills:   &g.stood,
 		Logger:        g.logger,
 	})
 }
