--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/awake"
+	"github.com/plantainmux/plantainmux/internal/evacuation"
 	"github.com/plantainmux/plantainmux/internal/gossip"
 	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/targetstats"
@@ -14,8 +15,6 @@
 const (
 	housekeepingInterval = 100 * time.Millisecond
 	sweepRounds          = 10 // rounds of housekeeping between sweeps of idle connections
-	// reportedStandstill is longer than a process whose processor time is a quota of each 0.1 s stands still.
-	reportedStandstill = 120 * time.Millisecond
 )
 
 type meter = *targetstats.Meter
@@ -27,12 +26,13 @@
 	for round := 0; wait.For(ctx, housekeepingInterval); round++ {
 		now := time.Now()
 		g.reportStandstill(gap.Stood(now))
+		g.stood.Look(now)
 		g.applyGossip(now)
 		g.observeDemand(now)
 		g.updateForwarders(now)
 		g.endpoints.Review(now)
 		g.registry.Expire(now)
-		g.settleEvacuations(now)
+		g.settleEvacuations(now.Add(-g.stood.Stood(now.Add(-evacuation.HoldPeriod), now))) // what operators write again may wait unread
 		g.cold.review(now)
 		if round%sweepRounds == 0 {
 			g.adapters.Sweep(now)
@@ -48,7 +48,7 @@
 
 // reportStandstill logs and counts that the process was late by a time.
 func (g *Gateway) reportStandstill(late time.Duration) {
-	if late < reportedStandstill {
+	if late < awake.Lateness {
 		return
 	}
 	g.standstills.Inc()
