Callers' connections: the rest of a body that nobody reads has a second

A caller whose request is denied before its body is read, by an unknown route for example, and who does not send that body kept its connection and a place among the requests in progress for ever: the server reads the rest before it answers, without a limit. The rest has 1 s now.

--- a/internal/callerconn/serve.go
+++ b/internal/callerconn/serve.go
@@ -3,8 +3,13 @@
 import (
 	"net"
 	"net/http"
+	"time"
 )
 
+// restPatience is how long the rest of a body that the handler has not read may take: the server reads it before it
+// answers, so that the connection can be used again.
+const restPatience = time.Second
+
 // Attach makes a server report the states of its connections, which are those of l.
 func (l *Listener) Attach(server *http.Server) {
 	server.ConnContext = withConn
@@ -20,6 +25,9 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		if r.ContentLength != 0 {
+			defer limitRest(w)
+		}
 		switch l.begin(c) {
 		case closed:
 			panic(http.ErrAbortHandler) // the answer would reach nobody
@@ -32,6 +40,11 @@
 	})
 }
 
+// limitRest limits the time to read the rest of a body. The server lifts the limit for the next request.
+func limitRest(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(restPatience)) // supported by all connections of the server
+}
+
 // observe implements http.Server.ConnState.
 func (l *Listener) observe(conn net.Conn, to http.ConnState) {
 	c := trackedOf(conn)
