Stopping: exchanges that wait unread in a link are answered

After the callers' connections were closed, the gateway looked once whether exchanges of other daemons were in progress and closed its links, so that one that had arrived while the process stood still was cut.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -40,15 +40,20 @@
 func (g *Gateway) shutDown(servers []*http.Server, deadline time.Time) {
 	left := g.callers.Load().Finish(deadline)
 	g.logger.Info("daemon closes", "connections_left", left, "in_flight", g.inFlight.Load())
-	g.awaitExchanges(deadline)
+	g.awaitExchanges(awake.NewDeadline(deadline))
 	for _, server := range servers {
 		_ = server.Close()
 	}
 }
 
-// awaitExchanges waits for the exchanges that other daemons have passed on to this one.
-func (g *Gateway) awaitExchanges(deadline time.Time) {
-	for end := awake.NewDeadline(deadline); g.inFlight.Load() > 0 && !end.Passed(time.Now()); {
+// awaitExchanges waits for the exchanges that other daemons have passed on to this one, also those that wait
+// unread in a link.
+func (g *Gateway) awaitExchanges(end *awake.Deadline) {
+	quiet := awake.NewDeadline(time.Now())
+	for now := time.Now(); !quiet.Passed(now) && !end.Passed(now); now = time.Now() {
+		if g.inFlight.Load() > 0 {
+			quiet = awake.NewDeadline(now)
+		}
 		time.Sleep(stopPollInterval)
 	}
 }
