Callers' connections: the time for a head is counted from its first byte, and one that was read may begin

It goes by two looks since the first byte. A daemon that stopped closed, 80 ms after its listener, a connection whose request had been read and had not begun (one spec, 250 ms): such connections have 1 s in which the process runs.

--- a/internal/callerconn/expire.go
+++ b/internal/callerconn/expire.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// settlingLooks is after how many looks at timeouts a request that has been read whole has begun.
+const settlingLooks = 2
+
 // CloseExpired closes the connections without a request in progress that have exceeded a timeout. A request
 // that has arrived, read or not, is in progress: either it is answered or it does not begin. It is to be called
 // again and again.
@@ -12,12 +15,15 @@
 		for e := waiting.Front(); e != nil; {
 			c := e.Value.(*tracked)
 			e = e.Next()
+			if c.reading.Load() != 0 {
+				c.looks++
+			}
 			if c.exceeds(timeouts, now) && l.closeUnlessUnread(c, now) {
 				closed++
 			}
 		}
 	}
-	l.sweptAt, l.timeouts = time.Now(), timeouts
+	l.timeouts = timeouts
 	l.mu.Unlock()
 	l.expired.Add(int64(closed))
 }
@@ -37,8 +43,6 @@
 	return limit > 0 && now.Sub(since) > limit
 }
 
-// settled reports whether what was last read from a connection without a request in progress is no request that
-// is about to begin: the process has looked at its connections since. The mutex is held.
-func (l *Listener) settled(c *tracked) bool {
-	return c.reading.Load() == 0 || l.sweptAt.IsZero() || time.Unix(0, c.lastRead.Load()).Before(l.sweptAt)
-}
+// settled reports whether what was read from a connection without a request in progress is no request that is
+// about to begin: the process has looked at it again and again since its first byte. The mutex is held.
+func (c *tracked) settled() bool { return c.reading.Load() == 0 || c.looks >= settlingLooks }
--- a/internal/callerconn/finish.go
+++ b/internal/callerconn/finish.go
@@ -11,6 +11,8 @@
 	acceptInterval = 2 * time.Millisecond
 	// firstBytePatience is how long a connection that was accepted last is kept for its first request.
 	firstBytePatience = 80 * time.Millisecond
+	// headPatience is how long one that has brought a part of a request is kept, or the whole that has not begun.
+	headPatience = time.Second
 )
 
 // Finish stops accepting and closes the connections: those without a request as soon as they have nothing to
@@ -25,20 +27,21 @@
 	for !l.ended.Load() && !end.Passed(time.Now()) { // a connection may be on its way to the server
 		time.Sleep(acceptInterval)
 	}
-	patience := awake.NewDeadline(time.Now().Add(firstBytePatience))
+	closedAt := time.Now()
+	firstByte, head := awake.NewDeadline(closedAt.Add(firstBytePatience)), awake.NewDeadline(closedAt.Add(headPatience))
 	for {
 		now := time.Now()
 		over := end.Passed(now)
-		if left := l.closeQuiet(patience.Passed(now)); left == 0 || over {
+		if left := l.closeQuiet(firstByte.Passed(now), head.Passed(now)); left == 0 || over {
 			return left
 		}
 		time.Sleep(finishInterval)
 	}
 }
 
-// closeQuiet closes the connections without a request that have nothing to read, also those that have never
-// brought one or have brought a part of one if all is set. It returns how many are left.
-func (l *Listener) closeQuiet(all bool) int {
+// closeQuiet closes the connections that wait for a request and have nothing to read. Those that have never brought
+// one are closed if unusedToo is set, those that have brought a part of one if begunToo is. It returns how many are left.
+func (l *Listener) closeQuiet(unusedToo, begunToo bool) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -46,12 +49,17 @@
 		for e := waiting.Front(); e != nil; {
 			c := e.Value.(*tracked)
 			e = e.Next()
-			if all || c.state == idle && c.reading.Load() == 0 {
+			switch {
+			case c.reading.Load() != 0:
+				if begunToo {
+					c.looks = settlingLooks
+					l.closeUnlessUnread(c, now)
+				}
+			case c.state == idle || unusedToo:
 				l.closeUnlessUnread(c, now)
 			}
 		}
 	}
-	l.sweptAt = time.Now()
 	return l.open
 }
 
@@ -59,7 +67,7 @@
 // that are not read yet, or that were read a moment ago. It reports whether it did. The caller holds mu, so that
 // no request begins in between.
 func (l *Listener) closeUnlessUnread(c *tracked, now time.Time) bool {
-	if c.unread() || !l.settled(c) { // in this order: bytes may be read in between
+	if c.unread() || !c.settled() { // in this order: bytes may be read in between
 		return false
 	}
 	l.set(c, closed, now)
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -39,7 +39,6 @@
 	neglectedAt  time.Time // as last logged
 	queuedSince  time.Time // since when looks find connections to accept and none accepted; zero: they do not
 	acceptedThen int64     // connections accepted by queuedSince
-	sweptAt      time.Time // of the last look at all connections to close some; zero: none yet
 	timeouts     Timeouts  // as last applied; zero: none yet
 
 	displaced atomic.Int64 // closed for a new one
@@ -81,11 +80,11 @@
 		}
 		l.accepted.Add(1)
 		c := &tracked{Conn: raw, listener: l, state: closed}
-		if !l.add(c, time.Now()) {
-			_ = raw.Close()
-			continue
+		if l.add(c, time.Now()) {
+			return c, nil
 		}
-		return c, nil
+		l.refusals.Add(1)
+		_ = raw.Close()
 	}
 }
 
@@ -159,9 +158,6 @@
 		l.displaced.Add(1)
 		l.report(&l.displacedAt, "caller connections at their limit")
 	}
-	if !accepted {
-		l.refusals.Add(1)
-	}
 	return accepted
 }
 
@@ -218,6 +214,7 @@
 	}
 	c.state, c.since, c.timeouts = to, now, l.timeouts
 	c.reading.Store(0)
+	c.looks = 0
 	switch to {
 	case unused, idle:
 		c.waiting = l.waiting[to].PushBack(c)
--- a/internal/callerconn/tracked.go
+++ b/internal/callerconn/tracked.go
@@ -18,8 +18,8 @@
 	since    time.Time     // when it took that state
 	timeouts Timeouts      // in force then
 	reading  atomic.Int64  // Unix nanoseconds at which the first byte arrived since it took that state; 0: none has
-	lastRead atomic.Int64  // Unix nanoseconds of the last read that brought bytes; 0: none
 	received atomic.Uint64 // bytes read
+	looks    int           // at timeouts since the first byte of a request that has not begun
 	waiting  *list.Element // in the list of its state; nil: busy or closed
 }
 
@@ -27,10 +27,10 @@
 func (c *tracked) Read(into []byte) (int, error) {
 	n, err := c.Conn.Read(into)
 	if n > 0 {
-		now := time.Now().UnixNano()
-		c.lastRead.Store(now)
-		c.reading.CompareAndSwap(0, now)
-		c.received.Add(uint64(n)) // last, as unread tells from it what the other two do not show yet
+		if c.reading.Load() == 0 {
+			c.reading.Store(time.Now().UnixNano())
+		}
+		c.received.Add(uint64(n)) // last, as unread tells from it what reading does not show yet
 	}
 	return n, err
 }
