--- a/internal/callerconn/crossed_test.go
+++ b/internal/callerconn/crossed_test.go
@@ -207,3 +207,52 @@
 		Eventually(answered, "4s", "1ms").Should(BeTrue())
 	})
 })
+
+var _ = Describe("Connections that were accepted beyond the limit", func() {
+	// Guards against new connections that are closed over their request as all others have one to be read.
+	It("are answered or wait while no other can be closed", func() {
+		raw, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		const most = 16
+		held := &heldListener{Listener: raw}
+		listener := callerconn.Wrap(held, most, slog.New(slog.DiscardHandler))
+		ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+		server := &http.Server{Handler: listener.Handler(ok, ok)}
+		listener.Attach(server)
+		go func() { _ = server.Serve(listener) }()
+		DeferCleanup(server.Close)
+		dial := func() net.Conn {
+			conn, err := net.Dial("tcp", raw.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			return conn
+		}
+		var kept, fresh []net.Conn
+		for range most {
+			conn := dial()
+			_, _ = io.WriteString(conn, request)
+			_, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			Expect(err).NotTo(HaveOccurred())
+			kept = append(kept, conn)
+		}
+		held.held.Lock()
+		for _, conn := range kept {
+			_, _ = io.WriteString(conn, request)
+		}
+		for range 10 {
+			conn := dial()
+			_, _ = io.WriteString(conn, request)
+			fresh = append(fresh, conn)
+		}
+		time.Sleep(50 * time.Millisecond)
+		held.held.Unlock()
+		lost := 0
+		for _, conn := range append(kept, fresh...) {
+			_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+			if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
+				lost++
+			}
+		}
+		Expect(lost).To(BeZero())
+	})
+})
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/accept"
+	"github.com/plantainmux/plantainmux/internal/awake"
 )
 
 const (
@@ -18,9 +19,11 @@
 	// failingPatience is how long connections may wait that could not be accepted before the daemon counts
 	// as taking none. Callers give up a request that is not read within 1 s.
 	failingPatience  = 200 * time.Millisecond
-	victimCandidates = 64              // connections looked at for one that can be closed
-	refusalShare     = 8               // one connection beyond so many of the limit is accepted, to be refused
-	logPeriod        = 2 * time.Second // between two lines of one kind
+	victimCandidates = 64 // connections looked at for one that can be closed
+	// placePatience is how long a connection beyond the limit waits for one that has a request to be read.
+	placePatience = 100 * time.Millisecond
+	refusalShare  = 8               // one connection beyond so many of the limit is accepted, to be refused
+	logPeriod     = 2 * time.Second // between two lines of one kind
 )
 
 // Listener accepts connections up to a limit. When the limit is reached, a new one takes the place of
@@ -80,8 +83,13 @@
 		}
 		l.accepted.Add(1)
 		c := &tracked{Conn: raw, listener: l, state: closed}
-		if l.add(c, time.Now()) {
-			return c, nil
+		for end := awake.NewDeadline(time.Now().Add(placePatience)); ; time.Sleep(acceptInterval) {
+			if l.add(c, time.Now()) {
+				return c, nil
+			}
+			if !l.readable() || end.Passed(time.Now()) {
+				break
+			}
 		}
 		l.refusals.Add(1)
 		_ = raw.Close()
@@ -161,6 +169,14 @@
 	return accepted
 }
 
+// readable reports whether connections have no request in progress, so that one may soon be closed, or have one
+// and be counted as such.
+func (l *Listener) readable() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.waiting[unused].Len()+l.waiting[idle].Len() > 0
+}
+
 // displace closes a connection for a new one, and returns it, or nil if there is none that can be closed. Those
 // that have not brought a request in time go first, as callers that come back use the others.
 func (l *Listener) displace(now time.Time) *tracked {
