Own interface: a daemon that stood still drops nothing that has arrived

Cause: on waking, timers run before the network is polled. The drain notice was over, nothing counted as in progress, and http.Server.Shutdown closed idle connections over unread requests; net/http's own read timeouts did the same at any time.

The limit to record the outcomes of orders goes by the time that the process runs too. The admin listener keeps net/http's timeouts: its clients are balancers, monitoring and operators, which ask again.

--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -80,7 +80,11 @@
 // drainOrders waits until the outcomes of finished orders are recorded in the
 // log.
 func (d *Daemon) drainOrders() {
-	ctx, cancel := context.WithTimeout(d.killed, orderDrainTimeout)
+	ctx, cancel := context.WithCancel(d.killed)
 	defer cancel()
+	go func() {
+		pause(ctx, orderDrainTimeout)
+		cancel()
+	}()
 	d.orders.runner.Drain(ctx)
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -12,14 +12,15 @@
 
 	"github.com/plantainmux/plantainmux/internal/accept"
 	"github.com/plantainmux/plantainmux/internal/callerconn"
-	"github.com/plantainmux/plantainmux/internal/settings"
 	"github.com/plantainmux/plantainmux/internal/traffic"
+	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
 // Timeouts of connections. They do not limit a request in progress.
 const (
 	headerTimeout = 10 * time.Second // to receive the header of a request
 	idleTimeout   = 2 * time.Minute  // between two requests; longer than the keep-alive time of common load balancers
+	expiryPeriod  = time.Second      // between two looks at the timeouts of callers' connections
 )
 
 // CallerAddress returns the address of the listener for callers.
@@ -58,11 +59,13 @@
 	peers := d.serve(withTLS(d.peerListener, d.tls.peer), d.mesh.Handler())
 	d.tasks.Go(d.mesh.Run)
 	callers := d.serveCallers()
+	context.AfterFunc(d.killed, func() { _ = callers.Close() })
+	d.tasks.Go(func() { d.expireConnections(background) })
 	admins := d.serve(withTLS(d.adminListener, d.tls.admin), d.admin.Handler())
 	d.logger.Info("daemon started", "caller", d.CallerAddress(), "admin", d.AdminAddress(), "peer", d.PeerAddress())
 	select {
 	case <-ctx.Done():
-		d.stop(callers, admins)
+		d.stop(admins)
 	case <-d.killed.Done():
 	}
 	_ = callers.Close()
@@ -98,6 +101,7 @@
 func (d *Daemon) serveCallers() *http.Server {
 	d.inFlight = newInFlight(d.callerListener.Handler(d.caller.Handler(), http.HandlerFunc(d.caller.RefuseConnection)))
 	server := d.newServer(d.inFlight)
+	server.ReadHeaderTimeout, server.IdleTimeout = 0, 0 // expireConnections applies them
 	d.callerListener.Attach(server)
 	d.start(server, withTLS(d.callerListener, d.tls.caller))
 	return server
@@ -122,7 +126,7 @@
 
 func (d *Daemon) start(server *http.Server, listener net.Listener) {
 	d.tasks.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			d.logger.Error("listener failed", "address", listener.Addr().String(), "error", err)
 		}
 	})
@@ -135,40 +139,9 @@
 	return tls.NewListener(listener, config)
 }
 
-// stop shuts the daemon down without cutting off a request. First the readiness
-// check fails and each response closes its connection, for the drain notice
-// time in which the load balancer can react. Then new requests are refused as
-// not run, the leave is announced to the peers, and the requests in progress
-// finish, limited only by their own deadlines. The listener stays open until
-// then, so that late requests receive a refusal.
-func (d *Daemon) stop(callers, admins *http.Server) {
-	d.draining.Store(true)
-	d.logger.Info("daemon draining")
-	d.inFlight.drain()
-	d.pause(settings.Millis(d.settings.Timing.DrainNoticeMS))
-	d.caller.Drain()
-	d.mesh.Leave()
-	d.await(d.inFlight.refuse())
-	_ = callers.Shutdown(d.killed)
-	d.spill.Drain()
-	d.mesh.Drain(d.killed)
-	d.drainOrders()
-	d.finishEvidence()
-	_ = admins.Shutdown(d.killed)
-}
-
-// pause waits for the duration, or until the daemon is killed.
-func (d *Daemon) pause(duration time.Duration) {
-	select {
-	case <-time.After(duration):
-	case <-d.killed.Done():
-	}
-}
-
-// await waits until done is closed, or the daemon is killed.
-func (d *Daemon) await(done <-chan struct{}) {
-	select {
-	case <-done:
-	case <-d.killed.Done():
+// expireConnections closes the connections of callers that have exceeded a timeout, until ctx ends.
+func (d *Daemon) expireConnections(ctx context.Context) {
+	for wait.For(ctx, expiryPeriod) {
+		d.callerListener.CloseExpired(time.Now(), callerconn.Timeouts{Header: headerTimeout, Idle: idleTimeout})
 	}
 }
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -16,6 +16,7 @@
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/logstream"
+	"github.com/plantainmux/plantainmux/internal/settings"
 )
 
 // Loopback is the listen address of every part of a bed; the system chooses the
@@ -59,6 +60,11 @@
 	return b
 }
 
+// Platform returns the addresses of the bed's fakes, for the settings of a daemon.
+func (b *Bed) Platform() settings.Platform {
+	return settings.Platform{Log: b.logServer.URL(), VMs: b.vmServer.URL()}
+}
+
 func (b *Bed) killDaemons() {
 	for _, d := range b.Daemons {
 		d.Kill()
--- a/internal/testbed/daemon.go
+++ b/internal/testbed/daemon.go
@@ -50,7 +50,7 @@
 		DataCentre: dataCentre,
 		Listen:     settings.Listen{Caller: Loopback, Peer: listener.Addr().String(), Admin: Loopback},
 		Peers:      peers,
-		Platform:   settings.Platform{Log: b.logServer.URL(), VMs: b.vmServer.URL()},
+		Platform:   b.Platform(),
 		PeerSecret: PeerSecret,
 		AdminToken: AdminToken,
 		Timing:     settings.Timing{PollMS: 100, ReportBoundMS: 600, ReconcileMS: 50, VMListMS: 200, DrainNoticeMS: 300, PeerHeartbeatMS: 150},
