Suspects: crashes are not confirmed by a standstill of the process

The crash of a group counts once it has been known for 0.5 s or longer: by then the daemons have heard of events of a group that goes on, whose connections broke for another reason. A daemon that stood still after connections of three groups had broken found the time over on waking, before it had read that news, and refused requests with the same prompt part. The time in which the process stood still no longer counts.

The spec fails on the code before and passes; internal/suspect and internal/gateway pass whole (-race).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,7 +144,7 @@
 	g.exchanges, g.endExchanges = context.WithCancelCause(context.Background())
 	g.buildEvacuations()
 	g.cold = newColdEndpoints(s, g.limits, g.evacuations.WithdrawnAt, g.sharingDaemons, g.logger, g.metrics)
-	g.suspects = suspect.NewTable(suspect.Policy{ConfirmAfter: g.crashConfirmation})
+	g.suspects = suspect.NewTable(suspect.Policy{ConfirmAfter: g.crashConfirmation, Standstills: &g.stood})
 	g.storeCalls = newStoreCalls(g.metrics)
 	g.store = keyed.NewReachabilityTracker(keyed.NewEraObserver(keyed.NewCountedLog(adapters.Store, g.storeCalls.count), g.refreshAll), &g.stood)
 	g.entrySchedule.converging = func() bool { return g.reconciler.Converging() }
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -71,9 +71,9 @@
 
 // count returns the number of crashes that count.
 func (r record) count(policy Policy, now time.Time) int {
-	confirmAfter, count := policy.confirmAfter(), 0
+	count := 0
 	for _, crash := range r.crashes {
-		if !crash.cleared && now.Sub(crash.at) >= confirmAfter {
+		if !crash.cleared && policy.confirmed(crash.at, now) {
 			count++
 		}
 	}
@@ -84,7 +84,7 @@
 func (r record) counted(policy Policy, now time.Time) map[GroupKey]bool {
 	groups := map[GroupKey]bool{}
 	for key, crash := range r.crashes {
-		if !crash.cleared && now.Sub(crash.at) >= policy.confirmAfter() {
+		if !crash.cleared && policy.confirmed(crash.at, now) {
 			groups[key] = true
 		}
 	}
--- a/internal/suspect/verdict_test.go
+++ b/internal/suspect/verdict_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/plantainmux/plantainmux/internal/awake"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 )
@@ -45,6 +46,21 @@
 		Expect(table.Standing(suspect.Subject{Fingerprint: 7, Parts: []uint64{99, cause, 98}}, at(700))).To(Equal(suspect.Refused))
 	})
 
+	// Guards against requests that are refused on waking, while the news that the groups go on waits unread.
+	It("is not refused before the process has run for the time in which crashes are confirmed", func() {
+		standstills := &awake.Standstills{Interval: 100 * time.Millisecond}
+		table = suspect.NewTable(suspect.Policy{ConfirmAfter: func() time.Duration { return 500 * time.Millisecond }, Standstills: standstills})
+		for i := range 3 {
+			crash(0, fleet.FencingNumber(i), cause)
+		}
+		standstills.Look(at(0))
+		Expect(standings(3000, cause)).To(Equal([]suspect.Standing{suspect.Clear}))
+		for ms := 3000; ms <= 3400; ms += 100 {
+			standstills.Look(at(ms))
+		}
+		Expect(standings(3400, cause)).To(Equal([]suspect.Standing{suspect.Refused}))
+	})
+
 	It("counts the crash of a group once, however many requests were on it", func() {
 		for range 5 {
 			crash(0, 1, cause)
