--- a/cmd/plantainmuxd/standstill_test.go
+++ b/cmd/plantainmuxd/standstill_test.go
@@ -1,11 +1,8 @@
 package main
 
 import (
-	"bufio"
-	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"syscall"
 	"time"
 
@@ -17,27 +14,6 @@
 var _ = Describe("A daemon's process that stands still while it stops", func() {
 	const callers = 40
 
-	// statusOf returns the status of the next answer on a connection, or why there is none.
-	statusOf := func(conn net.Conn) any {
-		_ = conn.SetReadDeadline(time.Now().Add(9 * time.Second))
-		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
-		if err != nil {
-			return err.Error()
-		}
-		_ = answer.Body.Close()
-		return answer.StatusCode
-	}
-	// place sends an order on each connection, and returns a function that waits for the answers.
-	place := func(conns []net.Conn, name string) func() []any {
-		answers := make([]any, len(conns))
-		var all sync.WaitGroup
-		for i, conn := range conns {
-			_, err := fmt.Fprintf(conn, order, fmt.Sprintf("%s%d", name, i))
-			Expect(err).NotTo(HaveOccurred())
-			all.Go(func() { answers[i] = statusOf(conn) })
-		}
-		return func() []any { all.Wait(); return answers }
-	}
 	dialAll := func(d *daemonProcess) (conns []net.Conn) {
 		for range callers {
 			conns = append(conns, d.dial())
@@ -50,13 +26,13 @@
 	DescribeTable("answers the orders that arrive meanwhile", func(at, period time.Duration) {
 		d := startDaemonProcess()
 		kept := dialAll(d)
-		Expect(place(kept, "before")()).To(answered)
+		Expect(place(kept, order, "before")()).To(answered)
 		process := d.session.Command.Process
 		Expect(process.Signal(syscall.SIGTERM)).To(Succeed())
 		time.Sleep(at)
 		Expect(process.Signal(syscall.SIGSTOP)).To(Succeed())
-		onKept := place(kept, "kept")
-		onNew := place(dialAll(d), "new")
+		onKept := place(kept, order, "kept")
+		onNew := place(dialAll(d), order, "new")
 		time.Sleep(period)
 		Expect(process.Signal(syscall.SIGCONT)).To(Succeed())
 		Expect(onKept()).To(answered, "on connections that were open")
