Exchanges: answers that have arrived are delivered past the deadline too

Cause: on waking, the timer of the request's context runs before the network is polled, and closes the connection to the endpoint over an unread answer.

The context of an exchange now ends once the process has run for 40 ms past its deadline (awake.WithDeadline, by awake.Deadline), and tells connections no deadline of its own. No attempt begins after the deadline: a request whose time is over once the dispatcher has answered is not sent (spec; without the check it is sent).

--- a/internal/exchange/choose_target.go
+++ b/internal/exchange/choose_target.go
@@ -73,6 +73,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return r.contextFailure(ctx)
+	case !time.Now().Before(r.req.Deadline): // the context ends a margin later, for answers that have arrived
+		return r.fail(DeadlineExceeded, nil)
 	case r.attempts > 0 && r.CallerLeft != nil && r.CallerLeft(ctx):
 		return &Failure{Reason: CallerGone, Started: r.started}
 	default:
--- a/internal/exchange/dispatched_test.go
+++ b/internal/exchange/dispatched_test.go
@@ -86,6 +86,16 @@
 		Expect(sent.calls).To(BeEmpty())
 	})
 
+	// Guards against attempts that begin with no time left, in a process that stood still.
+	It("is not sent if its time is over once the dispatcher has answered", func() {
+		meanwhile = func() { time.Sleep(2005 * time.Millisecond) }
+		answer = dispatch.Answer{Target: "busy"}
+		failure := run()
+		Expect(failure.Reason).To(Equal(exchange.DeadlineExceeded))
+		Expect(failure.NotRun).To(BeTrue())
+		Expect(sent.calls).To(BeEmpty())
+	})
+
 	It("goes to the target of the answer, although what this daemon knows says that it is full", func() {
 		answer.Target = "busy"
 		Expect(run()).To(BeNil())
--- a/internal/exchange/exchanger.go
+++ b/internal/exchange/exchanger.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/plantainmux/plantainmux/internal/awake"
 	"github.com/plantainmux/plantainmux/internal/heldbytes"
 	"github.com/plantainmux/plantainmux/internal/locality"
 	"github.com/plantainmux/plantainmux/internal/suspect"
@@ -35,7 +36,7 @@
 // Run makes attempts until sink has received the complete answer. It returns nil
 // on success.
 func (x *Exchanger) Run(ctx context.Context, req *Request, sink Sink) *Failure {
-	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	ctx, cancel := awake.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	x.budget(req.Service.Name).Earn(req.Arrived, x.Daemons())
 	req.Late = x.FailedRequests.Contains(req.Fingerprint, req.Arrived)
--- a/internal/exchange/race.go
+++ b/internal/exchange/race.go
@@ -138,7 +138,7 @@
 		c.failed[a.target.Key] = true
 	}
 	c.mu.Unlock()
-	if !errors.Is(a.ctx.Err(), context.Canceled) { // the request is over, which is no evidence against the target
+	if a.ctx.Err() == nil || errors.Is(context.Cause(a.ctx), context.DeadlineExceeded) { // otherwise nobody waits for it, which is no evidence against the target
 		a.run.failedBeside(a, err)
 	}
 	return false
