Connections to endpoints: connecting fails by the time that the process ran

The time to connect is now an awake.WithTimeout.

The spec of a connection that is made 5 ms late failed before and passes now. The case was not seen in a process: on loopback a connection takes no time in which the process could be stopped.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/plantainmux/plantainmux/internal/awake"
 	"github.com/plantainmux/plantainmux/internal/outbound"
 )
 
@@ -71,7 +72,7 @@
 			return c, nil
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, p.connectTimeout)
+	ctx, cancel := awake.WithTimeout(ctx, p.connectTimeout)
 	defer cancel()
 	raw, err := p.dial(ctx, "tcp", address)
 	if outbound.IsOwnShortage(err) && p.closeIdle() > 0 {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -33,8 +33,9 @@
 }
 
 const (
-	lateAfter  = 10 * time.Millisecond
-	piecePause = time.Millisecond
+	connectTimeout = 100 * time.Millisecond
+	lateAfter      = 10 * time.Millisecond
+	piecePause     = time.Millisecond
 )
 
 func newRawServer(answers ...string) *rawServer {
@@ -230,4 +231,28 @@
 			Consistently(r.answers, "5ms").Should(HaveLen(1), "an answer is taken for each request that arrives")
 		}
 	})
+
+	// Guards against endpoints that count as not reached since the process stood still while it connected.
+	It("uses a connection that was made by the time at which connecting is found to have taken too long", func() {
+		server := newRawServer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		slow := upstream.NewPool(connectTimeout).Through(func(ctx context.Context, network, address string) (net.Conn, error) {
+			time.Sleep(connectTimeout + 5*time.Millisecond)
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		})
+		answer, err := slow.Send(context.Background(), server.listener.Addr().String(), upstream.Head{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}, nil, false)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Close()).To(Succeed())
+	})
+
+	It("gives up connecting soon after its timeout", func() {
+		began := time.Now()
+		deaf := upstream.NewPool(connectTimeout).Through(func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		_, err := deaf.Send(context.Background(), "127.0.0.1:1", upstream.Head{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}, nil, false)
+		var notConnected *upstream.ConnectError
+		Expect(errors.As(err, &notConnected)).To(BeTrue())
+		Expect(time.Since(began)).To(BeNumerically("<", connectTimeout+200*time.Millisecond))
+	})
 })
