Watchdog of attempts: an endpoint is not silent or slow for a standstill of the daemon

On waking, the check of a stream in progress found it silent for as long as the process had stood still, and before its events were read sent the stream to another endpoint as well, suspected the first one, and reported its group; a caller that took nothing meanwhile would be found too slow in the same way.

A check that runs late, or is the first one of an attempt without events, now goes by elapsed time only once the process has run for 40 ms (awake.Settling, by awake.Deadline). Checks on time decide as before, so that silence is found no later; an idempotent request is found slow 40 ms later.

--- a/internal/exchange/watchdog.go
+++ b/internal/exchange/watchdog.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/plantainmux/plantainmux/internal/awake"
 	"github.com/plantainmux/plantainmux/internal/catalog"
 	"github.com/plantainmux/plantainmux/internal/hedge"
 	"github.com/plantainmux/plantainmux/internal/placement"
@@ -30,6 +31,8 @@
 	slowAfter time.Duration // time without output after which the attempt is slow; 0: never
 	mu        sync.Mutex
 	timer     *time.Timer // nil: the attempt is not monitored
+	due       time.Time   // of the next check; zero: after a time in which the process may have stood still
+	settling  awake.Settling
 	stopped   bool
 	excluded  []string               // keys of targets that failed earlier
 	sent      int                    // attempts up to this one
@@ -53,6 +56,7 @@
 	switch {
 	case route.Kind == catalog.Streaming:
 		w.slowAfter = streamTimeout
+		w.due = time.Now().Add(checkInterval)
 		w.timer = time.AfterFunc(checkInterval, w.check)
 	case route.Repeatable() && route.LatencyTarget > 0:
 		w.slowAfter = slowLatencyTargets * route.LatencyTarget
@@ -77,14 +81,22 @@
 }
 
 // rearm schedules the next check unless the attempt has ended.
-func (w *watchdog) rearm() {
+func (w *watchdog) rearm(interval time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.stopped {
-		w.timer.Reset(checkInterval)
+		w.due = time.Now().Add(interval)
+		w.timer.Reset(interval)
 	}
 }
 
+// settled reports whether this process has read what came while it stood still.
+func (w *watchdog) settled(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.settling.Settled(w.due, now)
+}
+
 // withdrawn reports whether the request would be refused now. A trial runs on.
 func (r *run) withdrawn(now time.Time) bool {
 	return !r.trial.Load() && r.Suspects.Standing(r.subject, now) == suspect.Refused
@@ -92,6 +104,10 @@
 
 func (w *watchdog) check() {
 	now := time.Now()
+	if !w.settled(now) {
+		w.rearm(awake.LookInterval)
+		return
+	}
 	newest, sent, ran := w.run.race.newest(w.attempt)
 	state := w.state(newest, sent, ran, now)
 	switch action := hedge.Decide(state); {
@@ -101,7 +117,7 @@
 	case action.Sends():
 		w.hedge(newest, action, state, now)
 	}
-	w.rearm()
+	w.rearm(checkInterval)
 }
 
 // state returns the state of the request by its newest attempt. sent and ran are the attempts beside the
