Time limits: none passes at the look that finds a standstill at the end of its margin

A process that stood still between 20 and 40 ms after a limit found the limit passed on waking: the first look after it counts up to 25 ms as run. What arrived in such a standstill was dropped as before, in a window of some 20 ms. The first look that comes late now never passes; a process that stands still again and again passes as before.

The new entry of the spec failed before (5120 ms in place of 5140 ms) and passes now.

--- a/internal/awake/deadline.go
+++ b/internal/awake/deadline.go
@@ -15,6 +15,7 @@
 	at   time.Time
 	seen time.Time // last look at or after it; zero: none
 	ran  time.Duration
+	late bool // a look came more than Step after the one before
 }
 
 // NewDeadline returns a limit at a time.
@@ -25,9 +26,16 @@
 	if now.Before(d.at) {
 		return false
 	}
-	if !d.seen.IsZero() {
-		d.ran += min(max(now.Sub(d.seen), 0), Step)
+	if d.seen.IsZero() {
+		d.seen = now
+		return false
 	}
+	since := max(now.Sub(d.seen), 0)
 	d.seen = now
+	d.ran += min(since, Step)
+	if since > Step && !d.late { // the process has just gone on; one that stands still again and again passes too
+		d.late = true
+		return false
+	}
 	return d.ran >= Margin
 }
--- a/internal/awake/deadline_test.go
+++ b/internal/awake/deadline_test.go
@@ -30,6 +30,7 @@
 	It("does not pass in the first looks after a standstill, however long", func() {
 		Expect(passedAt(100*time.Millisecond, look, 5*time.Second, look)).To(Equal(5060 * time.Millisecond))
 		Expect(passedAt(100*time.Millisecond, 100*time.Millisecond, 5*time.Second, look)).To(Equal(5120*time.Millisecond), "a standstill just after its time")
+		Expect(passedAt(100*time.Millisecond, 100*time.Millisecond, 20*time.Millisecond, 5*time.Second, look)).To(Equal(5140*time.Millisecond), "a standstill at the end of the margin")
 	})
 
 	It("passes in a process that stands still again and again", func() {
