--- a/internal/forward/flights.go
+++ b/internal/forward/flights.go
@@ -38,26 +38,10 @@
 	return counts
 }
 
-// noteReview records when reviews have been late, since this process was held up.
-func (r *Router) noteReview(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if now.Sub(r.reviewedAt) > maxReviewGap {
-		r.awakeSince = now
-	}
-	r.reviewedAt = now
-}
-
-// awakeFor returns how long reviews have been on time. The caller holds mu.
-func (r *Router) awakeFor(now time.Time) time.Duration { return now.Sub(r.awakeSince) }
-
 // reportSlowConnects records the endpoints to which a connection takes too long.
 func (r *Router) reportSlowConnects(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.awakeFor(now) <= slowConnect {
-		return
-	}
 	for f := range r.flights {
 		if !f.connected() && now.Sub(f.began) > slowConnect && !f.reported.Swap(true) {
 			r.tracker.ObserveConnectFailure(f.endpoint, f.began)
@@ -71,7 +55,11 @@
 func (r *Router) reportSilence(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.awakeFor(now) <= silentAfter {
+	if now.Sub(r.reviewedAt) > maxReviewGap {
+		r.awakeSince = now
+	}
+	r.reviewedAt = now
+	if now.Sub(r.awakeSince) <= silentAfter {
 		return
 	}
 	for f := range r.flights {
@@ -98,10 +86,7 @@
 // answer either, so that they are sent through another daemon. Until they end they would count as load
 // of their endpoints at all daemons. Endpoints that are merely busy answer probes.
 func (r *Router) cancelSilent(now time.Time) {
-	r.mu.Lock()
-	awake := r.awakeFor(now)
-	r.mu.Unlock()
-	if r.tracker.State() != reach.CutOff || min(r.tracker.For(now), awake) < probeInterval {
+	if r.tracker.State() != reach.CutOff || r.tracker.For(now) < probeInterval {
 		return
 	}
 	r.cancelFlights(func(f *flight) bool { return f.silent && f.repeatable })
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -176,7 +176,6 @@
 // Review applies the evidence that has come up, and probes endpoints while the links are lost. It
 // is called every tenth of a second.
 func (r *Router) Review(now time.Time) {
-	r.noteReview(now)
 	r.tracker.ReviewAnswers(now)
 	r.reportSlowConnects(now)
 	r.reportSilence(now)
