Store: calls that end as the process wakes do not count against it

One run of the spec of processes at 6 s failed beside other tests: two long polls that ended on the first waking counted as failures, no call was due in the 0.7 s until the second standstill, and the store was unreachable on the second waking. The failure of a call no longer counts if the process stood still since it was due and has run for less than 0.2 s of that time.

The spec fails without the condition; internal/keyed and the spec of processes (two runs of two, all entries) pass.

--- a/internal/keyed/reachability_tracker.go
+++ b/internal/keyed/reachability_tracker.go
@@ -13,6 +13,7 @@
 	unreachableAfterRepeated = 500 * time.Millisecond // after repeated failures; longer than one refused call takes
 	unreachableAfterSingle   = time.Second            // after a single failure; longer than a slow store takes to answer
 	repeatedFailures         = 2                      // failed calls that count as repeated failures
+	minHeard                 = 200 * time.Millisecond // for which a process that stood still must have run since a call was due, for its failure to count; longer than a round trip
 )
 
 // ReachabilityTracker wraps a Log and tracks whether this daemon can reach the store
@@ -101,10 +102,16 @@
 	r.failingSince.Store(0)
 }
 
+// recordFailure records a call without an answer, unless the process stood still for most of the time since the call was
+// due: the answer may have come.
 func (r *ReachabilityTracker) recordFailure(due time.Time) {
-	if now := time.Now(); due.After(now) {
+	now := time.Now()
+	if due.After(now) {
 		due = now
 	}
+	if r.standstills.Stood(due, now) > 0 && r.standstills.Ran(due, now) < minHeard {
+		return
+	}
 	r.failedCalls.Add(1)
 	r.failingSince.CompareAndSwap(0, due.UnixNano())
 }
--- a/internal/keyed/reachability_tracker_test.go
+++ b/internal/keyed/reachability_tracker_test.go
@@ -13,6 +13,14 @@
 	"github.com/plantainmux/plantainmux/internal/keyed"
 )
 
+// mute is a log that answers no read.
+type mute struct{ keyed.Log }
+
+func (mute) Read(ctx context.Context, _ string, _ uint64, _ time.Duration) (keyed.Page, error) {
+	<-ctx.Done()
+	return keyed.Page{}, ctx.Err()
+}
+
 var _ = Describe("Store reachability", func() {
 	ctx := context.Background()
 	var log *fakes.KeyedLog
@@ -59,6 +67,30 @@
 		Expect(tracker.Unreachable(woken.Add(time.Second))).To(BeTrue())
 	})
 
+	// Guards against a store that counts as lost soon after waking, by calls whose answers waited unread.
+	It("is not lost through calls that end as the process wakes", func() {
+		tracker = keyed.NewReachabilityTracker(mute{log}, &standstills)
+		call := func() {
+			short, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+			defer cancel()
+			_, err := tracker.Read(short, "keyed.t", 0, 0)
+			Expect(err).To(HaveOccurred())
+		}
+		for range 2 {
+			standstills.Look(time.Now())
+			call()
+			standstills.Look(time.Now())
+		}
+		woken := time.Now()
+		for ran := time.Duration(0); ran <= 2*time.Second; ran += standstills.Interval {
+			standstills.Look(woken.Add(ran))
+		}
+		Expect(tracker.Unreachable(woken.Add(2 * time.Second))).To(BeFalse())
+		call()
+		call()
+		Expect(unreachable()).To(BeTrue(), "the process ran")
+	})
+
 	It("is lost through refused appends, but not through appends without an answer or conflicts", func() {
 		add := func() { _, _ = tracker.Append(ctx, "keyed.t", 0, []keyed.Record{{Key: "a"}}) }
 		log.SetLost(true)
