Callers' connections: a body that has arrived is read past its deadline

A caller whose daemon stood still past the time to read a body had its request refused, although the whole body had arrived: a read that begins or ends after its deadline returns no bytes. Now a read that fails so takes what has arrived. Bytes that have not arrived by then are not waited for, as before.

--- a/internal/callerconn/tracked.go
+++ b/internal/callerconn/tracked.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -23,9 +24,15 @@
 	waiting  *list.Element // in the list of its state; nil: busy or closed
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. What has arrived is read past the deadline too, which may have passed while the process
+// stood still.
 func (c *tracked) Read(into []byte) (int, error) {
 	n, err := c.Conn.Read(into)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		if n = c.readArrived(into); n > 0 {
+			err = nil
+		}
+	}
 	if n > 0 {
 		if c.reading.Load() == 0 {
 			c.reading.Store(time.Now().UnixNano())
--- a/internal/callerconn/unread.go
+++ b/internal/callerconn/unread.go
@@ -26,6 +26,21 @@
 	return err == nil && arrived
 }
 
+// readArrived reads what has arrived, without waiting for more. It returns the number of bytes.
+func (c *tracked) readArrived(into []byte) int {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	read := 0
+	_ = raw.Control(func(fd uintptr) {
+		if n, _, err := syscall.Recvfrom(int(fd), into, syscall.MSG_DONTWAIT); err == nil {
+			read = n
+		}
+	})
+	return read
+}
+
 // queued reports whether connections wait that the listener below l has not accepted yet.
 func (l *Listener) queued() bool {
 	source, ok := l.Listener.Listener.(syscall.Conn)
