--- a/cmd/plantainmuxd/silent_store_test.go
+++ b/cmd/plantainmuxd/silent_store_test.go
@@ -40,7 +40,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(store.Kill)
 		DeferCleanup(func() { close(platform.ended) })
-		d := newDaemonBefore(wire, store.Address(), "n-1")
+		d := newDaemonBefore(wire, store, "n-1")
 		d.start(exec.Command(binary, "--platform", "--settings", d.settings))
 		d.awaitService()
 		operate := func(method, path string) {
