--- a/internal/callerconn/finish.go
+++ b/internal/callerconn/finish.go
@@ -23,8 +23,9 @@
 	for l.queued() && !end.Passed(time.Now()) {
 		time.Sleep(acceptInterval)
 	}
-	_ = l.Close()                                    // fails if it is closed already
-	for !l.ended.Load() && !end.Passed(time.Now()) { // a connection may be on its way to the server
+	_ = l.Close() // fails if it is closed already
+	// A connection may be on its way to the server.
+	for !l.ended.Load() && !end.Passed(time.Now()) {
 		time.Sleep(acceptInterval)
 	}
 	closedAt := time.Now()
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -103,32 +103,6 @@
 	return l.inProgress >= l.limit
 }
 
-// TakesNone reports whether connections wait that cannot be accepted, for want of descriptors for example, or that
-// nobody accepts. It is to be called again and again.
-func (l *Listener) TakesNone(now time.Time) bool {
-	return l.FailingFor(now) >= failingPatience || l.neglected(now)
-}
-
-// neglected reports whether connections have waited since the last look or longer and none was accepted.
-func (l *Listener) neglected(now time.Time) bool {
-	waits := l.queued()
-	accepted := l.accepted.Load()
-	l.mu.Lock()
-	if !waits || l.queuedSince.IsZero() || accepted != l.acceptedThen {
-		l.queuedSince, l.acceptedThen = time.Time{}, accepted
-		if waits {
-			l.queuedSince = now
-		}
-	}
-	since := l.queuedSince
-	l.mu.Unlock()
-	if !waits || now.Sub(since) < failingPatience {
-		return false
-	}
-	l.report(&l.neglectedAt, "connections wait that nobody accepts", "waiting_ms", now.Sub(since).Milliseconds())
-	return true
-}
-
 // begin records that a request on a connection is in progress, until the connection is idle or
 // closed, and returns the state of the connection: refused if the request is to be refused, as too
 // many others are in progress, and closed if the connection is being closed for a new one.
--- a/internal/callerconn/unread.go
+++ b/internal/callerconn/unread.go
@@ -40,22 +40,3 @@
 	})
 	return read
 }
-
-// queued reports whether connections wait that the listener below l has not accepted yet.
-func (l *Listener) queued() bool {
-	source, ok := l.Listener.Listener.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return false
-	}
-	waiting := false
-	err = raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(fds, 0)
-		waiting = err == nil && n > 0 && fds[0].Revents&unix.POLLIN != 0
-	})
-	return err == nil && waiting
-}
