--- a/internal/awake/deadline_test.go
+++ b/internal/awake/deadline_test.go
@@ -37,13 +37,3 @@
 		Expect(passedAt(100*time.Millisecond, 100*time.Millisecond)).To(Equal(300 * time.Millisecond))
 	})
 })
-
-var _ = Describe("A gap", func() {
-	It("is how late a periodic task runs", func() {
-		gap := awake.NewGap(100 * time.Millisecond)
-		now := time.Unix(1000, 0)
-		Expect(gap.Stood(now)).To(BeZero())
-		Expect(gap.Stood(now.Add(90 * time.Millisecond))).To(BeZero())
-		Expect(gap.Stood(now.Add(790 * time.Millisecond))).To(Equal(600 * time.Millisecond))
-	})
-})
--- a/internal/awake/standstills.go
+++ b/internal/awake/standstills.go
@@ -25,17 +25,19 @@
 
 type standstill struct{ from, to time.Time }
 
-// Look records a run of the task.
-func (s *Standstills) Look(now time.Time) {
+// Look records a run of the task. It returns for how long the process stood still since the last one.
+func (s *Standstills) Look(now time.Time) (stood time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if late, ok := s.sinceLast(now); ok {
+		stood = late.to.Sub(late.from)
 		s.recent = append(s.recent, late)
 		s.recent = s.recent[max(len(s.recent)-maxStandstills, 0):]
 	}
 	if now.After(s.last) {
 		s.last = now
 	}
+	return stood
 }
 
 // Stood returns for how much of the time from since to now the process stood still, also before Look on waking.
--- a/internal/awake/standstills_test.go
+++ b/internal/awake/standstills_test.go
@@ -50,4 +50,12 @@
 		}
 		Expect(s.Ran(at(0), at(3000))).To(Equal(time.Second))
 	})
+
+	It("are told by the look that finds them: how late a periodic task runs", func() {
+		standstills := awake.Standstills{Interval: 100 * time.Millisecond}
+		now := time.Unix(1000, 0)
+		Expect(standstills.Look(now)).To(BeZero())
+		Expect(standstills.Look(now.Add(90 * time.Millisecond))).To(BeZero())
+		Expect(standstills.Look(now.Add(790 * time.Millisecond))).To(Equal(600 * time.Millisecond))
+	})
 })
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/awake"
 	"github.com/plantainmux/plantainmux/internal/evacuation"
 	"github.com/plantainmux/plantainmux/internal/gossip"
 	"github.com/plantainmux/plantainmux/internal/placement"
@@ -22,11 +21,9 @@
 // housekeep periodically applies the gossip of the other daemons and removes
 // expired entries, idle connections and unused meters.
 func (g *Gateway) housekeep(ctx context.Context) {
-	gap := awake.NewGap(housekeepingInterval)
 	for round := 0; wait.For(ctx, housekeepingInterval); round++ {
 		now := time.Now()
-		g.reportStandstill(gap.Stood(now))
-		g.stood.Look(now)
+		g.reportStandstill(g.stood.Look(now))
 		g.applyGossip(now)
 		g.observeDemand(now)
 		g.updateForwarders(now)
@@ -46,14 +43,14 @@
 	}
 }
 
-// reportStandstill logs and counts that the process was late by a time.
-func (g *Gateway) reportStandstill(late time.Duration) {
-	if late < awake.Lateness {
+// reportStandstill logs and counts that the process stood still for a time, if it did.
+func (g *Gateway) reportStandstill(stood time.Duration) {
+	if stood == 0 {
 		return
 	}
 	g.standstills.Inc()
-	g.standstillSeconds.Add(late.Seconds())
-	g.logger.Warn("process stood still", "stood_ms", late.Milliseconds(), "in_flight", g.inFlight.Load())
+	g.standstillSeconds.Add(stood.Seconds())
+	g.logger.Warn("process stood still", "stood_ms", stood.Milliseconds(), "in_flight", g.inFlight.Load())
 }
 
 func (g *Gateway) applyGossip(now time.Time) {
