Specs of standstills: orders are sent once every thread of the process stands still

Cause: SIGSTOP takes effect some milliseconds after it was sent, when the threads are next scheduled. In the failing run the daemon had passed six orders on before it stood still ("process stood still ... in_flight 7"); it stood for 6.5 s, the endpoint ended those exchanges meanwhile, and their callers were told 502 for orders that may have run, which is true. The spec asks for 200 or 503, the answers to orders that arrive in the standstill: six others were not of that kind.

Change: the specs wait until all threads are stopped before callers send. What they ask for is as before.

--- a/cmd/plantainmuxd/belief_after_standstill_test.go
+++ b/cmd/plantainmuxd/belief_after_standstill_test.go
@@ -24,7 +24,7 @@
 		process := d.session.Command.Process
 		before := len(d.session.Out.Contents())
 		for range 2 {
-			Expect(process.Signal(syscall.SIGSTOP)).To(Succeed())
+			halt(process)
 			time.Sleep(period)
 			Expect(process.Signal(syscall.SIGCONT)).To(Succeed())
 			Eventually(func() error { return d.stream("waking") }, "1s", "50ms").Should(Succeed())
--- a/cmd/plantainmuxd/connections_test.go
+++ b/cmd/plantainmuxd/connections_test.go
@@ -70,7 +70,7 @@
 	// Guards against requests that are sent on although their callers left before they were read.
 	It("tell whether their callers left while the process stood still", func() {
 		d := startDaemonProcess()
-		Expect(d.session.Command.Process.Signal(syscall.SIGSTOP)).To(Succeed())
+		halt(d.session.Command.Process)
 		for i := range 200 {
 			conn := d.dial()
 			_, err := fmt.Fprintf(conn, order, fmt.Sprintf("left%d", i))
--- a/cmd/plantainmuxd/standalone_standstill_test.go
+++ b/cmd/plantainmuxd/standalone_standstill_test.go
@@ -19,7 +19,7 @@
 	// standStill stops the process for a period, in which its callers act.
 	standStill := func(d *standaloneProcess, period time.Duration, act func()) {
 		process := d.session.Command.Process
-		Expect(process.Signal(syscall.SIGSTOP)).To(Succeed())
+		halt(process)
 		act()
 		time.Sleep(period)
 		Expect(process.Signal(syscall.SIGCONT)).To(Succeed())
--- a/cmd/plantainmuxd/standstill_test.go
+++ b/cmd/plantainmuxd/standstill_test.go
@@ -30,7 +30,7 @@
 		process := d.session.Command.Process
 		Expect(process.Signal(syscall.SIGTERM)).To(Succeed())
 		time.Sleep(at)
-		Expect(process.Signal(syscall.SIGSTOP)).To(Succeed())
+		halt(process)
 		onKept := place(kept, order, "kept")
 		onNew := place(dialAll(d), order, "new")
 		time.Sleep(period)
--- a/cmd/plantainmuxd/waking_test.go
+++ b/cmd/plantainmuxd/waking_test.go
@@ -47,7 +47,7 @@
 		for _, period := range periods {
 			time.Sleep(after)
 			process := d.session.Command.Process
-			Expect(process.Signal(syscall.SIGSTOP)).To(Succeed())
+			halt(process)
 			time.Sleep(period)
 			Expect(process.Signal(syscall.SIGCONT)).To(Succeed())
 		}
