Readiness: a daemon that closes each new connection for want of a place is not ready

What callers saw: "said ready and took none of N new connections". Shown in a trial with a process of 300 descriptors (120 connections of callers), 200 connections that bring half a head and come back as they are closed, and 8 callers with an order on a new connection each: in 4 of 10 seconds 0 of 8 were answered, and the daemon said ready in all 10.

Readiness looks at requests in progress, at failures to accept and at a queue that is not served. Connections that have brought a part of a request are none of these, cannot be displaced for up to 2 s, and those beyond the limit were accepted and closed unread. The counter of refusals told, readiness did not.

Change: connections that found no place for 0.2 s, the last within a second, count as taking none.

--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -42,7 +42,8 @@
 	neglectedAt  time.Time // as last logged
 	queuedSince  time.Time // since when looks find connections to accept and none accepted; zero: they do not
 	acceptedThen int64     // connections accepted by queuedSince
-	timeouts     Timeouts  // as last applied; zero: none yet
+	unplaced     unplaced
+	timeouts     Timeouts // as last applied; zero: none yet
 
 	displaced atomic.Int64 // closed for a new one
 	refusals  atomic.Int64
@@ -83,19 +84,29 @@
 		}
 		l.accepted.Add(1)
 		c := &tracked{Conn: raw, listener: l, state: closed}
-		for end := awake.NewDeadline(time.Now().Add(placePatience)); ; time.Sleep(acceptInterval) {
-			if l.add(c, time.Now()) {
-				return c, nil
-			}
-			if !l.readable() || end.Passed(time.Now()) {
-				break
-			}
+		if l.place(c) {
+			return c, nil
 		}
 		l.refusals.Add(1)
 		_ = raw.Close()
 	}
 }
 
+// place adds a new connection, at the latest once those that have a request to be read had time to begin it. It
+// returns false if there is no place.
+func (l *Listener) place(c *tracked) bool {
+	for end := awake.NewDeadline(time.Now().Add(placePatience)); ; time.Sleep(acceptInterval) {
+		placed := l.add(c, time.Now())
+		if !placed && l.readable() && !end.Passed(time.Now()) {
+			continue
+		}
+		l.mu.Lock()
+		l.unplaced.observe(placed, time.Now())
+		l.mu.Unlock()
+		return placed
+	}
+}
+
 // Full reports whether all connections that callers may have are taken by requests in progress.
 func (l *Listener) Full() bool {
 	l.mu.Lock()
--- a/internal/callerconn/queue.go
+++ b/internal/callerconn/queue.go
@@ -8,9 +8,16 @@
 )
 
 // TakesNone reports whether connections wait that cannot be accepted, for want of descriptors for example, or that
-// nobody accepts. It is to be called again and again.
+// nobody accepts, or whether those that are accepted are closed for want of a place. It is to be called again and again.
 func (l *Listener) TakesNone(now time.Time) bool {
-	return l.FailingFor(now) >= failingPatience || l.neglected(now)
+	return l.FailingFor(now) >= failingPatience || l.neglected(now) || l.turnsAway(now)
+}
+
+// turnsAway reports whether new connections find no place, though not all have a request in progress.
+func (l *Listener) turnsAway(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.unplaced.persists(now)
 }
 
 // neglected reports whether connections have waited since the last look or longer and none was accepted.
--- a/internal/callerconn/starved_test.go
+++ b/internal/callerconn/starved_test.go
@@ -1,6 +1,7 @@
 package callerconn_test
 
 import (
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -76,3 +77,33 @@
 		Expect(takesNone(4 * time.Second)).To(BeTrue())
 	})
 })
+
+var _ = Describe("A listener all of whose connections have brought half a head", func() {
+	// Guards against a daemon that counts as ready and closes each new connection unread.
+	It("tells so while new ones find no place, until one does", func() {
+		raw, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		listener := callerconn.Wrap(raw, limit, slog.New(slog.DiscardHandler))
+		server := &http.Server{Handler: http.NotFoundHandler()}
+		listener.Attach(server)
+		DeferCleanup(server.Close)
+		go func() { _ = server.Serve(listener) }()
+		dial := func() net.Conn {
+			conn, err := net.Dial("tcp", raw.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			return conn
+		}
+		takesNone := func() bool { return listener.TakesNone(time.Now()) }
+		for range limit + limit/8 {
+			_, err := io.WriteString(dial(), "GET / HTTP")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(takesNone()).To(BeFalse())
+		}
+		Eventually(func() bool { dial(); return takesNone() }, "2s", "50ms").Should(BeTrue())
+		for range 2 { // so that the half heads can be closed
+			listener.CloseExpired(time.Now(), callerconn.Timeouts{})
+		}
+		Eventually(func() bool { dial(); return takesNone() }, "2s", "50ms").Should(BeFalse())
+	})
+})
