Callers' connections: half a head makes room for a connection that brings a request

Cause: a connection that has brought bytes was taken for one whose request may be about to begin until two looks at timeouts, which come once a second, had passed. Until then nothing could be displaced, and each new connection held up the accept loop for 0.1 s before it was closed.

Change: the search for a place looks for itself, and takes such a connection for one that has brought half a head after four looks 25 ms apart, which a request that was read whole outlives even if the process stands still between two of them.

--- a/internal/callerconn/expire.go
+++ b/internal/callerconn/expire.go
@@ -1,6 +1,10 @@
 package callerconn
 
-import "time"
+import (
+	"time"
+
+	"github.com/plantainmux/plantainmux/internal/awake"
+)
 
 // settlingLooks is after how many looks at timeouts a request that has been read whole has begun.
 const settlingLooks = 2
@@ -46,3 +50,15 @@
 // settled reports whether what was read from a connection without a request in progress is no request that is
 // about to begin: the process has looked at it again and again since its first byte. The mutex is held.
 func (c *tracked) settled() bool { return c.reading.Load() == 0 || c.looks >= settlingLooks }
+
+// begun looks at a connection that is to make room. It reports whether a request would have begun by now that had
+// been read from it whole. The mutex is held.
+func (c *tracked) begun(now time.Time) bool {
+	if c.reading.Load() == 0 {
+		return true
+	}
+	if now.Sub(c.lookedAt) >= awake.Step {
+		c.looks, c.lookedAt = c.looks+1, now
+	}
+	return c.looks >= displacingLooks
+}
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -20,6 +20,9 @@
 	// as taking none. Callers give up a request that is not read within 1 s.
 	failingPatience  = 200 * time.Millisecond
 	victimCandidates = 64 // connections looked at for one that can be closed
+	// displacingLooks, awake.Step apart, is after how many a request that has been read whole has begun, also if the
+	// process stands still meanwhile.
+	displacingLooks = 4
 	// placePatience is how long a connection beyond the limit waits for one that has a request to be read.
 	placePatience = 100 * time.Millisecond
 	refusalShare  = 8               // one connection beyond so many of the limit is accepted, to be refused
@@ -188,7 +191,7 @@
 		}
 		c := e.Value.(*tracked)
 		e = e.Next()
-		if l.closeUnlessUnread(c, now) {
+		if c.begun(now) && l.closeUnlessUnread(c, now) {
 			return c
 		}
 	}
--- a/internal/callerconn/starved_test.go
+++ b/internal/callerconn/starved_test.go
@@ -1,6 +1,7 @@
 package callerconn_test
 
 import (
+	"bufio"
 	"io"
 	"log/slog"
 	"net"
@@ -78,32 +79,60 @@
 	})
 })
 
-var _ = Describe("A listener all of whose connections have brought half a head", func() {
-	// Guards against a daemon that counts as ready and closes each new connection unread.
-	It("tells so while new ones find no place, until one does", func() {
-		raw, err := net.Listen("tcp", "127.0.0.1:0")
+var _ = Describe("A listener beyond its limit", func() {
+	var raw net.Listener
+	var listener *callerconn.Listener
+	BeforeEach(func() {
+		var err error
+		raw, err = net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		listener := callerconn.Wrap(raw, limit, slog.New(slog.DiscardHandler))
+		listener = callerconn.Wrap(raw, limit, slog.New(slog.DiscardHandler))
+		DeferCleanup(func() { _ = listener.Close() })
+	})
+	dial := func(part string) net.Conn {
+		conn, err := net.Dial("tcp", raw.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = conn.Close() })
+		_, err = io.WriteString(conn, part)
+		Expect(err).NotTo(HaveOccurred())
+		return conn
+	}
+
+	// Guards against a daemon that counts as ready and closes each new connection unread.
+	It("tells so while new connections find no place, and a while after", func() {
+		accepted := make(chan net.Conn, 100)
+		go func() {
+			for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
+				accepted <- conn // and nobody reads it
+			}
+		}()
+		takesNone := func() bool { return listener.TakesNone(time.Now()) }
+		for range limit + limit/8 {
+			dial(request)
+			Eventually(accepted).Should(HaveLen(1))
+			DeferCleanup((<-accepted).Close)
+			Expect(takesNone()).To(BeFalse())
+		}
+		Eventually(func() bool { dial(request); return takesNone() }, "2s", "50ms").Should(BeTrue())
+		Consistently(takesNone, "500ms", "50ms").Should(BeTrue())
+		Eventually(takesNone, "3s", "50ms").Should(BeFalse(), "no connection has come for a while")
+	})
+
+	// Guards against connections that have brought half a head, and keep those out that bring a request.
+	It("accepts and answers new connections when all others have brought half a head", func() {
 		server := &http.Server{Handler: http.NotFoundHandler()}
 		listener.Attach(server)
 		DeferCleanup(server.Close)
 		go func() { _ = server.Serve(listener) }()
-		dial := func() net.Conn {
-			conn, err := net.Dial("tcp", raw.Addr().String())
-			Expect(err).NotTo(HaveOccurred())
-			DeferCleanup(conn.Close)
-			return conn
+		for range 4 * limit {
+			dial("GET / HTTP")
 		}
-		takesNone := func() bool { return listener.TakesNone(time.Now()) }
-		for range limit + limit/8 {
-			_, err := io.WriteString(dial(), "GET / HTTP")
+		for range limit {
+			conn := dial(request)
+			Expect(conn.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			Expect(err).NotTo(HaveOccurred())
-			Expect(takesNone()).To(BeFalse())
-		}
-		Eventually(func() bool { dial(); return takesNone() }, "2s", "50ms").Should(BeTrue())
-		for range 2 { // so that the half heads can be closed
-			listener.CloseExpired(time.Now(), callerconn.Timeouts{})
+			Expect(answer.StatusCode).To(Equal(http.StatusNotFound))
 		}
-		Eventually(func() bool { dial(); return takesNone() }, "2s", "50ms").Should(BeFalse())
 	})
 })
--- a/internal/callerconn/tracked.go
+++ b/internal/callerconn/tracked.go
@@ -20,7 +20,8 @@
 	timeouts Timeouts      // in force then
 	reading  atomic.Int64  // Unix nanoseconds at which the first byte arrived since it took that state; 0: none has
 	received atomic.Uint64 // bytes read
-	looks    int           // at timeouts since the first byte of a request that has not begun
+	looks    int           // since the first byte of a request that has not begun
+	lookedAt time.Time     // last, to make room
 	waiting  *list.Element // in the list of its state; nil: busy or closed
 }
 
