Callers' connections: urgent data is read as any other

The option is set on each connection (one system call): a trial on the listener was refused (operation not supported).

--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -86,6 +86,7 @@
 			return nil, err
 		}
 		l.accepted.Add(1)
+		readUrgent(raw)
 		c := &tracked{Conn: raw, listener: l, state: closed}
 		if l.place(c) {
 			return c, nil
