Links: a daemon that stood still drops no calls that wait unread in them

Callers of other daemons saw calls to a daemon that stops, or on a link that another one replaces, end without an answer. Drain and retire went by the clock: on waking the heartbeats without calls were over, before the readers of the links had run.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -89,19 +89,9 @@
 // learns of the link that replaces it.
 func (l *link) retire(err error) {
 	l.retiring.Store(true)
-	idleHeartbeats := 0
-	for idleHeartbeats < retireIdleHeartbeats {
-		select {
-		case <-l.ctx.Done():
-			return
-		case <-time.After(l.network.options.Heartbeat):
-		}
-		idleHeartbeats++
-		if !l.idle() {
-			idleHeartbeats = 0
-		}
+	if awaitQuiet(l.ctx, retireIdleHeartbeats*l.network.options.Heartbeat, l.idle) {
+		l.close(err)
 	}
-	l.close(err)
 }
 
 func (l *link) idle() bool {
--- a/internal/peer/run.go
+++ b/internal/peer/run.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
-	"github.com/plantainmux/plantainmux/internal/wait"
 )
 
 // Run maintains the links until Close is called.
@@ -102,13 +101,7 @@
 // that calls sent before the peers learned that this daemon is leaving are
 // answered too.
 func (n *Network) Drain(ctx context.Context) {
-	lastBusy := time.Now()
-	for ctx.Err() == nil && time.Since(lastBusy) < n.options.Heartbeat {
-		if !n.idle() {
-			lastBusy = time.Now()
-		}
-		wait.For(ctx, n.options.Heartbeat/8)
-	}
+	awaitQuiet(ctx, n.options.Heartbeat, n.idle)
 }
 
 func (n *Network) idle() bool {
