Calls of services: answers that arrived during a standstill are read

Callers of plain services were told that a service had not answered in time, a further attempt was made, and an endpoint counted a failed health check, while the answer waited unread: the time limits ended on waking, by the clock.

The limits of a call, of an attempt and of a health check now pass as an awake.Deadline does: 40 ms of running after them.

--- a/internal/endpoint/http_service.go
+++ b/internal/endpoint/http_service.go
@@ -11,6 +11,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/go-resty/resty/v2"
 
+	"github.com/plantainmux/plantainmux/internal/awake"
 	"github.com/plantainmux/plantainmux/internal/outbound"
 )
 
@@ -103,7 +104,7 @@
 
 // Healthy implements Service.
 func (s *HTTPService) Healthy(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	ctx, cancel := awake.WithTimeout(ctx, healthTimeout)
 	defer cancel()
 	response, err := s.calls.R().SetContext(ctx).Get("http://" + address + pathHealth)
 	return err == nil && response.IsSuccess()
--- a/internal/service/caller.go
+++ b/internal/service/caller.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/plantainmux/plantainmux/internal/awake"
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/fleet"
@@ -44,11 +45,12 @@
 // Call makes a call of a team that the service declares, within the call's declared
 // timeout.
 func (c *Caller) Call(ctx context.Context, team fleet.TeamName, declared config.Service, call config.Call, out endpoint.ServiceCall) (endpoint.ServiceAnswer, *refusal.Refusal) {
-	ctx, cancel := context.WithTimeout(ctx, call.TimeoutSeconds.Duration())
+	timeout := call.TimeoutSeconds.Duration()
+	ctx, cancel := awake.WithTimeout(ctx, timeout)
 	defer cancel()
 	c.metrics.calls.Inc()
 	if call.Idempotent {
-		return c.callIdempotent(ctx, declared, out)
+		return c.callIdempotent(ctx, time.Now().Add(timeout), declared, out)
 	}
 	return c.runOrder(ctx, team, declared, call, out)
 }
--- a/internal/service/idempotent.go
+++ b/internal/service/idempotent.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/plantainmux/plantainmux/internal/awake"
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/refusal"
@@ -16,7 +17,7 @@
 
 // callIdempotent tries the healthy endpoints in the own data centre first, then
 // those in others, within the retry budget and the deadline.
-func (c *Caller) callIdempotent(ctx context.Context, declared config.Service, call endpoint.ServiceCall) (endpoint.ServiceAnswer, *refusal.Refusal) {
+func (c *Caller) callIdempotent(ctx context.Context, deadline time.Time, declared config.Service, call endpoint.ServiceCall) (endpoint.ServiceAnswer, *refusal.Refusal) {
 	c.budget.Earn()
 	addresses := c.usableAddresses(declared)
 	if len(addresses) == 0 {
@@ -24,7 +25,7 @@
 	}
 	mayHaveRun := false
 	for i, address := range addresses {
-		answer, err := c.attempt(ctx, address, call, len(addresses)-i)
+		answer, err := c.attempt(ctx, deadline, address, call, len(addresses)-i)
 		last := i == len(addresses)-1
 		if err == nil && (last || !overloaded(answer)) {
 			return answer, nil
@@ -56,9 +57,9 @@
 
 // attempt makes one attempt. Unless it is the last one, it gets half of the
 // remaining time, so that time is left for further attempts.
-func (c *Caller) attempt(ctx context.Context, address string, call endpoint.ServiceCall, left int) (endpoint.ServiceAnswer, error) {
-	if deadline, ok := ctx.Deadline(); ok && left > 1 {
-		limited, cancel := context.WithTimeout(ctx, time.Until(deadline)/2)
+func (c *Caller) attempt(ctx context.Context, deadline time.Time, address string, call endpoint.ServiceCall, left int) (endpoint.ServiceAnswer, error) {
+	if left > 1 {
+		limited, cancel := awake.WithTimeout(ctx, time.Until(deadline)/2)
 		defer cancel()
 		ctx = limited
 	}
