--- a/cmd/plantainmuxd/soak_platform_test.go
+++ b/cmd/plantainmuxd/soak_platform_test.go
@@ -33,7 +33,8 @@
 	}
 }
 
-// troubleEngines makes endpoints crash, restart, fall silent, and announce that they leave, until a time.
+// troubleEngines makes endpoints crash, restart, fall silent, announce that they leave, close connections that are kept,
+// and answer with half a head, until a time.
 func (s *soak) troubleEngines(engines []*fakes.WireEngine, random *rand.Rand, until time.Time) {
 	defer GinkgoRecover()
 	restart := func(engine *fakes.WireEngine) {
@@ -43,7 +44,7 @@
 	for time.Now().Before(until) {
 		time.Sleep(500*time.Millisecond + upTo(random, 3*time.Second))
 		engine := engines[random.IntN(len(engines))]
-		switch random.IntN(4) {
+		switch random.IntN(6) {
 		case 0:
 			engine.Crash()
 		case 1:
@@ -56,6 +57,13 @@
 			engine.Announce()
 			time.Sleep(upTo(random, time.Second))
 			restart(engine)
+		case 4:
+			for range 100 {
+				engine.CloseKept()
+				time.Sleep(upTo(random, 10*time.Millisecond))
+			}
+		case 5:
+			engine.AnswerHalf(1 + random.IntN(8))
 		}
 	}
 }
--- a/internal/fakes/wire_engine.go
+++ b/internal/fakes/wire_engine.go
@@ -41,11 +41,12 @@
 	cold      time.Time      // until when the engine is cold
 	mute      bool           // neither entry nor answers say for how long the engine stays cold
 	killed    bool
-	padding   int                   // bytes added to each event
-	lastEvent int                   // number of the last event of each stream
-	crashOn   string                // ID of a prompt part on which the engine crashes as it begins to write; empty: none
-	crashes   []time.Time           // when it has crashed on that part
-	conns     map[net.Conn]struct{} // open connections
+	padding   int                         // bytes added to each event
+	lastEvent int                         // number of the last event of each stream
+	crashOn   string                      // ID of a prompt part on which the engine crashes as it begins to write; empty: none
+	crashes   []time.Time                 // when it has crashed on that part
+	conns     map[net.Conn]http.ConnState // open connections
+	halves    int                         // requests that get half a head for an answer
 }
 
 // Epoch returns the epoch of the engine's group, 0 if it is in none.
--- a/internal/fakes/wire_engine_crash.go
+++ b/internal/fakes/wire_engine_crash.go
@@ -14,8 +14,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch state {
-	case http.StateNew:
-		e.conns[conn] = struct{}{}
+	case http.StateNew, http.StateActive, http.StateIdle:
+		e.conns[conn] = state
 	case http.StateClosed, http.StateHijacked:
 		delete(e.conns, conn)
 	}
--- a/internal/fakes/wire_engine_requests.go
+++ b/internal/fakes/wire_engine_requests.go
@@ -24,9 +24,11 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	half := 0
 	open := e.Domain == "" || e.group != nil && e.group["state"] == "open"
 	if open {
 		e.runs[id]++
+		half = e.takeHalf()
 	}
 	e.mu.Unlock()
 	if !open {
@@ -34,6 +36,11 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if half > 0 {
+		_, _ = io.Copy(io.Discard, r.Body)
+		answerHalf(w, half)
+		return
+	}
 	w.Header().Set("Response-Signature", "signed-by-"+e.ID)
 	if e.Domain == "" {
 		body, _ := io.ReadAll(r.Body)
--- a/internal/fakes/wire_engine_start.go
+++ b/internal/fakes/wire_engine_start.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &WireEngine{ID: id, Service: service, Domain: domain, Zone: zone, lastEvent: defaultLastEvent, Born: time.Now().UnixMilli(), log: log, silence: NewFaultInjector(), runs: map[string]int{}, conns: map[net.Conn]struct{}{}}
+	e := &WireEngine{ID: id, Service: service, Domain: domain, Zone: zone, lastEvent: defaultLastEvent, Born: time.Now().UnixMilli(), log: log, silence: NewFaultInjector(), runs: map[string]int{}, conns: map[net.Conn]http.ConnState{}}
 	setUp(e)
 	e.serve(listener)
 	e.register()
