Soak: a configuration that adds and removes routes in series

Orders go to routes that are always there, to ones that come and go above these, and to ones that are gone when removed. Of the last, 404 is a true answer unless the request ran; all other checks hold for them.

--- a/cmd/plantainmuxd/soak_callers_test.go
+++ b/cmd/plantainmuxd/soak_callers_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"time"
@@ -20,7 +21,7 @@
 		if random.IntN(8) == 0 {
 			slow = resetPeriod + upTo(random, 2500*time.Millisecond)
 		}
-		o := conn.order(id, slow)
+		o := conn.orderOn(soakPath(random), id, slow)
 		s.record(o)
 		if o == nil || o.ending != answered || conn.told { // after "Connection: close" nothing more may be sent
 			_ = conn.Close()
@@ -29,12 +30,22 @@
 	})
 }
 
+// soakPath returns the path of an order: half of them are below a lane.
+func soakPath(random *rand.Rand) string {
+	if lane := random.IntN(2 * 2 * soakLanes); lane < soakLanes {
+		return fmt.Sprintf("/order/%d/", lane)
+	} else if lane < 2*soakLanes {
+		return fmt.Sprintf(comingAndGoing+"%d/", lane-soakLanes)
+	}
+	return "/order/"
+}
+
 // newcomers sends orders, each on a connection of its own.
 func (s *soak) newcomers(name string, pause time.Duration, d *daemonProcess) {
-	s.run(name, pause, func(id string, _ *rand.Rand) {
+	s.run(name, pause, func(id string, random *rand.Rand) {
 		if conn := s.dial(d); conn != nil {
 			defer func() { _ = conn.Close() }()
-			s.record(conn.order(id, 0))
+			s.record(conn.orderOn(soakPath(random), id, 0))
 		}
 	})
 }
--- a/cmd/plantainmuxd/soak_check_test.go
+++ b/cmd/plantainmuxd/soak_check_test.go
@@ -16,6 +16,9 @@
 // promisesNotRun holds the statuses that promise that a request has not run and never will.
 var promisesNotRun = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 
+// comingAndGoing begins the paths of orders whose route comes and goes: of these 404 is a true answer.
+const comingAndGoing = "/lane/"
+
 // runs returns how many times each order has run.
 func (s *soak) runs() map[string]int {
 	recorder := httptest.NewRecorder()
@@ -66,6 +69,11 @@
 		return "answered wrongly"
 	case o.ending == crossed && ran > 0:
 		return "ran, although it was closed before it arrived"
+	case o.ending == answered && o.status == http.StatusNotFound && strings.HasPrefix(o.path, comingAndGoing):
+		if ran > 0 {
+			return "denied, although it ran"
+		}
+		return ""
 	case o.ending == answered && o.status >= 400 && o.status < 500 && !slices.Contains(promisesNotRun, o.status):
 		return "denied"
 	case o.ending == answered, o.ending == crossed, s.killed(o):
--- a/cmd/plantainmuxd/soak_conn_test.go
+++ b/cmd/plantainmuxd/soak_conn_test.go
@@ -62,7 +62,16 @@
 // order places an order. Its body comes after a pause, if that is not 0. It returns nil if the caller saw
 // beforehand that the connection was closed.
 func (c *soakConn) order(id string, pause time.Duration) *soakOutcome {
-	return c.place(id, "order", soakHead(id, "/order/"+id, len(id)), id, pause)
+	return c.orderOn("/order/", id, pause)
+}
+
+// orderOn places an order on the route of a path.
+func (c *soakConn) orderOn(path, id string, pause time.Duration) *soakOutcome {
+	o := c.place(id, "order", soakHead(id, path+id, len(id)), id, pause)
+	if o != nil {
+		o.path = path
+	}
+	return o
 }
 
 func (c *soakConn) stream(id string) *soakOutcome {
--- a/cmd/plantainmuxd/soak_outcome_test.go
+++ b/cmd/plantainmuxd/soak_outcome_test.go
@@ -18,6 +18,7 @@
 // soakOutcome is what a caller of the soak got for one request.
 type soakOutcome struct {
 	id, kind    string
+	path        string
 	daemon      *daemonProcess
 	dialled     time.Time
 	sent, ended time.Time
--- a/cmd/plantainmuxd/soak_platform_test.go
+++ b/cmd/plantainmuxd/soak_platform_test.go
@@ -10,7 +10,11 @@
 	"github.com/plantainmux/plantainmux/internal/fakes"
 )
 
-const shortIdle = 200 * time.Millisecond // less than a standstill, so that all connections have expired on waking
+const (
+	shortIdle = 200 * time.Millisecond // less than a standstill, so that all connections have expired on waking
+	longIdle  = 15 * time.Second
+	soakLanes = 3 // whose routes come and go
+)
 
 // troubleStore makes the store fail in several ways until a time.
 func (s *soak) troubleStore(random *rand.Rand, until time.Time) {
@@ -71,15 +75,27 @@
 // reconfigure writes configurations in quick succession until a time, and then one with the usual timeouts.
 func (s *soak) reconfigure(random *rand.Rand, until time.Time) {
 	defer GinkgoRecover()
-	wire := s.daemons[0].wire
-	version := 2
-	for ; time.Now().Before(until); version++ {
-		idle := []time.Duration{shortIdle, shortIdle, time.Second, 15 * time.Second}[random.IntN(4)]
-		Expect(wire.Configure(version, idle, 2*time.Second+upTo(random, 2*time.Second))).To(Succeed())
+	for time.Now().Before(until) {
+		idle := []time.Duration{shortIdle, shortIdle, time.Second, longIdle}[random.IntN(4)]
+		var lanes []int
+		for lane := range soakLanes {
+			if random.IntN(2) == 0 {
+				lanes = append(lanes, lane)
+			}
+		}
+		s.configure(idle, 2*time.Second+upTo(random, 2*time.Second), lanes...)
 		if random.IntN(3) == 0 {
 			time.Sleep(upTo(random, 1500*time.Millisecond))
 		}
 		time.Sleep(upTo(random, 50*time.Millisecond))
 	}
-	Expect(wire.Configure(version, 15*time.Second, 3*time.Second)).To(Succeed())
+	s.configure(longIdle, 3*time.Second)
+}
+
+// configure writes the next version of the configuration.
+func (s *soak) configure(idle, order time.Duration, lanes ...int) {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	s.version++
+	Expect(s.daemons[0].wire.Configure(s.version, idle, order, lanes...)).To(Succeed())
 }
--- a/cmd/plantainmuxd/soak_rig_test.go
+++ b/cmd/plantainmuxd/soak_rig_test.go
@@ -28,10 +28,12 @@
 	results []*soakOutcome
 	open    []net.Conn // that are kept without a request, or unread
 	kills   map[*daemonProcess][]soakKill
+	writing sync.Mutex
+	version int // of the newest configuration
 }
 
 func newSoak(seed uint64, daemons int, bound time.Duration) *soak {
-	s := &soak{seed: seed, bound: bound, daemons: newDaemonProcesses(daemons), ended: make(chan struct{}), kills: map[*daemonProcess][]soakKill{}}
+	s := &soak{seed: seed, version: 1, bound: bound, daemons: newDaemonProcesses(daemons), ended: make(chan struct{}), kills: map[*daemonProcess][]soakKill{}}
 	s.daemons[0].wire.SetLastEvent(streamLength)
 	s.daemons[0].wire.SetWorkTime(40 * time.Millisecond)
 	for _, d := range s.daemons {
