--- a/cmd/plantainmuxd/soak_check_test.go
+++ b/cmd/plantainmuxd/soak_check_test.go
@@ -47,8 +47,8 @@
 	for _, o := range s.results {
 		counts[fmt.Sprint(o.kind, " ", o.status, " ", o.ending)]++
 		if fault := s.fault(o, runs[o.id], mayBreak); fault != "" {
-			faults = append(faults, fmt.Sprintf("%s: %s at %s, ran %d times, status %d, %s, %v; dialled %s, sent %s, body after %s, ended %s",
-				fault, o.id, o.daemon.callers, runs[o.id], o.status, o.ending, o.err, clock(o.dialled), clock(o.sent), o.pause, clock(o.ended)))
+			faults = append(faults, fmt.Sprintf("%s: %s%s at %s, ran %d times, status %d, %s, %v; dialled %s, sent %s, body after %s, ended %s",
+				fault, o.path, o.id, o.daemon.callers, runs[o.id], o.status, o.ending, o.err, clock(o.dialled), clock(o.sent), o.pause, clock(o.ended)))
 		}
 	}
 	GinkgoWriter.Println("soak, seed", s.seed, counts, "connections without a request or unread:", len(s.open))
--- a/cmd/plantainmuxd/soak_signals_test.go
+++ b/cmd/plantainmuxd/soak_signals_test.go
@@ -67,12 +67,13 @@
 	stopping.Wait()
 }
 
-// besiege sends one daemon signals until a time: it stands still, also while it stops, is killed, and started again.
+// besiege sends one daemon signals until a time: it stands still, also while it stops or its connections are due, is
+// killed, also while it stops, and started again.
 func (s *soak) besiege(d *daemonProcess, random *rand.Rand, until time.Time) {
 	defer GinkgoRecover()
 	for time.Now().Before(until) {
 		time.Sleep(50*time.Millisecond + upTo(random, 400*time.Millisecond))
-		switch random.IntN(7) {
+		switch random.IntN(9) {
 		case 0:
 			d.signal(syscall.SIGHUP, syscall.SIGHUP)
 		case 1:
@@ -82,11 +83,26 @@
 		case 3, 4, 5:
 			s.stopStandingStill(d, random)
 		case 6:
+			if random.IntN(2) == 0 {
+				d.signal(syscall.SIGTERM)
+				time.Sleep(upTo(random, time.Second)) // it takes longer to end
+			}
 			s.kill(d)
+		case 7, 8:
+			s.expire(d, random)
 		}
 	}
 }
 
+// expire makes all connections that are kept due at once, while a daemon's process stands still.
+func (s *soak) expire(d *daemonProcess, random *rand.Rand) {
+	s.configure(longIdle, 3*time.Second)
+	time.Sleep(upTo(random, 400*time.Millisecond))
+	s.configure(shortIdle, 3*time.Second)
+	time.Sleep(upTo(random, 50*time.Millisecond)) // the daemon may have read it by then
+	d.standStill(shortIdle + upTo(random, longestStandstill))
+}
+
 // stopStandingStill stops a daemon, whose process stands still at moments of its grace and past its end.
 func (s *soak) stopStandingStill(d *daemonProcess, random *rand.Rand) {
 	Expect(d.session).NotTo(gexec.Exit(), "seed %d: it ended by itself", s.seed)
@@ -94,7 +110,7 @@
 	for range 1 + random.IntN(2) {
 		time.Sleep(upTo(random, closingPeriod))
 		if random.IntN(2) == 0 {
-			d.signal(syscall.SIGHUP)
+			d.signal(syscall.SIGHUP, syscall.SIGTERM)
 		}
 		d.standStill(100*time.Millisecond + upTo(random, longestStandstill))
 	}
