Soak: a store that comes back from an older copy

Its copy lacks the last configuration and up to 30 records of the endpoints, groups and daemons; endpoints write their entries again. Two versions of the configuration are never lost one after the other.

--- a/cmd/plantainmuxd/soak_platform_test.go
+++ b/cmd/plantainmuxd/soak_platform_test.go
@@ -16,7 +16,7 @@
 	soakLanes = 3 // whose routes come and go
 )
 
-// troubleStore makes the store fail in several ways until a time.
+// troubleStore makes the store fail in several ways, and come back from an older copy, until a time.
 func (s *soak) troubleStore(random *rand.Rand, until time.Time) {
 	defer GinkgoRecover()
 	server, faults := s.daemons[0].store, s.daemons[0].wire.Store().Faults
@@ -24,7 +24,7 @@
 	for time.Now().Before(until) {
 		time.Sleep(upTo(random, 4*time.Second))
 		period := 200*time.Millisecond + upTo(random, 1800*time.Millisecond)
-		kind := random.IntN(len(kinds) + 1)
+		kind := random.IntN(len(kinds) + 3)
 		if kind < len(kinds) {
 			faults.Set(kinds[kind])
 			time.Sleep(period)
@@ -33,6 +33,9 @@
 		}
 		server.Kill()
 		time.Sleep(period)
+		if kind > len(kinds) {
+			s.restoreStore(1+random.IntN(30), until)
+		}
 		Eventually(server.Start, "5s").Should(Succeed())
 	}
 }
@@ -92,6 +95,16 @@
 	s.configure(longIdle, 3*time.Second)
 }
 
+// restoreStore brings the store back from an older copy, unless the last configuration may have been written.
+func (s *soak) restoreStore(lost int, until time.Time) {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	if time.Now().Before(until) && s.version > s.kept {
+		s.daemons[0].wire.Restore(lost)
+		s.kept = s.version // the configuration before is not lost as well
+	}
+}
+
 // configure writes the next version of the configuration.
 func (s *soak) configure(idle, order time.Duration, lanes ...int) {
 	s.writing.Lock()
--- a/cmd/plantainmuxd/soak_rig_test.go
+++ b/cmd/plantainmuxd/soak_rig_test.go
@@ -30,10 +30,11 @@
 	kills   map[*daemonProcess][]soakKill
 	writing sync.Mutex
 	version int // of the newest configuration
+	kept    int // version that was the newest when the store last came back from a copy
 }
 
 func newSoak(seed uint64, daemons int, bound time.Duration) *soak {
-	s := &soak{seed: seed, version: 1, bound: bound, daemons: newDaemonProcesses(daemons), ended: make(chan struct{}), kills: map[*daemonProcess][]soakKill{}}
+	s := &soak{seed: seed, version: 1, kept: 1, bound: bound, daemons: newDaemonProcesses(daemons), ended: make(chan struct{}), kills: map[*daemonProcess][]soakKill{}}
 	s.daemons[0].wire.SetLastEvent(streamLength)
 	s.daemons[0].wire.SetWorkTime(40 * time.Millisecond)
 	for _, d := range s.daemons {
