Soak: each daemon serves by the last configuration after the last fault

Of three lanes only one is left: orders there must be served and get 404 on the others within the bound, so that a configuration that comes back shows. A connection that was closed between dial and order no longer ends the check with a nil outcome.

--- a/cmd/plantainmuxd/soak_callers_test.go
+++ b/cmd/plantainmuxd/soak_callers_test.go
@@ -21,7 +21,7 @@
 		if random.IntN(8) == 0 {
 			slow = resetPeriod + upTo(random, 2500*time.Millisecond)
 		}
-		o := conn.orderOn(soakPath(random), id, slow)
+		o := conn.order(soakPath(random), id, slow)
 		s.record(o)
 		if o == nil || o.ending != answered || conn.told { // after "Connection: close" nothing more may be sent
 			_ = conn.Close()
@@ -45,7 +45,7 @@
 	s.run(name, pause, func(id string, random *rand.Rand) {
 		if conn := s.dial(d); conn != nil {
 			defer func() { _ = conn.Close() }()
-			s.record(conn.orderOn(soakPath(random), id, 0))
+			s.record(conn.order(soakPath(random), id, 0))
 		}
 	})
 }
--- a/cmd/plantainmuxd/soak_conn_test.go
+++ b/cmd/plantainmuxd/soak_conn_test.go
@@ -59,14 +59,9 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x.example\r\nRequest-Id: %s\r\nDeadline-Ms: 3000\r\nModel: big\r\nAuthorization: Bearer k1\r\nContent-Length: %d\r\n\r\n", path, id, length)
 }
 
-// order places an order. Its body comes after a pause, if that is not 0. It returns nil if the caller saw
+// order places an order on the route of a path. Its body comes after a pause, if that is not 0. It returns nil if the caller saw
 // beforehand that the connection was closed.
-func (c *soakConn) order(id string, pause time.Duration) *soakOutcome {
-	return c.orderOn("/order/", id, pause)
-}
-
-// orderOn places an order on the route of a path.
-func (c *soakConn) orderOn(path, id string, pause time.Duration) *soakOutcome {
+func (c *soakConn) order(path, id string, pause time.Duration) *soakOutcome {
 	o := c.place(id, "order", soakHead(id, path+id, len(id)), id, pause)
 	if o != nil {
 		o.path = path
--- a/cmd/plantainmuxd/soak_platform_test.go
+++ b/cmd/plantainmuxd/soak_platform_test.go
@@ -14,6 +14,7 @@
 	shortIdle = 200 * time.Millisecond // less than a standstill, so that all connections have expired on waking
 	longIdle  = 15 * time.Second
 	soakLanes = 3 // whose routes come and go
+	lastLane  = 1 // the only one of the last configuration
 )
 
 // troubleStore makes the store fail in several ways, and come back from an older copy, until a time.
@@ -75,7 +76,8 @@
 	}
 }
 
-// reconfigure writes configurations in quick succession until a time, and then one with the usual timeouts.
+// reconfigure writes configurations in quick succession until a time, and then one with the usual timeouts
+// and one lane.
 func (s *soak) reconfigure(random *rand.Rand, until time.Time) {
 	defer GinkgoRecover()
 	for time.Now().Before(until) {
@@ -92,7 +94,7 @@
 		}
 		time.Sleep(upTo(random, 50*time.Millisecond))
 	}
-	s.configure(longIdle, 3*time.Second)
+	s.configure(longIdle, 3*time.Second, lastLane)
 }
 
 // restoreStore brings the store back from an older copy, unless the last configuration may have been written.
--- a/cmd/plantainmuxd/soak_test.go
+++ b/cmd/plantainmuxd/soak_test.go
@@ -118,18 +118,32 @@
 	faults.Wait()
 }
 
-// awaitServed waits until a daemon is ready and serves an order and a stream.
+// awaitServed waits until a daemon is ready and serves a stream, and orders by the routes of the last configuration.
 func (s *soak) awaitServed(d *daemonProcess) {
 	Eventually(d.isReady, servedBound).Should(BeTrue(), "seed %d", s.seed)
-	Eventually(func() int {
-		conn := s.dial(d)
-		if conn == nil {
-			return 0
-		}
-		defer func() { _ = conn.Close() }()
-		o := conn.order(fmt.Sprintf("after-%s-%d", d.callers, time.Now().UnixNano()), 0)
-		s.record(o)
-		return o.status
-	}, servedBound).Should(Equal(http.StatusOK), "seed %d", s.seed)
+	Eventually(s.statusOn, servedBound).WithArguments(d, "/order/").Should(Equal(http.StatusOK), "seed %d", s.seed)
 	Eventually(func() error { return d.stream("after") }, servedBound).Should(Succeed(), "seed %d", s.seed)
+	for lane := range soakLanes {
+		status := http.StatusNotFound
+		if lane == lastLane {
+			status = http.StatusOK
+		}
+		path := fmt.Sprintf(comingAndGoing+"%d/", lane)
+		Eventually(s.statusOn, servedBound).WithArguments(d, path).Should(Equal(status), "seed %d: %s", s.seed, path)
+	}
+}
+
+// statusOn returns the status of an order on a path and a connection of its own, 0 if there is none.
+func (s *soak) statusOn(d *daemonProcess, path string) int {
+	conn := s.dial(d)
+	if conn == nil {
+		return 0
+	}
+	defer func() { _ = conn.Close() }()
+	o := conn.order(path, fmt.Sprintf("after-%s-%d", d.callers, time.Now().UnixNano()), 0)
+	s.record(o)
+	if o == nil {
+		return 0
+	}
+	return o.status
 }
