--- a/cmd/plantainmuxd/soak_check_test.go
+++ b/cmd/plantainmuxd/soak_check_test.go
@@ -19,14 +19,16 @@
 // comingAndGoing begins the paths of orders whose route comes and goes: of these 404 is a true answer.
 const comingAndGoing = "/lane/"
 
-// runs returns how many times each order has run.
+// runs returns how many times each order has run, at all endpoints.
 func (s *soak) runs() map[string]int {
 	recorder := httptest.NewRecorder()
 	s.daemons[0].wire.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/fake/runs", nil))
 	runs := map[string]int{}
 	for line := range strings.Lines(recorder.Body.String()) {
 		fields := strings.Fields(line)
-		runs[fields[1]], _ = strconv.Atoi(fields[2])
+		number, err := strconv.Atoi(fields[2])
+		Expect(err).NotTo(HaveOccurred())
+		runs[fields[1]] += number
 	}
 	return runs
 }
--- a/cmd/plantainmuxd/soak_rig_test.go
+++ b/cmd/plantainmuxd/soak_rig_test.go
@@ -9,10 +9,13 @@
 	"os/exec"
 	"sync"
 	"time"
+
+	. "github.com/onsi/gomega"
 )
 
 const (
 	soakDescriptors = 300
+	soakDesks       = 3
 	soakPeriod      = 7 * time.Second
 	soakAnswerBound = 6 * time.Second // the longest deadline and the grace that may follow it
 )
@@ -35,6 +38,9 @@
 
 func newSoak(seed uint64, daemons int, bound time.Duration) *soak {
 	s := &soak{seed: seed, version: 1, kept: 1, bound: bound, daemons: newDaemonProcesses(daemons), ended: make(chan struct{}), kills: map[*daemonProcess][]soakKill{}}
+	for i := range soakDesks - 1 {
+		Expect(s.daemons[0].wire.StartDesk("n", fmt.Sprintf("n-desk%d", i+2))).To(Succeed())
+	}
 	s.daemons[0].wire.SetLastEvent(streamLength)
 	s.daemons[0].wire.SetWorkTime(40 * time.Millisecond)
 	for _, d := range s.daemons {
--- a/internal/fakes/wire_platform.go
+++ b/internal/fakes/wire_platform.go
@@ -58,6 +58,13 @@
 	return p, nil
 }
 
+// StartDesk starts one more plain service.
+func (p *WirePlatform) StartDesk(dataCentre, id string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.startEngine(dataCentre, id, "desk", "")
+}
+
 func (p *WirePlatform) startEngine(dataCentre, id, service, domain string) error {
 	engine, err := StartWireEngineIn(p.store.Log, dataCentre, id, service, domain)
 	if err != nil {
