Soak: safe requests, which use kept connections to endpoints

Orders always get a new connection, so that only safe requests and streams meet endpoints that close kept ones. They may run more than once; all other checks hold for them.

--- a/cmd/plantainmuxd/soak_callers_test.go
+++ b/cmd/plantainmuxd/soak_callers_test.go
@@ -32,10 +32,10 @@
 
 // soakPath returns the path of an order: half of them are below a lane.
 func soakPath(random *rand.Rand) string {
-	if lane := random.IntN(2 * 2 * soakLanes); lane < soakLanes {
-		return fmt.Sprintf("/order/%d/", lane)
-	} else if lane < 2*soakLanes {
-		return fmt.Sprintf(comingAndGoing+"%d/", lane-soakLanes)
+	prefixes := []string{"/order/", comingAndGoing, safeToRepeat}
+	number := random.IntN(2 * len(prefixes) * soakLanes)
+	if lane := number / len(prefixes); lane < soakLanes {
+		return fmt.Sprintf("%s%d/", prefixes[number%len(prefixes)], lane)
 	}
 	return "/order/"
 }
--- a/cmd/plantainmuxd/soak_check_test.go
+++ b/cmd/plantainmuxd/soak_check_test.go
@@ -16,8 +16,11 @@
 // promisesNotRun holds the statuses that promise that a request has not run and never will.
 var promisesNotRun = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 
-// comingAndGoing begins the paths of orders whose route comes and goes: of these 404 is a true answer.
-const comingAndGoing = "/lane/"
+// The beginnings of the paths of orders whose routes come and go: of these 404 is a true answer.
+const (
+	comingAndGoing = "/lane/"
+	safeToRepeat   = "/look/" // these may run more than once
+)
 
 // runs returns how many times each order has run, at all endpoints.
 func (s *soak) runs() map[string]int {
@@ -63,7 +66,7 @@
 func (s *soak) fault(o *soakOutcome, ran int, mayBreak bool) string {
 	order := o.kind == "order"
 	switch {
-	case order && ran > 1:
+	case order && ran > 1 && !strings.HasPrefix(o.path, safeToRepeat):
 		return "ran more than once"
 	case order && ran > 0 && slices.Contains(promisesNotRun, o.status):
 		return "refused as not run"
@@ -71,7 +74,7 @@
 		return "answered wrongly"
 	case o.ending == crossed && ran > 0:
 		return "ran, although it was closed before it arrived"
-	case o.ending == answered && o.status == http.StatusNotFound && strings.HasPrefix(o.path, comingAndGoing):
+	case o.ending == answered && o.status == http.StatusNotFound && (strings.HasPrefix(o.path, comingAndGoing) || strings.HasPrefix(o.path, safeToRepeat)):
 		if ran > 0 {
 			return "denied, although it ran"
 		}
--- a/internal/fakes/wire_platform_configuration.go
+++ b/internal/fakes/wire_platform_configuration.go
@@ -11,12 +11,16 @@
 
 // Configure writes a version of the configuration with a timeout of idle callers and one of the route of
 // orders. A version with an odd number has another target latency of the route of streams. Each of the lanes has two
-// routes of orders, one below /order/ and one below /lane/, that may be sent to three endpoints.
+// routes of orders, below /order/ and /lane/, and one of safe requests, below /look/, that may be sent to three endpoints.
 func (p *WirePlatform) Configure(version int, idle, order time.Duration, lanes ...int) error {
 	var more strings.Builder
 	for _, lane := range lanes {
-		for _, prefix := range []string{"order", "lane"} {
-			_, _ = fmt.Fprintf(&more, `,{"name":"%[1]s-%[2]d","host":"x.example","path_prefix":"/%[1]s/%[2]d/","kind":"unsafe","timeout_ms":3000,"service":"desk","max_attempts":3}`, prefix, lane)
+		for _, prefix := range []string{"order", "lane", "look"} {
+			kind := "unsafe"
+			if prefix == "look" {
+				kind = "safe"
+			}
+			_, _ = fmt.Fprintf(&more, `,{"name":"%[1]s-%[2]d","host":"x.example","path_prefix":"/%[1]s/%[2]d/","kind":"%[3]s","timeout_ms":3000,"service":"desk","max_attempts":3}`, prefix, lane, kind)
 		}
 	}
 	text := strings.NewReplacer(
