--- a/cmd/plantainmuxd/soak_platform_test.go
+++ b/cmd/plantainmuxd/soak_platform_test.go
@@ -94,6 +94,7 @@
 		}
 		time.Sleep(upTo(random, 50*time.Millisecond))
 	}
+	s.configure(longIdle, 3*time.Second) // differs from the last one
 	s.configure(longIdle, 3*time.Second, lastLane)
 }
 
--- a/cmd/plantainmuxd/soak_test.go
+++ b/cmd/plantainmuxd/soak_test.go
@@ -19,7 +19,8 @@
 const (
 	siegePeriod   = 8 * time.Second
 	servedBound   = 15 * time.Second // after the last fault
-	siegeKeepers  = 8                // of each daemon
+	keptPeriod    = 500 * time.Millisecond
+	siegeKeepers  = 8 // of each daemon
 	siegeNewOnes  = 4
 	siegeStreams  = 3
 	soakDaemons   = 2
@@ -93,6 +94,7 @@
 			for _, d := range s.daemons {
 				s.awaitServed(d)
 			}
+			s.loseConfiguration()
 			s.finish()
 			for _, d := range s.daemons {
 				Expect(d.session).NotTo(gexec.Exit(), "seed %d: it ended by itself", seed)
@@ -133,6 +135,17 @@
 	}
 }
 
+// loseConfiguration brings the store back from a copy without the last configuration, which all daemons keep.
+func (s *soak) loseConfiguration() {
+	s.daemons[0].wire.Restore(1)
+	Consistently(func() (statuses []int) {
+		for _, d := range s.daemons {
+			statuses = append(statuses, s.statusOn(d, fmt.Sprintf(comingAndGoing+"%d/", lastLane)))
+		}
+		return statuses
+	}, keptPeriod).ShouldNot(ContainElement(http.StatusNotFound), "seed %d", s.seed)
+}
+
 // statusOn returns the status of an order on a path and a connection of its own, 0 if there is none.
 func (s *soak) statusOn(d *daemonProcess, path string) int {
 	conn := s.dial(d)
