Process tests: two test processes at the same time never take each other's ports

The ranges begin at a random port and a port counts as unused while its daemon is down. A test process keeps its ports now, at a second address of loopback.

--- a/cmd/plantainmuxd/rig_test.go
+++ b/cmd/plantainmuxd/rig_test.go
@@ -29,6 +29,7 @@
 var (
 	binary   string // of the daemon
 	lastPort atomic.Int32
+	claims   []net.Listener // on the ports of this process, until it ends
 )
 
 var startPort = rand.Int32N(ports)
@@ -126,14 +127,22 @@
 	return nil
 }
 
-// unusedAddress returns an address of loopback. No port is returned twice.
+// unusedAddress returns an address of loopback. No port is returned twice, nor to another test process at the same
+// time: each keeps its ports at a second address of loopback.
 func unusedAddress() string {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+(startPort+lastPort.Add(1))%ports)
+		port := firstPort + (startPort+lastPort.Add(1))%ports
+		claim, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.2:%d", port))
+		if err != nil {
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		listener, err := net.Listen("tcp4", address)
 		if err != nil {
+			_ = claim.Close()
 			continue
 		}
+		claims = append(claims, claim)
 		Expect(listener.Close()).To(Succeed())
 		return address
 	}
