Soak: no signal to a process before it has taken over its signals

The start waits until the process ignores SIGPIPE, which it does only there; standstills and kills still come while a daemon starts.

--- a/cmd/plantainmuxd/soak_rig_test.go
+++ b/cmd/plantainmuxd/soak_rig_test.go
@@ -52,8 +52,11 @@
 	return s
 }
 
+// start starts a daemon. It returns once signals no longer end its process.
 func (s *soak) start(d *daemonProcess) {
 	d.start(exec.Command("bash", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" --platform --settings "$1"`, soakDescriptors), binary, d.settings))
+	Eventually(d.handlesSignals, handlersBound, handlersPause).Should(BeTrue(), "seed %d", s.seed)
+	time.Sleep(handlersPause)
 }
 
 // record records an outcome, if a request was sent.
