--- a/cmd/plantainmuxd/soak_platform_test.go
+++ b/cmd/plantainmuxd/soak_platform_test.go
@@ -76,8 +76,7 @@
 	}
 }
 
-// reconfigure writes configurations in quick succession until a time, and then one with the usual timeouts
-// and one lane.
+// reconfigure writes configurations in quick succession until a time.
 func (s *soak) reconfigure(random *rand.Rand, until time.Time) {
 	defer GinkgoRecover()
 	for time.Now().Before(until) {
@@ -94,8 +93,6 @@
 		}
 		time.Sleep(upTo(random, 50*time.Millisecond))
 	}
-	s.configure(longIdle, 3*time.Second) // differs from the last one
-	s.configure(longIdle, 3*time.Second, lastLane)
 }
 
 // restoreStore brings the store back from an older copy, unless the last configuration may have been written.
--- a/cmd/plantainmuxd/soak_test.go
+++ b/cmd/plantainmuxd/soak_test.go
@@ -104,7 +104,7 @@
 	}
 })
 
-// siege disturbs the daemons and their platform, and returns once the last fault is over.
+// siege disturbs the daemons and their platform, and returns once the last fault is over and the last configuration written.
 func (s *soak) siege() {
 	until := time.Now().Add(siegePeriod)
 	var faults sync.WaitGroup
@@ -118,6 +118,8 @@
 		faults.Go(func() { s.troubleEngines(part, s.random(fmt.Sprint("engines", i)), until) })
 	}
 	faults.Wait()
+	s.configure(longIdle, 3*time.Second) // differs from the last one
+	s.configure(longIdle, 3*time.Second, lastLane)
 }
 
 // awaitServed waits until a daemon is ready and serves a stream, and orders by the routes of the last configuration.
