--- a/cmd/plantainmuxd/soak_rig_test.go
+++ b/cmd/plantainmuxd/soak_rig_test.go
@@ -9,10 +9,13 @@
 	"os/exec"
 	"sync"
 	"time"
+
+	. "github.com/onsi/gomega"
 )
 
 const (
 	soakDescriptors = 300
+	soakDesks       = 3
 	soakPeriod      = 7 * time.Second
 	soakAnswerBound = 6 * time.Second // the longest deadline and the grace that may follow it
 )
@@ -28,10 +31,16 @@
 	results []*soakOutcome
 	open    []net.Conn // that are kept without a request, or unread
 	kills   map[*daemonProcess][]soakKill
+	writing sync.Mutex
+	version int // of the newest configuration
+	kept    int // version that was the newest when the store last came back from a copy
 }
 
 func newSoak(seed uint64, daemons int, bound time.Duration) *soak {
-	s := &soak{seed: seed, bound: bound, daemons: newDaemonProcesses(daemons), ended: make(chan struct{}), kills: map[*daemonProcess][]soakKill{}}
+	s := &soak{seed: seed, version: 1, kept: 1, bound: bound, daemons: newDaemonProcesses(daemons), ended: make(chan struct{}), kills: map[*daemonProcess][]soakKill{}}
+	for i := range soakDesks - 1 {
+		Expect(s.daemons[0].wire.StartDesk("n", fmt.Sprintf("n-desk%d", i+2))).To(Succeed())
+	}
 	s.daemons[0].wire.SetLastEvent(streamLength)
 	s.daemons[0].wire.SetWorkTime(40 * time.Millisecond)
 	for _, d := range s.daemons {
@@ -43,8 +52,11 @@
 	return s
 }
 
+// start starts a daemon. It returns once signals no longer end its process.
 func (s *soak) start(d *daemonProcess) {
 	d.start(exec.Command("bash", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" --platform --settings "$1"`, soakDescriptors), binary, d.settings))
+	Eventually(d.handlesSignals, handlersBound, handlersPause).Should(BeTrue(), "seed %d", s.seed)
+	time.Sleep(handlersPause)
 }
 
 // record records an outcome, if a request was sent.
--- a/cmd/plantainmuxd/soak_test.go
+++ b/cmd/plantainmuxd/soak_test.go
@@ -19,7 +19,8 @@
 const (
 	siegePeriod   = 8 * time.Second
 	servedBound   = 15 * time.Second // after the last fault
-	siegeKeepers  = 8                // of each daemon
+	keptPeriod    = 500 * time.Millisecond
+	siegeKeepers  = 8 // of each daemon
 	siegeNewOnes  = 4
 	siegeStreams  = 3
 	soakDaemons   = 2
@@ -93,6 +94,7 @@
 			for _, d := range s.daemons {
 				s.awaitServed(d)
 			}
+			s.loseConfiguration()
 			s.finish()
 			for _, d := range s.daemons {
 				Expect(d.session).NotTo(gexec.Exit(), "seed %d: it ended by itself", seed)
@@ -102,7 +104,7 @@
 	}
 })
 
-// siege disturbs the daemons and their platform, and returns once the last fault is over.
+// siege disturbs the daemons and their platform, and returns once the last fault is over and the last configuration written.
 func (s *soak) siege() {
 	until := time.Now().Add(siegePeriod)
 	var faults sync.WaitGroup
@@ -116,20 +118,47 @@
 		faults.Go(func() { s.troubleEngines(part, s.random(fmt.Sprint("engines", i)), until) })
 	}
 	faults.Wait()
+	s.configure(longIdle, 3*time.Second) // differs from the last one
+	s.configure(longIdle, 3*time.Second, lastLane)
 }
 
-// awaitServed waits until a daemon is ready and serves an order and a stream.
+// awaitServed waits until a daemon is ready and serves a stream, and orders by the routes of the last configuration.
 func (s *soak) awaitServed(d *daemonProcess) {
 	Eventually(d.isReady, servedBound).Should(BeTrue(), "seed %d", s.seed)
-	Eventually(func() int {
-		conn := s.dial(d)
-		if conn == nil {
-			return 0
-		}
-		defer func() { _ = conn.Close() }()
-		o := conn.order(fmt.Sprintf("after-%s-%d", d.callers, time.Now().UnixNano()), 0)
-		s.record(o)
-		return o.status
-	}, servedBound).Should(Equal(http.StatusOK), "seed %d", s.seed)
+	Eventually(s.statusOn, servedBound).WithArguments(d, "/order/").Should(Equal(http.StatusOK), "seed %d", s.seed)
 	Eventually(func() error { return d.stream("after") }, servedBound).Should(Succeed(), "seed %d", s.seed)
+	for lane := range soakLanes {
+		status := http.StatusNotFound
+		if lane == lastLane {
+			status = http.StatusOK
+		}
+		path := fmt.Sprintf(comingAndGoing+"%d/", lane)
+		Eventually(s.statusOn, servedBound).WithArguments(d, path).Should(Equal(status), "seed %d: %s", s.seed, path)
+	}
+}
+
+// loseConfiguration brings the store back from a copy without the last configuration, which all daemons keep.
+func (s *soak) loseConfiguration() {
+	s.daemons[0].wire.Restore(1)
+	Consistently(func() (statuses []int) {
+		for _, d := range s.daemons {
+			statuses = append(statuses, s.statusOn(d, fmt.Sprintf(comingAndGoing+"%d/", lastLane)))
+		}
+		return statuses
+	}, keptPeriod).ShouldNot(ContainElement(http.StatusNotFound), "seed %d", s.seed)
+}
+
+// statusOn returns the status of an order on a path and a connection of its own, 0 if there is none.
+func (s *soak) statusOn(d *daemonProcess, path string) int {
+	conn := s.dial(d)
+	if conn == nil {
+		return 0
+	}
+	defer func() { _ = conn.Close() }()
+	o := conn.order(path, fmt.Sprintf("after-%s-%d", d.callers, time.Now().UnixNano()), 0)
+	s.record(o)
+	if o == nil {
+		return 0
+	}
+	return o.status
 }
