--- a/internal/awake/context.go
+++ b/internal/awake/context.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"runtime"
 	"time"
 )
 
@@ -17,37 +16,25 @@
 // It has no deadline to tell: connections that go by one end what they wait for by the clock.
 func WithDeadline(parent context.Context, at time.Time) (context.Context, context.CancelFunc) {
 	inner, cancel := context.WithCancelCause(parent)
+	ctx := &deadlineContext{inner}
 	left := time.Until(at)
 	if left <= 0 {
 		cancel(context.DeadlineExceeded)
-		return &deadlineContext{inner}, func() {}
+		return ctx, func() {}
 	}
-	return watch(inner, cancel, NewDeadline(at), left, LookInterval)
-}
-
-// WithRunTime returns a context that ends with context.DeadlineExceeded once the process has run for a length of
-// time. Otherwise it is as that of WithDeadline.
-func WithRunTime(parent context.Context, length time.Duration) (context.Context, context.CancelFunc) {
-	inner, cancel := context.WithCancelCause(parent)
-	limit := NewRunTime(length, time.Now())
-	return watch(inner, cancel, limit, limit.Interval(), limit.Interval())
-}
-
-// watch looks at a limit, first after a time and then in an interval, until it has passed or the context has ended.
-func watch(inner context.Context, cancel context.CancelCauseFunc, l limit, first, interval time.Duration) (context.Context, context.CancelFunc) {
+	limit := NewDeadline(at)
 	var look func()
 	look = func() {
-		runtime.Gosched() // readers that became ready earlier have their turn first
 		switch {
 		case inner.Err() != nil:
-		case l.Passed(time.Now()):
+		case limit.Passed(time.Now()):
 			cancel(context.DeadlineExceeded)
 		default:
-			time.AfterFunc(interval, look)
+			time.AfterFunc(LookInterval, look)
 		}
 	}
-	timer := time.AfterFunc(first, look)
-	return &deadlineContext{inner}, func() {
+	timer := time.AfterFunc(left, look)
+	return ctx, func() {
 		timer.Stop()
 		cancel(context.Canceled)
 	}
--- a/internal/gateway/dispatch_client.go
+++ b/internal/gateway/dispatch_client.go
@@ -10,7 +10,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/plantainmux/plantainmux/internal/awake"
 	"github.com/plantainmux/plantainmux/internal/dispatch"
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/peer"
@@ -18,8 +17,7 @@
 
 const (
 	// dispatchTimeout is how long a caller may notice the loss of a dispatcher. The call takes below
-	// 1 ms in a data centre. It counts while this process runs: what arrives in a standstill of it waits
-	// unread.
+	// 1 ms in a data centre.
 	dispatchTimeout = 20 * time.Millisecond
 
 	// dispatchPause is how long no dispatcher is asked after one has not answered, so that the requests
@@ -127,7 +125,7 @@
 		outcome.Local = dispatch.Paused
 		return outcome
 	default:
-		limited, cancel := awake.WithRunTime(ctx, dispatchTimeout)
+		limited, cancel := context.WithTimeout(ctx, dispatchTimeout)
 		defer cancel()
 		err := c.call(limited, outcome.By, call, &outcome.Answer)
 		c.took.UpdateDuration(now)
@@ -136,7 +134,7 @@
 			return outcome
 		}
 		if err != nil {
-			outcome.Local = c.failed(limited, outcome.By, time.Since(now), err)
+			outcome.Local = c.failed(limited, outcome.By, err)
 			return outcome
 		}
 	}
@@ -159,7 +157,7 @@
 }
 
 // failed returns the reason of a local choice after a call failed.
-func (c *dispatchClient) failed(ctx context.Context, dispatcher string, took time.Duration, err error) dispatch.LocalReason {
+func (c *dispatchClient) failed(ctx context.Context, dispatcher string, err error) dispatch.LocalReason {
 	var unreachable *peer.UnreachableError
 	var unknown *peer.UnknownMethodError
 	reason := dispatch.CallFailed
@@ -175,6 +173,6 @@
 		return reason // another one has replaced it
 	}
 	c.pausedUntil.Store(c.clock().Add(dispatchPause).UnixNano())
-	c.logger.Info("dispatcher not asked for a time", "dispatcher", dispatcher, "reason", reason, "took_ms", took.Milliseconds(), "pause_ms", dispatchPause.Milliseconds(), "error", err)
+	c.logger.Info("dispatcher not asked for a time", "dispatcher", dispatcher, "reason", reason, "pause_ms", dispatchPause.Milliseconds(), "error", err)
 	return reason
 }
