--- a/internal/order/dispatch.go
+++ b/internal/order/dispatch.go
@@ -1,18 +1,17 @@
 package order
 
 import (
+	"context"
 	"errors"
 
-	"github.com/plantainmux/plantainmux/internal/awake"
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 )
 
 // dispatch sends an order at most once. It tries the next endpoint only when no
-// byte was sent to the previous one, and sends nothing after the deadline. An
-// answer that arrived while the process stood still across it is still read.
+// byte was sent to the previous one, and sends nothing after the deadline.
 func (r *Runner) dispatch(t *task) (State, Result) {
-	ctx, cancel := awake.WithDeadline(r.Context, t.deadline)
+	ctx, cancel := context.WithDeadline(r.Context, t.deadline)
 	defer cancel()
 	for _, address := range r.usable(t.order.Addresses) {
 		// The timer of the context may fire late after the process was paused, so
@@ -20,9 +19,7 @@
 		if ctx.Err() != nil || r.Now().UnixMilli() >= t.claim.DeadlineMillis {
 			return NotRan, refused(refusal.New(refusal.DeadlineExceeded, 0, "the deadline passed before the order could run"))
 		}
-		connecting, left := connectBy(ctx, t.deadline)
-		answer, err := r.Service.Call(connecting, address, t.order.Call)
-		left()
+		answer, err := r.Service.Call(ctx, address, t.order.Call)
 		var unreachable *endpoint.UnreachableError
 		switch {
 		case err == nil:
--- a/internal/order/repeat.go
+++ b/internal/order/repeat.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/awake"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 )
 
@@ -16,7 +15,7 @@
 	if record.Claim.Fingerprint != fingerprint {
 		return keyReused()
 	}
-	ctx, cancel := awake.WithDeadline(ctx, o.repeatDeadline(r.Now()))
+	ctx, cancel := context.WithDeadline(ctx, o.repeatDeadline(r.Now()))
 	defer cancel()
 	latest, ok := f.awaitSettled(ctx, o.Key)
 	if !ok {
@@ -71,7 +70,7 @@
 // nothing to the log: a key that has a record is answered from it, any other is
 // refused as not run.
 func (r *Runner) answerWithoutEndpoint(t *task, limit time.Duration) Result {
-	ctx, cancel := awake.WithTimeout(r.Context, limit)
+	ctx, cancel := context.WithTimeout(r.Context, limit)
 	defer cancel()
 	if err := t.slot.confirm(ctx); err != nil {
 		return refused(refusal.New(refusal.LogUnavailable, retryLogUnavailable, "the log cannot be read"))
--- a/internal/order/router.go
+++ b/internal/order/router.go
@@ -7,7 +7,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/plantainmux/plantainmux/internal/awake"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/peer"
@@ -65,7 +64,7 @@
 // for its claim would, so that the rest of the order's timeout remains to try
 // another daemon. It ends earlier if the owner stops answering.
 func (r *Router) forward(ctx context.Context, owner fleet.DaemonID, o Order) (Result, error) {
-	ctx, cancel := awake.WithTimeout(ctx, o.Timeout-o.Timeout/dispatchShareDivisor)
+	ctx, cancel := context.WithTimeout(ctx, o.Timeout-o.Timeout/dispatchShareDivisor)
 	defer cancel()
 	r.runner.Metrics.forwarded.Inc()
 	var result Result
--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/awake"
 	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/refusal"
@@ -157,7 +156,7 @@
 // proposeClaim proposes the claim of an order. It waits for the verdict up to the
 // limit, but stops earlier if the log answers no call for the claim timeout.
 func (r *Runner) proposeClaim(t *task, limit time.Duration) (logstream.Receipt, error) {
-	ctx, cancel := awake.WithTimeout(r.Context, limit)
+	ctx, cancel := context.WithTimeout(r.Context, limit)
 	defer cancel()
 	go r.cancelUnanswered(ctx, cancel, t.slot.stream)
 	return t.slot.stream.Propose(ctx, KindClaim, t.claim)
@@ -168,9 +167,7 @@
 func (r *Runner) cancelUnanswered(ctx context.Context, cancel context.CancelFunc, stream *logstream.Stream[*Fold]) {
 	for {
 		before := stream.ServedCalls()
-		limited, end := awake.WithTimeout(ctx, r.ClaimTimeout)
-		<-limited.Done()
-		end()
+		wait.For(ctx, r.ClaimTimeout)
 		if ctx.Err() != nil {
 			return
 		}
@@ -186,7 +183,7 @@
 func (r *Runner) propose(t *task, kind logstream.Kind, body any, limit time.Duration) (logstream.Receipt, error) {
 	ctx, cancel := r.Context, context.CancelFunc(func() {})
 	if limit != 0 {
-		ctx, cancel = awake.WithTimeout(ctx, limit)
+		ctx, cancel = context.WithTimeout(ctx, limit)
 	}
 	defer cancel()
 	return t.slot.stream.Propose(ctx, kind, body)
