--- a/cmd/plantainmuxd/soak_test.go
+++ b/cmd/plantainmuxd/soak_test.go
@@ -145,7 +145,7 @@
 			statuses = append(statuses, s.statusOn(d, fmt.Sprintf(comingAndGoing+"%d/", lastLane)))
 		}
 		return statuses
-	}, keptPeriod).ShouldNot(ContainElement(http.StatusNotFound), "seed %d", s.seed)
+	}, keptPeriod).Should(HaveEach(http.StatusOK), "seed %d", s.seed)
 }
 
 // statusOn returns the status of an order on a path and a connection of its own, 0 if there is none.
