--- a/cmd/plantainmuxd/soak_callers_test.go
+++ b/cmd/plantainmuxd/soak_callers_test.go
@@ -21,7 +21,7 @@
 		if random.IntN(8) == 0 {
 			slow = resetPeriod + upTo(random, 2500*time.Millisecond)
 		}
-		o := conn.order(soakPath(random), id, slow)
+		o := conn.order(s.path(random), id, slow)
 		s.record(o)
 		if o == nil || o.ending != answered || conn.told { // after "Connection: close" nothing more may be sent
 			_ = conn.Close()
@@ -30,8 +30,11 @@
 	})
 }
 
-// soakPath returns the path of an order: half of them are below a lane.
-func soakPath(random *rand.Rand) string {
+// path returns the path of an order: half of them are below a lane, if there are any.
+func (s *soak) path(random *rand.Rand) string {
+	if !s.lanes {
+		return "/order/"
+	}
 	prefixes := []string{"/order/", comingAndGoing, safeToRepeat}
 	number := random.IntN(2 * len(prefixes) * soakLanes)
 	if lane := number / len(prefixes); lane < soakLanes {
@@ -45,7 +48,7 @@
 	s.run(name, pause, func(id string, random *rand.Rand) {
 		if conn := s.dial(d); conn != nil {
 			defer func() { _ = conn.Close() }()
-			s.record(conn.order(soakPath(random), id, 0))
+			s.record(conn.order(s.path(random), id, 0))
 		}
 	})
 }
--- a/cmd/plantainmuxd/soak_rig_test.go
+++ b/cmd/plantainmuxd/soak_rig_test.go
@@ -32,8 +32,9 @@
 	open    []net.Conn // that are kept without a request, or unread
 	kills   map[*daemonProcess][]soakKill
 	writing sync.Mutex
-	version int // of the newest configuration
-	kept    int // version that was the newest when the store last came back from a copy
+	version int  // of the newest configuration
+	lanes   bool // orders go to lanes too
+	kept    int  // version that was the newest when the store last came back from a copy
 }
 
 func newSoak(seed uint64, daemons int, bound time.Duration) *soak {
--- a/cmd/plantainmuxd/soak_test.go
+++ b/cmd/plantainmuxd/soak_test.go
@@ -77,6 +77,7 @@
 		It(fmt.Sprintf("answer each request that has arrived, and serve everything afterwards, seed %d", seed), func() {
 			count := numberFrom("SOAK_DAEMONS", soakDaemons)
 			s := newSoak(seed, count, soakAnswerBound+3*longestStandstill)
+			s.lanes = true
 			pause := time.Duration(count) * 50 * time.Millisecond
 			for i, d := range s.daemons {
 				for j := range siegeKeepers {
