--- /dev/null
+++ b/internal/delivery/socket.go
@@ -0,0 +1,41 @@
+package delivery
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// socket asks the system about a connection. It knows nothing of one that is no socket.
+type socket struct{ raw syscall.RawConn }
+
+func socketOf(conn net.Conn) socket {
+	system, ok := conn.(syscall.Conn)
+	if !ok {
+		return socket{}
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return socket{}
+	}
+	return socket{raw: raw}
+}
+
+// unacknowledged returns how many of the bytes that were written the other side's system has not acknowledged.
+func (s socket) unacknowledged() int {
+	count := 0
+	s.control(func(fd int) {
+		if n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ); err == nil {
+			count = n
+		}
+	})
+	return count
+}
+
+// control calls do with the descriptor, unless the connection is closed.
+func (s socket) control(do func(fd int)) {
+	if s.raw != nil {
+		_ = s.raw.Control(func(fd uintptr) { do(int(fd)) }) // it fails only on a closed connection, on which nothing is left to do
+	}
+}
--- a/internal/gateway/adapters.go
+++ b/internal/gateway/adapters.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/catalog"
+	"github.com/plantainmux/plantainmux/internal/delivery"
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/formation"
 	"github.com/plantainmux/plantainmux/internal/keyed"
@@ -16,7 +17,8 @@
 // Adapters connect a gateway with the platform.
 type Adapters struct {
 	Store        keyed.Log
-	Endpoints    outbound.Sender // over this daemon's own connections
+	Delivery     *delivery.Tracker // of the connections that this daemon opens to endpoints, the store and other daemons
+	Endpoints    outbound.Sender   // over this daemon's own connections
 	Transport    func(sender outbound.Sender) exchange.Transport
 	Engines      formation.Engines
 	ProbePath    string            // of endpoints, answered by any HTTP response
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
 	"time"
 
+	"github.com/plantainmux/plantainmux/internal/delivery"
 	"github.com/plantainmux/plantainmux/internal/exchange"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/forward"
@@ -26,7 +28,10 @@
 
 // buildEndpoints builds what carries out exchanges with endpoints.
 func (g *Gateway) buildEndpoints() error {
-	mesh, err := peer.NewNetwork(peer.Options{Self: fleet.DaemonID(g.settings.Node), DataCentre: meshDataCentre, Heartbeat: linkHeartbeat, Logger: g.logger})
+	mesh, err := peer.NewNetwork(peer.Options{
+		Self: fleet.DaemonID(g.settings.Node), DataCentre: meshDataCentre, Heartbeat: linkHeartbeat, Logger: g.logger,
+		Dial: g.adapters.Delivery.Dial(delivery.Daemons, (&net.Dialer{}).DialContext),
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,7 +136,7 @@
 		limits:         targetstats.NewLimits(),
 		failedRequests: exchange.NewFailedRequests(),
 		smoothedDemand: demand.NewTracker(),
-		peers:          peerlog.NewClient(),
+		peers:          peerlog.NewClient(adapters.Delivery),
 		mirror:         keyed.NewMirror(),
 
 		registrationLost: make(chan struct{}, 1),
@@ -170,6 +170,7 @@
 	g.callersLeft = g.metrics.NewCounter("plantainmux_gateway_callers_left_total")
 	g.standstills = g.metrics.NewCounter("plantainmux_standstills_total")
 	g.standstillSeconds = g.metrics.NewFloatCounter("plantainmux_standstill_seconds_total")
+	g.reportUndelivered()
 	adapters.Notices.Subscribe(g.applyNotice)
 	return g, nil
 }
--- a/internal/peerlog/client.go
+++ b/internal/peerlog/client.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-resty/resty/v2"
 
+	"github.com/plantainmux/plantainmux/internal/delivery"
 	"github.com/plantainmux/plantainmux/internal/keyed"
 )
 
@@ -20,9 +21,10 @@
 // connection pool.
 type Client struct{ http *resty.Client }
 
-func NewClient() *Client {
+// NewClient returns a client whose connections are tracked.
+func NewClient(tracker *delivery.Tracker) *Client {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &Client{http: resty.New().SetTransport(&http.Transport{DialContext: dialer.DialContext, DisableCompression: true})}
+	return &Client{http: resty.New().SetTransport(&http.Transport{DialContext: tracker.Dial(delivery.Daemons, dialer.DialContext), DisableCompression: true})}
 }
 
 // LogVia returns a read-only log that reads through the daemon at an address.
--- a/internal/peerlog/mixed_versions_test.go
+++ b/internal/peerlog/mixed_versions_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/plantainmux/plantainmux/internal/delivery"
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/keyed"
 	"github.com/plantainmux/plantainmux/internal/peerlog"
@@ -47,7 +48,7 @@
 		answer := previous["page"]
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(answer) }))
 		DeferCleanup(server.Close)
-		through := peerlog.NewClient().LogVia(strings.TrimPrefix(server.URL, "http://"))
+		through := peerlog.NewClient(delivery.NewTracker()).LogVia(strings.TrimPrefix(server.URL, "http://"))
 		page, err := through.Read(context.Background(), "t", 1, 0)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(page).To(Equal(keyed.Page{
--- a/internal/peerlog/peerlog_test.go
+++ b/internal/peerlog/peerlog_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/plantainmux/plantainmux/internal/delivery"
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/keyed"
 	"github.com/plantainmux/plantainmux/internal/peerlog"
@@ -23,7 +24,7 @@
 		log = fakes.NewKeyedLog()
 		server := httptest.NewServer(peerlog.Handler(log))
 		DeferCleanup(server.Close)
-		through = peerlog.NewClient().LogVia(strings.TrimPrefix(server.URL, "http://"))
+		through = peerlog.NewClient(delivery.NewTracker()).LogVia(strings.TrimPrefix(server.URL, "http://"))
 		Expect(log.Put(ctx, "keyed.t", keyed.Record{Key: "a", Value: []byte{0, 255}})).To(Succeed())
 		Expect(log.Put(ctx, "keyed.t", keyed.Record{Key: "a"})).To(Succeed())
 		Expect(log.Put(ctx, "keyed.t", keyed.Record{Key: "b", Value: []byte("2")})).To(Succeed())
