Delivery: closing a connection withdraws what is under way on it

What callers saw: a request reached an endpoint 2.6 s after it had left (DRAIN), 6.26 s after its caller had sent it and 4 s after the daemon had given that attempt up and answered from another endpoint.

Cause: close ends what the daemon waits for, not what it has sent. The system goes on sending the bytes that the other side has not acknowledged, at growing intervals, also after the end of the process.

Now each connection that a daemon opens (endpoints, store, log, other daemons; both interfaces) is reset when it is closed, or its process ends, over unacknowledged bytes or a write in progress. One on which all has been acknowledged ends as before: a reset could destroy what the other side has sent or not read yet.

The spec of a write that races with the close fails without the count of writes in progress (65,536 bytes arrived).

--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 
+	"github.com/plantainmux/plantainmux/internal/delivery"
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/infra"
 	"github.com/plantainmux/plantainmux/internal/outbound"
@@ -21,7 +22,8 @@
 	Direct      outbound.Sender              // over this daemon's own connections to endpoints
 	SendThrough func(sender outbound.Sender) // makes Engine and Service send what callers request with sender
 
-	Traffic *Traffic
+	Delivery *delivery.Tracker // of the connections that this daemon opens
+	Traffic  *Traffic
 
 	PeerListener net.Listener // nil: listen on the configured address
 	PeerDial     func(ctx context.Context, network, address string) (net.Conn, error)
@@ -30,11 +32,15 @@
 // NewAdapters returns adapters that use the network.
 func NewAdapters(s settings.Settings) Adapters {
 	counters := &Traffic{}
+	tracker := delivery.NewTracker()
+	endpoints := tracker.Dial(delivery.Endpoints, (&net.Dialer{}).DialContext)
 	engine := endpoint.NewHTTPEngine().CountControlOn(&counters.Engines)
+	engine.ConnectWith(endpoints)
 	service := endpoint.NewHTTPService()
+	service.ConnectWith(endpoints)
 	return Adapters{
-		Log:     infra.NewHTTPLog(s.Platform.Log).CountBytes(&counters.Log),
-		VMs:     infra.NewHTTPVMList(s.Platform.VMs, s.DataCentre).CountBytes(&counters.VMs),
+		Log:     infra.NewHTTPLog(s.Platform.Log).ConnectWith(trackedDial(tracker, delivery.Store, &counters.Log)),
+		VMs:     infra.NewHTTPVMList(s.Platform.VMs, s.DataCentre).ConnectWith(trackedDial(tracker, delivery.Store, &counters.VMs)),
 		Engine:  engine,
 		Service: service,
 		Direct:  &outbound.HTTPSender{Pooled: engine.Transport(), Fresh: service.Transport()},
@@ -42,7 +48,8 @@
 			engine.SendThrough(sender)
 			service.SendThrough(sender)
 		},
+		Delivery: tracker,
 		Traffic:  counters,
-		PeerDial: counters.dialPeer,
+		PeerDial: trackedDial(tracker, delivery.Daemons, &counters.Peers).Within(peerDialTimeout),
 	}
 }
--- a/internal/daemon/traffic.go
+++ b/internal/daemon/traffic.go
@@ -1,9 +1,7 @@
 package daemon
 
 import (
-	"context"
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/metric"
@@ -31,9 +29,3 @@
 			func() float64 { return float64(counter.Received()) })
 	}
 }
-
-// dialPeer dials another daemon and counts the bytes of the connection. Those
-// of connections dialled by the other side are counted by the listener.
-func (t *Traffic) dialPeer(ctx context.Context, network, address string) (net.Conn, error) {
-	return traffic.NewDialer(peerDialTimeout, &t.Peers).DialContext(ctx, network, address)
-}
--- a/internal/delivery/conn.go
+++ b/internal/delivery/conn.go
@@ -6,18 +6,22 @@
 	"syscall"
 )
 
-// Conn is a tracked connection.
+// Conn is a tracked connection. Closing it withdraws what is under way: the other side gets no byte that has not reached
+// its system by then. That holds for the end of the process too.
 type Conn struct {
 	net.Conn
 	tracker *Tracker
 	to      Peer
 	address string
 	socket  socket
+	writing atomic.Int32
 	closing atomic.Bool
 }
 
 func newConn(tracker *Tracker, to Peer, address string, raw net.Conn) *Conn {
-	return &Conn{Conn: raw, tracker: tracker, to: to, address: address, socket: socketOf(raw)}
+	c := &Conn{Conn: raw, tracker: tracker, to: to, address: address, socket: socketOf(raw)}
+	c.socket.abortOnClose(true)
+	return c
 }
 
 // Unacknowledged returns how many of the bytes that were written the other side's system has not acknowledged.
@@ -31,12 +35,26 @@
 	return c.socket.raw, nil
 }
 
-// Close implements net.Conn.
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Add(1)
+	defer c.writing.Add(-1)
+	if c.closing.Load() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn. It resets the connection only if something is under way: a reset may destroy what the other
+// side has sent or not read yet.
 func (c *Conn) Close() error {
 	if c.closing.Swap(true) {
 		return net.ErrClosed
 	}
 	unacknowledged := c.Unacknowledged()
+	if unacknowledged == 0 && c.writing.Load() == 0 {
+		c.socket.abortOnClose(false)
+	}
 	err := c.Conn.Close()
 	c.tracker.closed(c, unacknowledged)
 	return err
--- a/internal/delivery/socket.go
+++ b/internal/delivery/socket.go
@@ -33,6 +33,15 @@
 	return count
 }
 
+// abortOnClose makes the system discard what is under way when the connection is closed, or go on sending it.
+func (s socket) abortOnClose(abort bool) {
+	linger := unix.Linger{}
+	if abort {
+		linger.Onoff = 1
+	}
+	s.control(func(fd int) { _ = unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &linger) }) // it fails on no open socket
+}
+
 // control calls do with the descriptor, unless the connection is closed.
 func (s socket) control(do func(fd int)) {
 	if s.raw != nil {
--- a/internal/endpoint/http_engine.go
+++ b/internal/endpoint/http_engine.go
@@ -13,6 +13,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/go-resty/resty/v2"
 
+	"github.com/plantainmux/plantainmux/internal/delivery"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/traffic"
@@ -74,11 +75,11 @@
 }
 
 // ConnectWith makes the client connect with dial. It must be called before its first use.
-func (e *HTTPEngine) ConnectWith(dial Dial) {
-	e.transport.DialContext = dial.within(dialTimeout)
+func (e *HTTPEngine) ConnectWith(dial delivery.Dial) {
+	e.transport.DialContext = dial.Within(dialTimeout)
 	control := newTransport()
 	control.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial.within(dialTimeout)(ctx, network, address)
+		conn, err := dial.Within(dialTimeout)(ctx, network, address)
 		if err != nil || e.counter == nil {
 			return conn, err
 		}
--- a/internal/endpoint/http_service.go
+++ b/internal/endpoint/http_service.go
@@ -12,6 +12,7 @@
 	"github.com/go-resty/resty/v2"
 
 	"github.com/plantainmux/plantainmux/internal/awake"
+	"github.com/plantainmux/plantainmux/internal/delivery"
 	"github.com/plantainmux/plantainmux/internal/outbound"
 )
 
@@ -51,7 +52,9 @@
 func (s *HTTPService) Transport() http.RoundTripper { return s.transport }
 
 // ConnectWith makes the client connect with dial. It must be called before its first use.
-func (s *HTTPService) ConnectWith(dial Dial) { s.transport.DialContext = dial.within(dialTimeout) }
+func (s *HTTPService) ConnectWith(dial delivery.Dial) {
+	s.transport.DialContext = dial.Within(dialTimeout)
+}
 
 func refuseRedirect(*http.Request, []*http.Request) error {
 	return http.ErrUseLastResponse
--- a/internal/infra/http_log.go
+++ b/internal/infra/http_log.go
@@ -11,6 +11,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/go-resty/resty/v2"
 
+	"github.com/plantainmux/plantainmux/internal/delivery"
 	"github.com/plantainmux/plantainmux/internal/traffic"
 )
 
@@ -40,7 +41,13 @@
 // CountBytes makes counter count the bytes of the client's connections. It must be
 // called before the first request.
 func (l *HTTPLog) CountBytes(counter *traffic.Counter) *HTTPLog {
-	l.client.SetTransport(newTransport(counter))
+	return l.ConnectWith(traffic.NewDialer(dialTimeout, counter).DialContext)
+}
+
+// ConnectWith makes the client connect with dial. It must be called before the first
+// request.
+func (l *HTTPLog) ConnectWith(dial delivery.Dial) *HTTPLog {
+	l.client.SetTransport(newTransport(dial))
 	return l
 }
 
--- a/internal/infra/http_vm_list.go
+++ b/internal/infra/http_vm_list.go
@@ -9,6 +9,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/go-resty/resty/v2"
 
+	"github.com/plantainmux/plantainmux/internal/delivery"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/traffic"
 )
@@ -39,7 +40,13 @@
 // CountBytes makes counter count the bytes of the client's connections. It must be
 // called before the first request.
 func (l *HTTPVMList) CountBytes(counter *traffic.Counter) *HTTPVMList {
-	l.client.SetTransport(newTransport(counter))
+	return l.ConnectWith(traffic.NewDialer(dialTimeout, counter).DialContext)
+}
+
+// ConnectWith makes the client connect with dial. It must be called before the first
+// request.
+func (l *HTTPVMList) ConnectWith(dial delivery.Dial) *HTTPVMList {
+	l.client.SetTransport(newTransport(dial))
 	return l
 }
 
--- a/internal/infra/transport.go
+++ b/internal/infra/transport.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/traffic"
+	"github.com/plantainmux/plantainmux/internal/delivery"
 )
 
 const (
@@ -13,11 +13,10 @@
 	idleConnTimeout     = 90 * time.Second
 )
 
-// newTransport returns an HTTP transport that counts the bytes of its
-// connections.
-func newTransport(counter *traffic.Counter) *http.Transport {
+// newTransport returns an HTTP transport that connects with dial.
+func newTransport(dial delivery.Dial) *http.Transport {
 	return &http.Transport{
-		DialContext:         traffic.NewDialer(dialTimeout, counter).DialContext,
+		DialContext:         dial.Within(dialTimeout),
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 	}
--- a/internal/testbed/daemon.go
+++ b/internal/testbed/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/adminapi"
 	"github.com/plantainmux/plantainmux/internal/daemon"
+	"github.com/plantainmux/plantainmux/internal/delivery"
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/fakes"
 	"github.com/plantainmux/plantainmux/internal/fleet"
@@ -80,8 +81,9 @@
 
 // connectedBy makes the daemon's adapters reach engines and services over link.
 func connectedBy(adapters daemon.Adapters, link *fakes.Link) daemon.Adapters {
-	adapters.Engine.(*endpoint.HTTPEngine).ConnectWith(link.DialContext)
-	adapters.Service.(*endpoint.HTTPService).ConnectWith(link.DialContext)
+	dial := adapters.Delivery.Dial(delivery.Endpoints, link.DialContext)
+	adapters.Engine.(*endpoint.HTTPEngine).ConnectWith(dial)
+	adapters.Service.(*endpoint.HTTPService).ConnectWith(dial)
 	return adapters
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/awake"
+	"github.com/plantainmux/plantainmux/internal/delivery"
 	"github.com/plantainmux/plantainmux/internal/outbound"
 )
 
@@ -17,7 +18,7 @@
 // Pool holds idle connections by address.
 type Pool struct {
 	connectTimeout time.Duration
-	dial           Dial
+	dial           delivery.Dial
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -29,7 +30,7 @@
 }
 
 // Through makes the pool connect with dial, and returns it. It must be called before the first use.
-func (p *Pool) Through(dial Dial) *Pool {
+func (p *Pool) Through(dial delivery.Dial) *Pool {
 	p.dial = dial
 	return p
 }
