Delivery: what has not arrived at an endpoint that leaves is withdrawn

Cause: daemons stop choosing an endpoint that leaves; what they had written to it before went on.

Now housekeeping looks, every 100 ms, at the connections to addresses at which no endpoint takes requests any more. One on which something is under way, and nothing was acknowledged in five looks, is reset. Its attempt fails as 'undelivered', which proves nothing on whether it ran and is no evidence against its endpoint or the request. Orders and reports have connections of a kind of their own, which are left alone.

--- a/internal/delivery/conn.go
+++ b/internal/delivery/conn.go
@@ -16,6 +16,9 @@
 	socket  socket
 	writing atomic.Int32
 	closing atomic.Bool
+
+	withdrawn atomic.Bool
+	stall     stall // by the tracker alone
 }
 
 func newConn(tracker *Tracker, to Peer, address string, raw net.Conn) *Conn {
@@ -35,14 +38,35 @@
 	return c.socket.raw, nil
 }
 
-// Write implements net.Conn.
+// Read implements net.Conn. It fails with a WithdrawnError once the connection has been withdrawn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	return n, c.failure(err)
+}
+
+// failure returns the reason for which an operation failed.
+func (c *Conn) failure(err error) error {
+	if err != nil && c.withdrawn.Load() {
+		return &WithdrawnError{Address: c.address}
+	}
+	return err
+}
+
+// Write implements net.Conn. It fails with a WithdrawnError once the connection has been withdrawn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writing.Add(1)
 	defer c.writing.Add(-1)
 	if c.closing.Load() {
-		return 0, net.ErrClosed
+		return 0, c.failure(net.ErrClosed)
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	return n, c.failure(err)
+}
+
+// withdraw resets the connection.
+func (c *Conn) withdraw() {
+	c.withdrawn.Store(true)
+	_ = c.Close()
 }
 
 // Close implements net.Conn. It resets the connection only if something is under way: a reset may destroy what the other
--- a/internal/delivery/peer.go
+++ b/internal/delivery/peer.go
@@ -5,7 +5,8 @@
 
 // Kinds of processes.
 const (
-	Endpoints Peer = "endpoints"
+	Endpoints Peer = "endpoints" // for requests
+	Workers   Peer = "workers"   // endpoints, for orders and reports
 	Daemons   Peer = "daemons"
 	Store     Peer = "store"
 )
--- a/internal/delivery/socket.go
+++ b/internal/delivery/socket.go
@@ -33,6 +33,16 @@
 	return count
 }
 
+// progress returns the same, and how many have been acknowledged since the connection was made.
+func (s socket) progress() (underWay int, acknowledged uint64) {
+	s.control(func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			acknowledged = info.Bytes_acked
+		}
+	})
+	return s.unacknowledged(), acknowledged
+}
+
 // abortOnClose makes the system discard what is under way when the connection is closed, or go on sending it.
 func (s socket) abortOnClose(abort bool) {
 	linger := unix.Linger{}
--- a/internal/delivery/tracker.go
+++ b/internal/delivery/tracker.go
@@ -41,6 +41,19 @@
 	return c
 }
 
+// WithdrawStalled resets the connections to a kind of process, at the addresses for which unwanted holds, on which something is
+// under way that does not arrive. It is to be called every 100 ms, by one goroutine, and returns how many it has reset.
+func (t *Tracker) WithdrawStalled(to Peer, unwanted func(address string) bool) int {
+	count := 0
+	for _, c := range t.open(func(c *Conn) bool { return c.to == to && unwanted(c.address) }) {
+		if c.stall.look(c.socket.progress()) {
+			c.withdraw()
+			count++
+		}
+	}
+	return count
+}
+
 // Unacknowledged returns the bytes under way on all connections to a kind of process.
 func (t *Tracker) Unacknowledged(to Peer) int {
 	total := 0
--- a/internal/fakes/link_conn.go
+++ b/internal/fakes/link_conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 )
 
 // linkConn is a connection over a Link. While the link hangs or is silent, nothing passes.
@@ -30,6 +31,9 @@
 	return c.Conn.Write(p)
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *linkConn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(syscall.Conn).SyscallConn() }
+
 // wait blocks while nothing passes. It fails if the connection is closed meanwhile.
 func (c *linkConn) wait() error {
 	for {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,12 +113,14 @@
 	stood             awake.Standstills                   // of this process, by housekeep
 	standstills       *metrics.Counter
 	standstillSeconds *metrics.FloatCounter
-	inFlight          atomic.Int64
-	stopping          atomic.Bool
-	stopStartedAt     atomic.Int64            // Unix nanoseconds; 0: not stopping
-	exchanges         context.Context         // ends those in progress with the grace period
-	endExchanges      context.CancelCauseFunc // ends exchanges
-	tasks             sync.WaitGroup
+
+	withdrawnConnections *metrics.Counter
+	inFlight             atomic.Int64
+	stopping             atomic.Bool
+	stopStartedAt        atomic.Int64            // Unix nanoseconds; 0: not stopping
+	exchanges            context.Context         // ends those in progress with the grace period
+	endExchanges         context.CancelCauseFunc // ends exchanges
+	tasks                sync.WaitGroup
 }
 
 // New returns a gateway that has not been started. It fails with a ListenError if
@@ -170,6 +172,7 @@
 	g.callersLeft = g.metrics.NewCounter("plantainmux_gateway_callers_left_total")
 	g.standstills = g.metrics.NewCounter("plantainmux_standstills_total")
 	g.standstillSeconds = g.metrics.NewFloatCounter("plantainmux_standstill_seconds_total")
+	g.withdrawnConnections = g.metrics.NewCounter("plantainmux_withdrawn_connections_total")
 	g.reportUndelivered()
 	adapters.Notices.Subscribe(g.applyNotice)
 	return g, nil
--- a/internal/gateway/housekeeping.go
+++ b/internal/gateway/housekeeping.go
@@ -29,6 +29,7 @@
 		g.updateForwarders(now)
 		g.endpoints.Review(now)
 		g.registry.Expire(now)
+		g.withdrawFromUnused()
 		g.settleEvacuations(now.Add(-g.stood.Stood(now.Add(-evacuation.HoldPeriod), now))) // what operators write again may wait unread
 		g.cold.review(now)
 		if round%sweepRounds == 0 {
