Links to endpoints: a daemon that stands still again and again finds out that they are lost

Cause: a look at the connects in progress was left out if a standstill lay within the 150 ms before it, each time. Now the time counts that the process ran, and just after a standstill it takes two looks. The spec failed before and passes; those of a single standstill pass as before. The same for silent exchanges stays open.

--- a/internal/forward/flight.go
+++ b/internal/forward/flight.go
@@ -17,10 +17,11 @@
 	cancel       context.CancelFunc
 	connectedFor atomic.Int64 // time from began to the connection, at least 1 ns; 0: no connection yet
 	reused       atomic.Bool
-	reported     atomic.Bool // its slow connect has been reported
-	repeatable   bool        // the request may be sent again
-	judged       bool        // it has had no answer for silentAfter; guarded by the router's mutex
-	silent       bool        // nor has any endpoint sent anything since it began; guarded by the router's mutex
+	reported     bool // its slow connect has been reported; guarded by the router's mutex
+	awaited      bool // a review just after a standstill found its connect slow; guarded by the router's mutex
+	repeatable   bool // the request may be sent again
+	judged       bool // it has had no answer for silentAfter; guarded by the router's mutex
+	silent       bool // nor has any endpoint sent anything since it began; guarded by the router's mutex
 }
 
 // connected reports whether the exchange has a connection.
--- a/internal/forward/flights.go
+++ b/internal/forward/flights.go
@@ -39,15 +39,18 @@
 }
 
 // reportSlowConnects records the endpoints to which a connection takes too long. Connections may have been made, and not
-// been noticed, while this process stood still.
+// been noticed, while this process stood still: after a standstill it takes two reviews.
 func (r *Router) reportSlowConnects(now time.Time) {
-	if r.standstills.Stood(now.Add(-slowConnect), now) > 0 {
-		return
-	}
+	justWoke := r.standstills.Stood(now.Add(-slowConnect), now) > 0
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for f := range r.flights {
-		if !f.connected() && now.Sub(f.began) > slowConnect && !f.reported.Swap(true) {
+		switch {
+		case f.connected() || f.reported || r.standstills.Ran(f.began, now) <= slowConnect:
+		case justWoke && !f.awaited:
+			f.awaited = true
+		default:
+			f.reported = true
 			r.tracker.ObserveConnectFailure(f.endpoint, f.began)
 		}
 	}
--- a/internal/forward/standstill_test.go
+++ b/internal/forward/standstill_test.go
@@ -59,4 +59,12 @@
 		Entry("0.3 s", 300*time.Millisecond),
 		Entry("5 s", 5*time.Second),
 	)
+
+	// Guards against a daemon that never finds out that it is cut off since each look at its connects comes after a standstill.
+	It("counts as cut off though it stands still again and again", func() {
+		for late := 1; late <= 8; late++ {
+			router.Review(start.Add(time.Duration(late) * 250 * time.Millisecond))
+		}
+		Expect(router.Lost()).To(BeTrue())
+	})
 })
