Delivery: an answer is not cut since the rest of its request was not read

What callers would see: an answer or a stream ends in its middle, as its endpoint leaves, although the endpoint goes on with it: one that may answer a long request before it has read all of it has bytes under way and acknowledges none. A request that runs once gets 502, and the break counts as a cut, which is evidence of a crash by the request.

Cause: connections to endpoints that have left were withdrawn by acknowledgements alone. What was read on a connection since the last write shows that the request has arrived.

Closing it is as before.

--- a/internal/delivery/conn.go
+++ b/internal/delivery/conn.go
@@ -17,6 +17,7 @@
 	writing atomic.Int32
 	closing atomic.Bool
 
+	answering atomic.Bool // something was read since the last write
 	withdrawn atomic.Bool
 	stall     stall // by the tracker alone
 }
@@ -41,6 +42,9 @@
 // Read implements net.Conn. It fails with a WithdrawnError once the connection has been withdrawn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.answering.Store(true)
+	}
 	return n, c.failure(err)
 }
 
@@ -59,6 +63,7 @@
 	if c.closing.Load() {
 		return 0, c.failure(net.ErrClosed)
 	}
+	c.answering.Store(false)
 	n, err := c.Conn.Write(p)
 	return n, c.failure(err)
 }
