Forward: an exchange that was withdrawn is one for the daemon that forwarded it too

What callers would see: a request that a daemon had passed on for another one, and that was withdrawn since its endpoint left, counted at the daemon that took it as one whose endpoint cut it: evidence that the request crashes endpoints, and a failure of the endpoint. A few of them, and the request is refused.

Cause: failures of forwarded exchanges came back as text, so that only a daemon's own attempts were 'undelivered'.

Evidence: the spec failed before (no WithdrawnError in what the sender gets).

Change: the failure names the address to which it was under way, in an optional field: earlier versions leave it out and don't read it.

--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/plantainmux/plantainmux/internal/delivery"
 	"github.com/plantainmux/plantainmux/internal/outbound"
 )
 
@@ -26,6 +27,8 @@
 	NotSent bool           `cbor:"1,keyasint,omitempty"` // no byte reached the endpoint, nor will
 	Blame   outbound.Blame `cbor:"2,keyasint,omitempty"` // if NotSent
 	Text    string         `cbor:"3,keyasint,omitempty"`
+	// Withdrawn is the address to which the exchange was under way when it was withdrawn.
+	Withdrawn string `cbor:"4,keyasint,omitempty"`
 }
 
 // err returns the error that the sender of the exchange gets.
@@ -33,5 +36,9 @@
 	if f.NotSent {
 		return &outbound.NotSentError{Blame: f.Blame, Err: &outbound.RemoteError{Daemon: via, Text: f.Text}}
 	}
-	return &outbound.RemoteError{Daemon: via, Text: f.Text}
+	remote := &outbound.RemoteError{Daemon: via, Text: f.Text}
+	if f.Withdrawn != "" {
+		remote.Err = &delivery.WithdrawnError{Address: f.Withdrawn}
+	}
+	return remote
 }
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/time/rate"
 
+	"github.com/plantainmux/plantainmux/internal/delivery"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/peer"
@@ -115,6 +116,10 @@
 	if errors.As(err, &notSent) {
 		return &failure{NotSent: true, Blame: notSent.Blame, Text: notSent.Err.Error()}
 	}
+	var withdrawn *delivery.WithdrawnError
+	if errors.As(err, &withdrawn) {
+		return &failure{Text: err.Error(), Withdrawn: withdrawn.Address}
+	}
 	return &failure{Text: err.Error()}
 }
 
