Delivery: an answer that waits unread is one

Cause: what had been read was taken for what had arrived. Now the system's count of received bytes is compared with what reads had returned before the last write, which also leaves no moment between a read and its note.

--- a/internal/delivery/answering_test.go
+++ b/internal/delivery/answering_test.go
@@ -49,6 +49,13 @@
 		answer("the rest")
 	})
 
+	// Guards against answers that wait unread, as those of a process that writes still or stood still, and are taken for none.
+	It("is not withdrawn over an answer that has not been read", func() {
+		_, err := io.WriteString(endpoint, "HTTP/1.1 200 OK\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(withdraw()).To(BeZero())
+	})
+
 	It("is withdrawn over a request that follows an answer", func() {
 		answer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		Expect(conn.Write([]byte("the next request"))).To(Equal(16))
--- a/internal/delivery/conn.go
+++ b/internal/delivery/conn.go
@@ -17,7 +17,8 @@
 	writing atomic.Int32
 	closing atomic.Bool
 
-	answering atomic.Bool // something was read since the last write
+	read      atomic.Uint64 // bytes that Read has returned
+	before    atomic.Uint64 // of these, before the last write
 	withdrawn atomic.Bool
 	stall     stall // by the tracker alone
 }
@@ -42,9 +43,7 @@
 // Read implements net.Conn. It fails with a WithdrawnError once the connection has been withdrawn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.answering.Store(true)
-	}
+	c.read.Add(uint64(n))
 	return n, c.failure(err)
 }
 
@@ -63,11 +62,18 @@
 	if c.closing.Load() {
 		return 0, c.failure(net.ErrClosed)
 	}
-	c.answering.Store(false)
+	c.before.Store(c.read.Load())
 	n, err := c.Conn.Write(p)
 	return n, c.failure(err)
 }
 
+// stalled looks at the connection, and reports whether what was written last does not arrive. It does if the other side
+// answers, even if that waits unread: it may answer a long request before it has read all of it.
+func (c *Conn) stalled() bool {
+	underWay, acknowledged, received := c.socket.progress()
+	return c.stall.look(underWay, acknowledged) && received <= c.before.Load()
+}
+
 // withdraw resets the connection.
 func (c *Conn) withdraw() {
 	c.withdrawn.Store(true)
--- a/internal/delivery/socket.go
+++ b/internal/delivery/socket.go
@@ -33,14 +33,14 @@
 	return count
 }
 
-// progress returns the same, and how many have been acknowledged since the connection was made.
-func (s socket) progress() (underWay int, acknowledged uint64) {
+// progress returns the same, and how many have been acknowledged, and how many have been received, since the connection was made.
+func (s socket) progress() (underWay int, acknowledged, received uint64) {
 	s.control(func(fd int) {
 		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			acknowledged = info.Bytes_acked
+			acknowledged, received = info.Bytes_acked, info.Bytes_received
 		}
 	})
-	return s.unacknowledged(), acknowledged
+	return s.unacknowledged(), acknowledged, received
 }
 
 // abortOnClose makes the system discard what is under way when the connection is closed, or go on sending it.
--- a/internal/delivery/tracker.go
+++ b/internal/delivery/tracker.go
@@ -42,12 +42,11 @@
 }
 
 // WithdrawStalled resets the connections to a kind of process, at the addresses for which unwanted holds, on which something is
-// under way that does not arrive. One on which the other side answers what was written last is left alone: it may answer a long
-// request before it has read all of it. It is to be called every 100 ms, by one goroutine, and returns how many it has reset.
+// under way that does not arrive. It is to be called every 100 ms, by one goroutine, and returns how many it has reset.
 func (t *Tracker) WithdrawStalled(to Peer, unwanted func(address string) bool) int {
 	count := 0
-	for _, c := range t.open(func(c *Conn) bool { return c.to == to && unwanted(c.address) && !c.answering.Load() }) {
-		if c.stall.look(c.socket.progress()) {
+	for _, c := range t.open(func(c *Conn) bool { return c.to == to && unwanted(c.address) }) {
+		if c.stalled() {
 			c.withdraw()
 			count++
 		}
