--- a/internal/delivery/tracker.go
+++ b/internal/delivery/tracker.go
@@ -46,7 +46,7 @@
 func (t *Tracker) WithdrawStalled(to Peer, unwanted func(address string) bool) int {
 	count := 0
 	for _, c := range t.open(func(c *Conn) bool { return c.to == to && unwanted(c.address) }) {
-		if c.stall.look(c.socket.progress()) {
+		if c.stalled() {
 			c.withdraw()
 			count++
 		}
