Delivery: a request that was lost twice on a link that works is not withdrawn

Found by the review, by arithmetic: five looks end 0.4 to 0.5 s after the write, the second repeat comes at 0.6 s. Eight looks end at 0.7 to 0.8 s, so that the time to drain (2 s) holds with the time to hear of the leaving. A body that breaks as its connection is withdrawn counts as undelivered too, as its head does; by reading, only a race gets there.

--- a/internal/delivery/stall.go
+++ b/internal/delivery/stall.go
@@ -1,8 +1,9 @@
 package delivery
 
 // stallLooks is the number of looks in a row that find nothing acknowledged after which a connection is stalled. With 100 ms
-// between two looks, a segment that was lost once has arrived by then: it is sent again after a round trip and 200 ms.
-const stallLooks = 5
+// between two looks, a segment that was lost twice has arrived by then: it is sent again a round trip and 200 ms after it was
+// sent, and 400 ms later.
+const stallLooks = 8
 
 // stall counts the looks at a connection that found bytes under way and none acknowledged since the look before. It goes by looks
 // and not by time, in which the process may have stood still.
--- a/internal/exchange/execute.go
+++ b/internal/exchange/execute.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/plantainmux/plantainmux/internal/delivery"
 	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/placement"
 	"github.com/plantainmux/plantainmux/internal/suspect"
@@ -75,10 +76,15 @@
 // brokenBody returns the failure of an answer that could not be read to its end.
 func brokenBody(err error) error {
 	var lost *outbound.PathLostError
-	if errors.As(err, &lost) {
+	var withdrawn *delivery.WithdrawnError
+	switch {
+	case errors.As(err, &lost):
 		return &BrokenError{Reason: PathLost, Err: err}
+	case errors.As(err, &withdrawn):
+		return &BrokenError{Reason: Undelivered, Err: err}
+	default:
+		return &BrokenError{Reason: Cut, Err: err}
 	}
-	return &BrokenError{Reason: Cut, Err: err}
 }
 
 // brokenBuffer returns the failure of a body that could not be buffered.
