--- a/cmd/plantainmuxd/rig_test.go
+++ b/cmd/plantainmuxd/rig_test.go
@@ -54,9 +54,14 @@
 // startDaemonProcess starts a daemon and waits until it serves a stream.
 func startDaemonProcess() *daemonProcess {
 	d := newDaemonProcess()
+	d.startAndAwait()
+	return d
+}
+
+// startAndAwait starts the daemon and waits until it serves a stream.
+func (d *daemonProcess) startAndAwait() {
 	d.start(exec.Command(binary, "--platform", "--settings", d.settings))
 	d.awaitService()
-	return d
 }
 
 // newDaemonProcess returns a daemon that has not been started, with its settings.
--- a/cmd/plantainmuxd/standalone_rig_test.go
+++ b/cmd/plantainmuxd/standalone_rig_test.go
@@ -34,8 +34,9 @@
 	session *gexec.Session
 }
 
-// startStandaloneProcess starts a daemon, with certificates if secured is set, and waits until it answers orders.
-func startStandaloneProcess(secured bool) *standaloneProcess {
+// startStandaloneProcess starts a daemon, with certificates if secured is set and with more services beside that of
+// the orders, and waits until it answers orders.
+func startStandaloneProcess(secured bool, more ...config.Service) *standaloneProcess {
 	dir := GinkgoT().TempDir()
 	d := &standaloneProcess{callers: unusedAddress(), admin: unusedAddress(), service: fakes.NewService(false)}
 	if secured {
@@ -43,11 +44,11 @@
 	}
 	bed := testbed.New()
 	configuration := testbed.SampleConfig(0, "north")
-	configuration.Services = []config.Service{{
+	configuration.Services = append(more, config.Service{
 		Name: "orders", KeyLifetime: 3600,
 		Endpoints: []config.ServiceEndpoint{{Address: testbed.Serve(d.service.Handler()).Address(), DataCentre: "north"}},
 		Calls:     []config.Call{{Method: http.MethodPost, Path: "/orders", TimeoutSeconds: 8}},
-	}}
+	})
 	bed.Publish(0, configuration)
 	path := filepath.Join(dir, "daemon.yaml")
 	Expect(os.WriteFile(path, []byte(d.settings(bed.Platform())), 0o600)).To(Succeed())
