Caller connections: what is written is taken by the caller before a close resets it

What callers would see: one that reads slowly, or behind a link that stalls, and whose body the daemon does not read, loses the answer: it got 3,957 of 262,144 bytes and a reset, though the daemon had written them all.

Cause: the server waits for half a second after such an answer and closes the connection over the bytes of the body that it has not read. The system then resets it and discards what is under way to the caller. At a stop the end of the process does the same.

Now a connection over which an answer is still under way is kept for up to 5 s, its writing side closed, and what its caller sends is read and dropped, until the caller's system has acknowledged all of it or the caller has sent its last byte.

--- a/internal/callerconn/finish.go
+++ b/internal/callerconn/finish.go
@@ -17,7 +17,8 @@
 
 // Finish stops accepting and closes the connections: those without a request as soon as they have nothing to
 // read, the others once they are answered. It returns when all are closed, or once until has passed, with the
-// number of those that are still open: they have a request in progress, or one that is being read.
+// number of those that are still open: they have a request in progress, one that is being read, or an answer
+// that has not arrived.
 func (l *Listener) Finish(until time.Time) int {
 	end := awake.NewDeadline(until)
 	for l.queued() && !end.Passed(time.Now()) {
@@ -33,7 +34,7 @@
 	for {
 		now := time.Now()
 		over := end.Passed(now)
-		if left := l.closeQuiet(firstByte.Passed(now), head.Passed(now)); left == 0 || over {
+		if left := l.closeQuiet(firstByte.Passed(now), head.Passed(now)) + int(l.lingering.Load()); left == 0 || over {
 			return left
 		}
 		time.Sleep(finishInterval)
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -54,7 +54,8 @@
 	expired   atomic.Int64 // closed after a timeout
 	aborted   atomic.Int64 // closed while a request was read that had not arrived before
 	accepted  atomic.Int64
-	ended     atomic.Bool // Accept has returned that the listener is closed
+	lingering atomic.Int64 // connections that are kept until an answer has arrived
+	ended     atomic.Bool  // Accept has returned that the listener is closed
 }
 
 // Wrap returns a listener that accepts connections from another one, up to a limit.
--- a/internal/callerconn/tracked.go
+++ b/internal/callerconn/tracked.go
@@ -23,6 +23,8 @@
 	looks    int           // since the first byte of a request that has not begun
 	lookedAt time.Time     // last, to make room
 	waiting  *list.Element // in the list of its state; nil: busy or closed
+
+	lingering atomic.Bool // it is closed once its last answer has arrived
 }
 
 // Read implements net.Conn. What has arrived is read past the deadline too, which may have passed while the process
@@ -45,7 +47,11 @@
 
 // Close implements net.Conn.
 func (c *tracked) Close() error {
+	kept := c.linger()
 	c.listener.move(c, closed)
+	if kept {
+		return nil
+	}
 	return c.Conn.Close()
 }
 
--- a/internal/delivery/socket.go
+++ b/internal/delivery/socket.go
@@ -22,6 +22,10 @@
 	return socket{raw: raw}
 }
 
+// Unacknowledged returns how many of the bytes that were written to a connection the other side's system has not acknowledged,
+// 0 if the connection cannot tell.
+func Unacknowledged(conn net.Conn) int { return socketOf(conn).unacknowledged() }
+
 // unacknowledged returns how many of the bytes that were written the other side's system has not acknowledged.
 func (s socket) unacknowledged() int {
 	count := 0
