Services: a call counts as not sent only if its sender says so

What callers would see: a call that runs once answered with "no endpoint can be reached" (not run), or sent to another endpoint, after another daemon had sent it on, if that daemon is of a version that passes on answers that are not final.

Cause: without a connection of this daemon every failure counted as not sent, also one of a call that another daemon carries out.

Evidence: of the 5 entries of the spec "no final answer" and "cancelled" failed before (UnreachableError) and pass. The specs of internal/service and internal/order pass.

--- a/internal/endpoint/http_service.go
+++ b/internal/endpoint/http_service.go
@@ -28,6 +28,7 @@
 type HTTPService struct {
 	client    *resty.Client
 	calls     *resty.Client // client unless set by SendThrough
+	through   bool          // calls is set by SendThrough
 	transport *http.Transport
 }
 
@@ -45,7 +46,7 @@
 // SendThrough makes the client carry out calls and health checks with sender.
 func (s *HTTPService) SendThrough(sender outbound.Sender) {
 	client := &http.Client{Transport: &outbound.RoundTripper{Sender: sender, Fresh: true}, CheckRedirect: refuseRedirect}
-	s.calls = resty.NewWithClient(client).SetResponseBodyLimit(serviceAnswerLimit)
+	s.calls, s.through = resty.NewWithClient(client).SetResponseBodyLimit(serviceAnswerLimit), true
 }
 
 // Transport returns the transport of the client's own connections.
@@ -63,6 +64,7 @@
 // Call implements Service.
 func (s *HTTPService) Call(ctx context.Context, address string, call ServiceCall) (ServiceAnswer, error) {
 	var connected atomic.Bool
+	connected.Store(s.through) // a sender says itself what it has not sent
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
