Gossip: a registration of an earlier life does not replace that of a daemon for good

What daemons would see: one that starts later knows another by the address of its earlier life, until it is started again.

Cause: registrations are the one write to the store that has no condition. One that was given up, or whose daemon has ended, may be carried out seconds later, after that of the next life. Daemons that knew the newer one ignore it; those that start later read only the newest. After a restore too, any registration of the name counted as that of the daemon.

Now a daemon that reads a registration of an earlier life after its own writes its own again. That of a later life stays.

Evidence: the spec failed before (the earlier one stood for 5 s) and passes. Specs of gossip, gateway, keyed and those of platform about lost and restored stores pass.

--- a/internal/gateway/restored_store.go
+++ b/internal/gateway/restored_store.go
@@ -16,11 +16,11 @@
 }
 
 // applyRegistrations passes on the registrations of the daemons, and has this daemon's own
-// written again if the store has lost it.
+// written again if the store has lost it, or has carried out one of an earlier life after it.
 func (g *Gateway) applyRegistrations(batch keyed.Batch) {
-	g.gossip.Apply(batch)
+	superseded := g.gossip.Apply(batch)
 	own := func(record keyed.Record) bool { return record.Key == g.settings.Node }
-	if !batch.Restored || slices.ContainsFunc(batch.Records, own) {
+	if !superseded && (!batch.Restored || slices.ContainsFunc(batch.Records, own)) {
 		return
 	}
 	select {
--- a/internal/gateway/store_access.go
+++ b/internal/gateway/store_access.go
@@ -51,7 +51,7 @@
 }
 
 // register writes this daemon's address to the store, and again each time that the store has
-// lost it.
+// lost it or has replaced it with an earlier one.
 func (g *Gateway) register(ctx context.Context) {
 	own, err := g.gossip.Registration()
 	if err != nil {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -56,6 +56,7 @@
 	everRegistered map[string]bool // names of all other daemons ever registered
 	digests        map[string]*receivedDigest
 	sequence       uint64
+	registered     bool // this daemon's own registration has been read
 
 	standstills   awake.Standstills // of this process, by Run
 	delay         atomic.Int64      // nanoseconds; returned by Delay
@@ -85,19 +86,32 @@
 	return keyed.Record{Key: g.Node, Value: value}, merry.Wrap(err)
 }
 
-// Apply adds, updates and removes peers according to the registrations in batch.
-func (g *Gossip) Apply(batch keyed.Batch) {
+// Apply adds, updates and removes peers according to the registrations in batch. It reports whether the newest one of this
+// daemon is that of an earlier life, which the store has carried out after its own.
+func (g *Gossip) Apply(batch keyed.Batch) (superseded bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, record := range batch.Records {
+		if record.Key == g.Node {
+			superseded = g.observeOwn(record)
+			continue
+		}
 		g.register(record)
 	}
+	return superseded
 }
 
-func (g *Gossip) register(record keyed.Record) {
-	if record.Key == g.Node {
-		return
+// observeOwn reports whether a registration of this daemon is that of an earlier life that comes after its own.
+func (g *Gossip) observeOwn(record keyed.Record) bool {
+	var registration Registration
+	if record.Value == nil || cbor.Unmarshal(record.Value, &registration) != nil {
+		return false
 	}
+	g.registered = g.registered || registration.Incarnation == g.Incarnation
+	return g.registered && registration.Incarnation < g.Incarnation
+}
+
+func (g *Gossip) register(record keyed.Record) {
 	if record.Value == nil {
 		delete(g.peers, record.Key)
 		delete(g.byHash, HashKey(record.Key))
