Specs: an order to an engine that is given up does not arrive later

An engine that does not check fencing numbers relies on it: its VM is used again once the longest life of an order has passed.

--- a/internal/daemon/given_up_test.go
+++ b/internal/daemon/given_up_test.go
@@ -12,6 +12,7 @@
 	"github.com/plantainmux/plantainmux/internal/daemon"
 	"github.com/plantainmux/plantainmux/internal/endpoint"
 	"github.com/plantainmux/plantainmux/internal/fakes"
+	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/outbound"
 	"github.com/plantainmux/plantainmux/internal/settings"
 )
@@ -46,6 +47,10 @@
 			_, err := adapters.Service.Call(ctx, address, endpoint.ServiceCall{Method: http.MethodPost, Path: "/", Body: body})
 			return err
 		}),
+		Entry("an order to an engine", func(ctx context.Context, adapters daemon.Adapters, address string) error {
+			_, err := adapters.Engine.Control(ctx, address, endpoint.ControlOrder{Action: endpoint.Join, Fencing: 1, Group: fleet.Group{Version: string(body)}})
+			return err
+		}),
 		Entry("a record for the log", func(ctx context.Context, adapters daemon.Adapters, _ string) error {
 			_, err := adapters.Log.Append(ctx, "s", [][]byte{body})
 			return err
