--- a/internal/callerconn/unread_answer_test.go
+++ b/internal/callerconn/unread_answer_test.go
@@ -36,7 +36,8 @@
 	}
 	none := func(*callerconn.Listener, *http.Server) {}
 
-	DescribeTable("is read whole by a slow caller that had sent more", func(request, more string, end func(*callerconn.Listener, *http.Server)) {
+	// connect returns a server's listener, the server and a connection of a caller whose system takes little.
+	connect := func() (*callerconn.Listener, *http.Server, net.Conn) {
 		raw, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		listener := callerconn.Wrap(raw, 8, slog.New(slog.DiscardHandler))
@@ -53,7 +54,12 @@
 		}}
 		conn, err := small.Dial("tcp", raw.Addr().String())
 		Expect(err).NotTo(HaveOccurred())
-		defer func() { _ = conn.Close() }()
+		DeferCleanup(func() { _ = conn.Close() })
+		return listener, server, conn
+	}
+
+	DescribeTable("is read whole by a slow caller that had sent more", func(request, more string, end func(*callerconn.Listener, *http.Server)) {
+		listener, server, conn := connect()
 		go func() { _, _ = io.WriteString(conn, request+more) }()
 		time.Sleep(300 * time.Millisecond)
 		end(listener, server)
@@ -70,4 +76,15 @@
 		Entry("a part of a body that is not read", fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", 2*rest), strings.Repeat("y", rest), finish),
 		Entry("a part of a body that is not read, at a timeout", fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", 2*rest), strings.Repeat("y", rest), expire),
 	)
+
+	It("does not keep a daemon that stops beyond its time", func() {
+		listener, _, conn := connect()
+		go func() {
+			_, _ = io.WriteString(conn, fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", rest, strings.Repeat("y", rest)))
+		}()
+		time.Sleep(time.Second) // the server has closed it
+		began := time.Now()
+		Expect(listener.Finish(began.Add(300 * time.Millisecond))).To(Equal(1))
+		Expect(time.Since(began)).To(BeNumerically("<", 600*time.Millisecond), "the margin before the platform kills a process")
+	})
 })
