Delivery: links that a daemon has accepted are withdrawn too

What callers would see: a request that is passed on over a link which the other daemon dialled, or an answer to it, arrives after the link was closed as silent, as over a dialled link before: a call that its caller has given up begins seconds later.

Cause: only connections that a daemon opens were tracked. Of two linked daemons one has accepted the link.

Now a link is tracked from its upgrade on, by the tracker of the daemon, also below TLS and counted connections. HTTP answers on the same listener end as usual.

Evidence: "A call over an accepted link that is closed before it has arrived does not arrive later", on the code before: 3 of 3 entries failed, 65,585 to 65,910 bytes of a call of 65,536 arrived. "Answers beside links" passes before and after.

--- a/internal/daemon/mesh.go
+++ b/internal/daemon/mesh.go
@@ -17,6 +17,7 @@
 		Addresses:  addresses,
 		Dial:       d.adapters.PeerDial,
 		ClientTLS:  d.tls.dial,
+		Delivery:   d.adapters.Delivery,
 		Heartbeat:  settings.Millis(d.settings.Timing.PeerHeartbeatMS),
 		Logger:     d.logger,
 		Metrics:    d.metrics,
--- a/internal/delivery/socket.go
+++ b/internal/delivery/socket.go
@@ -11,6 +11,9 @@
 type socket struct{ raw syscall.RawConn }
 
 func socketOf(conn net.Conn) socket {
+	for inner, wrapped := conn.(wrapper); wrapped; inner, wrapped = conn.(wrapper) {
+		conn = inner.NetConn()
+	}
 	system, ok := conn.(syscall.Conn)
 	if !ok {
 		return socket{}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -30,7 +30,7 @@
 func (g *Gateway) buildEndpoints() error {
 	mesh, err := peer.NewNetwork(peer.Options{
 		Self: fleet.DaemonID(g.settings.Node), DataCentre: meshDataCentre, Heartbeat: linkHeartbeat, Logger: g.logger,
-		Dial: g.adapters.Delivery.Dial(delivery.Daemons, (&net.Dialer{}).DialContext),
+		Dial: g.adapters.Delivery.Dial(delivery.Daemons, (&net.Dialer{}).DialContext), Delivery: g.adapters.Delivery,
 	})
 	if err != nil {
 		return err
--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -5,6 +5,8 @@
 	"net/http"
 
 	"github.com/coder/websocket"
+
+	"github.com/plantainmux/plantainmux/internal/delivery"
 )
 
 // Path is the HTTP path on which a daemon accepts links.
@@ -18,7 +20,8 @@
 }
 
 func (n *Network) accept(w http.ResponseWriter, r *http.Request) {
-	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	upgraded := n.options.Delivery.TrackUpgrade(delivery.Daemons, w, r)
+	conn, err := websocket.Accept(upgraded, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
 		return
 	}
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/plantainmux/plantainmux/internal/delivery"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/metric"
 )
@@ -30,8 +31,9 @@
 	Addresses       []Address
 	ClientTLS       *tls.Config // nil: plain TCP
 	Dial            func(ctx context.Context, network, address string) (net.Conn, error)
-	Heartbeat       time.Duration // maximum interval between two frames on a link
-	MaxPublishDelay time.Duration // maximum delay of deferred soft state; 0: derived from DefaultMaxPublishDelay and Heartbeat
+	Delivery        *delivery.Tracker // of accepted links; those that are dialled are Dial's
+	Heartbeat       time.Duration     // maximum interval between two frames on a link
+	MaxPublishDelay time.Duration     // maximum delay of deferred soft state; 0: derived from DefaultMaxPublishDelay and Heartbeat
 	Logger          *slog.Logger
 	Metrics         *metric.Set
 }
@@ -47,6 +49,9 @@
 		dialer := &net.Dialer{}
 		o.Dial = dialer.DialContext
 	}
+	if o.Delivery == nil {
+		o.Delivery = delivery.NewTracker()
+	}
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
--- a/internal/traffic/conn.go
+++ b/internal/traffic/conn.go
@@ -13,6 +13,9 @@
 	return &conn{Conn: inner, counter: counter}
 }
 
+// NetConn returns the connection whose bytes are counted.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
