Peer: calls say for how long they are valid, and late ones are refused as not run

What callers would see: a request that is passed on over a link which stalls, for less than closes it, reaches its endpoint after its caller has left, or with the time that was left when it was written: up to the silence of a link later (1.2 s in a fleet on a platform, 3 s on the project's own interface). The budget of the request and the bound after its caller has left are 0.5 s.

Cause: a call that was written waits in the socket, its cancellation behind it in another message. The receiver began each call that it read.

Now a call carries the clock of its sender and the time for which it is valid: 0.4 s for a streamed one, which carries out a request, what its caller has left and 0.1 s for one with one answer. The receiver bounds the age by the clocks that daemons already exchange, and refuses what is older, as not run: its caller decides anew, with the time that is left then. A relay passes on what is left. Both fields are optional: daemons of earlier versions ignore them, and their calls are served whatever their age, as are those in the first round trip of a link.

Evidence: "A call over a link that stalls" with the check off: 4 of 6 specs failed, each call began after 0.8 s.

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		return &EncodeError{Type: fmt.Sprintf("%T", body), Err: err}
 	}
-	call, id, err := l.begin(frame{Kind: frameCall, Name: string(method), Body: encoded})
+	call, id, err := l.begin(frame{Kind: frameCall, Name: string(method), Body: encoded, Valid: validFor(ctx, false)})
 	if err != nil {
 		return err
 	}
@@ -55,7 +55,7 @@
 	if err != nil {
 		return nil, 0, &UnreachableError{Daemon: l.remote.Daemon, Err: err}
 	}
-	f.ID = id
+	f.ID, f.Sent = id, l.network.clocks.now()
 	data, err := encodeFrame(f)
 	if err == nil {
 		err = l.queue.tryPush(queuedFrame{data: data, call: call})
--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -15,6 +15,7 @@
 	sentMessages      *metrics.Counter
 	receivedBytes     *metrics.Counter
 	strayFrames       *metrics.Counter
+	lateCalls         *metrics.Counter
 	duplicates        *metrics.Counter
 	forwarded         *metrics.Counter
 	relayedStreams    *metrics.Counter
@@ -28,6 +29,7 @@
 		sentMessages:      set.Counter("plantainmux_peer_sent_messages_total"),
 		receivedBytes:     set.Counter("plantainmux_peer_received_bytes_total"),
 		strayFrames:       set.Counter("plantainmux_peer_stray_frames_total"),
+		lateCalls:         set.Counter("plantainmux_peer_late_calls_total"),
 		duplicates:        set.Counter("plantainmux_peer_duplicates_total"),
 		forwarded:         set.Counter("plantainmux_peer_forwarded_total"),
 		relayedStreams:    set.Counter("plantainmux_peer_relayed_streams_total"),
--- a/internal/peer/failure_code.go
+++ b/internal/peer/failure_code.go
@@ -12,6 +12,7 @@
 	failureBusy                             // limit of concurrent calls reached; the call did not run
 	failureUnreachable                      // the relay has no link to the data centre; the call did not run
 	failureBroken                           // the relay lost its link during the call
+	failureLate                             // the call was read after the time for which it is valid; it did not run
 )
 
 // failureError converts a failure frame to the error returned to the caller.
@@ -21,6 +22,8 @@
 		return &UnknownMethodError{Method: Method(f.Message)}
 	case failureBusy:
 		return &UnreachableError{Daemon: from, Err: &BusyError{}}
+	case failureLate:
+		return &UnreachableError{Daemon: from, Err: &LateError{}}
 	case failureUnreachable:
 		return &UnreachableError{Daemon: from, DataCentre: fleet.DataCentre(f.Message)}
 	case failureBroken:
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -22,6 +22,8 @@
 	Echo       Timestamp        `cbor:"11,keyasint,omitempty"` // newest timestamp received from the other side
 	Held       Timestamp        `cbor:"12,keyasint,omitempty"` // time since that timestamp was received
 	Deferrable bool             `cbor:"13,keyasint,omitempty"` // a publication to the fleet that may wait to be coalesced on each link
+	Sent       Timestamp        `cbor:"14,keyasint,omitempty"` // clock of the caller when it made a call
+	Valid      Timestamp        `cbor:"15,keyasint,omitempty"` // milliseconds from then on within which the call may begin; 0: at any time
 }
 
 func encodeFrame(f frame) ([]byte, error) {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -258,10 +258,8 @@
 		l.handleClock(f)
 	case framePublish:
 		l.network.receive(l, f)
-	case frameCall:
-		l.network.serveCall(l, f)
-	case frameOpen:
-		l.network.serveOpen(l, f)
+	case frameCall, frameOpen:
+		l.network.serveInTime(l, f)
 	case frameCancel:
 		l.incoming.cancel(f.ID)
 	case frameCredit:
--- a/internal/peer/open_stream.go
+++ b/internal/peer/open_stream.go
@@ -18,7 +18,7 @@
 	}
 	var lastErr error = &UnreachableError{DataCentre: to}
 	for _, l := range n.routing.Load().linksTo(to, n.nextRotation()) {
-		stream, err := n.openOn(ctx, l, to, method, encoded)
+		stream, err := n.openOn(ctx, l, to, method, encoded, validFor(ctx, true))
 		if err == nil {
 			return stream, nil
 		}
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, &EncodeError{Type: fmt.Sprintf("%T", body), Err: err}
 	}
-	stream, err := n.openOn(ctx, l, "", method, encoded)
+	stream, err := n.openOn(ctx, l, "", method, encoded, validFor(ctx, true))
 	if err != nil {
 		return nil, err
 	}
@@ -48,11 +48,11 @@
 }
 
 // openOn opens a stream on one link and waits until it is accepted.
-func (n *Network) openOn(ctx context.Context, l *link, to fleet.DataCentre, method Method, body cbor.RawMessage) (*linkStream, error) {
+func (n *Network) openOn(ctx context.Context, l *link, to fleet.DataCentre, method Method, body cbor.RawMessage, valid Timestamp) (*linkStream, error) {
 	if ctx.Err() != nil {
 		return nil, &UnreachableError{Daemon: l.remote.Daemon, DataCentre: to, Err: ctx.Err()}
 	}
-	call, id, err := l.begin(frame{Kind: frameOpen, Name: string(method), Body: body, DataCentre: to})
+	call, id, err := l.begin(frame{Kind: frameOpen, Name: string(method), Body: body, DataCentre: to, Valid: valid})
 	if err != nil {
 		return nil, err
 	}
@@ -72,7 +72,7 @@
 	if len(direct) == 0 || l.remote.DataCentre != n.options.DataCentre {
 		return &UnreachableError{DataCentre: f.DataCentre}
 	}
-	stream, err := n.openOn(call.ctx, direct[0], f.DataCentre, Method(f.Name), f.Body)
+	stream, err := n.openOn(call.ctx, direct[0], f.DataCentre, Method(f.Name), f.Body, l.leftOf(f))
 	if err != nil {
 		return err
 	}
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -8,6 +8,19 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
+// serveInTime serves a call, unless it comes late: its caller may have left, or made another one.
+func (n *Network) serveInTime(l *link, f frame) {
+	switch {
+	case l.late(f):
+		n.counters.lateCalls.Inc()
+		l.refuse(f.ID, failureLate, "")
+	case f.Kind == frameCall:
+		n.serveCall(l, f)
+	default:
+		n.serveOpen(l, f)
+	}
+}
+
 // serveCall runs the handler of a call and sends its answer.
 func (n *Network) serveCall(l *link, f frame) {
 	handler, ok := n.callHandlers[Method(f.Name)]
