Peer: a call whose handler failed over a third daemon does not count as not run

What callers would see: a request that is not idempotent runs twice, or is answered as not run though it ran. No handler of this version returns such an error after it has taken effect, so that nobody has seen it.

Cause: the failure of a handler was told by the type of any error within it. A handler that ran and then did not reach a third daemon, or one that lacked a method, was told as a call that was not reached, also after answers of a stream.

Now what a handler returns is told as its failure. A caller whose stream was accepted takes no failure for "not run", whatever daemons of earlier versions say.

--- a/internal/peer/outgoing_call.go
+++ b/internal/peer/outgoing_call.go
@@ -44,10 +44,23 @@
 	case frameEnd:
 		o.end(nil)
 	default:
-		o.end(failureError(l.remote.Daemon, f))
+		o.end(o.failure(l, f))
 	}
 }
 
+// failure returns the error of a failure frame. A call that was accepted may have run, whatever daemons of earlier versions say.
+func (o *outgoingCall) failure(l *link, f frame) error {
+	err := failureError(l.remote.Daemon, f)
+	select {
+	case <-o.accepted:
+		if NotRun(err) {
+			return &RemoteError{Daemon: l.remote.Daemon, Message: err.Error()}
+		}
+	default:
+	}
+	return err
+}
+
 // end ends the call. A nil error means that all answers were received.
 func (o *outgoingCall) end(err error) {
 	o.endOnce.Do(func() {
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -31,7 +31,7 @@
 	n.serve(l, f, func(call *incomingCall) error {
 		answer, err := handler(call.ctx, l.remote.Daemon, f.Body)
 		if err != nil {
-			return err
+			return ran(err)
 		}
 		return l.answer(f.ID, answer)
 	})
@@ -53,12 +53,12 @@
 		if err := l.pushFrame(frame{Kind: frameAccepted, ID: f.ID}); err != nil {
 			return err
 		}
-		return handler(call.ctx, l.remote.Daemon, f.Body, func(answer any) error {
+		return ran(handler(call.ctx, l.remote.Daemon, f.Body, func(answer any) error {
 			if err := call.takeCredit(); err != nil {
 				return err
 			}
 			return l.answer(f.ID, answer)
-		})
+		}))
 	})
 }
 
