--- a/internal/forward/interim_test.go
+++ b/internal/forward/interim_test.go
@@ -33,7 +33,7 @@
 	DescribeTable("is a failure when a daemon of an earlier version passes it on", func(status int) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		helper, entry := startNode("helper", nil), startNode("entry", fakes.NewLink())
+		helper, entry := startNode("helper", nil, heartbeat), startNode("entry", fakes.NewLink(), heartbeat)
 		admit := func(_ fleet.DaemonID, wanted outbound.Exchange) (outbound.Endpoint, func(), *outbound.NotSentError) {
 			return wanted.Endpoint, func() {}, nil
 		}
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -46,26 +46,29 @@
 
 // newRig starts the daemons. The endpoint answers with a head and three events, each after a value
 // of proceed.
-func newRig() *rig {
+func newRig() *rig { return newRigWith(heartbeat) }
+
+// newRigWith is newRig with another interval of heartbeats on the link between the daemons.
+func newRigWith(heartbeat time.Duration) *rig {
 	r := &rig{meshLink: fakes.NewLink(), endpointLink: fakes.NewLink(), proceed: make(chan struct{}, 16)}
 	r.endpoint = httptest.NewServer(http.HandlerFunc(r.serve))
 	DeferCleanup(func() { r.endpoint.CloseClientConnections(); r.endpoint.Close() })
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	r.helper = startNode("helper", nil)
+	r.helper = startNode("helper", nil, heartbeat)
 	direct := &outbound.HTTPSender{Pooled: r.transport(false), Fresh: r.transport(true)}
 	forward.NewServer(r.helper, forward.ServerDependencies{Direct: direct, Admit: r.admit, Count: func(string) {}, Logger: slog.New(slog.DiscardHandler)})
 	server := &http.Server{Handler: r.helper.Handler()}
 	go func() { _ = server.Serve(listener) }()
 	DeferCleanup(server.Close)
-	r.entry = startNode("entry", r.meshLink)
+	r.entry = startNode("entry", r.meshLink, heartbeat)
 	r.entry.Connect(peer.Address{HostPort: listener.Addr().String(), DataCentre: "north"})
 	Expect(r.entry.AwaitLink(context.Background(), "helper", linkTimeout)).To(BeTrue())
 	r.client = forward.NewClient(r.entry)
 	return r
 }
 
-func startNode(id fleet.DaemonID, link *fakes.Link) *peer.Network {
+func startNode(id fleet.DaemonID, link *fakes.Link, heartbeat time.Duration) *peer.Network {
 	options := peer.Options{Self: id, DataCentre: "north", Secret: "secret", Heartbeat: heartbeat}
 	if link != nil {
 		options.Dial = link.DialContext
