--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -8,6 +8,19 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
+// serveInTime serves a call, unless it comes late: its caller may have left, or made another one.
+func (n *Network) serveInTime(l *link, f frame) {
+	switch {
+	case l.late(f):
+		n.counters.lateCalls.Inc()
+		l.refuse(f.ID, failureLate, "")
+	case f.Kind == frameCall:
+		n.serveCall(l, f)
+	default:
+		n.serveOpen(l, f)
+	}
+}
+
 // serveCall runs the handler of a call and sends its answer.
 func (n *Network) serveCall(l *link, f frame) {
 	handler, ok := n.callHandlers[Method(f.Name)]
@@ -18,7 +31,7 @@
 	n.serve(l, f, func(call *incomingCall) error {
 		answer, err := handler(call.ctx, l.remote.Daemon, f.Body)
 		if err != nil {
-			return err
+			return ran(err)
 		}
 		return l.answer(f.ID, answer)
 	})
@@ -40,12 +53,12 @@
 		if err := l.pushFrame(frame{Kind: frameAccepted, ID: f.ID}); err != nil {
 			return err
 		}
-		return handler(call.ctx, l.remote.Daemon, f.Body, func(answer any) error {
+		return ran(handler(call.ctx, l.remote.Daemon, f.Body, func(answer any) error {
 			if err := call.takeCredit(); err != nil {
 				return err
 			}
 			return l.answer(f.ID, answer)
-		})
+		}))
 	})
 }
 
