--- a/internal/forward/withdrawn_test.go
+++ b/internal/forward/withdrawn_test.go
@@ -30,7 +30,7 @@
 	It("is reported as withdrawn", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		helper := startNode("helper", nil)
+		helper := startNode("helper", nil, heartbeat)
 		forward.NewServer(helper, forward.ServerDependencies{
 			Direct: withdrawingSender{}, Count: func(string) {}, Logger: slog.New(slog.DiscardHandler),
 			Admit: func(_ fleet.DaemonID, wanted outbound.Exchange) (outbound.Endpoint, func(), *outbound.NotSentError) {
@@ -40,7 +40,7 @@
 		server := &http.Server{Handler: helper.Handler()}
 		go func() { _ = server.Serve(listener) }()
 		DeferCleanup(server.Close)
-		entry := startNode("entry", nil)
+		entry := startNode("entry", nil, heartbeat)
 		entry.Connect(peer.Address{HostPort: listener.Addr().String(), DataCentre: "north"})
 		Expect(entry.AwaitLink(context.Background(), "helper", linkTimeout)).To(BeTrue())
 
