Gateway: a daemon that stops waits until its links have delivered what was written

Found by the review: since links withdraw what is under way when they are closed, the last frames of an answer for another daemon were lost with a segment that the system would have sent again after the end of the process. Now a stop waits for up to 0.3 s, within its time, until nothing is unacknowledged.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -5,12 +5,14 @@
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/awake"
+	"github.com/plantainmux/plantainmux/internal/delivery"
 	"github.com/plantainmux/plantainmux/internal/exchange"
 )
 
 const (
 	stopMargin        = 600 * time.Millisecond // before the platform kills the process
 	stopPollInterval  = 20 * time.Millisecond
+	lastFramesPeriod  = 300 * time.Millisecond // for what was written to other daemons; a segment that is lost once takes 200 ms and a round trip
 	lastAnswersPeriod = 200 * time.Millisecond // within stopMargin, to answer the requests that are ended with the grace
 )
 
@@ -41,6 +43,7 @@
 	left := g.callers.Load().Finish(deadline)
 	g.logger.Info("daemon closes", "connections_left", left, "in_flight", g.inFlight.Load())
 	g.awaitExchanges(awake.NewDeadline(deadline))
+	g.awaitDelivered(deadline)
 	for _, server := range servers {
 		_ = server.Close()
 	}
@@ -57,3 +60,14 @@
 		time.Sleep(stopPollInterval)
 	}
 }
+
+// awaitDelivered waits until other daemons have what was written to them, for lastFramesPeriod and no longer than a deadline:
+// closing the links withdraws the rest.
+func (g *Gateway) awaitDelivered(deadline time.Time) {
+	if latest := time.Now().Add(lastFramesPeriod); latest.Before(deadline) {
+		deadline = latest
+	}
+	for end := awake.NewDeadline(deadline); g.adapters.Delivery.Unacknowledged(delivery.Daemons) > 0 && !end.Passed(time.Now()); {
+		time.Sleep(stopPollInterval)
+	}
+}
