Own interface: what has not arrived where no requests are taken is withdrawn

Callers would see: an order to a service that had been taken out of the configuration, while the service stood still, ran when it woke up. Cause: connections were reset only when somebody gave them up; nobody looked at those in progress with an address that takes requests no more. Reports and orders shared the kind of connections of requests. Change: each 100 ms the addresses that take requests, a pure function of the view and the list of VMs, are compared with the connections, as the gateway does; delivery.Monitor has the metrics and the line for both. Reports and orders have connections of their own kind.

--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -33,9 +33,10 @@
 func NewAdapters(s settings.Settings) Adapters {
 	counters := &Traffic{}
 	tracker := delivery.NewTracker()
-	endpoints := tracker.Dial(delivery.Endpoints, (&net.Dialer{}).DialContext)
+	dial := (&net.Dialer{}).DialContext
+	endpoints := tracker.Dial(delivery.Endpoints, dial)
 	engine := endpoint.NewHTTPEngine().CountControlOn(&counters.Engines)
-	engine.ConnectWith(endpoints)
+	engine.ConnectWith(endpoints, tracker.Dial(delivery.Workers, dial))
 	service := endpoint.NewHTTPService()
 	service.ConnectWith(endpoints)
 	return Adapters{
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/plantainmux/plantainmux/internal/callerapi"
 	"github.com/plantainmux/plantainmux/internal/callerconn"
 	"github.com/plantainmux/plantainmux/internal/config"
+	"github.com/plantainmux/plantainmux/internal/delivery"
 	"github.com/plantainmux/plantainmux/internal/evidence"
 	"github.com/plantainmux/plantainmux/internal/fleet"
 	"github.com/plantainmux/plantainmux/internal/forward"
@@ -68,6 +69,7 @@
 	evidence *evidence.Recorder
 	digests  *evidence.Publisher
 	leaving  *leavingVMs
+	delivery *delivery.Monitor
 
 	loop  *reconcile.Loop
 	gate  *admit.Gate
@@ -117,6 +119,7 @@
 		return nil, err
 	}
 	d.adapters.Traffic.register(d.metrics)
+	d.delivery = delivery.NewMonitor(d.adapters.Delivery, d.metrics.Gauge, d.metrics.Counter, d.logger)
 	d.buildEvidence()
 	d.buildEndpoints()
 	d.buildControl()
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -93,6 +93,7 @@
 	d.tasks.Go(func() { d.vms.Run(ctx) })
 	d.tasks.Go(func() { d.poller.Run(ctx) })
 	d.tasks.Go(func() { d.reviewEndpoints(ctx) })
+	d.tasks.Go(func() { d.withdrawUndelivered(ctx) })
 	d.tasks.Go(func() { d.loop.Run(ctx) })
 	d.tasks.Go(func() { d.gate.Run(ctx) })
 	d.tasks.Go(func() { d.digests.Run(ctx) })
--- a/internal/endpoint/http_engine.go
+++ b/internal/endpoint/http_engine.go
@@ -74,12 +74,13 @@
 	return e
 }
 
-// ConnectWith makes the client connect with dial. It must be called before its first use.
-func (e *HTTPEngine) ConnectWith(dial delivery.Dial) {
-	e.transport.DialContext = dial.Within(dialTimeout)
+// ConnectWith makes the client connect with requests for requests of callers, and with orders for reports and orders. It must be
+// called before its first use.
+func (e *HTTPEngine) ConnectWith(requests, orders delivery.Dial) {
+	e.transport.DialContext = requests.Within(dialTimeout)
 	control := newTransport()
 	control.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial.Within(dialTimeout)(ctx, network, address)
+		conn, err := orders.Within(dialTimeout)(ctx, network, address)
 		if err != nil || e.counter == nil {
 			return conn, err
 		}
--- a/internal/fakes/deaf_listener.go
+++ b/internal/fakes/deaf_listener.go
@@ -4,27 +4,15 @@
 	"context"
 	"io"
 	"net"
-	"syscall"
 )
 
-const deafBufferBytes = 4 << 10
-
 // DeafListener is the listener of a process that stands still: the system accepts connections for it, and takes no more
 // than a small buffer of what is written to each.
 type DeafListener struct{ net.Listener }
 
 // NewDeafListener returns a listener on a loopback address.
 func NewDeafListener() (*DeafListener, error) {
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		var failure error
-		err := raw.Control(func(fd uintptr) {
-			failure = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, deafBufferBytes)
-		})
-		if err != nil {
-			return err
-		}
-		return failure
-	}}
+	config := net.ListenConfig{Control: smallBuffer}
 	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/plantainmux/plantainmux/internal/awake"
 	"github.com/plantainmux/plantainmux/internal/callerconn"
 	"github.com/plantainmux/plantainmux/internal/catalog"
+	"github.com/plantainmux/plantainmux/internal/delivery"
 	"github.com/plantainmux/plantainmux/internal/demand"
 	"github.com/plantainmux/plantainmux/internal/evacuation"
 	"github.com/plantainmux/plantainmux/internal/exchange"
@@ -114,13 +115,13 @@
 	standstills       *metrics.Counter
 	standstillSeconds *metrics.FloatCounter
 
-	withdrawnConnections *metrics.Counter
-	inFlight             atomic.Int64
-	stopping             atomic.Bool
-	stopStartedAt        atomic.Int64            // Unix nanoseconds; 0: not stopping
-	exchanges            context.Context         // ends those in progress with the grace period
-	endExchanges         context.CancelCauseFunc // ends exchanges
-	tasks                sync.WaitGroup
+	delivery      *delivery.Monitor
+	inFlight      atomic.Int64
+	stopping      atomic.Bool
+	stopStartedAt atomic.Int64            // Unix nanoseconds; 0: not stopping
+	exchanges     context.Context         // ends those in progress with the grace period
+	endExchanges  context.CancelCauseFunc // ends exchanges
+	tasks         sync.WaitGroup
 }
 
 // New returns a gateway that has not been started. It fails with a ListenError if
@@ -172,8 +173,7 @@
 	g.callersLeft = g.metrics.NewCounter("plantainmux_gateway_callers_left_total")
 	g.standstills = g.metrics.NewCounter("plantainmux_standstills_total")
 	g.standstillSeconds = g.metrics.NewFloatCounter("plantainmux_standstill_seconds_total")
-	g.withdrawnConnections = g.metrics.NewCounter("plantainmux_withdrawn_connections_total")
-	g.reportUndelivered()
+	g.monitorDelivery()
 	adapters.Notices.Subscribe(g.applyNotice)
 	return g, nil
 }
--- a/internal/testbed/daemon.go
+++ b/internal/testbed/daemon.go
@@ -82,7 +82,7 @@
 // connectedBy makes the daemon's adapters reach engines and services over link.
 func connectedBy(adapters daemon.Adapters, link *fakes.Link) daemon.Adapters {
 	dial := adapters.Delivery.Dial(delivery.Endpoints, link.DialContext)
-	adapters.Engine.(*endpoint.HTTPEngine).ConnectWith(dial)
+	adapters.Engine.(*endpoint.HTTPEngine).ConnectWith(dial, adapters.Delivery.Dial(delivery.Workers, link.DialContext))
 	adapters.Service.(*endpoint.HTTPService).ConnectWith(dial)
 	return adapters
 }
