Soak: endpoints that accept connections and do not read for seconds

The soak had endpoints that fall silent, but their systems took all that was written to them: requests that wait in a daemon's socket did not occur in it. Change: one endpoint has a small receive buffer and gets orders larger than it; it does not read for up to 4.3 s at a time, and after the last fault it leaves while it does not read, and reads again 0.5 to 0.7 s after its time to drain. No such order may arrive whole 2.5 s after it left or later, nor more than 0.5 s after its caller's deadline, unless its daemon stood still in between. Both are told by the endpoint, which notes when a body has arrived to its end.

--- a/cmd/plantainmuxd/soak_rig_test.go
+++ b/cmd/plantainmuxd/soak_rig_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/plantainmux/plantainmux/internal/fakes"
 )
 
 const (
@@ -32,13 +34,19 @@
 	open    []net.Conn // that are kept without a request, or unread
 	kills   map[*daemonProcess][]soakKill
 	writing sync.Mutex
+
+	deaf       *fakes.WireEngine
+	large      []*soakOutcome // of orders that it cannot take while it is deaf
+	departures []soakDeparture
+	halts      map[*daemonProcess][]soakHalt
+
 	version int  // of the newest configuration
 	lanes   bool // orders go to lanes too
 	kept    int  // version that was the newest when the store last came back from a copy
 }
 
 func newSoak(seed uint64, daemons int, bound time.Duration) *soak {
-	s := &soak{seed: seed, version: 1, kept: 1, bound: bound, daemons: newDaemonProcesses(daemons), ended: make(chan struct{}), kills: map[*daemonProcess][]soakKill{}}
+	s := &soak{seed: seed, version: 1, kept: 1, bound: bound, daemons: newDaemonProcesses(daemons), ended: make(chan struct{}), kills: map[*daemonProcess][]soakKill{}, halts: map[*daemonProcess][]soakHalt{}}
 	for i := range soakDesks - 1 {
 		Expect(s.daemons[0].wire.StartDesk("n", fmt.Sprintf("n-desk%d", i+2))).To(Succeed())
 	}
--- a/cmd/plantainmuxd/soak_signals_test.go
+++ b/cmd/plantainmuxd/soak_signals_test.go
@@ -79,7 +79,7 @@
 		case 1:
 			d.signal(syscall.SIGPIPE)
 		case 2:
-			d.standStill(100*time.Millisecond + upTo(random, longestStandstill))
+			s.standStill(d, 100*time.Millisecond+upTo(random, longestStandstill))
 		case 3, 4, 5:
 			s.stopStandingStill(d, random)
 		case 6:
@@ -100,7 +100,7 @@
 	time.Sleep(upTo(random, 400*time.Millisecond))
 	s.configure(shortIdle, 3*time.Second)
 	time.Sleep(upTo(random, 50*time.Millisecond)) // the daemon may have read it by then
-	d.standStill(shortIdle + upTo(random, longestStandstill))
+	s.standStill(d, shortIdle+upTo(random, longestStandstill))
 }
 
 // stopStandingStill stops a daemon, whose process stands still at moments of its grace and past its end.
@@ -112,7 +112,7 @@
 		if random.IntN(2) == 0 {
 			d.signal(syscall.SIGHUP, syscall.SIGTERM)
 		}
-		d.standStill(100*time.Millisecond + upTo(random, longestStandstill))
+		s.standStill(d, 100*time.Millisecond+upTo(random, longestStandstill))
 	}
 	Eventually(d.session, exitBound).Should(gexec.Exit(0), "seed %d", s.seed)
 	s.start(d)
@@ -129,3 +129,12 @@
 	s.mu.Unlock()
 	s.start(d)
 }
+
+// standStill stops a daemon's process for a time.
+func (s *soak) standStill(d *daemonProcess, period time.Duration) {
+	began := time.Now()
+	d.standStill(period)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.halts[d] = append(s.halts[d], soakHalt{began: began, ended: time.Now()})
+}
--- a/cmd/plantainmuxd/soak_test.go
+++ b/cmd/plantainmuxd/soak_test.go
@@ -23,6 +23,7 @@
 	siegeKeepers  = 8 // of each daemon
 	siegeNewOnes  = 4
 	siegeStreams  = 3
+	soakLarge     = 2 // of each daemon
 	soakDaemons   = 2
 	soakCallPause = 20 * time.Millisecond
 )
@@ -91,16 +92,19 @@
 				}
 				s.strays(fmt.Sprintf("stray%d", i), 10*pause)
 			}
+			s.startDeafDesk(pause)
 			s.siege()
 			for _, d := range s.daemons {
 				s.awaitServed(d)
 			}
 			s.loseConfiguration()
+			s.departDeaf(s.random("departures"))
 			s.finish()
 			for _, d := range s.daemons {
 				Expect(d.session).NotTo(gexec.Exit(), "seed %d: it ended by itself", seed)
 			}
 			s.check(true)
+			s.checkArrivals()
 		})
 	}
 })
@@ -113,6 +117,7 @@
 		faults.Go(func() { s.besiege(d, s.random(fmt.Sprint("signals", i)), until) })
 	}
 	faults.Go(func() { s.troubleStore(s.random("store"), until) })
+	faults.Go(func() { s.deafen(s.random("hearing"), until) })
 	faults.Go(func() { s.reconfigure(s.random("configuration"), until) })
 	engines := s.daemons[0].wire.Engines()
 	for i, part := range [][]*fakes.WireEngine{engines[:len(engines)/2], engines[len(engines)/2:]} {
--- a/internal/fakes/wire_engine.go
+++ b/internal/fakes/wire_engine.go
@@ -20,6 +20,8 @@
 	Domain  string // fabric domain; empty: a plain service
 	Born    int64  // start time, Unix milliseconds
 
+	listen   func(address string) (net.Listener, error)
+	hearing  *Hearing // nil: it always reads
 	server   *http.Server
 	listener net.Listener
 	log      *KeyedLog
@@ -47,6 +49,8 @@
 	crashes   []time.Time                 // when it has crashed on that part
 	conns     map[net.Conn]http.ConnState // open connections
 	halves    int                         // requests that get half a head for an answer
+	whole     map[string][]time.Time      // when requests to a plain service had arrived whole, by ID
+	departed  time.Time                   // when this life announced in its entry that it leaves; zero: not
 }
 
 // Epoch returns the epoch of the engine's group, 0 if it is in none.
--- a/internal/fakes/wire_engine_crash.go
+++ b/internal/fakes/wire_engine_crash.go
@@ -35,7 +35,7 @@
 
 // startIncarnation gives the engine the state of a new process. The caller holds mu.
 func (e *WireEngine) startIncarnation() {
-	e.group, e.models, e.leaving = nil, nil, false
+	e.group, e.models, e.leaving, e.departed = nil, nil, false, time.Time{}
 	e.Born = max(time.Now().UnixMilli(), e.Born+1)
 	e.sequence, e.seenEpoch, e.members = 0, 0, nil
 }
--- a/internal/fakes/wire_engine_entry.go
+++ b/internal/fakes/wire_engine_entry.go
@@ -18,6 +18,9 @@
 	entry["version"] = "v1"
 	entry["slots"] = 8
 	entry["state"] = "ready"
+	if !e.departed.IsZero() {
+		entry["state"] = "draining"
+	}
 	if !e.mute {
 		entry["cold_remaining_ms"] = e.coldRemaining().Milliseconds()
 	}
--- a/internal/fakes/wire_engine_requests.go
+++ b/internal/fakes/wire_engine_requests.go
@@ -43,7 +43,10 @@
 	}
 	w.Header().Set("Response-Signature", "signed-by-"+e.ID)
 	if e.Domain == "" {
-		body, _ := io.ReadAll(r.Body)
+		body, err := io.ReadAll(r.Body)
+		if err == nil {
+			e.recordWhole(id)
+		}
 		select {
 		case <-time.After(e.workTime()):
 		case <-r.Context().Done():
--- a/internal/fakes/wire_engine_restart.go
+++ b/internal/fakes/wire_engine_restart.go
@@ -1,9 +1,6 @@
 package fakes
 
-import (
-	"net"
-	"time"
-)
+import "time"
 
 // The port may be in use for a moment by an outgoing connection of another process.
 const (
@@ -25,10 +22,10 @@
 	started := time.Now()
 	e.cold = started.Add(cold)
 	e.mu.Unlock()
-	listener, err := net.Listen("tcp", address)
+	listener, err := e.listen(address)
 	for try := 1; err != nil && try < listenTries; try++ {
 		time.Sleep(listenPause)
-		listener, err = net.Listen("tcp", address)
+		listener, err = e.listen(address)
 	}
 	if err != nil {
 		return time.Time{}, err
--- a/internal/fakes/wire_engine_start.go
+++ b/internal/fakes/wire_engine_start.go
@@ -27,17 +27,19 @@
 }
 
 func startWireEngine(log *KeyedLog, zone, id, service, domain string, setUp func(*WireEngine)) (*WireEngine, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	e := &WireEngine{listen: listenTCP, whole: map[string][]time.Time{}, ID: id, Service: service, Domain: domain, Zone: zone, lastEvent: defaultLastEvent, Born: time.Now().UnixMilli(), log: log, silence: NewFaultInjector(), runs: map[string]int{}, conns: map[net.Conn]http.ConnState{}}
+	setUp(e)
+	listener, err := e.listen("127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	e := &WireEngine{ID: id, Service: service, Domain: domain, Zone: zone, lastEvent: defaultLastEvent, Born: time.Now().UnixMilli(), log: log, silence: NewFaultInjector(), runs: map[string]int{}, conns: map[net.Conn]http.ConnState{}}
-	setUp(e)
 	e.serve(listener)
 	e.register()
 	return e, nil
 }
 
+func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
 // serve serves on a listener until the server is closed.
 func (e *WireEngine) serve(listener net.Listener) {
 	server := &http.Server{Handler: e, ReadHeaderTimeout: time.Second, ConnState: e.trackConn}
--- a/internal/fakes/wire_platform.go
+++ b/internal/fakes/wire_platform.go
@@ -58,6 +58,17 @@
 	return p, nil
 }
 
+// StartDeafenedDesk starts one more plain service, which can be made deaf.
+func (p *WirePlatform) StartDeafenedDesk(dataCentre, id string) (*WireEngine, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	desk, err := StartDeafenedWireEngine(p.store.Log, dataCentre, id, "desk")
+	if err == nil {
+		p.engines[id] = desk
+	}
+	return desk, err
+}
+
 // StartDesk starts one more plain service.
 func (p *WirePlatform) StartDesk(dataCentre, id string) error {
 	p.mu.Lock()
