Peer: calls over a distant or busy link are not refused as late

Cause: the age of a call was its greatest possible one, which is the whole round trip on a link that is in order. With a clock that stood (a machine that was suspended), the bound on it stayed wrong, and no call was late any more; its spec failed before. Change: the age is the least possible one, beyond the shortest time that a frame has taken. Bounds that contradict each other show that a clock stood, and are taken anew.

--- a/internal/peer/clock.go
+++ b/internal/peer/clock.go
@@ -22,6 +22,8 @@
 	bounded    bool
 	offset     Timestamp // lower bound of the local clock minus the other one
 	offsetTime Timestamp // local clock when the offset was computed
+	upper      Timestamp // upper bound of the same
+	upperTime  Timestamp // local clock when it was computed; 0: never
 	received   Timestamp // newest timestamp of the other daemon
 	receivedAt Timestamp // local clock when that timestamp was received
 }
@@ -32,14 +34,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.received, c.receivedAt = timestamp, now
-	if echo == 0 {
-		return
+	// Timestamps are rounded down, so either clock may be up to 1 ms ahead of its timestamp.
+	upper := now - timestamp + 1
+	if c.upperTime == 0 || upper <= c.upperAt(now) {
+		c.upper, c.upperTime = upper, now
 	}
-	// Timestamps are rounded down, so the other clock may be up to 1 ms ahead of its timestamp.
 	offset := echo + held - timestamp - 1
-	if !c.bounded || offset >= c.offsetAt(now) {
+	if echo != 0 && (!c.bounded || offset >= c.offsetAt(now)) {
 		c.bounded, c.offset, c.offsetTime = true, offset, now
 	}
+	if c.bounded && c.offsetAt(now) > c.upperAt(now) { // one of the clocks stood, as that of a machine that is suspended
+		c.upper, c.upperTime = upper, now
+		c.bounded, c.offset, c.offsetTime = echo != 0 && offset <= upper, offset, now
+	}
 }
 
 // offsetAt returns the offset, reduced by the possible drift since it was
@@ -48,6 +55,22 @@
 	return c.offset - (now-c.offsetTime)/driftDivisor - 1
 }
 
+// upperAt returns the upper bound, raised in the same way. The caller holds mu.
+func (c *remoteClock) upperAt(now Timestamp) Timestamp {
+	return c.upper + (now-c.upperTime)/driftDivisor + 1
+}
+
+// latest returns a local clock reading that is no earlier than the moment at which the other clock showed timestamp. It is
+// later by no more than the shortest time that a frame has taken, however long a round trip takes.
+func (c *remoteClock) latest(now, timestamp Timestamp) (Timestamp, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.bounded {
+		return 0, false
+	}
+	return min(now, timestamp+c.upperAt(now)), true
+}
+
 // earliest returns a local clock reading that is no later than the moment at
 // which the other clock showed timestamp. It returns false while the offset is
 // unknown.
--- a/internal/peer/validity.go
+++ b/internal/peer/validity.go
@@ -34,14 +34,15 @@
 	return Timestamp(validity(streamed, time.Until(until), limited) / time.Millisecond)
 }
 
-// age returns how old a call is at most, and false while that is not known: daemons of earlier versions do not tell, and the clock
+// age returns for how long a call has been under way at least: its way at best does not count, as distant or busy links would
+// pass no call. It returns false while that is not known: daemons of earlier versions do not tell, and the clock
 // of the other side is unknown for a round trip after the link was made.
 func (l *link) age(f frame) (Timestamp, bool) {
 	if f.Sent == 0 {
 		return 0, false
 	}
 	now := l.network.clocks.now()
-	at, known := l.clock.earliest(now, f.Sent)
+	at, known := l.clock.latest(now, f.Sent)
 	return now - at, known
 }
 
