Peer: a relayed call gets no more time where its age is unknown

What callers would see: a call that may begin for 100 ms more was passed on with 400 ms, by a relay that did not know the clock of its caller yet: it could begin over half a second after its caller had left. Cause: without an age, the relay took the longest validity in place of the call's own. Evidence: the spec saw 400 where 100 is allowed. Change: the call's own validity is kept. Result: the spec passes.

--- a/internal/peer/validity.go
+++ b/internal/peer/validity.go
@@ -56,8 +56,11 @@
 func (l *link) leftOf(f frame) Timestamp {
 	const most = Timestamp(maxTransit / time.Millisecond)
 	age, known := l.age(f)
-	if !known || f.Valid == 0 {
+	switch {
+	case f.Valid == 0:
 		return most
+	case !known:
+		return min(f.Valid, most)
 	}
 	return min(max(f.Valid-age, 1), most)
 }
