Registry: a write that the store carries out late brings back no endpoint that has left

Cause: entries were ordered by their count while one was held, and after the store had come back from an older copy, but not after a plain removal: the late heartbeat registered the endpoint anew. Entries of an earlier start replaced those of a later one. A reader's listeners are spared heartbeats, so that the count that they know is lower still. Evidence: the daemons' lines "endpoint removed" and, 2.7 s later, "endpoint registered" with the old count. Change: an entry is compared by start and count with the latest one known, which outlasts its removal. A reader passes on no older entry, and the last heartbeat with each removal. Why it works: a write that is carried out late has a lower count than the heartbeats that the store acknowledged after it, and an endpoint that lives writes higher ones.

--- a/internal/keyed/mirror.go
+++ b/internal/keyed/mirror.go
@@ -23,8 +23,9 @@
 
 type mirroredTopic struct {
 	newest      map[string]Record
-	recent      []Record // ordered by offset
-	first       uint64   // offset from which on recent is complete
+	withheld    map[string]bool // keys whose newest record is a repeat, which is not among the recent ones
+	recent      []Record        // ordered by offset
+	first       uint64          // offset from which on recent is complete
 	end         uint64
 	era         uint64        // of the store
 	confirmedAt time.Time     // last time at which the store itself was read successfully
@@ -36,64 +37,74 @@
 func NewMirror() *Mirror { return &Mirror{topics: map[string]*mirroredTopic{}} }
 
 // Follow returns an apply function for a Follower that updates the mirror before it calls
-// apply. pacing is the follower's pacing. Records that are not significant by filter are served
-// by Newest only; a nil filter passes all.
+// apply. pacing is the follower's pacing. filter says which records are passed on; a nil filter
+// passes all.
 func (m *Mirror) Follow(topic string, pacing Pacing, filter RecordFilter, apply func(Batch)) func(Batch) {
 	return func(batch Batch) {
-		m.store(topic, pacing.Wait+mirrorMaxAge, significantRecords(filter, batch), batch)
+		m.store(topic, pacing.Wait+mirrorMaxAge, classify(filter, batch), batch)
 		apply(batch)
 	}
 }
 
-// significantRecords returns the records of a batch that are passed on to waiting readers.
-func significantRecords(filter RecordFilter, batch Batch) []Record {
-	if filter == nil {
-		return batch.Records
-	}
-	if batch.Complete {
-		filter.Reset()
-	}
-	var significant []Record
-	for _, record := range batch.Records {
-		if filter.Significant(record) {
-			significant = append(significant, record)
-		}
-	}
-	return significant
-}
-
-func (m *Mirror) store(topic string, maxAge time.Duration, news []Record, batch Batch) {
+func (m *Mirror) store(topic string, maxAge time.Duration, records []classifiedRecord, batch Batch) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t := m.topics[topic]
+	var replaced map[string]Record
 	if t == nil || batch.Complete {
-		replacement := &mirroredTopic{newest: map[string]Record{}, first: batch.End, era: batch.Era, maxAge: maxAge, changed: make(chan struct{})}
+		replacement := &mirroredTopic{newest: map[string]Record{}, withheld: map[string]bool{}, first: batch.End, era: batch.Era, maxAge: maxAge, changed: make(chan struct{})}
 		if t != nil {
 			close(t.changed)
+			replaced = t.newest
 		}
 		t = replacement
 		m.topics[topic] = t
 	}
-	for _, record := range batch.Records {
-		if record.Value == nil {
-			delete(t.newest, record.Key)
+	changed := batch.Complete
+	for _, record := range records {
+		if later, known := replaced[record.Key]; known && record.significance == Outdated {
+			t.newest[record.Key] = later
 			continue
 		}
-		t.newest[record.Key] = record
+		changed = t.put(record, !batch.Complete) || changed
 	}
 	t.end = max(t.end, batch.End)
 	t.confirmedAt = batch.StoreReadAt
-	if len(news) == 0 && !batch.Complete {
+	if !changed {
 		return
 	}
-	if !batch.Complete {
-		t.recent = append(t.recent, news...)
-		t.trim()
-	}
+	t.trim()
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
 
+// put stores a record and reports whether it is news. News are retained for waiting readers if retain is
+// set. A repeat that these were spared precedes its deletion: it tells them which of the records that come
+// later were written before it.
+func (t *mirroredTopic) put(record classifiedRecord, retain bool) (news bool) {
+	if record.significance == Outdated {
+		return false
+	}
+	last := t.newest[record.Key]
+	if record.Value == nil {
+		delete(t.newest, record.Key)
+	} else {
+		t.newest[record.Key] = record.Record
+	}
+	if record.significance == Repeat {
+		t.withheld[record.Key] = true
+		return false
+	}
+	if retain && record.Value == nil && t.withheld[record.Key] {
+		t.recent = append(t.recent, Record{Key: last.Key, Value: last.Value, Offset: record.Offset})
+	}
+	delete(t.withheld, record.Key)
+	if retain {
+		t.recent = append(t.recent, record.Record)
+	}
+	return true
+}
+
 func (t *mirroredTopic) trim() {
 	if excess := len(t.recent) - mirrorMaxRecent; excess > 0 {
 		t.first = t.recent[excess].Offset
--- a/internal/registry/endpoint.go
+++ b/internal/registry/endpoint.go
@@ -60,11 +60,6 @@
 		a.Slots == b.Slots && a.Draining == b.Draining && a.Incarnation == b.Incarnation && a.Group == b.Group && a.Model == b.Model
 }
 
-// olderThan reports whether the entry is an earlier one of the same incarnation.
-func (e *Endpoint) olderThan(other *Endpoint) bool {
-	return e.Incarnation == other.Incarnation && e.Sequence < other.Sequence
-}
-
 // Usable reports whether the endpoint accepts new work.
 func (e *Endpoint) Usable() bool { return !e.Draining }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -30,14 +30,14 @@
 	graceUntil time.Time
 	read       bool                   // the entries have been read once
 	invalid    map[string]bool        // IDs whose current entry is invalid; each is logged once
-	removed    map[string]*Endpoint   // last entries of removed endpoints, by ID
+	departed   map[string]departure   // removed endpoints, by ID
 	leaving    map[string]leavingMark // by ID
 	current    atomic.Pointer[Snapshot]
 }
 
 // New returns an empty registry. onChange is called after each change.
 func New(decode Decoder, gracePeriods GracePeriods, logger *slog.Logger, onChange func()) *Registry {
-	r := &Registry{decode: decode, gracePeriods: gracePeriods, logger: logger, onChange: onChange, invalid: map[string]bool{}, removed: map[string]*Endpoint{}, leaving: map[string]leavingMark{}}
+	r := &Registry{decode: decode, gracePeriods: gracePeriods, logger: logger, onChange: onChange, invalid: map[string]bool{}, departed: map[string]departure{}, leaving: map[string]leavingMark{}}
 	r.current.Store(emptySnapshot())
 	return r
 }
@@ -87,7 +87,7 @@
 	for id, e := range old {
 		if expired(id, e) {
 			r.logGone(e, "entry still missing after a store outage")
-			r.removed[id] = e
+			r.departed[id] = departure{last: e, at: now}
 			found = true
 		}
 	}
@@ -102,7 +102,7 @@
 
 // forgetDeparted drops what is known of endpoints that departed long ago.
 func (r *Registry) forgetDeparted(now time.Time) {
-	maps.DeleteFunc(r.removed, func(_ string, e *Endpoint) bool { return now.Sub(e.LastSeen) > departedRetention })
+	maps.DeleteFunc(r.departed, func(_ string, d departure) bool { return now.Sub(d.at) > departedRetention })
 	maps.DeleteFunc(r.leaving, func(id string, mark leavingMark) bool {
 		return now.Sub(mark.at) > departedRetention && r.current.Load().ByID[id] == nil
 	})
@@ -120,12 +120,13 @@
 	}
 	delete(r.invalid, record.Key)
 	old := next[endpoint.ID]
-	if old != nil && endpoint.olderThan(old) || batch.Restored && r.isRemoved(&endpoint) {
-		r.logger.Info("older endpoint entry ignored", "endpoint", endpoint.ID, "sequence", endpoint.Sequence, "offset", record.Offset, "era", batch.Era)
+	if last, known := r.lastEntry(old, endpoint.ID); known && last.supersedes(&endpoint, time.Now()) {
+		r.logger.Info("older endpoint entry ignored", "endpoint", endpoint.ID, "incarnation", endpoint.Incarnation, "sequence", endpoint.Sequence,
+			"last_incarnation", last.incarnation, "last_sequence", last.sequence, "removed", last.removed, "offset", record.Offset, "era", batch.Era)
 		return
 	}
-	departed := r.removed[endpoint.ID]
-	delete(r.removed, endpoint.ID)
+	departed := r.departed[endpoint.ID].last
+	delete(r.departed, endpoint.ID)
 	if r.isLeaving(&endpoint) {
 		endpoint.Draining = true
 	}
@@ -152,7 +153,7 @@
 	now := time.Now()
 	if known.Draining || !now.Before(r.graceUntil) {
 		r.logGone(known, "entry removed")
-		r.removed[id] = known
+		r.departed[id] = departure{last: known, at: now}
 		delete(next, id)
 		return
 	}
@@ -164,12 +165,16 @@
 	next[id] = &lapsed
 }
 
-// isRemoved reports whether an entry is not newer than the last one of an endpoint that has been
-// removed: a store that comes back from an older copy still holds the entries of endpoints that
-// have left since.
-func (r *Registry) isRemoved(e *Endpoint) bool {
-	last := r.removed[e.ID]
-	return last != nil && last.Incarnation == e.Incarnation && e.Sequence <= last.Sequence
+// lastEntry returns the latest entry of an endpoint, which is current or has been removed, and whether one is known.
+func (r *Registry) lastEntry(current *Endpoint, id string) (lastEntry, bool) {
+	if current != nil {
+		return lastEntry{incarnation: current.Incarnation, sequence: current.Sequence, knownAt: current.LastSeen}, true
+	}
+	gone, known := r.departed[id]
+	if !known {
+		return lastEntry{}, false
+	}
+	return lastEntry{incarnation: gone.last.Incarnation, sequence: gone.last.Sequence, knownAt: gone.at, removed: true}, true
 }
 
 func (r *Registry) dropMissing(next map[string]*Endpoint, batch keyed.Batch) {
@@ -204,7 +209,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.current.Load().ByID[id]
-	if mark, marked := r.leaving[id]; marked && mark.incarnation == incarnation || known != nil && known.Incarnation > incarnation {
+	if mark, marked := r.leaving[id]; marked && mark.incarnation >= incarnation || known != nil && known.Incarnation > incarnation {
 		return false
 	}
 	r.leaving[id] = leavingMark{incarnation: incarnation, at: time.Now()}
