Formation: members of a head that cannot be told to leave leave its group themselves

Cause: only the head was asked to release its members. Where it could not be, a refused connection, any rejection or two orders without an answer stood for its word, and none of them shows that it has ended. Change: under the conditions under which such a head counted as released it is doubtful now; each member is ordered to leave the group itself, and joins another once it has said that it did. An endpoint that reports a group without a record and a registered head does so before it counts as free. Why it works: the rule is about the member that moves, and that one answers for itself. The wait until a head that answers probes has broken, and its specs, are replaced by the stricter demand that every member has left. The spec of orders that a standing process could not read looks at the count of unanswered orders, with a member that answers, as the record of answered probes is gone. bounds.stall_ms is still accepted and has no effect.

--- a/internal/formation/convergence.go
+++ b/internal/formation/convergence.go
@@ -38,26 +38,63 @@
 }
 
 // releaseFormer orders the heads of the former groups to release them, and reports
-// whether all have. Until then no member may join the new group: the requests of a
-// head that still serves would stall without its members.
+// whether all have, or the members have left those that cannot be told to. Until then no
+// member may join the new group: it would be in two groups at once, and the requests of a
+// head that still serves would stall without it.
 func (p *planner) releaseFormer(record *ledger.Record) bool {
 	released := true
 	for _, former := range record.Former {
-		if !p.released(former) {
+		if !p.released(former) && !p.vacated(record, former) {
 			released = false
 		}
 	}
 	return released
 }
 
-// released reports whether a former head can no longer serve its group, and
-// otherwise orders it to drain or leave.
+// vacated reports whether the members of a record have left the former group of a doubtful
+// head, and orders the others to. Those of a group that is being dissolved need not have: once
+// its record is deleted each is an orphan until it has.
+func (p *planner) vacated(record *ledger.Record, former ledger.FormerGroup) bool {
+	if !p.in.Health.Doubtful[FormerKey(former)] {
+		return false
+	}
+	if record.Dissolving {
+		return true
+	}
+	vacated := true
+	for _, member := range record.Members {
+		if p.hasVacated(member, former.Group, former.Epoch) {
+			continue
+		}
+		vacated = false
+		if member.ID != former.Head.ID {
+			p.orderVacate(member, former.Group, former.Epoch)
+		}
+	}
+	return vacated
+}
+
+// hasVacated reports whether a member is known to have left a group, or to be in a later one.
+func (p *planner) hasVacated(member ledger.Member, group string, epoch uint64) bool {
+	if p.in.Health.Vacated[VacancyKey(member, group, epoch)] {
+		return true
+	}
+	e := p.in.Endpoints.ByID[member.ID]
+	return e != nil && e.Incarnation == member.Incarnation && e.Group.Epoch > epoch
+}
+
+func (p *planner) orderVacate(member ledger.Member, group string, epoch uint64) {
+	p.plan.Orders = append(p.plan.Orders, Order{To: member, Operation: Vacate, Group: group, Epoch: epoch})
+}
+
+// released reports whether a former head has left its group, and otherwise orders it to drain
+// or leave.
 func (p *planner) released(former ledger.FormerGroup) bool {
 	if p.in.Health.Released[FormerKey(former)] {
 		return true
 	}
 	e := p.in.Endpoints.ByID[former.Head.ID]
-	if e != nil && e.Incarnation != former.Head.Incarnation {
+	if e != nil && e.Incarnation > former.Head.Incarnation {
 		return true // the endpoint has restarted and is no longer in the group
 	}
 	order := Order{To: former.Head, Operation: Leave, Group: former.Group, Epoch: former.Epoch}
@@ -85,7 +122,17 @@
 
 // FormerKey returns the key of a former group in Health.
 func FormerKey(former ledger.FormerGroup) string {
-	return former.Group + "/" + strconv.FormatUint(former.Epoch, 10) + "/" + former.Head.ID
+	return GroupKey(former.Group, former.Epoch) + "/" + former.Head.ID
+}
+
+// GroupKey returns the key of a group in Health.
+func GroupKey(group string, epoch uint64) string {
+	return group + "/" + strconv.FormatUint(epoch, 10)
+}
+
+// VacancyKey returns the key of a member of a group in Health.
+func VacancyKey(member ledger.Member, group string, epoch uint64) string {
+	return GroupKey(group, epoch) + "/" + member.ID + "/" + strconv.FormatInt(member.Incarnation, 10)
 }
 
 // joinAll orders the members that have not joined to do so, and reports whether
--- a/internal/formation/demand_site_test.go
+++ b/internal/formation/demand_site_test.go
@@ -85,7 +85,7 @@
 
 func (s *demandSite) addPlanner(owns func(domain string) bool) *sitePlanner {
 	added := &sitePlanner{owns: owns, tracker: demand.NewTracker(), seen: 1, health: formation.Health{
-		Dead: map[string]int64{}, Slow: map[string]float64{}, Preloads: map[string]formation.Preload{}, Released: map[string]bool{}, DrainingSince: map[string]int64{},
+		Dead: map[string]int64{}, Slow: map[string]float64{}, Preloads: map[string]formation.Preload{}, Released: map[string]bool{}, Doubtful: map[string]bool{}, Ended: map[string]bool{}, Vacated: map[string]bool{}, DrainingSince: map[string]int64{},
 	}}
 	s.planners = append(s.planners, added)
 	return added
--- a/internal/formation/deployment_test.go
+++ b/internal/formation/deployment_test.go
@@ -18,6 +18,7 @@
 type deployment struct {
 	in        formation.Input
 	endpoints map[string]*registry.Endpoint
+	cutOff    map[string]bool // endpoints without an entry that orders do not reach, and that go on
 	executed  []formation.Order
 }
 
@@ -26,13 +27,13 @@
 // model small with groups of two VMs.
 func newDeployment(endpoints int) *deployment {
 	service := catalog.Service{Name: "s", Models: []catalog.Model{{Name: "big", GroupSize: 3, Share: 0.67}, {Name: "small", GroupSize: 2, Share: 0.33}}}
-	d := &deployment{endpoints: map[string]*registry.Endpoint{}}
+	d := &deployment{endpoints: map[string]*registry.Endpoint{}, cutOff: map[string]bool{}}
 	d.in = formation.Input{
 		Catalog: catalog.New(1, nil, []catalog.Service{service}, nil, catalog.Limits{}),
 		Groups:  &ledger.State{Groups: map[string]*ledger.Record{}},
 		Health: formation.Health{
 			Dead: map[string]int64{}, Slow: map[string]float64{}, Preloads: map[string]formation.Preload{},
-			Released: map[string]bool{}, DrainingSince: map[string]int64{},
+			Released: map[string]bool{}, Doubtful: map[string]bool{}, Ended: map[string]bool{}, Vacated: map[string]bool{}, DrainingSince: map[string]int64{},
 		},
 		Owns: func(string) bool { return true },
 		Now:  time.Unix(1000, 0),
@@ -53,6 +54,9 @@
 func (d *deployment) plan() formation.Plan {
 	d.in.Endpoints = &registry.Snapshot{ByID: map[string]*registry.Endpoint{}, ByService: map[string][]*registry.Endpoint{}}
 	for _, e := range d.endpoints {
+		if d.cutOff[e.ID] {
+			continue
+		}
 		copied := *e
 		d.in.Endpoints.ByID[e.ID] = &copied
 		d.in.Endpoints.ByService["s"] = append(d.in.Endpoints.ByService["s"], &copied)
@@ -104,6 +108,11 @@
 // another group while the head of its current group serves.
 func (d *deployment) execute(order formation.Order) {
 	d.executed = append(d.executed, order)
+	former := ledger.FormerGroup{Group: order.Group, Epoch: order.Epoch, Head: order.To}
+	if d.cutOff[order.To.ID] {
+		d.in.Health.Doubtful[formation.FormerKey(former)] = d.in.Health.Doubtful[formation.FormerKey(former)] || order.Operation == formation.Leave
+		return
+	}
 	e := d.endpoints[order.To.ID]
 	if e == nil || e.Incarnation != order.To.Incarnation {
 		return
@@ -123,13 +132,18 @@
 		if e.Group.In(order.Group, order.Epoch) && e.Group.State == registry.Ready {
 			e.Group.State = registry.Open
 		}
-	case formation.Leave:
+	case formation.Leave, formation.Vacate:
 		if e.Group.In(order.Group, order.Epoch) {
 			e.Group = registry.Membership{}
 		}
-		d.in.Health.Released[formation.FormerKey(ledger.FormerGroup{Group: order.Group, Epoch: order.Epoch, Head: order.To})] = true
+		if order.Operation == formation.Leave {
+			d.in.Health.Released[formation.FormerKey(former)] = true
+			d.in.Health.Ended[formation.GroupKey(order.Group, order.Epoch)] = true
+		} else {
+			d.in.Health.Vacated[formation.VacancyKey(order.To, order.Group, order.Epoch)] = true
+		}
 	case formation.Drain:
-		d.in.Health.DrainingSince[formation.FormerKey(ledger.FormerGroup{Group: order.Group, Epoch: order.Epoch, Head: order.To})] = d.in.Now.UnixMilli()
+		d.in.Health.DrainingSince[formation.FormerKey(former)] = d.in.Now.UnixMilli()
 		e.Group.State = registry.Closing
 	case formation.Stage:
 		e.Staged = []string{order.Model}
--- a/internal/formation/observations.go
+++ b/internal/formation/observations.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	orderKeyRetention = 30 * time.Second // how long the time of an order is kept
+	orderKeyRetention = 30 * time.Second // how long the time of an order, or of leaving a group, is kept
 )
 
 // observations collects the results of orders and probes.
@@ -21,9 +21,10 @@
 	preloads      map[string]Preload
 	released      map[string]bool
 	drainingSince map[string]int64
+	doubtful      map[string]bool
+	endedAt       map[string]time.Time // when the heads of groups have left them, by GroupKey
+	vacatedAt     map[string]time.Time // when members have left the groups of doubtful heads, by VacancyKey
 	unanswered    map[string]int       // number of unanswered orders, by FormerKey
-	answered      map[string]bool      // former heads that have answered a probe since, by FormerKey
-	vacatedSince  map[string]time.Time // since when a member has left the group of a former head, by FormerKey
 	sentAt        map[string]time.Time // time of the last attempt, by order key
 	inFlight      map[string]bool      // orders that await an answer, by order key
 	lastProbed    map[string]time.Time // by group name, or by a prefixed endpoint ID
@@ -32,7 +33,7 @@
 func newObservations() *observations {
 	return &observations{
 		dead: map[string]int64{}, absent: map[string]Absence{}, slow: map[string]float64{}, preloads: map[string]Preload{}, released: map[string]bool{}, drainingSince: map[string]int64{},
-		unanswered: map[string]int{}, answered: map[string]bool{}, vacatedSince: map[string]time.Time{}, sentAt: map[string]time.Time{}, inFlight: map[string]bool{}, lastProbed: map[string]time.Time{},
+		doubtful: map[string]bool{}, endedAt: map[string]time.Time{}, vacatedAt: map[string]time.Time{}, unanswered: map[string]int{}, sentAt: map[string]time.Time{}, inFlight: map[string]bool{}, lastProbed: map[string]time.Time{},
 	}
 }
 
@@ -40,7 +41,10 @@
 func (o *observations) health() Health {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return Health{Dead: maps.Clone(o.dead), Absent: maps.Clone(o.absent), Slow: maps.Clone(o.slow), Preloads: maps.Clone(o.preloads), Released: maps.Clone(o.released), DrainingSince: maps.Clone(o.drainingSince)}
+	return Health{
+		Dead: maps.Clone(o.dead), Absent: maps.Clone(o.absent), Slow: maps.Clone(o.slow), Preloads: maps.Clone(o.preloads),
+		Released: maps.Clone(o.released), Doubtful: maps.Clone(o.doubtful), Ended: keySet(o.endedAt), Vacated: keySet(o.vacatedAt), DrainingSince: maps.Clone(o.drainingSince),
+	}
 }
 
 // tryProbe reports whether a target has not been probed within the given interval,
@@ -113,34 +117,37 @@
 	delete(o.slow, member.ID)
 }
 
-// setReleased records that a former head can no longer serve its group.
-func (o *observations) setReleased(former ledger.FormerGroup) {
+// setReleased records that a former head has left its group.
+func (o *observations) setReleased(former ledger.FormerGroup, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.released[FormerKey(former)] = true
+	o.endedAt[GroupKey(former.Group, former.Epoch)] = now
 }
 
-// countUnanswered counts an unanswered order to a former head, if another member of its group has answered,
-// and returns what is known of the head. answered states that the head has answered a probe.
-func (o *observations) countUnanswered(former ledger.FormerGroup, answered, companion bool, now time.Time) silentHead {
+// setDoubtful records that a former head cannot be told to leave and may still serve. It reports whether
+// this was news.
+func (o *observations) setDoubtful(former ledger.FormerGroup) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	key := FormerKey(former)
-	if companion {
-		o.unanswered[key]++
-	}
-	o.answered[key] = o.answered[key] || answered
-	since, vacated := o.vacatedSince[key]
-	return silentHead{unanswered: o.unanswered[key], answered: o.answered[key], companion: companion, vacated: vacated, vacatedFor: now.Sub(since)}
+	known := o.doubtful[FormerKey(former)]
+	o.doubtful[FormerKey(former)] = true
+	return !known
 }
 
-// setVacated records that a member has left the group of a former head.
-func (o *observations) setVacated(former ledger.FormerGroup, now time.Time) {
+// setVacated records that a member has left a group.
+func (o *observations) setVacated(member ledger.Member, group string, epoch uint64, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if _, known := o.vacatedSince[FormerKey(former)]; !known {
-		o.vacatedSince[FormerKey(former)] = now
-	}
+	o.vacatedAt[VacancyKey(member, group, epoch)] = now
+}
+
+// countUnanswered counts an unanswered order to a former head and returns their number.
+func (o *observations) countUnanswered(former ledger.FormerGroup) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.unanswered[FormerKey(former)]++
+	return o.unanswered[FormerKey(former)]
 }
 
 func (o *observations) setDraining(former ledger.FormerGroup, now time.Time) {
@@ -151,14 +158,24 @@
 	}
 }
 
-// prune removes expired order times, the state of endpoints that are no longer
+// prune removes expired times, the state of endpoints that are no longer
 // registered, and the absence of endpoints that are registered again.
 func (o *observations) prune(now time.Time, known func(id string) bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	maps.DeleteFunc(o.sentAt, func(_ string, at time.Time) bool { return now.Sub(at) > orderKeyRetention })
+	for _, times := range []map[string]time.Time{o.sentAt, o.endedAt, o.vacatedAt} {
+		maps.DeleteFunc(times, func(_ string, at time.Time) bool { return now.Sub(at) > orderKeyRetention })
+	}
 	maps.DeleteFunc(o.dead, func(id string, _ int64) bool { return !known(id) })
 	maps.DeleteFunc(o.absent, func(id string, _ Absence) bool { return known(id) })
 	maps.DeleteFunc(o.preloads, func(id string, _ Preload) bool { return !known(id) })
 	maps.DeleteFunc(o.slow, func(id string, _ float64) bool { return !known(id) })
 }
+
+func keySet(times map[string]time.Time) map[string]bool {
+	keys := make(map[string]bool, len(times))
+	for key := range times {
+		keys[key] = true
+	}
+	return keys
+}
--- a/internal/formation/orphans.go
+++ b/internal/formation/orphans.go
@@ -14,29 +14,40 @@
 
 // orphaned reports whether an endpoint is still a member of a group that is no
 // longer in the ledger and whose head may still be serving. This happens when a
-// network partition hides a whole group while it is dissolved. The head of such a
-// group is ordered to leave.
+// network partition hides a head, or a whole group, while it is dissolved. The head of such a
+// group is ordered to leave it and, if the head is not registered, each member.
 func (p *planner) orphaned(e *registry.Endpoint) bool {
 	if e.Group.Group == "" || strings.HasPrefix(e.Group.Group, sparePrefix) {
 		return false
 	}
 	head := p.headOf(e)
-	if head == nil {
-		return p.in.Now.Sub(e.FirstSeen) < orphanGracePeriod
-	}
-	if !head.Group.CanServe() {
+	switch {
+	case head != nil && !head.Group.CanServe():
 		return false
-	}
-	if p.in.EraAge < eraSettlingPeriod && p.in.Groups.Era > 0 {
+	case head == nil && p.isReleased(e):
+		return false
+	case head == nil && p.in.Now.Sub(e.FirstSeen) < orphanGracePeriod:
+		return true
+	case p.in.EraAge < eraSettlingPeriod && p.in.Groups.Era > 0:
 		return true // the store may have lost the record, and a daemon that knows it writes it again
-	}
-	if head == e && p.in.Owns(e.Domain) {
+	case !p.in.Owns(e.Domain) || e.Group.Epoch >= p.in.Groups.EndEpoch():
+		return true // the ledger may have a record that has not been read
+	case head == e:
 		p.plan.Converging = true
 		p.plan.Orders = append(p.plan.Orders, Order{To: memberOf(e), Operation: Leave, Group: e.Group.Group, Epoch: e.Group.Epoch})
+	case head == nil:
+		p.plan.Converging = true
+		p.orderVacate(memberOf(e), e.Group.Group, e.Group.Epoch)
 	}
 	return true
 }
 
+// isReleased reports whether an endpoint may leave its group for another: the head has left it, or
+// the endpoint itself, since it wrote its entry.
+func (p *planner) isReleased(e *registry.Endpoint) bool {
+	return p.in.Health.Ended[GroupKey(e.Group.Group, e.Group.Epoch)] || p.in.Health.Vacated[VacancyKey(memberOf(e), e.Group.Group, e.Group.Epoch)]
+}
+
 // headOf returns the head of the group that an endpoint reports as its own, nil if
 // the head is not registered.
 func (p *planner) headOf(e *registry.Endpoint) *registry.Endpoint {
--- a/internal/formation/reconciler.go
+++ b/internal/formation/reconciler.go
@@ -1,7 +1,6 @@
 package formation
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -28,12 +27,14 @@
 	proposeTimeout     = 1500 * time.Millisecond
 	orderTimeout       = 800 * time.Millisecond // per attempt
 	orderRetryInterval = 1200 * time.Millisecond
-	stageRetryInterval = 20 * time.Second       // longer than a load from the weight store
-	probeTimeout       = 130 * time.Millisecond // longer than a round trip between data centres plus the report of a busy endpoint
-	probeAttempts      = 2
-	maxProbeAttempts   = 6 // with those in which this process stood still
-	probeInterval      = 500 * time.Millisecond
-	maxNewsWait        = 400 * time.Millisecond // for news of events at other daemons, after the probes of a group began
+	// maxUnansweredOrders is the number of unanswered orders after which a head without a registry entry is doubtful.
+	maxUnansweredOrders = 2
+	stageRetryInterval  = 20 * time.Second       // longer than a load from the weight store
+	probeTimeout        = 130 * time.Millisecond // longer than a round trip between data centres plus the report of a busy endpoint
+	probeAttempts       = 2
+	maxProbeAttempts    = 6 // with those in which this process stood still
+	probeInterval       = 500 * time.Millisecond
+	maxNewsWait         = 400 * time.Millisecond // for news of events at other daemons, after the probes of a group began
 	// maxReachProbes is the number of endpoints that are probed to find out whether this daemon
 	// reaches any.
 	maxReachProbes = 4
@@ -49,7 +50,6 @@
 	Owns          func(domain string) bool
 	BeforeTraffic func() bool                                  // reports whether no request has arrived yet
 	Owners        func(domains []string) int                   // number of daemons that plan any of the domains
-	HeadStall     time.Duration                                // after which a head without one of its members is broken; 0: 6 s
 	LoadLimit     targetstats.SharePolicy                      // of loads that begin, over all daemons; its rate is the service's
 	Demand        func(service string) map[string]demand.Total // smoothed, by model; nil: not known
 	PresentDemand func(service, model string) demand.Total     // over the last 2 s; nil: not known
@@ -218,7 +218,7 @@
 	heldUp := call.Err() != nil && r.Standstills.Stood(started, time.Now()) > 0
 	cancel()
 	r.observations.finishOrder(order)
-	if order.Operation != Leave || !heldUp {
+	if order.Operation != Leave && order.Operation != Vacate || !heldUp {
 		r.recordOutcome(ctx, order, err)
 	}
 	r.Logger.Info("order sent to endpoint", "endpoint", order.To.ID, "operation", order.Operation, "group", order.Group, "epoch", order.Epoch,
@@ -229,24 +229,52 @@
 	r.Wake()
 }
 
-// recordOutcome records from the result of an order whether a former head drains
-// or has released its group.
+// recordOutcome records from the result of an order whether a former head drains, has
+// released its group or cannot be told to, and whether a member has left it.
 func (r *Reconciler) recordOutcome(ctx context.Context, order Order, err error) {
 	former := ledger.FormerGroup{Group: order.Group, Epoch: order.Epoch, Head: order.To}
 	var gone *GoneError
 	var refused *RefusedError
-	switch order.Operation {
-	case Drain:
+	switch {
+	case order.Operation == Drain:
 		r.observations.setDraining(former, time.Now())
-	case Leave:
-		switch {
-		case errors.As(err, &gone) && gone.Refused && !r.reachesAnother(ctx, order.To):
-			// Its connections may be refused on the way, while the head goes on serving.
-		case err == nil, errors.As(err, &gone), errors.As(err, &refused):
-			r.observations.setReleased(former)
-		default:
-			r.recordUnanswered(ctx, former)
+	case order.Operation == Vacate:
+		if provesLeft(err) {
+			r.observations.setVacated(order.To, order.Group, order.Epoch, time.Now())
+		}
+	case order.Operation != Leave:
+	case provesLeft(err):
+		r.observations.setReleased(former, time.Now())
+	case errors.As(err, &refused):
+		r.doubt(former, "order rejected")
+	case errors.As(err, &gone):
+		if r.reachesAnother(ctx, order.To) {
+			r.doubt(former, "connection refused")
 		}
+	default:
+		r.recordUnanswered(ctx, former)
+	}
+}
+
+// provesLeft reports whether the result of an order to leave a group shows that its receiver is not in the
+// group any more. A refused connection does not: it may be refused on the way.
+func provesLeft(err error) bool {
+	var gone *GoneError
+	var refused *RefusedError
+	switch {
+	case errors.As(err, &gone):
+		return !gone.Refused
+	case errors.As(err, &refused):
+		return refused.NotInGroup
+	default:
+		return err == nil
+	}
+}
+
+// doubt records that a former head cannot be told to leave: its members have to leave it.
+func (r *Reconciler) doubt(former ledger.FormerGroup, reason string) {
+	if r.observations.setDoubtful(former) {
+		r.Logger.Info("former group head cannot be told to leave; its members are to leave it", "endpoint", former.Head.ID, "group", former.Group, "epoch", former.Epoch, "reason", reason)
 	}
 }
 
@@ -267,58 +295,20 @@
 	return false
 }
 
-// recordUnanswered records an unanswered order to a former head without a registry entry, and releases the
-// head or makes a member leave it if that is due.
+// recordUnanswered records an unanswered order to a former head without a registry entry. If another member of
+// its group answers, the group as a whole is not partitioned.
 func (r *Reconciler) recordUnanswered(ctx context.Context, former ledger.FormerGroup) {
 	endpoints := r.Endpoints()
 	if endpoints.ByID[former.Head.ID] != nil {
 		return
 	}
-	others := otherMembers(former, endpoints)
-	if len(others) == 0 && r.leftBefore(former, endpoints) {
-		r.observations.setVacated(former, time.Now())
-	}
-	companion := slices.IndexFunc(others, func(other ledger.Member) bool {
+	companion := slices.ContainsFunc(otherMembers(former, endpoints), func(other ledger.Member) bool {
 		alive, _ := r.probeMember(ctx, other)
 		return alive
 	})
-	answered, _ := r.probeMember(ctx, former.Head)
-	head := r.observations.countUnanswered(former, answered, companion >= 0, time.Now())
-	head.stall = cmp.Or(r.HeadStall, defaultHeadStall)
-	switch head.next() {
-	case vacateHead:
-		r.vacate(ctx, former, others[companion])
-	case releaseHead:
-		r.observations.setReleased(former)
-		r.Logger.Info("former group head does not answer; treating its group as released", "endpoint", former.Head.ID, "group", former.Group, "epoch", former.Epoch, "answered_probes", head.answered, "vacated", head.vacated)
-	case awaitHead:
-	}
-}
-
-// vacate orders a member to leave the group of a silent head.
-func (r *Reconciler) vacate(ctx context.Context, former ledger.FormerGroup, member ledger.Member) {
-	call, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	err := r.Engines.Order(call, Order{To: member, Operation: Leave, Group: former.Group, Epoch: former.Epoch})
-	if err == nil {
-		r.observations.setVacated(former, time.Now())
+	if companion && r.observations.countUnanswered(former) >= maxUnansweredOrders {
+		r.doubt(former, "orders unanswered")
 	}
-	r.Logger.Info("member of a silent group head ordered to leave", "endpoint", member.ID, "head", former.Head.ID, "group", former.Group, "epoch", former.Epoch, "error", err)
-}
-
-// leftBefore reports whether a member has left the group of a former head at the order of a daemon that
-// planned before: it stays in the record that waits for the release, and is in no group.
-func (r *Reconciler) leftBefore(former ledger.FormerGroup, endpoints *registry.Snapshot) bool {
-	for _, record := range r.Ledger.Load().Groups {
-		if !slices.Contains(record.Former, former) {
-			continue
-		}
-		return slices.ContainsFunc(record.Members, func(member ledger.Member) bool {
-			e := endpoints.ByID[member.ID]
-			return member.ID != former.Head.ID && e != nil && e.Incarnation == member.Incarnation && e.Group.Group == ""
-		})
-	}
-	return false
 }
 
 // retryInterval returns the time after which an order without visible effect is
--- a/internal/formation/refused_error.go
+++ b/internal/formation/refused_error.go
@@ -5,7 +5,9 @@
 // RefusedError reports that an endpoint's state does not permit an order.
 type RefusedError struct {
 	Status int // HTTP status
-	Reason string
+	// NotInGroup states that the endpoint is not in the group that the order names.
+	NotInGroup bool
+	Reason     string
 }
 
 // Error implements error.
--- a/internal/formation/standstill_test.go
+++ b/internal/formation/standstill_test.go
@@ -38,11 +38,14 @@
 
 var _ = ginkgo.Describe("A planner whose process stands still while it waits for answers", func() {
 	member := ledger.Member{ID: "e0", Incarnation: 1}
+	companion := &registry.Endpoint{ID: "e1", Incarnation: 1, Group: registry.Membership{Group: "g", Epoch: 3, Rank: 1}} // answers, so that orders to the head are counted
 	var standstills *awake.Standstills
 	planner := func(unheard int32) (*Reconciler, *unheardEngines) {
 		engines := &unheardEngines{unheard: unheard, onHeard: func() { standstills.Look(time.Now()) }}
 		return NewReconciler(Dependencies{
-			Engines: engines, Endpoints: func() *registry.Snapshot { return &registry.Snapshot{} }, Standstills: standstills,
+			Engines: engines, Endpoints: func() *registry.Snapshot {
+				return &registry.Snapshot{ByID: map[string]*registry.Endpoint{"e1": companion}}
+			}, Standstills: standstills,
 			Ledger: ledger.New(nil, slog.New(slog.DiscardHandler), func() {}), ExpectChange: func(time.Duration) {}, Logger: slog.New(slog.DiscardHandler),
 		}), engines
 	}
@@ -72,6 +75,6 @@
 		r.execute(context.Background(), order)
 		r.observations.mu.Lock()
 		defer r.observations.mu.Unlock()
-		Expect(r.observations.answered).To(BeEmpty())
+		Expect(r.observations.unanswered).To(BeEmpty())
 	})
 })
--- a/internal/gateway/bounds.go
+++ b/internal/gateway/bounds.go
@@ -15,7 +15,7 @@
 	RetryShare      float64  `yaml:"retry_share"`         // attempts beyond the first, as a share of the requests
 	RetrySlack      float64  `yaml:"retry_slack"`         // further attempts allowed in each window
 	RetryWindowS    float64  `yaml:"retry_window_s"`
-	StallMS         *float64 `yaml:"stall_ms"` // ms after which the head of a group without one of its members is broken; nil: 6,000
+	StallMS         *float64 `yaml:"stall_ms"` // accepted for settings of earlier versions; it has no effect
 	// In any second, a cold endpoint bears the requests that it takes x ColdOvershoot + ColdSlack.
 	// Without an overshoot above 0 nothing limits the requests to cold endpoints.
 	ColdOvershoot *float64 `yaml:"cold_overshoot"`
@@ -30,14 +30,6 @@
 	loadSlack         = 3               // loads in each window, by the platform's rules
 )
 
-// headStall returns the time after which a head without one of its members is broken, 0 if it is not given.
-func (b Bounds) headStall() time.Duration {
-	if b.StallMS == nil {
-		return 0
-	}
-	return time.Duration(*b.StallMS * float64(time.Millisecond))
-}
-
 // loadLimit returns the limit on the loads that all daemons begin, but for the rate of the service.
 func (b Bounds) loadLimit() targetstats.SharePolicy {
 	policy := targetstats.SharePolicy{Window: defaultLoadWindow, Overshoot: 1, Slack: loadSlack}
--- a/internal/gateway/build.go
+++ b/internal/gateway/build.go
@@ -45,7 +45,6 @@
 		BeforeTraffic: func() bool { return !g.trafficSeen.Load() },
 		Owners:        g.owners,
 		LoadLimit:     g.settings.Bounds.loadLimit(),
-		HeadStall:     g.settings.Bounds.headStall(),
 		CanWrite:      g.storeReached,
 		Demand:        g.plannedDemand,
 		PresentDemand: g.presentDemand,
