--- a/internal/endpoint/http_service.go
+++ b/internal/endpoint/http_service.go
@@ -79,6 +79,9 @@
 	if err != nil {
 		return ServiceAnswer{}, callError(address, connected.Load(), err)
 	}
+	if status := response.StatusCode(); !outbound.IsFinal(status) {
+		return ServiceAnswer{}, &BrokenError{Address: address, Err: &outbound.NotFinalError{Status: status}}
+	}
 	return ServiceAnswer{
 		Status:      response.StatusCode(),
 		ContentType: response.Header().Get("Content-Type"),
