Gossip: a daemon that starts learns which endpoints have left

What callers would see: orders of a daemon that has just started to an endpoint that left before, once the store carries out one of its heartbeats late (DRAIN): the daemon has no memory of the removal, and is in touch before such a write can no longer come. Cause: what is known of departures was each daemon's own. Evidence: by reading; the spec of a registry that starts after a removal used the late entry before. An entry that is not newer than a departure is dropped if it was read first; one that is newer stays.

--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -35,7 +35,7 @@
 	message := gossip.Message{
 		Draining: g.stopping.Load(), Traffic: g.trafficSeen.Load(), Store: g.storeReached(), CutOff: g.endpoints.Lost(),
 		Suspicions: g.suspicions.list(now), NewGroups: g.recentlyOpened(now), Suspects: g.suspects.Reports(now), Limits: g.limits.Reports(now),
-		FailedRequests: g.failedRequests.Recent(now), Evacuations: g.evacuations.Reports(now), Demand: g.demand.Reports(now),
+		FailedRequests: g.failedRequests.Recent(now), Evacuations: g.evacuations.Reports(now), Demand: g.demand.Reports(now), Departures: g.registry.Departures(now),
 	}
 	if current := g.catalogs.Load(); current != nil {
 		message.Config = current.Version
@@ -62,6 +62,7 @@
 	g.suspects.Merge(message.Suspects, now)
 	g.limits.Merge(message.Limits, now)
 	g.mergeEvacuations(message.Evacuations, now)
+	g.registry.LearnDepartures(message.Departures)
 	g.recordRemoteEvents(message.Loads, now)
 	for _, suspicion := range message.Suspicions {
 		if meter := g.meters.Find(placement.GroupKey(suspicion.Group, suspicion.Epoch)); meter != nil && !suspicion.Tentative {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -205,6 +205,9 @@
 		if outgoing.brief {
 			sent = message.brief()
 		}
+		if !outgoing.to.isNew(now) {
+			sent.Departures = nil
+		}
 		sent.Digests = outgoing.digests
 		data, err := cbor.Marshal(sent)
 		if err != nil {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/plantainmux/plantainmux/internal/demand"
 	"github.com/plantainmux/plantainmux/internal/evacuation"
+	"github.com/plantainmux/plantainmux/internal/registry"
 	"github.com/plantainmux/plantainmux/internal/suspect"
 	"github.com/plantainmux/plantainmux/internal/targetstats"
 )
@@ -39,6 +40,9 @@
 	// priority. A daemon that sends none had no requests for groups, or is of an earlier version.
 	Demand []demand.Report `cbor:"18,keyasint,omitempty"`
 
+	// Departures are the endpoints that have left recently, for daemons that have started since.
+	Departures []registry.DepartureReport `cbor:"19,keyasint,omitempty"`
+
 	Digests []cbor.RawMessage `cbor:"12,keyasint,omitempty"` // encoded Digest of each data centre; set by hubs
 }
 
--- a/internal/gossip/peer.go
+++ b/internal/gossip/peer.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// newPeerPeriod is how long a daemon counts as new after its registration was read: longer than it takes to register
+// and to exchange datagrams with all others.
+const newPeerPeriod = 15 * time.Second
+
 // Peer is the state of another daemon.
 type Peer struct {
 	Node        string
@@ -20,3 +24,6 @@
 	message      Message
 	lastSent     time.Time // last datagram sent to the peer
 }
+
+// isNew reports whether the daemon has started recently.
+func (p *Peer) isNew(now time.Time) bool { return now.Sub(p.learntAt) < newPeerPeriod }
--- a/internal/registry/late_entry_test.go
+++ b/internal/registry/late_entry_test.go
@@ -81,6 +81,58 @@
 	})
 })
 
+// Guards against a daemon that uses an endpoint which left before the daemon started.
+var _ = Describe("A daemon that starts after an endpoint has left", func() {
+	start := func() *registry.Registry {
+		return registry.New(decodeStart, registry.GracePeriods{}, slog.New(slog.DiscardHandler), func() {})
+	}
+	write := func(r *registry.Registry, complete bool, value string) {
+		record := keyed.Record{Key: "a"}
+		if value != "" {
+			record.Value = []byte(value)
+		}
+		r.Apply(keyed.Batch{Complete: complete, Records: []keyed.Record{record}, StartedAt: time.Now()})
+	}
+	known := func(r *registry.Registry) bool { return r.Load().ByID["a"] != nil }
+	var told []registry.DepartureReport
+	var elder *registry.Registry
+	BeforeEach(func() {
+		elder = start()
+		write(elder, true, "20 7")
+		Expect(elder.Departures(time.Now())).To(BeEmpty())
+		write(elder, false, "")
+		told = elder.Departures(time.Now())
+		Expect(told).To(Equal([]registry.DepartureReport{{Endpoint: "a", Incarnation: 20, Sequence: 7}}))
+	})
+
+	It("is told of it, and ignores what the store carries out late", func() {
+		r := start()
+		r.LearnDepartures(told)
+		write(r, true, "20 6")
+		Expect(known(r)).To(BeFalse())
+		write(r, false, "20 8")
+		Expect(known(r)).To(BeTrue())
+	})
+
+	It("drops it if the late entry was read first, and keeps an endpoint that has written on or has started again", func() {
+		for value, kept := range map[string]bool{"20 6": false, "20 7": false, "19 9": false, "20 8": true, "21 1": true} {
+			r := start()
+			write(r, true, value)
+			r.LearnDepartures(told)
+			Expect(known(r)).To(Equal(kept), value)
+			r.LearnDepartures(told)
+			Expect(known(r)).To(Equal(kept), value)
+		}
+	})
+
+	It("does not tell of it for longer than a write may be late, nor learn less than it knows", func() {
+		Expect(elder.Departures(time.Now().Add(16 * time.Second))).To(BeEmpty())
+		elder.LearnDepartures([]registry.DepartureReport{{Endpoint: "a", Incarnation: 20, Sequence: 5}})
+		write(elder, false, "20 6")
+		Expect(known(elder)).To(BeFalse())
+	})
+})
+
 // Guards against an endpoint that is lost as its clock was set back before it started again.
 var _ = Describe("An entry of an earlier start", func() {
 	It("is used once the later one has not been written for longer than a write may be late", func() {
