Callers: heads of requests count toward the memory, and max_header_bytes is in force

What callers saw: a crowd of clients whose heads were far over the limit, or legal in size but of very many short fields, at any path of the callers' address, ended a daemon for want of memory; all other callers of it lost their requests.

Cause: limits.max_header_bytes of the configuration was read and used nowhere, so that net/http's 1 MB held. A field of a head takes 200 to 240 bytes beside its text once it is parsed and copied for the endpoint (measured for heads of 4 to 900 KB of short fields), and no account counted that.

Change: the listener counts bytes and lines as they are read, before they are parsed. A head beyond the limit gets 431; one whose memory (2 x bytes + 300 x lines) does not fit into a quarter of the account gets 503 with Retry-After, and did not run. 8 KB of each head are free, so that ordinary ones never meet the account. Part of the next head that came with the request before it counts too. Fields are not limited in number: the configuration bounds bytes alone.

Why it works: what is parsed is what was counted; a limit in the handler would come after the parser.

The crowds run by themselves after all other tests.

--- /dev/null
+++ b/cmd/plantainmuxd/crowd_kinds_test.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+)
+
+const (
+	beyondBytes = 900 << 10 // of a head beyond the limit
+	legalBytes  = 14 << 10  // of one within it, with its other fields
+
+)
+
+// headOf returns the head of a request without its end.
+func headOf(path string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: x.example\r\nRequest-Id: crowd\r\nDeadline-Ms: 4000\r\nAuthorization: Bearer k1\r\n"
+}
+
+// shortFields returns fields of few bytes, all with other names.
+func shortFields(size int) string {
+	var text strings.Builder
+	for i := 0; text.Len() < size; i++ {
+		_, _ = text.WriteString(strconv.FormatInt(int64(i), 36) + ":1\r\n")
+	}
+	return text.String()
+}
+
+// writes returns a client that sends texts.
+func writes(texts ...string) func(io.Writer) error {
+	return func(w io.Writer) error {
+		for _, text := range texts {
+			if _, err := io.WriteString(w, text); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+func headsBeyond(path string) func(io.Writer) error {
+	return writes(headOf(path) + shortFields(beyondBytes) + "Content-Length: 10\r\n\r\nninebytes")
+}
+
+func headsWithoutEnd(path string) func(io.Writer) error {
+	return writes(headOf(path) + shortFields(beyondBytes))
+}
+
+func longField(path string) func(io.Writer) error {
+	return writes(headOf(path) + "Long: " + strings.Repeat("x", beyondBytes))
+}
+
+func legalHeads(path string) func(io.Writer) error {
+	return writes(headOf(path) + shortFields(legalBytes) + "Content-Length: 10\r\n\r\nninebytes")
+}
+
+// headsBehind returns a client whose whole request comes with half of another one's head.
+func headsBehind(path string) func(io.Writer) error {
+	return writes(headOf(path) + "\r\n" + headOf(path) + shortFields(4<<10-2*len(headOf(path))-8))
+}
+
+func smallChunks(path string) func(io.Writer) error {
+	return writes(headOf(path) + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nx\r\n", crowdBodyBytes-1))
+}
+
+// bodies returns a client that sends a body of the largest size but for its last byte, in pieces.
+func bodies(path string, piece int) func(io.Writer) error {
+	texts := []string{headOf(path) + fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdBodyBytes)}
+	for left := crowdBodyBytes - 1; left > 0; left -= piece {
+		texts = append(texts, strings.Repeat("x", min(piece, left)))
+	}
+	return writes(texts...)
+}
+
+func oneByte(w io.Writer) error { return writes("P")(w) }
--- a/cmd/plantainmuxd/rig_test.go
+++ b/cmd/plantainmuxd/rig_test.go
@@ -48,6 +48,7 @@
 	settings string // path
 	callers  string // address
 	ready    string // address
+	peers    string // address
 	session  *gexec.Session
 }
 
@@ -83,7 +84,8 @@
 
 func newDaemonBefore(wire *fakes.WirePlatform, store *fakes.Server, name string) *daemonProcess {
 	d := &daemonProcess{settings: filepath.Join(GinkgoT().TempDir(), name+".yaml"), callers: unusedAddress(), ready: unusedAddress(), wire: wire, store: store}
-	port := portOf(unusedAddress())
+	d.peers = unusedAddress()
+	port := portOf(d.peers)
 	d.writeSettings(fmt.Sprintf(`node: %s
 data_centre: n
 store: %s
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -48,6 +48,9 @@
 	unplaced     unplaced
 	timeouts     Timeouts // as last applied; zero: none yet
 
+	heads         HeadLimits
+	refusedHeadAt time.Time // as last logged
+
 	displaced atomic.Int64 // closed for a new one
 	refusals  atomic.Int64
 	failures  atomic.Int64 // not accepted
@@ -55,7 +58,11 @@
 	aborted   atomic.Int64 // closed while a request was read that had not arrived before
 	accepted  atomic.Int64
 	lingering atomic.Int64 // connections that are kept until an answer has arrived
-	ended     atomic.Bool  // Accept has returned that the listener is closed
+
+	headsTooLarge      atomic.Int64
+	headsWithoutMemory atomic.Int64
+
+	ended atomic.Bool // Accept has returned that the listener is closed
 }
 
 // Wrap returns a listener that accepts connections from another one, up to a limit.
@@ -76,6 +83,8 @@
 	gauge("plantainmux_caller_connections_accepted_total", func() float64 { return float64(l.accepted.Load()) })
 	gauge("plantainmux_caller_connections_aborted_total", func() float64 { return float64(l.aborted.Load()) })
 	gauge("plantainmux_caller_connections_not_accepted_total", func() float64 { return float64(l.failures.Load()) })
+	gauge(`plantainmux_caller_heads_refused_total{reason="size"}`, func() float64 { return float64(l.headsTooLarge.Load()) })
+	gauge(`plantainmux_caller_heads_refused_total{reason="memory"}`, func() float64 { return float64(l.headsWithoutMemory.Load()) })
 }
 
 // Accept implements net.Listener.
@@ -125,15 +134,16 @@
 func (l *Listener) begin(c *tracked) state {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := time.Now()
 	switch {
 	case c.state == closed:
 		l.aborted.Add(1)
 	case c.state == busy:
 	case l.inProgress >= l.limit:
 		l.refusals.Add(1)
-		l.set(c, refused, time.Now())
+		l.set(c, refused, now)
 	default:
-		l.set(c, busy, time.Now())
+		l.set(c, busy, now)
 	}
 	return c.state
 }
@@ -204,6 +214,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.set(c, to, time.Now())
+	if to == idle && c.state == idle && !l.nextHead(c) {
+		l.headsWithoutMemory.Add(1)
+		l.set(c, closed, time.Now())
+		_ = c.Conn.Close()
+	}
 }
 
 // set changes the state of a connection. The caller holds mu.
@@ -228,6 +243,9 @@
 		l.inProgress++
 	case closed:
 		l.open--
+		if c.head.held > 0 {
+			l.holdHead(c, 0)
+		}
 	case refused:
 	}
 }
--- a/internal/callerconn/serve.go
+++ b/internal/callerconn/serve.go
@@ -28,10 +28,12 @@
 		if r.ContentLength != 0 {
 			defer limitRest(w)
 		}
-		switch l.begin(c) {
-		case closed:
+		began := l.begin(c)
+		fits := l.settleHead(c, r)
+		switch {
+		case began == closed:
 			panic(http.ErrAbortHandler) // the answer would reach nobody
-		case refused:
+		case began == refused || !fits:
 			w.Header().Set("Connection", "close")
 			refuse.ServeHTTP(w, r)
 		default:
--- a/internal/callerconn/tracked.go
+++ b/internal/callerconn/tracked.go
@@ -20,6 +20,7 @@
 	timeouts Timeouts      // in force then
 	reading  atomic.Int64  // Unix nanoseconds at which the first byte arrived since it took that state; 0: none has
 	received atomic.Uint64 // bytes read
+	head     head
 	looks    int           // since the first byte of a request that has not begun
 	lookedAt time.Time     // last, to make room
 	waiting  *list.Element // in the list of its state; nil: busy or closed
@@ -41,6 +42,9 @@
 			c.reading.Store(time.Now().UnixNano())
 		}
 		c.received.Add(uint64(n)) // last, as unread tells from it what reading does not show yet
+		if refused := c.listener.countHead(c, into[:n], len(into)); refused != headAllowed {
+			return 0, c.refuse(c.Conn, refused)
+		}
 	}
 	return n, err
 }
@@ -76,9 +80,11 @@
 
 // trackedOf returns the tracked connection below one that a server was given, or nil.
 func trackedOf(conn net.Conn) *tracked {
-	if secured, ok := conn.(*tls.Conn); ok {
-		conn = secured.NetConn()
+	switch conn := conn.(type) {
+	case *tracked:
+		return conn
+	case *tls.Conn:
+		return trackedOf(conn.NetConn())
 	}
-	c, _ := conn.(*tracked)
-	return c
+	return nil
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -23,6 +23,7 @@
 	retryAfterConnections = 200 * time.Millisecond
 	retryAfterStarting    = 500 * time.Millisecond // Retry-After while the daemon is starting
 	defaultBodyLimit      = 4 << 20                // bytes
+	defaultHeadBytes      = 64 << 10               // unless the configuration gives a limit
 	startupCatchUp        = 5 * time.Second        // after the start, for the operators to write a lost configuration again
 	// firstNewsPatience is how long a daemon waits for the first message of another one: the others
 	// read the registrations every 0.4 s, and then send within some 0.1 s.
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/plantainmux/plantainmux/internal/accept"
@@ -51,10 +53,12 @@
 	}
 	listener := callerconn.Wrap(raw, callerconn.Limit(g.settings.Limits.FileDescriptors), g.logger)
 	listener.Register(func(name string, value func() float64) { g.metrics.NewGauge(name, value) })
+	listener.LimitHeads(callerconn.HeadLimits{Bytes: g.headBytes, Account: g.held, Refusal: refusedHead})
 	g.callers.Store(listener)
 	handler := g.adapters.Callers(g)
 	server := g.newServer(listener.Handler(handler, http.HandlerFunc(handler.RefuseConnection)))
 	server.ReadHeaderTimeout, server.IdleTimeout = 0, 0 // expireConnections applies those of the configuration
+	server.MaxHeaderBytes = math.MaxInt32               // the listener applies that of the configuration
 	listener.Attach(server)
 	return g.serve(server, listener), nil
 }
@@ -96,6 +100,23 @@
 	}
 }
 
+// headBytes returns the largest head of a caller's request.
+func (g *Gateway) headBytes() int {
+	if current := g.catalogs.Load(); current != nil && current.Limits.HeaderBytes > 0 {
+		return current.Limits.HeaderBytes
+	}
+	return defaultHeadBytes
+}
+
+// refusedHead returns the fields of the answer to a head that is refused.
+func refusedHead(status int) http.Header {
+	if status != http.StatusServiceUnavailable {
+		return nil
+	}
+	after := retryAfterMemory.Seconds() * (1 + random()) // as DenyMemory
+	return http.Header{"Retry-After": {strconv.FormatFloat(after, 'f', 3, 64)}}
+}
+
 // CallerLeft reports whether the caller of a request has closed its connection. It is asked once the
 // request has been read: it may have waited for longer than its caller.
 func (g *Gateway) CallerLeft(ctx context.Context, id string) bool {
--- a/internal/heldbytes/account.go
+++ b/internal/heldbytes/account.go
@@ -7,9 +7,13 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// reservedShare is the share of the limit that only answers may use, so that the bodies of new
-// requests and the events of slow callers do not keep answers that are ready from being delivered.
-const reservedShare = 0.25
+// Shares of the limit.
+const (
+	// reservedShare is what bodies of requests, heads and events of slow callers leave to others, so that they do not
+	// keep answers that are ready from being delivered.
+	reservedShare = 0.25
+	headShare     = 0.25 // heads may use, so that they leave room for bodies
+)
 
 // Account counts the bytes that are held. It is safe for concurrent use.
 type Account struct {
@@ -34,18 +38,17 @@
 // Fits returns a LimitError, and counts a refusal, if further bytes of a kind would exceed the
 // limit now.
 func (a *Account) Fits(kind Kind, bytes int64) error {
-	return a.check(kind, bytes, a.total.Load()+bytes)
+	return a.check(kind, bytes, a.held[kind].Load()+bytes, a.total.Load()+bytes)
 }
 
 // Hold counts further bytes of a kind. If they exceed the limit it counts a refusal instead, and
 // returns a LimitError. The caller releases what is held.
 func (a *Account) Hold(kind Kind, bytes int64) error {
-	if err := a.check(kind, bytes, a.total.Add(bytes)); err != nil {
-		a.total.Add(-bytes)
-		return err
+	err := a.check(kind, bytes, a.held[kind].Add(bytes), a.total.Add(bytes))
+	if err != nil {
+		a.Release(kind, bytes)
 	}
-	a.held[kind].Add(bytes)
-	return nil
+	return err
 }
 
 // HoldAlways counts further bytes of a kind that must be held whatever the limit is.
@@ -66,12 +69,20 @@
 // Held returns the bytes of a kind that are held.
 func (a *Account) Held(kind Kind) int64 { return a.held[kind].Load() }
 
-func (a *Account) check(kind Kind, bytes, total int64) error {
-	limit := a.limit
-	if kind != Answers {
-		limit -= int64(reservedShare * float64(a.limit))
+// check checks what would be held of a kind, and in total, with further bytes.
+func (a *Account) check(kind Kind, bytes, held, total int64) error {
+	if a.limit <= 0 {
+		return nil
+	}
+	share := func(share float64) int64 { return int64(share * float64(a.limit)) }
+	limit := a.limit - share(reservedShare)
+	switch {
+	case kind == Answers:
+		limit = a.limit
+	case kind == Heads && held > share(headShare):
+		limit, total = share(headShare), held
 	}
-	if a.limit <= 0 || total <= limit {
+	if total <= limit {
 		return nil
 	}
 	a.refusals[kind].Inc()
--- a/internal/heldbytes/kind.go
+++ b/internal/heldbytes/kind.go
@@ -8,8 +8,11 @@
 	Requests Kind = iota // bodies of requests
 	Answers              // bodies of answers that are not streamed
 	Events               // events that their callers have not taken
+	Heads                // parsed heads of requests
 	kinds
 )
 
 // String returns the name of the kind in metrics and log lines.
-func (k Kind) String() string { return [kinds]string{"requests", "answers", "events"}[k] }
+func (k Kind) String() string {
+	return [kinds]string{"requests", "answers", "events", "heads"}[k]
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,4 +11,7 @@
   done < <(sed -n 's/^test: //p' KNOWN-RED.txt)
 fi
 
-go test -race -count=1 -p 4 -timeout 30m ./... -ginkgo.seed=1 "${skip[@]}"
+go test -race -count=1 -p 4 -timeout 30m ./... -ginkgo.seed=1 "${skip[@]}" -ginkgo.label-filter='!crowd'
+
+# Crowds of clients measure the memory of a process, one at a time and apart from other load.
+go test -race -count=1 -timeout 20m ./cmd/plantainmuxd -ginkgo.seed=1 "${skip[@]}" -ginkgo.label-filter=crowd
