Callers: what the system queues for a connection is bounded

What callers saw: clients that send many requests ahead and read no answers, or go on sending bodies that are refused, used up the memory of a daemon's VM; those that were denied kept their connections for as long as they liked.

Cause: the system queues up to some MB a connection in each direction, which counts as memory of the VM.

Change: sockets of callers queue at most an eighth of the memory in each direction, 8 to 256 KB each; 0.24 of the memory bounds their number beside the descriptors.

Why it works: accepted sockets inherit the sizes of the listening one, so no queue is larger from its first byte on.

--- a/cmd/plantainmuxd/crowd_kinds_test.go
+++ b/cmd/plantainmuxd/crowd_kinds_test.go
@@ -10,7 +10,11 @@
 const (
 	beyondBytes = 900 << 10 // of a head beyond the limit
 	legalBytes  = 14 << 10  // of one within it, with its other fields
+	aheadCount  = 3000      // requests
 
+	answerCount  = 20    // requests with large answers
+	answerBytes  = 90000 // of such an answer
+	giganticBody = 2 << 30
 )
 
 // headOf returns the head of a request without its end.
@@ -60,6 +64,10 @@
 	return writes(headOf(path) + "\r\n" + headOf(path) + shortFields(4<<10-2*len(headOf(path))-8))
 }
 
+func ahead(path string) func(io.Writer) error {
+	return writes(strings.Repeat(headOf(path)+"Content-Length: 0\r\n\r\n", aheadCount))
+}
+
 func smallChunks(path string) func(io.Writer) error {
 	return writes(headOf(path) + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nx\r\n", crowdBodyBytes-1))
 }
@@ -73,4 +81,17 @@
 	return writes(texts...)
 }
 
+func announced(path string) func(io.Writer) error {
+	return writes(headOf(path) + fmt.Sprintf("Content-Length: %d\r\n\r\n", giganticBody) + strings.Repeat("x", beyondBytes))
+}
+
+func largeChunk(path string) func(io.Writer) error {
+	return writes(headOf(path) + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", giganticBody) + strings.Repeat("x", beyondBytes))
+}
+
 func oneByte(w io.Writer) error { return writes("P")(w) }
+
+// largeAhead sends requests whose answers are as large as their bodies.
+func largeAhead(w io.Writer) error {
+	return writes(strings.Repeat(headOf(routed)+fmt.Sprintf("Content-Length: %d\r\n\r\n", answerBytes)+strings.Repeat("x", answerBytes), answerCount))(w)
+}
--- a/cmd/plantainmuxd/crowd_test.go
+++ b/cmd/plantainmuxd/crowd_test.go
@@ -178,6 +178,11 @@
 		Entry("heads of legal size, of short fields, most clients", crowdAddress(callersOf), crowdMost, true, legalHeads(routed)),
 		Entry("heads of legal size behind a whole request, most clients", crowdAddress(callersOf), crowdMost, true, headsBehind(unrouted)),
 
+		Entry("requests sent ahead, routed", crowdAddress(callersOf), crowdSize, false, ahead(routed)),
+		Entry("requests sent ahead, no route", crowdAddress(callersOf), crowdSize, false, ahead(unrouted)),
+		Entry("requests sent ahead, readiness path", crowdAddress(callersOf), crowdSize, false, ahead(readiness)),
+		Entry("requests sent ahead, most clients", crowdAddress(callersOf), crowdMost, false, ahead(routed)),
+
 		Entry("chunks of one byte, routed", crowdAddress(callersOf), crowdSize, true, smallChunks(routed)),
 		Entry("chunks of one byte, no route", crowdAddress(callersOf), crowdSize, true, smallChunks(unrouted)),
 		Entry("chunks of one byte, readiness path", crowdAddress(callersOf), crowdSize, true, smallChunks(readiness)),
@@ -186,8 +191,13 @@
 		Entry("bodies but for one byte, readiness path", crowdAddress(callersOf), crowdSize, true, bodies(readiness, crowdBodyBytes)),
 		Entry("bodies but for one byte, in pieces", crowdAddress(callersOf), crowdSize, true, bodies(routed, 500)),
 		Entry("bodies but for one byte, most clients", crowdAddress(callersOf), crowdMost, true, bodies(routed, crowdBodyBytes)),
+		Entry("bodies far beyond the limit, announced", crowdAddress(callersOf), crowdSize, true, announced(routed)),
+		Entry("bodies far beyond the limit, announced, no route", crowdAddress(callersOf), crowdSize, true, announced(unrouted)),
+		Entry("bodies far beyond the limit, in one chunk", crowdAddress(callersOf), crowdSize, true, largeChunk(routed)),
 
 		Entry("one byte, callers", crowdAddress(callersOf), crowdMost, true, oneByte),
+
+		Entry("large answers that are not read, sent ahead", crowdAddress(callersOf), crowdMost, false, largeAhead),
 	)
 
 	// Guards against streams of slow readers that add up beyond the memory.
--- a/internal/callerconn/limit.go
+++ b/internal/callerconn/limit.go
@@ -6,16 +6,27 @@
 	// callerShare of the descriptors is for callers: a request in progress has a connection of its
 	// caller and one to an endpoint; files, peers, the store and idle connections take the rest.
 	callerShare = 0.4
-	minLimit    = 16 // connections, however few descriptors there are
+	memoryShare = 0.6 // of the memory, for connections of all kinds
+	// connectionBytes is the memory of a connection: its goroutine, the server's buffers, and a head that holds no more
+	// than every one may.
+	connectionBytes = 24 << 10
+	minLimit        = 16 // connections, however few descriptors there are
 )
 
 // Limit returns the number of connections that callers may have in a process that may use the given
-// number of descriptors. 0 means that only the limit of the operating system counts.
-func Limit(descriptors int) int {
+// number of descriptors and amount of memory in bytes. 0 means that only the limit of the operating system counts, and
+// that memory is not limited.
+func Limit(descriptors int, memory int64) int { return limit(callerShare, descriptors, memory) }
+
+func limit(share float64, descriptors int, memory int64) int {
 	if allowed := processLimit(); descriptors <= 0 || allowed < descriptors {
 		descriptors = allowed
 	}
-	return max(int(callerShare*float64(descriptors)), minLimit)
+	most := int(share * float64(descriptors))
+	if memory > 0 {
+		most = min(most, int(memoryShare*share*float64(memory)/connectionBytes))
+	}
+	return max(most, minLimit)
 }
 
 // processLimit returns the number of descriptors that the operating system allows this process.
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -13,9 +13,12 @@
 	retryAfterMemory = 500 * time.Millisecond // by then some of the exchanges in progress have ended; as much is added as jitter
 )
 
+// memory returns the memory that this process may use, in bytes; 0: not limited.
+func (g *Gateway) memory() int64 { return int64(g.settings.Limits.MemoryMB) * bytesPerMB }
+
 // newHeldBytes returns the account of what this daemon holds for exchanges.
 func (g *Gateway) newHeldBytes() *heldbytes.Account {
-	return heldbytes.NewAccount(int64(heldShare*float64(g.settings.Limits.MemoryMB)*bytesPerMB), g.metrics)
+	return heldbytes.NewAccount(int64(heldShare*float64(g.memory())), g.metrics)
 }
 
 // ReadBody reads the body of an admitted request. length is the length of the body, negative if it
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -47,11 +47,12 @@
 
 func (g *Gateway) listenForCallers() (*http.Server, error) {
 	address := g.settings.Listen.Callers
-	raw, err := net.Listen("tcp", address)
+	connections := callerconn.Limit(g.settings.Limits.FileDescriptors, g.memory())
+	raw, err := callerconn.Listen(address, callerconn.SocketBytes(g.memory(), connections))
 	if err != nil {
 		return nil, &ListenError{Address: address, Err: err}
 	}
-	listener := callerconn.Wrap(raw, callerconn.Limit(g.settings.Limits.FileDescriptors), g.logger)
+	listener := callerconn.Wrap(raw, connections, g.logger)
 	listener.Register(func(name string, value func() float64) { g.metrics.NewGauge(name, value) })
 	listener.LimitHeads(callerconn.HeadLimits{Bytes: g.headBytes, Account: g.held, Refusal: refusedHead})
 	g.callers.Store(listener)
