Daemons: readiness, peers' and metrics addresses limit connections and heads

What callers saw: the same crowds at the other addresses ended the daemon as well, or took its descriptors; the load balancer's question got no answer meanwhile.

Cause: only the callers' address limited its connections.

Change: each of these addresses has callerconn's limits: 0.2 of the descriptors, without links that other daemons have opened, heads of 16 KB in the same account, 64 KB queued in each direction, 15 s for a write.

--- a/cmd/plantainmuxd/crowd_test.go
+++ b/cmd/plantainmuxd/crowd_test.go
@@ -152,6 +152,8 @@
 type crowdAddress func(*daemonProcess) string
 
 func callersOf(d *daemonProcess) string { return d.callers }
+func readyOf(d *daemonProcess) string   { return d.ready }
+func peersOf(d *daemonProcess) string   { return d.peers }
 
 // Paths that a crowd asks for.
 const (
@@ -169,19 +171,27 @@
 		Entry("heads beyond the limit, of short fields, routed", crowdAddress(callersOf), crowdSize, true, headsBeyond(routed)),
 		Entry("heads beyond the limit, of short fields, no route", crowdAddress(callersOf), crowdSize, true, headsBeyond(unrouted)),
 		Entry("heads beyond the limit, of short fields, readiness path", crowdAddress(callersOf), crowdSize, true, headsBeyond(readiness)),
+		Entry("heads beyond the limit, of short fields, readiness address", crowdAddress(readyOf), crowdSize, true, headsBeyond(readiness)),
+		Entry("heads beyond the limit, of short fields, peers' address", crowdAddress(peersOf), crowdSize, true, headsBeyond("/peer")),
 		Entry("heads without end, of short fields, routed", crowdAddress(callersOf), crowdSize, true, headsWithoutEnd(routed)),
+		Entry("heads without end, of short fields, readiness address", crowdAddress(readyOf), crowdSize, true, headsWithoutEnd(readiness)),
+		Entry("heads without end, of short fields, peers' address", crowdAddress(peersOf), crowdSize, true, headsWithoutEnd("/peer")),
 		Entry("heads without end, of one field, routed", crowdAddress(callersOf), crowdSize, true, longField(routed)),
+		Entry("heads without end, of one field, readiness address", crowdAddress(readyOf), crowdSize, true, longField(readiness)),
 
 		Entry("heads of legal size, of short fields, routed", crowdAddress(callersOf), crowdSize, true, legalHeads(routed)),
 		Entry("heads of legal size, of short fields, no route", crowdAddress(callersOf), crowdSize, true, legalHeads(unrouted)),
 		Entry("heads of legal size, of short fields, readiness path", crowdAddress(callersOf), crowdSize, true, legalHeads(readiness)),
 		Entry("heads of legal size, of short fields, most clients", crowdAddress(callersOf), crowdMost, true, legalHeads(routed)),
+		Entry("heads of legal size, of short fields, readiness address", crowdAddress(readyOf), crowdMost, true, legalHeads(readiness)),
+		Entry("heads of legal size, of short fields, peers' address", crowdAddress(peersOf), crowdMost, true, legalHeads("/peer")),
 		Entry("heads of legal size behind a whole request, most clients", crowdAddress(callersOf), crowdMost, true, headsBehind(unrouted)),
 
 		Entry("requests sent ahead, routed", crowdAddress(callersOf), crowdSize, false, ahead(routed)),
 		Entry("requests sent ahead, no route", crowdAddress(callersOf), crowdSize, false, ahead(unrouted)),
 		Entry("requests sent ahead, readiness path", crowdAddress(callersOf), crowdSize, false, ahead(readiness)),
 		Entry("requests sent ahead, most clients", crowdAddress(callersOf), crowdMost, false, ahead(routed)),
+		Entry("requests sent ahead, readiness address", crowdAddress(readyOf), crowdSize, false, ahead(readiness)),
 
 		Entry("chunks of one byte, routed", crowdAddress(callersOf), crowdSize, true, smallChunks(routed)),
 		Entry("chunks of one byte, no route", crowdAddress(callersOf), crowdSize, true, smallChunks(unrouted)),
@@ -194,8 +204,11 @@
 		Entry("bodies far beyond the limit, announced", crowdAddress(callersOf), crowdSize, true, announced(routed)),
 		Entry("bodies far beyond the limit, announced, no route", crowdAddress(callersOf), crowdSize, true, announced(unrouted)),
 		Entry("bodies far beyond the limit, in one chunk", crowdAddress(callersOf), crowdSize, true, largeChunk(routed)),
+		Entry("bodies far beyond the limit, in one chunk, readiness address", crowdAddress(readyOf), crowdSize, true, largeChunk(readiness)),
 
 		Entry("one byte, callers", crowdAddress(callersOf), crowdMost, true, oneByte),
+		Entry("one byte, readiness address", crowdAddress(readyOf), 1500, true, oneByte),
+		Entry("one byte, peers' address", crowdAddress(peersOf), 1500, true, oneByte),
 
 		Entry("large answers that are not read, sent ahead", crowdAddress(callersOf), crowdMost, false, largeAhead),
 	)
--- a/internal/callerconn/limit.go
+++ b/internal/callerconn/limit.go
@@ -2,10 +2,15 @@
 
 import "syscall"
 
+// OtherSocketBytes is what a connection to one of the other addresses may queue in each direction: pages of the store
+// and frames of links, over round trips of some milliseconds.
+const OtherSocketBytes = 64 << 10
+
 const (
 	// callerShare of the descriptors is for callers: a request in progress has a connection of its
 	// caller and one to an endpoint; files, peers, the store and idle connections take the rest.
 	callerShare = 0.4
+	otherShare  = 0.2 // of one of the other addresses: a daemon reads the store for a hundred others
 	memoryShare = 0.6 // of the memory, for connections of all kinds
 	// connectionBytes is the memory of a connection: its goroutine, the server's buffers, and a head that holds no more
 	// than every one may.
@@ -18,6 +23,10 @@
 // that memory is not limited.
 func Limit(descriptors int, memory int64) int { return limit(callerShare, descriptors, memory) }
 
+// OtherLimit returns the same for the connections to one of the other addresses, of load balancers, operators and
+// daemons.
+func OtherLimit(descriptors int, memory int64) int { return limit(otherShare, descriptors, memory) }
+
 func limit(share float64, descriptors int, memory int64) int {
 	if allowed := processLimit(); descriptors <= 0 || allowed < descriptors {
 		descriptors = allowed
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"log/slog"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -72,19 +73,29 @@
 	return l
 }
 
-// Register registers the metrics of the listener.
-func (l *Listener) Register(gauge func(name string, value func() float64)) {
-	gauge("plantainmux_caller_connections", func() float64 { return l.count(&l.open) })
-	gauge("plantainmux_caller_connections_in_progress", func() float64 { return l.count(&l.inProgress) })
-	gauge("plantainmux_caller_connections_limit", func() float64 { return float64(l.limit) })
-	gauge("plantainmux_caller_connections_displaced_total", func() float64 { return float64(l.displaced.Load()) })
-	gauge("plantainmux_caller_connections_refused_total", func() float64 { return float64(l.refusals.Load()) })
-	gauge("plantainmux_caller_connections_expired_total", func() float64 { return float64(l.expired.Load()) })
-	gauge("plantainmux_caller_connections_accepted_total", func() float64 { return float64(l.accepted.Load()) })
-	gauge("plantainmux_caller_connections_aborted_total", func() float64 { return float64(l.aborted.Load()) })
-	gauge("plantainmux_caller_connections_not_accepted_total", func() float64 { return float64(l.failures.Load()) })
-	gauge(`plantainmux_caller_heads_refused_total{reason="size"}`, func() float64 { return float64(l.headsTooLarge.Load()) })
-	gauge(`plantainmux_caller_heads_refused_total{reason="memory"}`, func() float64 { return float64(l.headsWithoutMemory.Load()) })
+// Register registers the metrics of the listener. labels tells it from other ones, as in `address="peers"`; empty for
+// that of the callers.
+func (l *Listener) Register(labels string, gauge func(name string, value func() float64)) {
+	register := func(name string, value func() float64, more ...string) {
+		if labels != "" {
+			more = append([]string{labels}, more...)
+		}
+		if name = "plantainmux_caller_" + name; len(more) > 0 {
+			name += "{" + strings.Join(more, ",") + "}"
+		}
+		gauge(name, value)
+	}
+	register("connections", func() float64 { return l.count(&l.open) })
+	register("connections_in_progress", func() float64 { return l.count(&l.inProgress) })
+	register("connections_limit", func() float64 { return float64(l.limit) })
+	for name, value := range map[string]*atomic.Int64{
+		"connections_displaced_total": &l.displaced, "connections_refused_total": &l.refusals, "connections_expired_total": &l.expired,
+		"connections_accepted_total": &l.accepted, "connections_aborted_total": &l.aborted, "connections_not_accepted_total": &l.failures,
+	} {
+		register(name, func() float64 { return float64(value.Load()) })
+	}
+	register("heads_refused_total", func() float64 { return float64(l.headsTooLarge.Load()) }, `reason="size"`)
+	register("heads_refused_total", func() float64 { return float64(l.headsWithoutMemory.Load()) }, `reason="memory"`)
 }
 
 // Accept implements net.Listener.
@@ -273,6 +284,6 @@
 	open, inProgress, neverUsed := l.open, l.inProgress, l.waiting[unused].Len()
 	l.mu.Unlock()
 	if due {
-		l.logger.Warn(message, append([]any{"open", open, "in_progress", inProgress, "unused", neverUsed, "limit", l.limit}, fields...)...)
+		l.logger.Warn(message, append([]any{"address", l.Addr().String(), "open", open, "in_progress", inProgress, "unused", neverUsed, "limit", l.limit}, fields...)...)
 	}
 }
--- a/internal/callerconn/serve.go
+++ b/internal/callerconn/serve.go
@@ -56,7 +56,10 @@
 	switch to {
 	case http.StateIdle:
 		l.move(c, idle)
-	case http.StateHijacked, http.StateClosed:
+	case http.StateHijacked:
+		c.hijacked.Store(true)
+		l.move(c, closed)
+	case http.StateClosed:
 		l.move(c, closed)
 	default: // a request counts from the end of its head on
 	}
--- a/internal/callerconn/tracked.go
+++ b/internal/callerconn/tracked.go
@@ -26,11 +26,15 @@
 	waiting  *list.Element // in the list of its state; nil: busy or closed
 
 	lingering atomic.Bool // it is closed once its last answer has arrived
+	hijacked  atomic.Bool // it has left the server
 }
 
 // Read implements net.Conn. What has arrived is read past the deadline too, which may have passed while the process
 // stood still.
 func (c *tracked) Read(into []byte) (int, error) {
+	if c.hijacked.Load() {
+		return c.Conn.Read(into)
+	}
 	n, err := c.Conn.Read(into)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		if n = c.readArrived(into); n > 0 {
@@ -51,6 +55,9 @@
 
 // Close implements net.Conn.
 func (c *tracked) Close() error {
+	if c.hijacked.Load() {
+		return c.Conn.Close()
+	}
 	kept := c.linger()
 	c.listener.move(c, closed)
 	if kept {
--- a/internal/callerconn/unread_test.go
+++ b/internal/callerconn/unread_test.go
@@ -161,7 +161,7 @@
 		Expect(listener.Finish(time.Now().Add(5 * time.Second))).To(BeZero())
 		callers.Wait()
 		gauges := map[string]func() float64{}
-		listener.Register(func(name string, value func() float64) { gauges[name] = value })
+		listener.Register("", func(name string, value func() float64) { gauges[name] = value })
 		Expect(gauges["plantainmux_caller_connections_aborted_total"]()).To(BeZero())
 	})
 
@@ -181,7 +181,7 @@
 		_, err = io.WriteString(conn, request)
 		Expect(err).NotTo(HaveOccurred())
 		gauges := map[string]func() float64{}
-		listener.Register(func(name string, value func() float64) { gauges[name] = value })
+		listener.Register("", func(name string, value func() float64) { gauges[name] = value })
 		Eventually(gauges["plantainmux_caller_connections"]).Should(BeEquivalentTo(1)) // the system accepts it a little later than the caller
 		began := time.Now()
 		Expect(listener.Finish(began.Add(300 * time.Millisecond))).To(Equal(1))
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"log/slog"
 	"math"
 	"net"
@@ -10,12 +11,16 @@
 	"strconv"
 	"time"
 
-	"github.com/plantainmux/plantainmux/internal/accept"
 	"github.com/plantainmux/plantainmux/internal/callerconn"
 	"github.com/plantainmux/plantainmux/internal/peer"
 	"github.com/plantainmux/plantainmux/internal/peerlog"
 )
 
+const (
+	otherHeadBytes    = 16 << 10         // largest head of a request that does not come from a caller
+	otherWriteTimeout = 15 * time.Second // of an answer to one, a read of the store included that waits for 5 s
+)
+
 // listen starts the servers for callers, the load balancer, the other daemons and monitoring.
 func (g *Gateway) listen() ([]*http.Server, error) {
 	own := http.NewServeMux()
@@ -23,28 +28,50 @@
 	own.HandleFunc("GET "+peer.Path, g.acceptLink)
 	own.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { g.writeMetrics(w) })
 	own.HandleFunc("GET "+StatusPath, g.serveStatus)
-	handlers := map[string]http.Handler{
-		g.settings.Listen.Readiness: g.adapters.Readiness(g),
-		g.peerAddress():             own,
+	others := map[string]other{
+		"readiness": {g.settings.Listen.Readiness, g.adapters.Readiness(g)},
+		"peers":     {g.peerAddress(), own},
 	}
-	if address := g.settings.Listen.Metrics; address != "" {
-		handlers[address] = own
+	if address := g.settings.Listen.Metrics; address != "" && address != g.peerAddress() {
+		others["metrics"] = other{address, own}
 	}
 	callers, err := g.listenForCallers()
 	if err != nil {
 		return nil, err
 	}
 	servers := []*http.Server{callers}
-	for address, handler := range handlers {
-		listener, err := net.Listen("tcp", address)
+	for name, other := range others {
+		server, err := g.listenForOthers(name, other)
 		if err != nil {
-			return nil, &ListenError{Address: address, Err: err}
+			return nil, err
 		}
-		servers = append(servers, g.serve(g.newServer(handler), accept.AlwaysLogged(listener, g.logger)))
+		servers = append(servers, server)
 	}
 	return servers, nil
 }
 
+// other is an address that is not for callers.
+type other struct {
+	address string
+	handler http.Handler
+}
+
+// listenForOthers starts the server of an address that is not for callers, which meets some all the same.
+func (g *Gateway) listenForOthers(name string, other other) (*http.Server, error) {
+	raw, err := callerconn.Listen(other.address, callerconn.OtherSocketBytes)
+	if err != nil {
+		return nil, &ListenError{Address: other.address, Err: err}
+	}
+	listener := callerconn.Wrap(raw, callerconn.OtherLimit(g.settings.Limits.FileDescriptors, g.memory()), g.logger)
+	listener.Register(fmt.Sprintf("address=%q", name), func(name string, value func() float64) { g.metrics.NewGauge(name, value) })
+	listener.LimitHeads(callerconn.HeadLimits{Bytes: func() int { return otherHeadBytes }, Account: g.held, Refusal: refusedHead})
+	refuse := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+	server := g.newServer(listener.Handler(other.handler, http.HandlerFunc(refuse)))
+	server.WriteTimeout = otherWriteTimeout
+	listener.Attach(server)
+	return g.serve(server, listener), nil
+}
+
 func (g *Gateway) listenForCallers() (*http.Server, error) {
 	address := g.settings.Listen.Callers
 	connections := callerconn.Limit(g.settings.Limits.FileDescriptors, g.memory())
@@ -53,13 +80,12 @@
 		return nil, &ListenError{Address: address, Err: err}
 	}
 	listener := callerconn.Wrap(raw, connections, g.logger)
-	listener.Register(func(name string, value func() float64) { g.metrics.NewGauge(name, value) })
+	listener.Register("", func(name string, value func() float64) { g.metrics.NewGauge(name, value) })
 	listener.LimitHeads(callerconn.HeadLimits{Bytes: g.headBytes, Account: g.held, Refusal: refusedHead})
 	g.callers.Store(listener)
 	handler := g.adapters.Callers(g)
 	server := g.newServer(listener.Handler(handler, http.HandlerFunc(handler.RefuseConnection)))
 	server.ReadHeaderTimeout, server.IdleTimeout = 0, 0 // expireConnections applies those of the configuration
-	server.MaxHeaderBytes = math.MaxInt32               // the listener applies that of the configuration
 	listener.Attach(server)
 	return g.serve(server, listener), nil
 }
@@ -67,7 +93,8 @@
 func (g *Gateway) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug),
-		DisableGeneralOptionsHandler: true, // which answers "OPTIONS *" with a success that no endpoint gave
+		MaxHeaderBytes:               math.MaxInt32, // the listener limits heads
+		DisableGeneralOptionsHandler: true,          // which answers "OPTIONS *" with a success that no endpoint gave
 	}
 }
 
