Held bytes: small requests are served beside large ones that do not end

What callers saw: while some callers sent large bodies but for their last bytes, every other request with a body was refused for want of memory until their deadlines.

Cause: all bodies share one limit, and those that stand still keep theirs.

Change: bodies that announce 16 KB at most may use an eighth of the limit whatever the others hold; answers keep the other half of their reserve. Specs of the account count both kinds of requests.

--- a/internal/heldbytes/account.go
+++ b/internal/heldbytes/account.go
@@ -12,7 +12,10 @@
 	// reservedShare is what bodies of requests, heads and events of slow callers leave to others, so that they do not
 	// keep answers that are ready from being delivered.
 	reservedShare = 0.25
-	headShare     = 0.25 // heads may use, so that they leave room for bodies
+	// smallShare is what small requests may use whatever the others hold, so that ordinary callers are served beside
+	// some that hold much and do not go on.
+	smallShare = 0.125
+	headShare  = 0.25 // heads may use, so that they leave room for bodies
 )
 
 // Account counts the bytes that are held. It is safe for concurrent use.
@@ -79,6 +82,8 @@
 	switch {
 	case kind == Answers:
 		limit = a.limit
+	case kind == SmallRequests && held <= share(smallShare):
+		return nil
 	case kind == Heads && held > share(headShare):
 		limit, total = share(headShare), held
 	}
--- a/internal/heldbytes/account_test.go
+++ b/internal/heldbytes/account_test.go
@@ -22,6 +22,20 @@
 		account = heldbytes.NewAccount(1<<20, set)
 	})
 
+	bodies := func() int64 { return account.Held(heldbytes.Requests) + account.Held(heldbytes.SmallRequests) }
+
+	// Guards against large bodies and heads that leave no memory for ordinary requests, and against many of either that
+	// leave none for the others.
+	It("holds small requests beside others that use all they may, and heads up to their share", func() {
+		Expect(account.Hold(heldbytes.Heads, 1<<18)).To(Succeed())
+		Expect(account.Hold(heldbytes.Heads, 1)).NotTo(Succeed())
+		Expect(account.Hold(heldbytes.Requests, 1<<19)).To(Succeed())
+		Expect(account.Hold(heldbytes.Requests, 1)).NotTo(Succeed())
+		Expect(account.Hold(heldbytes.SmallRequests, 1<<17)).To(Succeed())
+		Expect(account.Hold(heldbytes.SmallRequests, 1)).NotTo(Succeed())
+		Expect(account.Hold(heldbytes.Answers, 1<<17)).To(Succeed())
+	})
+
 	// Guards against requests and slow callers that leave no memory for answers that are ready.
 	It("refuses requests and events before answers", func() {
 		Expect(account.Hold(heldbytes.Requests, 3<<18)).To(Succeed())
@@ -49,12 +63,12 @@
 		data, release, err := account.ReadRequest(iotest.HalfReader(strings.NewReader(sent)), length)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(data) == sent).To(BeTrue())
-		Expect(account.Held(heldbytes.Requests)).To(And(BeNumerically(">=", size), BeNumerically("<=", max(2*size, 64<<10))))
+		Expect(bodies()).To(And(BeNumerically(">=", size), BeNumerically("<=", max(2*size, 64<<10))))
 		if known {
-			Expect(account.Held(heldbytes.Requests)).To(BeEquivalentTo(size))
+			Expect(bodies()).To(BeEquivalentTo(size))
 		}
 		release()
-		Expect(account.Held(heldbytes.Requests)).To(BeZero())
+		Expect(bodies()).To(BeZero())
 	},
 		Entry("empty", 0, true), Entry("empty, length unknown", 0, false), Entry("short", 100, true), Entry("short, length unknown", 100, false),
 		Entry("of the first buffer", 64<<10, true), Entry("of the first buffer, length unknown", 64<<10, false), Entry("long", 300_001, true), Entry("long, length unknown", 300_001, false),
--- a/internal/heldbytes/read_body.go
+++ b/internal/heldbytes/read_body.go
@@ -6,14 +6,21 @@
 // announces a long body and sends none holds no more.
 const firstReadBytes = 64 << 10
 
+// smallRequestBytes is the length up to which a body that announces it counts as small: most prompts have less.
+const smallRequestBytes = 16 << 10
+
 // ReadRequest reads the body of a request. length is the length of the body, negative if it is not
 // known. If the limit does not allow for the body, it fails with a LimitError, before anything is
 // read where the length is known. The caller calls release once, also after an error.
 func (a *Account) ReadRequest(body io.Reader, length int64) (data []byte, release func(), err error) {
 	counted := int64(0)
-	release = func() { a.Release(Requests, counted) }
+	kind := Requests
+	if length >= 0 && length <= smallRequestBytes {
+		kind = SmallRequests
+	}
+	release = func() { a.Release(kind, counted) }
 	if length > 0 {
-		if err := a.Fits(Requests, length); err != nil {
+		if err := a.Fits(kind, length); err != nil {
 			return nil, release, err
 		}
 	}
@@ -23,7 +30,7 @@
 	}
 	for growth := first; ; growth = nextGrowth(int64(len(data)), length) {
 		if len(data) == cap(data) && growth > 0 {
-			if err := a.Hold(Requests, growth); err != nil {
+			if err := a.Hold(kind, growth); err != nil {
 				return nil, release, err
 			}
 			counted += growth
