Own interface: bodies and their decoded form count toward the memory

What callers saw: clients with a team's key that send bodies of legal size, whole ones of very many messages or some that stop before their last byte, ended a daemon for want of memory.

Cause: this interface had no limit of memory. A body was read without an account; each message of a chat became a value of its own (16 times the body) and a hash that was kept as long as the request.

Bodies are held in heldbytes' account, and twice their length while they are decoded; what does not fit is refused as overloaded, not run, with Retry-After. Messages are decoded one at a time; the first 4,096 have a hash. The number of connections follows the memory too.

--- a/cmd/plantainmuxd/main.go
+++ b/cmd/plantainmuxd/main.go
@@ -50,6 +50,7 @@
 		logger.Error("settings invalid", "error", err)
 		return exitSettings
 	}
+	limitMemory(loaded.Limits.MemoryMB)
 	d, err := daemon.New(loaded, daemon.NewAdapters(loaded), logger)
 	if err != nil {
 		logger.Error("daemon failed to start", "error", err)
--- a/cmd/plantainmuxd/on_platform.go
+++ b/cmd/plantainmuxd/on_platform.go
@@ -51,7 +51,12 @@
 // the memory, the soft memory limit of the Go runtime.
 func configureGC(s gateway.Settings) {
 	debug.SetGCPercent(collectorPercent)
-	if s.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB) * bytesPerMB))
+	limitMemory(s.Limits.MemoryMB)
+}
+
+// limitMemory sets the soft memory limit of the Go runtime, if the memory of the process is limited.
+func limitMemory(memoryMB int) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(memoryMB) * bytesPerMB))
 	}
 }
--- a/cmd/plantainmuxd/standalone_rig_test.go
+++ b/cmd/plantainmuxd/standalone_rig_test.go
@@ -29,6 +29,8 @@
 type standaloneProcess struct {
 	callers string // address
 	admin   string // address
+	peer    string // address
+	limits  string // line of the settings; empty: the defaults
 	tls     settings.TLS
 	service *fakes.Service
 	session *gexec.Session
@@ -37,8 +39,13 @@
 // startStandaloneProcess starts a daemon, with certificates if secured is set and with more services beside that of
 // the orders, and waits until it answers orders.
 func startStandaloneProcess(secured bool, more ...config.Service) *standaloneProcess {
+	return startLimitedStandalone("", secured, more...)
+}
+
+// startLimitedStandalone does the same with limits in the daemon's settings.
+func startLimitedStandalone(limits string, secured bool, more ...config.Service) *standaloneProcess {
 	dir := GinkgoT().TempDir()
-	d := &standaloneProcess{callers: unusedAddress(), admin: unusedAddress(), service: fakes.NewService(false)}
+	d := &standaloneProcess{callers: unusedAddress(), admin: unusedAddress(), peer: unusedAddress(), limits: limits, service: fakes.NewService(false)}
 	if secured {
 		d.tls = testbed.NewAuthority(dir).Issue(dir)
 	}
@@ -77,7 +84,10 @@
 peer_secret: %s
 admin_token: %s
 timing: {drain_notice_ms: %d}
-`, d.callers, unusedAddress(), d.admin, platform.Log, platform.VMs, testbed.PeerSecret, testbed.AdminToken, drainNotice.Milliseconds())
+`, d.callers, d.peer, d.admin, platform.Log, platform.VMs, testbed.PeerSecret, testbed.AdminToken, drainNotice.Milliseconds())
+	if d.limits != "" {
+		text += d.limits + "\n"
+	}
 	if d.tls.Certificate != "" {
 		text += fmt.Sprintf("tls: {certificate: %q, key: %q}\n", d.tls.Certificate, d.tls.Key)
 	}
--- a/internal/callerapi/completion_request.go
+++ b/internal/callerapi/completion_request.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,9 +10,9 @@
 
 	"github.com/google/uuid"
 
-	"github.com/plantainmux/plantainmux/internal/callerconn"
 	"github.com/plantainmux/plantainmux/internal/config"
 	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/heldbytes"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 	"github.com/plantainmux/plantainmux/internal/request"
 )
@@ -25,6 +23,9 @@
 // maxDeadlineMillis is the maximum timeout of a request, one day.
 const maxDeadlineMillis = 24 * 60 * 60 * 1000
 
+// decodedCopies is how often the text of a body is copied while it is decoded.
+const decodedCopies = 2
+
 // adapterSeparator separates the name of a model from that of its adapter.
 const adapterSeparator = ":"
 
@@ -39,13 +40,14 @@
 	request.Prompt
 }
 
-// readCompletion reads and validates the body of a completion.
-func (s *Server) readCompletion(r *http.Request, team config.Team) (*request.Request, completionRequest, *refusal.Refusal) {
+// newCompletion validates the body of a completion.
+func (s *Server) newCompletion(r *http.Request, body []byte, team config.Team) (*request.Request, completionRequest, *refusal.Refusal) {
 	var parsed completionRequest
-	body, refused := s.readBody(r)
-	if refused != nil {
-		return nil, parsed, refused
+	decoded := int64(decodedCopies * len(body))
+	if err := s.Held.Hold(heldbytes.Requests, decoded); err != nil {
+		return nil, parsed, outOfMemory(err)
 	}
+	defer s.Held.Release(heldbytes.Requests, decoded)
 	if err := json.Unmarshal(body, &parsed); err != nil {
 		return nil, parsed, refusal.New(refusal.Malformed, 0, "the body is not valid JSON: "+err.Error())
 	}
@@ -68,24 +70,10 @@
 		PartHashes:  parsed.PartHashes(fleet.ModelName(name), adapter),
 		Deadline:    deadline,
 	}
+	parsed.Prompt = request.Prompt{} // copies of what is in the body
 	return req, parsed, nil
 }
 
-func (s *Server) readBody(r *http.Request) ([]byte, *refusal.Refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, s.BodyLimit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, refusal.New(refusal.TooLarge, 0, "the body exceeds "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
-	}
-	if err != nil {
-		return nil, refusal.New(refusal.Malformed, 0, "the body could not be read")
-	}
-	if callerconn.Left(r.Context()) {
-		return nil, refusal.New(refusal.CallerGone, 0, "the caller left before its request was read")
-	}
-	return body, nil
-}
-
 func (s *Server) deadline(r *http.Request) (time.Time, *refusal.Refusal) {
 	value := r.Header.Get(deadlineHeader)
 	if value == "" {
--- a/internal/callerapi/completions.go
+++ b/internal/callerapi/completions.go
@@ -22,7 +22,13 @@
 
 // complete admits a completion, runs it and sends the answer.
 func (s *Server) complete(w http.ResponseWriter, r *http.Request, team config.Team, format answerFormat) {
-	req, parsed, refused := s.readCompletion(r, team)
+	body, release, refused := s.readBody(w, r)
+	defer release()
+	if refused != nil {
+		s.refuse(w, refused)
+		return
+	}
+	req, parsed, refused := s.newCompletion(r, body, team)
 	if refused != nil {
 		s.refuse(w, refused)
 		return
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -6,9 +6,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/plantainmux/plantainmux/internal/admit"
 	"github.com/plantainmux/plantainmux/internal/evidence"
 	"github.com/plantainmux/plantainmux/internal/fleet"
+	"github.com/plantainmux/plantainmux/internal/heldbytes"
 	"github.com/plantainmux/plantainmux/internal/metric"
 	"github.com/plantainmux/plantainmux/internal/refusal"
 	"github.com/plantainmux/plantainmux/internal/relay"
@@ -27,7 +30,8 @@
 	Metrics         *metric.Set
 	Evidence        *evidence.Recorder
 	Logger          *slog.Logger
-	BodyLimit       int64 // bytes
+	Held            *heldbytes.Account // counts and limits what is held for requests; nil: not limited
+	BodyLimit       int64              // bytes
 	DefaultDeadline time.Duration
 	BodyTimeout     time.Duration // to read the body of a request; 0: bodyTimeout
 	WriteTimeout    time.Duration // of one write to a caller; 0: writeTimeout
@@ -41,6 +45,9 @@
 
 // New returns a server.
 func New(dependencies Dependencies) *Server {
+	if dependencies.Held == nil {
+		dependencies.Held = heldbytes.NewAccount(0, metrics.NewSet())
+	}
 	return &Server{Dependencies: dependencies}
 }
 
--- a/internal/callerapi/service.go
+++ b/internal/callerapi/service.go
@@ -24,7 +24,8 @@
 		s.refuse(w, refused)
 		return
 	}
-	body, refused := s.readBody(r)
+	body, release, refused := s.readBody(w, r)
+	defer release()
 	if refused != nil {
 		s.refuse(w, refused)
 		return
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/plantainmux/plantainmux/internal/forward"
 	"github.com/plantainmux/plantainmux/internal/group"
 	"github.com/plantainmux/plantainmux/internal/groupsync"
+	"github.com/plantainmux/plantainmux/internal/heldbytes"
 	"github.com/plantainmux/plantainmux/internal/logstream"
 	"github.com/plantainmux/plantainmux/internal/metric"
 	"github.com/plantainmux/plantainmux/internal/peer"
@@ -76,8 +77,9 @@
 	spill *spill.Server
 
 	endpoints *forward.Router
-	paths     *forward.LinkPool // daemons through which this one forwards
-	leaders   knownLeaders      // by the review of the endpoints alone
+	paths     *forward.LinkPool  // daemons through which this one forwards
+	leaders   knownLeaders       // by the review of the endpoints alone
+	held      *heldbytes.Account // for requests of callers
 	caller    *callerapi.Server
 	admin     *adminapi.Server
 
@@ -85,6 +87,7 @@
 	adminListener  net.Listener
 	peerListener   net.Listener
 
+	memory    int64 // that this process may use, in bytes; 0: not known
 	tls       tlsConfigs
 	inFlight  *inFlight
 	draining  atomic.Bool
@@ -111,6 +114,8 @@
 		pool:     pond.NewPool(s.Limits.Workers),
 		views:    view.NewStore(),
 	}
+	d.memory = memoryLimit(s.Limits.MemoryMB)
+	d.held = heldbytes.NewAccount(int64(heldShare*float64(d.memory)), d.metrics.Metrics())
 	var err error
 	if d.tls, err = loadTLS(s.TLS); err != nil {
 		return nil, err
@@ -192,6 +197,7 @@
 		Metrics:         d.metrics,
 		Evidence:        d.evidence,
 		Logger:          d.logger,
+		Held:            d.held,
 		BodyLimit:       d.settings.Limits.BodyBytes,
 		DefaultDeadline: settings.Millis(d.settings.Timing.DefaultWaitMS),
 	})
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return &ListenError{Name: "caller", Err: merry.Wrap(err)}
 	}
-	d.callerListener = callerconn.Wrap(callers, callerconn.Limit(0, 0), d.logger)
+	d.callerListener = callerconn.Wrap(callers, callerconn.Limit(0, d.memory), d.logger)
 	d.callerListener.Register("", d.metrics.Gauge)
 	if d.adminListener, err = net.Listen("tcp", d.settings.Listen.Admin); err != nil {
 		return &ListenError{Name: "admin", Err: merry.Wrap(err)}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -67,6 +67,9 @@
 // Inc increments the counter with a name.
 func (s *Set) Inc(name string) { s.set.GetOrCreateCounter(name).Inc() }
 
+// Metrics returns the set in which all are registered.
+func (s *Set) Metrics() *metrics.Set { return s.set }
+
 // Refused counts a refused request.
 func (s *Set) Refused(reason refusal.Reason) {
 	if counter, ok := s.refusals[reason]; ok {
--- a/internal/request/parts.go
+++ b/internal/request/parts.go
@@ -1,24 +1,38 @@
 package request
 
 import (
+	"bytes"
 	"encoding/json"
 
 	"github.com/plantainmux/plantainmux/internal/fleet"
 )
 
-// PartHashes returns a hash for each message of a chat but the last, which belongs to the request.
-// Unlike a block hash, it does not depend on what stands before the message. A completion has no
+// maxParts is the maximum number of hashed parts per prompt: they are kept as long as the request, and a body has room
+// for hundreds of thousands of messages.
+const maxParts = 4096
+
+// PartHashes returns a hash for each message of a chat but the last, which belongs to the request, of the first
+// maxParts. Unlike a block hash, it does not depend on what stands before the message. A completion has no
 // parts that can be told apart.
 func (p Prompt) PartHashes(model fleet.ModelName, adapter string) []uint64 {
-	var messages []json.RawMessage
-	if len(p.Messages) == 0 || json.Unmarshal(p.Messages, &messages) != nil || len(messages) < 2 {
+	messages := json.NewDecoder(bytes.NewReader(p.Messages)) // one at a time
+	if begin, err := messages.Token(); err != nil || begin != json.Delim('[') {
 		return nil
 	}
-	hashes := make([]uint64, 0, len(messages)-1)
-	for _, message := range messages[:len(messages)-1] {
-		hashes = append(hashes, Fingerprint(model, adapter, message))
+	var hashes []uint64
+	for messages.More() {
+		var message json.RawMessage
+		if messages.Decode(&message) != nil {
+			return nil
+		}
+		if hashes = append(hashes, Fingerprint(model, adapter, message)); len(hashes) > maxParts {
+			break
+		}
+	}
+	if len(hashes) < 2 {
+		return nil
 	}
-	return hashes
+	return hashes[:len(hashes)-1]
 }
 
 // PartHashes returns the part hashes of the prompt in a caller's body, nil if the body is not
