Own interface: heads count toward the memory, also over TLS and at the other addresses

What callers saw: heads of 1 MB of short fields, with or without a key, over TLS or not, at the addresses of callers, operators and peers, ended a daemon for want of memory.

Cause: net/http's limit of 1 MB, times the connections, of which only callers' were limited.

Change: limits.head_bytes (64 KB by default) and the account of heads hold for callers; over TLS the heads are counted as they are decrypted. The addresses of operators and peers take 16 KB and 1,024 connections.

--- a/cmd/plantainmuxd/crowd_standalone_test.go
+++ b/cmd/plantainmuxd/crowd_standalone_test.go
@@ -29,6 +29,10 @@
 	return "POST " + path + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + testbed.TeamKey + "\r\n"
 }
 
+func ownHeads(path string) func(io.Writer) error {
+	return writes(ownHead(path) + shortFields(beyondBytes) + "Content-Length: 10\r\n\r\nninebytes")
+}
+
 // manyMessages returns a client whose body has as many messages as fit.
 func manyMessages(model string) func(io.Writer) error {
 	body := fmt.Sprintf(`{"model":%q,"messages":[{}%s]}`, model, strings.Repeat(",{}", 330000))
@@ -73,6 +77,8 @@
 }
 
 func ownCallers(d *standaloneProcess) string { return d.callers }
+func ownAdmin(d *standaloneProcess) string   { return d.admin }
+func ownPeer(d *standaloneProcess) string    { return d.peer }
 
 // Guards against clients of the project's own interface that end a daemon, or keep it from serving others.
 var _ = Describe("Crowds of clients of the own interface", Label("crowd"), func() {
@@ -85,6 +91,12 @@
 		Entry("bodies but for one byte", ownCallers, false, ownBodies(chats)),
 		Entry("bodies but for one byte, of a service", ownCallers, false, ownBodies("/v1/services/orders/orders")),
 		Entry("bodies but for one byte, unknown path", ownCallers, false, ownBodies("/none")),
+		Entry("heads beyond the limit, of short fields", ownCallers, false, ownHeads(chats)),
+		Entry("heads beyond the limit, of short fields, unknown path", ownCallers, false, ownHeads("/none")),
+		Entry("heads beyond the limit, of short fields, operators' address", ownAdmin, false, ownHeads("/readyz")),
+		Entry("heads beyond the limit, of short fields, peers' address", ownPeer, false, ownHeads("/peer")),
+		Entry("requests sent ahead", ownCallers, false, writes(strings.Repeat(ownHead("/none")+"Content-Length: 0\r\n\r\n", aheadCount))),
+		Entry("heads beyond the limit, of short fields, TLS", ownCallers, true, secured(ownHeads(chats))),
 		Entry("bodies of many messages, TLS", ownCallers, true, secured(manyMessages("swatch-draft"))),
 		Entry("one byte before a handshake", ownCallers, true, oneByte),
 	)
--- a/internal/accept/accept_error_test.go
+++ b/internal/accept/accept_error_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -35,7 +34,7 @@
 var _ = DescribeTable("A listener that failed to accept a connection accepts the next", func(errno syscall.Errno) {
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	listener := accept.AlwaysLogged(&failingListener{Listener: raw, errno: errno}, slog.New(slog.DiscardHandler))
+	listener := accept.Always(&failingListener{Listener: raw, errno: errno}, func(error) {})
 	server := &http.Server{Handler: http.NotFoundHandler()}
 	go func() { _ = server.Serve(listener) }()
 	DeferCleanup(server.Close)
--- a/internal/callerconn/tracked.go
+++ b/internal/callerconn/tracked.go
@@ -27,6 +27,7 @@
 
 	lingering atomic.Bool // it is closed once its last answer has arrived
 	hijacked  atomic.Bool // it has left the server
+	encrypted bool        // what is read from it is not what the server reads; set before it is served
 }
 
 // Read implements net.Conn. What has arrived is read past the deadline too, which may have passed while the process
@@ -46,8 +47,10 @@
 			c.reading.Store(time.Now().UnixNano())
 		}
 		c.received.Add(uint64(n)) // last, as unread tells from it what reading does not show yet
-		if refused := c.listener.countHead(c, into[:n], len(into)); refused != headAllowed {
-			return 0, c.refuse(c.Conn, refused)
+		if !c.encrypted {
+			if refused := c.listener.countHead(c, into[:n], len(into)); refused != headAllowed {
+				return 0, c.refuse(c.Conn, refused)
+			}
 		}
 	}
 	return n, err
@@ -78,7 +81,11 @@
 
 // SyscallConn implements syscall.Conn.
 func (c *tracked) SyscallConn() (syscall.RawConn, error) {
-	raw, ok := c.Conn.(syscall.Conn)
+	conn := c.Conn
+	for inner, wrapped := conn.(interface{ NetConn() net.Conn }); wrapped; inner, wrapped = conn.(interface{ NetConn() net.Conn }) {
+		conn = inner.NetConn()
+	}
+	raw, ok := conn.(syscall.Conn)
 	if !ok {
 		return nil, errors.ErrUnsupported
 	}
@@ -90,6 +97,8 @@
 	switch conn := conn.(type) {
 	case *tracked:
 		return conn
+	case *secured:
+		return conn.tracked
 	case *tls.Conn:
 		return trackedOf(conn.NetConn())
 	}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -4,13 +4,14 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/plantainmux/plantainmux/internal/accept"
 	"github.com/plantainmux/plantainmux/internal/callerconn"
 	"github.com/plantainmux/plantainmux/internal/traffic"
 	"github.com/plantainmux/plantainmux/internal/wait"
@@ -21,6 +22,9 @@
 	headerTimeout = 10 * time.Second // to receive the header of a request
 	idleTimeout   = 2 * time.Minute  // between two requests; longer than the keep-alive time of common load balancers
 	expiryPeriod  = time.Second      // between two looks at the timeouts of callers' connections
+
+	otherHeadBytes   = 16 << 10 // largest head of a request that does not come from a caller
+	otherConnections = 1024     // without those that have become links to peers
 )
 
 // CallerAddress returns the address of the listener for callers.
@@ -33,11 +37,13 @@
 func (d *Daemon) PeerAddress() string { return d.peerListener.Addr().String() }
 
 func (d *Daemon) listen() error {
-	callers, err := net.Listen("tcp", d.settings.Listen.Caller)
+	connections := callerconn.Limit(0, d.memory)
+	callers, err := callerconn.Listen(d.settings.Listen.Caller, callerconn.SocketBytes(d.memory, connections))
 	if err != nil {
 		return &ListenError{Name: "caller", Err: merry.Wrap(err)}
 	}
-	d.callerListener = callerconn.Wrap(callers, callerconn.Limit(0, d.memory), d.logger)
+	d.callerListener = callerconn.Wrap(callers, connections, d.logger)
+	d.callerListener.LimitHeads(callerconn.HeadLimits{Bytes: func() int { return d.settings.Limits.HeadBytes }, Account: d.held, Refusal: refusedHead})
 	d.callerListener.Register("", d.metrics.Gauge)
 	if d.adminListener, err = net.Listen("tcp", d.settings.Listen.Admin); err != nil {
 		return &ListenError{Name: "admin", Err: merry.Wrap(err)}
@@ -56,12 +62,12 @@
 func (d *Daemon) Run(ctx context.Context) {
 	background, cancel := context.WithCancel(d.killed)
 	d.startControl(background)
-	peers := d.serve(withTLS(d.peerListener, d.tls.peer), d.mesh.Handler())
+	peers := d.serve("peers", d.peerListener, d.tls.peer, d.mesh.Handler())
 	d.tasks.Go(d.mesh.Run)
 	callers := d.serveCallers()
 	context.AfterFunc(d.killed, func() { _ = callers.Close() })
 	d.tasks.Go(func() { d.expireConnections(background) })
-	admins := d.serve(withTLS(d.adminListener, d.tls.admin), d.admin.Handler())
+	admins := d.serve("operators", d.adminListener, d.tls.admin, d.admin.Handler())
 	d.logger.Info("daemon started", "caller", d.CallerAddress(), "admin", d.AdminAddress(), "peer", d.PeerAddress())
 	select {
 	case <-ctx.Done():
@@ -104,19 +110,29 @@
 	server := d.newServer(d.inFlight)
 	server.ReadHeaderTimeout, server.IdleTimeout = 0, 0 // expireConnections applies them
 	d.callerListener.Attach(server)
-	d.start(server, withTLS(d.callerListener, d.tls.caller))
+	d.start(server, d.callerListener.Secured(d.tls.caller))
 	return server
 }
 
-func (d *Daemon) serve(listener net.Listener, handler http.Handler) *http.Server {
-	server := d.newServer(handler)
-	d.start(server, accept.AlwaysLogged(listener, d.logger))
+// serve starts the server of an address that is not for callers.
+func (d *Daemon) serve(name string, raw net.Listener, config *tls.Config, handler http.Handler) *http.Server {
+	listener := callerconn.Wrap(raw, otherConnections, d.logger)
+	listener.Register(fmt.Sprintf("address=%q", name), d.metrics.Gauge)
+	if config == nil { // what arrives over TLS cannot be read here: the server limits it
+		listener.LimitHeads(callerconn.HeadLimits{Bytes: func() int { return otherHeadBytes }, Account: d.held, Refusal: refusedHead})
+	}
+	refuse := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+	server := d.newServer(listener.Handler(handler, http.HandlerFunc(refuse)))
+	server.MaxHeaderBytes = otherHeadBytes
+	listener.Attach(server)
+	d.start(server, withTLS(listener, config))
 	return server
 }
 
 func (d *Daemon) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
+		MaxHeaderBytes:    math.MaxInt32, // the listener limits those of callers
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		BaseContext:       func(net.Listener) context.Context { return d.killed },
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -5,6 +5,7 @@
 // Default values of Limits and Timing. Names ending in MS are in milliseconds.
 const (
 	DefaultBodyBytes        = 1 << 20
+	DefaultHeadBytes        = 64 << 10
 	DefaultQueueLength      = 256
 	DefaultQueueWaitMS      = 500
 	DefaultWorkers          = 64
@@ -22,6 +23,7 @@
 // to its default.
 func (s Settings) WithDefaults() Settings {
 	setDefault(&s.Limits.BodyBytes, DefaultBodyBytes)
+	setDefault(&s.Limits.HeadBytes, DefaultHeadBytes)
 	setDefault(&s.Limits.QueueLength, DefaultQueueLength)
 	setDefault(&s.Limits.QueueWaitMS, DefaultQueueWaitMS)
 	setDefault(&s.Limits.Workers, DefaultWorkers)
--- a/internal/settings/reference.go
+++ b/internal/settings/reference.go
@@ -24,6 +24,7 @@
 // numericFields holds the numeric fields by path.
 var numericFields = map[string]numericField{
 	"limits.body_bytes":        {"bytes", 1 << 10, 1 << 30, "largest body of a caller's request"},
+	"limits.head_bytes":        {"bytes", 1 << 10, 1 << 24, "largest head of a caller's request"},
 	"limits.memory_mb":         {"MB", 0, 1 << 24, "memory that the process may use; 0: that of the machine"},
 	"limits.queue_length":      {"requests", 1, 1 << 20, "requests that wait for capacity"},
 	"limits.queue_wait_ms":     {"ms", 1, hourMS, "longest wait for capacity"},
