Callers: a request that does not arrive whole makes room for others

Cause: a request counted as in progress from the end of its head on.

Change: when all connections are taken, the request whose body has been awaited for longest is ended once that is a second, at once if it is answered already: 408, which promises that it did not run. One that has arrived whole is never ended. A daemon that would make room so is ready.

--- a/internal/callerapi/body.go
+++ b/internal/callerapi/body.go
@@ -34,6 +34,7 @@
 	case err != nil:
 		return nil, release, refusal.New(refusal.Malformed, 0, "the body could not be read")
 	}
+	callerconn.Received(r.Context())
 	if callerconn.Left(r.Context()) {
 		return nil, release, refusal.New(refusal.CallerGone, 0, "the caller left before its request was read")
 	}
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -47,7 +47,9 @@
 	queuedSince  time.Time // since when looks find connections to accept and none accepted; zero: they do not
 	acceptedThen int64     // connections accepted by queuedSince
 	unplaced     unplaced
-	timeouts     Timeouts // as last applied; zero: none yet
+	uploads      *list.List // of *tracked whose requests have not arrived whole, the one that began first in front
+	yielding     int        // connections that are to be closed since their requests did not arrive
+	timeouts     Timeouts   // as last applied; zero: none yet
 
 	heads         HeadLimits
 	refusedHeadAt time.Time // as last logged
@@ -55,6 +57,7 @@
 	displaced atomic.Int64 // closed for a new one
 	refusals  atomic.Int64
 	failures  atomic.Int64 // not accepted
+	yielded   atomic.Int64 // requests that did not arrive whole and made room
 	expired   atomic.Int64 // closed after a timeout
 	aborted   atomic.Int64 // closed while a request was read that had not arrived before
 	accepted  atomic.Int64
@@ -68,7 +71,7 @@
 
 // Wrap returns a listener that accepts connections from another one, up to a limit.
 func Wrap(listener net.Listener, limit int, logger *slog.Logger) *Listener {
-	l := &Listener{limit: limit, logger: logger, waiting: [2]*list.List{unused: list.New(), idle: list.New()}}
+	l := &Listener{limit: limit, logger: logger, waiting: [2]*list.List{unused: list.New(), idle: list.New()}, uploads: list.New()}
 	l.Listener = accept.Always(listener, l.reportFailure)
 	return l
 }
@@ -90,7 +93,7 @@
 	register("connections_limit", func() float64 { return float64(l.limit) })
 	for name, value := range map[string]*atomic.Int64{
 		"connections_displaced_total": &l.displaced, "connections_refused_total": &l.refusals, "connections_expired_total": &l.expired,
-		"connections_accepted_total": &l.accepted, "connections_aborted_total": &l.aborted, "connections_not_accepted_total": &l.failures,
+		"uploads_ended_total": &l.yielded, "connections_accepted_total": &l.accepted, "connections_aborted_total": &l.aborted, "connections_not_accepted_total": &l.failures,
 	} {
 		register(name, func() float64 { return float64(value.Load()) })
 	}
@@ -132,17 +135,18 @@
 	}
 }
 
-// Full reports whether all connections that callers may have are taken by requests in progress.
+// Full reports whether all connections that callers may have are taken by requests in progress, none of which would
+// make room.
 func (l *Listener) Full() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.inProgress >= l.limit
+	return l.inProgress >= l.limit && l.yieldable(time.Now()) == nil
 }
 
-// begin records that a request on a connection is in progress, until the connection is idle or
-// closed, and returns the state of the connection: refused if the request is to be refused, as too
+// begin records that a request on a connection is in progress, which has a body to be read if uploads is set, until the
+// connection is idle or closed, and returns the state of the connection: refused if the request is to be refused, as too
 // many others are in progress, and closed if the connection is being closed for a new one.
-func (l *Listener) begin(c *tracked) state {
+func (l *Listener) begin(c *tracked, uploads bool) state {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -150,11 +154,14 @@
 	case c.state == closed:
 		l.aborted.Add(1)
 	case c.state == busy:
-	case l.inProgress >= l.limit:
+	case l.inProgress >= l.limit && !l.yield(now):
 		l.refusals.Add(1)
 		l.set(c, refused, now)
 	default:
 		l.set(c, busy, now)
+		if uploads {
+			c.beginUpload()
+		}
 	}
 	return c.state
 }
@@ -165,7 +172,9 @@
 	l.mu.Lock()
 	var victim *tracked
 	if l.open >= l.limit {
-		victim = l.displace(now)
+		if victim = l.displace(now); victim == nil {
+			l.yield(now)
+		}
 	}
 	accepted := l.open < l.limit || victim != nil || l.open < l.limit+l.limit/refusalShare
 	if accepted {
@@ -243,6 +252,11 @@
 	}
 	if c.state == busy {
 		l.inProgress--
+		c.endUpload()
+	}
+	if c.yields {
+		c.yields = false
+		l.yielding--
 	}
 	c.state, c.since, c.timeouts = to, now, l.timeouts
 	c.reading.Store(0)
--- a/internal/callerconn/serve.go
+++ b/internal/callerconn/serve.go
@@ -25,10 +25,12 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if r.ContentLength != 0 {
+		uploads := r.ContentLength != 0
+		if uploads {
 			defer limitRest(w)
+			defer c.answered()
 		}
-		began := l.begin(c)
+		began := l.begin(c, uploads)
 		fits := l.settleHead(c, r)
 		switch {
 		case began == closed:
--- a/internal/callerconn/tracked.go
+++ b/internal/callerconn/tracked.go
@@ -21,23 +21,30 @@
 	reading  atomic.Int64  // Unix nanoseconds at which the first byte arrived since it took that state; 0: none has
 	received atomic.Uint64 // bytes read
 	head     head
+	upload   *list.Element // in the list of uploads; nil: the request in progress has arrived whole, or there is none
+	needless bool          // the upload's request has its answer
+	yields   bool          // it is to be closed since its request did not arrive
 	looks    int           // since the first byte of a request that has not begun
 	lookedAt time.Time     // last, to make room
 	waiting  *list.Element // in the list of its state; nil: busy or closed
 
 	lingering atomic.Bool // it is closed once its last answer has arrived
 	hijacked  atomic.Bool // it has left the server
+	yielded   atomic.Bool // its request is not read any further, and it is closed
 	encrypted bool        // what is read from it is not what the server reads; set before it is served
 }
 
 // Read implements net.Conn. What has arrived is read past the deadline too, which may have passed while the process
 // stood still.
 func (c *tracked) Read(into []byte) (int, error) {
-	if c.hijacked.Load() {
+	switch {
+	case c.hijacked.Load():
 		return c.Conn.Read(into)
+	case c.yielded.Load():
+		return 0, os.ErrDeadlineExceeded
 	}
 	n, err := c.Conn.Read(into)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.yielded.Load() {
 		if n = c.readArrived(into); n > 0 {
 			err = nil
 		}
