Logging: lines that wait are bounded by their bytes

Cause: 4,096 lines may wait, whatever their length; lines bear identifiers, hosts and paths.

Change: 2 MB of lines may wait. What finds no room is dropped and counted, as before.

--- a/cmd/plantainmuxd/crowd_kinds_test.go
+++ b/cmd/plantainmuxd/crowd_kinds_test.go
@@ -12,9 +12,10 @@
 	legalBytes  = 14 << 10  // of one within it, with its other fields
 	aheadCount  = 3000      // requests
 
-	answerCount  = 20    // requests with large answers
-	answerBytes  = 90000 // of such an answer
-	giganticBody = 2 << 30
+	identifierCount = 200   // requests with long identifiers
+	answerCount     = 20    // requests with large answers
+	answerBytes     = 90000 // of such an answer
+	giganticBody    = 2 << 30
 )
 
 // headOf returns the head of a request without its end.
@@ -64,6 +65,12 @@
 	return writes(headOf(path) + "\r\n" + headOf(path) + shortFields(4<<10-2*len(headOf(path))-8))
 }
 
+// longIdentifiers returns a client whose requests have identifiers as long as a head.
+func longIdentifiers(path string) func(io.Writer) error {
+	request := strings.Replace(headOf(path), ": crowd\r\n", ": "+strings.Repeat("x", legalBytes)+"\r\n", 1)
+	return writes(strings.Repeat(request+"Content-Length: 0\r\n\r\n", identifierCount))
+}
+
 func ahead(path string) func(io.Writer) error {
 	return writes(strings.Repeat(headOf(path)+"Content-Length: 0\r\n\r\n", aheadCount))
 }
--- a/cmd/plantainmuxd/crowd_test.go
+++ b/cmd/plantainmuxd/crowd_test.go
@@ -187,6 +187,9 @@
 		Entry("heads of legal size, of short fields, peers' address", crowdAddress(peersOf), crowdMost, true, legalHeads("/peer")),
 		Entry("heads of legal size behind a whole request, most clients", crowdAddress(callersOf), crowdMost, true, headsBehind(unrouted)),
 
+		Entry("long identifiers, no route", crowdAddress(callersOf), crowdMost, true, longIdentifiers(unrouted)),
+		Entry("long identifiers, routed", crowdAddress(callersOf), crowdMost, true, longIdentifiers(routed)),
+
 		Entry("requests sent ahead, routed", crowdAddress(callersOf), crowdSize, false, ahead(routed)),
 		Entry("requests sent ahead, no route", crowdAddress(callersOf), crowdSize, false, ahead(unrouted)),
 		Entry("requests sent ahead, readiness path", crowdAddress(callersOf), crowdSize, false, ahead(readiness)),
--- a/internal/logging/async_writer.go
+++ b/internal/logging/async_writer.go
@@ -10,6 +10,7 @@
 
 const (
 	queueCapacity = 4096
+	queueBytes    = 2 << 20               // lines may bear texts of callers
 	batchDelay    = 50 * time.Millisecond // maximum time to collect a batch
 	batchBytes    = 32 << 10              // batch size at which it is written early
 )
@@ -20,6 +21,7 @@
 type AsyncWriter struct {
 	out     io.Writer
 	lines   chan []byte
+	waiting atomic.Int64 // bytes in lines
 	dropped atomic.Uint64
 	done    chan struct{}
 	once    sync.Once
@@ -35,14 +37,24 @@
 // Write implements io.Writer. It copies the line and never blocks. It returns no
 // error if the line is dropped.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
+	size := int64(len(line))
+	if w.waiting.Add(size) > queueBytes {
+		w.drop(size)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
-		w.dropped.Add(1)
+		w.drop(size)
 	}
 	return len(line), nil
 }
 
+func (w *AsyncWriter) drop(size int64) {
+	w.waiting.Add(-size)
+	w.dropped.Add(1)
+}
+
 // Dropped returns the number of dropped lines.
 func (w *AsyncWriter) Dropped() uint64 { return w.dropped.Load() }
 
@@ -57,7 +69,7 @@
 	defer close(w.done)
 	reported := uint64(0)
 	for line := range w.lines {
-		batch := w.fillBatch(line)
+		batch := w.fillBatch(w.take(line))
 		if dropped := w.dropped.Load(); dropped != reported {
 			batch = append(batch, fmt.Sprintf(`{"level":"WARN","msg":"log lines dropped","count":%d}`+"\n", dropped-reported)...)
 			reported = dropped
@@ -66,6 +78,12 @@
 	}
 }
 
+// take counts a line as taken.
+func (w *AsyncWriter) take(line []byte) []byte {
+	w.waiting.Add(-int64(len(line)))
+	return line
+}
+
 // fillBatch adds lines to a batch until it has batchBytes or batchDelay has
 // passed, so that they are written with one call.
 func (w *AsyncWriter) fillBatch(batch []byte) []byte {
@@ -77,7 +95,7 @@
 			if !ok {
 				return batch
 			}
-			batch = append(batch, line...)
+			batch = append(batch, w.take(line)...)
 		case <-timer.C:
 			return batch
 		}
--- a/internal/logging/async_writer_test.go
+++ b/internal/logging/async_writer_test.go
@@ -59,3 +59,33 @@
 		Expect(strings.Count(out.String(), "line\n") + int(w.Dropped())).To(Equal(20000))
 	})
 })
+
+var _ = Describe("Long lines that wait", func() {
+	// Guards against lines with texts of callers that add up while the output is not read.
+	It("are dropped beyond 2 MB", func() {
+		released := make(chan struct{})
+		out := &blockedWriter{released: released}
+		w := logging.NewAsyncWriter(out)
+		line := []byte(strings.Repeat("x", 16<<10) + "\n")
+		for range 1000 {
+			_, err := w.Write(line)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(w.Dropped()).To(BeNumerically(">=", 1000-(2<<20+64<<10)/len(line)))
+		close(released)
+		w.Close()
+		Expect(out.written).To(BeNumerically(">", 1<<20))
+	})
+})
+
+// blockedWriter counts what is written once it is released.
+type blockedWriter struct {
+	released chan struct{}
+	written  int
+}
+
+func (w *blockedWriter) Write(data []byte) (int, error) {
+	<-w.released
+	w.written += len(data)
+	return len(data), nil
+}
