--- a/cmd/plantainmuxd/crowd_kinds_test.go
+++ b/cmd/plantainmuxd/crowd_kinds_test.go
@@ -65,6 +65,11 @@
 	return writes(headOf(path) + "\r\n" + headOf(path) + shortFields(4<<10-2*len(headOf(path))-8))
 }
 
+// manyParts sends a head whose prompt has as many parts as can be written in it.
+func manyParts(w io.Writer) error {
+	return writes(headOf("/talk/crowd") + "Model: big\r\nPrompt-Prefix: " + strings.Repeat(",", legalBytes) + "\r\nContent-Length: 10\r\n\r\nninebytes")(w)
+}
+
 // longIdentifiers returns a client whose requests have identifiers as long as a head.
 func longIdentifiers(path string) func(io.Writer) error {
 	request := strings.Replace(headOf(path), ": crowd\r\n", ": "+strings.Repeat("x", legalBytes)+"\r\n", 1)
--- a/cmd/plantainmuxd/crowd_test.go
+++ b/cmd/plantainmuxd/crowd_test.go
@@ -187,6 +187,8 @@
 		Entry("heads of legal size, of short fields, peers' address", crowdAddress(peersOf), crowdMost, true, legalHeads("/peer")),
 		Entry("heads of legal size behind a whole request, most clients", crowdAddress(callersOf), crowdMost, true, headsBehind(unrouted)),
 
+		Entry("heads of legal size, of many parts of a prompt, most clients", crowdAddress(callersOf), crowdMost, true, manyParts),
+
 		Entry("long identifiers, no route", crowdAddress(callersOf), crowdMost, true, longIdentifiers(unrouted)),
 		Entry("long identifiers, routed", crowdAddress(callersOf), crowdMost, true, longIdentifiers(routed)),
 
