Callers: a write has its limit from its own beginning

Cause: the deadline of the daemon's own answer was set as the answer was handed over. The server first waits up to a second for the rest of a body, and then wrote past the deadline.

Change: the listener limits each write that has no deadline of its own as it begins: 1 s for callers of the platform, 5 s on the own interface, 10 and 30 s at the other addresses.

Why it works: nothing is waited for between the deadline and the write.

--- a/internal/callerapi/refuse.go
+++ b/internal/callerapi/refuse.go
@@ -1,12 +1,10 @@
 package callerapi
 
 import (
-	"cmp"
 	"encoding/json"
 	"math"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/plantainmux/plantainmux/internal/refusal"
 )
@@ -21,8 +19,6 @@
 	if refused.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(retryAfterSeconds(refused)))
 	}
-	// A caller that has sent requests ahead and reads no answers blocks a refusal no longer than any other write.
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(cmp.Or(s.WriteTimeout, writeTimeout)))
 	w.WriteHeader(refused.Status())
 	_ = json.NewEncoder(w).Encode(newErrorBody(refused))
 }
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -51,6 +51,7 @@
 	yielding     int        // connections that are to be closed since their requests did not arrive
 	timeouts     Timeouts   // as last applied; zero: none yet
 
+	writePatience time.Duration // 0: not limited
 	heads         HeadLimits
 	refusedHeadAt time.Time // as last logged
 
--- a/internal/callerconn/serve.go
+++ b/internal/callerconn/serve.go
@@ -60,6 +60,7 @@
 		l.move(c, idle)
 	case http.StateHijacked:
 		c.hijacked.Store(true)
+		_ = c.Conn.SetWriteDeadline(time.Time{})
 		l.move(c, closed)
 	case http.StateClosed:
 		l.move(c, closed)
--- a/internal/callerconn/tracked.go
+++ b/internal/callerconn/tracked.go
@@ -30,8 +30,10 @@
 
 	lingering atomic.Bool // it is closed once its last answer has arrived
 	hijacked  atomic.Bool // it has left the server
-	yielded   atomic.Bool // its request is not read any further, and it is closed
-	encrypted bool        // what is read from it is not what the server reads; set before it is served
+
+	writeLimited atomic.Bool // the server or a handler has set a deadline of writes
+	yielded      atomic.Bool // its request is not read any further, and it is closed
+	encrypted    bool        // what is read from it is not what the server reads; set before it is served
 }
 
 // Read implements net.Conn. What has arrived is read past the deadline too, which may have passed while the process
--- a/internal/callerconn/upload_test.go
+++ b/internal/callerconn/upload_test.go
@@ -106,3 +106,50 @@
 		Eventually(ask, "900ms", "20ms").Should(Equal(http.StatusOK))
 	})
 })
+
+var _ = Describe("The write of an answer", func() {
+	var listener *callerconn.Listener
+	dial := func(text string) net.Conn {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = conn.Close() })
+		_, _ = io.WriteString(conn, text)
+		return conn
+	}
+	BeforeEach(func() {
+		raw, err := callerconn.Listen("127.0.0.1:0", 8<<10)
+		Expect(err).NotTo(HaveOccurred())
+		listener = callerconn.Wrap(raw, limit, slog.New(slog.DiscardHandler))
+		listener.LimitWrites(300 * time.Millisecond)
+		next := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) })
+		server := &http.Server{Handler: listener.Handler(next, next)}
+		listener.Attach(server)
+		DeferCleanup(server.Close)
+		go func() { _ = server.Serve(listener) }()
+	})
+
+	// Guards against an answer that is lost since the rest of a body was waited for before it was written.
+	It("is limited from its own beginning", func() {
+		conn := dial("POST /denied HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n")
+		Expect(conn.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusNotFound))
+	})
+
+	// Guards against callers that send requests ahead, read no answers and keep their connections for ever.
+	It("does not wait for ever for a caller that reads nothing", func() {
+		for range limit {
+			conn := dial("")
+			go func() { // until it is cut off
+				for {
+					if _, err := io.WriteString(conn, request); err != nil {
+						return
+					}
+				}
+			}()
+		}
+		Eventually(listener.Full, "5s", "1ms").Should(BeTrue())
+		Eventually(listener.Full, "5s").Should(BeFalse())
+	})
+})
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -23,8 +23,10 @@
 	idleTimeout   = 2 * time.Minute  // between two requests; longer than the keep-alive time of common load balancers
 	expiryPeriod  = time.Second      // between two looks at the timeouts of callers' connections
 
-	otherHeadBytes   = 16 << 10 // largest head of a request that does not come from a caller
-	otherConnections = 1024     // without those that have become links to peers
+	otherHeadBytes     = 16 << 10         // largest head of a request that does not come from a caller
+	otherConnections   = 1024             // without those that have become links to peers
+	writePatience      = 5 * time.Second  // of a write to a caller, as of an event
+	otherWritePatience = 30 * time.Second // of a write to a peer or an operator: profiles take that long
 )
 
 // CallerAddress returns the address of the listener for callers.
@@ -43,6 +45,7 @@
 		return &ListenError{Name: "caller", Err: merry.Wrap(err)}
 	}
 	d.callerListener = callerconn.Wrap(callers, connections, d.logger)
+	d.callerListener.LimitWrites(writePatience)
 	d.callerListener.LimitHeads(callerconn.HeadLimits{Bytes: func() int { return d.settings.Limits.HeadBytes }, Account: d.held, Refusal: refusedHead})
 	d.callerListener.Register("", d.metrics.Gauge)
 	if d.adminListener, err = net.Listen("tcp", d.settings.Listen.Admin); err != nil {
@@ -118,6 +121,7 @@
 func (d *Daemon) serve(name string, raw net.Listener, config *tls.Config, handler http.Handler) *http.Server {
 	listener := callerconn.Wrap(raw, otherConnections, d.logger)
 	listener.Register(fmt.Sprintf("address=%q", name), d.metrics.Gauge)
+	listener.LimitWrites(otherWritePatience)
 	if config == nil { // what arrives over TLS cannot be read here: the server limits it
 		listener.LimitHeads(callerconn.HeadLimits{Bytes: func() int { return otherHeadBytes }, Account: d.held, Refusal: refusedHead})
 	}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	otherHeadBytes    = 16 << 10         // largest head of a request that does not come from a caller
-	otherWriteTimeout = 15 * time.Second // of an answer to one, a read of the store included that waits for 5 s
+	otherHeadBytes     = 16 << 10         // largest head of a request that does not come from a caller
+	writePatience      = time.Second      // of a write of an answer of this daemon itself to a caller
+	otherWritePatience = 10 * time.Second // of a write to another daemon, which may stand still, or to monitoring
 )
 
 // listen starts the servers for callers, the load balancer, the other daemons and monitoring.
@@ -64,10 +65,10 @@
 	}
 	listener := callerconn.Wrap(raw, callerconn.OtherLimit(g.settings.Limits.FileDescriptors, g.memory()), g.logger)
 	listener.Register(fmt.Sprintf("address=%q", name), func(name string, value func() float64) { g.metrics.NewGauge(name, value) })
+	listener.LimitWrites(otherWritePatience)
 	listener.LimitHeads(callerconn.HeadLimits{Bytes: func() int { return otherHeadBytes }, Account: g.held, Refusal: refusedHead})
 	refuse := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
 	server := g.newServer(listener.Handler(other.handler, http.HandlerFunc(refuse)))
-	server.WriteTimeout = otherWriteTimeout
 	listener.Attach(server)
 	return g.serve(server, listener), nil
 }
@@ -81,6 +82,7 @@
 	}
 	listener := callerconn.Wrap(raw, connections, g.logger)
 	listener.Register("", func(name string, value func() float64) { g.metrics.NewGauge(name, value) })
+	listener.LimitWrites(writePatience)
 	listener.LimitHeads(callerconn.HeadLimits{Bytes: g.headBytes, Account: g.held, Refusal: refusedHead})
 	g.callers.Store(listener)
 	handler := g.adapters.Callers(g)
