--- a/cmd/plantainmuxd/crowd_kinds_test.go
+++ b/cmd/plantainmuxd/crowd_kinds_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"time"
 )
 
 const (
@@ -44,6 +45,19 @@
 	}
 }
 
+// slowly returns a client that sends a text in pieces of 100 bytes, with pauses.
+func slowly(text string) func(io.Writer) error {
+	return func(w io.Writer) error {
+		for begin := 0; begin < len(text); begin += 100 {
+			if _, err := io.WriteString(w, text[begin:min(begin+100, len(text))]); err != nil {
+				return err
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		return nil
+	}
+}
+
 func headsBeyond(path string) func(io.Writer) error {
 	return writes(headOf(path) + shortFields(beyondBytes) + "Content-Length: 10\r\n\r\nninebytes")
 }
--- a/cmd/plantainmuxd/crowd_standalone_test.go
+++ b/cmd/plantainmuxd/crowd_standalone_test.go
@@ -91,6 +91,8 @@
 		Entry("bodies but for one byte", ownCallers, false, ownBodies(chats)),
 		Entry("bodies but for one byte, of a service", ownCallers, false, ownBodies("/v1/services/orders/orders")),
 		Entry("bodies but for one byte, unknown path", ownCallers, false, ownBodies("/none")),
+		Entry("chunks of one byte", ownCallers, false, writes(ownHead(chats)+"Transfer-Encoding: chunked\r\n\r\n"+strings.Repeat("1\r\nx\r\n", ownBodyBytes-1))),
+		Entry("bodies sent slowly", ownCallers, false, slowly(ownHead(chats)+"Content-Length: 100000\r\n\r\n"+strings.Repeat("x", ownBodyBytes))),
 		Entry("heads beyond the limit, of short fields", ownCallers, false, ownHeads(chats)),
 		Entry("heads beyond the limit, of short fields, unknown path", ownCallers, false, ownHeads("/none")),
 		Entry("heads beyond the limit, of short fields, operators' address", ownAdmin, false, ownHeads("/readyz")),
--- a/cmd/plantainmuxd/crowd_test.go
+++ b/cmd/plantainmuxd/crowd_test.go
@@ -211,6 +211,11 @@
 		Entry("bodies far beyond the limit, in one chunk", crowdAddress(callersOf), crowdSize, true, largeChunk(routed)),
 		Entry("bodies far beyond the limit, in one chunk, readiness address", crowdAddress(readyOf), crowdSize, true, largeChunk(readiness)),
 
+		Entry("heads sent slowly, routed", crowdAddress(callersOf), crowdSize, true, slowly(headOf(routed)+shortFields(legalBytes))),
+		Entry("bodies sent slowly, routed", crowdAddress(callersOf), crowdSize, true, slowly(headOf(routed)+"Content-Length: 100000\r\n\r\n"+strings.Repeat("x", crowdBodyBytes))),
+		Entry("chunks of one byte, readiness address", crowdAddress(readyOf), crowdSize, true, smallChunks(readiness)),
+		Entry("bodies but for one byte, readiness address", crowdAddress(readyOf), crowdSize, true, bodies(readiness, crowdBodyBytes)),
+
 		Entry("one byte, callers", crowdAddress(callersOf), crowdMost, true, oneByte),
 		Entry("one byte, readiness address", crowdAddress(readyOf), 1500, true, oneByte),
 		Entry("one byte, peers' address", crowdAddress(peersOf), 1500, true, oneByte),
@@ -218,6 +223,25 @@
 		Entry("large answers that are not read, sent ahead", crowdAddress(callersOf), crowdMost, false, largeAhead),
 	)
 
+	// Guards against limits that a client inside those of the configuration meets.
+	DescribeTable("are not taken for a single client at the limits, which is served", func(framing, body string) {
+		d := startCrowded()
+		conn := d.dial()
+		end := framing + "\r\n\r\n"
+		head := headOf("/order/single")
+		head += shortFields(crowdHeadBytes - len(head) - len(end) - len("zzz:1\r\n"))
+		_, err := io.WriteString(conn, head+end+body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		line := make([]byte, len("HTTP/1.1 200"))
+		_, err = io.ReadFull(conn, line)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(line)).To(Equal("HTTP/1.1 200"))
+	},
+		Entry("in one piece", fmt.Sprintf("Content-Length: %d", crowdBodyBytes), strings.Repeat("x", crowdBodyBytes)),
+		Entry("in chunks of one byte", "Transfer-Encoding: chunked", strings.Repeat("1\r\nx\r\n", crowdBodyBytes)+"0\r\n\r\n"),
+	)
+
 	// Guards against streams of slow readers that add up beyond the memory.
 	It("leave a daemon within its memory when they read nothing of long streams", func() {
 		d := startCrowded()
--- a/internal/callerconn/head.go
+++ b/internal/callerconn/head.go
@@ -29,22 +29,6 @@
 // headMemory returns the memory that a head takes until its request ends.
 func headMemory(size, lines int) int64 { return int64(textCopies*size + fieldBytes*lines) }
 
-// headRefusal is why a head is not read any further.
-type headRefusal int
-
-const (
-	headAllowed headRefusal = iota
-	headTooLarge
-	headWithoutMemory
-)
-
-// HeadLimits bound the heads of requests.
-type HeadLimits struct {
-	Bytes   func() int                   // of the largest one; 0: any. Up to 4 KB more may be read
-	Account *heldbytes.Account           // of the memory that heads take while they are read and until their requests end
-	Refusal func(status int) http.Header // fields of the answer to a head that is refused
-}
-
 // LimitHeads makes the listener refuse heads beyond limits. It is to be called before Accept.
 func (l *Listener) LimitHeads(limits HeadLimits) { l.heads = limits }
 
