--- a/internal/callerconn/upload_test.go
+++ b/internal/callerconn/upload_test.go
@@ -19,6 +19,7 @@
 
 var _ = Describe("Requests that do not arrive whole, on all connections that callers may have", func() {
 	var listener *callerconn.Listener
+	var gauges map[string]func() float64
 	begin := func(path string) net.Conn {
 		conn, err := net.Dial("tcp", listener.Addr().String())
 		Expect(err).NotTo(HaveOccurred())
@@ -45,6 +46,8 @@
 		raw, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		listener = callerconn.Wrap(raw, limit, slog.New(slog.DiscardHandler))
+		gauges = map[string]func() float64{}
+		listener.Register("", func(name string, value func() float64) { gauges[name] = value })
 		next := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/denied" {
 				w.WriteHeader(http.StatusNotFound)
@@ -74,8 +77,9 @@
 	// Guards against clients that stop short of the end of their bodies and keep a daemon from serving any others.
 	It("make room after a second, and get an answer that says that they did not run", func() {
 		var stalled []net.Conn
-		for range limit {
+		for i := range limit {
 			stalled = append(stalled, begin("/read"))
+			Eventually(gauges["plantainmux_caller_connections_in_progress"]).Should(BeEquivalentTo(i + 1)) // they begin in this order
 		}
 		Eventually(listener.Full).Should(BeTrue())
 		Expect(ask()).To(Equal(http.StatusServiceUnavailable))
